--- /dev/null
+++ b/Makefile
@@ -0,0 +1,117 @@
+# burdockdale: build, tests, benchmarks.  `make help` lists the targets.
+
+BUILD ?= build
+CC = gcc
+CXX = g++
+PKGS = talloc tevent msgpack libmicrohttpd libcurl argtable2 glib-2.0 jansson \
+       libxxhash gsl
+OPT ?= -O2 -g
+SAN ?=
+# pkg-config runs after the packages are there, hence the deferred expansion.
+PKG_CFLAGS = $(eval PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS)))$(PKG_CFLAGS)
+PKG_LIBS = $(eval PKG_LIBS := $(shell pkg-config --libs $(PKGS)))$(PKG_LIBS)
+WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
+       -Wpointer-arith -Wvla -Werror
+CFLAGS = -std=gnu17 $(OPT) $(SAN) $(WARN) -D_GNU_SOURCE -Isrc -I. $(PKG_CFLAGS)
+CXXFLAGS = -std=c++17 $(OPT) $(SAN) -Wall -Wextra -Werror -Isrc -I. $(PKG_CFLAGS)
+LIBS = $(PKG_LIBS) -lm -lstdc++
+
+LIB_C = $(filter-out %_test.c src/cli/main.c,$(wildcard src/*/*.c))
+LIB_CC = $(filter-out %_properties.cc,$(wildcard src/*/*.cc))
+LIB_O = $(LIB_C:%.c=$(BUILD)/%.o) $(LIB_CC:%.cc=$(BUILD)/%.o)
+LIB = $(BUILD)/libburdockdale.a
+BIN = $(BUILD)/burdockdale
+FAKES = $(BUILD)/fakes
+FAKES_C = $(wildcard tests/fakes/*.c)
+TESTS_C = $(wildcard src/*/*_test.c)
+TESTS = $(TESTS_C:src/%.c=$(BUILD)/tests/%)
+PROPS_CC = $(wildcard src/*/*_properties.cc)
+PROPS = $(PROPS_CC:src/%.cc=$(BUILD)/tests/%)
+BENCH_C = $(wildcard bench/*.c)
+BENCHES = $(BENCH_C:%.c=$(BUILD)/%)
+
+.PHONY: all deps help demo check test properties paths lint format bench slopes \
+        sanitize clean build
+
+all: deps
+	@$(MAKE) --no-print-directory -j$$(nproc) build
+
+help:
+	@echo 'make demo        build, then run the whole system on loopback'
+	@echo 'make check       build, tests, properties, failure paths, sanitizers, linters'
+	@echo 'make test        unit tests and traces     make properties  property tests'
+	@echo 'make paths       failure paths with real processes'
+	@echo 'make bench       benchmarks                make slopes      figures of docs/CAPACITY.md'
+	@echo 'make lint        formatter and linters     make format      apply the formatter'
+
+deps:
+	@scripts/install-deps
+
+build: $(BIN) $(FAKES) $(TESTS) $(PROPS) $(BENCHES)
+
+$(LIB): $(LIB_O)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	@$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
+
+$(BUILD)/%.o: %.cc
+	@mkdir -p $(@D)
+	@$(CXX) $(CXXFLAGS) -MMD -MP -c $< -o $@
+
+$(BIN): $(BUILD)/src/cli/main.o $(LIB)
+	@$(CC) $(SAN) $^ -o $@ $(LIBS)
+
+$(FAKES): $(FAKES_C:%.c=$(BUILD)/%.o) $(LIB)
+	@$(CC) $(SAN) $^ -o $@ $(LIBS)
+
+$(BUILD)/tests/%_test: $(BUILD)/src/%_test.o $(LIB)
+	@mkdir -p $(@D)
+	@$(CC) $(SAN) $^ -o $@ $(LIBS) -lcunit
+
+$(BUILD)/tests/%_properties: $(BUILD)/src/%_properties.o $(LIB)
+	@mkdir -p $(@D)
+	@$(CXX) $(SAN) $^ -o $@ -lrapidcheck $(LIBS)
+
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(LIB)
+	@$(CC) $(SAN) $^ -o $@ $(LIBS)
+
+demo: all
+	@scripts/demo $(BUILD)
+
+test: all
+	@scripts/run-tests unit $(TESTS)
+
+properties: all
+	@scripts/run-tests properties $(PROPS)
+
+paths: all
+	@scripts/run-tests paths $(sort $(wildcard tests/paths/*.sh))
+
+sanitize: deps
+	@$(MAKE) --no-print-directory -j$$(nproc) build BUILD=build/sanitize \
+	  OPT='-O1 -g' SAN='-fsanitize=address,undefined -fno-omit-frame-pointer'
+	@BUILD=build/sanitize scripts/run-tests sanitize \
+	  $(TESTS_C:src/%.c=build/sanitize/tests/%) tests/paths/bad_input.sh
+
+lint: deps
+	@scripts/lint
+
+format: deps
+	@clang-format -i $(wildcard src/*/*.[ch] src/*/*.cc tests/*/*.[ch] bench/*.[ch])
+
+check: all lint test properties paths sanitize
+	@scripts/run-tests total
+
+bench: all
+	@scripts/bench $(BUILD)
+
+slopes: all
+	@scripts/slopes $(BUILD)
+
+clean:
+	@rm -rf build
+
+-include $(LIB_O:.o=.d) $(wildcard $(BUILD)/src/*/*.d $(BUILD)/tests/fakes/*.d $(BUILD)/bench/*.d)
--- /dev/null
+++ b/src/admission/limits.c
@@ -0,0 +1,206 @@
+/* Account limits.  */
+
+#include "admission/limits.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  /* Time constant of the measured demand.  */
+  DEMAND_WINDOW_MS = 2000,
+  PEER_FRESH_MS = 5000,
+  MAX_ACCOUNTS = 10000
+};
+
+/* Least part of a limit that a daemon keeps for itself, so that the first
+   call of an account is not refused while its demand is unknown.  */
+static const double least_share = 0.02;
+
+struct peer_demand
+{
+  double per_s;
+  int64_t heard_ms;
+};
+
+struct account
+{
+  uint64_t key;
+  struct bd_bucket bucket;
+  double per_s; /* Demand seen here.  */
+  int64_t counted_ms;
+  GHashTable *peers; /* Peer name -> struct peer_demand.  */
+};
+
+static void
+free_account (gpointer value)
+{
+  struct account *account = value;
+
+  g_hash_table_destroy (account->peers);
+  g_free (account);
+}
+
+void
+bd_limits_init (struct bd_limits *limits)
+{
+  limits->accounts = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                            free_account);
+  limits->seen_part = 1.0;
+}
+
+void
+bd_limits_finish (struct bd_limits *limits)
+{
+  g_hash_table_destroy (limits->accounts);
+}
+
+uint64_t
+bd_limits_key (const char *service, const char *account)
+{
+  return bd_hash_pair (service, account);
+}
+
+static struct account *
+account_made (struct bd_limits *limits, uint64_t key, int64_t now_ms)
+{
+  struct account *account = g_hash_table_lookup (limits->accounts, &key);
+
+  if (account != NULL)
+    return account;
+  if (g_hash_table_size (limits->accounts) >= MAX_ACCOUNTS)
+    g_hash_table_remove_all (limits->accounts);
+  account = g_new0 (struct account, 1);
+  account->key = key;
+  account->counted_ms = now_ms;
+  account->peers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_hash_table_insert (limits->accounts, &account->key, account);
+  return account;
+}
+
+/* The demand decays between calls and rises with each.  */
+static void
+decay (struct account *account, int64_t now_ms)
+{
+  double passed_ms = (double)(now_ms - account->counted_ms);
+
+  account->per_s *= exp (-passed_ms / DEMAND_WINDOW_MS);
+  account->counted_ms = now_ms;
+}
+
+static double
+demand_elsewhere (struct account *account, int64_t now_ms)
+{
+  double sum = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, account->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct peer_demand *peer = value;
+      if (now_ms - peer->heard_ms <= PEER_FRESH_MS)
+        sum += peer->per_s;
+    }
+  return sum;
+}
+
+static double
+share_of (struct bd_limits *limits, struct account *account, int64_t now_ms)
+{
+  double elsewhere = demand_elsewhere (account, now_ms);
+  double share
+      = elsewhere > 0 ? account->per_s / (account->per_s + elsewhere) : 1.0;
+
+  return fmax (share, least_share) * limits->seen_part;
+}
+
+bool
+bd_limits_take (struct bd_limits *limits, const char *service,
+                const char *name, const struct bd_limit *limit, int64_t now_ms,
+                int64_t *wait_ms)
+{
+  uint64_t key = bd_limits_key (service, name);
+  struct account *account;
+  double share;
+
+  *wait_ms = 0;
+  if (limit == NULL)
+    return true;
+  account = account_made (limits, key, now_ms);
+  decay (account, now_ms);
+  account->per_s += 1000.0 / DEMAND_WINDOW_MS;
+  share = share_of (limits, account, now_ms);
+  if (account->bucket.rate_per_s == 0)
+    bd_bucket_init (&account->bucket, limit->requests_per_s * share,
+                    fmax (1.0, limit->burst * share), now_ms);
+  bd_bucket_set_rate (&account->bucket, limit->requests_per_s * share,
+                      fmax (1.0, limit->burst * share), now_ms);
+  if (bd_bucket_take (&account->bucket, now_ms))
+    return true;
+  *wait_ms = bd_bucket_wait_ms (&account->bucket, now_ms);
+  return false;
+}
+
+void
+bd_limits_peers (struct bd_limits *limits, uint32_t live, uint32_t known)
+{
+  limits->seen_part = known > 0 ? (double)live / known : 1.0;
+}
+
+void
+bd_limits_heard (struct bd_limits *limits, const char *peer,
+                 const struct bd_usage *usages, uint32_t count, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct account *account = account_made (limits, usages[i].key, now_ms);
+      struct peer_demand *demand = g_hash_table_lookup (account->peers, peer);
+      if (demand == NULL)
+        {
+          demand = g_new0 (struct peer_demand, 1);
+          g_hash_table_insert (account->peers, g_strdup (peer), demand);
+        }
+      demand->per_s = usages[i].per_s;
+      demand->heard_ms = now_ms;
+    }
+}
+
+static int
+compare_usage (const void *a, const void *b)
+{
+  double left = ((const struct bd_usage *)a)->per_s;
+  double right = ((const struct bd_usage *)b)->per_s;
+
+  return left < right ? 1 : left > right ? -1 : 0;
+}
+
+uint32_t
+bd_limits_usages (struct bd_limits *limits, int64_t now_ms,
+                  struct bd_usage *usages, uint32_t max)
+{
+  enum
+  {
+    MAX_SORTED = 1024
+  };
+  struct bd_usage all[MAX_SORTED];
+  uint32_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, limits->accounts);
+  while (count < MAX_SORTED && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct account *account = value;
+      decay (account, now_ms);
+      if (account->per_s > 0.01)
+        all[count++] = (struct bd_usage){ account->key, account->per_s };
+    }
+  qsort (all, count, sizeof *all, compare_usage);
+  if (count > max)
+    count = max;
+  memcpy (usages, all, count * sizeof *usages);
+  return count;
+}
--- /dev/null
+++ b/src/admission/queue.h
@@ -0,0 +1,75 @@
+/* The queue before a service: weighted fair among client accounts, bounded in
+   count and bytes, with an estimate of the wait.  Pure.
+
+   Fairness is by virtual finish times: an account's next call finishes one
+   over its weight after its last one.  When the queue is full, the account
+   with the longest backlog for its weight loses its last call, so that a
+   flood harms the account that floods.  */
+
+#ifndef BD_ADMISSION_QUEUE_H
+#define BD_ADMISSION_QUEUE_H
+
+#include "base/error.h"
+#include "base/ids.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* One waiting call; embedded in the caller's own struct.  */
+struct bd_waiting
+{
+  void *owner;
+  struct bd_lane *lane;
+  double finish;
+  size_t bytes;
+  int64_t deadline_ms;
+  struct bd_waiting *prev;
+  struct bd_waiting *next;
+};
+
+struct bd_queue
+{
+  GHashTable *lanes; /* Account -> struct bd_lane.  */
+  uint32_t count;
+  size_t bytes;
+  uint32_t max_count;
+  size_t max_bytes;
+  double virtual_time;
+  /* Calls finished a second, smoothed, for the estimate of the wait.  */
+  double finished_per_s;
+  int64_t rate_since_ms;
+  uint32_t rate_count;
+};
+
+void bd_queue_init (struct bd_queue *queue, uint32_t max_count,
+                    size_t max_bytes, int64_t now_ms);
+void bd_queue_finish (struct bd_queue *queue);
+
+/* bd_queue_push(): adds a call.  weight is the account's.
+   Returns BD_OK, BD_ERR_OVERLOADED, or BD_ERR_DEADLINE_UNREACHABLE when the
+   wait is longer than the time until deadline_ms.  *evicted is a call that
+   had to make room, to be answered at once; NULL when there is none.  */
+enum bd_error bd_queue_push (struct bd_queue *queue,
+                             struct bd_waiting *waiting, const char *account,
+                             double weight, int64_t now_ms,
+                             struct bd_waiting **evicted);
+
+/* bd_queue_pop(): the next call in fair order, or NULL.  */
+struct bd_waiting *bd_queue_pop (struct bd_queue *queue);
+
+/* bd_queue_remove(): takes a call out, wherever it is.  */
+void bd_queue_remove (struct bd_queue *queue, struct bd_waiting *waiting);
+
+/* bd_queue_expired(): a call whose deadline has passed, taken out; NULL when
+   there is none.  */
+struct bd_waiting *bd_queue_expired (struct bd_queue *queue, int64_t now_ms);
+
+/* bd_queue_finished(): a call of this service has finished.  */
+void bd_queue_finished (struct bd_queue *queue, int64_t now_ms);
+
+/* bd_queue_wait_ms(): how long the present backlog takes; also what a caller
+   is told to wait before it comes back.  */
+int64_t bd_queue_wait_ms (const struct bd_queue *queue);
+
+#endif
--- /dev/null
+++ b/src/base/counters.h
@@ -0,0 +1,72 @@
+/* Metric counters: a closed list, rendered in the text exposition format.
+
+   One struct bd_counters belongs to one daemon.  Adding to a counter is an
+   increment of an array cell; nothing else happens until it is rendered.  */
+
+#ifndef BD_BASE_COUNTERS_H
+#define BD_BASE_COUNTERS_H
+
+#include <stdint.h>
+
+/* X (enumerator, exported name, help).  */
+#define BD_COUNTER_LIST(X)                                                    \
+  X (REQUESTS, "requests_total", "requests received from callers")            \
+  X (ANSWERS, "answers_total", "final answers given to callers")              \
+  X (FAILURES, "failure_answers_total", "final answers that were failures")   \
+  X (CALLERS_GONE, "callers_gone_total", "callers that left before the end")  \
+  X (ATTEMPTS, "attempts_total", "attempts sent to endpoints")                \
+  X (RETRIES, "retries_total", "attempts after the first of a call")          \
+  X (RESUMES, "resumes_total", "streams resumed on another replica")          \
+  X (CROSSED, "crossed_answers_total", "answers with a foreign attempt id")   \
+  X (WRONG_INCARNATION, "wrong_incarnation_total",                            \
+     "answers under another incarnation than the call was sent to")           \
+  X (RATE_LIMITED, "rate_limited_total", "calls over an account's limit")     \
+  X (SHED, "shed_total", "calls refused because of backlog")                  \
+  X (SUSPECTS_REFUSED, "suspects_refused_total", "suspect requests refused")  \
+  X (CLAIMS, "claims_total", "claims committed")                              \
+  X (CLAIM_REPLAYS, "claim_replays_total", "resends answered from a claim")   \
+  X (CLAIM_WRITES, "claim_writes_total", "conditional updates for claims")    \
+  X (PLATFORM_READS, "platform_reads_total", "reads of the object API")       \
+  X (PLATFORM_WRITES, "platform_writes_total", "writes of the object API")    \
+  X (PLATFORM_FAILURES, "platform_failures_total",                            \
+     "object API calls without a usable answer")                              \
+  X (LOST_ANSWERS_SETTLED, "platform_lost_answers_settled_total",             \
+     "writes without an answer that a read-back settled")                     \
+  X (CONFIG_LOWER, "config_lower_revision_total",                             \
+     "configurations refused because their revision is lower")                \
+  X (CONFIG_ADOPTED, "config_adopted_total", "configurations put in force")   \
+  X (CONFIG_REJECTED, "config_rejected_total", "published sets rejected")     \
+  X (ORDERS, "orders_total", "orders sent to engines")                        \
+  X (ORDERS_REFUSED, "orders_refused_total", "orders refused by engines")     \
+  X (PEER_BYTES_OUT, "peer_bytes_sent_total", "bytes sent to other daemons")  \
+  X (PEER_BYTES_IN, "peer_bytes_received_total",                              \
+     "bytes received from other daemons")                                     \
+  X (PEER_MESSAGES_OUT, "peer_messages_sent_total",                           \
+     "messages sent to other daemons")                                        \
+  X (PEER_DROPPED, "peer_messages_dropped_total",                             \
+     "messages dropped because a peer's queue was full")                      \
+  X (ENDPOINT_POLLS, "endpoint_polls_total", "load reports asked for")
+
+enum bd_counter
+{
+#define BD_COUNTER_ENUM(name, exported, help) BD_COUNT_##name,
+  BD_COUNTER_LIST (BD_COUNTER_ENUM)
+#undef BD_COUNTER_ENUM
+      BD_COUNTER_COUNT
+};
+
+struct bd_counters
+{
+  uint64_t value[BD_COUNTER_COUNT];
+};
+
+/* bd_count(): adds one.  bd_count_add(): adds n.  */
+void bd_count (struct bd_counters *counters, enum bd_counter counter);
+void bd_count_add (struct bd_counters *counters, enum bd_counter counter,
+                   uint64_t n);
+
+/* bd_counters_render(): the counters as text, allocated on ctx; NULL when
+   there is no memory.  */
+char *bd_counters_render (const struct bd_counters *counters, void *ctx);
+
+#endif
--- /dev/null
+++ b/src/calls/call.c
@@ -0,0 +1,168 @@
+/* The state machine of a call.  */
+
+#include "calls/call.h"
+
+#include <assert.h>
+#include <math.h>
+#include <string.h>
+
+/* Retries for each fresh call, and how many may be saved up.  */
+static const double retry_share = 0.1;
+static const double retry_most = 50.0;
+
+void
+bd_retry_budget_fresh (struct bd_retry_budget *budget)
+{
+  budget->tokens = fmin (retry_most, budget->tokens + retry_share);
+}
+
+bool
+bd_retry_budget_take (struct bd_retry_budget *budget)
+{
+  if (budget->tokens < 1.0)
+    return false;
+  budget->tokens -= 1.0;
+  return true;
+}
+
+void
+bd_call_init (struct bd_call *call, bool may_repeat, bool has_key,
+              bool is_stream, int64_t deadline_ms)
+{
+  memset (call, 0, sizeof *call);
+  call->may_repeat = may_repeat;
+  call->has_key = has_key;
+  call->is_stream = is_stream;
+  call->deadline_ms = deadline_ms;
+  call->last_event_id = -1;
+}
+
+static enum bd_action
+fail (struct bd_call *call, enum bd_error error)
+{
+  assert (call->state != BD_CALL_DONE);
+  call->state = BD_CALL_DONE;
+  call->error = error;
+  call->run = call->may_have_run ? BD_RUN_UNKNOWN : BD_NOT_RUN;
+  return BD_ACTION_FAIL;
+}
+
+enum bd_action
+bd_call_admitted (struct bd_call *call)
+{
+  assert (call->state == BD_CALL_QUEUED);
+  if (call->has_key && !call->may_repeat)
+    {
+      call->state = BD_CALL_CLAIMING;
+      return BD_ACTION_CLAIM;
+    }
+  call->state = BD_CALL_RUNNING;
+  return BD_ACTION_DISPATCH;
+}
+
+enum bd_action
+bd_call_claimed (struct bd_call *call)
+{
+  assert (call->state == BD_CALL_CLAIMING);
+  call->state = BD_CALL_RUNNING;
+  return BD_ACTION_DISPATCH;
+}
+
+void
+bd_call_sent (struct bd_call *call, uint64_t place)
+{
+  assert (call->state == BD_CALL_RUNNING);
+  assert (call->attempts < BD_CALL_MAX_ATTEMPTS);
+  call->tried[call->attempts++] = place;
+}
+
+void
+bd_call_event (struct bd_call *call, bool has_id, int64_t id)
+{
+  call->has_head = true;
+  call->can_resume = has_id;
+  if (has_id)
+    call->last_event_id = id;
+}
+
+bool
+bd_call_is_new_event (const struct bd_call *call, bool has_id, int64_t id)
+{
+  return !has_id || id > call->last_event_id;
+}
+
+/* Whether another attempt is allowed by what has happened so far.  */
+static bool
+may_try_again (const struct bd_call *call, enum bd_failure failure)
+{
+  bool has_not_started
+      = failure == BD_FAILURE_NOT_SENT || failure == BD_FAILURE_REFUSED;
+
+  if (call->attempts >= BD_CALL_MAX_ATTEMPTS)
+    return false;
+  if (!call->may_repeat)
+    return has_not_started && !call->may_have_run;
+  /* A stream that has begun goes on after its last event, or not at all.  */
+  return !call->has_head || call->can_resume;
+}
+
+static enum bd_error
+error_of (const struct bd_call *call, enum bd_failure failure)
+{
+  if (failure == BD_FAILURE_TIMEOUT)
+    return BD_ERR_DEADLINE_PASSED;
+  return call->has_head ? BD_ERR_STREAM_BROKEN : BD_ERR_ENDPOINT_FAILED;
+}
+
+enum bd_action
+bd_call_failed (struct bd_call *call, enum bd_failure failure,
+                struct bd_retry_budget *budget, int64_t now_ms)
+{
+  assert (call->state == BD_CALL_RUNNING);
+  if (failure != BD_FAILURE_NOT_SENT && failure != BD_FAILURE_REFUSED)
+    call->may_have_run = true;
+  if (now_ms >= call->deadline_ms)
+    return fail (call, BD_ERR_DEADLINE_PASSED);
+  if (!may_try_again (call, failure) || !bd_retry_budget_take (budget))
+    return fail (call, error_of (call, failure));
+  return BD_ACTION_DISPATCH;
+}
+
+enum bd_action
+bd_call_no_place (struct bd_call *call, enum bd_error error)
+{
+  return fail (call, error);
+}
+
+enum bd_action
+bd_call_refused (struct bd_call *call, enum bd_error error)
+{
+  return fail (call, error);
+}
+
+enum bd_action
+bd_call_expired (struct bd_call *call)
+{
+  if (call->state == BD_CALL_RUNNING && call->attempts > 0)
+    call->may_have_run = true;
+  return fail (call, BD_ERR_DEADLINE_PASSED);
+}
+
+enum bd_action
+bd_call_finished (struct bd_call *call)
+{
+  assert (call->state == BD_CALL_RUNNING);
+  call->state = BD_CALL_DONE;
+  call->error = BD_OK;
+  call->run = BD_RAN;
+  return BD_ACTION_FINISH;
+}
+
+bool
+bd_call_was_tried (const struct bd_call *call, uint64_t place)
+{
+  for (uint32_t i = 0; i < call->attempts; i++)
+    if (call->tried[i] == place)
+      return true;
+  return false;
+}
--- /dev/null
+++ b/src/calls/sse.c
@@ -0,0 +1,102 @@
+/* Cutting of event streams.  */
+
+#include "calls/sse.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+void
+bd_sse_init (struct bd_sse *sse, void *ctx)
+{
+  memset (sse, 0, sizeof *sse);
+  sse->ctx = ctx;
+}
+
+void
+bd_sse_reset (struct bd_sse *sse)
+{
+  sse->used = 0;
+  sse->start = 0;
+  sse->scanned = 0;
+}
+
+bool
+bd_sse_feed (struct bd_sse *sse, const char *data, size_t size)
+{
+  size_t kept = sse->used - sse->start;
+
+  if (kept + size > BD_SSE_MAX_EVENT_BYTES)
+    return false;
+  if (sse->start > 0)
+    memmove (sse->buffer, sse->buffer + sse->start, kept);
+  sse->scanned -= sse->start;
+  sse->start = 0;
+  sse->used = kept;
+  if (kept + size > sse->room)
+    {
+      sse->room = (kept + size) * 2;
+      sse->buffer = talloc_realloc (sse->ctx, sse->buffer, char, sse->room);
+    }
+  memcpy (sse->buffer + kept, data, size);
+  sse->used += size;
+  return true;
+}
+
+static bool
+is_field (const char *line, size_t size, const char *name)
+{
+  size_t length = strlen (name);
+
+  return size >= length && memcmp (line, name, length) == 0;
+}
+
+static void
+read_line (struct bd_sse_event *event, const char *line, size_t size)
+{
+  if (is_field (line, size, "id: "))
+    {
+      event->has_id = true;
+      event->id = strtoll (line + strlen ("id: "), NULL, 10);
+    }
+  else if (is_field (line, size, "data: [DONE]"))
+    event->is_end = true;
+}
+
+static void
+read_event (struct bd_sse_event *event)
+{
+  const char *line = event->text;
+  const char *end = event->text + event->size;
+
+  while (line < end)
+    {
+      const char *stop = memchr (line, '\n', (size_t)(end - line));
+      if (stop == NULL)
+        break;
+      read_line (event, line, (size_t)(stop - line));
+      line = stop + 1;
+    }
+}
+
+bool
+bd_sse_next (struct bd_sse *sse, struct bd_sse_event *event)
+{
+  size_t from = sse->scanned > sse->start ? sse->scanned : sse->start;
+
+  for (size_t i = from; i + 1 < sse->used; i++)
+    {
+      if (sse->buffer[i] != '\n' || sse->buffer[i + 1] != '\n')
+        continue;
+      memset (event, 0, sizeof *event);
+      event->text = sse->buffer + sse->start;
+      event->size = i + 2 - sse->start;
+      sse->start = i + 2;
+      sse->scanned = sse->start;
+      read_event (event);
+      return true;
+    }
+  /* The last byte may be the first half of the empty line.  */
+  sse->scanned = sse->used > sse->start ? sse->used - 1 : sse->start;
+  return false;
+}
--- /dev/null
+++ b/src/cli/main.c
@@ -0,0 +1,63 @@
+/* burdockdale: one binary for the daemon and its operators.  */
+
+#include "cli/cli.h"
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <string.h>
+
+struct command
+{
+  const char *name;
+  int (*run) (int argc, char **argv);
+  const char *about;
+};
+
+static const struct command commands[] = {
+  { "serve", bd_cli_serve, "run the daemon" },
+  { "check", bd_cli_check, "check service files" },
+  { "publish", bd_cli_publish, "publish service files" },
+  { "status", bd_cli_status, "show what is in force where" },
+  { "audit", bd_cli_audit, "show the trail of changes" },
+};
+
+enum
+{
+  COMMAND_COUNT = sizeof commands / sizeof commands[0]
+};
+
+static void
+print_usage (FILE *out)
+{
+  fprintf (out, "usage: burdockdale COMMAND [OPTIONS]\n\n");
+  for (int i = 0; i < COMMAND_COUNT; i++)
+    fprintf (out, "  %-9s %s\n", commands[i].name, commands[i].about);
+  fprintf (out, "\n  --help     this text; after a command, its options\n"
+                "  --version  the version\n");
+}
+
+int
+main (int argc, char **argv)
+{
+  if (argc < 2)
+    {
+      print_usage (stderr);
+      return BD_EXIT_USAGE;
+    }
+  if (strcmp (argv[1], "--help") == 0)
+    {
+      print_usage (stdout);
+      return BD_EXIT_OK;
+    }
+  if (strcmp (argv[1], "--version") == 0)
+    {
+      printf ("burdockdale %s\n", BD_VERSION);
+      return BD_EXIT_OK;
+    }
+  for (int i = 0; i < COMMAND_COUNT; i++)
+    if (strcmp (argv[1], commands[i].name) == 0)
+      return commands[i].run (argc - 1, argv + 1);
+  fprintf (stderr, "burdockdale: no command '%s'\n", argv[1]);
+  print_usage (stderr);
+  return BD_EXIT_USAGE;
+}
--- /dev/null
+++ b/src/cli/serve.c
@@ -0,0 +1,88 @@
+/* burdockdale serve: the daemon.  */
+
+#include "base/log.h"
+#include "cli/cli.h"
+#include "daemon/daemon.h"
+
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <talloc.h>
+
+static void
+handle_stop (struct tevent_context *events, struct tevent_signal *signal_event,
+             int signal_number, int count, void *info, void *private_data)
+{
+  (void)events;
+  (void)signal_event;
+  (void)signal_number;
+  (void)count;
+  (void)info;
+  bd_daemon_stop (private_data);
+}
+
+/* Wakes the loop so that it looks whether a stop has come to its end.  */
+static void
+handle_tick (struct tevent_context *events, struct tevent_timer *timer,
+             struct timeval now, void *private_data)
+{
+  (void)timer;
+  (void)now;
+  tevent_add_timer (events, events, tevent_timeval_current_ofs (0, 50000),
+                    handle_tick, private_data);
+}
+
+static int
+run (void *ctx, const struct bd_settings *settings)
+{
+  struct tevent_context *events = tevent_context_init (ctx);
+  struct bd_daemon *daemon;
+
+  daemon = bd_daemon_start (ctx, events, settings);
+  if (daemon == NULL)
+    return BD_EXIT_FAILED;
+  tevent_add_signal (events, events, SIGTERM, 0, handle_stop, daemon);
+  tevent_add_signal (events, events, SIGINT, 0, handle_stop, daemon);
+  handle_tick (events, NULL, (struct timeval){ 0 }, daemon);
+  while (!bd_daemon_is_done (daemon))
+    tevent_loop_once (events);
+  bd_log ("stopped", NULL);
+  bd_daemon_finish (daemon);
+  return BD_EXIT_OK;
+}
+
+int
+bd_cli_serve (int argc, char **argv)
+{
+  struct arg_file *file
+      = arg_file1 (NULL, "settings", "FILE", "the daemon's settings (TOML)");
+  struct arg_lit *help = arg_lit0 (NULL, "help", "this text");
+  struct arg_end *end = arg_end (8);
+  void *table[] = { file, help, end };
+  int code = bd_cli_parse (argc, argv, table, help, end,
+                           "Runs the daemon until SIGTERM; then everything "
+                           "in flight finishes first.");
+  void *ctx = talloc_new (NULL);
+  struct bd_faults faults = { .ctx = ctx };
+  struct bd_settings settings;
+
+  if (code >= 0)
+    goto out;
+  if (!bd_settings_read (&settings, ctx, file->filename[0], &faults))
+    {
+      fputs (faults.text, stderr);
+      code = BD_EXIT_FAILED;
+      goto out;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  bd_log_init (settings.name);
+  code = run (ctx, &settings);
+  curl_global_cleanup ();
+
+out:
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  talloc_free (ctx);
+  return code;
+}
--- /dev/null
+++ b/src/cli/session.h
@@ -0,0 +1,50 @@
+/* The operator's side of the platform: one call at a time, waited for.  */
+
+#ifndef BD_CLI_SESSION_H
+#define BD_CLI_SESSION_H
+
+#include "platform/client.h"
+
+#include <stdbool.h>
+
+struct bd_session
+{
+  struct tevent_context *events;
+  struct bd_clock clock;
+  gsl_rng *rng;
+  struct bd_counters counters;
+  struct bd_http_client client;
+  struct bd_object_api_http api;
+  struct bd_platform platform;
+};
+
+/* What a waited-for call gave; the values are owned by the reader.  */
+struct bd_session_answer
+{
+  enum bd_error error;
+  int64_t version;
+  json_t *envelope;
+  json_t *data;
+  json_t *items;
+  bool is_done;
+};
+
+/* bd_session_init(): url is that of the Object API.  */
+bool bd_session_init (struct bd_session *session, const char *url);
+void bd_session_finish (struct bd_session *session);
+
+/* bd_session_read(), bd_session_list(), bd_session_update(): like those of
+   the platform client.  Free the answer with bd_session_answer_finish().  */
+void bd_session_read (struct bd_session *session, const char *key,
+                      struct bd_session_answer *answer);
+void bd_session_list (struct bd_session *session, const char *prefix,
+                      struct bd_session_answer *answer);
+void bd_session_update (struct bd_session *session, const char *key,
+                        int64_t expected_version, const json_t *previous,
+                        json_t *data, struct bd_session_answer *answer);
+void bd_session_answer_finish (struct bd_session_answer *answer);
+
+/* bd_session_pause(): lets time pass.  */
+void bd_session_pause (struct bd_session *session, uint32_t pause_ms);
+
+#endif
--- /dev/null
+++ b/src/config/accept.c
@@ -0,0 +1,248 @@
+/* Acceptance of published files into a new head.  */
+
+#include "config/config.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+json_t *
+bd_published_to_json (const struct bd_published *published)
+{
+  return json_pack ("{s:s,s:s,s:s,s:s,s:I,s:b}", "service", published->service,
+                    "file", published->file, "text", published->text, "by",
+                    published->by, "generation",
+                    (json_int_t)published->generation, "removed",
+                    published->is_removed);
+}
+
+bool
+bd_published_from_json (const json_t *value, struct bd_published *out)
+{
+  out->service = json_string_value (json_object_get (value, "service"));
+  out->file = json_string_value (json_object_get (value, "file"));
+  out->text = json_string_value (json_object_get (value, "text"));
+  out->by = json_string_value (json_object_get (value, "by"));
+  out->generation = json_integer_value (json_object_get (value, "generation"));
+  out->is_removed = json_is_true (json_object_get (value, "removed"));
+  return out->service != NULL && out->file != NULL && out->text != NULL
+         && out->by != NULL;
+}
+
+static int64_t
+accepted_generation (const json_t *services, const char *name)
+{
+  return json_integer_value (
+      json_object_get (json_object_get (services, name), "generation"));
+}
+
+static bool
+is_change (const json_t *services, const json_t *removed,
+           const struct bd_published *file)
+{
+  int64_t gone = json_integer_value (json_object_get (removed, file->service));
+
+  return file->generation > accepted_generation (services, file->service)
+         && file->generation > gone;
+}
+
+/* Puts one file into a set of services.  */
+static void
+apply (json_t *services, json_t *removed, const struct bd_published *file)
+{
+  if (file->is_removed)
+    {
+      json_object_del (services, file->service);
+      json_object_set_new (removed, file->service,
+                           json_integer (file->generation));
+      return;
+    }
+  json_object_set_new (services, file->service,
+                       json_pack ("{s:I,s:s,s:s,s:s}", "generation",
+                                  (json_int_t)file->generation, "text",
+                                  file->text, "file", file->file, "by",
+                                  file->by));
+}
+
+static bool
+has_right_name (const struct bd_service *service, const char *name,
+                struct bd_faults *faults)
+{
+  if (strcmp (service->name, name) == 0)
+    return true;
+  bd_fault (faults, name, 0, "holds service '%s'", service->name);
+  return false;
+}
+
+/* Checks a set of services as a whole; reasons go to faults.  */
+static bool
+check_set (const json_t *services, struct bd_faults *faults)
+{
+  void *ctx = talloc_new (faults->ctx);
+  struct bd_service **parsed = talloc_array (ctx, struct bd_service *,
+                                             json_object_size (services) + 1);
+  uint32_t before = faults->count;
+  uint32_t count = 0;
+  size_t bytes = 0;
+  const char *name;
+  json_t *entry;
+
+  json_object_foreach ((json_t *)services, name, entry)
+  {
+    const char *text = json_string_value (json_object_get (entry, "text"));
+    const char *file = json_string_value (json_object_get (entry, "file"));
+    struct bd_service *service
+        = bd_service_parse (ctx, file, text, strlen (text), faults);
+    bytes += strlen (text) + strlen (name);
+    if (service != NULL && has_right_name (service, name, faults))
+      parsed[count++] = service;
+  }
+  bd_services_check (parsed, count, faults);
+  if (bytes > BD_HEAD_MAX_BYTES)
+    bd_fault (faults, "set", 0, "all services together are over %d bytes",
+              BD_HEAD_MAX_BYTES);
+  talloc_free (ctx);
+  return faults->count == before;
+}
+
+static void
+add_verdict (struct bd_acceptance *out, const struct bd_published *file,
+             const char *state, const char *reason)
+{
+  json_object_set_new (out->verdicts, file->service,
+                       json_pack ("{s:s,s:I,s:s,s:s}", "state", state,
+                                  "generation", (json_int_t)file->generation,
+                                  "by", file->by, "reason", reason));
+}
+
+static void
+note_accepted (struct bd_acceptance *out, json_t *changes,
+               const struct bd_published *file)
+{
+  out->accepted++;
+  add_verdict (out, file, file->is_removed ? "removed" : "accepted", "");
+  json_array_append_new (
+      changes, json_pack ("{s:s,s:I,s:s,s:b}", "service", file->service,
+                          "generation", (json_int_t)file->generation, "by",
+                          file->by, "removed", file->is_removed));
+}
+
+/* Whether a file that is no change is at least what is in force.  */
+static void
+note_unchanged (struct bd_acceptance *out, const json_t *services,
+                const struct bd_published *file)
+{
+  const json_t *entry = json_object_get (services, file->service);
+  const char *text = json_string_value (json_object_get (entry, "text"));
+  bool is_same = file->is_removed
+                     ? entry == NULL
+                     : text != NULL && strcmp (text, file->text) == 0;
+
+  if (is_same)
+    add_verdict (out, file, file->is_removed ? "removed" : "accepted", "");
+  else
+    add_verdict (out, file, "rejected",
+                 "older than what is in force; publish it again");
+}
+
+/* Tries files one by one on top of what is in force.  */
+static void
+accept_singly (struct bd_acceptance *out, json_t **services, json_t **removed,
+               json_t *changes, const struct bd_published *files,
+               uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct bd_faults faults = { .ctx = talloc_new (NULL) };
+      json_t *trial = json_deep_copy (*services);
+      json_t *trial_removed = json_deep_copy (*removed);
+
+      if (!is_change (*services, *removed, &files[i]))
+        note_unchanged (out, *services, &files[i]);
+      else
+        {
+          apply (trial, trial_removed, &files[i]);
+          if (check_set (trial, &faults))
+            {
+              json_t *swap = *services;
+              *services = trial;
+              trial = swap;
+              swap = *removed;
+              *removed = trial_removed;
+              trial_removed = swap;
+              note_accepted (out, changes, &files[i]);
+            }
+          else
+            {
+              out->rejected++;
+              add_verdict (out, &files[i], "rejected", faults.text);
+            }
+        }
+      json_decref (trial);
+      json_decref (trial_removed);
+      talloc_free (faults.ctx);
+    }
+}
+
+/* Tries all changes at once; false leaves everything as it was.  */
+static bool
+accept_together (struct bd_acceptance *out, json_t **services,
+                 json_t **removed, json_t *changes,
+                 const struct bd_published *files, uint32_t count)
+{
+  struct bd_faults faults = { .ctx = talloc_new (NULL) };
+  json_t *trial = json_deep_copy (*services);
+  json_t *trial_removed = json_deep_copy (*removed);
+  bool is_good;
+
+  for (uint32_t i = 0; i < count; i++)
+    if (is_change (*services, *removed, &files[i]))
+      apply (trial, trial_removed, &files[i]);
+  is_good = check_set (trial, &faults);
+  talloc_free (faults.ctx);
+  if (!is_good)
+    {
+      json_decref (trial);
+      json_decref (trial_removed);
+      return false;
+    }
+  for (uint32_t i = 0; i < count; i++)
+    if (is_change (*services, *removed, &files[i]))
+      note_accepted (out, changes, &files[i]);
+    else
+      note_unchanged (out, *services, &files[i]);
+  json_decref (*services);
+  json_decref (*removed);
+  *services = trial;
+  *removed = trial_removed;
+  return true;
+}
+
+void
+bd_config_accept (const json_t *head, const struct bd_published *files,
+                  uint32_t count, const char *keeper, int64_t at_ms,
+                  struct bd_acceptance *out)
+{
+  json_t *services = json_deep_copy (json_object_get (head, "services"));
+  json_t *removed = json_deep_copy (json_object_get (head, "removed"));
+  json_t *changes = json_array ();
+  int64_t revision = bd_head_revision (head) + 1;
+
+  memset (out, 0, sizeof *out);
+  out->verdicts = json_object ();
+  if (services == NULL)
+    services = json_object ();
+  if (removed == NULL)
+    removed = json_object ();
+  if (!accept_together (out, &services, &removed, changes, files, count))
+    accept_singly (out, &services, &removed, changes, files, count);
+  if (out->accepted > 0)
+    out->head = json_pack ("{s:I,s:O,s:O,s:{s:I,s:I,s:s,s:O}}", "revision",
+                           (json_int_t)revision, "services", services,
+                           "removed", removed, "change", "revision",
+                           (json_int_t)revision, "at_ms", (json_int_t)at_ms,
+                           "keeper", keeper, "services", changes);
+  json_decref (services);
+  json_decref (removed);
+  json_decref (changes);
+}
--- /dev/null
+++ b/src/daemon/daemon.c
@@ -0,0 +1,249 @@
+/* Start, stop and timers of the daemon.  */
+
+#include "daemon/daemon_internal.h"
+
+#include "base/log.h"
+
+#include <string.h>
+#include <talloc.h>
+
+enum
+{
+  KEEPER_PERIOD_MS = 100,
+  LIST_PERIOD_MS = 1000,
+  EXPIRE_PERIOD_MS = 100,
+  MAX_IDLE_CONNECTIONS = 512,
+  SUSPICION_MS = 120000,
+  PREFIX_FADE_MS = 60000,
+  MAX_PREFIX_HINTS = 100000,
+  /* Time for peers and callers to hear of a stop.  */
+  STOP_NOTICE_MS = 300,
+  /* Largest body of a call before its service is known.  */
+  MAX_MODEL_BODY_BYTES = 4 << 20
+};
+
+int64_t
+bd_daemon_now_ms (const struct bd_daemon *daemon)
+{
+  return bd_clock_now_ms (&daemon->clock);
+}
+
+bool
+bd_daemon_is_ready (const struct bd_daemon *daemon, const char **reason)
+{
+  *reason = "";
+  if (daemon->is_stopping)
+    *reason = "stopping";
+  else if (daemon->config.revision == 0)
+    *reason = "no configuration, neither from the platform nor from a peer";
+  else if (daemon->instances_text == NULL)
+    *reason = "no instance list, neither from the platform nor from a peer";
+  return (*reason)[0] == '\0';
+}
+
+static size_t
+max_body (void *ctx, const char *path)
+{
+  struct bd_daemon *daemon = ctx;
+  const struct bd_service *service = bd_config_path (&daemon->config, path);
+
+  return service != NULL ? service->max_body_bytes : MAX_MODEL_BODY_BYTES;
+}
+
+static void
+handle_request (void *ctx, struct bd_http_exchange *exchange)
+{
+  struct bd_daemon *daemon = ctx;
+
+  if (!bd_daemon_serve_page (daemon, exchange))
+    bd_daemon_take_call (daemon, exchange);
+}
+
+static void
+handle_gone (void *ctx, struct bd_http_exchange *exchange)
+{
+  bd_daemon_caller_gone (ctx, exchange);
+}
+
+static void
+handle_writable (void *ctx, struct bd_http_exchange *exchange)
+{
+  bd_daemon_caller_writable (ctx, exchange);
+}
+
+static const struct bd_http_server_ops server_ops
+    = { max_body, handle_request, handle_gone, handle_writable };
+
+static void
+start_platform (struct bd_daemon *daemon)
+{
+  const struct bd_settings *settings = daemon->settings;
+
+  daemon->api.client = &daemon->client;
+  daemon->api.url = settings->platform_url;
+  bd_platform_init (&daemon->platform, &bd_object_api_http_ops, &daemon->api,
+                    daemon->events, &daemon->clock, &daemon->counters,
+                    daemon->rng, settings->reads_per_s,
+                    settings->writes_per_s);
+}
+
+static void
+start_keeper (struct bd_daemon *daemon)
+{
+  const struct bd_settings *settings = daemon->settings;
+  struct bd_keeper_limits limits
+      = { .dead_after_ms = settings->dead_after_ms,
+          .keeper_bound_ms = settings->keeper_bound_ms,
+          .drain_ms = settings->freshness_ms,
+          .loads_at_once = settings->loads_at_once,
+          .order_retry_ms = 1000,
+          .load_ms = 60000,
+          .join_ms = 2000,
+          .downtime_weight = settings->downtime_weight,
+          .stranded_weight = settings->stranded_weight };
+
+  bd_keeper_init (&daemon->keeper, settings->data_centre, settings->name,
+                  &limits);
+}
+
+static void
+start_tables (struct bd_daemon *daemon)
+{
+  bd_config_init (&daemon->config);
+  bd_limits_init (&daemon->limits);
+  bd_suspects_init (&daemon->suspects, SUSPICION_MS);
+  bd_prefix_table_init (&daemon->prefixes, PREFIX_FADE_MS, MAX_PREFIX_HINTS);
+  daemon->endpoints
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  daemon->group_news
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  daemon->traffic
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  daemon->breaks
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  daemon->pools
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+}
+
+static void
+start_tickers (struct bd_daemon *daemon)
+{
+  const struct bd_settings *settings = daemon->settings;
+  struct tevent_context *events = daemon->events;
+
+  bd_ticker_init (&daemon->heartbeat_ticker, events, daemon->rng,
+                  settings->heartbeat_ms, bd_daemon_beat, daemon);
+  bd_ticker_init (&daemon->poll_ticker, events, daemon->rng, settings->poll_ms,
+                  bd_daemon_poll, daemon);
+  bd_ticker_init (&daemon->keeper_ticker, events, daemon->rng,
+                  KEEPER_PERIOD_MS, bd_daemon_keep_groups, daemon);
+  bd_ticker_init (&daemon->list_ticker, events, daemon->rng, LIST_PERIOD_MS,
+                  bd_daemon_list_instances, daemon);
+  bd_ticker_init (&daemon->expire_ticker, events, daemon->rng,
+                  EXPIRE_PERIOD_MS, bd_daemon_expire, daemon);
+}
+
+struct bd_daemon *
+bd_daemon_start (void *ctx, struct tevent_context *events,
+                 const struct bd_settings *settings)
+{
+  struct bd_daemon *daemon = talloc_zero (ctx, struct bd_daemon);
+
+  daemon->settings = settings;
+  daemon->events = events;
+  daemon->clock = bd_clock_system ();
+  daemon->rng = gsl_rng_alloc (gsl_rng_mt19937);
+  gsl_rng_set (daemon->rng, (unsigned long)bd_random_seed ());
+  start_tables (daemon);
+  if (!bd_http_client_init (&daemon->client, events, MAX_IDLE_CONNECTIONS))
+    goto fail;
+  start_platform (daemon);
+  start_keeper (daemon);
+  bd_daemon_start_claims (daemon);
+  if (!bd_daemon_start_peers (daemon))
+    goto fail;
+  if (!bd_http_server_init (&daemon->server, events, settings->address,
+                            settings->http_port, settings->max_connections,
+                            &server_ops, daemon))
+    goto fail;
+  start_tickers (daemon);
+  bd_log ("started", "data_centre", settings->data_centre, NULL);
+  return daemon;
+
+fail:
+  bd_log ("cannot-listen", "address", settings->address, NULL);
+  bd_daemon_finish (daemon);
+  return NULL;
+}
+
+void
+bd_daemon_stop (struct bd_daemon *daemon)
+{
+  if (daemon->is_stopping)
+    return;
+  daemon->is_stopping = true;
+  daemon->stopping_since_ms = bd_daemon_now_ms (daemon);
+  bd_membership_self (&daemon->membership)->is_stopping = true;
+  bd_log ("stopping", NULL);
+  /* Peers take over this daemon's duties at once.  */
+  bd_daemon_beat (daemon);
+}
+
+static bool
+has_claim_work (const struct bd_daemon *daemon)
+{
+  if (daemon->forwarded != NULL)
+    return true;
+  for (uint32_t i = 0; i < BD_CLAIM_SHARDS; i++)
+    if (daemon->shards[i].first != NULL || daemon->shards[i].is_committing)
+      return true;
+  return false;
+}
+
+bool
+bd_daemon_is_done (const struct bd_daemon *daemon)
+{
+  return daemon->is_stopping && daemon->job_count == 0
+         && daemon->server.open_exchanges == 0 && !has_claim_work (daemon)
+         && bd_daemon_now_ms (daemon) - daemon->stopping_since_ms
+                >= STOP_NOTICE_MS;
+}
+
+static void
+stop_tickers (struct bd_daemon *daemon)
+{
+  bd_ticker_finish (&daemon->heartbeat_ticker);
+  bd_ticker_finish (&daemon->poll_ticker);
+  bd_ticker_finish (&daemon->keeper_ticker);
+  bd_ticker_finish (&daemon->list_ticker);
+  bd_ticker_finish (&daemon->expire_ticker);
+}
+
+void
+bd_daemon_finish (struct bd_daemon *daemon)
+{
+  stop_tickers (daemon);
+  bd_http_server_finish (&daemon->server);
+  bd_peers_finish (&daemon->peers);
+  bd_platform_finish (&daemon->platform);
+  bd_daemon_finish_claims (daemon);
+  bd_http_client_finish (&daemon->client);
+  bd_config_finish (&daemon->config);
+  bd_limits_finish (&daemon->limits);
+  bd_suspects_finish (&daemon->suspects);
+  bd_prefix_table_finish (&daemon->prefixes);
+  if (daemon->keeper.units != NULL)
+    bd_keeper_finish (&daemon->keeper);
+  g_hash_table_destroy (daemon->endpoints);
+  g_hash_table_destroy (daemon->group_news);
+  g_hash_table_destroy (daemon->traffic);
+  g_hash_table_destroy (daemon->breaks);
+  g_hash_table_destroy (daemon->pools);
+  json_decref (daemon->published_verdicts);
+  json_decref (daemon->status_written);
+  json_decref (daemon->status_envelope);
+  json_decref (daemon->instances_text);
+  json_decref (daemon->allotment_envelope);
+  gsl_rng_free (daemon->rng);
+  talloc_free (daemon);
+}
--- /dev/null
+++ b/src/daemon/daemon_peers.c
@@ -0,0 +1,391 @@
+/* Heartbeats and messages between daemons.  */
+
+#include "daemon/daemon_internal.h"
+
+#include "base/log.h"
+
+#include <string.h>
+#include <talloc.h>
+
+enum
+{
+  MAX_USAGES = 32
+};
+
+bool
+bd_daemon_is_relay (const struct bd_daemon *daemon)
+{
+  return bd_membership_is_relay (&daemon->membership,
+                                 &daemon->membership.members[0]);
+}
+
+void
+bd_daemon_tell (struct bd_daemon *daemon, const struct bd_member *member,
+                enum bd_message_type type, const void *message)
+{
+  bd_peers_send (&daemon->peers, member->address, member->peer_port, type,
+                 message);
+}
+
+void
+bd_daemon_tell_centre (struct bd_daemon *daemon, enum bd_message_type type,
+                       const void *message)
+{
+  for (uint32_t i = 1; i < daemon->membership.count; i++)
+    {
+      const struct bd_member *member = &daemon->membership.members[i];
+      if (member->is_live
+          && strcmp (member->data_centre, daemon->settings->data_centre) == 0)
+        bd_daemon_tell (daemon, member, type, message);
+    }
+}
+
+void
+bd_daemon_tell_all (struct bd_daemon *daemon, enum bd_message_type type,
+                    const void *message)
+{
+  for (uint32_t i = 1; i < daemon->membership.count; i++)
+    if (daemon->membership.members[i].is_live)
+      bd_daemon_tell (daemon, &daemon->membership.members[i], type, message);
+}
+
+static void
+fill_heartbeat (struct bd_daemon *daemon, struct bd_heartbeat *beat,
+                struct bd_usage *usages)
+{
+  const struct bd_member *self = bd_membership_self (&daemon->membership);
+  const struct bd_allotment *allotment = daemon->keeper.allotment;
+
+  memset (beat, 0, sizeof *beat);
+  bd_name_copy (beat->name, self->name);
+  bd_name_copy (beat->data_centre, self->data_centre);
+  bd_name_copy (beat->address, self->address);
+  beat->http_port = self->http_port;
+  beat->peer_port = self->peer_port;
+  beat->incarnation = self->incarnation;
+  beat->config_revision = daemon->config.revision;
+  beat->allotment_term = allotment != NULL ? allotment->term : 0;
+  beat->allotment_sequence = allotment != NULL ? allotment->sequence : 0;
+  beat->is_stopping = self->is_stopping;
+  beat->usages = usages;
+  beat->usage_count = bd_limits_usages (
+      &daemon->limits, bd_daemon_now_ms (daemon), usages, MAX_USAGES);
+}
+
+/* The lowest revision in force among the live daemons of this centre.  */
+static int64_t
+lowest_revision (const struct bd_daemon *daemon)
+{
+  int64_t lowest = daemon->config.revision;
+
+  for (uint32_t i = 1; i < daemon->membership.count; i++)
+    {
+      const struct bd_member *member = &daemon->membership.members[i];
+      if (member->is_live
+          && strcmp (member->data_centre, daemon->settings->data_centre) == 0
+          && member->config_revision < lowest)
+        lowest = member->config_revision;
+    }
+  return lowest;
+}
+
+static uint32_t
+fill_rooms (struct bd_daemon *daemon, struct bd_room *rooms)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0;
+       i < daemon->config.service_count && count < BD_MAX_ROOMS; i++)
+    {
+      const struct bd_service *service = daemon->config.services[i];
+      struct bd_pool *pool = bd_daemon_pool (daemon, service->name);
+      rooms[count++]
+          = (struct bd_room){ .service_hash = bd_hash (service->name,
+                                                       strlen (service->name)),
+                              .free = bd_daemon_free_slots (daemon, service),
+                              .queued = pool->queue.count };
+    }
+  return count;
+}
+
+static void
+fill_centre_news (struct bd_daemon *daemon, struct bd_centre_news *news,
+                  struct bd_room *rooms)
+{
+  const struct bd_settings *settings = daemon->settings;
+
+  memset (news, 0, sizeof *news);
+  bd_name_copy (news->name, settings->data_centre);
+  news->live = bd_membership_live (&daemon->membership, settings->data_centre);
+  news->lowest_revision = lowest_revision (daemon);
+  bd_name_copy (news->address, settings->address);
+  news->http_port = settings->http_port;
+  news->rooms = rooms;
+  news->room_count = fill_rooms (daemon, rooms);
+}
+
+/* Relays tell relays of other centres what their centre has.  */
+static void
+tell_other_centres (struct bd_daemon *daemon)
+{
+  struct bd_room rooms[BD_MAX_ROOMS];
+  struct bd_centre_news news;
+
+  if (!bd_daemon_is_relay (daemon))
+    return;
+  fill_centre_news (daemon, &news, rooms);
+  for (uint32_t i = 1; i < daemon->membership.count; i++)
+    {
+      const struct bd_member *member = &daemon->membership.members[i];
+      if (member->is_live
+          && strcmp (member->data_centre, daemon->settings->data_centre) != 0
+          && bd_membership_must_tell (&daemon->membership, member))
+        bd_daemon_tell (daemon, member, BD_MESSAGE_CENTRE, &news);
+    }
+}
+
+static uint32_t
+count_known (const struct bd_daemon *daemon)
+{
+  uint32_t known = 0;
+
+  for (uint32_t i = 0; i < daemon->membership.count; i++)
+    if (daemon->membership.members[i].peer_port != 0)
+      known++;
+  return known;
+}
+
+static void
+note_readiness (struct bd_daemon *daemon)
+{
+  const char *reason;
+  bool is_ready = bd_daemon_is_ready (daemon, &reason);
+
+  if (is_ready == daemon->was_ready)
+    return;
+  daemon->was_ready = is_ready;
+  bd_log (is_ready ? "ready" : "not-ready", "reason", reason, NULL);
+}
+
+void
+bd_daemon_beat (void *ctx)
+{
+  struct bd_daemon *daemon = ctx;
+  struct bd_usage usages[MAX_USAGES];
+  struct bd_heartbeat beat;
+  int64_t now_ms = bd_daemon_now_ms (daemon);
+
+  if (bd_membership_tick (&daemon->membership, now_ms))
+    bd_log ("member-lost", NULL);
+  fill_heartbeat (daemon, &beat, usages);
+  for (uint32_t i = 1; i < daemon->membership.count; i++)
+    {
+      const struct bd_member *member = &daemon->membership.members[i];
+      if (bd_membership_must_tell (&daemon->membership, member))
+        bd_daemon_tell (daemon, member, BD_MESSAGE_HEARTBEAT, &beat);
+    }
+  tell_other_centres (daemon);
+  bd_limits_peers (&daemon->limits,
+                   bd_membership_live (&daemon->membership, NULL),
+                   count_known (daemon));
+  bd_daemon_send_digests (daemon);
+  bd_daemon_config_step (daemon);
+  note_readiness (daemon);
+}
+
+/* Asks a peer for what it holds newer.  */
+static void
+ask_for_news (struct bd_daemon *daemon, const struct bd_member *member)
+{
+  const struct bd_allotment *held = daemon->keeper.allotment;
+  struct bd_allotment theirs = { .term = member->allotment_term,
+                                 .sequence = member->allotment_sequence };
+  struct bd_get get = { 0 };
+  bool is_same_centre
+      = strcmp (member->data_centre, daemon->settings->data_centre) == 0;
+
+  bd_name_copy (get.from, daemon->settings->name);
+  get.wants_config = member->config_revision > daemon->config.revision;
+  get.wants_allotment
+      = is_same_centre && theirs.term > 0
+        && (held == NULL || bd_allotment_is_newer (&theirs, held));
+  get.wants_instances = is_same_centre && daemon->instances_text == NULL;
+  if (get.wants_config || get.wants_allotment || get.wants_instances)
+    bd_daemon_tell (daemon, member, BD_MESSAGE_GET, &get);
+}
+
+static void
+take_heartbeat (struct bd_daemon *daemon, const struct bd_heartbeat *beat)
+{
+  struct bd_member *known
+      = bd_membership_find (&daemon->membership, beat->name);
+  bool was_live = known != NULL && known->is_live;
+  struct bd_member news = { .http_port = beat->http_port,
+                            .peer_port = beat->peer_port,
+                            .incarnation = beat->incarnation,
+                            .is_stopping = beat->is_stopping,
+                            .config_revision = beat->config_revision,
+                            .allotment_term = beat->allotment_term,
+                            .allotment_sequence = beat->allotment_sequence };
+  int64_t now_ms = bd_daemon_now_ms (daemon);
+
+  bd_name_copy (news.name, beat->name);
+  bd_name_copy (news.data_centre, beat->data_centre);
+  bd_name_copy (news.address, beat->address);
+  if (bd_membership_heard (&daemon->membership, &news, now_ms) != BD_OK)
+    return;
+  if (!was_live)
+    bd_log ("member-live", "member", beat->name, NULL);
+  bd_limits_heard (&daemon->limits, beat->name, beat->usages,
+                   beat->usage_count, now_ms);
+  ask_for_news (daemon, &news);
+}
+
+static void
+take_get (struct bd_daemon *daemon, const struct bd_get *get)
+{
+  const struct bd_member *member
+      = bd_membership_find (&daemon->membership, get->from);
+
+  if (member == NULL)
+    return;
+  if (get->wants_config)
+    bd_daemon_send_config (daemon, member);
+  if (get->wants_allotment)
+    bd_daemon_send_allotment (daemon, member);
+  if (get->wants_instances)
+    bd_daemon_send_instances (daemon, member);
+}
+
+/* Passes news of another centre on to those of this one that no relay of
+   that centre talks to.  */
+static void
+pass_on_centre (struct bd_daemon *daemon, const struct bd_centre_news *news)
+{
+  if (!bd_daemon_is_relay (daemon))
+    return;
+  for (uint32_t i = 1; i < daemon->membership.count; i++)
+    {
+      const struct bd_member *member = &daemon->membership.members[i];
+      if (member->is_live
+          && strcmp (member->data_centre, daemon->settings->data_centre) == 0
+          && !bd_membership_is_relay (&daemon->membership, member))
+        bd_daemon_tell (daemon, member, BD_MESSAGE_CENTRE, news);
+    }
+}
+
+static void
+take_centre (struct bd_daemon *daemon, const struct bd_centre_news *news)
+{
+  struct bd_centre centre
+      = { .live = news->live, .lowest_revision = news->lowest_revision };
+  bool is_own = strcmp (news->name, daemon->settings->data_centre) == 0;
+
+  if (is_own)
+    return;
+  bd_name_copy (centre.name, news->name);
+  bd_membership_centre (&daemon->membership, &centre,
+                        bd_daemon_now_ms (daemon));
+  bd_daemon_take_centre (daemon, news);
+  pass_on_centre (daemon, news);
+}
+
+static void
+take_suspect (struct bd_daemon *daemon, const struct bd_suspect_news *news)
+{
+  if (news->is_cleared)
+    bd_suspects_clear (&daemon->suspects, news->fingerprint);
+  else
+    bd_suspects_mark (&daemon->suspects, news->fingerprint, news->place,
+                      bd_daemon_now_ms (daemon));
+}
+
+static void
+take_document (struct bd_daemon *daemon, enum bd_message_type type,
+               const struct bd_document *document)
+{
+  json_t *value;
+
+  if (type == BD_MESSAGE_INSTANCES)
+    {
+      bd_daemon_take_instances (daemon, document->text);
+      return;
+    }
+  value = json_loads (document->text, 0, NULL);
+  if (type == BD_MESSAGE_CONFIG)
+    bd_daemon_offer_head (daemon, value);
+  else
+    bd_daemon_offer_allotment (daemon, value, 0);
+  json_decref (value);
+}
+
+static void
+handle_message (void *ctx, enum bd_message_type type, const void *message)
+{
+  struct bd_daemon *daemon = ctx;
+
+  switch (type)
+    {
+    case BD_MESSAGE_HEARTBEAT:
+      take_heartbeat (daemon, message);
+      break;
+    case BD_MESSAGE_CENTRE:
+      take_centre (daemon, message);
+      break;
+    case BD_MESSAGE_GET:
+      take_get (daemon, message);
+      break;
+    case BD_MESSAGE_CONFIG:
+    case BD_MESSAGE_ALLOTMENT:
+    case BD_MESSAGE_INSTANCES:
+      take_document (daemon, type, message);
+      break;
+    case BD_MESSAGE_DIGEST:
+      bd_daemon_take_digest (daemon, message);
+      break;
+    case BD_MESSAGE_GROUPS:
+      bd_daemon_take_groups (daemon, message);
+      break;
+    case BD_MESSAGE_SUSPECT:
+      take_suspect (daemon, message);
+      break;
+    case BD_MESSAGE_CLAIM:
+      bd_daemon_take_claim (daemon, message);
+      break;
+    case BD_MESSAGE_CLAIM_REPLY:
+      bd_daemon_take_claim_reply (daemon, message);
+      break;
+    case BD_MESSAGE_COUNT:
+      break;
+    }
+}
+
+static void
+learn_peers (struct bd_daemon *daemon)
+{
+  for (uint32_t i = 0; i < daemon->settings->peer_count; i++)
+    {
+      const struct bd_peer_address *peer = &daemon->settings->peers[i];
+      bd_membership_learn (&daemon->membership, peer->name, peer->data_centre,
+                           peer->address, peer->port);
+    }
+}
+
+bool
+bd_daemon_start_peers (struct bd_daemon *daemon)
+{
+  const struct bd_settings *settings = daemon->settings;
+  struct bd_member self
+      = { .http_port = settings->http_port, .peer_port = settings->peer_port };
+
+  bd_name_copy (self.name, settings->name);
+  bd_name_copy (self.data_centre, settings->data_centre);
+  bd_name_copy (self.address, settings->address);
+  self.incarnation = bd_clock_calendar_ms (&daemon->clock);
+  bd_membership_init (&daemon->membership, daemon, &self,
+                      settings->dead_after_ms);
+  learn_peers (daemon);
+  return bd_peers_init (&daemon->peers, daemon->events, &daemon->counters,
+                        settings->address, settings->peer_port, handle_message,
+                        daemon);
+}
--- /dev/null
+++ b/src/groups/keeper_orders.c
@@ -0,0 +1,171 @@
+/* Orders to engines: what each instance should hold and which group it should
+   be in, sent again until its report agrees.  */
+
+#include "groups/keeper_internal.h"
+
+#include <string.h>
+
+struct order_list
+{
+  struct bd_order *items;
+  uint32_t count;
+  uint32_t max;
+  uint32_t loading; /* Instances that load weights, with those ordered now. */
+};
+
+static bool
+was_ordered_lately (const struct bd_keeper *keeper, const struct bd_unit *unit,
+                    int64_t now_ms)
+{
+  return unit->ordered_sequence == keeper->allotment->sequence
+         && now_ms - unit->ordered_ms < keeper->limits.order_retry_ms;
+}
+
+static void
+add_order (struct bd_keeper *keeper, struct order_list *list,
+           struct bd_unit *unit, const struct bd_group *group,
+           const char *model, const char *version, int64_t now_ms)
+{
+  struct bd_order *order = &list->items[list->count++];
+
+  memset (order, 0, sizeof *order);
+  bd_name_copy (order->instance, unit->info.name);
+  bd_name_copy (order->address, unit->info.address);
+  order->port = unit->info.port;
+  order->fence_term = keeper->allotment->term;
+  order->fence_sequence = keeper->allotment->sequence;
+  bd_name_copy (order->model, model);
+  bd_name_copy (order->version, version);
+  order->members = group;
+  if (group != NULL)
+    {
+      bd_name_copy (order->group, group->id);
+      order->incarnation = group->incarnation;
+    }
+  unit->ordered_ms = now_ms;
+  unit->ordered_sequence = keeper->allotment->sequence;
+}
+
+static void
+consider (struct bd_keeper *keeper, struct order_list *list,
+          struct bd_unit *unit, const struct bd_group *group,
+          const char *model, const char *version, int64_t now_ms)
+{
+  bool needs_load = !bd_report_holds (&unit->report, model, version);
+  bool is_loading = unit->report.phase == BD_PHASE_LOADING;
+
+  if (list->count == list->max || was_ordered_lately (keeper, unit, now_ms))
+    return;
+  if (needs_load && !is_loading)
+    {
+      if (list->loading >= keeper->limits.loads_at_once)
+        return;
+      list->loading++;
+    }
+  add_order (keeper, list, unit, group, model, version, now_ms);
+}
+
+static bool
+is_as_ordered (const struct bd_unit *unit, const struct bd_group *group)
+{
+  const struct bd_report *report = &unit->report;
+
+  return strcmp (report->group, group->id) == 0
+         && report->incarnation == group->incarnation
+         && strcmp (report->model, group->model) == 0
+         && strcmp (report->version, group->version) == 0
+         && report->phase != BD_PHASE_IDLE;
+}
+
+static void
+order_members (struct bd_keeper *keeper, struct order_list *list,
+               const struct bd_group *group, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < group->member_count; i++)
+    {
+      struct bd_unit *unit = bd_keeper_unit (keeper, group->members[i]);
+      if (bd_unit_is_lost (keeper, unit, now_ms)
+          || is_as_ordered (unit, group))
+        continue;
+      consider (keeper, list, unit, group, group->model, group->version,
+                now_ms);
+    }
+}
+
+/* A free instance leaves its old group and holds the weights that it may be
+   needed for.  */
+static void
+order_free (struct bd_keeper *keeper, struct order_list *list,
+            struct bd_unit *unit, int64_t now_ms)
+{
+  const struct bd_service *service
+      = bd_keeper_service (keeper, unit->warm_for);
+  bool is_in_group = unit->report.group[0] != '\0';
+
+  if (service == NULL)
+    {
+      if (is_in_group)
+        consider (keeper, list, unit, NULL, unit->report.model,
+                  unit->report.version, now_ms);
+      return;
+    }
+  if (is_in_group || unit->report.phase == BD_PHASE_IDLE
+      || strcmp (unit->report.model, service->model) != 0
+      || strcmp (unit->report.version, service->version) != 0)
+    consider (keeper, list, unit, NULL, service->model, service->version,
+              now_ms);
+}
+
+static uint32_t
+count_loading (const struct bd_keeper *keeper, int64_t now_ms)
+{
+  uint32_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, keeper->units);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct bd_unit *unit = value;
+      if (unit->report.phase == BD_PHASE_LOADING
+          && !bd_unit_is_lost (keeper, unit, now_ms))
+        count++;
+    }
+  return count;
+}
+
+static void
+order_free_units (struct bd_keeper *keeper, struct order_list *list,
+                  bool is_for_need, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, keeper->units);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct bd_unit *unit = value;
+      bool is_needed = unit->warm_for[0] != '\0';
+      if (is_needed == is_for_need && !bd_unit_is_lost (keeper, unit, now_ms)
+          && bd_allotment_group_of (keeper->allotment, unit->info.name)
+                 == NULL)
+        order_free (keeper, list, unit, now_ms);
+    }
+}
+
+uint32_t
+bd_keeper_orders (struct bd_keeper *keeper, int64_t now_ms,
+                  struct bd_order *orders, uint32_t max)
+{
+  struct order_list list = { .items = orders, .max = max };
+
+  if (!bd_keeper_may_order (keeper, now_ms))
+    return 0;
+  bd_keeper_assign_spares (keeper, keeper->allotment, now_ms);
+  list.loading = count_loading (keeper, now_ms);
+  for (uint32_t i = 0; i < keeper->allotment->count; i++)
+    order_members (keeper, &list, &keeper->allotment->groups[i], now_ms);
+  order_free_units (keeper, &list, true, now_ms);
+  order_free_units (keeper, &list, false, now_ms);
+  return list.count;
+}
--- /dev/null
+++ b/src/http/client.c
@@ -0,0 +1,453 @@
+/* libcurl's multi interface on the event loop.  */
+
+#include "http/client.h"
+
+#include <string.h>
+#include <strings.h>
+#include <talloc.h>
+
+enum
+{
+  CONNECT_TIMEOUT_MS = 2000,
+  MAX_COLLECTED_BYTES = 16 << 20
+};
+
+struct bd_http_call
+{
+  struct bd_http_client *client;
+  const struct bd_http_call_ops *ops;
+  void *ctx;
+  CURL *easy;
+  struct curl_slist *headers;
+  char *request_body;
+  char *body;
+  size_t body_size;
+  size_t body_room;
+  bool has_head;
+  bool is_paused;
+  bool is_cancelled;
+  uint32_t header_count;
+  struct bd_http_pair response_headers[BD_HTTP_MAX_HEADERS];
+  struct bd_http_call *prev;
+  struct bd_http_call *next;
+};
+
+static void
+keep_handle (struct bd_http_client *client, CURL *easy)
+{
+  if (client->idle_count == client->idle_size)
+    {
+      curl_easy_cleanup (easy);
+      return;
+    }
+  curl_easy_reset (easy);
+  client->idle[client->idle_count++] = easy;
+}
+
+static void
+unlink_call (struct bd_http_call *call)
+{
+  if (call->prev != NULL)
+    call->prev->next = call->next;
+  else
+    call->client->calls = call->next;
+  if (call->next != NULL)
+    call->next->prev = call->prev;
+}
+
+static void
+free_call (struct bd_http_call *call)
+{
+  curl_multi_remove_handle (call->client->multi, call->easy);
+  curl_slist_free_all (call->headers);
+  keep_handle (call->client, call->easy);
+  unlink_call (call);
+  talloc_free (call);
+}
+
+static bool
+was_request_sent (const struct bd_http_call *call, CURLcode code)
+{
+  long request_bytes = 0;
+
+  if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST)
+    return false;
+  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  return request_bytes > 0;
+}
+
+static void
+finish_call (struct bd_http_call *call, CURLcode code)
+{
+  struct bd_http_result result = { 0 };
+  long status = 0;
+
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  result.is_whole = code == CURLE_OK;
+  result.was_sent = was_request_sent (call, code);
+  result.has_timed_out = code == CURLE_OPERATION_TIMEDOUT;
+  result.status = (uint32_t)status;
+  result.body = call->body != NULL ? call->body : "";
+  result.body_size = call->body_size;
+  if (!call->is_cancelled)
+    call->ops->done (call->ctx, call, &result);
+  free_call (call);
+}
+
+static void
+finish_calls (struct bd_http_client *client)
+{
+  struct bd_http_call *next;
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (client->multi, &left)) != NULL)
+    {
+      struct bd_http_call *call = NULL;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
+      finish_call (call, message->data.result);
+    }
+  if (!client->has_cancelled)
+    return;
+  client->has_cancelled = false;
+  for (struct bd_http_call *call = client->calls; call != NULL; call = next)
+    {
+      next = call->next;
+      if (call->is_cancelled)
+        free_call (call);
+    }
+}
+
+struct socket_watch
+{
+  struct bd_http_client *client;
+  curl_socket_t socket;
+  struct tevent_fd *fd;
+};
+
+static void
+handle_watch (struct tevent_context *events, struct tevent_fd *fd,
+              uint16_t flags, void *private_data)
+{
+  struct socket_watch *watch = private_data;
+  struct bd_http_client *client = watch->client;
+  int running;
+  int action = 0;
+
+  (void)events;
+  (void)fd;
+  if ((flags & TEVENT_FD_READ) != 0)
+    action |= CURL_CSELECT_IN;
+  if ((flags & TEVENT_FD_WRITE) != 0)
+    action |= CURL_CSELECT_OUT;
+  curl_multi_socket_action (client->multi, watch->socket, action, &running);
+  finish_calls (client);
+}
+
+static int
+handle_socket (CURL *easy, curl_socket_t socket, int what, void *ctx,
+               void *socket_ctx)
+{
+  struct bd_http_client *client = ctx;
+  struct socket_watch *watch = socket_ctx;
+  uint16_t flags = 0;
+
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      curl_multi_assign (client->multi, socket, NULL);
+      talloc_free (watch);
+      return 0;
+    }
+  if ((what & CURL_POLL_IN) != 0)
+    flags |= TEVENT_FD_READ;
+  if ((what & CURL_POLL_OUT) != 0)
+    flags |= TEVENT_FD_WRITE;
+  if (watch != NULL)
+    {
+      tevent_fd_set_flags (watch->fd, flags);
+      return 0;
+    }
+  watch = talloc_zero (client->events, struct socket_watch);
+  watch->client = client;
+  watch->socket = socket;
+  watch->fd = tevent_add_fd (client->events, watch, socket, flags,
+                             handle_watch, watch);
+  curl_multi_assign (client->multi, socket, watch);
+  return 0;
+}
+
+static void
+handle_timeout (struct tevent_context *events, struct tevent_timer *timer,
+                struct timeval now, void *private_data)
+{
+  struct bd_http_client *client = private_data;
+  int running;
+
+  (void)events;
+  (void)timer;
+  (void)now;
+  client->timer = NULL;
+  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  finish_calls (client);
+}
+
+static int
+handle_timer (CURLM *multi, long timeout_ms, void *ctx)
+{
+  struct bd_http_client *client = ctx;
+
+  (void)multi;
+  TALLOC_FREE (client->timer);
+  if (timeout_ms >= 0)
+    client->timer = tevent_add_timer (
+        client->events, client->events,
+        tevent_timeval_current_ofs ((uint32_t)(timeout_ms / 1000),
+                                    (uint32_t)(timeout_ms % 1000) * 1000),
+        handle_timeout, client);
+  return 0;
+}
+
+bool
+bd_http_client_init (struct bd_http_client *client,
+                     struct tevent_context *events, uint32_t max_idle)
+{
+  memset (client, 0, sizeof *client);
+  client->events = events;
+  client->multi = curl_multi_init ();
+  if (client->multi == NULL)
+    return false;
+  client->idle_size = max_idle;
+  client->idle = talloc_array (NULL, CURL *, max_idle);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, handle_socket);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, handle_timer);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, (long)max_idle);
+  curl_multi_setopt (client->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  return true;
+}
+
+void
+bd_http_client_finish (struct bd_http_client *client)
+{
+  if (client->multi == NULL)
+    return;
+  while (client->calls != NULL)
+    free_call (client->calls);
+  for (uint32_t i = 0; i < client->idle_count; i++)
+    curl_easy_cleanup (client->idle[i]);
+  TALLOC_FREE (client->idle);
+  curl_multi_cleanup (client->multi);
+  client->multi = NULL;
+  TALLOC_FREE (client->timer);
+}
+
+static size_t
+handle_header (char *data, size_t size, size_t count, void *ctx)
+{
+  struct bd_http_call *call = ctx;
+  size_t length = size * count;
+  char *line = talloc_strndup (call, data, length);
+  char *colon = strchr (line, ':');
+  char *value;
+
+  if (strncmp (line, "HTTP/", 5) == 0)
+    call->header_count = 0;
+  if (colon == NULL || call->header_count == BD_HTTP_MAX_HEADERS)
+    return length;
+  *colon = '\0';
+  value = colon + 1;
+  value += strspn (value, " \t");
+  value[strcspn (value, "\r\n")] = '\0';
+  call->response_headers[call->header_count++]
+      = (struct bd_http_pair){ line, value };
+  return length;
+}
+
+static void
+report_head (struct bd_http_call *call)
+{
+  long status = 0;
+
+  if (call->has_head)
+    return;
+  call->has_head = true;
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  if (call->ops->head != NULL)
+    call->ops->head (call->ctx, call, (uint32_t)status);
+}
+
+static size_t
+collect (struct bd_http_call *call, const char *data, size_t size)
+{
+  if (call->body_size + size > MAX_COLLECTED_BYTES)
+    return 0;
+  if (call->body_size + size + 1 > call->body_room)
+    {
+      call->body_room = (call->body_size + size + 1) * 2;
+      call->body = talloc_realloc (call, call->body, char, call->body_room);
+    }
+  memcpy (call->body + call->body_size, data, size);
+  call->body_size += size;
+  call->body[call->body_size] = '\0';
+  return size;
+}
+
+static size_t
+handle_data (char *data, size_t size, size_t count, void *ctx)
+{
+  struct bd_http_call *call = ctx;
+  size_t length = size * count;
+  bool wants_more;
+
+  if (call->is_cancelled)
+    return 0;
+  call->client->is_in_callback = true;
+  report_head (call);
+  if (call->is_cancelled)
+    length = 0;
+  else if (call->ops->data == NULL)
+    length = collect (call, data, length);
+  else
+    {
+      wants_more = call->ops->data (call->ctx, call, data, length);
+      if (call->is_cancelled)
+        length = 0;
+      else if (!wants_more)
+        {
+          /* The bytes have been taken; only later ones wait.  */
+          call->is_paused = true;
+          curl_easy_pause (call->easy, CURLPAUSE_RECV);
+        }
+    }
+  call->client->is_in_callback = false;
+  return length;
+}
+
+static void
+set_headers (struct bd_http_call *call, const struct bd_http_pair *headers)
+{
+  for (; headers != NULL && headers->name != NULL; headers++)
+    {
+      char *line
+          = talloc_asprintf (call, "%s: %s", headers->name, headers->value);
+      call->headers = curl_slist_append (call->headers, line);
+      talloc_free (line);
+    }
+  /* No waiting for "100 Continue".  */
+  call->headers = curl_slist_append (call->headers, "Expect:");
+  curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
+}
+
+static void
+set_method (struct bd_http_call *call, const struct bd_http_out *out)
+{
+  CURL *easy = call->easy;
+
+  if (strcmp (out->method, "GET") == 0 && out->body_size == 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_HTTPGET, 1L);
+      return;
+    }
+  if (strcmp (out->method, "HEAD") == 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+      return;
+    }
+  call->request_body
+      = talloc_memdup (call, out->body_size > 0 ? out->body : "",
+                       out->body_size > 0 ? out->body_size : 1);
+  curl_easy_setopt (easy, CURLOPT_POST, 1L);
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                    (curl_off_t)out->body_size);
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDS, call->request_body);
+  if (strcmp (out->method, "POST") != 0)
+    curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, out->method);
+}
+
+static void
+set_options (struct bd_http_call *call, const struct bd_http_out *out)
+{
+  CURL *easy = call->easy;
+
+  curl_easy_setopt (easy, CURLOPT_URL, out->url);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)out->timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, handle_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, handle_data);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  if (out->is_single_shot)
+    {
+      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+  set_method (call, out);
+  set_headers (call, out->headers);
+}
+
+struct bd_http_call *
+bd_http_send (struct bd_http_client *client, const struct bd_http_out *out,
+              const struct bd_http_call_ops *ops, void *ctx)
+{
+  struct bd_http_call *call = talloc_zero (NULL, struct bd_http_call);
+
+  if (call == NULL)
+    return NULL;
+  call->client = client;
+  call->ops = ops;
+  call->ctx = ctx;
+  call->easy = client->idle_count > 0 ? client->idle[--client->idle_count]
+                                      : curl_easy_init ();
+  if (call->easy == NULL)
+    {
+      talloc_free (call);
+      return NULL;
+    }
+  call->next = client->calls;
+  if (call->next != NULL)
+    call->next->prev = call;
+  client->calls = call;
+  set_options (call, out);
+  curl_multi_add_handle (client->multi, call->easy);
+  return call;
+}
+
+const char *
+bd_http_call_header (const struct bd_http_call *call, const char *name)
+{
+  for (uint32_t i = 0; i < call->header_count; i++)
+    if (strcasecmp (call->response_headers[i].name, name) == 0)
+      return call->response_headers[i].value;
+  return NULL;
+}
+
+void
+bd_http_call_continue (struct bd_http_call *call)
+{
+  if (!call->is_paused)
+    return;
+  call->is_paused = false;
+  curl_easy_pause (call->easy, CURLPAUSE_CONT);
+}
+
+void
+bd_http_call_cancel (struct bd_http_call *call)
+{
+  call->is_cancelled = true;
+  /* The library takes no handle away while it calls back.  */
+  if (call->client->is_in_callback)
+    call->client->has_cancelled = true;
+  else
+    free_call (call);
+}
--- /dev/null
+++ b/src/http/server.c
@@ -0,0 +1,445 @@
+/* libmicrohttpd on the event loop.  */
+
+#include "http/server.h"
+
+#include <arpa/inet.h>
+#include <assert.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+
+enum
+{
+  READING,
+  WAITING,
+  ANSWERED,
+  STREAMING
+};
+
+enum
+{
+  HIGH_WATER_BYTES = 64 * 1024,
+  LOW_WATER_BYTES = 16 * 1024,
+  STREAM_BLOCK_BYTES = 4 * 1024,
+  IDLE_TIMEOUT_S = 75,
+  CONNECTION_MEMORY_BYTES = 16 * 1024
+};
+
+static void run_soon (struct bd_http_server *server);
+
+static void
+handle_timer (struct tevent_context *events, struct tevent_timer *timer,
+              struct timeval now, void *private_data)
+{
+  struct bd_http_server *server = private_data;
+
+  (void)events;
+  (void)timer;
+  (void)now;
+  server->timer = NULL;
+  server->is_run_due = false;
+  MHD_run (server->daemon);
+  run_soon (server);
+}
+
+static void
+set_timer (struct bd_http_server *server, uint64_t delay_ms)
+{
+  TALLOC_FREE (server->timer);
+  server->timer = tevent_add_timer (
+      server->events, server->events,
+      tevent_timeval_current_ofs (delay_ms / 1000, delay_ms % 1000 * 1000),
+      handle_timer, server);
+}
+
+/* Arms the timer for the next moment at which the library wants to run.  */
+static void
+run_soon (struct bd_http_server *server)
+{
+  MHD_UNSIGNED_LONG_LONG delay_ms = 0;
+
+  if (server->is_run_due)
+    return;
+  if (MHD_get_timeout (server->daemon, &delay_ms) == MHD_YES)
+    set_timer (server, delay_ms);
+  else
+    TALLOC_FREE (server->timer);
+}
+
+static void
+run_now (struct bd_http_server *server)
+{
+  if (server->is_run_due)
+    return;
+  server->is_run_due = true;
+  set_timer (server, 0);
+}
+
+static void
+handle_fd (struct tevent_context *events, struct tevent_fd *fd, uint16_t flags,
+           void *private_data)
+{
+  struct bd_http_server *server = private_data;
+
+  (void)events;
+  (void)fd;
+  (void)flags;
+  MHD_run (server->daemon);
+  run_soon (server);
+}
+
+static void resume (struct bd_http_exchange *x);
+
+static void
+notice_gone (struct bd_http_exchange *x)
+{
+  if (x->is_closed)
+    return;
+  x->is_closed = true;
+  x->server->ops->gone (x->server->ctx, x);
+}
+
+/* While a connection is suspended the library does not see its end, so the
+   loop looks at the socket itself.  */
+static void
+handle_watch (struct tevent_context *events, struct tevent_fd *fd,
+              uint16_t flags, void *private_data)
+{
+  struct bd_http_exchange *x = private_data;
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  char byte;
+  ssize_t got = recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+  (void)events;
+  (void)flags;
+  if (got > 0)
+    {
+      /* The next request of a pipeline: the library reads it later.  */
+      tevent_fd_set_flags (fd, 0);
+      return;
+    }
+  if (got < 0)
+    return;
+  notice_gone (x);
+  resume (x);
+}
+
+static void
+suspend (struct bd_http_exchange *x)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+  x->is_suspended = true;
+  MHD_suspend_connection (x->connection);
+  x->watch = tevent_add_fd (x->server->events, x, info->connect_fd,
+                            TEVENT_FD_READ, handle_watch, x);
+}
+
+static void
+resume (struct bd_http_exchange *x)
+{
+  if (!x->is_suspended)
+    return;
+  x->is_suspended = false;
+  TALLOC_FREE (x->watch);
+  MHD_resume_connection (x->connection);
+  run_now (x->server);
+}
+
+static bool
+is_body_too_large (struct bd_http_exchange *x)
+{
+  const char *length = bd_http_header (x, "Content-Length");
+
+  return length != NULL && strtoull (length, NULL, 10) > x->max_body;
+}
+
+static void
+take_body (struct bd_http_exchange *x, const char *data, size_t size)
+{
+  if (x->is_too_large || x->body_size + size > x->max_body)
+    {
+      x->is_too_large = true;
+      TALLOC_FREE (x->body);
+      return;
+    }
+  x->body = talloc_realloc (x, x->body, char, x->body_size + size + 1);
+  memcpy (x->body + x->body_size, data, size);
+  x->body_size += size;
+  x->body[x->body_size] = '\0';
+}
+
+static enum MHD_Result
+queue (struct bd_http_exchange *x)
+{
+  enum MHD_Result result
+      = MHD_queue_response (x->connection, x->status, x->response);
+
+  MHD_destroy_response (x->response);
+  x->response = NULL;
+  return result;
+}
+
+static void
+respond_too_large (struct bd_http_exchange *x)
+{
+  static const char text[] = "{\"kind\":\"too-large\",\"run\":\"not-run\","
+                             "\"status\":413}\n";
+
+  bd_http_respond_text (x, 413, "application/problem+json", text);
+}
+
+static enum MHD_Result
+handle_access (void *ctx, struct MHD_Connection *connection, const char *url,
+               const char *method, const char *version, const char *data,
+               size_t *size, void **con_cls)
+{
+  struct bd_http_exchange *x = *con_cls;
+  struct bd_http_server *server = ctx;
+
+  (void)version;
+  if (x == NULL)
+    return MHD_NO;
+  if (x->connection == NULL)
+    {
+      x->connection = connection;
+      x->method = method;
+      x->path = talloc_strdup (x, url);
+      x->max_body = server->ops->max_body (server->ctx, url);
+      if (!is_body_too_large (x))
+        return MHD_YES;
+      x->is_too_large = true;
+      respond_too_large (x);
+      return queue (x);
+    }
+  if (x->is_closed)
+    return MHD_NO;
+  if (*size > 0)
+    {
+      take_body (x, data, *size);
+      *size = 0;
+      return MHD_YES;
+    }
+  if (x->state == READING)
+    {
+      x->state = WAITING;
+      if (x->is_too_large)
+        respond_too_large (x);
+      else
+        server->ops->request (server->ctx, x);
+    }
+  if (x->is_closed)
+    return MHD_NO;
+  if (x->response != NULL)
+    return queue (x);
+  if (x->state == WAITING)
+    suspend (x);
+  return MHD_YES;
+}
+
+static void *
+handle_uri (void *ctx, const char *uri, struct MHD_Connection *connection)
+{
+  struct bd_http_server *server = ctx;
+  struct bd_http_exchange *x = talloc_zero (NULL, struct bd_http_exchange);
+
+  (void)connection;
+  if (x == NULL)
+    return NULL;
+  x->server = server;
+  x->uri = talloc_strdup (x, uri);
+  server->open_exchanges++;
+  return x;
+}
+
+static void
+handle_completed (void *ctx, struct MHD_Connection *connection, void **con_cls,
+                  enum MHD_RequestTerminationCode code)
+{
+  struct bd_http_exchange *x = *con_cls;
+
+  (void)ctx;
+  (void)connection;
+  if (x == NULL)
+    return;
+  if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && x->connection != NULL
+      && x->state != READING)
+    notice_gone (x);
+  if (x->response != NULL)
+    MHD_destroy_response (x->response);
+  x->server->open_exchanges--;
+  talloc_free (x);
+  *con_cls = NULL;
+}
+
+bool
+bd_http_server_init (struct bd_http_server *server,
+                     struct tevent_context *events, const char *address,
+                     uint32_t port, uint32_t max_connections,
+                     const struct bd_http_server_ops *ops, void *ctx)
+{
+  struct sockaddr_in where = { .sin_family = AF_INET };
+  const union MHD_DaemonInfo *info;
+
+  memset (server, 0, sizeof *server);
+  server->ops = ops;
+  server->ctx = ctx;
+  server->events = events;
+  where.sin_port = htons ((uint16_t)port);
+  if (inet_pton (AF_INET, address, &where.sin_addr) != 1)
+    return false;
+  server->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, (uint16_t)port, NULL, NULL,
+      handle_access, server, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&where,
+      MHD_OPTION_CONNECTION_LIMIT, (unsigned)max_connections,
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_URI_LOG_CALLBACK,
+      handle_uri, server, MHD_OPTION_NOTIFY_COMPLETED, handle_completed,
+      server, MHD_OPTION_END);
+  if (server->daemon == NULL)
+    return false;
+  info = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  server->fd = tevent_add_fd (events, events, info->epoll_fd, TEVENT_FD_READ,
+                              handle_fd, server);
+  return true;
+}
+
+void
+bd_http_server_finish (struct bd_http_server *server)
+{
+  if (server->daemon == NULL)
+    return;
+  TALLOC_FREE (server->fd);
+  TALLOC_FREE (server->timer);
+  MHD_stop_daemon (server->daemon);
+  server->daemon = NULL;
+}
+
+const char *
+bd_http_header (const struct bd_http_exchange *x, const char *name)
+{
+  return MHD_lookup_connection_value (x->connection, MHD_HEADER_KIND, name);
+}
+
+const char *
+bd_http_query (const struct bd_http_exchange *x, const char *name)
+{
+  return MHD_lookup_connection_value (x->connection, MHD_GET_ARGUMENT_KIND,
+                                      name);
+}
+
+static void
+add_headers (struct MHD_Response *response, const struct bd_http_pair *headers)
+{
+  for (; headers != NULL && headers->name != NULL; headers++)
+    MHD_add_response_header (response, headers->name, headers->value);
+}
+
+void
+bd_http_respond (struct bd_http_exchange *x, uint32_t status,
+                 const struct bd_http_pair *headers, const char *body,
+                 size_t size)
+{
+  assert (x->response == NULL);
+  x->response = MHD_create_response_from_buffer (size, (void *)body,
+                                                 MHD_RESPMEM_MUST_COPY);
+  add_headers (x->response, headers);
+  x->status = status;
+  x->state = ANSWERED;
+  resume (x);
+}
+
+void
+bd_http_respond_text (struct bd_http_exchange *x, uint32_t status,
+                      const char *content_type, const char *text)
+{
+  struct bd_http_pair headers[]
+      = { { "Content-Type", content_type }, { NULL, NULL } };
+
+  bd_http_respond (x, status, headers, text, strlen (text));
+}
+
+static ssize_t
+read_stream (void *cls, uint64_t pos, char *out, size_t max)
+{
+  struct bd_http_exchange *x = cls;
+  size_t count = x->buffer_used < max ? x->buffer_used : max;
+
+  (void)pos;
+  if (x->is_closed)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (count == 0 && x->has_ended)
+    return x->is_whole ? MHD_CONTENT_READER_END_OF_STREAM
+                       : MHD_CONTENT_READER_END_WITH_ERROR;
+  if (count == 0)
+    {
+      suspend (x);
+      return 0;
+    }
+  memcpy (out, x->buffer + x->buffer_start, count);
+  x->buffer_start += count;
+  x->buffer_used -= count;
+  if (x->wants_room && x->buffer_used < LOW_WATER_BYTES)
+    {
+      x->wants_room = false;
+      x->server->ops->writable (x->server->ctx, x);
+    }
+  return (ssize_t)count;
+}
+
+void
+bd_http_stream_begin (struct bd_http_exchange *x, uint32_t status,
+                      const struct bd_http_pair *headers)
+{
+  assert (x->response == NULL);
+  x->response = MHD_create_response_from_callback (
+      MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, read_stream, x, NULL);
+  add_headers (x->response, headers);
+  x->status = status;
+  x->state = STREAMING;
+  resume (x);
+}
+
+static void
+make_room (struct bd_http_exchange *x, size_t size)
+{
+  if (x->buffer_start > 0)
+    memmove (x->buffer, x->buffer + x->buffer_start, x->buffer_used);
+  x->buffer_start = 0;
+  if (x->buffer_used + size <= x->buffer_size)
+    return;
+  x->buffer_size = (x->buffer_used + size) * 2;
+  x->buffer = talloc_realloc (x, x->buffer, char, x->buffer_size);
+}
+
+bool
+bd_http_stream_write (struct bd_http_exchange *x, const char *data,
+                      size_t size)
+{
+  if (size == 0)
+    return true;
+  make_room (x, size);
+  memcpy (x->buffer + x->buffer_used, data, size);
+  x->buffer_used += size;
+  resume (x);
+  x->wants_room = x->buffer_used >= HIGH_WATER_BYTES;
+  return !x->wants_room;
+}
+
+void
+bd_http_stream_end (struct bd_http_exchange *x, bool is_whole)
+{
+  x->has_ended = true;
+  x->is_whole = is_whole;
+  resume (x);
+}
+
+void
+bd_http_abort (struct bd_http_exchange *x)
+{
+  x->is_closed = true;
+  resume (x);
+}
--- /dev/null
+++ b/src/membership/membership.c
@@ -0,0 +1,231 @@
+/* The table of daemons and the ranking for duties.  */
+
+#include "membership/membership.h"
+
+#include <string.h>
+#include <talloc.h>
+
+enum
+{
+  RELAYS_PER_CENTRE = 2
+};
+
+void
+bd_membership_init (struct bd_membership *membership, void *ctx,
+                    const struct bd_member *self, uint32_t dead_after_ms)
+{
+  memset (membership, 0, sizeof *membership);
+  membership->ctx = ctx;
+  membership->dead_after_ms = dead_after_ms;
+  membership->members = talloc_memdup (ctx, self, sizeof *self);
+  membership->members[0].is_live = true;
+  membership->count = 1;
+}
+
+struct bd_member *
+bd_membership_self (struct bd_membership *membership)
+{
+  return &membership->members[0];
+}
+
+struct bd_member *
+bd_membership_find (const struct bd_membership *membership, const char *name)
+{
+  for (uint32_t i = 0; i < membership->count; i++)
+    if (strcmp (membership->members[i].name, name) == 0)
+      return &membership->members[i];
+  return NULL;
+}
+
+static struct bd_member *
+member_made (struct bd_membership *membership, const char *name)
+{
+  struct bd_member *member = bd_membership_find (membership, name);
+
+  if (member != NULL)
+    return member;
+  membership->members
+      = talloc_realloc (membership->ctx, membership->members, struct bd_member,
+                        membership->count + 1);
+  member = &membership->members[membership->count++];
+  memset (member, 0, sizeof *member);
+  bd_name_copy (member->name, name);
+  return member;
+}
+
+struct bd_member *
+bd_membership_learn (struct bd_membership *membership, const char *name,
+                     const char *data_centre, const char *address,
+                     uint32_t peer_port)
+{
+  struct bd_member *member = member_made (membership, name);
+
+  if (member == bd_membership_self (membership))
+    return member;
+  bd_name_copy (member->data_centre, data_centre);
+  bd_name_copy (member->address, address);
+  member->peer_port = peer_port;
+  return member;
+}
+
+enum bd_error
+bd_membership_heard (struct bd_membership *membership,
+                     const struct bd_member *news, int64_t now_ms)
+{
+  struct bd_member *member = member_made (membership, news->name);
+
+  if (member == bd_membership_self (membership)
+      || news->incarnation < member->incarnation)
+    return BD_ERR_STALE;
+  *member = *news;
+  member->heard_ms = now_ms;
+  member->is_live = true;
+  return BD_OK;
+}
+
+void
+bd_membership_centre (struct bd_membership *membership,
+                      const struct bd_centre *centre, int64_t now_ms)
+{
+  struct bd_centre *held = NULL;
+
+  for (uint32_t i = 0; i < membership->centre_count; i++)
+    if (strcmp (membership->centres[i].name, centre->name) == 0)
+      held = &membership->centres[i];
+  if (held == NULL)
+    {
+      membership->centres
+          = talloc_realloc (membership->ctx, membership->centres,
+                            struct bd_centre, membership->centre_count + 1);
+      held = &membership->centres[membership->centre_count++];
+    }
+  *held = *centre;
+  held->heard_ms = now_ms;
+}
+
+bool
+bd_membership_tick (struct bd_membership *membership, int64_t now_ms)
+{
+  bool has_changed = false;
+
+  for (uint32_t i = 1; i < membership->count; i++)
+    {
+      struct bd_member *member = &membership->members[i];
+      if (!member->is_live
+          || now_ms - member->heard_ms <= membership->dead_after_ms)
+        continue;
+      member->is_live = false;
+      has_changed = true;
+    }
+  return has_changed;
+}
+
+static bool
+is_candidate (const struct bd_member *member, const char *data_centre)
+{
+  return member->is_live && !member->is_stopping
+         && (data_centre == NULL
+             || strcmp (member->data_centre, data_centre) == 0);
+}
+
+/* Whether a ranks before b for key (rendezvous hashing).  */
+static bool
+ranks_before (const struct bd_member *a, const struct bd_member *b,
+              const char *key)
+{
+  uint64_t rank_a = bd_hash_pair (key, a->name);
+  uint64_t rank_b = bd_hash_pair (key, b->name);
+
+  return rank_a != rank_b ? rank_a > rank_b : strcmp (a->name, b->name) < 0;
+}
+
+bool
+bd_membership_is_duty (const struct bd_membership *membership,
+                       const char *name, const char *data_centre,
+                       const char *key, uint32_t places)
+{
+  const struct bd_member *member = bd_membership_find (membership, name);
+  uint32_t before = 0;
+
+  if (member == NULL || !is_candidate (member, data_centre))
+    return false;
+  for (uint32_t i = 0; i < membership->count; i++)
+    {
+      const struct bd_member *other = &membership->members[i];
+      if (other != member && is_candidate (other, data_centre)
+          && ranks_before (other, member, key))
+        before++;
+    }
+  return before < places;
+}
+
+const struct bd_member *
+bd_membership_first (const struct bd_membership *membership,
+                     const char *data_centre, const char *key)
+{
+  const struct bd_member *best = NULL;
+
+  for (uint32_t i = 0; i < membership->count; i++)
+    {
+      const struct bd_member *member = &membership->members[i];
+      if (is_candidate (member, data_centre)
+          && (best == NULL || ranks_before (member, best, key)))
+        best = member;
+    }
+  return best != NULL ? best : &membership->members[0];
+}
+
+bool
+bd_membership_is_keeper (const struct bd_membership *membership,
+                         const char *data_centre)
+{
+  const struct bd_member *self = &membership->members[0];
+
+  if (!is_candidate (self, data_centre))
+    return false;
+  for (uint32_t i = 1; i < membership->count; i++)
+    if (is_candidate (&membership->members[i], data_centre)
+        && strcmp (membership->members[i].name, self->name) < 0)
+      return false;
+  return true;
+}
+
+bool
+bd_membership_is_relay (const struct bd_membership *membership,
+                        const struct bd_member *member)
+{
+  return bd_membership_is_duty (membership, member->name, member->data_centre,
+                                "relay", RELAYS_PER_CENTRE);
+}
+
+uint32_t
+bd_membership_live (const struct bd_membership *membership,
+                    const char *data_centre)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < membership->count; i++)
+    if (membership->members[i].is_live
+        && (data_centre == NULL
+            || strcmp (membership->members[i].data_centre, data_centre) == 0))
+      count++;
+  return count;
+}
+
+bool
+bd_membership_must_tell (const struct bd_membership *membership,
+                         const struct bd_member *member)
+{
+  const struct bd_member *self = &membership->members[0];
+
+  if (member == self)
+    return false;
+  if (strcmp (member->data_centre, self->data_centre) == 0)
+    return true;
+  if (!bd_membership_is_relay (membership, self))
+    return false;
+  /* Nobody over there was heard yet: any of them may be the way in.  */
+  return !member->is_live
+             ? bd_membership_live (membership, member->data_centre) == 0
+             : bd_membership_is_relay (membership, member);
+}
--- /dev/null
+++ b/src/platform/client.c
@@ -0,0 +1,386 @@
+/* The budgeted client of the Object API.  */
+
+#include "platform/client.h"
+
+#include <string.h>
+#include <talloc.h>
+
+enum
+{
+  CALL_TIMEOUT_MS = 1000,
+  /* Calls above the rate that a second's pause allows at once.  */
+  BURST_S = 1
+};
+
+struct bd_platform_call
+{
+  struct bd_platform *platform;
+  enum bd_platform_priority priority;
+  enum bd_object_kind kind;
+  char *key;
+  int64_t since;
+  uint32_t wait_ms;
+  int64_t give_up_at_ms;
+  int64_t not_before_ms;
+  int64_t asked_ms;
+  uint32_t failures;
+  bool is_update;
+  struct bd_update update;
+  json_t *envelope;
+  char *value;
+  bd_platform_done *done;
+  void *ctx;
+  struct bd_platform_call *next;
+};
+
+static void pump (struct bd_platform *platform);
+static void pump_later (struct bd_platform *platform);
+
+static void
+append (struct bd_platform_call *call)
+{
+  struct bd_platform *p = call->platform;
+
+  call->next = NULL;
+  if (p->first[call->priority] == NULL)
+    p->first[call->priority] = call;
+  else
+    p->last[call->priority]->next = call;
+  p->last[call->priority] = call;
+}
+
+static struct bd_platform_call *
+unlink_call (struct bd_platform *p, enum bd_platform_priority priority,
+             struct bd_platform_call *previous, struct bd_platform_call *call)
+{
+  if (previous == NULL)
+    p->first[priority] = call->next;
+  else
+    previous->next = call->next;
+  if (p->last[priority] == call)
+    p->last[priority] = previous;
+  return call;
+}
+
+static void
+finish (struct bd_platform_call *call, const struct bd_platform_answer *answer)
+{
+  call->done (call->ctx, answer);
+  talloc_free (call);
+}
+
+static void
+give_up (struct bd_platform_call *call)
+{
+  struct bd_platform_answer answer = { .error = BD_ERR_PLATFORM_DOWN };
+
+  finish (call, &answer);
+}
+
+/* Queues the call again after a failure, with a growing pause.  */
+static void
+again (struct bd_platform_call *call, int64_t now_ms)
+{
+  call->failures++;
+  call->not_before_ms
+      = now_ms + bd_backoff_ms (call->failures, call->platform->rng);
+  append (call);
+  pump_later (call->platform);
+}
+
+static void
+finish_update (struct bd_platform_call *call)
+{
+  struct bd_platform_answer answer = { .error = call->update.error,
+                                       .version = call->update.version,
+                                       .envelope = call->envelope,
+                                       .asked_ms = call->asked_ms };
+
+  if (call->update.is_settling)
+    bd_count (call->platform->counters, BD_COUNT_LOST_ANSWERS_SETTLED);
+  finish (call, &answer);
+}
+
+static void
+advance_update (struct bd_platform_call *call,
+                const struct bd_object_answer *got, int64_t now_ms)
+{
+  bool was_read = call->kind == BD_OBJECT_READ;
+
+  if (was_read)
+    bd_update_read (&call->update, got->error, got->version, got->value);
+  else
+    bd_update_written (&call->update, got->error, got->version);
+  if (call->update.step == BD_UPDATE_DONE)
+    {
+      finish_update (call);
+      return;
+    }
+  call->kind
+      = call->update.step == BD_UPDATE_READ ? BD_OBJECT_READ : BD_OBJECT_WRITE;
+  again (call, now_ms);
+}
+
+static void
+note_health (struct bd_platform *p, enum bd_error error, int64_t now_ms)
+{
+  if (error == BD_ERR_PLATFORM_DOWN)
+    {
+      bd_count (p->counters, BD_COUNT_PLATFORM_FAILURES);
+      bd_breaker_failed (&p->breaker, now_ms, p->rng);
+    }
+  else
+    bd_breaker_succeeded (&p->breaker);
+}
+
+static void
+handle_answer (void *ctx, const struct bd_object_answer *got)
+{
+  struct bd_platform_call *call = ctx;
+  struct bd_platform *p = call->platform;
+  int64_t now_ms = bd_clock_now_ms (p->clock);
+  struct bd_platform_answer answer = { .error = got->error,
+                                       .version = got->version,
+                                       .revision = got->revision,
+                                       .items = got->items,
+                                       .asked_ms = call->asked_ms };
+
+  note_health (p, got->error, now_ms);
+  if (call->is_update)
+    {
+      advance_update (call, got, now_ms);
+      return;
+    }
+  if (got->error == BD_ERR_PLATFORM_DOWN || got->error == BD_ERR_RATE_LIMITED)
+    {
+      again (call, now_ms);
+      return;
+    }
+  if (call->kind == BD_OBJECT_READ && got->error == BD_OK)
+    {
+      answer.envelope = got->value;
+      answer.data = bd_envelope_data (got->value);
+    }
+  finish (call, &answer);
+  pump (p);
+}
+
+static bool
+take_budget (struct bd_platform *p, const struct bd_platform_call *call,
+             int64_t now_ms)
+{
+  struct bd_bucket *bucket
+      = call->kind == BD_OBJECT_WRITE ? &p->writes : &p->reads;
+
+  return bd_bucket_take (bucket, now_ms);
+}
+
+static void
+start_call (struct bd_platform_call *call, int64_t now_ms)
+{
+  struct bd_platform *p = call->platform;
+  struct bd_object_op op
+      = { .kind = call->kind,
+          .key = call->key,
+          .value = call->value,
+          .version
+          = call->is_update ? call->update.expected_version : call->since,
+          .timeout_ms
+          = call->kind == BD_OBJECT_WATCH ? call->wait_ms : CALL_TIMEOUT_MS };
+
+  call->asked_ms = now_ms;
+  bd_count (p->counters, call->kind == BD_OBJECT_WRITE
+                             ? BD_COUNT_PLATFORM_WRITES
+                             : BD_COUNT_PLATFORM_READS);
+  if (!p->ops->start (p->api, &op, handle_answer, call))
+    again (call, now_ms);
+}
+
+static void
+handle_timer (struct tevent_context *events, struct tevent_timer *timer,
+              struct timeval now, void *private_data)
+{
+  struct bd_platform *p = private_data;
+
+  (void)events;
+  (void)timer;
+  (void)now;
+  p->timer = NULL;
+  pump (p);
+}
+
+static void
+pump_later (struct bd_platform *p)
+{
+  enum
+  {
+    RECHECK_US = 10000
+  };
+
+  if (p->timer == NULL)
+    p->timer = tevent_add_timer (p->events, p->events,
+                                 tevent_timeval_current_ofs (0, RECHECK_US),
+                                 handle_timer, p);
+}
+
+/* Sends or ends what is due in one queue; true when some calls stay.  */
+static bool
+pump_queue (struct bd_platform *p, enum bd_platform_priority priority,
+            int64_t now_ms)
+{
+  struct bd_platform_call *previous = NULL;
+  struct bd_platform_call *call = p->first[priority];
+
+  while (call != NULL)
+    {
+      struct bd_platform_call *next = call->next;
+
+      if (now_ms >= call->give_up_at_ms)
+        {
+          give_up (unlink_call (p, priority, previous, call));
+          /* The callback may have changed the queue.  */
+          return true;
+        }
+      if (now_ms >= call->not_before_ms
+          && bd_breaker_allows (&p->breaker, now_ms)
+          && take_budget (p, call, now_ms))
+        start_call (unlink_call (p, priority, previous, call), now_ms);
+      else
+        previous = call;
+      call = next;
+    }
+  return p->first[priority] != NULL;
+}
+
+static void
+pump (struct bd_platform *p)
+{
+  int64_t now_ms = bd_clock_now_ms (p->clock);
+  bool is_waiting = false;
+
+  for (uint32_t i = 0; i < BD_PRIORITY_COUNT; i++)
+    is_waiting = pump_queue (p, i, now_ms) || is_waiting;
+  if (is_waiting)
+    pump_later (p);
+}
+
+static int
+drop_envelope (struct bd_platform_call *call)
+{
+  json_decref (call->envelope);
+  return 0;
+}
+
+static struct bd_platform_call *
+make_call (struct bd_platform *p, enum bd_platform_priority priority,
+           enum bd_object_kind kind, const char *key, uint32_t give_up_ms,
+           bd_platform_done *done, void *ctx)
+{
+  struct bd_platform_call *call
+      = talloc_zero (p->events, struct bd_platform_call);
+
+  call->platform = p;
+  call->priority = priority;
+  call->kind = kind;
+  call->key = talloc_strdup (call, key);
+  call->give_up_at_ms = bd_clock_now_ms (p->clock) + give_up_ms;
+  call->done = done;
+  call->ctx = ctx;
+  return call;
+}
+
+void
+bd_platform_init (struct bd_platform *platform,
+                  const struct bd_object_api_ops *ops, void *api,
+                  struct tevent_context *events, const struct bd_clock *clock,
+                  struct bd_counters *counters, gsl_rng *rng,
+                  uint32_t reads_per_s, uint32_t writes_per_s)
+{
+  int64_t now_ms = bd_clock_now_ms (clock);
+
+  memset (platform, 0, sizeof *platform);
+  platform->ops = ops;
+  platform->api = api;
+  platform->events = events;
+  platform->clock = clock;
+  platform->counters = counters;
+  platform->rng = rng;
+  bd_bucket_init (&platform->reads, reads_per_s, reads_per_s * BURST_S,
+                  now_ms);
+  bd_bucket_init (&platform->writes, writes_per_s, writes_per_s * BURST_S,
+                  now_ms);
+}
+
+void
+bd_platform_finish (struct bd_platform *platform)
+{
+  TALLOC_FREE (platform->timer);
+  for (uint32_t i = 0; i < BD_PRIORITY_COUNT; i++)
+    while (platform->first[i] != NULL)
+      talloc_free (unlink_call (platform, i, NULL, platform->first[i]));
+}
+
+void
+bd_platform_read (struct bd_platform *platform,
+                  enum bd_platform_priority priority, const char *key,
+                  uint32_t give_up_ms, bd_platform_done *done, void *ctx)
+{
+  append (make_call (platform, priority, BD_OBJECT_READ, key, give_up_ms, done,
+                     ctx));
+  pump (platform);
+}
+
+void
+bd_platform_list (struct bd_platform *platform,
+                  enum bd_platform_priority priority, const char *prefix,
+                  uint32_t give_up_ms, bd_platform_done *done, void *ctx)
+{
+  append (make_call (platform, priority, BD_OBJECT_LIST, prefix, give_up_ms,
+                     done, ctx));
+  pump (platform);
+}
+
+void
+bd_platform_watch (struct bd_platform *platform, const char *prefix,
+                   int64_t since, uint32_t wait_ms, bd_platform_done *done,
+                   void *ctx)
+{
+  struct bd_platform_call *call
+      = make_call (platform, BD_PRIORITY_CONFIG, BD_OBJECT_WATCH, prefix,
+                   wait_ms, done, ctx);
+
+  call->since = since;
+  call->wait_ms = wait_ms;
+  append (call);
+  pump (platform);
+}
+
+void
+bd_platform_update (struct bd_platform *platform,
+                    enum bd_platform_priority priority, const char *key,
+                    int64_t expected_version, const json_t *previous,
+                    json_t *data, uint32_t give_up_ms, bd_platform_done *done,
+                    void *ctx)
+{
+  struct bd_platform_call *call = make_call (
+      platform, priority, BD_OBJECT_WRITE, key, give_up_ms, done, ctx);
+  char write_id[BD_ID_SIZE];
+  char *text;
+
+  bd_id_make (platform->rng, write_id);
+  call->envelope = bd_envelope_make (write_id, previous, data);
+  talloc_set_destructor (call, drop_envelope);
+  text = json_dumps (call->envelope, JSON_COMPACT);
+  call->value = talloc_strdup (call, text);
+  free (text);
+  call->is_update = true;
+  bd_update_init (&call->update, write_id, expected_version);
+  append (call);
+  pump (platform);
+}
+
+bool
+bd_platform_is_up (const struct bd_platform *platform)
+{
+  return bd_breaker_is_closed (&platform->breaker);
+}
--- /dev/null
+++ b/src/platform/instances.c
@@ -0,0 +1,72 @@
+/* Parsing of the instance list.  */
+
+#include "platform/instances.h"
+
+#include <string.h>
+#include <talloc.h>
+
+static void
+read_name (const json_t *object, const char *key, char out[BD_NAME_SIZE])
+{
+  bd_name_copy (out, json_string_value (json_object_get (object, key)));
+}
+
+static uint32_t
+read_u32 (const json_t *object, const char *key)
+{
+  json_int_t value = json_integer_value (json_object_get (object, key));
+
+  return value > 0 && value <= UINT32_MAX ? (uint32_t)value : 0;
+}
+
+static bool
+read_instance (const json_t *entry, struct bd_instance *out)
+{
+  const char *state = json_string_value (json_object_get (entry, "state"));
+
+  memset (out, 0, sizeof *out);
+  read_name (entry, "name", out->name);
+  read_name (entry, "address", out->address);
+  read_name (entry, "data_centre", out->data_centre);
+  read_name (entry, "fabric_domain", out->fabric_domain);
+  read_name (entry, "pool", out->pool);
+  out->port = read_u32 (entry, "port");
+  out->peer_port = read_u32 (entry, "peer_port");
+  out->accelerators = read_u32 (entry, "accelerators");
+  out->is_leaving = state != NULL && strcmp (state, "leaving") == 0;
+  return out->name[0] != '\0' && out->address[0] != '\0' && out->port != 0;
+}
+
+bool
+bd_instances_parse (void *ctx, const char *body, size_t size,
+                    struct bd_instance_list *list)
+{
+  json_t *root = json_loadb (body, size, 0, NULL);
+  json_t *entries = json_object_get (root, "instances");
+  json_t *entry;
+  size_t i;
+
+  list->items = NULL;
+  list->count = 0;
+  if (!json_is_array (entries))
+    {
+      json_decref (root);
+      return false;
+    }
+  list->items
+      = talloc_array (ctx, struct bd_instance, json_array_size (entries) + 1);
+  json_array_foreach (
+      entries, i, entry) if (read_instance (entry, &list->items[list->count]))
+      list->count++;
+  json_decref (root);
+  return true;
+}
+
+const struct bd_instance *
+bd_instance_find (const struct bd_instance_list *list, const char *name)
+{
+  for (uint32_t i = 0; i < list->count; i++)
+    if (strcmp (list->items[i].name, name) == 0)
+      return &list->items[i];
+  return NULL;
+}
--- /dev/null
+++ b/src/platform/object_api_http.c
@@ -0,0 +1,117 @@
+/* The Object API over HTTP and JSON.  */
+
+#include "platform/object_api.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+struct pending
+{
+  bd_object_done *done;
+  void *ctx;
+};
+
+static enum bd_error
+error_of_status (const struct bd_http_result *result)
+{
+  if (!result->is_whole)
+    return BD_ERR_PLATFORM_DOWN;
+  switch (result->status)
+    {
+    case 200:
+    case 201:
+      return BD_OK;
+    case 404:
+      return BD_ERR_NOT_FOUND;
+    case 412:
+      return BD_ERR_CONFLICT;
+    case 429:
+      return BD_ERR_RATE_LIMITED;
+    default:
+      return BD_ERR_PLATFORM_DOWN;
+    }
+}
+
+static void
+handle_done (void *ctx, struct bd_http_call *call,
+             const struct bd_http_result *result)
+{
+  struct pending *pending = ctx;
+  struct bd_object_answer answer = { .error = error_of_status (result) };
+  const char *etag = bd_http_call_header (call, "ETag");
+  json_t *body = NULL;
+
+  if (answer.error == BD_OK)
+    body = json_loadb (result->body, result->body_size, JSON_DECODE_ANY, NULL);
+  if (answer.error == BD_OK && body == NULL)
+    answer.error = BD_ERR_PLATFORM_DOWN;
+  answer.version = etag != NULL ? strtoll (etag, NULL, 10) : 0;
+  answer.revision = json_integer_value (json_object_get (body, "revision"));
+  answer.items = json_object_get (body, "items");
+  answer.value = body;
+  pending->done (pending->ctx, &answer);
+  json_decref (body);
+  talloc_free (pending);
+}
+
+static const struct bd_http_call_ops call_ops = { NULL, NULL, handle_done };
+
+static char *
+make_url (void *ctx, const struct bd_object_api_http *api,
+          const struct bd_object_op *op)
+{
+  switch (op->kind)
+    {
+    case BD_OBJECT_LIST:
+      return talloc_asprintf (ctx, "%s/list?prefix=%s", api->url, op->key);
+    case BD_OBJECT_WATCH:
+      return talloc_asprintf (
+          ctx, "%s/watch?prefix=%s&since=%lld&timeout_ms=%u", api->url,
+          op->key, (long long)op->version, op->timeout_ms);
+    case BD_OBJECT_READ:
+    case BD_OBJECT_WRITE:
+      break;
+    }
+  return talloc_asprintf (ctx, "%s/objects/%s", api->url, op->key);
+}
+
+static bool
+start (void *api_ctx, const struct bd_object_op *op, bd_object_done *done,
+       void *ctx)
+{
+  enum
+  {
+    WATCH_MARGIN_MS = 2000
+  };
+  struct bd_object_api_http *api = api_ctx;
+  struct pending *pending = talloc_zero (NULL, struct pending);
+  char expected[32];
+  struct bd_http_pair headers[] = { { "If-Match", expected },
+                                    { "Content-Type", "application/json" },
+                                    { NULL, NULL } };
+  struct bd_http_out out = { .method = "GET", .timeout_ms = op->timeout_ms };
+  struct bd_http_call *call;
+
+  pending->done = done;
+  pending->ctx = ctx;
+  out.url = make_url (pending, api, op);
+  snprintf (expected, sizeof expected, "%lld", (long long)op->version);
+  if (op->kind == BD_OBJECT_WATCH)
+    out.timeout_ms += WATCH_MARGIN_MS;
+  if (op->kind == BD_OBJECT_WRITE)
+    {
+      if (op->version == BD_VERSION_NONE)
+        headers[0] = (struct bd_http_pair){ "If-None-Match", "*" };
+      out.method = "PUT";
+      out.headers = headers;
+      out.body = op->value;
+      out.body_size = strlen (op->value);
+    }
+  call = bd_http_send (api->client, &out, &call_ops, pending);
+  if (call == NULL)
+    talloc_free (pending);
+  return call != NULL;
+}
+
+const struct bd_object_api_ops bd_object_api_http_ops = { .start = start };
--- /dev/null
+++ b/src/platform/update.c
@@ -0,0 +1,121 @@
+/* Settling of conditional updates.  */
+
+#include "platform/update.h"
+
+#include <string.h>
+
+enum
+{
+  /* Earlier write ids that an envelope carries along.  */
+  RECENT_WRITES = 16
+};
+
+void
+bd_update_init (struct bd_update *update, const char write_id[BD_ID_SIZE],
+                int64_t expected_version)
+{
+  memset (update, 0, sizeof *update);
+  memcpy (update->write_id, write_id, BD_ID_SIZE);
+  update->expected_version = expected_version;
+  update->step = BD_UPDATE_WRITE;
+}
+
+static void
+finish (struct bd_update *update, enum bd_error error, int64_t version)
+{
+  update->step = BD_UPDATE_DONE;
+  update->error = error;
+  update->version = version;
+}
+
+void
+bd_update_written (struct bd_update *update, enum bd_error error,
+                   int64_t version)
+{
+  switch (error)
+    {
+    case BD_OK:
+      finish (update, BD_OK, version);
+      return;
+    case BD_ERR_RATE_LIMITED:
+      /* Nothing was done: the write is sent again.  */
+      return;
+    case BD_ERR_CONFLICT:
+      /* After a lost answer the condition may have failed because of this
+         very write.  */
+      if (update->is_settling)
+        update->step = BD_UPDATE_READ;
+      else
+        finish (update, BD_ERR_CONFLICT, 0);
+      return;
+    default:
+      update->is_settling = true;
+      update->step = BD_UPDATE_READ;
+    }
+}
+
+static bool
+holds_write (const json_t *envelope, const char *write_id, bool *is_last)
+{
+  const json_t *last = json_object_get (envelope, "write_id");
+  const json_t *recent = json_object_get (envelope, "recent");
+  const json_t *entry;
+  size_t i;
+
+  *is_last = last != NULL && strcmp (json_string_value (last), write_id) == 0;
+  if (*is_last)
+    return true;
+  json_array_foreach (recent, i,
+                      entry) if (strcmp (json_string_value (entry), write_id)
+                                 == 0) return true;
+  return false;
+}
+
+void
+bd_update_read (struct bd_update *update, enum bd_error error, int64_t version,
+                const json_t *envelope)
+{
+  bool is_last = false;
+  bool is_absent = error == BD_ERR_NOT_FOUND;
+
+  if (error != BD_OK && !is_absent)
+    return;
+  if (!is_absent && holds_write (envelope, update->write_id, &is_last))
+    {
+      update->is_superseded = !is_last;
+      finish (update, BD_OK, version);
+      return;
+    }
+  if (is_absent ? update->expected_version == 0
+                : version == update->expected_version)
+    update->step = BD_UPDATE_WRITE;
+  else
+    finish (update, BD_ERR_CONFLICT, 0);
+}
+
+json_t *
+bd_envelope_make (const char *write_id, const json_t *previous, json_t *data)
+{
+  json_t *recent = json_array ();
+  json_t *earlier = json_object_get (previous, "recent");
+  json_t *last = json_object_get (previous, "write_id");
+  json_t *entry;
+  size_t i;
+
+  if (last != NULL)
+    json_array_append (recent, last);
+  json_array_foreach (earlier, i, entry)
+  {
+    if (json_array_size (recent) >= RECENT_WRITES)
+      break;
+    json_array_append (recent, entry);
+  }
+  return json_pack ("{s:s,s:o,s:o}", "write_id", write_id, "recent", recent,
+                    "data", data);
+}
+
+json_t *
+bd_envelope_data (const json_t *envelope)
+{
+  return json_object_get (envelope, "data");
+}
--- /dev/null
+++ b/src/wire/peers.c
@@ -0,0 +1,275 @@
+/* TCP connections between daemons.  */
+
+#include "wire/peers.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+enum
+{
+  LISTEN_BACKLOG = 256,
+  MAX_QUEUE_BYTES = 4 << 20,
+  MAX_FRAME_BYTES = 4 << 20,
+  READ_BYTES = 16 * 1024,
+  FRAME_HEAD_BYTES = 4
+};
+
+struct bd_peer_connection
+{
+  struct bd_peers *peers;
+  struct sockaddr_in where;
+  int fd;
+  struct tevent_fd *event;
+  char *buffer;
+  size_t used;
+  struct bd_peer_connection **list;
+  struct bd_peer_connection *prev;
+  struct bd_peer_connection *next;
+};
+
+static int
+destroy_connection (struct bd_peer_connection *c)
+{
+  TALLOC_FREE (c->event);
+  close (c->fd);
+  if (c->prev != NULL)
+    c->prev->next = c->next;
+  else
+    *c->list = c->next;
+  if (c->next != NULL)
+    c->next->prev = c->prev;
+  return 0;
+}
+
+static struct bd_peer_connection *
+make_connection (struct bd_peers *peers, struct bd_peer_connection **list,
+                 int fd, uint16_t flags, tevent_fd_handler_t handler)
+{
+  struct bd_peer_connection *c
+      = talloc_zero (peers->events, struct bd_peer_connection);
+  int on = 1;
+
+  c->peers = peers;
+  c->fd = fd;
+  c->list = list;
+  c->next = *list;
+  if (c->next != NULL)
+    c->next->prev = c;
+  *list = c;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  c->event = tevent_add_fd (peers->events, c, fd, flags, handler, c);
+  talloc_set_destructor (c, destroy_connection);
+  return c;
+}
+
+static void
+take (struct bd_peer_connection *c, const char *data, size_t size)
+{
+  enum bd_message_type type;
+  void *message = bd_message_unpack (c, data, size, &type);
+
+  if (message == NULL)
+    return;
+  c->peers->handler (c->peers->ctx, type, message);
+  talloc_free (message);
+}
+
+/* Handles every whole frame; returns false when the stream is malformed.  */
+static bool
+take_frames (struct bd_peer_connection *c)
+{
+  size_t start = 0;
+
+  while (c->used - start >= FRAME_HEAD_BYTES)
+    {
+      uint32_t size;
+      memcpy (&size, c->buffer + start, sizeof size);
+      size = ntohl (size);
+      if (size > MAX_FRAME_BYTES)
+        return false;
+      if (c->used - start - FRAME_HEAD_BYTES < size)
+        break;
+      take (c, c->buffer + start + FRAME_HEAD_BYTES, size);
+      start += FRAME_HEAD_BYTES + size;
+    }
+  memmove (c->buffer, c->buffer + start, c->used - start);
+  c->used -= start;
+  return true;
+}
+
+static void
+handle_incoming (struct tevent_context *events, struct tevent_fd *event,
+                 uint16_t flags, void *private_data)
+{
+  struct bd_peer_connection *c = private_data;
+  ssize_t got;
+
+  (void)events;
+  (void)event;
+  (void)flags;
+  c->buffer = talloc_realloc (c, c->buffer, char, c->used + READ_BYTES);
+  got = recv (c->fd, c->buffer + c->used, READ_BYTES, MSG_DONTWAIT);
+  if (got < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (got <= 0)
+    {
+      talloc_free (c);
+      return;
+    }
+  bd_count_add (c->peers->counters, BD_COUNT_PEER_BYTES_IN, (uint64_t)got);
+  c->used += (size_t)got;
+  if (!take_frames (c))
+    talloc_free (c);
+}
+
+static void
+handle_listen (struct tevent_context *events, struct tevent_fd *event,
+               uint16_t flags, void *private_data)
+{
+  struct bd_peers *peers = private_data;
+  int fd
+      = accept4 (peers->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+  (void)events;
+  (void)event;
+  (void)flags;
+  if (fd >= 0)
+    make_connection (peers, &peers->incoming, fd, TEVENT_FD_READ,
+                     handle_incoming);
+}
+
+static void
+handle_outgoing (struct tevent_context *events, struct tevent_fd *event,
+                 uint16_t flags, void *private_data)
+{
+  struct bd_peer_connection *c = private_data;
+  char byte;
+  ssize_t sent;
+
+  (void)events;
+  if ((flags & TEVENT_FD_READ) != 0
+      && recv (c->fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK) == 0)
+    {
+      talloc_free (c);
+      return;
+    }
+  if ((flags & TEVENT_FD_WRITE) == 0)
+    return;
+  sent = send (c->fd, c->buffer, c->used, MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (sent < 0 && errno != EAGAIN && errno != EINTR)
+    {
+      talloc_free (c);
+      return;
+    }
+  if (sent > 0)
+    {
+      memmove (c->buffer, c->buffer + sent, c->used - (size_t)sent);
+      c->used -= (size_t)sent;
+    }
+  if (c->used == 0)
+    tevent_fd_set_flags (event, TEVENT_FD_READ);
+}
+
+bool
+bd_peers_init (struct bd_peers *peers, struct tevent_context *events,
+               struct bd_counters *counters, const char *address,
+               uint32_t port, bd_peers_handler *handler, void *ctx)
+{
+  struct sockaddr_in where = { .sin_family = AF_INET };
+  int on = 1;
+
+  memset (peers, 0, sizeof *peers);
+  peers->events = events;
+  peers->counters = counters;
+  peers->handler = handler;
+  peers->ctx = ctx;
+  where.sin_port = htons ((uint16_t)port);
+  if (inet_pton (AF_INET, address, &where.sin_addr) != 1)
+    return false;
+  peers->listen_fd
+      = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  setsockopt (peers->listen_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (peers->listen_fd, (struct sockaddr *)&where, sizeof where) != 0
+      || listen (peers->listen_fd, LISTEN_BACKLOG) != 0)
+    {
+      close (peers->listen_fd);
+      return false;
+    }
+  peers->listen_event = tevent_add_fd (events, events, peers->listen_fd,
+                                       TEVENT_FD_READ, handle_listen, peers);
+  return true;
+}
+
+void
+bd_peers_finish (struct bd_peers *peers)
+{
+  if (peers->events == NULL)
+    return;
+  TALLOC_FREE (peers->listen_event);
+  close (peers->listen_fd);
+  while (peers->outgoing != NULL)
+    talloc_free (peers->outgoing);
+  while (peers->incoming != NULL)
+    talloc_free (peers->incoming);
+  peers->events = NULL;
+}
+
+static struct bd_peer_connection *
+connection_to (struct bd_peers *peers, const struct sockaddr_in *where)
+{
+  struct bd_peer_connection *c;
+  int fd;
+
+  for (c = peers->outgoing; c != NULL; c = c->next)
+    if (c->where.sin_port == where->sin_port
+        && c->where.sin_addr.s_addr == where->sin_addr.s_addr)
+      return c;
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return NULL;
+  if (connect (fd, (const struct sockaddr *)where, sizeof *where) != 0
+      && errno != EINPROGRESS)
+    {
+      close (fd);
+      return NULL;
+    }
+  c = make_connection (peers, &peers->outgoing, fd,
+                       TEVENT_FD_READ | TEVENT_FD_WRITE, handle_outgoing);
+  c->where = *where;
+  return c;
+}
+
+void
+bd_peers_send (struct bd_peers *peers, const char *address, uint32_t port,
+               enum bd_message_type type, const void *message)
+{
+  struct sockaddr_in where = { .sin_family = AF_INET };
+  struct bd_peer_connection *c;
+  msgpack_sbuffer frame;
+
+  where.sin_port = htons ((uint16_t)port);
+  if (inet_pton (AF_INET, address, &where.sin_addr) != 1)
+    return;
+  c = connection_to (peers, &where);
+  if (c == NULL)
+    return;
+  msgpack_sbuffer_init (&frame);
+  bd_message_pack (&frame, type, message);
+  if (c->used + frame.size > MAX_QUEUE_BYTES)
+    bd_count (peers->counters, BD_COUNT_PEER_DROPPED);
+  else
+    {
+      c->buffer = talloc_realloc (c, c->buffer, char, c->used + frame.size);
+      memcpy (c->buffer + c->used, frame.data, frame.size);
+      c->used += frame.size;
+      bd_count (peers->counters, BD_COUNT_PEER_MESSAGES_OUT);
+      bd_count_add (peers->counters, BD_COUNT_PEER_BYTES_OUT, frame.size);
+      tevent_fd_set_flags (c->event, TEVENT_FD_READ | TEVENT_FD_WRITE);
+    }
+  msgpack_sbuffer_destroy (&frame);
+}
--- /dev/null
+++ b/src/wire/peers.h
@@ -0,0 +1,48 @@
+/* Connections between daemons: one TCP connection for each direction, frames
+   of msgpack, bounded queues.  A message to a peer that cannot be reached is
+   dropped; whoever needs an answer asks again.  */
+
+#ifndef BD_WIRE_PEERS_H
+#define BD_WIRE_PEERS_H
+
+#include "base/counters.h"
+#include "wire/messages.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <tevent.h>
+
+struct bd_peers;
+
+/* Called for each message; message lives until the call returns.  */
+typedef void bd_peers_handler (void *ctx, enum bd_message_type type,
+                               const void *message);
+
+struct bd_peer_connection;
+
+struct bd_peers
+{
+  struct tevent_context *events;
+  struct bd_counters *counters;
+  bd_peers_handler *handler;
+  void *ctx;
+  int listen_fd;
+  struct tevent_fd *listen_event;
+  struct bd_peer_connection *outgoing; /* A list.  */
+  struct bd_peer_connection *incoming; /* A list.  */
+};
+
+/* bd_peers_init(): listens.  Returns false when the port cannot be bound.  */
+bool bd_peers_init (struct bd_peers *peers, struct tevent_context *events,
+                    struct bd_counters *counters, const char *address,
+                    uint32_t port, bd_peers_handler *handler, void *ctx);
+
+/* bd_peers_finish(): closes all connections.  */
+void bd_peers_finish (struct bd_peers *peers);
+
+/* bd_peers_send(): sends message to the daemon at address and port.  Opens a
+   connection where there is none.  */
+void bd_peers_send (struct bd_peers *peers, const char *address, uint32_t port,
+                    enum bd_message_type type, const void *message);
+
+#endif
--- /dev/null
+++ b/tests/fakes/engine.c
@@ -0,0 +1,740 @@
+/* Stand-in for model engines: count= engines on consecutive ports.
+
+   GET /state                    load report, report_lag_ms= late
+   POST /orders                  load or unload, with a fence
+   POST /v1/completions, /v1/chat/completions   only on the first member
+   POST /faults {"dead": b, "freeze": b, "token_ms": n, "load_ms": n,
+                 "crash_on": "text", "break_after": n}
+   GET /record                   events of this process, in order
+
+   A replica of which a member is gone answers nothing: its streams are cut.
+   The record notes every call taken while a member was missing.  */
+
+#include "tests/fakes/fakes.h"
+
+#include "base/ids.h"
+
+#include <string.h>
+#include <talloc.h>
+
+enum
+{
+  MAX_ENGINES = 256,
+  MAX_MEMBERS = 64
+};
+
+enum phase
+{
+  IDLE,
+  LOADING,
+  READY
+};
+
+struct engine
+{
+  struct process *process;
+  struct bd_http_server server;
+  char name[BD_NAME_SIZE];
+  uint32_t port;
+  enum phase phase;
+  char group[BD_NAME_SIZE];
+  int64_t incarnation;
+  char model[BD_NAME_SIZE];
+  char version[BD_NAME_SIZE];
+  int64_t fence_term;
+  int64_t fence_sequence;
+  json_t *members; /* Ports of the replica's members, the first leads.  */
+  uint32_t load_generation;
+  bool is_dead;
+  bool is_frozen;
+  uint32_t token_ms;
+  uint32_t load_ms;
+  uint32_t break_after;
+  char *crash_on;
+  uint32_t running;
+  struct generation *generations;
+  json_t *report;
+};
+
+struct process
+{
+  struct tevent_context *events;
+  struct bd_http_client client;
+  struct engine engines[MAX_ENGINES];
+  uint32_t count;
+  json_t *record;
+  bool checks_fence;
+  uint32_t report_lag_ms;
+  const char *weights_url;
+};
+
+/* One running completion.  */
+struct generation
+{
+  struct engine *engine;
+  struct bd_http_exchange *exchange;
+  uint64_t seed;
+  uint32_t next_token;
+  uint32_t first_token;
+  uint32_t max_tokens;
+  bool is_stream;
+  bool is_chat;
+  struct generation *next;
+  struct generation *prev;
+};
+
+static void
+note (struct engine *e, const char *what, const char *detail)
+{
+  json_array_append_new (
+      e->process->record,
+      json_pack ("{s:I,s:s,s:s,s:s,s:s,s:I}", "at", (json_int_t)fake_now_ms (),
+                 "instance", e->name, "event", what, "detail", detail, "group",
+                 e->group, "incarnation", (json_int_t)e->incarnation));
+}
+
+static struct engine *
+engine_at (struct process *process, uint32_t port)
+{
+  for (uint32_t i = 0; i < process->count; i++)
+    if (process->engines[i].port == port)
+      return &process->engines[i];
+  return NULL;
+}
+
+/* Whether every member is here, loaded under the same incarnation.  */
+static bool
+is_replica_whole (struct engine *e)
+{
+  size_t i;
+  json_t *port;
+
+  json_array_foreach (e->members, i, port)
+  {
+    struct engine *m
+        = engine_at (e->process, (uint32_t)json_integer_value (port));
+    if (m == NULL)
+      continue; /* Lives in another process; its own record tells.  */
+    if (m->is_dead || m->is_frozen || m->phase != READY
+        || strcmp (m->group, e->group) != 0
+        || m->incarnation != e->incarnation)
+      return false;
+  }
+  return true;
+}
+
+static void
+drop_generation (struct generation *g)
+{
+  struct engine *e = g->engine;
+
+  if (g->prev != NULL)
+    g->prev->next = g->next;
+  else
+    e->generations = g->next;
+  if (g->next != NULL)
+    g->next->prev = g->prev;
+  e->running--;
+  if (g->exchange != NULL)
+    g->exchange->user = NULL;
+  talloc_free (g);
+}
+
+static void
+cut_generations (struct engine *e)
+{
+  while (e->generations != NULL)
+    {
+      struct bd_http_exchange *x = e->generations->exchange;
+      bool is_stream = e->generations->is_stream;
+      drop_generation (e->generations);
+      if (is_stream)
+        bd_http_stream_end (x, false);
+      else
+        bd_http_abort (x);
+    }
+}
+
+/* Cuts every replica that has lost a member.  */
+static void
+cut_broken_replicas (struct process *process)
+{
+  for (uint32_t i = 0; i < process->count; i++)
+    if (process->engines[i].generations != NULL
+        && !is_replica_whole (&process->engines[i]))
+      cut_generations (&process->engines[i]);
+}
+
+static void
+die (struct engine *e)
+{
+  note (e, "dead", "");
+  cut_generations (e);
+  e->is_dead = true;
+  e->phase = IDLE;
+  e->group[0] = '\0';
+  e->incarnation = 0;
+  e->fence_term = 0;
+  e->fence_sequence = 0;
+  e->load_generation++;
+  cut_broken_replicas (e->process);
+}
+
+static json_t *
+make_report (struct engine *e)
+{
+  static const char *const phases[] = { "idle", "loading", "ready" };
+
+  return json_pack ("{s:s,s:s,s:s,s:I,s:s,s:s,s:i,s:I,s:I}", "instance",
+                    e->name, "phase", phases[e->phase], "group", e->group,
+                    "incarnation", (json_int_t)e->incarnation, "model",
+                    e->model, "version", e->version, "running",
+                    (int)e->running, "fence_term", (json_int_t)e->fence_term,
+                    "fence_sequence", (json_int_t)e->fence_sequence);
+}
+
+/* The present report, but for the load, which lags.  */
+static json_t *
+lagging_report (struct engine *e)
+{
+  json_t *report = make_report (e);
+  json_t *old
+      = e->report != NULL ? json_object_get (e->report, "running") : NULL;
+
+  if (e->process->report_lag_ms > 0 && old != NULL)
+    json_object_set (report, "running", old);
+  return report;
+}
+
+static void
+refresh_reports (struct tevent_context *events, struct tevent_timer *timer,
+                 struct timeval now, void *private_data)
+{
+  struct process *process = private_data;
+
+  (void)timer;
+  (void)now;
+  for (uint32_t i = 0; i < process->count; i++)
+    {
+      json_decref (process->engines[i].report);
+      process->engines[i].report = make_report (&process->engines[i]);
+    }
+  fake_later (events, process, process->report_lag_ms, refresh_reports,
+              process);
+}
+
+struct load
+{
+  struct engine *engine;
+  uint32_t generation;
+};
+
+static void fetch_weights (struct load *load);
+
+static void
+finish_load (struct tevent_context *events, struct tevent_timer *timer,
+             struct timeval now, void *private_data)
+{
+  struct load *load = private_data;
+  struct engine *e = load->engine;
+
+  (void)events;
+  (void)timer;
+  (void)now;
+  if (load->generation == e->load_generation && !e->is_dead)
+    {
+      e->phase = READY;
+      note (e, "ready", "");
+    }
+  talloc_free (load);
+}
+
+static void
+retry_weights (struct tevent_context *events, struct tevent_timer *timer,
+               struct timeval now, void *private_data)
+{
+  (void)events;
+  (void)timer;
+  (void)now;
+  fetch_weights (private_data);
+}
+
+static void
+handle_weights (void *ctx, struct bd_http_call *call,
+                const struct bd_http_result *result)
+{
+  struct load *load = ctx;
+  struct engine *e = load->engine;
+
+  (void)call;
+  if (load->generation != e->load_generation)
+    talloc_free (load);
+  else if (result->status == 200)
+    fake_later (e->process->events, load, e->load_ms, finish_load, load);
+  else
+    fake_later (e->process->events, load, 100, retry_weights, load);
+}
+
+static const struct bd_http_call_ops weights_ops
+    = { NULL, NULL, handle_weights };
+
+static void
+fetch_weights (struct load *load)
+{
+  struct engine *e = load->engine;
+  char *url = talloc_asprintf (load, "%s/weights/%s/%s",
+                               e->process->weights_url, e->model, e->version);
+  struct bd_http_out out = { .method = "GET", .url = url, .timeout_ms = 2000 };
+
+  bd_http_send (&e->process->client, &out, &weights_ops, load);
+  talloc_free (url);
+}
+
+static void
+start_load (struct engine *e)
+{
+  struct load *load = talloc_zero (e->process, struct load);
+
+  load->engine = e;
+  load->generation = ++e->load_generation;
+  e->phase = LOADING;
+  if (e->process->weights_url[0] != '\0')
+    fetch_weights (load);
+  else
+    fake_later (e->process->events, load, e->load_ms, finish_load, load);
+}
+
+static bool
+is_fence_old (const struct engine *e, int64_t term, int64_t sequence)
+{
+  return term < e->fence_term
+         || (term == e->fence_term && sequence < e->fence_sequence);
+}
+
+static const char *
+string_of (json_t *object, const char *key)
+{
+  const char *text = json_string_value (json_object_get (object, key));
+
+  return text != NULL ? text : "";
+}
+
+static void
+obey (struct engine *e, json_t *order)
+{
+  bool is_load = strcmp (string_of (order, "action"), "load") == 0;
+  bool has_weights = strcmp (e->model, string_of (order, "model")) == 0
+                     && strcmp (e->version, string_of (order, "version")) == 0
+                     && e->phase == READY;
+
+  cut_generations (e);
+  bd_name_copy (e->group, is_load ? string_of (order, "group") : "");
+  e->incarnation
+      = is_load ? json_integer_value (json_object_get (order, "incarnation"))
+                : 0;
+  json_decref (e->members);
+  e->members = json_incref (json_object_get (order, "members"));
+  if (!is_load)
+    {
+      e->phase = IDLE;
+      e->load_generation++;
+      return;
+    }
+  bd_name_copy (e->model, string_of (order, "model"));
+  bd_name_copy (e->version, string_of (order, "version"));
+  if (!has_weights)
+    start_load (e);
+}
+
+static void
+handle_order (struct engine *e, struct bd_http_exchange *x)
+{
+  json_t *order
+      = json_loadb (x->body != NULL ? x->body : "", x->body_size, 0, NULL);
+  int64_t term = json_integer_value (json_object_get (order, "fence_term"));
+  int64_t sequence
+      = json_integer_value (json_object_get (order, "fence_sequence"));
+  bool is_old = is_fence_old (e, term, sequence);
+  char detail[64];
+
+  snprintf (detail, sizeof detail, "%lld.%lld", (long long)term,
+            (long long)sequence);
+  if (is_old && e->process->checks_fence)
+    {
+      note (e, "order-refused", detail);
+      json_decref (order);
+      fake_respond_json (x, 409, json_object ());
+      return;
+    }
+  if (is_old)
+    note (e, "old-order-obeyed", detail);
+  e->fence_term = term;
+  e->fence_sequence = sequence;
+  obey (e, order);
+  note (e, "order", detail);
+  json_decref (order);
+  cut_broken_replicas (e->process);
+  fake_respond_json (x, 202, json_object ());
+}
+
+static void
+token_text (const struct generation *g, uint32_t index, char out[16])
+{
+  uint64_t mix[2] = { g->seed, index };
+
+  snprintf (out, 16, "w%03llu ",
+            (unsigned long long)(bd_hash (mix, sizeof mix) % 1000));
+}
+
+static void
+write_token (struct generation *g)
+{
+  char token[16];
+  char event[256];
+  int length;
+
+  token_text (g, g->next_token, token);
+  length = snprintf (
+      event, sizeof event,
+      g->is_chat ? "id: %u\ndata: {\"object\":\"chat.completion.chunk\","
+                   "\"choices\":[{\"index\":0,\"delta\":{\"content\":\"%s\"}}]"
+                   "}\n\n"
+                 : "id: %u\ndata: {\"object\":\"text_completion\",\"choices\":"
+                   "[{\"index\":0,\"text\":\"%s\"}]}\n\n",
+      g->next_token, token);
+  bd_http_stream_write (g->exchange, event, (size_t)length);
+}
+
+static void
+write_end (struct generation *g)
+{
+  char event[256];
+  int length = snprintf (
+      event, sizeof event,
+      "id: %u\ndata: {\"choices\":[{\"index\":0,\"delta\":{},"
+      "\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":1,"
+      "\"completion_tokens\":%u,\"total_tokens\":%u}}\n\ndata: [DONE]\n\n",
+      g->max_tokens, g->max_tokens, g->max_tokens + 1);
+
+  bd_http_stream_write (g->exchange, event, (size_t)length);
+}
+
+static void
+respond_whole (struct generation *g)
+{
+  struct engine *e = g->engine;
+  struct bd_http_exchange *x = g->exchange;
+  const char *attempt = bd_http_header (x, "X-Attempt-Id");
+  char incarnation[32];
+  struct bd_http_pair headers[]
+      = { { "Content-Type", "application/json" },
+          { "X-Attempt-Id", attempt != NULL ? attempt : "" },
+          { "X-Replica-Incarnation", incarnation },
+          { NULL, NULL } };
+  char *text = talloc_strdup (x, "");
+  char *body;
+
+  snprintf (incarnation, sizeof incarnation, "%lld",
+            (long long)e->incarnation);
+  for (uint32_t i = 0; i < g->max_tokens; i++)
+    {
+      char token[16];
+      token_text (g, i, token);
+      text = talloc_strdup_append_buffer (text, token);
+    }
+  body = talloc_asprintf (
+      x,
+      g->is_chat
+          ? "{\"object\":\"chat.completion\",\"model\":\"%s\",\"choices\":[{"
+            "\"index\":0,\"message\":{\"role\":\"assistant\",\"content\":\"%s"
+            "\"},\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":1,"
+            "\"completion_tokens\":%u,\"total_tokens\":%u}}\n"
+          : "{\"object\":\"text_completion\",\"model\":\"%s\",\"choices\":[{"
+            "\"index\":0,\"text\":\"%s\",\"finish_reason\":\"stop\"}],"
+            "\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":%u,"
+            "\"total_tokens\":%u}}\n",
+      e->model, text, g->max_tokens, g->max_tokens + 1);
+  note (e, "finished", attempt != NULL ? attempt : "");
+  drop_generation (g);
+  bd_http_respond (x, 200, headers, body, strlen (body));
+}
+
+static void step (struct tevent_context *events, struct tevent_timer *timer,
+                  struct timeval now, void *private_data);
+
+static void
+step_later (struct generation *g)
+{
+  fake_later (g->engine->process->events, g, g->engine->token_ms, step, g);
+}
+
+/* Writes the stream's next tokens: one a step, or all when no pace is set. */
+static void
+step (struct tevent_context *events, struct tevent_timer *timer,
+      struct timeval now, void *private_data)
+{
+  struct generation *g = private_data;
+  struct engine *e = g->engine;
+
+  (void)events;
+  (void)timer;
+  (void)now;
+  if (e->is_frozen)
+    {
+      fake_later (e->process->events, g, 50, step, g);
+      return;
+    }
+  do
+    {
+      if (e->break_after > 0 && g->next_token >= e->break_after
+          && g->first_token == 0)
+        {
+          struct bd_http_exchange *x = g->exchange;
+          e->break_after = 0;
+          drop_generation (g);
+          bd_http_stream_end (x, false);
+          return;
+        }
+      if (g->next_token == g->max_tokens)
+        {
+          struct bd_http_exchange *x = g->exchange;
+          write_end (g);
+          note (e, "finished", "stream");
+          drop_generation (g);
+          bd_http_stream_end (x, true);
+          return;
+        }
+      write_token (g);
+      g->next_token++;
+    }
+  while (e->token_ms == 0);
+  step_later (g);
+}
+
+static void
+finish_whole (struct tevent_context *events, struct tevent_timer *timer,
+              struct timeval now, void *private_data)
+{
+  struct generation *g = private_data;
+
+  (void)events;
+  (void)timer;
+  (void)now;
+  if (g->engine->is_frozen)
+    fake_later (g->engine->process->events, g, 50, finish_whole, g);
+  else
+    respond_whole (g);
+}
+
+static struct generation *
+make_generation (struct engine *e, struct bd_http_exchange *x, json_t *body)
+{
+  struct generation *g = talloc_zero (NULL, struct generation);
+  const char *last = bd_http_header (x, "Last-Event-ID");
+  json_t *max = json_object_get (body, "max_tokens");
+  json_t *prompt = json_object_get (body, "prompt");
+  char *text;
+
+  if (prompt == NULL)
+    prompt = json_object_get (body, "messages");
+  text = json_dumps (prompt, JSON_ENCODE_ANY | JSON_COMPACT);
+  g->engine = e;
+  g->exchange = x;
+  g->seed
+      = bd_hash (text != NULL ? text : "", text != NULL ? strlen (text) : 0);
+  free (text);
+  g->max_tokens = max != NULL ? (uint32_t)json_integer_value (max) : 16;
+  g->is_stream = json_is_true (json_object_get (body, "stream"));
+  g->is_chat = strcmp (x->path, "/v1/chat/completions") == 0;
+  g->first_token = last != NULL ? (uint32_t)strtoul (last, NULL, 10) + 1 : 0;
+  g->next_token = g->first_token;
+  g->next = e->generations;
+  if (g->next != NULL)
+    g->next->prev = g;
+  e->generations = g;
+  e->running++;
+  x->user = g;
+  return g;
+}
+
+static void
+start_stream (struct generation *g)
+{
+  struct bd_http_exchange *x = g->exchange;
+  const char *attempt = bd_http_header (x, "X-Attempt-Id");
+  char incarnation[32];
+  struct bd_http_pair headers[]
+      = { { "Content-Type", "text/event-stream" },
+          { "X-Attempt-Id", attempt != NULL ? attempt : "" },
+          { "X-Replica-Incarnation", incarnation },
+          { NULL, NULL } };
+
+  snprintf (incarnation, sizeof incarnation, "%lld",
+            (long long)g->engine->incarnation);
+  bd_http_stream_begin (x, 200, headers);
+  step (NULL, NULL, (struct timeval){ 0 }, g);
+}
+
+static void
+handle_completion (struct engine *e, struct bd_http_exchange *x)
+{
+  json_t *body;
+  struct generation *g;
+
+  if (e->crash_on != NULL && x->body != NULL
+      && strstr (x->body, e->crash_on) != NULL)
+    {
+      note (e, "crashed-by-request", "");
+      die (e);
+      bd_http_abort (x);
+      return;
+    }
+  if (e->phase != READY
+      || json_integer_value (json_array_get (e->members, 0)) != e->port)
+    {
+      fake_respond_json (x, 409, json_pack ("{s:b}", "started", 0));
+      return;
+    }
+  if (!is_replica_whole (e))
+    {
+      note (e, "asked-while-incomplete", "");
+      fake_respond_json (x, 503, json_pack ("{s:b}", "started", 0));
+      return;
+    }
+  body = json_loadb (x->body != NULL ? x->body : "", x->body_size, 0, NULL);
+  g = make_generation (e, x, body);
+  json_decref (body);
+  note (e, "started",
+        bd_http_header (x, "X-Attempt-Id") != NULL
+            ? bd_http_header (x, "X-Attempt-Id")
+            : "");
+  if (g->is_stream)
+    start_stream (g);
+  else if (e->token_ms == 0)
+    respond_whole (g);
+  else
+    fake_later (e->process->events, g, e->token_ms * g->max_tokens,
+                finish_whole, g);
+}
+
+static void
+set_faults (struct engine *e, struct bd_http_exchange *x)
+{
+  json_t *faults
+      = json_loadb (x->body != NULL ? x->body : "", x->body_size, 0, NULL);
+  const char *name;
+  json_t *value;
+
+  json_object_foreach (faults, name, value)
+  {
+    if (strcmp (name, "dead") == 0 && json_is_true (value))
+      die (e);
+    else if (strcmp (name, "dead") == 0)
+      e->is_dead = false;
+    else if (strcmp (name, "freeze") == 0)
+      e->is_frozen = json_is_true (value);
+    else if (strcmp (name, "token_ms") == 0)
+      e->token_ms = (uint32_t)json_integer_value (value);
+    else if (strcmp (name, "load_ms") == 0)
+      e->load_ms = (uint32_t)json_integer_value (value);
+    else if (strcmp (name, "break_after") == 0)
+      e->break_after = (uint32_t)json_integer_value (value);
+    else if (strcmp (name, "crash_on") == 0)
+      e->crash_on = talloc_strdup (e->process, json_string_value (value));
+  }
+  json_decref (faults);
+  fake_respond_json (x, 200, json_object ());
+}
+
+static void
+handle_request (void *ctx, struct bd_http_exchange *x)
+{
+  struct engine *e = ctx;
+
+  if (strcmp (x->path, "/faults") == 0)
+    set_faults (e, x);
+  else if (strcmp (x->path, "/record") == 0)
+    fake_respond_json (x, 200, json_incref (e->process->record));
+  else if (e->is_dead)
+    bd_http_abort (x);
+  else if (e->is_frozen)
+    return;
+  else if (strcmp (x->path, "/state") == 0)
+    fake_respond_json (x, 200, lagging_report (e));
+  else if (strcmp (x->path, "/orders") == 0)
+    handle_order (e, x);
+  else if (strncmp (x->path, "/v1/", 4) == 0)
+    handle_completion (e, x);
+  else
+    fake_respond_json (x, 404, json_object ());
+}
+
+static size_t
+max_body (void *ctx, const char *path)
+{
+  (void)ctx;
+  (void)path;
+  return 16 << 20;
+}
+
+static void
+handle_gone (void *ctx, struct bd_http_exchange *x)
+{
+  if (x->user == NULL)
+    return;
+  note (ctx, "cancelled", "");
+  drop_generation (x->user);
+}
+
+static void
+handle_writable (void *ctx, struct bd_http_exchange *x)
+{
+  (void)ctx;
+  (void)x;
+}
+
+static const struct bd_http_server_ops ops
+    = { max_body, handle_request, handle_gone, handle_writable };
+
+static bool
+start_engine (struct process *process, uint32_t index,
+              const struct fake_options *options)
+{
+  struct engine *e = &process->engines[index];
+
+  e->process = process;
+  e->port = (uint32_t)fake_option_int (options, "port", 0) + index;
+  snprintf (e->name, sizeof e->name, "%s-%u",
+            fake_option (options, "name", "engine"), index);
+  e->token_ms = (uint32_t)fake_option_int (options, "token_ms", 5);
+  e->load_ms = (uint32_t)fake_option_int (options, "load_ms", 200);
+  e->members = json_array ();
+  return bd_http_server_init (&e->server, process->events,
+                              fake_option (options, "address", "127.0.0.1"),
+                              e->port, 4096, &ops, e);
+}
+
+bool
+fake_engines_start (struct tevent_context *events,
+                    const struct fake_options *options)
+{
+  struct process *process = talloc_zero (events, struct process);
+
+  process->events = events;
+  process->record = json_array ();
+  process->count = (uint32_t)fake_option_int (options, "count", 1);
+  process->checks_fence = fake_option_int (options, "checks_fence", 1) != 0;
+  process->report_lag_ms
+      = (uint32_t)fake_option_int (options, "report_lag_ms", 0);
+  process->weights_url = fake_option (options, "weights", "");
+  if (process->count > MAX_ENGINES
+      || !bd_http_client_init (&process->client, events, 64))
+    return false;
+  for (uint32_t i = 0; i < process->count; i++)
+    if (!start_engine (process, i, options))
+      return false;
+  if (process->report_lag_ms > 0)
+    fake_later (events, process, process->report_lag_ms, refresh_reports,
+                process);
+  return true;
+}
--- /dev/null
+++ b/tests/fakes/service.c
@@ -0,0 +1,160 @@
+/* Stand-in for a plain service: counts each run by idempotency key.
+
+   GET /state                     load report
+   GET /record                    {"runs": {key: count}, "total": n}
+   POST /faults {"slow_ms": n, "cut_after_run": n, "refuse": b, "dead": b}
+   anything else                  one run  */
+
+#include "tests/fakes/fakes.h"
+
+#include <string.h>
+#include <talloc.h>
+
+struct service
+{
+  struct tevent_context *events;
+  struct bd_http_server server;
+  const char *name;
+  json_t *runs;
+  uint64_t total;
+  uint32_t running;
+  uint32_t slow_ms;
+  uint32_t cut_after_run;
+  bool refuses;
+  bool is_dead;
+};
+
+static void
+answer_run (struct service *s, struct bd_http_exchange *x)
+{
+  const char *key = bd_http_header (x, "Idempotency-Key");
+  const char *attempt = bd_http_header (x, "X-Attempt-Id");
+  struct bd_http_pair headers[]
+      = { { "Content-Type", "application/json" },
+          { "X-Attempt-Id", attempt != NULL ? attempt : "" },
+          { NULL, NULL } };
+  char *text = talloc_asprintf (
+      x, "{\"service\":\"%s\",\"run\":%llu,\"key\":\"%s\",\"bytes\":%zu}\n",
+      s->name, (unsigned long long)s->total, key != NULL ? key : "",
+      x->body_size);
+
+  if (s->cut_after_run > 0)
+    {
+      s->cut_after_run--;
+      bd_http_abort (x);
+      return;
+    }
+  bd_http_respond (x, 200, headers, text, strlen (text));
+}
+
+static void
+handle_slow (struct tevent_context *events, struct tevent_timer *timer,
+             struct timeval now, void *private_data)
+{
+  struct bd_http_exchange *x = private_data;
+  struct service *s = x->server->ctx;
+
+  (void)events;
+  (void)timer;
+  (void)now;
+  s->running--;
+  answer_run (s, x);
+}
+
+static void
+run (struct service *s, struct bd_http_exchange *x)
+{
+  const char *key = bd_http_header (x, "Idempotency-Key");
+  const char *name = key != NULL ? key : "";
+
+  s->total++;
+  json_object_set_new (
+      s->runs, name,
+      json_integer (json_integer_value (json_object_get (s->runs, name)) + 1));
+  if (s->slow_ms == 0)
+    {
+      answer_run (s, x);
+      return;
+    }
+  s->running++;
+  fake_later (s->events, x, s->slow_ms, handle_slow, x);
+}
+
+static void
+set_faults (struct service *s, struct bd_http_exchange *x)
+{
+  json_t *faults
+      = json_loadb (x->body != NULL ? x->body : "", x->body_size, 0, NULL);
+  const char *name;
+  json_t *value;
+
+  json_object_foreach (faults, name, value)
+  {
+    if (strcmp (name, "slow_ms") == 0)
+      s->slow_ms = (uint32_t)json_integer_value (value);
+    else if (strcmp (name, "cut_after_run") == 0)
+      s->cut_after_run = (uint32_t)json_integer_value (value);
+    else if (strcmp (name, "refuse") == 0)
+      s->refuses = json_is_true (value);
+    else if (strcmp (name, "dead") == 0)
+      s->is_dead = json_is_true (value);
+  }
+  json_decref (faults);
+  fake_respond_json (x, 200, json_object ());
+}
+
+static void
+handle_request (void *ctx, struct bd_http_exchange *x)
+{
+  struct service *s = ctx;
+
+  if (strcmp (x->path, "/faults") == 0)
+    set_faults (s, x);
+  else if (strcmp (x->path, "/record") == 0)
+    fake_respond_json (x, 200,
+                       json_pack ("{s:O,s:I}", "runs", s->runs, "total",
+                                  (json_int_t)s->total));
+  else if (s->is_dead)
+    bd_http_abort (x);
+  else if (strcmp (x->path, "/state") == 0)
+    fake_respond_json (x, 200,
+                       json_pack ("{s:s,s:s,s:i}", "instance", s->name,
+                                  "phase", "ready", "running",
+                                  (int)s->running));
+  else if (s->refuses)
+    fake_respond_json (x, 503, json_pack ("{s:b}", "started", 0));
+  else
+    run (s, x);
+}
+
+static size_t
+max_body (void *ctx, const char *path)
+{
+  (void)ctx;
+  (void)path;
+  return 16 << 20;
+}
+
+static void
+handle_gone (void *ctx, struct bd_http_exchange *x)
+{
+  (void)ctx;
+  (void)x;
+}
+
+static const struct bd_http_server_ops ops
+    = { max_body, handle_request, handle_gone, handle_gone };
+
+bool
+fake_service_start (struct tevent_context *events,
+                    const struct fake_options *options)
+{
+  struct service *s = talloc_zero (events, struct service);
+
+  s->events = events;
+  s->runs = json_object ();
+  s->name = fake_option (options, "name", "service");
+  return bd_http_server_init (
+      &s->server, events, fake_option (options, "address", "127.0.0.1"),
+      (uint32_t)fake_option_int (options, "port", 0), 4096, &ops, s);
+}
