Groups: traces, properties, and three faults that they found

Cause: the keeper had no proof.

Change: the plan is split by duty (units, drains, mend, form, spares), works on instances sorted by name, and keeps one mark a unit in place of a search of all groups.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 LIB = $(BUILD)/libburdockdale.a
 BIN = $(BUILD)/burdockdale
 FAKES = $(BUILD)/fakes
-FAKES_C = $(wildcard tests/fakes/*.c)
+FAKES_C = $(filter-out tests/fakes/world.c,$(wildcard tests/fakes/*.c))
 TESTS_C = $(wildcard src/*/*_test.c)
 TESTS = $(TESTS_C:src/%.c=$(BUILD)/tests/%)
 PROPS_CC = $(wildcard src/*/*_properties.cc)
@@ -67,15 +67,17 @@
 $(FAKES): $(FAKES_C:%.c=$(BUILD)/%.o) $(LIB)
 	@$(CC) $(SAN) $^ -o $@ $(LIBS)
 
-$(BUILD)/tests/%_test: $(BUILD)/src/%_test.o $(LIB)
+WORLD = $(BUILD)/tests/fakes/world.o
+
+$(BUILD)/tests/%_test: $(BUILD)/src/%_test.o $(WORLD) $(LIB)
 	@mkdir -p $(@D)
 	@$(CC) $(SAN) $^ -o $@ $(LIBS) -lcunit
 
-$(BUILD)/tests/%_properties: $(BUILD)/src/%_properties.o $(LIB)
+$(BUILD)/tests/%_properties: $(BUILD)/src/%_properties.o $(WORLD) $(LIB)
 	@mkdir -p $(@D)
 	@$(CXX) $(SAN) $^ -o $@ -lrapidcheck $(LIBS)
 
-$(BUILD)/bench/%: $(BUILD)/bench/%.o $(LIB)
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(WORLD) $(LIB)
 	@$(CC) $(SAN) $^ -o $@ $(LIBS)
 
 demo: all
--- a/src/groups/keeper.h
+++ b/src/groups/keeper.h
@@ -50,6 +50,7 @@
   int64_t ordered_sequence;
   /* Service whose weights a free instance should hold.  */
   char warm_for[BD_NAME_SIZE];
+  bool is_taken; /* In a group of the plan in the making.  */
 };
 
 struct bd_keeper;
--- /dev/null
+++ b/src/groups/plan_drains.c
@@ -0,0 +1,177 @@
+/* Planned changes: groups drain before they change or go.  */
+
+#include "groups/plan_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+static bool
+is_drained (const struct bd_plan *plan, const struct bd_group *group)
+{
+  const struct bd_unit *leader = bd_plan_member (plan, group, 0);
+  int64_t drained_ms = bd_plan_time_in (plan->keeper->drain_since_ms,
+                                        group->id, plan->now_ms);
+  bool is_gone = bd_unit_is_lost (plan->keeper, leader, plan->now_ms);
+
+  if (drained_ms < plan->keeper->limits.drain_ms)
+    return false;
+  return is_gone || leader->report.running == 0
+         || strcmp (leader->report.group, group->id) != 0;
+}
+
+/* The group is empty of work: spares take the places of the members that
+   leave.  Returns true when the group was removed for want of spares.  */
+static bool
+end_member_drain (struct bd_plan *plan, uint32_t index,
+                  const struct bd_service *service)
+{
+  struct bd_group *group = &plan->next->groups[index];
+  struct bd_standing standing = bd_plan_stand (plan, group, service);
+  uint32_t leaving = bd_plan_count_leaving (plan, group);
+  uint32_t needed = leaving + standing.missing;
+
+  if (leaving == 0)
+    {
+      /* They stay after all.  */
+      group->drain = BD_DRAIN_NONE;
+      plan->has_changed = true;
+      return false;
+    }
+  if (standing.warm_spares + standing.cold_spares < needed)
+    {
+      bd_plan_remove (plan, index);
+      return true;
+    }
+  /* Spares that are still loading are waited for.  */
+  if (standing.warm_spares >= needed
+      && bd_plan_replace_members (plan, group, service))
+    group->drain = BD_DRAIN_NONE;
+  return false;
+}
+
+/* Ends a drain whose group is empty of work.  Returns true when the group
+   was removed.  */
+static bool
+end_drain (struct bd_plan *plan, uint32_t index)
+{
+  struct bd_group *group = &plan->next->groups[index];
+  const struct bd_service *service
+      = bd_keeper_service (plan->keeper, group->service);
+
+  if (service == NULL || group->drain == BD_DRAIN_REMOVE)
+    {
+      bd_plan_remove (plan, index);
+      return true;
+    }
+  if (group->drain == BD_DRAIN_VERSION)
+    {
+      bd_name_copy (group->model, service->model);
+      bd_name_copy (group->version, service->version);
+      group->drain = BD_DRAIN_NONE;
+      bd_plan_renew (plan, group);
+      return false;
+    }
+  return end_member_drain (plan, index, service);
+}
+
+void
+bd_plan_end_drains (struct bd_plan *plan)
+{
+  uint32_t i = 0;
+
+  while (i < plan->next->count)
+    {
+      const struct bd_group *group = &plan->next->groups[i];
+      bool is_removed = group->drain != BD_DRAIN_NONE
+                        && is_drained (plan, group) && end_drain (plan, i);
+      if (!is_removed)
+        i++;
+    }
+}
+
+/* Starts to remove groups that no service wants, those out of service
+   first.  */
+void
+bd_plan_drain_surplus (struct bd_plan *plan)
+{
+  for (uint32_t pass = 0; pass < 2; pass++)
+    for (uint32_t i = plan->next->count; i-- > 0;)
+      {
+        struct bd_group *group = &plan->next->groups[i];
+        const struct bd_service *service
+            = bd_keeper_service (plan->keeper, group->service);
+        bool is_surplus
+            = service == NULL || !service->is_model
+              || group->member_count != service->members
+              || bd_plan_count_groups (plan, service) > service->replicas;
+        bool is_open = bd_keeper_is_open (plan->keeper, group, plan->now_ms);
+        if (group->drain != BD_DRAIN_NONE || !is_surplus
+            || (pass == 0 && is_open))
+          continue;
+        bd_plan_start_drain (plan, group, BD_DRAIN_REMOVE);
+      }
+}
+
+static bool
+has_other_version (const struct bd_group *group,
+                   const struct bd_service *service)
+{
+  return strcmp (group->version, service->version) != 0
+         || strcmp (group->model, service->model) != 0;
+}
+
+/* Whether another group of the service is under way already.  */
+static bool
+is_rolling (const struct bd_plan *plan, const struct bd_service *service)
+{
+  for (uint32_t i = 0; i < plan->next->count; i++)
+    {
+      const struct bd_group *group = &plan->next->groups[i];
+      if (strcmp (group->service, service->name) != 0)
+        continue;
+      if (group->drain == BD_DRAIN_VERSION)
+        return true;
+      if (!has_other_version (group, service)
+          && !bd_keeper_is_open (plan->keeper, group, plan->now_ms)
+          && bd_plan_stand (plan, group, service).lost == 0)
+        return true;
+    }
+  return false;
+}
+
+void
+bd_plan_roll_versions (struct bd_plan *plan)
+{
+  for (uint32_t i = 0; i < plan->next->count; i++)
+    {
+      struct bd_group *group = &plan->next->groups[i];
+      const struct bd_service *service
+          = bd_keeper_service (plan->keeper, group->service);
+      if (service != NULL && group->drain == BD_DRAIN_NONE
+          && has_other_version (group, service) && !is_rolling (plan, service))
+        bd_plan_start_drain (plan, group, BD_DRAIN_VERSION);
+    }
+}
+
+void
+bd_plan_drain_leaving (struct bd_plan *plan)
+{
+  for (uint32_t i = 0; i < plan->next->count; i++)
+    {
+      struct bd_group *group = &plan->next->groups[i];
+      if (group->drain != BD_DRAIN_NONE)
+        continue;
+      for (uint32_t m = 0; m < group->member_count; m++)
+        {
+          const struct bd_unit *unit = bd_plan_member (plan, group, m);
+          if (bd_plan_is_leaving (unit)
+              && !bd_unit_is_lost (plan->keeper, unit, plan->now_ms))
+            {
+              bd_plan_start_drain (plan, group, BD_DRAIN_MEMBER);
+              break;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/groups/plan_form.c
@@ -0,0 +1,203 @@
+/* New groups, and the instances that they take from lower priorities.  */
+
+#include "groups/plan_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+static void
+make_group_id (const struct bd_plan *plan, const struct bd_service *service,
+               char id[BD_NAME_SIZE])
+{
+  for (uint32_t i = 0;; i++)
+    {
+      char name[3 * BD_NAME_SIZE];
+      snprintf (name, sizeof name, "%u.%s.%s", i, plan->keeper->data_centre,
+                service->name);
+      bd_name_copy (id, name);
+      if (bd_allotment_find (plan->next, id) == NULL)
+        return;
+    }
+}
+
+static void
+form_group (struct bd_plan *plan, const struct bd_service *service,
+            const char *domain)
+{
+  char id[BD_NAME_SIZE];
+  struct bd_group *group;
+
+  make_group_id (plan, service, id);
+  group = bd_allotment_add (plan->next, service->members);
+  bd_name_copy (group->id, id);
+  bd_name_copy (group->service, service->name);
+  bd_name_copy (group->model, service->model);
+  bd_name_copy (group->version, service->version);
+  bd_name_copy (group->domain, domain);
+  for (uint32_t i = 0; i < service->members; i++)
+    {
+      struct bd_unit *unit = bd_plan_take_spare (plan, domain, service, false);
+      bd_name_copy (group->members[i], unit->info.name);
+      unit->is_taken = true;
+    }
+  bd_plan_renew (plan, group);
+}
+
+/* Removes one group that the new one stands in for.  */
+static void
+remove_one_beyond_mending (struct bd_plan *plan,
+                           const struct bd_service *service)
+{
+  for (uint32_t i = 0; i < plan->next->count; i++)
+    {
+      const struct bd_group *group = &plan->next->groups[i];
+      if (strcmp (group->service, service->name) == 0
+          && bd_plan_is_beyond_mending (plan, group, service))
+        {
+          bd_plan_remove (plan, i);
+          return;
+        }
+    }
+}
+
+static void
+form_groups_of (struct bd_plan *plan, const struct bd_service *service)
+{
+  bool must_be_warm = plan->keeper->policy->warms_spares;
+  const char *domain;
+
+  while (bd_plan_count_mendable (plan, service) < service->replicas
+         && (domain = bd_plan_choose_domain (plan, service, must_be_warm))
+                != NULL)
+    {
+      if (bd_plan_count_groups (plan, service) >= service->replicas)
+        remove_one_beyond_mending (plan, service);
+      form_group (plan, service, domain);
+    }
+}
+
+void
+bd_plan_form (struct bd_plan *plan)
+{
+  const struct bd_service **sorted = bd_plan_services (plan);
+
+  for (uint32_t i = 0; i < plan->keeper->service_count; i++)
+    if (sorted[i]->is_model)
+      form_groups_of (plan, sorted[i]);
+}
+
+/* Instances of the domain that service could have: free ones and those of
+   groups with a lower priority.  */
+static uint32_t
+count_takeable (const struct bd_plan *plan, const char *domain,
+                const struct bd_service *service, uint32_t *victim)
+{
+  uint32_t count = bd_plan_count_free (plan, domain, service, false);
+  uint32_t lowest = service->priority;
+
+  *victim = UINT32_MAX;
+  for (uint32_t i = 0; i < plan->next->count; i++)
+    {
+      const struct bd_group *group = &plan->next->groups[i];
+      const struct bd_service *owner
+          = bd_keeper_service (plan->keeper, group->service);
+      if (owner == NULL || owner->priority >= service->priority
+          || strcmp (owner->pool, service->pool) != 0
+          || strcmp (group->domain, domain) != 0)
+        continue;
+      count += group->member_count;
+      if (owner->priority < lowest)
+        {
+          lowest = owner->priority;
+          *victim = i;
+        }
+    }
+  return count;
+}
+
+static bool
+is_removing (const struct bd_plan *plan, const char *domain)
+{
+  for (uint32_t i = 0; i < plan->next->count; i++)
+    if (plan->next->groups[i].drain == BD_DRAIN_REMOVE
+        && strcmp (plan->next->groups[i].domain, domain) == 0)
+      return true;
+  return false;
+}
+
+/* Drains a group of a lower priority in domain, when that can help service to
+   needed instances.  */
+static bool
+preempt_in (struct bd_plan *plan, const struct bd_service *service,
+            const char *domain, uint32_t needed)
+{
+  uint32_t victim;
+
+  if (is_removing (plan, domain))
+    return true;
+  if (bd_plan_count_free (plan, domain, service, false) >= needed
+      || count_takeable (plan, domain, service, &victim) < needed
+      || victim == UINT32_MAX)
+    return false;
+  bd_plan_start_drain (plan, &plan->next->groups[victim], BD_DRAIN_REMOVE);
+  return true;
+}
+
+const char *
+bd_plan_domain_to_clear (const struct bd_plan *plan,
+                         const struct bd_service *service)
+{
+  uint32_t victim;
+
+  for (uint32_t i = 0; i < plan->domain_count; i++)
+    if (count_takeable (plan, plan->domains[i], service, &victim)
+        >= service->members)
+      return plan->domains[i];
+  return NULL;
+}
+
+static void
+preempt_for_new_group (struct bd_plan *plan, const struct bd_service *service)
+{
+  if (bd_plan_count_mendable (plan, service) >= service->replicas
+      || bd_plan_choose_domain (plan, service, false) != NULL)
+    return;
+  for (uint32_t i = 0; i < plan->domain_count; i++)
+    if (preempt_in (plan, service, plan->domains[i], service->members))
+      return;
+}
+
+/* A group that is short for longer than a pause lasts takes its spare from a
+   lower priority.  */
+static void
+preempt_for_mending (struct bd_plan *plan)
+{
+  const struct bd_keeper *keeper = plan->keeper;
+
+  for (uint32_t i = 0; i < plan->next->count; i++)
+    {
+      const struct bd_group *group = &plan->next->groups[i];
+      const struct bd_service *service
+          = bd_keeper_service (keeper, group->service);
+      const int64_t *since
+          = g_hash_table_lookup (keeper->short_since_ms, group->id);
+      if (service == NULL || since == NULL || group->drain != BD_DRAIN_NONE
+          || plan->now_ms - *since < keeper->limits.dead_after_ms)
+        continue;
+      preempt_in (plan, service, group->domain,
+                  bd_plan_stand (plan, group, service).missing);
+    }
+}
+
+void
+bd_plan_preempt (struct bd_plan *plan)
+{
+  const struct bd_service **sorted = bd_plan_services (plan);
+
+  preempt_for_mending (plan);
+  for (uint32_t i = 0; i < plan->keeper->service_count; i++)
+    if (sorted[i]->is_model)
+      preempt_for_new_group (plan, sorted[i]);
+}
