Unit tests, properties and failure paths; the faults that they found

Cause: nothing but groups was proved. Each fault below failed a test first. - A published file could end every daemon: the TOML parser asserts on some malformed input (config_test, "[[["). Its asserts now throw inside the shim, and the file is rejected with its line. - A bucket lost a tenth of its rate to rounding (admission_test: 909 calls in 10 s at 100/s; after: 1,000 within the stated 5%). - The retry budget began empty, so a young daemon gave up the calls of a replica that died (stream_resumes, suspects). It begins full: 100 calls. - A stream handed to another daemon began again at its first event; the hop now carries Last-Event-ID. - Suspects were sent to a replica that had broken a moment before, whose gate was still open by old reports: innocents got a second mark and were refused (suspects: 5 of 12). A place where a call broke is now in doubt until every member has answered a poll sent later. - A suspect handed to its owner was not kept apart there when the owner had not heard of the mark yet; the hand-over itself now says so. - A store restored from an older copy was noticed only when somebody published (platform_away); the keeper now compares what the platform shows.

Ruled out for the innocents: a longer list of places before refusal; it would have allowed a third crash.

One claim of a test was wrong: admission_test asked for no token at an instant at which one may be left; it now asks twice. The retry budget test follows the new share.

--- a/Makefile
+++ b/Makefile
@@ -90,7 +90,7 @@
 	@scripts/run-tests properties $(PROPS)
 
 paths: all
-	@scripts/run-tests paths $(sort $(wildcard tests/paths/*.sh))
+	@scripts/run-tests paths $(sort $(filter-out %/common.sh,$(wildcard tests/paths/*.sh)))
 
 sanitize: deps
 	@$(MAKE) --no-print-directory -j$$(nproc) build BUILD=build/sanitize \
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -17,10 +17,10 @@
 say () { printf '%s\n' "$*"; }
 
 fail () {
-  say "FAILED: $*"
   for log in "$WORK"/*.log; do
-    [ -s "$log" ] && { say "--- $(basename "$log")"; tail -n "${LOG_LINES:-15}" "$log"; }
+    [ -s "$log" ] && { say "--- $(basename "$log")"; tail -n "${LOG_LINES:-6}" "$log"; }
   done
+  say "FAILED: $*"
   exit 1
 }
 
--- /dev/null
+++ b/src/admission/admission_test.c
@@ -0,0 +1,166 @@
+/* Tests of the admission slice: fair queues, bounds, limits by demand.  */
+
+#include "admission/limits.h"
+#include "admission/queue.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+static struct bd_waiting calls[2000];
+
+static enum bd_error
+push (struct bd_queue *queue, uint32_t i, const char *account, double weight,
+      struct bd_waiting **evicted)
+{
+  memset (&calls[i], 0, sizeof calls[i]);
+  calls[i].owner = (void *)account;
+  calls[i].bytes = 10;
+  calls[i].deadline_ms = 1000;
+  return bd_queue_push (queue, &calls[i], account, weight, 0, evicted);
+}
+
+static void
+test_weighted_order (void)
+{
+  struct bd_queue queue;
+  struct bd_waiting *evicted;
+  uint32_t heavy = 0;
+
+  bd_queue_init (&queue, 1000, 1 << 20, 0);
+  for (uint32_t i = 0; i < 300; i++)
+    push (&queue, i, i % 3 == 0 ? "light" : "heavy", i % 3 == 0 ? 1 : 2,
+          &evicted);
+  for (uint32_t i = 0; i < 150; i++)
+    if (strcmp (bd_queue_pop (&queue)->owner, "heavy") == 0)
+      heavy++;
+  CU_ASSERT_TRUE (heavy >= 98 && heavy <= 102);
+  bd_queue_finish (&queue);
+}
+
+static void
+test_flood_harms_itself (void)
+{
+  struct bd_queue queue;
+  struct bd_waiting *evicted;
+
+  bd_queue_init (&queue, 100, 1 << 20, 0);
+  for (uint32_t i = 0; i < 100; i++)
+    CU_ASSERT_EQUAL (push (&queue, i, "flood", 1, &evicted), BD_OK);
+  CU_ASSERT_EQUAL (push (&queue, 100, "flood", 1, &evicted),
+                   BD_ERR_OVERLOADED);
+  for (uint32_t i = 101; i < 140; i++)
+    {
+      CU_ASSERT_EQUAL (push (&queue, i, "other", 1, &evicted), BD_OK);
+      CU_ASSERT_PTR_NOT_NULL (evicted);
+      CU_ASSERT_STRING_EQUAL (evicted->owner, "flood");
+    }
+  CU_ASSERT_EQUAL (queue.count, 100);
+  /* The newcomer is served in turn, not after the flood.  */
+  CU_ASSERT_TRUE (strcmp (bd_queue_pop (&queue)->owner, "other") == 0
+                  || strcmp (bd_queue_pop (&queue)->owner, "other") == 0);
+  bd_queue_finish (&queue);
+}
+
+static void
+test_bytes_are_bounded (void)
+{
+  struct bd_queue queue;
+  struct bd_waiting *evicted;
+
+  bd_queue_init (&queue, 100, 25, 0);
+  CU_ASSERT_EQUAL (push (&queue, 0, "a", 1, &evicted), BD_OK);
+  CU_ASSERT_EQUAL (push (&queue, 1, "a", 1, &evicted), BD_OK);
+  CU_ASSERT_EQUAL (push (&queue, 2, "a", 1, &evicted), BD_ERR_OVERLOADED);
+  bd_queue_remove (&queue, &calls[0]);
+  CU_ASSERT_EQUAL (push (&queue, 2, "a", 1, &evicted), BD_OK);
+  bd_queue_finish (&queue);
+}
+
+static void
+test_unreachable_deadline_is_refused (void)
+{
+  struct bd_queue queue;
+  struct bd_waiting *evicted;
+
+  bd_queue_init (&queue, 100, 1 << 20, 0);
+  queue.finished_per_s = 10;
+  for (uint32_t i = 0; i < 9; i++)
+    CU_ASSERT_EQUAL (push (&queue, i, "a", 1, &evicted), BD_OK);
+  /* The tenth would wait a second, which is its deadline; one more is over. */
+  push (&queue, 9, "a", 1, &evicted);
+  push (&queue, 10, "a", 1, &evicted);
+  CU_ASSERT_EQUAL (push (&queue, 11, "a", 1, &evicted),
+                   BD_ERR_DEADLINE_UNREACHABLE);
+  CU_ASSERT_TRUE (bd_queue_wait_ms (&queue) >= 1000);
+  CU_ASSERT_PTR_NULL (bd_queue_expired (&queue, 999));
+  CU_ASSERT_PTR_NOT_NULL (bd_queue_expired (&queue, 1000));
+  bd_queue_finish (&queue);
+}
+
+static uint32_t
+use (struct bd_limits *limits, const struct bd_limit *limit, uint32_t tries,
+     int64_t from_ms)
+{
+  uint32_t taken = 0;
+  int64_t wait_ms;
+
+  for (uint32_t i = 0; i < tries; i++)
+    if (bd_limits_take (limits, "s", "a", limit, from_ms + i, &wait_ms))
+      taken++;
+  return taken;
+}
+
+static void
+test_limit_is_shared_by_demand (void)
+{
+  struct bd_limit limit = { .requests_per_s = 100, .burst = 1, .weight = 1 };
+  struct bd_usage usage = { .key = bd_limits_key ("s", "a"), .per_s = 1000 };
+  struct bd_limits limits;
+  uint32_t alone;
+  uint32_t half;
+  int64_t wait_ms;
+
+  bd_limits_init (&limits);
+  alone = use (&limits, &limit, 10000, 0);
+  CU_ASSERT_TRUE (alone >= 950 && alone <= 1050);
+  for (int64_t at = 10000; at < 20000; at += 1000)
+    {
+      bd_limits_heard (&limits, "peer", &usage, 1, at);
+      use (&limits, &limit, 1000, at);
+    }
+  bd_limits_heard (&limits, "peer", &usage, 1, 20000);
+  half = use (&limits, &limit, 4000, 20000);
+  CU_ASSERT_TRUE (half >= 180 && half <= 220);
+  /* Cut off from the others: half of the daemons use half of the limit.  */
+  bd_limits_peers (&limits, 3, 6);
+  half = use (&limits, &limit, 10000, 100000);
+  CU_ASSERT_TRUE (half >= 470 && half <= 530);
+  /* Whether or not there was a token left, there is no second one.  */
+  bd_limits_take (&limits, "s", "a", &limit, 110000, &wait_ms);
+  CU_ASSERT_FALSE (
+      bd_limits_take (&limits, "s", "a", &limit, 110000, &wait_ms));
+  CU_ASSERT_TRUE (wait_ms > 0);
+  bd_limits_finish (&limits);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("admission", NULL, NULL);
+  CU_add_test (suite, "weighted order", test_weighted_order);
+  CU_add_test (suite, "a flood harms itself", test_flood_harms_itself);
+  CU_add_test (suite, "bytes are bounded", test_bytes_are_bounded);
+  CU_add_test (suite, "an unreachable deadline",
+               test_unreachable_deadline_is_refused);
+  CU_add_test (suite, "a limit is shared by demand",
+               test_limit_is_shared_by_demand);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures > 0;
+}
--- a/src/base/toml_shim.cc
+++ b/src/base/toml_shim.cc
@@ -6,8 +6,19 @@
 #include "base/toml.h"
 }
 
+#include <stdexcept>
 #include <string>
 #include <talloc.h>
+
+/* The parser asserts on some malformed input; a published file must not end
+   the process.  */
+constexpr void
+require (bool holds)
+{
+  if (!holds)
+    throw std::runtime_error ("malformed input");
+}
+#define TOML_ASSERT(condition) require (static_cast<bool> (condition))
 #include <toml++/toml.h>
 
 namespace
@@ -115,7 +126,7 @@
     }
   catch (...)
     {
-      bd_fault (faults, file_name, 0, "cannot be parsed");
+      bd_fault (faults, file_name, 1, "is not valid TOML");
     }
   return nullptr;
 }
--- a/src/calls/call.c
+++ b/src/calls/call.c
@@ -7,8 +7,14 @@
 #include <string.h>
 
 /* Retries for each fresh call, and how many may be saved up.  */
-static const double retry_share = 0.1;
-static const double retry_most = 50.0;
+static const double retry_share = 0.2;
+static const double retry_most = 100.0;
+
+void
+bd_retry_budget_init (struct bd_retry_budget *budget)
+{
+  budget->tokens = retry_most;
+}
 
 void
 bd_retry_budget_fresh (struct bd_retry_budget *budget)
@@ -37,6 +43,14 @@
   call->last_event_id = -1;
 }
 
+void
+bd_call_resume_after (struct bd_call *call, int64_t id)
+{
+  call->has_head = true;
+  call->can_resume = true;
+  call->last_event_id = id;
+}
+
 static enum bd_action
 fail (struct bd_call *call, enum bd_error error)
 {
--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -72,6 +72,10 @@
   double tokens;
 };
 
+/* bd_retry_budget_init(): starts with the most that may be saved up: the
+   calls of a replica that dies can be sent elsewhere at once.  */
+void bd_retry_budget_init (struct bd_retry_budget *budget);
+
 /* bd_retry_budget_fresh(): a fresh call adds to the budget.  */
 void bd_retry_budget_fresh (struct bd_retry_budget *budget);
 
@@ -82,6 +86,10 @@
 void bd_call_init (struct bd_call *call, bool may_repeat, bool has_key,
                    bool is_stream, int64_t deadline_ms);
 
+/* bd_call_resume_after(): the stream has begun elsewhere and its caller has
+   every event up to id.  */
+void bd_call_resume_after (struct bd_call *call, int64_t id);
+
 /* bd_call_admitted(): it is the call's turn.  */
 enum bd_action bd_call_admitted (struct bd_call *call);
 
--- /dev/null
+++ b/src/config/config_properties.cc
@@ -0,0 +1,122 @@
+/* Property: whatever heads arrive in whatever order, the revision in force
+   never falls, and neither does the generation of a service.  */
+
+#include <glib.h>
+#include <jansson.h>
+
+extern "C"
+{
+#include "config/config.h"
+}
+
+#include <cstdio>
+#include <rapidcheck.h>
+#include <string>
+
+namespace
+{
+
+std::string
+text_of (unsigned service, unsigned variant)
+{
+  std::string name = "s" + std::to_string (service);
+  /* Variant 3 is broken, variant 2 collides with another service.  */
+  std::string prefix = variant == 3 ? "broken"
+                       : variant == 2
+                           ? "/shared/"
+                           : "/" + name + std::to_string (variant) + "/";
+
+  return "service = \"" + name + "\"\npool = \"p\"\n[route]\nprefix = \""
+         + prefix + "\"\n";
+}
+
+struct Publication
+{
+  unsigned service;
+  unsigned variant;
+  unsigned generation;
+  bool is_removed;
+};
+
+void
+showValue (const Publication &p, std::ostream &os)
+{
+  os << "(" << p.service << "," << p.variant << "," << p.generation << ","
+     << p.is_removed << ")";
+}
+
+rc::Gen<Publication>
+genPublication ()
+{
+  return rc::gen::build<Publication> (
+      rc::gen::set (&Publication::service, rc::gen::inRange (0u, 3u)),
+      rc::gen::set (&Publication::variant, rc::gen::inRange (0u, 4u)),
+      rc::gen::set (&Publication::generation, rc::gen::inRange (1u, 9u)),
+      rc::gen::set (
+          &Publication::is_removed,
+          rc::gen::weightedElement<bool> ({ { 5, false }, { 1, true } })));
+}
+
+int64_t
+generation_in (const json_t *head, const std::string &name)
+{
+  const json_t *entry
+      = json_object_get (json_object_get (head, "services"), name.c_str ());
+  int64_t removed = json_integer_value (
+      json_object_get (json_object_get (head, "removed"), name.c_str ()));
+  int64_t held = json_integer_value (json_object_get (entry, "generation"));
+
+  return held > removed ? held : removed;
+}
+
+}
+
+int
+main ()
+{
+  bool is_good = rc::check ("neither revision nor generation ever falls", [] {
+    auto steps = *rc::gen::container<std::vector<Publication> > (
+        30, genPublication ());
+    std::vector<json_t *> heads;
+    struct bd_config config;
+    bd_config_init (&config);
+    for (const Publication &p : steps)
+      {
+        std::string name = "s" + std::to_string (p.service);
+        std::string text = p.is_removed ? "" : text_of (p.service, p.variant);
+        struct bd_published file
+            = { name.c_str (), name.c_str (), text.c_str (),
+                "o",           p.generation,  p.is_removed };
+        struct bd_acceptance out;
+        bd_config_accept (heads.empty () ? nullptr : heads.back (), &file, 1,
+                          "k", 0, &out);
+        json_decref (out.verdicts);
+        if (out.head == nullptr)
+          continue;
+        for (int s = 0; s < 3 && !heads.empty (); s++)
+          {
+            std::string held = "s" + std::to_string (s);
+            RC_ASSERT (generation_in (out.head, held)
+                       >= generation_in (heads.back (), held));
+          }
+        heads.push_back (out.head);
+      }
+    auto order = *rc::gen::container<std::vector<unsigned> > (
+        60, rc::gen::inRange (0u, 1000u));
+    for (unsigned pick : order)
+      {
+        int64_t before = config.revision;
+        if (heads.empty ())
+          break;
+        const json_t *head = heads[pick % heads.size ()];
+        enum bd_error error = bd_config_adopt (&config, head);
+        RC_ASSERT (config.revision >= before);
+        RC_ASSERT ((error == BD_OK) == (bd_head_revision (head) > before));
+      }
+    bd_config_finish (&config);
+    for (json_t *head : heads)
+      json_decref (head);
+  });
+
+  return is_good ? 0 : 1;
+}
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -110,6 +110,7 @@
 start_tables (struct bd_daemon *daemon)
 {
   bd_config_init (&daemon->config);
+  bd_retry_budget_init (&daemon->retries);
   bd_limits_init (&daemon->limits);
   bd_suspects_init (&daemon->suspects, SUSPICION_MS);
   bd_prefix_table_init (&daemon->prefixes, PREFIX_FADE_MS, MAX_PREFIX_HINTS);
--- a/src/daemon/daemon_calls.c
+++ b/src/daemon/daemon_calls.c
@@ -212,25 +212,20 @@
 
 /* Attempts.  */
 
+/* The request was running where the replica broke.  */
 static void
 suspect (struct bd_job *job)
 {
   struct bd_daemon *daemon = job->daemon;
   struct bd_suspect_news news
       = { .fingerprint = job->fingerprint, .place = job->place.hash };
-  uint64_t *place;
-  int64_t *now_ms;
 
-  if (job->place.group[0] == '\0'
-      || !bd_suspects_mark (&daemon->suspects, job->fingerprint,
-                            job->place.hash, bd_daemon_now_ms (daemon)))
+  if (job->place.group[0] == '\0')
     return;
-  place = g_new (uint64_t, 1);
-  now_ms = g_new (int64_t, 1);
-  *place = job->place.hash;
-  *now_ms = bd_daemon_now_ms (daemon);
-  g_hash_table_replace (daemon->breaks, place, now_ms);
-  bd_daemon_tell_all (daemon, BD_MESSAGE_SUSPECT, &news);
+  bd_daemon_doubt (daemon, job->place.hash);
+  if (bd_suspects_mark (&daemon->suspects, job->fingerprint, job->place.hash,
+                        bd_daemon_now_ms (daemon)))
+    bd_daemon_tell_all (daemon, BD_MESSAGE_SUSPECT, &news);
 }
 
 static void
@@ -861,6 +856,7 @@
   const char *key = bd_http_header (exchange, "Idempotency-Key");
   const char *type = bd_http_header (exchange, "Content-Type");
   const char *hop = bd_http_header (exchange, HOP_HEADER);
+  const char *last = bd_http_header (exchange, "Last-Event-ID");
   const struct bd_limit *limit;
   int64_t deadline_ms
       = deadline_of (exchange, service, bd_daemon_now_ms (daemon));
@@ -891,6 +887,8 @@
   /* The daemon that passed the call on holds the claim.  */
   bd_call_init (&job->call, service->may_repeat, key != NULL && !job->is_hop,
                 request->is_stream, deadline_ms);
+  if (job->is_hop && last != NULL)
+    bd_call_resume_after (&job->call, strtoll (last, NULL, 10));
   job->deadline = tevent_add_timer (
       daemon->events, job,
       tevent_timeval_current_ofs (
@@ -969,6 +967,9 @@
   job = make_job (daemon, exchange, &request);
   job->verdict = bd_suspects_judge (&daemon->suspects, job->fingerprint,
                                     bd_daemon_now_ms (daemon));
+  /* The daemon that handed it over knows more than has arrived here yet.  */
+  if (job->must_stay && job->verdict == BD_VERDICT_CLEAR)
+    job->verdict = BD_VERDICT_APART;
   if (job->verdict == BD_VERDICT_REFUSE)
     {
       bd_count (&daemon->counters, BD_COUNT_SUSPECTS_REFUSED);
--- a/src/daemon/daemon_config.c
+++ b/src/daemon/daemon_config.c
@@ -131,12 +131,19 @@
   daemon->is_watching_head = false;
   if (answer->error != BD_OK)
     return;
+  if (daemon->head_revision_seen == 0 && json_array_size (answer->items) == 0)
+    daemon->store_revision = 0;
   /* After a quiet wait everything is read once more: a store that was
      restored has no news to tell.  */
   daemon->head_revision_seen
       = json_array_size (answer->items) > 0 ? answer->revision : 0;
-  json_array_foreach (answer->items, i, item) bd_daemon_offer_head (
-      daemon, bd_envelope_data (json_object_get (item, "value")));
+  json_array_foreach (answer->items, i, item)
+  {
+    json_t *head = bd_envelope_data (json_object_get (item, "value"));
+
+    daemon->store_revision = bd_head_revision (head);
+    bd_daemon_offer_head (daemon, head);
+  }
   bd_daemon_config_step (daemon);
 }
 
@@ -215,6 +222,7 @@
       retry_acceptance (a);
       return;
     }
+  daemon->store_revision = bd_head_revision (a->result.head);
   bd_daemon_offer_head (daemon, a->result.head);
   json_decref (daemon->published_verdicts);
   daemon->published_verdicts = json_incref (a->result.verdicts);
@@ -353,6 +361,7 @@
   a->head_version = answer->error == BD_OK ? answer->version : BD_VERSION_NONE;
   a->head_envelope = json_incref (answer->envelope);
   a->head = bd_envelope_data (a->head_envelope);
+  a->daemon->store_revision = bd_head_revision (a->head);
   change = json_object_get (a->head, "change");
   if (change == NULL
       || bd_head_revision (a->head) <= a->daemon->audited_revision)
@@ -512,6 +521,9 @@
       return;
     }
   watch_published (daemon);
+  /* The platform has lost what is in force: it is written again.  */
+  if (daemon->store_revision < daemon->config.revision)
+    daemon->must_accept = true;
   start_acceptance (daemon);
   write_status (daemon);
 }
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -129,6 +129,7 @@
   int64_t published_revision;
   int64_t head_revision_seen;
   int64_t audited_revision;
+  int64_t store_revision; /* Of the head that the platform showed last.  */
 
   json_t *instances_text;
   struct bd_instance_list instances;
@@ -212,6 +213,10 @@
 void bd_daemon_take_groups (struct bd_daemon *daemon,
                             const struct bd_group_digest *digest);
 void bd_daemon_send_digests (struct bd_daemon *daemon);
+/* A call broke at a place: nothing is sent there until every member has
+   answered a poll that was sent later.  */
+void bd_daemon_doubt (struct bd_daemon *daemon, uint64_t place);
+bool bd_daemon_is_doubted (const struct bd_daemon *daemon, uint64_t place);
 void bd_daemon_check_group (struct bd_daemon *daemon, const char *group_id);
 struct bd_endpoint *bd_daemon_endpoint (const struct bd_daemon *daemon,
                                         const char *name);
--- a/src/daemon/daemon_observe.c
+++ b/src/daemon/daemon_observe.c
@@ -18,7 +18,8 @@
   OBSERVERS = 2,
   LIST_TIMEOUT_MS = 2000,
   MAX_SEEN = 1024,
-  MAX_WHOLE = 1024
+  MAX_WHOLE = 1024,
+  BREAK_MEMORY_MS = 60000
 };
 
 struct bd_endpoint *
@@ -130,6 +131,33 @@
   bd_keeper_report (&daemon->keeper, endpoint->info.name, report, seen_ms);
 }
 
+static gboolean
+is_old_break (gpointer key, gpointer value, gpointer limit_ms)
+{
+  (void)key;
+  return *(int64_t *)value < *(int64_t *)limit_ms;
+}
+
+void
+bd_daemon_doubt (struct bd_daemon *daemon, uint64_t place)
+{
+  int64_t now_ms = bd_daemon_now_ms (daemon);
+  int64_t limit_ms = now_ms - BREAK_MEMORY_MS;
+  uint64_t *key = g_new (uint64_t, 1);
+  int64_t *broke_ms = g_new (int64_t, 1);
+
+  *key = place;
+  *broke_ms = now_ms;
+  g_hash_table_foreach_remove (daemon->breaks, is_old_break, &limit_ms);
+  g_hash_table_replace (daemon->breaks, key, broke_ms);
+}
+
+bool
+bd_daemon_is_doubted (const struct bd_daemon *daemon, uint64_t place)
+{
+  return g_hash_table_contains (daemon->breaks, &place);
+}
+
 /* A place where a call broke, but whose members have reported the same
    incarnation since, has not died: its requests are no suspects.  */
 static void
@@ -220,6 +248,21 @@
     }
 }
 
+/* Whether the instance's group waits for reports after a break.  */
+static bool
+is_in_doubt (const struct bd_daemon *daemon, const char *instance)
+{
+  const struct bd_group *group
+      = daemon->keeper.allotment != NULL
+                && g_hash_table_size (daemon->breaks) > 0
+            ? bd_allotment_group_of (daemon->keeper.allotment, instance)
+            : NULL;
+
+  return group != NULL
+         && bd_daemon_is_doubted (
+             daemon, bd_daemon_group_place (group->id, group->incarnation));
+}
+
 void
 bd_daemon_poll (void *ctx)
 {
@@ -232,7 +275,8 @@
     {
       struct bd_endpoint *endpoint = value;
       if (is_local (daemon, &endpoint->info)
-          && is_observer (daemon, unit_of (daemon, endpoint->info.name)))
+          && (is_observer (daemon, unit_of (daemon, endpoint->info.name))
+              || is_in_doubt (daemon, endpoint->info.name)))
         poll_endpoint (daemon, endpoint);
     }
 }
--- a/src/daemon/daemon_places.c
+++ b/src/daemon/daemon_places.c
@@ -125,7 +125,9 @@
   const struct bd_group_news *news;
 
   if (leader == NULL || out->count == MAX_PLACES
-      || bd_daemon_gate (daemon, group, now_ms) != BD_GATE_OPEN)
+      || bd_daemon_gate (daemon, group, now_ms) != BD_GATE_OPEN
+      || bd_daemon_is_doubted (
+          daemon, bd_daemon_group_place (group->id, group->incarnation)))
     return;
   traffic = traffic_of (daemon, group->id);
   news = g_hash_table_lookup (daemon->group_news, &id_hash);
--- /dev/null
+++ b/src/membership/membership_test.c
@@ -0,0 +1,154 @@
+/* Tests of the membership slice.  */
+
+#include "membership/membership.h"
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <talloc.h>
+
+static struct bd_member
+member (const char *name, const char *data_centre, int64_t incarnation)
+{
+  struct bd_member out = { .incarnation = incarnation, .peer_port = 1 };
+
+  bd_name_copy (out.name, name);
+  bd_name_copy (out.data_centre, data_centre);
+  return out;
+}
+
+static void
+hear (struct bd_membership *m, const char *name, const char *centre,
+      int64_t now_ms)
+{
+  struct bd_member news = member (name, centre, 1);
+
+  CU_ASSERT_EQUAL (bd_membership_heard (m, &news, now_ms), BD_OK);
+}
+
+static void
+test_incarnations (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct bd_member self = member ("b", "x", 1);
+  struct bd_member news = member ("a", "x", 5);
+  struct bd_membership m;
+
+  bd_membership_init (&m, ctx, &self, 1000);
+  CU_ASSERT_EQUAL (bd_membership_heard (&m, &news, 0), BD_OK);
+  CU_ASSERT_FALSE (bd_membership_is_keeper (&m, "x"));
+  /* A pause: silent, then back with the same incarnation.  */
+  CU_ASSERT_TRUE (bd_membership_tick (&m, 1001));
+  CU_ASSERT_TRUE (bd_membership_is_keeper (&m, "x"));
+  CU_ASSERT_EQUAL (bd_membership_heard (&m, &news, 2000), BD_OK);
+  CU_ASSERT_FALSE (bd_membership_is_keeper (&m, "x"));
+  /* A restart; then a late message of the process before it.  */
+  news.incarnation = 6;
+  CU_ASSERT_EQUAL (bd_membership_heard (&m, &news, 2100), BD_OK);
+  news.incarnation = 5;
+  CU_ASSERT_EQUAL (bd_membership_heard (&m, &news, 2200), BD_ERR_STALE);
+  /* Nobody else speaks for this daemon.  */
+  news = member ("b", "x", 99);
+  CU_ASSERT_EQUAL (bd_membership_heard (&m, &news, 2300), BD_ERR_STALE);
+  talloc_free (ctx);
+}
+
+static void
+test_stopping_member_has_no_duties (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct bd_member self = member ("b", "x", 1);
+  struct bd_member news = member ("a", "x", 5);
+  struct bd_membership m;
+
+  bd_membership_init (&m, ctx, &self, 1000);
+  news.is_stopping = true;
+  bd_membership_heard (&m, &news, 0);
+  CU_ASSERT_TRUE (bd_membership_is_keeper (&m, "x"));
+  CU_ASSERT_FALSE (bd_membership_is_duty (&m, "a", "x", "k", 9));
+  talloc_free (ctx);
+}
+
+static void
+test_duties_are_spread (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct bd_member self = member ("d0", "x", 1);
+  struct bd_membership m;
+  uint32_t duties[8] = { 0 };
+  char name[BD_NAME_SIZE];
+
+  bd_membership_init (&m, ctx, &self, 1000);
+  for (int i = 1; i < 8; i++)
+    {
+      snprintf (name, sizeof name, "d%d", i);
+      hear (&m, name, "x", 0);
+    }
+  for (int key = 0; key < 400; key++)
+    {
+      char text[16];
+      uint32_t holders = 0;
+      snprintf (text, sizeof text, "key%d", key);
+      for (int i = 0; i < 8; i++)
+        {
+          snprintf (name, sizeof name, "d%d", i);
+          if (!bd_membership_is_duty (&m, name, "x", text, 2))
+            continue;
+          duties[i]++;
+          holders++;
+        }
+      CU_ASSERT_EQUAL (holders, 2);
+    }
+  for (int i = 0; i < 8; i++)
+    CU_ASSERT_TRUE (duties[i] > 50 && duties[i] < 200);
+  talloc_free (ctx);
+}
+
+static void
+test_only_relays_talk_to_other_centres (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct bd_member self = member ("a0", "x", 1);
+  struct bd_membership m;
+  char name[BD_NAME_SIZE];
+  uint32_t relays = 0;
+  uint32_t told = 0;
+
+  bd_membership_init (&m, ctx, &self, 1000);
+  for (int i = 1; i < 10; i++)
+    {
+      snprintf (name, sizeof name, "a%d", i);
+      hear (&m, name, "x", 0);
+      snprintf (name, sizeof name, "b%d", i);
+      hear (&m, name, "y", 0);
+    }
+  for (uint32_t i = 0; i < m.count; i++)
+    {
+      if (bd_membership_is_relay (&m, &m.members[i]))
+        relays++;
+      if (bd_membership_must_tell (&m, &m.members[i]))
+        told++;
+    }
+  CU_ASSERT_EQUAL (relays, 4);
+  CU_ASSERT_EQUAL (told,
+                   9 + (bd_membership_is_relay (&m, &m.members[0]) ? 2 : 0));
+  talloc_free (ctx);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("membership", NULL, NULL);
+  CU_add_test (suite, "incarnations", test_incarnations);
+  CU_add_test (suite, "a stopping member", test_stopping_member_has_no_duties);
+  CU_add_test (suite, "duties are spread", test_duties_are_spread);
+  CU_add_test (suite, "relays", test_only_relays_talk_to_other_centres);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures > 0;
+}
--- a/src/platform/budget.c
+++ b/src/platform/budget.c
@@ -13,6 +13,9 @@
   PROBE_TIMEOUT_MS = 5000
 };
 
+/* Tokens gained in many small parts may add up to a hair less than one.  */
+static const double whole_token = 1.0 - 1e-6;
+
 static void
 refill (struct bd_bucket *bucket, int64_t now_ms)
 {
@@ -39,9 +42,9 @@
 bd_bucket_take (struct bd_bucket *bucket, int64_t now_ms)
 {
   refill (bucket, now_ms);
-  if (bucket->tokens < 1.0)
+  if (bucket->tokens < whole_token)
     return false;
-  bucket->tokens -= 1.0;
+  bucket->tokens = fmax (0, bucket->tokens - 1.0);
   return true;
 }
 
@@ -49,7 +52,7 @@
 bd_bucket_wait_ms (struct bd_bucket *bucket, int64_t now_ms)
 {
   refill (bucket, now_ms);
-  if (bucket->tokens >= 1.0)
+  if (bucket->tokens >= whole_token)
     return 0;
   return (int64_t)ceil ((1.0 - bucket->tokens) * 1000.0 / bucket->rate_per_s);
 }
--- /dev/null
+++ b/src/platform/platform_test.c
@@ -0,0 +1,314 @@
+/* Tests of the platform slice: budgets, the breaker, settled updates, the
+   instance list, and the client against a scripted Object API.  */
+
+#include "platform/client.h"
+#include "platform/instances.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+#include <talloc.h>
+
+static gsl_rng *rng;
+
+static void
+test_bucket (void)
+{
+  struct bd_bucket bucket;
+
+  bd_bucket_init (&bucket, 10, 2, 0);
+  CU_ASSERT_TRUE (bd_bucket_take (&bucket, 0));
+  CU_ASSERT_TRUE (bd_bucket_take (&bucket, 0));
+  CU_ASSERT_FALSE (bd_bucket_take (&bucket, 0));
+  CU_ASSERT_EQUAL (bd_bucket_wait_ms (&bucket, 0), 100);
+  CU_ASSERT_FALSE (bd_bucket_take (&bucket, 99));
+  CU_ASSERT_TRUE (bd_bucket_take (&bucket, 100));
+  /* Time that goes back gives nothing.  */
+  CU_ASSERT_FALSE (bd_bucket_take (&bucket, 50));
+}
+
+static void
+test_breaker (void)
+{
+  struct bd_breaker breaker = { 0 };
+
+  for (int i = 0; i < 3; i++)
+    {
+      CU_ASSERT_TRUE (bd_breaker_allows (&breaker, 0));
+      bd_breaker_failed (&breaker, 0, rng);
+    }
+  CU_ASSERT_FALSE (bd_breaker_is_closed (&breaker));
+  CU_ASSERT_FALSE (bd_breaker_allows (&breaker, 1));
+  /* After the pause one call probes; the next waits for it.  */
+  CU_ASSERT_TRUE (bd_breaker_allows (&breaker, 10000));
+  CU_ASSERT_FALSE (bd_breaker_allows (&breaker, 10001));
+  bd_breaker_succeeded (&breaker);
+  CU_ASSERT_TRUE (bd_breaker_allows (&breaker, 10002));
+  CU_ASSERT_TRUE (bd_breaker_is_closed (&breaker));
+}
+
+static void
+test_backoff_grows_and_is_bounded (void)
+{
+  for (uint32_t failures = 0; failures < 100; failures++)
+    {
+      int64_t delay_ms = bd_backoff_ms (failures, rng);
+      CU_ASSERT_TRUE (delay_ms >= 25 && delay_ms <= 2000);
+    }
+  CU_ASSERT_TRUE (bd_backoff_ms (0, rng) <= 50);
+  CU_ASSERT_TRUE (bd_backoff_ms (50, rng) >= 1000);
+}
+
+static const char id[BD_ID_SIZE] = "0123456789abcdef0123456789abcdef";
+
+static void
+test_update_lost_answer_is_found (void)
+{
+  struct bd_update update;
+  json_t *envelope
+      = json_pack ("{s:s,s:[s]}", "write_id", "other", "recent", id);
+
+  bd_update_init (&update, id, 7);
+  bd_update_written (&update, BD_ERR_PLATFORM_DOWN, 0);
+  CU_ASSERT_EQUAL (update.step, BD_UPDATE_READ);
+  /* No answer to the read either: still reading.  */
+  bd_update_read (&update, BD_ERR_PLATFORM_DOWN, 0, NULL);
+  CU_ASSERT_EQUAL (update.step, BD_UPDATE_READ);
+  bd_update_read (&update, BD_OK, 9, envelope);
+  CU_ASSERT_EQUAL (update.step, BD_UPDATE_DONE);
+  CU_ASSERT_EQUAL (update.error, BD_OK);
+  CU_ASSERT_TRUE (update.is_superseded);
+  json_decref (envelope);
+}
+
+static void
+test_update_not_applied_is_sent_again (void)
+{
+  struct bd_update update;
+  json_t *envelope = json_pack ("{s:s,s:[]}", "write_id", "older", "recent");
+
+  bd_update_init (&update, id, 7);
+  bd_update_written (&update, BD_ERR_PLATFORM_DOWN, 0);
+  bd_update_read (&update, BD_OK, 7, envelope);
+  CU_ASSERT_EQUAL (update.step, BD_UPDATE_WRITE);
+  /* The first copy arrives late: the second loses against it, and the
+     read-back finds it.  */
+  bd_update_written (&update, BD_ERR_CONFLICT, 0);
+  CU_ASSERT_EQUAL (update.step, BD_UPDATE_READ);
+  json_object_set_new (envelope, "write_id", json_string (id));
+  bd_update_read (&update, BD_OK, 8, envelope);
+  CU_ASSERT_EQUAL (update.error, BD_OK);
+  CU_ASSERT_FALSE (update.is_superseded);
+  json_decref (envelope);
+}
+
+static void
+test_update_conflict (void)
+{
+  struct bd_update update;
+
+  bd_update_init (&update, id, 7);
+  bd_update_written (&update, BD_ERR_CONFLICT, 0);
+  CU_ASSERT_EQUAL (update.step, BD_UPDATE_DONE);
+  CU_ASSERT_EQUAL (update.error, BD_ERR_CONFLICT);
+  /* A rate limit is no loss.  */
+  bd_update_init (&update, id, 0);
+  bd_update_written (&update, BD_ERR_RATE_LIMITED, 0);
+  CU_ASSERT_EQUAL (update.step, BD_UPDATE_WRITE);
+  bd_update_written (&update, BD_OK, 1);
+  CU_ASSERT_EQUAL (update.error, BD_OK);
+}
+
+static void
+test_envelope_keeps_recent_ids (void)
+{
+  json_t *envelope = bd_envelope_make ("w0", NULL, json_integer (0));
+
+  for (int i = 1; i < 40; i++)
+    {
+      char name[8];
+      json_t *next;
+      snprintf (name, sizeof name, "w%d", i);
+      next = bd_envelope_make (name, envelope, json_integer (i));
+      json_decref (envelope);
+      envelope = next;
+    }
+  CU_ASSERT_EQUAL (json_array_size (json_object_get (envelope, "recent")), 16);
+  CU_ASSERT_STRING_EQUAL (json_string_value (json_array_get (
+                              json_object_get (envelope, "recent"), 0)),
+                          "w38");
+  CU_ASSERT_EQUAL (json_integer_value (bd_envelope_data (envelope)), 39);
+  json_decref (envelope);
+}
+
+static void
+test_instances (void)
+{
+  void *ctx = talloc_new (NULL);
+  const char text[]
+      = "{\"instances\":[{\"name\":\"a\",\"address\":\"127.0.0.1\","
+        "\"port\":80,\"state\":\"leaving\",\"pool\":\"p\"},"
+        "{\"name\":\"no-port\",\"address\":\"127.0.0.1\"},7,"
+        "{\"name\":\"b\",\"address\":\"127.0.0.1\",\"port\":-1}]}";
+  struct bd_instance_list list;
+
+  CU_ASSERT_TRUE (bd_instances_parse (ctx, text, strlen (text), &list));
+  CU_ASSERT_EQUAL (list.count, 1);
+  CU_ASSERT_TRUE (bd_instance_find (&list, "a")->is_leaving);
+  CU_ASSERT_PTR_NULL (bd_instance_find (&list, "b"));
+  CU_ASSERT_FALSE (bd_instances_parse (ctx, "{", 1, &list));
+  CU_ASSERT_FALSE (bd_instances_parse (ctx, "[]", 2, &list));
+  talloc_free (ctx);
+}
+
+/* A scripted Object API: answers each call by the next entry.  */
+struct script
+{
+  struct bd_object_answer answers[16];
+  uint32_t count;
+  uint32_t next;
+  enum bd_object_kind kinds[16];
+  struct tevent_context *events;
+};
+
+struct scripted_call
+{
+  bd_object_done *done;
+  void *ctx;
+  struct bd_object_answer answer;
+};
+
+static void
+answer_later (struct tevent_context *events, struct tevent_timer *timer,
+              struct timeval now, void *private_data)
+{
+  struct scripted_call call = *(struct scripted_call *)private_data;
+
+  (void)events;
+  (void)timer;
+  (void)now;
+  talloc_free (private_data);
+  call.done (call.ctx, &call.answer);
+}
+
+static bool
+script_start (void *api, const struct bd_object_op *op, bd_object_done *done,
+              void *ctx)
+{
+  struct script *script = api;
+  struct scripted_call *call
+      = talloc_zero (script->events, struct scripted_call);
+
+  script->kinds[script->next] = op->kind;
+  call->done = done;
+  call->ctx = ctx;
+  call->answer = script->answers[script->next++];
+  tevent_add_timer (script->events, script->events,
+                    tevent_timeval_current_ofs (0, 0), answer_later, call);
+  return true;
+}
+
+static const struct bd_object_api_ops script_ops = { script_start };
+
+struct client_result
+{
+  enum bd_error error;
+  int64_t version;
+  bool is_done;
+};
+
+static void
+take_result (void *ctx, const struct bd_platform_answer *answer)
+{
+  struct client_result *result = ctx;
+
+  result->error = answer->error;
+  result->version = answer->version;
+  result->is_done = true;
+}
+
+static struct client_result
+run_update (struct script *script)
+{
+  struct tevent_context *events = tevent_context_init (NULL);
+  struct bd_clock clock = bd_clock_system ();
+  struct bd_counters counters = { 0 };
+  struct bd_platform platform;
+  struct client_result result = { 0 };
+
+  script->events = events;
+  bd_platform_init (&platform, &script_ops, script, events, &clock, &counters,
+                    rng, 1000, 1000);
+  bd_platform_update (&platform, BD_PRIORITY_CLAIM, "k", 3, NULL,
+                      json_integer (1), 20000, take_result, &result);
+  while (!result.is_done)
+    tevent_loop_once (events);
+  bd_platform_finish (&platform);
+  talloc_free (events);
+  return result;
+}
+
+static void
+test_client_settles (void)
+{
+  json_t *other = json_pack ("{s:s,s:[]}", "write_id", "other", "recent");
+  struct script script
+      = { .answers = { { .error = BD_ERR_RATE_LIMITED },
+                       { .error = BD_ERR_PLATFORM_DOWN },
+                       { .error = BD_ERR_PLATFORM_DOWN },
+                       { .error = BD_OK, .version = 3, .value = other },
+                       { .error = BD_OK, .version = 4 } } };
+  struct client_result result = run_update (&script);
+
+  CU_ASSERT_EQUAL (result.error, BD_OK);
+  CU_ASSERT_EQUAL (result.version, 4);
+  CU_ASSERT_EQUAL (script.next, 5);
+  CU_ASSERT_EQUAL (script.kinds[0], BD_OBJECT_WRITE);
+  CU_ASSERT_EQUAL (script.kinds[1], BD_OBJECT_WRITE);
+  CU_ASSERT_EQUAL (script.kinds[2], BD_OBJECT_READ);
+  CU_ASSERT_EQUAL (script.kinds[3], BD_OBJECT_READ);
+  CU_ASSERT_EQUAL (script.kinds[4], BD_OBJECT_WRITE);
+  json_decref (other);
+}
+
+static void
+test_client_loses (void)
+{
+  json_t *other = json_pack ("{s:s,s:[]}", "write_id", "other", "recent");
+  struct script script
+      = { .answers = { { .error = BD_ERR_PLATFORM_DOWN },
+                       { .error = BD_OK, .version = 5, .value = other } } };
+  struct client_result result = run_update (&script);
+
+  CU_ASSERT_EQUAL (result.error, BD_ERR_CONFLICT);
+  CU_ASSERT_EQUAL (script.next, 2);
+  json_decref (other);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  rng = gsl_rng_alloc (gsl_rng_mt19937);
+  CU_initialize_registry ();
+  suite = CU_add_suite ("platform", NULL, NULL);
+  CU_add_test (suite, "token bucket", test_bucket);
+  CU_add_test (suite, "circuit breaker", test_breaker);
+  CU_add_test (suite, "backoff", test_backoff_grows_and_is_bounded);
+  CU_add_test (suite, "a lost answer is found by its id",
+               test_update_lost_answer_is_found);
+  CU_add_test (suite, "a write that did not land is sent again",
+               test_update_not_applied_is_sent_again);
+  CU_add_test (suite, "conflict", test_update_conflict);
+  CU_add_test (suite, "recent write ids", test_envelope_keeps_recent_ids);
+  CU_add_test (suite, "instance list", test_instances);
+  CU_add_test (suite, "the client settles an update", test_client_settles);
+  CU_add_test (suite, "the client loses an update", test_client_loses);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  gsl_rng_free (rng);
+  return failures > 0;
+}
--- /dev/null
+++ b/src/routing/routing_test.c
@@ -0,0 +1,139 @@
+/* Tests of the routing slice.  */
+
+#include "routing/prefix.h"
+#include "routing/routing.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+static struct bd_routing_costs costs = { .prefill_ms = 100, .step_ms = 10 };
+static gsl_rng *rng;
+
+static int32_t
+choose (const struct bd_candidate *candidates, uint32_t count)
+{
+  uint32_t turn = 0;
+
+  return bd_router_by_wait.choose (candidates, count, &costs, rng, &turn);
+}
+
+static struct bd_candidate
+candidate (uint32_t own, uint32_t reported, uint32_t at_report)
+{
+  return (struct bd_candidate){ .own_in_flight = own,
+                                .reported = reported,
+                                .own_at_report = at_report,
+                                .capacity = 64,
+                                .slowness = 1 };
+}
+
+static void
+test_lagging_report_is_corrected (void)
+{
+  struct bd_candidate c = candidate (5, 10, 2);
+
+  /* Eight of others at the report, and five of ours now.  */
+  CU_ASSERT_EQUAL (bd_candidate_load (&c), 13);
+  c.own_at_report = 20;
+  CU_ASSERT_EQUAL (bd_candidate_load (&c), 5);
+}
+
+static void
+test_never_to_full_or_tried (void)
+{
+  struct bd_candidate two[2] = { candidate (64, 0, 0), candidate (0, 0, 0) };
+
+  two[1].is_tried = true;
+  CU_ASSERT_EQUAL (choose (two, 2), -1);
+  two[1].is_tried = false;
+  CU_ASSERT_EQUAL (choose (two, 2), 1);
+}
+
+static void
+test_cache_attracts_until_the_bound (void)
+{
+  struct bd_candidate two[2] = { candidate (2, 0, 0), candidate (0, 0, 0) };
+
+  two[0].cached = 1;
+  CU_ASSERT_EQUAL (choose (two, 2), 0);
+  /* One hot prefix does not overload its replica.  */
+  two[0].own_in_flight = 9;
+  CU_ASSERT_EQUAL (choose (two, 2), 1);
+}
+
+static void
+test_equal_replicas_share (void)
+{
+  struct bd_candidate ten[10];
+  uint32_t counts[10] = { 0 };
+
+  for (int i = 0; i < 10; i++)
+    ten[i] = candidate (0, 0, 0);
+  for (int i = 0; i < 1000; i++)
+    counts[choose (ten, 10)]++;
+  for (int i = 0; i < 10; i++)
+    CU_ASSERT_TRUE (counts[i] > 50);
+}
+
+static void
+test_straggler_gets_less (void)
+{
+  struct bd_candidate two[2] = { candidate (1, 0, 0), candidate (1, 0, 0) };
+
+  two[0].slowness = 2;
+  for (int i = 0; i < 50; i++)
+    CU_ASSERT_EQUAL (choose (two, 2), 1);
+}
+
+static void
+test_prefix_hints (void)
+{
+  char prompt[1024];
+  struct bd_prefix prefix;
+  struct bd_prefix longer;
+  struct bd_prefix_table table;
+  double fresh;
+
+  memset (prompt, 'a', sizeof prompt);
+  bd_prefix_make (&prefix, prompt, 512);
+  prompt[900] = 'b';
+  bd_prefix_make (&longer, prompt, sizeof prompt);
+  CU_ASSERT_EQUAL (prefix.count, 2);
+  CU_ASSERT_EQUAL (longer.count, 4);
+  bd_prefix_table_init (&table, 1000, 100);
+  bd_prefix_sent (&table, &prefix, 7, 0);
+  fresh = bd_prefix_expected (&table, &longer, 7, 0);
+  CU_ASSERT_DOUBLE_EQUAL (fresh, 0.5, 1e-9);
+  CU_ASSERT_DOUBLE_EQUAL (bd_prefix_expected (&table, &longer, 8, 0), 0, 0);
+  /* A hint fades, and an event that the block is gone ends it.  */
+  CU_ASSERT_TRUE (bd_prefix_expected (&table, &longer, 7, 3000) < 0.05);
+  bd_prefix_evicted (&table, prefix.blocks[0], 7);
+  CU_ASSERT_DOUBLE_EQUAL (bd_prefix_expected (&table, &prefix, 7, 0), 0, 0);
+  for (uint64_t r = 0; r < 1000; r++)
+    bd_prefix_sent (&table, &prefix, r, 5000);
+  CU_ASSERT_TRUE (g_hash_table_size (table.hints) <= 102);
+  bd_prefix_table_finish (&table);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  rng = gsl_rng_alloc (gsl_rng_mt19937);
+  CU_initialize_registry ();
+  suite = CU_add_suite ("routing", NULL, NULL);
+  CU_add_test (suite, "lagging reports", test_lagging_report_is_corrected);
+  CU_add_test (suite, "full or tried", test_never_to_full_or_tried);
+  CU_add_test (suite, "cache", test_cache_attracts_until_the_bound);
+  CU_add_test (suite, "equal replicas", test_equal_replicas_share);
+  CU_add_test (suite, "stragglers", test_straggler_gets_less);
+  CU_add_test (suite, "prefix hints", test_prefix_hints);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  gsl_rng_free (rng);
+  return failures > 0;
+}
--- /dev/null
+++ b/src/settings/settings_test.c
@@ -0,0 +1,80 @@
+/* Tests of the settings slice.  */
+
+#include "settings/settings.h"
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#define GOOD                                                                  \
+  "name = \"a\"\ndata_centre = \"x\"\naddress = \"127.0.0.1\"\n"              \
+  "http_port = 80\npeer_port = 81\nplatform_url = \"http://p\"\n"             \
+  "instances_url = \"http://i\"\n"
+
+static bool
+parse (const char *text, struct bd_settings *settings, const char *fault)
+{
+  void *ctx = talloc_new (NULL);
+  struct bd_faults faults = { .ctx = ctx };
+  bool is_good = bd_settings_parse (settings, ctx, "d.toml", text,
+                                    strlen (text), &faults);
+
+  if (fault != NULL
+      && (faults.text == NULL || strstr (faults.text, fault) == NULL))
+    {
+      printf ("faults: %s\n", faults.text);
+      CU_FAIL ("another fault");
+    }
+  talloc_free (ctx);
+  return is_good;
+}
+
+static void
+test_good (void)
+{
+  struct bd_settings s;
+
+  CU_ASSERT_TRUE (parse (GOOD "[[peer]]\nname = \"b\"\ndata_centre = \"x\"\n"
+                              "address = \"127.0.0.2\"\nport = 9\n",
+                         &s, NULL));
+  CU_ASSERT_EQUAL (s.peer_port, 81);
+  CU_ASSERT_EQUAL (s.peer_count, 1);
+  CU_ASSERT_EQUAL (s.heartbeat_ms, 500);
+}
+
+static void
+test_faults_leave_the_earlier_state (void)
+{
+  struct bd_settings s = { .http_port = 7 };
+
+  CU_ASSERT_FALSE (parse ("name = \"a\"\n", &s, "missing key 'data_centre'"));
+  CU_ASSERT_FALSE (parse (GOOD "colour = 1\n", &s,
+                          "d.toml:8: error: unknown key 'colour'"));
+  CU_ASSERT_FALSE (parse (GOOD "heartbeat_ms = 1\n", &s,
+                          "'heartbeat_ms' must be a whole number from 10"));
+  CU_ASSERT_FALSE (parse (GOOD "freshness_ms = 9000\n", &s,
+                          "'freshness_ms' must not be over"));
+  CU_ASSERT_FALSE (parse (GOOD "[[peer]]\nname = \"b\"\ndata_centre = \"x\"\n"
+                               "address = \"host\"\nport = 9\n",
+                          &s, "'host' is not an IP number"));
+  CU_ASSERT_FALSE (parse (GOOD "name = \"b\"\n", &s, "d.toml:8: error:"));
+  CU_ASSERT_EQUAL (s.http_port, 7);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("settings", NULL, NULL);
+  CU_add_test (suite, "good", test_good);
+  CU_add_test (suite, "faults", test_faults_leave_the_earlier_state);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures > 0;
+}
--- /dev/null
+++ b/tests/paths/platform_away.sh
@@ -0,0 +1,36 @@
+#!/usr/bin/env bash
+# The platform is away: serving goes on, a daemon that starts meanwhile learns
+# from its peers, and no published configuration is lost or reverts.
+BASE_PORT=22600
+. "$(dirname "$0")/common.sh"
+start_system
+
+faults "$PLATFORM" '{"outage":true}'
+sleep 1
+check "completions go on" equals "$(complete "$A" x | jq -r .usage.completion_tokens)" 8
+kill_hard b
+start_daemon b
+check "a daemon starts from its peers" until_true 8 is_ready "$B"
+check "and serves" until_true 8 bash -c "curl -s -d '{\"model\":\"drafter\",\"prompt\":\"x\"}' $B/v1/completions | grep -q usage"
+victim=$(index_of "$(leader_of "$A" 0)")
+faults "$(engine "$victim")" '{"dead":true}'
+sleep 3
+check "nothing is formed without the platform" equals "$(open_groups "$A" drafts)" 1
+check "the other replica serves" equals "$(complete "$A" y | jq -r .usage.completion_tokens)" 8
+faults "$PLATFORM" '{"outage":false}'
+check "the group is mended afterwards" until_true 10 has_open_groups "$A" drafts 2
+
+# The store is restored from an older copy: what is in force stays.
+before=$(get "$A/readyz" | jq .revision)
+write_services 2
+publish >"$WORK/publish-2.log" 2>&1 || fail "publish: $(cat "$WORK/publish-2.log")"
+after=$(get "$A/readyz" | jq .revision)
+check "the revision rises" test "$after" -gt "$before"
+faults "$PLATFORM" '{"restore":1}'
+kill_hard a
+start_daemon a
+until_true 8 is_ready "$A" || fail "a does not come back"
+check "no daemon goes back" test "$(get "$A/readyz" | jq .revision)" -ge "$after"
+check "b neither" test "$(get "$B/readyz" | jq .revision)" -ge "$after"
+check "the platform gets it back" until_true 40 bash -c "[ \"\$(curl -s $PLATFORM/objects/accepted/head | jq .data.revision)\" -ge $after ]"
+done_checks
