Groups: a group with an empty member is not held while it loads

All members were back but empty; the policy took "all missing" for "nothing to lose by waiting", renewed the group, and held eight instances for a load.

Change: the policy is told lost and cold members apart; what a cold one has yet to load is known, so that the cost of holding is compared at once.

--- a/src/admission/limits.c
+++ b/src/admission/limits.c
@@ -198,7 +198,8 @@
       if (account->per_s > 0.01)
         all[count++] = (struct bd_usage){ account->key, account->per_s };
     }
-  qsort (all, count, sizeof *all, compare_usage);
+  if (count > 1)
+    qsort (all, count, sizeof *all, compare_usage);
   if (count > max)
     count = max;
   memcpy (usages, all, count * sizeof *usages);
--- a/src/claims/shard.c
+++ b/src/claims/shard.c
@@ -216,11 +216,11 @@
   size_t i;
 
   json_array_foreach (rows, i, row)
-  {
-    bool is_take = strcmp (text_at (row, 0), "t") == 0;
-    if (is_take && number_at (row, 4) > newest_ms)
-      newest_ms = number_at (row, 4);
-  }
+    {
+      bool is_take = strcmp (text_at (row, 0), "t") == 0;
+      if (is_take && number_at (row, 4) > newest_ms)
+        newest_ms = number_at (row, 4);
+    }
   return newest_ms;
 }
 
@@ -235,7 +235,8 @@
   shard->slot_newest_ms[segment->slot] = newest_of (segment->rows);
   if (now_ms - shard->slot_newest_ms[segment->slot] > BD_CLAIM_RETENTION_MS)
     return;
-  json_array_foreach (segment->rows, i, row) apply_row (shard, row);
+  json_array_foreach (segment->rows, i, row)
+    apply_row (shard, row);
 }
 
 static void
--- a/src/cli/publish.c
+++ b/src/cli/publish.c
@@ -165,11 +165,12 @@
   const json_t *entry;
   size_t i;
 
-  json_array_foreach (centres, i,
-                      entry) if (integer_at (entry, "lowest_revision")
-                                 < revision) return false;
-  json_array_foreach (daemons, i, entry) if (integer_at (entry, "revision")
-                                             < revision) return false;
+  json_array_foreach (centres, i, entry)
+    if (integer_at (entry, "lowest_revision") < revision)
+      return false;
+  json_array_foreach (daemons, i, entry)
+    if (integer_at (entry, "revision") < revision)
+      return false;
   return integer_at (status, "revision") >= revision;
 }
 
--- a/src/cli/status.c
+++ b/src/cli/status.c
@@ -42,14 +42,14 @@
 
   printf ("services\n");
   json_object_foreach (verdicts, service, verdict)
-  {
-    const char *reason = text_at (verdict, "reason");
-    printf ("  %-24s generation %lld by %s: %s\n", service,
-            integer_at (verdict, "generation"), text_at (verdict, "by"),
-            text_at (verdict, "state"));
-    if (reason[0] != '\0')
-      printf ("    %s", reason);
-  }
+    {
+      const char *reason = text_at (verdict, "reason");
+      printf ("  %-24s generation %lld by %s: %s\n", service,
+              integer_at (verdict, "generation"), text_at (verdict, "by"),
+              text_at (verdict, "state"));
+      if (reason[0] != '\0')
+        printf ("    %s", reason);
+    }
 }
 
 static void
@@ -62,13 +62,13 @@
 
   printf ("data centres\n");
   json_array_foreach (centres, i, entry)
-      printf ("  %-24s %lld daemons live, at least revision %lld\n",
-              text_at (entry, "name"), integer_at (entry, "live"),
-              integer_at (entry, "lowest_revision"));
+    printf ("  %-24s %lld daemons live, at least revision %lld\n",
+            text_at (entry, "name"), integer_at (entry, "live"),
+            integer_at (entry, "lowest_revision"));
   printf ("daemons that the keeper sees\n");
   json_array_foreach (daemons, i, entry)
-      printf ("  %-24s %-16s revision %lld\n", text_at (entry, "name"),
-              text_at (entry, "data_centre"), integer_at (entry, "revision"));
+    printf ("  %-24s %-16s revision %lld\n", text_at (entry, "name"),
+            text_at (entry, "data_centre"), integer_at (entry, "revision"));
 }
 
 static void
@@ -83,7 +83,7 @@
           integer_at (group, "incarnation"), text_at (group, "domain"),
           text_at (group, "drain"));
   json_array_foreach (members, i, member)
-      printf (" %s", json_string_value (member));
+    printf (" %s", json_string_value (member));
   printf ("\n");
 }
 
@@ -95,8 +95,8 @@
   uint32_t count = 0;
   size_t i;
 
-  json_array_foreach (
-      groups, i, group) if (strcmp (text_at (group, "service"), service) == 0)
+  json_array_foreach (groups, i, group)
+    if (strcmp (text_at (group, "service"), service) == 0)
       count++;
   return count;
 }
@@ -110,19 +110,19 @@
   json_t *entry;
 
   json_object_foreach (services, name, entry)
-  {
-    void *ctx = talloc_new (NULL);
-    struct bd_faults faults = { .ctx = ctx };
-    const char *text = text_at (entry, "text");
-    struct bd_service *service
-        = bd_service_parse (ctx, name, text, strlen (text), &faults);
-    uint32_t have = count_groups (allotment, name);
-    if (service != NULL && service->is_model && have < service->replicas)
-      printf ("  not served in full: %s has %u of %u groups; no fabric "
-              "domain has %u more free instances with the weights\n",
-              name, have, service->replicas, service->members);
-    talloc_free (ctx);
-  }
+    {
+      void *ctx = talloc_new (NULL);
+      struct bd_faults faults = { .ctx = ctx };
+      const char *text = text_at (entry, "text");
+      struct bd_service *service
+          = bd_service_parse (ctx, name, text, strlen (text), &faults);
+      uint32_t have = count_groups (allotment, name);
+      if (service != NULL && service->is_model && have < service->replicas)
+        printf ("  not served in full: %s has %u of %u groups; no fabric "
+                "domain has %u more free instances with the weights\n",
+                name, have, service->replicas, service->members);
+      talloc_free (ctx);
+    }
 }
 
 static void
@@ -132,17 +132,18 @@
   size_t i;
 
   json_array_foreach (allotments, i, item)
-  {
-    const json_t *data = bd_envelope_data (json_object_get (item, "value"));
-    const json_t *groups = json_object_get (data, "groups");
-    const json_t *group;
-    size_t g;
-    printf ("groups in %s (keeper %s, term %lld, sequence %lld)\n",
-            text_at (data, "data_centre"), text_at (data, "keeper"),
-            integer_at (data, "term"), integer_at (data, "sequence"));
-    json_array_foreach (groups, g, group) print_group (group);
-    print_shortage (head, data);
-  }
+    {
+      const json_t *data = bd_envelope_data (json_object_get (item, "value"));
+      const json_t *groups = json_object_get (data, "groups");
+      const json_t *group;
+      size_t g;
+      printf ("groups in %s (keeper %s, term %lld, sequence %lld)\n",
+              text_at (data, "data_centre"), text_at (data, "keeper"),
+              integer_at (data, "term"), integer_at (data, "sequence"));
+      json_array_foreach (groups, g, group)
+        print_group (group);
+      print_shortage (head, data);
+    }
 }
 
 static int
@@ -206,10 +207,11 @@
   print_time (integer_at (change, "at_ms"));
   printf ("revision %lld accepted by %s:", integer_at (change, "revision"),
           text_at (change, "keeper"));
-  json_array_foreach (services, i, entry) printf (
-      " %s generation %lld by %s%s", text_at (entry, "service"),
-      integer_at (entry, "generation"), text_at (entry, "by"),
-      json_is_true (json_object_get (entry, "removed")) ? " (removed)" : "");
+  json_array_foreach (services, i, entry)
+    printf (" %s generation %lld by %s%s", text_at (entry, "service"),
+            integer_at (entry, "generation"), text_at (entry, "by"),
+            json_is_true (json_object_get (entry, "removed")) ? " (removed)"
+                                                              : "");
   printf ("\n");
 }
 
--- a/src/config/accept.c
+++ b/src/config/accept.c
@@ -88,15 +88,15 @@
   json_t *entry;
 
   json_object_foreach ((json_t *)services, name, entry)
-  {
-    const char *text = json_string_value (json_object_get (entry, "text"));
-    const char *file = json_string_value (json_object_get (entry, "file"));
-    struct bd_service *service
-        = bd_service_parse (ctx, file, text, strlen (text), faults);
-    bytes += strlen (text) + strlen (name);
-    if (service != NULL && has_right_name (service, name, faults))
-      parsed[count++] = service;
-  }
+    {
+      const char *text = json_string_value (json_object_get (entry, "text"));
+      const char *file = json_string_value (json_object_get (entry, "file"));
+      struct bd_service *service
+          = bd_service_parse (ctx, file, text, strlen (text), faults);
+      bytes += strlen (text) + strlen (name);
+      if (service != NULL && has_right_name (service, name, faults))
+        parsed[count++] = service;
+    }
   bd_services_check (parsed, count, faults);
   if (bytes > BD_HEAD_MAX_BYTES)
     bd_fault (faults, "set", 0, "all services together are over %d bytes",
--- a/src/config/config.c
+++ b/src/config/config.c
@@ -38,16 +38,16 @@
   *services = talloc_array (ctx, struct bd_service *,
                             json_object_size (entries) + 1);
   json_object_foreach (entries, name, entry)
-  {
-    const char *text = json_string_value (json_object_get (entry, "text"));
-    struct bd_service *service
-        = text != NULL
-              ? bd_service_parse (ctx, name, text, strlen (text), &faults)
-              : NULL;
-    if (service == NULL)
-      return false;
-    (*services)[(*count)++] = service;
-  }
+    {
+      const char *text = json_string_value (json_object_get (entry, "text"));
+      struct bd_service *service
+          = text != NULL
+                ? bd_service_parse (ctx, name, text, strlen (text), &faults)
+                : NULL;
+      if (service == NULL)
+        return false;
+      (*services)[(*count)++] = service;
+    }
   return bd_services_check (*services, *count, &faults);
 }
 
--- a/src/daemon/daemon_config.c
+++ b/src/daemon/daemon_config.c
@@ -138,12 +138,12 @@
   daemon->head_revision_seen
       = json_array_size (answer->items) > 0 ? answer->revision : 0;
   json_array_foreach (answer->items, i, item)
-  {
-    json_t *head = bd_envelope_data (json_object_get (item, "value"));
+    {
+      json_t *head = bd_envelope_data (json_object_get (item, "value"));
 
-    daemon->store_revision = bd_head_revision (head);
-    bd_daemon_offer_head (daemon, head);
-  }
+      daemon->store_revision = bd_head_revision (head);
+      bd_daemon_offer_head (daemon, head);
+    }
   bd_daemon_config_step (daemon);
 }
 
@@ -273,13 +273,14 @@
 
   bd_count_add (&daemon->counters, BD_COUNT_CONFIG_REJECTED, result->rejected);
   json_object_foreach (result->verdicts, service, verdict)
-  {
-    const char *state = json_string_value (json_object_get (verdict, "state"));
-    const char *reason
-        = json_string_value (json_object_get (verdict, "reason"));
-    if (strcmp (state, "rejected") == 0)
-      bd_log ("file-rejected", "service", service, "reason", reason, NULL);
-  }
+    {
+      const char *state
+          = json_string_value (json_object_get (verdict, "state"));
+      const char *reason
+          = json_string_value (json_object_get (verdict, "reason"));
+      if (strcmp (state, "rejected") == 0)
+        bd_log ("file-rejected", "service", service, "reason", reason, NULL);
+    }
 }
 
 static void
--- a/src/daemon/daemon_groups.c
+++ b/src/daemon/daemon_groups.c
@@ -298,8 +298,9 @@
   size_t i;
 
   daemon->is_watching_allotment = false;
-  json_array_foreach (answer->items, i, item) bd_daemon_offer_allotment (
-      daemon, bd_envelope_data (json_object_get (item, "value")), 0);
+  json_array_foreach (answer->items, i, item)
+    bd_daemon_offer_allotment (
+        daemon, bd_envelope_data (json_object_get (item, "value")), 0);
 }
 
 /* Relays see a change that the keeper could not tell them.  */
--- a/src/daemon/daemon_observe.c
+++ b/src/daemon/daemon_observe.c
@@ -572,16 +572,16 @@
   size_t i;
 
   json_array_foreach (json_object_get (root, "instances"), i, entry)
-  {
-    const char *centre
-        = json_string_value (json_object_get (entry, "data_centre"));
-    const char *pool = json_string_value (json_object_get (entry, "pool"));
-    bool is_daemon = pool != NULL && strcmp (pool, BD_POOL_DAEMONS) == 0;
-    bool is_own = centre != NULL
-                  && strcmp (centre, daemon->settings->data_centre) == 0;
-    if (is_own || is_daemon)
-      json_array_append (kept, entry);
-  }
+    {
+      const char *centre
+          = json_string_value (json_object_get (entry, "data_centre"));
+      const char *pool = json_string_value (json_object_get (entry, "pool"));
+      bool is_daemon = pool != NULL && strcmp (pool, BD_POOL_DAEMONS) == 0;
+      bool is_own = centre != NULL
+                    && strcmp (centre, daemon->settings->data_centre) == 0;
+      if (is_own || is_daemon)
+        json_array_append (kept, entry);
+    }
   json_decref (root);
   return json_pack ("{s:o}", "instances", kept);
 }
--- a/src/groups/allotment.c
+++ b/src/groups/allotment.c
@@ -182,7 +182,8 @@
   allotment->term = json_integer_value (json_object_get (value, "term"));
   allotment->sequence
       = json_integer_value (json_object_get (value, "sequence"));
-  json_array_foreach (groups, i, entry) group_from_json (allotment, entry);
+  json_array_foreach (groups, i, entry)
+    group_from_json (allotment, entry);
   if (json_is_array (groups) && bd_allotment_check (allotment))
     return allotment;
   talloc_free (allotment);
--- a/src/groups/groups_test.c
+++ b/src/groups/groups_test.c
@@ -138,6 +138,9 @@
     expect (line, is_in_group (world, name), 0);
   else if (strcmp (what, "free") == 0)
     expect (line, !is_in_group (world, name), 1);
+  else if (strcmp (what, "stranded-at-most") == 0)
+    expect (line, world->stranded_ms <= number (line, 4) * 1000.0,
+            (uint32_t)(world->stranded_ms / 1000));
   else if (strcmp (what, "old-orders-refused") == 0)
     expect (line, world->old_orders_refused >= number (line, 4),
             world->old_orders_refused);
--- a/src/groups/keeper.h
+++ b/src/groups/keeper.h
@@ -63,17 +63,24 @@
   BD_MEND_DISSOLVE /* Free the survivors.  */
 };
 
+/* A group that is short of members.  */
+struct bd_shortage
+{
+  uint32_t lost;        /* Members that do not answer.  */
+  uint32_t cold;        /* Members back without their weights.  */
+  uint32_t warm_spares; /* Free in the group's domain, with the weights.  */
+  uint32_t cold_spares;
+  int64_t since_ms; /* How long it has been short.  */
+};
+
 /* How groups are mended; the bench compares several.  */
 struct bd_mend_policy
 {
   const char *name;
   bool warms_spares; /* Load weights on free instances in advance.  */
-  /* warm_spares and cold_spares count free instances of the group's domain
-     with and without the weights; lost_ms is how long the group is short.  */
   enum bd_mend (*choose) (const struct bd_keeper *keeper,
-                          const struct bd_group *group, uint32_t lost,
-                          uint32_t warm_spares, uint32_t cold_spares,
-                          int64_t lost_ms);
+                          const struct bd_group *group,
+                          const struct bd_shortage *shortage);
 };
 
 extern const struct bd_mend_policy bd_mend_by_cost;
--- a/src/groups/mend.c
+++ b/src/groups/mend.c
@@ -1,18 +1,16 @@
-/* Policies for groups that have lost members.  */
+/* Policies for groups that are short of members.  */
 
 #include "groups/keeper.h"
 
-/* Holding the survivors costs stranded accelerators; giving them up costs the
-   time to form the group again.  As long as the first has not grown to the
-   second, the lost member may still come back whole, for nothing.  */
+/* Holding the survivors for held_ms costs stranded accelerators; giving them
+   up costs the time to form the group again.  */
 static bool
 is_holding_dearer (const struct bd_keeper *keeper,
-                   const struct bd_group *group, uint32_t lost,
-                   int64_t lost_ms)
+                   const struct bd_group *group, uint32_t survivors,
+                   int64_t held_ms)
 {
   const struct bd_keeper_limits *limits = &keeper->limits;
-  double survivors = group->member_count - lost;
-  double held = limits->stranded_weight * survivors * (double)lost_ms;
+  double held = limits->stranded_weight * survivors * (double)held_ms;
   double form_again
       = limits->join_ms
         * (limits->downtime_weight
@@ -23,43 +21,40 @@
 
 static enum bd_mend
 choose_by_cost (const struct bd_keeper *keeper, const struct bd_group *group,
-                uint32_t lost, uint32_t warm_spares, uint32_t cold_spares,
-                int64_t lost_ms)
+                const struct bd_shortage *shortage)
 {
-  (void)cold_spares;
-  if (warm_spares >= lost)
+  uint32_t missing = shortage->lost + shortage->cold;
+  /* A silent member may come back whole at any moment, for nothing: what has
+     passed stands for what is to come.  A cold one is known to load.  */
+  int64_t held_ms
+      = shortage->cold > 0 ? keeper->limits.load_ms : shortage->since_ms;
+
+  if (shortage->warm_spares >= missing)
     return BD_MEND_REPLACE;
-  if (lost == group->member_count)
-    return BD_MEND_WAIT;
-  return is_holding_dearer (keeper, group, lost, lost_ms) ? BD_MEND_DISSOLVE
-                                                          : BD_MEND_WAIT;
+  return is_holding_dearer (keeper, group,
+                            group->member_count - shortage->lost, held_ms)
+             ? BD_MEND_DISSOLVE
+             : BD_MEND_WAIT;
 }
 
 static enum bd_mend
 choose_waiting (const struct bd_keeper *keeper, const struct bd_group *group,
-                uint32_t lost, uint32_t warm_spares, uint32_t cold_spares,
-                int64_t lost_ms)
+                const struct bd_shortage *shortage)
 {
   (void)keeper;
   (void)group;
-  (void)lost;
-  (void)warm_spares;
-  (void)cold_spares;
-  (void)lost_ms;
+  (void)shortage;
   return BD_MEND_WAIT;
 }
 
 static enum bd_mend
 choose_dissolving (const struct bd_keeper *keeper,
-                   const struct bd_group *group, uint32_t lost,
-                   uint32_t warm_spares, uint32_t cold_spares, int64_t lost_ms)
+                   const struct bd_group *group,
+                   const struct bd_shortage *shortage)
 {
   (void)keeper;
   (void)group;
-  (void)lost;
-  (void)warm_spares;
-  (void)cold_spares;
-  (void)lost_ms;
+  (void)shortage;
   return BD_MEND_DISSOLVE;
 }
 
--- a/src/groups/plan_mend.c
+++ b/src/groups/plan_mend.c
@@ -44,6 +44,7 @@
   const struct bd_service *service
       = bd_keeper_service (keeper, group->service);
   struct bd_standing standing;
+  struct bd_shortage shortage;
   enum bd_mend choice;
 
   if (service == NULL || group->drain != BD_DRAIN_NONE)
@@ -56,10 +57,14 @@
         bd_plan_renew (plan, group);
       return false;
     }
-  choice = keeper->policy->choose (
-      keeper, group, standing.missing, standing.warm_spares,
-      standing.cold_spares,
-      bd_plan_time_in (keeper->short_since_ms, group->id, plan->now_ms));
+  shortage = (struct bd_shortage){ .lost = standing.lost,
+                                   .cold = standing.missing - standing.lost,
+                                   .warm_spares = standing.warm_spares,
+                                   .cold_spares = standing.cold_spares,
+                                   .since_ms = bd_plan_time_in (
+                                       keeper->short_since_ms, group->id,
+                                       plan->now_ms) };
+  choice = keeper->policy->choose (keeper, group, &shortage);
   if (choice == BD_MEND_WAIT && keeper->policy->warms_spares
       && can_complete_another (plan, group, service, &standing))
     choice = BD_MEND_DISSOLVE;
--- a/src/platform/instances.c
+++ b/src/platform/instances.c
@@ -55,8 +55,8 @@
     }
   list->items
       = talloc_array (ctx, struct bd_instance, json_array_size (entries) + 1);
-  json_array_foreach (
-      entries, i, entry) if (read_instance (entry, &list->items[list->count]))
+  json_array_foreach (entries, i, entry)
+    if (read_instance (entry, &list->items[list->count]))
       list->count++;
   json_decref (root);
   return true;
--- a/src/platform/platform_test.c
+++ b/src/platform/platform_test.c
@@ -125,7 +125,7 @@
 
   for (int i = 1; i < 40; i++)
     {
-      char name[8];
+      char name[16];
       json_t *next;
       snprintf (name, sizeof name, "w%d", i);
       next = bd_envelope_make (name, envelope, json_integer (i));
--- a/src/platform/update.c
+++ b/src/platform/update.c
@@ -65,9 +65,9 @@
   *is_last = last != NULL && strcmp (json_string_value (last), write_id) == 0;
   if (*is_last)
     return true;
-  json_array_foreach (recent, i,
-                      entry) if (strcmp (json_string_value (entry), write_id)
-                                 == 0) return true;
+  json_array_foreach (recent, i, entry)
+    if (strcmp (json_string_value (entry), write_id) == 0)
+      return true;
   return false;
 }
 
@@ -105,11 +105,11 @@
   if (last != NULL)
     json_array_append (recent, last);
   json_array_foreach (earlier, i, entry)
-  {
-    if (json_array_size (recent) >= RECENT_WRITES)
-      break;
-    json_array_append (recent, entry);
-  }
+    {
+      if (json_array_size (recent) >= RECENT_WRITES)
+        break;
+      json_array_append (recent, entry);
+    }
   return json_pack ("{s:s,s:o,s:o}", "write_id", write_id, "recent", recent,
                     "data", data);
 }
--- a/tests/fakes/engine.c
+++ b/tests/fakes/engine.c
@@ -110,16 +110,16 @@
   json_t *port;
 
   json_array_foreach (e->members, i, port)
-  {
-    struct engine *m
-        = engine_at (e->process, (uint32_t)json_integer_value (port));
-    if (m == NULL)
-      continue; /* Lives in another process; its own record tells.  */
-    if (m->is_dead || m->is_frozen || m->phase != READY
-        || strcmp (m->group, e->group) != 0
-        || m->incarnation != e->incarnation)
-      return false;
-  }
+    {
+      struct engine *m
+          = engine_at (e->process, (uint32_t)json_integer_value (port));
+      if (m == NULL)
+        continue; /* Lives in another process; its own record tells.  */
+      if (m->is_dead || m->is_frozen || m->phase != READY
+          || strcmp (m->group, e->group) != 0
+          || m->incarnation != e->incarnation)
+        return false;
+    }
   return true;
 }
 
@@ -626,22 +626,22 @@
   json_t *value;
 
   json_object_foreach (faults, name, value)
-  {
-    if (strcmp (name, "dead") == 0 && json_is_true (value))
-      die (e);
-    else if (strcmp (name, "dead") == 0)
-      e->is_dead = false;
-    else if (strcmp (name, "freeze") == 0)
-      e->is_frozen = json_is_true (value);
-    else if (strcmp (name, "token_ms") == 0)
-      e->token_ms = (uint32_t)json_integer_value (value);
-    else if (strcmp (name, "load_ms") == 0)
-      e->load_ms = (uint32_t)json_integer_value (value);
-    else if (strcmp (name, "break_after") == 0)
-      e->break_after = (uint32_t)json_integer_value (value);
-    else if (strcmp (name, "crash_on") == 0)
-      e->crash_on = talloc_strdup (e->process, json_string_value (value));
-  }
+    {
+      if (strcmp (name, "dead") == 0 && json_is_true (value))
+        die (e);
+      else if (strcmp (name, "dead") == 0)
+        e->is_dead = false;
+      else if (strcmp (name, "freeze") == 0)
+        e->is_frozen = json_is_true (value);
+      else if (strcmp (name, "token_ms") == 0)
+        e->token_ms = (uint32_t)json_integer_value (value);
+      else if (strcmp (name, "load_ms") == 0)
+        e->load_ms = (uint32_t)json_integer_value (value);
+      else if (strcmp (name, "break_after") == 0)
+        e->break_after = (uint32_t)json_integer_value (value);
+      else if (strcmp (name, "crash_on") == 0)
+        e->crash_on = talloc_strdup (e->process, json_string_value (value));
+    }
   json_decref (faults);
   fake_respond_json (x, 200, json_object ());
 }
--- a/tests/fakes/platform.c
+++ b/tests/fakes/platform.c
@@ -59,15 +59,16 @@
   json_t *object;
 
   json_object_foreach (p->objects, key, object)
-  {
-    int64_t version = json_integer_value (json_object_get (object, "version"));
-    if (strncmp (key, prefix, strlen (prefix)) != 0 || version <= since)
-      continue;
-    json_array_append_new (items,
-                           json_pack ("{s:s,s:I,s:O}", "key", key, "version",
-                                      (json_int_t)version, "value",
-                                      json_object_get (object, "value")));
-  }
+    {
+      int64_t version
+          = json_integer_value (json_object_get (object, "version"));
+      if (strncmp (key, prefix, strlen (prefix)) != 0 || version <= since)
+        continue;
+      json_array_append_new (items,
+                             json_pack ("{s:s,s:I,s:O}", "key", key, "version",
+                                        (json_int_t)version, "value",
+                                        json_object_get (object, "value")));
+    }
   return items;
 }
 
@@ -275,10 +276,9 @@
   json_t *object;
   void *next;
 
-  json_object_foreach_safe (
-      p->objects, next, key,
-      object) if (json_integer_value (json_object_get (object, "version"))
-                  > revision) json_object_del (p->objects, key);
+  json_object_foreach_safe (p->objects, next, key, object)
+    if (json_integer_value (json_object_get (object, "version")) > revision)
+      json_object_del (p->objects, key);
 }
 
 static void
@@ -290,18 +290,18 @@
   json_t *value;
 
   json_object_foreach (faults, name, value)
-  {
-    if (strcmp (name, "outage") == 0)
-      p->is_out = json_is_true (value);
-    else if (strcmp (name, "weights_down") == 0)
-      p->are_weights_out = json_is_true (value);
-    else if (strcmp (name, "slow_ms") == 0)
-      p->slow_ms = (uint32_t)json_integer_value (value);
-    else if (strcmp (name, "lose_answers") == 0)
-      p->lose_answers = (uint32_t)json_integer_value (value);
-    else if (strcmp (name, "restore") == 0)
-      restore (p, json_integer_value (value));
-  }
+    {
+      if (strcmp (name, "outage") == 0)
+        p->is_out = json_is_true (value);
+      else if (strcmp (name, "weights_down") == 0)
+        p->are_weights_out = json_is_true (value);
+      else if (strcmp (name, "slow_ms") == 0)
+        p->slow_ms = (uint32_t)json_integer_value (value);
+      else if (strcmp (name, "lose_answers") == 0)
+        p->lose_answers = (uint32_t)json_integer_value (value);
+      else if (strcmp (name, "restore") == 0)
+        restore (p, json_integer_value (value));
+    }
   json_decref (faults);
   fake_respond_json (x, 200, json_object ());
 }
--- a/tests/fakes/service.c
+++ b/tests/fakes/service.c
@@ -89,16 +89,16 @@
   json_t *value;
 
   json_object_foreach (faults, name, value)
-  {
-    if (strcmp (name, "slow_ms") == 0)
-      s->slow_ms = (uint32_t)json_integer_value (value);
-    else if (strcmp (name, "cut_after_run") == 0)
-      s->cut_after_run = (uint32_t)json_integer_value (value);
-    else if (strcmp (name, "refuse") == 0)
-      s->refuses = json_is_true (value);
-    else if (strcmp (name, "dead") == 0)
-      s->is_dead = json_is_true (value);
-  }
+    {
+      if (strcmp (name, "slow_ms") == 0)
+        s->slow_ms = (uint32_t)json_integer_value (value);
+      else if (strcmp (name, "cut_after_run") == 0)
+        s->cut_after_run = (uint32_t)json_integer_value (value);
+      else if (strcmp (name, "refuse") == 0)
+        s->refuses = json_is_true (value);
+      else if (strcmp (name, "dead") == 0)
+        s->is_dead = json_is_true (value);
+    }
   json_decref (faults);
   fake_respond_json (x, 200, json_object ());
 }
