Groups: a settled data centre costs the keeper little

Cause: bench/slices drives the keeper alone; its step grew with the square of the instances, 2.9 ms at 360 (counting spares for each group, and assigning weights twice), ten times a second: 2.9% of a core for a centre in which nothing happens, against a budget of 3.1% for all of control.

Ruled out: a longer period; it would have made mending later.

Change: a step first looks whether every wanted group is whole and every spare holds its weights, which is linear, and ends there.

Before: 2,949 us a step at 360 instances. After: see keeper-step-us; the series keeper-step-mending-us is the whole plan while one instance is silent. The bench itself had put instances into two groups above 40; mended.

--- /dev/null
+++ b/bench/slices.c
@@ -0,0 +1,428 @@
+/* Slopes of the decision slices, driven alone up to the size of one data
+   centre and of the whole fleet.  Prints "name x y" rows: what grows, how
+   large it is, and what it costs (microseconds or bytes).  */
+
+#include "admission/limits.h"
+#include "claims/shard.h"
+#include "config/config.h"
+#include "membership/membership.h"
+#include "routing/prefix.h"
+#include "suspects/suspects.h"
+#include "tests/fakes/world.h"
+#include "wire/messages.h"
+
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <time.h>
+
+enum
+{
+  MEMBERS = 8,
+  REPEATS = 50
+};
+
+static double
+now_us (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &now);
+  return (double)now.tv_sec * 1e6 + (double)now.tv_nsec / 1e3;
+}
+
+static size_t
+heap (void)
+{
+  struct mallinfo2 info = mallinfo2 ();
+
+  return info.uordblks + info.hblkhd;
+}
+
+static void
+row (const char *name, double x, double y)
+{
+  printf ("%s\t%.0f\t%.3f\n", name, x, y);
+}
+
+/* A keeper with a settled data centre of so many units.  */
+static struct bd_keeper *
+make_centre (void *ctx, uint32_t units)
+{
+  static struct bd_service service;
+  static const struct bd_service *services[] = { &service };
+  struct bd_keeper_limits limits = { .dead_after_ms = 3000,
+                                     .keeper_bound_ms = 5000,
+                                     .drain_ms = 2000,
+                                     .loads_at_once = 8,
+                                     .order_retry_ms = 1000,
+                                     .load_ms = 60000,
+                                     .join_ms = 2000,
+                                     .downtime_weight = 1,
+                                     .stranded_weight = 1 };
+  struct bd_keeper *keeper = talloc (ctx, struct bd_keeper);
+  struct bd_allotment *allotment = talloc_zero (ctx, struct bd_allotment);
+  struct bd_instance *items
+      = talloc_zero_array (ctx, struct bd_instance, units);
+  struct bd_instance_list list = { .items = items, .count = units };
+  uint32_t groups = units / 40 * 4;
+
+  service.is_model = true;
+  service.members = MEMBERS;
+  service.replicas = groups;
+  bd_name_copy (service.name, "s");
+  bd_name_copy (service.pool, "p");
+  bd_name_copy (service.model, "m");
+  bd_name_copy (service.version, "1");
+  bd_keeper_init (keeper, "centre", "k", &limits);
+  bd_keeper_services (keeper, services, 1);
+  keeper->is_chosen = true;
+  for (uint32_t i = 0; i < units; i++)
+    {
+      snprintf (items[i].name, BD_NAME_SIZE, "instance-%04u", i);
+      snprintf (items[i].fabric_domain, BD_NAME_SIZE, "fabric-%u", i / 40);
+      bd_name_copy (items[i].data_centre, "centre");
+      bd_name_copy (items[i].pool, "p");
+    }
+  bd_keeper_list (keeper, &list);
+  bd_name_copy (allotment->data_centre, "centre");
+  bd_name_copy (allotment->keeper, "k");
+  allotment->term = 1;
+  allotment->sequence = 1;
+  for (uint32_t g = 0; g < groups; g++)
+    {
+      struct bd_group *group = bd_allotment_add (allotment, MEMBERS);
+      uint32_t first = g / 4 * 40 + g % 4 * MEMBERS;
+      snprintf (group->id, BD_NAME_SIZE, "%u.centre.s", g);
+      bd_name_copy (group->service, "s");
+      bd_name_copy (group->model, "m");
+      bd_name_copy (group->version, "1");
+      snprintf (group->domain, BD_NAME_SIZE, "fabric-%u", g / 4);
+      group->incarnation = 1;
+      for (uint32_t m = 0; m < MEMBERS; m++)
+        snprintf (group->members[m], BD_NAME_SIZE, "instance-%04u",
+                  (first + m) % units);
+    }
+  bd_keeper_confirm (keeper, allotment, 1000);
+  return keeper;
+}
+
+static void
+report_all (struct bd_keeper *keeper, uint32_t units, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < units; i++)
+    {
+      char name[BD_NAME_SIZE];
+      struct bd_report report = { .phase = BD_PHASE_READY };
+      struct bd_group *group;
+      snprintf (name, sizeof name, "instance-%04u", i);
+      group = bd_allotment_group_of (keeper->allotment, name);
+      bd_name_copy (report.model, "m");
+      bd_name_copy (report.version, "1");
+      if (group != NULL)
+        {
+          bd_name_copy (report.group, group->id);
+          report.incarnation = group->incarnation;
+        }
+      bd_keeper_report (keeper, name, &report, now_ms);
+    }
+}
+
+static void
+measure_keeper (void)
+{
+  static const uint32_t sizes[] = { 40, 80, 160, 240, 360, 480, 720 };
+
+  for (uint32_t s = 0; s < sizeof sizes / sizeof sizes[0]; s++)
+    {
+      void *ctx = talloc_new (NULL);
+      struct bd_order orders[64];
+      size_t before = heap ();
+      struct bd_keeper *keeper = make_centre (ctx, sizes[s]);
+      json_t *value = bd_allotment_to_json (keeper->allotment);
+      char *text = json_dumps (value, JSON_COMPACT);
+      double start;
+      uint32_t changes = 0;
+      report_all (keeper, sizes[s], 1000);
+      row ("keeper-bytes", sizes[s], (double)(heap () - before));
+      row ("allotment-json-bytes", sizes[s], (double)strlen (text));
+      start = now_us ();
+      for (uint32_t i = 0; i < REPEATS; i++)
+        {
+          struct bd_allotment *next = bd_keeper_plan (keeper, ctx, 1000);
+          changes += next != NULL;
+          talloc_free (next);
+          bd_keeper_orders (keeper, 1000, orders, 64);
+        }
+      row ("keeper-step-us", sizes[s], (now_us () - start) / REPEATS);
+      /* One instance is silent: the whole plan is worked out.  */
+      bd_keeper_unit (keeper, "instance-0000")->heard_ms = -5000;
+      start = now_us ();
+      for (uint32_t i = 0; i < REPEATS; i++)
+        {
+          talloc_free (bd_keeper_plan (keeper, ctx, 1000));
+          bd_keeper_orders (keeper, 1000, orders, 64);
+        }
+      row ("keeper-step-mending-us", sizes[s], (now_us () - start) / REPEATS);
+      if (changes > 0)
+        fprintf (stderr, "the settled centre of %u was not settled\n",
+                 sizes[s]);
+      free (text);
+      json_decref (value);
+      bd_keeper_finish (keeper);
+      talloc_free (ctx);
+    }
+}
+
+static void
+measure_membership (void)
+{
+  static const uint32_t sizes[] = { 6, 12, 24, 48, 63, 96 };
+
+  for (uint32_t s = 0; s < sizeof sizes / sizeof sizes[0]; s++)
+    {
+      void *ctx = talloc_new (NULL);
+      struct bd_membership m;
+      struct bd_member self = { .peer_port = 1 };
+      size_t before = heap ();
+      double start;
+      uint32_t told = 0;
+      bd_name_copy (self.name, "daemon-0");
+      bd_name_copy (self.data_centre, "x");
+      bd_membership_init (&m, ctx, &self, 1000);
+      for (uint32_t i = 1; i < sizes[s]; i++)
+        {
+          struct bd_member news = { .incarnation = 1, .peer_port = 1 };
+          snprintf (news.name, BD_NAME_SIZE, "daemon-%u", i);
+          bd_name_copy (news.data_centre, "x");
+          bd_membership_heard (&m, &news, 0);
+        }
+      row ("membership-bytes", sizes[s], (double)(heap () - before));
+      start = now_us ();
+      for (uint32_t r = 0; r < REPEATS; r++)
+        for (uint32_t i = 0; i < m.count; i++)
+          told += bd_membership_must_tell (&m, &m.members[i]);
+      row ("membership-beat-us", sizes[s], (now_us () - start) / REPEATS);
+      start = now_us ();
+      for (uint32_t r = 0; r < REPEATS; r++)
+        told += bd_membership_is_duty (&m, "daemon-0", "x", "key", 2);
+      row ("membership-duty-us", sizes[s], (now_us () - start) / REPEATS);
+      talloc_free (ctx);
+      if (told == 0)
+        fprintf (stderr, "nobody was told\n");
+    }
+}
+
+static void
+measure_wire (void)
+{
+  static const uint32_t sizes[] = { 0, 1, 8, 16, 32 };
+
+  for (uint32_t s = 0; s < sizeof sizes / sizeof sizes[0]; s++)
+    {
+      struct bd_usage usages[32] = { 0 };
+      struct bd_whole_group whole[32] = { 0 };
+      struct bd_seen seen[32];
+      struct bd_room rooms[32] = { 0 };
+      struct bd_heartbeat beat = { .name = "entry-nairobi-1-17",
+                                   .data_centre = "nairobi-1",
+                                   .address = "10.20.30.40",
+                                   .http_port = 8080,
+                                   .peer_port = 8090,
+                                   .incarnation = 1796342400000,
+                                   .config_revision = 100000,
+                                   .allotment_term = 100,
+                                   .allotment_sequence = 100000,
+                                   .usages = usages,
+                                   .usage_count = sizes[s] };
+      struct bd_group_digest groups = { whole, sizes[s] };
+      struct bd_digest digest = { seen, sizes[s] };
+      struct bd_centre_news news = { .name = "nairobi-1",
+                                     .live = 63,
+                                     .lowest_revision = 100000,
+                                     .address = "10.20.30.40",
+                                     .http_port = 8080,
+                                     .rooms = rooms,
+                                     .room_count = sizes[s] };
+      msgpack_sbuffer buffer;
+      memset (seen, 0, sizeof seen);
+      for (uint32_t i = 0; i < sizes[s]; i++)
+        {
+          usages[i] = (struct bd_usage){ UINT64_MAX - i, 12.5 };
+          whole[i] = (struct bd_whole_group){ UINT64_MAX - i, 1796342400000,
+                                              400, 12 };
+          rooms[i] = (struct bd_room){ UINT64_MAX - i, 400, 10 };
+          bd_name_copy (seen[i].instance, "instance-nairobi-1-0017");
+          bd_name_copy (seen[i].group, "17.nairobi-1.fixture-drafts");
+          bd_name_copy (seen[i].model, "fixture-drafter");
+          bd_name_copy (seen[i].version, "7");
+          seen[i].incarnation = 100000;
+        }
+      msgpack_sbuffer_init (&buffer);
+      bd_message_pack (&buffer, BD_MESSAGE_HEARTBEAT, &beat);
+      row ("heartbeat-bytes", sizes[s], (double)buffer.size);
+      buffer.size = 0;
+      bd_message_pack (&buffer, BD_MESSAGE_GROUPS, &groups);
+      row ("group-digest-bytes", sizes[s], (double)buffer.size);
+      buffer.size = 0;
+      bd_message_pack (&buffer, BD_MESSAGE_DIGEST, &digest);
+      row ("instance-digest-bytes", sizes[s], (double)buffer.size);
+      buffer.size = 0;
+      bd_message_pack (&buffer, BD_MESSAGE_CENTRE, &news);
+      row ("centre-news-bytes", sizes[s], (double)buffer.size);
+      msgpack_sbuffer_destroy (&buffer);
+    }
+}
+
+static json_t *
+make_head (uint32_t services)
+{
+  json_t *entries = json_object ();
+
+  for (uint32_t i = 0; i < services; i++)
+    {
+      char name[64];
+      char text[512];
+      snprintf (name, sizeof name, "service-%u", i);
+      snprintf (text, sizeof text,
+                "service = \"%s\"\npool = \"p\"\npriority = 3\n[model]\n"
+                "name = \"model-%u\"\nversion = \"12\"\nmembers = 8\n"
+                "replicas_per_data_centre = 2\n[route]\ndeadline_ms = 30000\n"
+                "[[limit]]\naccount = \"one\"\nrequests_per_s = 200\n"
+                "[[limit]]\naccount = \"*\"\nrequests_per_s = 50\n",
+                name, i);
+      json_object_set_new (entries, name,
+                           json_pack ("{s:i,s:s,s:s,s:s}", "generation", 3,
+                                      "text", text, "file", name, "by",
+                                      "operator"));
+    }
+  return json_pack ("{s:i,s:o}", "revision", 7, "services", entries);
+}
+
+static void
+measure_config (void)
+{
+  static const uint32_t sizes[] = { 4, 50, 100, 200, 400 };
+
+  for (uint32_t s = 0; s < sizeof sizes / sizeof sizes[0]; s++)
+    {
+      json_t *head = make_head (sizes[s]);
+      char *text = json_dumps (head, JSON_COMPACT);
+      struct bd_config config;
+      size_t before;
+      double start;
+      row ("config-head-bytes", sizes[s], (double)strlen (text));
+      bd_config_init (&config);
+      before = heap ();
+      start = now_us ();
+      bd_config_adopt (&config, head);
+      row ("config-adopt-us", sizes[s], now_us () - start);
+      row ("config-bytes", sizes[s], (double)(heap () - before));
+      bd_config_finish (&config);
+      free (text);
+      json_decref (head);
+    }
+}
+
+static void
+measure_claims (void)
+{
+  static const uint32_t sizes[] = { 1000, 4000, 16000, 64000 };
+
+  for (uint32_t s = 0; s < sizeof sizes / sizeof sizes[0]; s++)
+    {
+      struct bd_shard shard;
+      json_t *empty = json_array ();
+      size_t before = heap ();
+      double start = now_us ();
+      double written = 0;
+      bd_shard_init (&shard, 0);
+      bd_shard_load (&shard, empty, 0);
+      for (uint32_t i = 0; i < sizes[s]; i += 16)
+        {
+          struct bd_claim claims[16];
+          struct bd_claim *batch[16];
+          struct bd_shard_commit commit;
+          char *text;
+          memset (claims, 0, sizeof claims);
+          for (uint32_t b = 0; b < 16; b++)
+            {
+              snprintf (claims[b].key, BD_ID_SIZE, "%032x", i + b);
+              snprintf (claims[b].id, BD_ID_SIZE, "%032x", i + b + 7);
+              claims[b].kind = BD_CLAIM_TAKE;
+              claims[b].at_ms = 1796342400000;
+              claims[b].hold_ms = 5000;
+              batch[b] = &claims[b];
+            }
+          if (!bd_shard_prepare (&shard, batch, 16, 1796342400000, &commit))
+            break;
+          text = json_dumps (commit.data, JSON_COMPACT);
+          written += (double)strlen (text);
+          free (text);
+          bd_shard_committed (&shard, &commit, i + 1, NULL, batch, 16,
+                              1796342400000);
+        }
+      row ("claims-us-each", sizes[s], (now_us () - start) / sizes[s]);
+      row ("claims-bytes", sizes[s], (double)(heap () - before));
+      row ("claims-written-bytes-each", sizes[s], written / sizes[s]);
+      bd_shard_finish (&shard);
+      json_decref (empty);
+    }
+}
+
+static void
+measure_tables (void)
+{
+  static const uint32_t sizes[] = { 100, 1000, 5000, 9000 };
+
+  for (uint32_t s = 0; s < sizeof sizes / sizeof sizes[0]; s++)
+    {
+      struct bd_limits limits;
+      struct bd_suspects suspects;
+      struct bd_prefix_table table;
+      struct bd_limit limit = { .requests_per_s = 10, .burst = 1 };
+      size_t before = heap ();
+      double start;
+      int64_t wait_ms;
+      bd_limits_init (&limits);
+      start = now_us ();
+      for (uint32_t i = 0; i < sizes[s]; i++)
+        {
+          char name[32];
+          snprintf (name, sizeof name, "account-%u", i);
+          bd_limits_take (&limits, "s", name, &limit, i, &wait_ms);
+        }
+      row ("limits-take-us", sizes[s], (now_us () - start) / sizes[s]);
+      row ("limits-bytes", sizes[s], (double)(heap () - before));
+      bd_limits_finish (&limits);
+      before = heap ();
+      bd_suspects_init (&suspects, 1000);
+      for (uint64_t i = 0; i < sizes[s]; i++)
+        bd_suspects_mark (&suspects, i, 1, 0);
+      row ("suspects-bytes", sizes[s], (double)(heap () - before));
+      bd_suspects_finish (&suspects);
+      before = heap ();
+      bd_prefix_table_init (&table, 60000, 100000);
+      for (uint64_t i = 0; i < sizes[s]; i++)
+        {
+          struct bd_prefix prefix = { .blocks = { i }, .count = 1 };
+          bd_prefix_sent (&table, &prefix, 1, 0);
+        }
+      row ("prefix-hint-bytes", sizes[s], (double)(heap () - before));
+      bd_prefix_table_finish (&table);
+    }
+}
+
+int
+main (void)
+{
+  measure_keeper ();
+  measure_membership ();
+  measure_wire ();
+  measure_config ();
+  measure_claims ();
+  measure_tables ();
+  return 0;
+}
--- a/src/groups/keeper_internal.h
+++ b/src/groups/keeper_internal.h
@@ -28,6 +28,9 @@
 const struct bd_service *bd_keeper_service (const struct bd_keeper *keeper,
                                             const char *name);
 
+/* Whether every wanted group is whole and none has to change.  */
+bool bd_keeper_is_settled (const struct bd_keeper *keeper, int64_t now_ms);
+
 /* Sets warm_for of every free instance.  */
 void bd_keeper_assign_spares (struct bd_keeper *keeper,
                               const struct bd_allotment *allotment,
--- a/src/groups/keeper_orders.c
+++ b/src/groups/keeper_orders.c
@@ -153,13 +153,54 @@
     }
 }
 
+static uint32_t
+count_members (const struct bd_allotment *allotment)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < allotment->count; i++)
+    count += allotment->groups[i].member_count;
+  return count;
+}
+
+/* Whether no instance needs an order: the groups are whole, nobody else
+   thinks that it is in one, and every spare holds what it should.  */
+static bool
+is_all_as_ordered (const struct bd_keeper *keeper, int64_t now_ms)
+{
+  uint32_t in_groups = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!bd_keeper_is_settled (keeper, now_ms))
+    return false;
+  g_hash_table_iter_init (&iter, keeper->units);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct bd_unit *unit = value;
+      const struct bd_service *service;
+      if (bd_unit_is_lost (keeper, unit, now_ms))
+        continue;
+      if (unit->report.group[0] != '\0')
+        {
+          in_groups++;
+          continue;
+        }
+      service = bd_keeper_service (keeper, unit->warm_for);
+      if (service == NULL || !bd_unit_is_warm (unit, service))
+        return false;
+    }
+  return in_groups == count_members (keeper->allotment);
+}
+
 uint32_t
 bd_keeper_orders (struct bd_keeper *keeper, int64_t now_ms,
                   struct bd_order *orders, uint32_t max)
 {
   struct order_list list = { .items = orders, .max = max };
 
-  if (!bd_keeper_may_order (keeper, now_ms))
+  if (!bd_keeper_may_order (keeper, now_ms)
+      || is_all_as_ordered (keeper, now_ms))
     return 0;
   bd_keeper_assign_spares (keeper, keeper->allotment, now_ms);
   list.loading = count_loading (keeper, now_ms);
