--- a/bench/policy.c
+++ b/bench/policy.c
@@ -23,6 +23,7 @@
   REPLICAS = 15,
   SLOTS = 16,
   DAEMONS = 6,
+  SHARE = SLOTS / DAEMONS,
   PREFIXES = 40,
   CACHED = 6,
   STEP_MS = 5,
@@ -44,6 +45,7 @@
   uint32_t account;
   uint32_t daemon;
   int64_t arrived_ms;
+  int64_t started_ms;
   double prefill_left;
   double tokens_left;
   bool had_first;
@@ -101,6 +103,7 @@
   bool is_hit = has_cached (r, call->prefix);
 
   r->running[r->count++] = call;
+  call->started_ms = sim->now_ms;
   call->prefill_left = OWN_PREFILL_MS + (is_hit ? 0 : PREFILL_MS);
   call->tokens_left = TOKENS;
   if (!is_hit)
@@ -124,19 +127,28 @@
   struct bd_candidate candidates[REPLICAS];
   struct bd_routing_costs costs
       = { .prefill_ms = PREFILL_MS + OWN_PREFILL_MS, .step_ms = 25 };
+  uint64_t replicas[REPLICAS];
+  int32_t homes[2];
   uint32_t d = call->daemon;
   int32_t chosen;
 
   for (uint32_t i = 0; i < REPLICAS; i++)
-    candidates[i] = (struct bd_candidate){
-      .own_in_flight = sim->own[d][i],
-      .reported = sim->replicas[i].reported,
-      .own_at_report = sim->own_at_report[d][i],
-      .capacity = SLOTS,
-      .cached = bd_prefix_expected (&sim->tables[d], &call->blocks, i,
-                                    sim->now_ms),
-      .slowness = 1
-    };
+    {
+      double cached = bd_prefix_expected (&sim->tables[d], &call->blocks, i,
+                                          sim->now_ms);
+      candidates[i]
+          = (struct bd_candidate){ .own_in_flight = sim->own[d][i],
+                                   .reported = sim->replicas[i].reported,
+                                   .own_at_report = sim->own_at_report[d][i],
+                                   .capacity = SLOTS,
+                                   .share = SHARE,
+                                   .cached = cached,
+                                   .slowness = 1 };
+    }
+  for (uint32_t i = 0; i < REPLICAS; i++)
+    replicas[i] = i;
+  bd_prefix_homes (&call->blocks, replicas, REPLICAS, homes);
+  bd_candidates_at_home (candidates, homes);
   chosen = sim->router->choose (candidates, REPLICAS, &costs, sim->rng,
                                 &sim->turn[d]);
   /* A replica that is full after all refuses, and the call waits.  */
@@ -151,8 +163,10 @@
     {
       struct bd_candidate c = { .own_in_flight = sim->own[d][i],
                                 .reported = sim->replicas[i].reported,
-                                .own_at_report = sim->own_at_report[d][i] };
-      if (bd_candidate_load (&c) < SLOTS)
+                                .own_at_report = sim->own_at_report[d][i],
+                                .capacity = SLOTS,
+                                .share = SHARE };
+      if (bd_candidate_has_room (&c))
         return true;
     }
   return false;
@@ -223,7 +237,8 @@
 
   r->running[slot] = r->running[--r->count];
   sim->own[call->daemon][r - sim->replicas]--;
-  bd_queue_finished (&sim->queues[call->daemon], sim->now_ms);
+  bd_queue_finished (&sim->queues[call->daemon],
+                     sim->now_ms - call->started_ms, sim->now_ms);
   if (call->arrived_ms < WARM_MS
       || sim->now_ms - call->arrived_ms > DEADLINE_MS)
     return;
@@ -348,14 +363,14 @@
       done += sim->done_of[i];
       asked += sim->asked_of[i];
     }
-  out = (struct outcome){
-    .p50_ms = sim->first_ms[sim->first_count / 2],
-    .p99_ms = sim->first_ms[sim->first_count * 99 / 100],
-    .goodput = sim->done_in_time * 1000.0 / (RUN_MS - WARM_MS),
-    .hit_rate = (double)sim->prefix_hits / sim->prefix_calls,
-    .others = (double)done / asked,
-    .jain = jain_index (sim)
-  };
+  out = (struct outcome){ .p50_ms = sim->first_ms[sim->first_count / 2],
+                          .p99_ms = sim->first_ms[sim->first_count * 99 / 100],
+                          .goodput
+                          = sim->done_in_time * 1000.0 / (RUN_MS - WARM_MS),
+                          .hit_rate
+                          = (double)sim->prefix_hits / sim->prefix_calls,
+                          .others = (double)done / asked,
+                          .jain = jain_index (sim) };
   for (uint32_t d = 0; d < DAEMONS; d++)
     {
       bd_queue_finish (&sim->queues[d]);
@@ -398,9 +413,8 @@
     {
       struct outcome alone
           = simulate (&bd_router_by_wait, 0.5 * capacity_per_s, 0, fair);
-      struct outcome flooded
-          = simulate (&bd_router_by_wait, 0.5 * capacity_per_s,
-                      4 * capacity_per_s, fair);
+      struct outcome flooded = simulate (
+          &bd_router_by_wait, 0.5 * capacity_per_s, 4 * capacity_per_s, fair);
       printf ("%-20s %11.3f, alone %5.3f %8.3f\n",
               fair ? "weighted fair" : "first come", flooded.others,
               alone.others, flooded.jain);
--- a/src/admission/queue.c
+++ b/src/admission/queue.c
@@ -11,6 +11,9 @@
   MAX_WAIT_MS = 60000
 };
 
+static const double rate_smoothing = 0.2;
+static const double service_smoothing = 0.05;
+
 /* The calls of one account, first come, first served.  */
 struct bd_lane
 {
@@ -180,7 +183,8 @@
 
   *evicted = NULL;
   lane->weight = weight;
-  if (wait_in_lane_ms (queue, lane) > waiting->deadline_ms - now_ms)
+  if (wait_in_lane_ms (queue, lane) + (int64_t)queue->service_ms
+      > waiting->deadline_ms - now_ms)
     return BD_ERR_DEADLINE_UNREACHABLE;
   if (is_full (queue, waiting) && !evict (queue, waiting, lane, evicted))
     return BD_ERR_OVERLOADED;
@@ -220,7 +224,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     for (struct bd_waiting *w = ((struct bd_lane *)value)->first; w != NULL;
          w = w->next)
-      if (w->deadline_ms <= now_ms)
+      if (w->deadline_ms <= now_ms + (int64_t)queue->service_ms)
         {
           bd_queue_remove (queue, w);
           return w;
@@ -229,17 +233,21 @@
 }
 
 void
-bd_queue_finished (struct bd_queue *queue, int64_t now_ms)
+bd_queue_finished (struct bd_queue *queue, int64_t service_ms, int64_t now_ms)
 {
   int64_t passed_ms = now_ms - queue->rate_since_ms;
   double rate;
 
   queue->rate_count++;
+  queue->service_ms
+      += service_smoothing * ((double)service_ms - queue->service_ms);
   if (passed_ms < RATE_WINDOW_MS)
     return;
   rate = queue->rate_count * 1000.0 / (double)passed_ms;
-  queue->finished_per_s
-      = queue->finished_per_s > 0 ? (queue->finished_per_s + rate) / 2 : rate;
+  if (queue->finished_per_s > 0)
+    queue->finished_per_s += rate_smoothing * (rate - queue->finished_per_s);
+  else
+    queue->finished_per_s = rate;
   queue->rate_since_ms = now_ms;
   queue->rate_count = 0;
 }
--- a/src/admission/queue.h
+++ b/src/admission/queue.h
@@ -38,6 +38,7 @@
   double virtual_time;
   /* Calls finished a second, smoothed, for the estimate of the wait.  */
   double finished_per_s;
+  double service_ms; /* From dispatch to end, smoothed.  */
   int64_t rate_since_ms;
   uint32_t rate_count;
 };
@@ -61,12 +62,15 @@
 /* bd_queue_remove(): takes a call out, wherever it is.  */
 void bd_queue_remove (struct bd_queue *queue, struct bd_waiting *waiting);
 
-/* bd_queue_expired(): a call whose deadline has passed, taken out; NULL when
-   there is none.  */
+/* bd_queue_expired(): a call that can no longer meet its deadline, since its
+   service takes as long as is left or longer; taken out.  NULL when there is
+   none.  */
 struct bd_waiting *bd_queue_expired (struct bd_queue *queue, int64_t now_ms);
 
-/* bd_queue_finished(): a call of this service has finished.  */
-void bd_queue_finished (struct bd_queue *queue, int64_t now_ms);
+/* bd_queue_finished(): a call of this service has finished, service_ms after
+   its dispatch.  */
+void bd_queue_finished (struct bd_queue *queue, int64_t service_ms,
+                        int64_t now_ms);
 
 /* bd_queue_wait_ms(): how long the present backlog takes; also what a caller
    is told to wait before it comes back.  */
--- a/src/daemon/daemon_calls.c
+++ b/src/daemon/daemon_calls.c
@@ -107,8 +107,10 @@
   leave_place (job);
   if (job->waiting.lane != NULL)
     bd_queue_remove (&pool->queue, &job->waiting);
-  else
-    bd_queue_finished (&pool->queue, bd_daemon_now_ms (job->daemon));
+  else if (job->call.run == BD_RAN)
+    bd_queue_finished (&pool->queue,
+                       bd_daemon_now_ms (job->daemon) - job->attempt_ms,
+                       bd_daemon_now_ms (job->daemon));
   if (job->attempt != NULL)
     bd_http_call_cancel (job->attempt);
   if (job->claim != NULL)
--- a/src/daemon/daemon_places.c
+++ b/src/daemon/daemon_places.c
@@ -121,6 +121,16 @@
     traffic->is_straggler = false;
 }
 
+/* What this daemon may have at a place whatever the others do.  */
+static uint32_t
+share_of (const struct bd_daemon *daemon, const struct bd_service *service)
+{
+  uint32_t live = bd_membership_live (&daemon->membership,
+                                      daemon->settings->data_centre);
+
+  return service->max_in_flight / (live > 0 ? live : 1);
+}
+
 static void
 add_group (struct bd_daemon *daemon, const struct bd_job *job,
            const struct bd_service *service, const struct bd_group *group,
@@ -149,6 +159,7 @@
   place->port = leader->info.port;
   place->hash = bd_daemon_group_place (group->id, group->incarnation);
   candidate->capacity = service->max_in_flight;
+  candidate->share = share_of (daemon, service);
   candidate->own_in_flight = traffic->in_flight;
   candidate->reported = leader->sighting.report.running;
   candidate->own_at_report = leader->own_at_report;
@@ -191,6 +202,7 @@
   place->port = e->info.port;
   place->hash = bd_hash (e->info.name, strlen (e->info.name));
   candidate->capacity = service->max_in_flight;
+  candidate->share = share_of (daemon, service);
   candidate->own_in_flight = e->in_flight;
   candidate->reported = e->sighting.report.running;
   candidate->own_at_report = e->own_at_report;
@@ -234,9 +246,10 @@
   list_places (daemon, NULL, service, places);
   for (uint32_t i = 0; i < places->count; i++)
     {
-      uint32_t load = bd_candidate_load (&places->candidates[i]);
-      if (load < places->candidates[i].capacity)
-        free += places->candidates[i].capacity - load;
+      const struct bd_candidate *c = &places->candidates[i];
+      uint32_t load = bd_candidate_load (c);
+      if (bd_candidate_has_room (c))
+        free += load < c->capacity ? c->capacity - load : 1;
     }
   return free;
 }
@@ -361,6 +374,19 @@
   return true;
 }
 
+/* Prompts of one prefix go to the same replicas from every daemon.  */
+static void
+send_home (const struct bd_job *job, struct bd_places *places)
+{
+  uint64_t replicas[MAX_PLACES];
+  int32_t homes[2];
+
+  for (uint32_t i = 0; i < places->count; i++)
+    replicas[i] = places->items[i].hash;
+  bd_prefix_homes (&job->prefix, replicas, places->count, homes);
+  bd_candidates_at_home (places->candidates, homes);
+}
+
 bool
 bd_daemon_choose_place (struct bd_daemon *daemon, struct bd_job *job,
                         struct bd_place *place)
@@ -379,6 +405,7 @@
     return true;
   places = scratch (daemon);
   list_places (daemon, job, service, places);
+  send_home (job, places);
   chosen = bd_router_by_wait.choose (places->candidates, places->count, &costs,
                                      daemon->rng, &daemon->turn);
   if (chosen >= 0)
--- a/src/routing/prefix.c
+++ b/src/routing/prefix.c
@@ -116,3 +116,29 @@
     }
   return prefix->count > 0 ? expected / prefix->count : 0;
 }
+
+void
+bd_prefix_homes (const struct bd_prefix *prefix, const uint64_t *replicas,
+                 uint32_t count, int32_t homes[2])
+{
+  uint64_t best[2] = { 0, 0 };
+
+  homes[0] = -1;
+  homes[1] = -1;
+  for (uint32_t i = 0; i < count && prefix->count > 0; i++)
+    {
+      uint64_t rank = hint_key (prefix->blocks[0], replicas[i]);
+      if (homes[0] < 0 || rank > best[0])
+        {
+          best[1] = best[0];
+          homes[1] = homes[0];
+          best[0] = rank;
+          homes[0] = (int32_t)i;
+        }
+      else if (homes[1] < 0 || rank > best[1])
+        {
+          best[1] = rank;
+          homes[1] = (int32_t)i;
+        }
+    }
+}
--- a/src/routing/prefix.h
+++ b/src/routing/prefix.h
@@ -56,4 +56,11 @@
                            const struct bd_prefix *prefix, uint64_t replica,
                            int64_t now_ms);
 
+/* bd_prefix_homes(): finds the two replicas where a prompt of this prefix is
+   at home, by rank of its first block (rendezvous hashing); every daemon finds
+   the same ones without a word.  homes holds their places in replicas, or -1.
+   A prompt shorter than a block has none.  */
+void bd_prefix_homes (const struct bd_prefix *prefix, const uint64_t *replicas,
+                      uint32_t count, int32_t homes[2]);
+
 #endif
--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -7,16 +7,32 @@
 enum
 {
   MAX_CANDIDATES = 4096,
-  US_PER_MS = 1000
+  US_PER_MS = 1000,
+  /* One part of so many of the capacity is left to daemons below their share,
+     and may be exceeded by them.  */
+  SLACK_PARTS = 8
 };
 
 /* A replica may have this much more than the mean load before its cache stops
    attracting calls.  */
 static const double affinity_bound = 1.25;
 
+/* Part of a prompt that its first and second home replica are taken to have
+   cached.  */
+static const double home_cached[2] = { 0.9, 0.6 };
+
 /* Candidates whose score is within this factor of the best are as good.  */
 static const double near_best = 1.1;
 
+void
+bd_candidates_at_home (struct bd_candidate *candidates, const int32_t homes[2])
+{
+  for (uint32_t i = 0; i < 2; i++)
+    if (homes[i] >= 0)
+      candidates[homes[i]].cached
+          = fmax (candidates[homes[i]].cached, home_cached[i]);
+}
+
 uint32_t
 bd_candidate_load (const struct bd_candidate *candidate)
 {
@@ -38,11 +54,21 @@
          + (double)candidate->distance_us / US_PER_MS;
 }
 
+bool
+bd_candidate_has_room (const struct bd_candidate *candidate)
+{
+  uint32_t load = bd_candidate_load (candidate);
+  uint32_t slack = candidate->capacity / SLACK_PARTS;
+
+  if (candidate->own_in_flight < candidate->share)
+    return load < candidate->capacity + slack;
+  return load + slack < candidate->capacity;
+}
+
 static bool
 may_use (const struct bd_candidate *candidate)
 {
-  return !candidate->is_tried
-         && bd_candidate_load (candidate) < candidate->capacity;
+  return !candidate->is_tried && bd_candidate_has_room (candidate);
 }
 
 static uint32_t
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -18,6 +18,7 @@
   uint32_t reported;      /* Calls there by the last report.  */
   uint32_t own_at_report; /* Of those, this daemon's.  */
   uint32_t capacity;      /* Calls that it takes at once.  */
+  uint32_t share;         /* Of those, kept for this daemon.  */
   double cached;          /* Expected part of the prompt in its cache.  */
   double slowness;        /* Time per token over the pool's median.  */
   uint32_t distance_us;
@@ -45,10 +46,21 @@
 extern const struct bd_router bd_router_in_turn;
 extern const struct bd_router bd_router_least_outstanding;
 
+/* bd_candidates_at_home(): the replicas where a prefix is at home (see
+   bd_prefix_homes()) are taken to have it, whatever the hints say.  */
+void bd_candidates_at_home (struct bd_candidate *candidates,
+                            const int32_t homes[2]);
+
 /* bd_candidate_load(): calls expected there: the lagging report, corrected
    by what this daemon has sent and finished since.  */
 uint32_t bd_candidate_load (const struct bd_candidate *candidate);
 
+/* bd_candidate_has_room(): whether a call may be sent there.  Within its own
+   share a daemon sends although the replica seems full by a report that lags;
+   above it a part of the capacity is left to the others.  So no daemon holds
+   on to every slot while another one's queue grows.  */
+bool bd_candidate_has_room (const struct bd_candidate *candidate);
+
 /* bd_candidate_score(): expected time to the first token, in ms.  */
 double bd_candidate_score (const struct bd_candidate *candidate,
                            const struct bd_routing_costs *costs);
--- a/src/routing/routing_test.c
+++ b/src/routing/routing_test.c
@@ -49,6 +49,52 @@
   CU_ASSERT_EQUAL (choose (two, 2), 1);
 }
 
+static void
+test_share_of_a_full_replica (void)
+{
+  struct bd_candidate c = candidate (0, 64, 0);
+
+  /* Full by others: only within the own share may more be sent.  */
+  CU_ASSERT_FALSE (bd_candidate_has_room (&c));
+  c.share = 10;
+  CU_ASSERT_TRUE (bd_candidate_has_room (&c));
+  c.own_in_flight = 8;
+  CU_ASSERT_FALSE (bd_candidate_has_room (&c));
+  /* Above the share a part is left to the others.  */
+  c = candidate (56, 0, 0);
+  c.share = 10;
+  CU_ASSERT_FALSE (bd_candidate_has_room (&c));
+  c.own_in_flight = 55;
+  CU_ASSERT_TRUE (bd_candidate_has_room (&c));
+}
+
+static void
+test_homes_are_the_same_everywhere (void)
+{
+  uint64_t replicas[10];
+  uint64_t turned[10];
+  char prompt[BD_PREFIX_BLOCK_BYTES];
+  struct bd_prefix prefix;
+  int32_t here[2];
+  int32_t there[2];
+
+  memset (prompt, 'q', sizeof prompt);
+  bd_prefix_make (&prefix, prompt, sizeof prompt);
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      replicas[i] = 100 + i;
+      turned[9 - i] = 100 + i;
+    }
+  bd_prefix_homes (&prefix, replicas, 10, here);
+  bd_prefix_homes (&prefix, turned, 10, there);
+  CU_ASSERT_EQUAL (here[0], 9 - there[0]);
+  CU_ASSERT_EQUAL (here[1], 9 - there[1]);
+  CU_ASSERT_NOT_EQUAL (here[0], here[1]);
+  bd_prefix_make (&prefix, prompt, 10);
+  bd_prefix_homes (&prefix, replicas, 10, here);
+  CU_ASSERT_EQUAL (here[0], -1);
+}
+
 static void
 test_cache_attracts_until_the_bound (void)
 {
@@ -126,6 +172,9 @@
   suite = CU_add_suite ("routing", NULL, NULL);
   CU_add_test (suite, "lagging reports", test_lagging_report_is_corrected);
   CU_add_test (suite, "full or tried", test_never_to_full_or_tried);
+  CU_add_test (suite, "a share of a full replica",
+               test_share_of_a_full_replica);
+  CU_add_test (suite, "homes", test_homes_are_the_same_everywhere);
   CU_add_test (suite, "cache", test_cache_attracts_until_the_bound);
   CU_add_test (suite, "equal replicas", test_equal_replicas_share);
   CU_add_test (suite, "stragglers", test_straggler_gets_less);
