Peers: traffic that stays bounded as a centre grows; calls that spill

Cause, by the slopes: heartbeats of 75 bytes to each of 62 peers twice a second are 9.3 KB/s, over the budget of 9 KB/s for all of control; and each relay passed the news of every other centre on to every daemon of its own, 14 bytes a service and 38 a message: at 27 centres and 61 daemons 800 KB/s.

Ruled out for the second: sending only changes; room changes all the time.

Change: a member adds 16 ms to the period of the heartbeats (1 s at 63). A daemon that is no relay hears only which services have room elsewhere, every 10 s or on a change, and hands such a call to the relay, which knows where. A centre that cannot be reached is forgotten at once, and a call for which no place can ever come is answered at once instead of at its deadline.

Before (spill, last check): 504 after 8 s. After: 503, not run, at once.

--- a/src/daemon/daemon_calls.c
+++ b/src/daemon/daemon_calls.c
@@ -248,6 +248,8 @@
   enum bd_action action;
 
   leave_place (job);
+  if (place.is_daemon && failure == BD_FAILURE_NOT_SENT)
+    bd_daemon_lose_centre (daemon, place.instance);
   if (failure == BD_FAILURE_BROKEN)
     suspect (job);
   if (failure == BD_FAILURE_CROSSED)
@@ -525,7 +527,9 @@
       (long long)(job->call.deadline_ms - bd_daemon_now_ms (job->daemon)));
   add_header (headers, "X-Deadline-Ms", headers->deadline);
   add_header (headers, HOP_HEADER,
-              job->verdict == BD_VERDICT_APART ? "suspect" : "room");
+              job->verdict == BD_VERDICT_APART ? "suspect"
+              : job->place.is_relay            ? "relay"
+                                               : "room");
 }
 
 static void
@@ -571,7 +575,11 @@
   job->is_parked = false;
   if (!bd_daemon_choose_place (daemon, job, &job->place))
     {
+      const struct bd_service *service
+          = bd_config_service (&daemon->config, job->service);
       job->is_parked = true;
+      if (service == NULL || !bd_daemon_can_ever_serve (daemon, service))
+        act (job, bd_call_no_place (&job->call, BD_ERR_NO_ENDPOINT));
       return;
     }
   if (job->place.group[0] != '\0')
@@ -880,6 +888,7 @@
   job->is_model = service->is_model;
   job->is_hop = hop != NULL;
   job->must_stay = hop != NULL && strcmp (hop, "suspect") == 0;
+  job->may_leave = hop != NULL && strcmp (hop, "relay") == 0;
   job->fingerprint
       = bd_hash_pair (job->service, job->account)
         ^ bd_hash (job->body != NULL ? job->body : "", job->body_size);
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -76,6 +76,7 @@
   struct bd_room rooms[BD_MAX_ROOMS];
   uint32_t room_count;
   uint32_t sent_since; /* Calls sent there since it was heard.  */
+  bool is_relay;       /* A relay of this centre, which knows others.  */
 };
 
 /* The queue and totals of one service.  */
@@ -155,6 +156,8 @@
   GHashTable *pools; /* Service -> struct bd_pool.  */
   struct bd_centre_room centres[BD_MAX_CENTRES];
   uint32_t centre_count;
+  uint64_t elsewhere_mark;
+  int64_t elsewhere_told_ms;
   uint32_t turn;
   struct bd_places *places; /* Scratch of daemon_places.c.  */
   struct bd_job *jobs;
@@ -235,6 +238,7 @@
   uint32_t port;
   uint64_t hash;
   bool is_daemon; /* Another daemon carries the call on.  */
+  bool is_relay;  /* It may hand it to another centre.  */
 };
 
 /* What stands for one incarnation of a group.  */
@@ -259,7 +263,11 @@
                             const struct bd_place *place, bool is_suspect);
 struct bd_pool *bd_daemon_pool (struct bd_daemon *daemon, const char *service);
 void bd_daemon_take_centre (struct bd_daemon *daemon,
-                            const struct bd_centre_news *news);
+                            const struct bd_centre_news *news, bool is_relay);
+/* The daemon that takes calls for a centre cannot be reached.  */
+void bd_daemon_lose_centre (struct bd_daemon *daemon, const char *name);
+uint32_t bd_daemon_rooms_elsewhere (struct bd_daemon *daemon,
+                                    struct bd_room *rooms);
 
 /* daemon_calls.c: calls of callers.  */
 
@@ -281,6 +289,7 @@
   bool is_model;
   bool is_hop;    /* Another daemon sent it here.  */
   bool must_stay; /* A suspect handed over to this daemon.  */
+  bool may_leave; /* Handed over to this relay for another centre.  */
   uint64_t fingerprint;
   enum bd_verdict verdict;
   struct bd_prefix prefix;
--- a/src/daemon/daemon_peers.c
+++ b/src/daemon/daemon_peers.c
@@ -9,7 +9,11 @@
 
 enum
 {
-  MAX_USAGES = 32
+  MAX_USAGES = 32,
+  ELSEWHERE_PERIOD_MS = 10000,
+  /* Each member of a centre adds this much to the period of the heartbeats,
+     so that their bytes a second stay bounded as the centre grows.  */
+  BEAT_MS_PER_MEMBER = 16
 };
 
 bool
@@ -144,6 +148,38 @@
     }
 }
 
+/* Tells the daemons of this centre that no other centre talks to which
+   services have room elsewhere: they send such calls to this relay.  A summary
+   that changes seldom takes the place of the news of every centre.  */
+static void
+tell_elsewhere (struct bd_daemon *daemon, int64_t now_ms)
+{
+  struct bd_room rooms[BD_MAX_ROOMS];
+  struct bd_centre_news news
+      = { .http_port = daemon->settings->http_port, .rooms = rooms };
+  uint64_t mark;
+
+  if (!bd_daemon_is_relay (daemon))
+    return;
+  news.room_count = bd_daemon_rooms_elsewhere (daemon, rooms);
+  mark = bd_hash (rooms, news.room_count * sizeof *rooms);
+  if (mark == daemon->elsewhere_mark
+      && now_ms - daemon->elsewhere_told_ms < ELSEWHERE_PERIOD_MS)
+    return;
+  daemon->elsewhere_mark = mark;
+  daemon->elsewhere_told_ms = now_ms;
+  bd_name_copy (news.name, daemon->settings->name);
+  bd_name_copy (news.address, daemon->settings->address);
+  for (uint32_t i = 1; i < daemon->membership.count; i++)
+    {
+      const struct bd_member *member = &daemon->membership.members[i];
+      if (member->is_live
+          && strcmp (member->data_centre, daemon->settings->data_centre) == 0
+          && !bd_membership_is_relay (&daemon->membership, member))
+        bd_daemon_tell (daemon, member, BD_MESSAGE_ELSEWHERE, &news);
+    }
+}
+
 static uint32_t
 count_known (const struct bd_daemon *daemon)
 {
@@ -167,6 +203,19 @@
   bd_log (is_ready ? "ready" : "not-ready", "reason", reason, NULL);
 }
 
+/* The period of heartbeats for the present size of the centre.  */
+static uint32_t
+beat_period_ms (const struct bd_daemon *daemon)
+{
+  uint32_t grown_ms = BEAT_MS_PER_MEMBER
+                      * bd_membership_live (&daemon->membership,
+                                            daemon->settings->data_centre);
+
+  return grown_ms > daemon->settings->heartbeat_ms
+             ? grown_ms
+             : daemon->settings->heartbeat_ms;
+}
+
 void
 bd_daemon_beat (void *ctx)
 {
@@ -175,6 +224,7 @@
   struct bd_heartbeat beat;
   int64_t now_ms = bd_daemon_now_ms (daemon);
 
+  daemon->heartbeat_ticker.period_ms = beat_period_ms (daemon);
   if (bd_membership_tick (&daemon->membership, now_ms))
     bd_log ("member-lost", NULL);
   fill_heartbeat (daemon, &beat, usages);
@@ -185,6 +235,7 @@
         bd_daemon_tell (daemon, member, BD_MESSAGE_HEARTBEAT, &beat);
     }
   tell_other_centres (daemon);
+  tell_elsewhere (daemon, now_ms);
   bd_limits_peers (&daemon->limits,
                    bd_membership_live (&daemon->membership, NULL),
                    count_known (daemon));
@@ -257,23 +308,6 @@
     bd_daemon_send_instances (daemon, member);
 }
 
-/* Passes news of another centre on to those of this one that no relay of
-   that centre talks to.  */
-static void
-pass_on_centre (struct bd_daemon *daemon, const struct bd_centre_news *news)
-{
-  if (!bd_daemon_is_relay (daemon))
-    return;
-  for (uint32_t i = 1; i < daemon->membership.count; i++)
-    {
-      const struct bd_member *member = &daemon->membership.members[i];
-      if (member->is_live
-          && strcmp (member->data_centre, daemon->settings->data_centre) == 0
-          && !bd_membership_is_relay (&daemon->membership, member))
-        bd_daemon_tell (daemon, member, BD_MESSAGE_CENTRE, news);
-    }
-}
-
 static void
 take_centre (struct bd_daemon *daemon, const struct bd_centre_news *news)
 {
@@ -286,8 +320,7 @@
   bd_name_copy (centre.name, news->name);
   bd_membership_centre (&daemon->membership, &centre,
                         bd_daemon_now_ms (daemon));
-  bd_daemon_take_centre (daemon, news);
-  pass_on_centre (daemon, news);
+  bd_daemon_take_centre (daemon, news, false);
 }
 
 static void
@@ -332,6 +365,9 @@
     case BD_MESSAGE_CENTRE:
       take_centre (daemon, message);
       break;
+    case BD_MESSAGE_ELSEWHERE:
+      bd_daemon_take_centre (daemon, message, true);
+      break;
     case BD_MESSAGE_GET:
       take_get (daemon, message);
       break;
--- a/src/daemon/daemon_places.c
+++ b/src/daemon/daemon_places.c
@@ -11,6 +11,7 @@
 {
   MAX_PLACES = 1024,
   CENTRE_FRESH_MS = 3000,
+  RELAY_FRESH_MS = 25000,
   US_PER_PROMPT_BYTE = 25,
   STEP_MS = 20,
   QUEUE_BYTES = 64 << 20
@@ -265,7 +266,8 @@
     {
       struct bd_centre_room *centre
           = &daemon->centres[(i + daemon->turn) % daemon->centre_count];
-      if (now_ms - centre->heard_ms > CENTRE_FRESH_MS)
+      if (now_ms - centre->heard_ms
+          > (centre->is_relay ? RELAY_FRESH_MS : CENTRE_FRESH_MS))
         continue;
       for (uint32_t r = 0; r < centre->room_count; r++)
         if (centre->rooms[r].service_hash == hash
@@ -276,6 +278,25 @@
   return NULL;
 }
 
+uint32_t
+bd_daemon_rooms_elsewhere (struct bd_daemon *daemon, struct bd_room *rooms)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0;
+       i < daemon->config.service_count && count < BD_MAX_ROOMS; i++)
+    {
+      const struct bd_service *service = daemon->config.services[i];
+      memset (&rooms[count], 0, sizeof rooms[count]);
+      if (centre_with_room (daemon, service) == NULL)
+        continue;
+      rooms[count].service_hash
+          = bd_hash (service->name, strlen (service->name));
+      rooms[count++].free = UINT32_MAX;
+    }
+  return count;
+}
+
 bool
 bd_daemon_has_room (struct bd_daemon *daemon, const struct bd_service *service)
 {
@@ -309,7 +330,7 @@
 
 void
 bd_daemon_take_centre (struct bd_daemon *daemon,
-                       const struct bd_centre_news *news)
+                       const struct bd_centre_news *news, bool is_relay)
 {
   struct bd_centre_room *centre = NULL;
 
@@ -325,12 +346,21 @@
   centre->http_port = news->http_port;
   centre->heard_ms = bd_daemon_now_ms (daemon);
   centre->sent_since = 0;
+  centre->is_relay = is_relay;
   centre->room_count
       = news->room_count < BD_MAX_ROOMS ? news->room_count : BD_MAX_ROOMS;
   memcpy (centre->rooms, news->rooms,
           centre->room_count * sizeof *centre->rooms);
 }
 
+void
+bd_daemon_lose_centre (struct bd_daemon *daemon, const char *name)
+{
+  for (uint32_t i = 0; i < daemon->centre_count; i++)
+    if (strcmp (daemon->centres[i].name, name) == 0)
+      daemon->centres[i].room_count = 0;
+}
+
 static void
 place_at_daemon (struct bd_place *place, const char *name, const char *address,
                  uint32_t http_port)
@@ -364,9 +394,10 @@
 {
   struct bd_centre_room *centre = centre_with_room (daemon, service);
 
-  if (job->is_hop || centre == NULL)
+  if ((job->is_hop && !job->may_leave) || centre == NULL)
     return false;
   place_at_daemon (place, centre->name, centre->address, centre->http_port);
+  place->is_relay = centre->is_relay;
   if (bd_call_was_tried (&job->call, place->hash))
     return false;
   centre->sent_since++;
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -138,6 +138,7 @@
 static const struct layout layouts[BD_MESSAGE_COUNT] = {
   [BD_MESSAGE_HEARTBEAT] = LAYOUT (bd_heartbeat, heartbeat_fields),
   [BD_MESSAGE_CENTRE] = LAYOUT (bd_centre_news, centre_fields),
+  [BD_MESSAGE_ELSEWHERE] = LAYOUT (bd_centre_news, centre_fields),
   [BD_MESSAGE_GET] = LAYOUT (bd_get, get_fields),
   [BD_MESSAGE_CONFIG] = LAYOUT (bd_document, document_fields),
   [BD_MESSAGE_ALLOTMENT] = LAYOUT (bd_document, document_fields),
