--- a/src/daemon/daemon_calls.c
+++ b/src/daemon/daemon_calls.c
@@ -571,17 +571,15 @@
 dispatch (struct bd_job *job)
 {
   struct bd_daemon *daemon = job->daemon;
-
-  job->is_parked = false;
-  if (!bd_daemon_choose_place (daemon, job, &job->place))
-    {
-      const struct bd_service *service
-          = bd_config_service (&daemon->config, job->service);
-      job->is_parked = true;
-      if (service == NULL || !bd_daemon_can_ever_serve (daemon, service))
-        act (job, bd_call_no_place (&job->call, BD_ERR_NO_ENDPOINT));
-      return;
-    }
+  enum bd_choice choice = bd_daemon_choose_place (daemon, job, &job->place);
+
+  job->is_parked = choice == BD_CHOICE_LATER;
+  if (choice == BD_CHOICE_NEVER)
+    act (job, bd_call_no_place (&job->call, job->call.may_have_run
+                                                ? BD_ERR_ENDPOINT_FAILED
+                                                : BD_ERR_NO_ENDPOINT));
+  if (choice != BD_CHOICE_PLACE)
+    return;
   if (job->place.group[0] != '\0')
     bd_prefix_sent (&daemon->prefixes, &job->prefix, job->place.hash,
                     bd_daemon_now_ms (daemon));
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -249,8 +249,15 @@
                           int64_t passed_ms, uint32_t tokens);
 
 struct bd_job;
-bool bd_daemon_choose_place (struct bd_daemon *daemon, struct bd_job *job,
-                             struct bd_place *place);
+enum bd_choice
+{
+  BD_CHOICE_PLACE,
+  BD_CHOICE_LATER, /* None now; one may come.  */
+  BD_CHOICE_NEVER  /* The call has failed everywhere, or nothing serves it.  */
+};
+enum bd_choice bd_daemon_choose_place (struct bd_daemon *daemon,
+                                       struct bd_job *job,
+                                       struct bd_place *place);
 bool bd_daemon_has_room (struct bd_daemon *daemon,
                          const struct bd_service *service);
 bool bd_daemon_can_ever_serve (struct bd_daemon *daemon,
--- a/src/daemon/daemon_places.c
+++ b/src/daemon/daemon_places.c
@@ -176,9 +176,9 @@
     {
       candidate->cached = bd_prefix_expected (&daemon->prefixes, &job->prefix,
                                               place->hash, now_ms);
-      candidate->is_tried
-          = bd_call_was_tried (&job->call, place->hash)
-            || (job->verdict == BD_VERDICT_APART && traffic->suspects > 0);
+      candidate->is_tried = bd_call_was_tried (&job->call, place->hash);
+      candidate->is_kept
+          = job->verdict == BD_VERDICT_APART && traffic->suspects > 0;
     }
   out->count++;
 }
@@ -418,7 +418,17 @@
   bd_candidates_at_home (places->candidates, homes);
 }
 
-bool
+/* Whether the call has failed at every place that there is.  */
+static bool
+was_tried_everywhere (const struct bd_places *places)
+{
+  for (uint32_t i = 0; i < places->count; i++)
+    if (!places->candidates[i].is_tried)
+      return false;
+  return places->count > 0;
+}
+
+enum bd_choice
 bd_daemon_choose_place (struct bd_daemon *daemon, struct bd_job *job,
                         struct bd_place *place)
 {
@@ -431,9 +441,9 @@
   int32_t chosen;
 
   if (service == NULL)
-    return false;
+    return BD_CHOICE_NEVER;
   if (choose_suspect_owner (daemon, job, place))
-    return true;
+    return BD_CHOICE_PLACE;
   places = scratch (daemon);
   list_places (daemon, job, service, places);
   send_home (job, places);
@@ -441,7 +451,12 @@
                                      daemon->rng, &daemon->turn);
   if (chosen >= 0)
     *place = places->items[chosen];
-  return chosen >= 0 || choose_centre (daemon, job, service, place);
+  if (chosen >= 0 || choose_centre (daemon, job, service, place))
+    return BD_CHOICE_PLACE;
+  return was_tried_everywhere (places)
+                 || !bd_daemon_can_ever_serve (daemon, service)
+             ? BD_CHOICE_NEVER
+             : BD_CHOICE_LATER;
 }
 
 void
--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -68,7 +68,8 @@
 static bool
 may_use (const struct bd_candidate *candidate)
 {
-  return !candidate->is_tried && bd_candidate_has_room (candidate);
+  return !candidate->is_tried && !candidate->is_kept
+         && bd_candidate_has_room (candidate);
 }
 
 static uint32_t
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -23,6 +23,7 @@
   double slowness;        /* Time per token over the pool's median.  */
   uint32_t distance_us;
   bool is_tried; /* The call has failed there already.  */
+  bool is_kept;  /* Not at this moment: another suspect runs there.  */
 };
 
 struct bd_routing_costs
--- a/tests/fakes/engine.c
+++ b/tests/fakes/engine.c
@@ -4,7 +4,8 @@
    POST /orders                  load or unload, with a fence
    POST /v1/completions, /v1/chat/completions   only on the first member
    POST /faults {"dead": b, "freeze": b, "token_ms": n, "load_ms": n,
-                 "crash_on": "text", "break_after": n}
+                 "crash_on": "text", "break_after": n, "wrong_id": n,
+                 "wrong_incarnation": n, "cut_whole": n}
    GET /record                   events of this process, in order
 
    A replica of which a member is gone answers nothing: its streams are cut.
@@ -50,6 +51,9 @@
   uint32_t token_ms;
   uint32_t load_ms;
   uint32_t break_after;
+  uint32_t wrong_id;          /* Answers still to give under another id.  */
+  uint32_t wrong_incarnation; /* Or under another incarnation.  */
+  uint32_t cut_whole;         /* Or cut in the middle.  */
   char *crash_on;
   uint32_t running;
   struct generation *generations;
@@ -419,6 +423,37 @@
   bd_http_stream_write (g->exchange, event, (size_t)length);
 }
 
+/* The attempt id and the incarnation that an answer bears.  */
+static const char *
+answer_id (struct engine *e, struct bd_http_exchange *x)
+{
+  const char *attempt = bd_http_header (x, "X-Attempt-Id");
+
+  if (e->wrong_id == 0)
+    return attempt != NULL ? attempt : "";
+  e->wrong_id--;
+  return "ffffffffffffffffffffffffffffffff";
+}
+
+static int64_t
+answer_incarnation (struct engine *e)
+{
+  if (e->wrong_incarnation == 0)
+    return e->incarnation;
+  e->wrong_incarnation--;
+  return e->incarnation - 1;
+}
+
+/* Half of an answer, then the connection ends.  */
+static void
+respond_half (struct bd_http_exchange *x, const struct bd_http_pair *headers,
+              const char *body)
+{
+  bd_http_stream_begin (x, 200, headers);
+  bd_http_stream_write (x, body, strlen (body) / 2);
+  bd_http_stream_end (x, false);
+}
+
 static void
 respond_whole (struct generation *g)
 {
@@ -426,16 +461,15 @@
   struct bd_http_exchange *x = g->exchange;
   const char *attempt = bd_http_header (x, "X-Attempt-Id");
   char incarnation[32];
-  struct bd_http_pair headers[]
-      = { { "Content-Type", "application/json" },
-          { "X-Attempt-Id", attempt != NULL ? attempt : "" },
-          { "X-Replica-Incarnation", incarnation },
-          { NULL, NULL } };
+  struct bd_http_pair headers[] = { { "Content-Type", "application/json" },
+                                    { "X-Attempt-Id", answer_id (e, x) },
+                                    { "X-Replica-Incarnation", incarnation },
+                                    { NULL, NULL } };
   char *text = talloc_strdup (x, "");
   char *body;
 
   snprintf (incarnation, sizeof incarnation, "%lld",
-            (long long)e->incarnation);
+            (long long)answer_incarnation (e));
   for (uint32_t i = 0; i < g->max_tokens; i++)
     {
       char token[16];
@@ -456,6 +490,12 @@
       e->model, text, g->max_tokens, g->max_tokens + 1);
   note (e, "finished", attempt != NULL ? attempt : "");
   drop_generation (g);
+  if (e->cut_whole > 0)
+    {
+      e->cut_whole--;
+      respond_half (x, headers, body);
+      return;
+    }
   bd_http_respond (x, 200, headers, body, strlen (body));
 }
 
@@ -561,16 +601,15 @@
 start_stream (struct generation *g)
 {
   struct bd_http_exchange *x = g->exchange;
-  const char *attempt = bd_http_header (x, "X-Attempt-Id");
+  struct engine *e = g->engine;
   char incarnation[32];
-  struct bd_http_pair headers[]
-      = { { "Content-Type", "text/event-stream" },
-          { "X-Attempt-Id", attempt != NULL ? attempt : "" },
-          { "X-Replica-Incarnation", incarnation },
-          { NULL, NULL } };
+  struct bd_http_pair headers[] = { { "Content-Type", "text/event-stream" },
+                                    { "X-Attempt-Id", answer_id (e, x) },
+                                    { "X-Replica-Incarnation", incarnation },
+                                    { NULL, NULL } };
 
   snprintf (incarnation, sizeof incarnation, "%lld",
-            (long long)g->engine->incarnation);
+            (long long)answer_incarnation (e));
   bd_http_stream_begin (x, 200, headers);
   step (NULL, NULL, (struct timeval){ 0 }, g);
 }
@@ -639,6 +678,12 @@
         e->load_ms = (uint32_t)json_integer_value (value);
       else if (strcmp (name, "break_after") == 0)
         e->break_after = (uint32_t)json_integer_value (value);
+      else if (strcmp (name, "wrong_id") == 0)
+        e->wrong_id = (uint32_t)json_integer_value (value);
+      else if (strcmp (name, "wrong_incarnation") == 0)
+        e->wrong_incarnation = (uint32_t)json_integer_value (value);
+      else if (strcmp (name, "cut_whole") == 0)
+        e->cut_whole = (uint32_t)json_integer_value (value);
       else if (strcmp (name, "crash_on") == 0)
         e->crash_on = talloc_strdup (e->process, json_string_value (value));
     }
