--- a/src/admission/admission_test.c
+++ b/src/admission/admission_test.c
@@ -1,9 +1,10 @@
 /* Tests of the admission slice: fair queues, bounds, limits by demand.  */
 
+#include "tests/unit.h"
+
 #include "admission/limits.h"
 #include "admission/queue.h"
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 static struct bd_waiting calls[2000];
@@ -143,24 +144,16 @@
   bd_limits_finish (&limits);
 }
 
+static const struct unit_test tests[] = {
+  { "weighted order", test_weighted_order },
+  { "a flood harms itself", test_flood_harms_itself },
+  { "bytes are bounded", test_bytes_are_bounded },
+  { "an unreachable deadline", test_unreachable_deadline_is_refused },
+  { "a limit is shared by demand", test_limit_is_shared_by_demand },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("admission", NULL, NULL);
-  CU_add_test (suite, "weighted order", test_weighted_order);
-  CU_add_test (suite, "a flood harms itself", test_flood_harms_itself);
-  CU_add_test (suite, "bytes are bounded", test_bytes_are_bounded);
-  CU_add_test (suite, "an unreachable deadline",
-               test_unreachable_deadline_is_refused);
-  CU_add_test (suite, "a limit is shared by demand",
-               test_limit_is_shared_by_demand);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return UNIT_RUN ("admission", tests);
 }
--- a/src/calls/calls_test.c
+++ b/src/calls/calls_test.c
@@ -1,9 +1,10 @@
 /* Tests of the calls slice.  */
 
+#include "tests/unit.h"
+
 #include "calls/call.h"
 #include "calls/sse.h"
 
-#include <CUnit/Basic.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -117,25 +118,17 @@
   talloc_free (ctx);
 }
 
+static const struct unit_test tests[] = {
+  { "an unsent booking", test_unsent_booking_may_go_elsewhere },
+  { "a stream without ids", test_stream_without_ids_is_not_resumed },
+  { "retry budget", test_retry_budget },
+  { "deadline", test_deadline },
+  { "events", test_events },
+  { "an endless event", test_endless_event_is_refused },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("calls", NULL, NULL);
-  CU_add_test (suite, "an unsent booking",
-               test_unsent_booking_may_go_elsewhere);
-  CU_add_test (suite, "a stream without ids",
-               test_stream_without_ids_is_not_resumed);
-  CU_add_test (suite, "retry budget", test_retry_budget);
-  CU_add_test (suite, "deadline", test_deadline);
-  CU_add_test (suite, "events", test_events);
-  CU_add_test (suite, "an endless event", test_endless_event_is_refused);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return UNIT_RUN ("calls", tests);
 }
--- a/src/claims/claims_test.c
+++ b/src/claims/claims_test.c
@@ -1,8 +1,9 @@
 /* Tests of the claims slice.  */
 
+#include "tests/unit.h"
+
 #include "claims/shard.h"
 
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -159,23 +160,16 @@
   CU_ASSERT_STRING_EQUAL (a, b);
 }
 
+static const struct unit_test tests[] = {
+  { "a resend is answered", test_resend_is_answered },
+  { "a released key is free", test_released_key_is_free },
+  { "segments roll", test_segments_roll_and_stay_small },
+  { "a full ring grants nothing", test_full_ring_grants_nothing },
+  { "keys", test_keys_differ_by_account_and_service },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("claims", NULL, NULL);
-  CU_add_test (suite, "a resend is answered", test_resend_is_answered);
-  CU_add_test (suite, "a released key is free", test_released_key_is_free);
-  CU_add_test (suite, "segments roll", test_segments_roll_and_stay_small);
-  CU_add_test (suite, "a full ring grants nothing",
-               test_full_ring_grants_nothing);
-  CU_add_test (suite, "keys", test_keys_differ_by_account_and_service);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return UNIT_RUN ("claims", tests);
 }
--- a/src/config/config_test.c
+++ b/src/config/config_test.c
@@ -1,9 +1,10 @@
 /* Tests of the config slice: service files, acceptance, and a revision that
    only rises.  */
 
+#include "tests/unit.h"
+
 #include "config/config.h"
 
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <string.h>
 #include <talloc.h>
@@ -212,29 +213,20 @@
   json_decref (bad);
 }
 
+static const struct unit_test tests[] = {
+  { "a good file", test_good_file },
+  { "faults name their line", test_faults_name_their_line },
+  { "accept and adopt", test_accept_and_adopt },
+  { "one bad file does not hold up the others",
+    test_one_bad_file_does_not_hold_up_the_others },
+  { "files that need each other", test_files_that_need_each_other },
+  { "an older generation is refused", test_older_generation_is_refused },
+  { "a removal is not undone", test_removal_is_not_undone },
+  { "an unreadable head", test_unreadable_head_leaves_what_is_in_force },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("config", NULL, NULL);
-  CU_add_test (suite, "a good file", test_good_file);
-  CU_add_test (suite, "faults name their line", test_faults_name_their_line);
-  CU_add_test (suite, "accept and adopt", test_accept_and_adopt);
-  CU_add_test (suite, "one bad file does not hold up the others",
-               test_one_bad_file_does_not_hold_up_the_others);
-  CU_add_test (suite, "files that need each other",
-               test_files_that_need_each_other);
-  CU_add_test (suite, "an older generation is refused",
-               test_older_generation_is_refused);
-  CU_add_test (suite, "a removal is not undone", test_removal_is_not_undone);
-  CU_add_test (suite, "an unreadable head",
-               test_unreadable_head_leaves_what_is_in_force);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return UNIT_RUN ("config", tests);
 }
--- /dev/null
+++ b/src/daemon/daemon_attempts.c
@@ -0,0 +1,385 @@
+/* Attempts: sending a call to its place and taking in what comes back.  */
+
+#include "daemon/job_internal.h"
+
+#include "base/log.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+enum
+{
+  MAX_ERROR_BODY_BYTES = 64 * 1024,
+  MAX_ATTEMPT_HEADERS = 12
+};
+
+/* The request was running where the replica broke.  */
+static void
+suspect (struct bd_job *job)
+{
+  struct bd_daemon *daemon = job->daemon;
+  struct bd_suspect_news news
+      = { .fingerprint = job->fingerprint, .place = job->place.hash };
+
+  if (job->place.group[0] == '\0')
+    return;
+  bd_daemon_doubt (daemon, job->place.hash);
+  if (bd_suspects_mark (&daemon->suspects, job->fingerprint, job->place.hash,
+                        bd_daemon_now_ms (daemon)))
+    bd_daemon_tell_all (daemon, BD_MESSAGE_SUSPECT, &news);
+}
+
+static void
+clear_suspicion (struct bd_job *job)
+{
+  struct bd_suspect_news news
+      = { .fingerprint = job->fingerprint, .is_cleared = true };
+
+  if (bd_suspects_clear (&job->daemon->suspects, job->fingerprint))
+    bd_daemon_tell_all (job->daemon, BD_MESSAGE_SUSPECT, &news);
+}
+
+static void
+attempt_failed (struct bd_job *job, enum bd_failure failure)
+{
+  struct bd_daemon *daemon = job->daemon;
+  struct bd_place place = job->place;
+  enum bd_action action;
+
+  bd_job_leave_place (job);
+  if (place.is_daemon && failure == BD_FAILURE_NOT_SENT)
+    bd_daemon_lose_centre (daemon, place.instance);
+  if (failure == BD_FAILURE_BROKEN)
+    suspect (job);
+  if (failure == BD_FAILURE_CROSSED)
+    bd_count (&daemon->counters, BD_COUNT_CROSSED);
+  action = bd_call_failed (&job->call, failure, &daemon->retries,
+                           bd_daemon_now_ms (daemon));
+  if (place.group[0] != '\0')
+    bd_daemon_check_group (daemon, place.group);
+  job->verdict = bd_suspects_judge (&daemon->suspects, job->fingerprint,
+                                    bd_daemon_now_ms (daemon));
+  if (action == BD_ACTION_DISPATCH && job->verdict == BD_VERDICT_REFUSE)
+    action = bd_call_refused (&job->call, BD_ERR_SUSPECT);
+  if (action == BD_ACTION_DISPATCH)
+    bd_count (&daemon->counters,
+              job->has_stream ? BD_COUNT_RESUMES : BD_COUNT_RETRIES);
+  bd_job_act (job, action);
+}
+
+static enum bd_failure
+failure_of (const struct bd_http_result *result)
+{
+  if (result->has_timed_out)
+    return BD_FAILURE_TIMEOUT;
+  return result->was_sent ? BD_FAILURE_BROKEN : BD_FAILURE_NOT_SENT;
+}
+
+/* Whether the head of an answer is that of this attempt: engines and daemons
+   give the attempt's id back, and engines the incarnation.  */
+static bool
+is_own_head (struct bd_job *job, struct bd_http_call *call)
+{
+  const char *id = bd_http_call_header (call, "X-Attempt-Id");
+  const char *incarnation
+      = bd_http_call_header (call, "X-Replica-Incarnation");
+
+  if (!job->is_model)
+    return id == NULL || strcmp (id, job->attempt_id) == 0;
+  if (id == NULL || strcmp (id, job->attempt_id) != 0)
+    return false;
+  if (job->place.is_daemon)
+    return true;
+  if (incarnation != NULL
+      && strtoll (incarnation, NULL, 10) == job->place.incarnation)
+    return true;
+  bd_count (&job->daemon->counters, BD_COUNT_WRONG_INCARNATION);
+  return false;
+}
+
+/* An answer by which the endpoint says that it has not started.  */
+static bool
+is_refusal (const struct bd_job *job, struct bd_http_call *call,
+            uint32_t status, const char *body)
+{
+  const char *run = bd_http_call_header (call, "X-Run-State");
+
+  if (job->place.is_daemon)
+    return run != NULL && strcmp (run, "not-run") == 0
+           && (status == 429 || status == 503);
+  return job->is_model && (status == 409 || status == 503) && body != NULL
+         && strstr (body, "\"started\":false") != NULL;
+}
+
+static void
+finish_whole (struct bd_job *job, struct bd_http_call *call, uint32_t status,
+              const char *body, size_t size)
+{
+  struct bd_daemon *daemon = job->daemon;
+  const char *type = bd_http_call_header (call, "Content-Type");
+  const char *replay = bd_http_call_header (call, "X-Run-State");
+  struct bd_http_pair headers[5]
+      = { { "Content-Type",
+            type != NULL ? type : "application/octet-stream" } };
+  uint32_t count = 1;
+
+  if (job->is_hop)
+    headers[count++] = (struct bd_http_pair){
+      "X-Attempt-Id", bd_http_header (job->exchange, "X-Attempt-Id")
+    };
+  if (replay != NULL)
+    headers[count++] = (struct bd_http_pair){ "X-Run-State", replay };
+  bd_call_finished (&job->call);
+  clear_suspicion (job);
+  bd_job_record_outcome (job, status, headers[0].value, body, size);
+  if (job->exchange != NULL)
+    {
+      bd_count (&daemon->counters, BD_COUNT_ANSWERS);
+      bd_http_respond (job->exchange, status, headers, body, size);
+    }
+  bd_job_end (job);
+}
+
+static void
+handle_whole_done (void *ctx, struct bd_http_call *call,
+                   const struct bd_http_result *result)
+{
+  struct bd_job *job = ctx;
+
+  job->attempt = NULL;
+  if (!result->is_whole)
+    attempt_failed (job, failure_of (result));
+  else if (is_refusal (job, call, result->status, result->body))
+    attempt_failed (job, BD_FAILURE_REFUSED);
+  else if (!is_own_head (job, call))
+    attempt_failed (job, BD_FAILURE_CROSSED);
+  else
+    finish_whole (job, call, result->status, result->body, result->body_size);
+}
+
+static const struct bd_http_call_ops whole_ops
+    = { NULL, NULL, handle_whole_done };
+
+static void
+begin_stream (struct bd_job *job)
+{
+  struct bd_http_pair headers[] = { { "Content-Type", "text/event-stream" },
+                                    { "Cache-Control", "no-store" },
+                                    { NULL, NULL },
+                                    { NULL, NULL } };
+
+  if (job->has_stream || job->exchange == NULL)
+    return;
+  if (job->is_hop)
+    headers[2] = (struct bd_http_pair){
+      "X-Attempt-Id", bd_http_header (job->exchange, "X-Attempt-Id")
+    };
+  job->has_stream = true;
+  bd_http_stream_begin (job->exchange, 200, headers);
+}
+
+static void
+handle_stream_head (void *ctx, struct bd_http_call *call, uint32_t status)
+{
+  struct bd_job *job = ctx;
+  const char *type = bd_http_call_header (call, "Content-Type");
+
+  job->is_streaming = status == 200 && type != NULL
+                      && strncmp (type, "text/event-stream", 17) == 0;
+  job->has_foreign_head = job->is_streaming && !is_own_head (job, call);
+}
+
+/* Gives one event on; returns false when the caller reads slowly.  */
+static bool
+give_event (struct bd_job *job, const struct bd_sse_event *event)
+{
+  if (!bd_call_is_new_event (&job->call, event->has_id, event->id))
+    return true;
+  begin_stream (job);
+  bd_call_event (&job->call,
+                 event->has_id || (event->is_end && job->call.can_resume),
+                 event->has_id ? event->id : job->call.last_event_id);
+  job->tokens++;
+  return bd_http_stream_write (job->exchange, event->text, event->size);
+}
+
+static bool
+handle_stream_data (void *ctx, struct bd_http_call *call, const char *data,
+                    size_t size)
+{
+  struct bd_job *job = ctx;
+  struct bd_sse_event event;
+  bool has_room = true;
+
+  (void)call;
+  if (!job->is_streaming)
+    {
+      size_t used = job->error_body != NULL ? strlen (job->error_body) : 0;
+      if (used + size < MAX_ERROR_BODY_BYTES)
+        job->error_body
+            = talloc_strndup_append_buffer (job->error_body, data, size);
+      return true;
+    }
+  if (job->has_foreign_head || job->exchange == NULL || job->has_ended)
+    return true;
+  if (!bd_sse_feed (&job->sse, data, size))
+    {
+      job->has_foreign_head = true;
+      return true;
+    }
+  while (!job->has_ended && bd_sse_next (&job->sse, &event))
+    {
+      has_room = give_event (job, &event) && has_room;
+      job->has_ended = event.is_end;
+    }
+  return has_room;
+}
+
+static void
+finish_stream (struct bd_job *job)
+{
+  struct bd_daemon *daemon = job->daemon;
+
+  if (job->place.group[0] != '\0' && job->tokens > 0)
+    bd_daemon_note_pace (daemon, job->place.group,
+                         bd_daemon_now_ms (daemon) - job->attempt_ms,
+                         job->tokens);
+  bd_call_finished (&job->call);
+  clear_suspicion (job);
+  bd_count (&daemon->counters, BD_COUNT_ANSWERS);
+  bd_http_stream_end (job->exchange, true);
+  bd_job_end (job);
+}
+
+static void
+handle_stream_done (void *ctx, struct bd_http_call *call,
+                    const struct bd_http_result *result)
+{
+  struct bd_job *job = ctx;
+  const char *body = job->error_body != NULL ? job->error_body : "";
+
+  job->attempt = NULL;
+  if (job->has_ended)
+    finish_stream (job);
+  else if (job->has_foreign_head)
+    attempt_failed (job, BD_FAILURE_CROSSED);
+  else if (!result->is_whole || job->is_streaming)
+    attempt_failed (job, result->is_whole ? BD_FAILURE_BROKEN
+                                          : failure_of (result));
+  else if (is_refusal (job, call, result->status, body))
+    attempt_failed (job, BD_FAILURE_REFUSED);
+  else if (job->has_stream)
+    attempt_failed (job, BD_FAILURE_BROKEN);
+  else
+    finish_whole (job, call, result->status, body, strlen (body));
+}
+
+static const struct bd_http_call_ops stream_ops
+    = { handle_stream_head, handle_stream_data, handle_stream_done };
+
+struct attempt_headers
+{
+  struct bd_http_pair pairs[MAX_ATTEMPT_HEADERS];
+  uint32_t count;
+  char incarnation[32];
+  char last_event[32];
+  char deadline[32];
+};
+
+static void
+add_header (struct attempt_headers *headers, const char *name,
+            const char *value)
+{
+  if (value != NULL && value[0] != '\0')
+    headers->pairs[headers->count++] = (struct bd_http_pair){ name, value };
+}
+
+static void
+fill_headers (struct bd_job *job, struct attempt_headers *headers)
+{
+  memset (headers, 0, sizeof *headers);
+  add_header (headers, "Content-Type", job->content_type);
+  add_header (headers, "X-Attempt-Id", job->attempt_id);
+  add_header (headers, "X-Client-Account", job->account);
+  add_header (headers, "Idempotency-Key", job->idempotency_key);
+  if (job->call.has_head && job->call.can_resume)
+    {
+      snprintf (headers->last_event, sizeof headers->last_event, "%lld",
+                (long long)job->call.last_event_id);
+      add_header (headers, "Last-Event-ID", headers->last_event);
+    }
+  if (job->place.group[0] != '\0')
+    {
+      snprintf (headers->incarnation, sizeof headers->incarnation, "%lld",
+                (long long)job->place.incarnation);
+      add_header (headers, "X-Replica-Group", job->place.group);
+      add_header (headers, "X-Replica-Incarnation", headers->incarnation);
+    }
+  if (!job->place.is_daemon)
+    return;
+  snprintf (
+      headers->deadline, sizeof headers->deadline, "%lld",
+      (long long)(job->call.deadline_ms - bd_daemon_now_ms (job->daemon)));
+  add_header (headers, "X-Deadline-Ms", headers->deadline);
+  add_header (headers, BD_HOP_HEADER,
+              job->verdict == BD_VERDICT_APART ? "suspect"
+              : job->place.is_relay            ? "relay"
+                                               : "room");
+}
+
+static void
+send_attempt (struct bd_job *job)
+{
+  struct bd_daemon *daemon = job->daemon;
+  struct attempt_headers headers;
+  char *url = talloc_asprintf (job, "http://%s:%u%s", job->place.address,
+                               job->place.port, job->uri);
+  struct bd_http_out out = { .method = job->method,
+                             .url = url,
+                             .headers = headers.pairs,
+                             .body = job->body,
+                             .body_size = job->body_size,
+                             .is_single_shot = !job->call.may_repeat };
+
+  bd_id_make (daemon->rng, job->attempt_id);
+  fill_headers (job, &headers);
+  bd_sse_reset (&job->sse);
+  TALLOC_FREE (job->error_body);
+  job->is_streaming = false;
+  job->has_foreign_head = false;
+  job->tokens = 0;
+  job->attempt_ms = bd_daemon_now_ms (daemon);
+  bd_call_sent (&job->call, job->place.hash);
+  bd_count (&daemon->counters, BD_COUNT_ATTEMPTS);
+  bd_daemon_enter_place (daemon, &job->place,
+                         job->verdict == BD_VERDICT_APART);
+  job->has_place = true;
+  job->attempt
+      = bd_http_send (&daemon->client, &out,
+                      job->call.is_stream ? &stream_ops : &whole_ops, job);
+  talloc_free (url);
+  if (job->attempt == NULL)
+    attempt_failed (job, BD_FAILURE_NOT_SENT);
+}
+
+void
+bd_job_dispatch (struct bd_job *job)
+{
+  struct bd_daemon *daemon = job->daemon;
+  enum bd_choice choice = bd_daemon_choose_place (daemon, job, &job->place);
+
+  job->is_parked = choice == BD_CHOICE_LATER;
+  if (choice == BD_CHOICE_NEVER)
+    bd_job_act (job, bd_call_no_place (&job->call, job->call.may_have_run
+                                                       ? BD_ERR_ENDPOINT_FAILED
+                                                       : BD_ERR_NO_ENDPOINT));
+  if (choice != BD_CHOICE_PLACE)
+    return;
+  if (job->place.group[0] != '\0')
+    bd_prefix_sent (&daemon->prefixes, &job->prefix, job->place.hash,
+                    bd_daemon_now_ms (daemon));
+  send_attempt (job);
+}
--- a/src/daemon/daemon_claims.c
+++ b/src/daemon/daemon_claims.c
@@ -27,7 +27,8 @@
 finish_work (struct bd_claim_work *work, enum bd_claim_result result)
 {
   work->claim.result = result;
-  work->done (work->ctx, work);
+  if (work->done != NULL)
+    work->done (work->ctx, work);
   talloc_free (work);
 }
 
--- /dev/null
+++ b/src/daemon/daemon_instances.c
@@ -0,0 +1,180 @@
+/* The instance list: read by relays, passed on to their data centre.  */
+
+#include "daemon/daemon_internal.h"
+
+#include "base/log.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+enum
+{
+  LIST_TIMEOUT_MS = 2000
+};
+
+static void
+take_entry (struct bd_daemon *daemon, const struct bd_instance *info)
+{
+  struct bd_endpoint *endpoint;
+
+  if (strcmp (info->pool, BD_POOL_DAEMONS) == 0)
+    {
+      if (info->peer_port != 0)
+        bd_membership_learn (&daemon->membership, info->name,
+                             info->data_centre, info->address,
+                             info->peer_port);
+      return;
+    }
+  endpoint = bd_daemon_endpoint (daemon, info->name);
+  if (endpoint == NULL)
+    {
+      endpoint = g_new0 (struct bd_endpoint, 1);
+      bd_name_copy (endpoint->info.name, info->name);
+      g_hash_table_insert (daemon->endpoints, endpoint->info.name, endpoint);
+    }
+  if (info->is_leaving && !endpoint->sighting.is_leaving)
+    bd_log ("endpoint-leaving", "instance", info->name, NULL);
+  endpoint->info = *info;
+  endpoint->is_listed = true;
+  endpoint->sighting.is_leaving = info->is_leaving;
+}
+
+static gboolean
+is_forgotten (gpointer key, gpointer value, gpointer ctx)
+{
+  struct bd_endpoint *endpoint = value;
+
+  (void)key;
+  (void)ctx;
+  return !endpoint->is_listed && endpoint->in_flight == 0
+         && !endpoint->is_polling;
+}
+
+static void
+take_list (struct bd_daemon *daemon, const char *text)
+{
+  void *ctx = talloc_new (daemon);
+  struct bd_instance_list list;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (bd_instances_parse (ctx, text, strlen (text), &list))
+    {
+      g_hash_table_iter_init (&iter, daemon->endpoints);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        ((struct bd_endpoint *)value)->is_listed = false;
+      for (uint32_t i = 0; i < list.count; i++)
+        take_entry (daemon, &list.items[i]);
+      g_hash_table_iter_init (&iter, daemon->endpoints);
+      /* An endpoint that is no longer listed is as good as leaving.  */
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        if (!((struct bd_endpoint *)value)->is_listed)
+          ((struct bd_endpoint *)value)->sighting.is_leaving = true;
+      g_hash_table_foreach_remove (daemon->endpoints, is_forgotten, NULL);
+      bd_keeper_list (&daemon->keeper, &list);
+      bd_daemon_pump (daemon);
+    }
+  talloc_free (ctx);
+}
+
+/* The part of the list that the daemons of this centre need.  */
+static json_t *
+own_part (const struct bd_daemon *daemon, const char *text, size_t size)
+{
+  json_t *root = json_loadb (text, size, 0, NULL);
+  json_t *kept = json_array ();
+  json_t *entry;
+  size_t i;
+
+  json_array_foreach (json_object_get (root, "instances"), i, entry)
+    {
+      const char *centre
+          = json_string_value (json_object_get (entry, "data_centre"));
+      const char *pool = json_string_value (json_object_get (entry, "pool"));
+      bool is_daemon = pool != NULL && strcmp (pool, BD_POOL_DAEMONS) == 0;
+      bool is_own = centre != NULL
+                    && strcmp (centre, daemon->settings->data_centre) == 0;
+      if (is_own || is_daemon)
+        json_array_append (kept, entry);
+    }
+  json_decref (root);
+  return json_pack ("{s:o}", "instances", kept);
+}
+
+void
+bd_daemon_send_instances (struct bd_daemon *daemon,
+                          const struct bd_member *member)
+{
+  char *text;
+  struct bd_document document;
+
+  if (daemon->instances_text == NULL)
+    return;
+  text = json_dumps (daemon->instances_text, JSON_COMPACT);
+  document.text = text;
+  bd_daemon_tell (daemon, member, BD_MESSAGE_INSTANCES, &document);
+  free (text);
+}
+
+static void
+push_instances (struct bd_daemon *daemon)
+{
+  for (uint32_t i = 1; i < daemon->membership.count; i++)
+    {
+      const struct bd_member *member = &daemon->membership.members[i];
+      if (member->is_live
+          && strcmp (member->data_centre, daemon->settings->data_centre) == 0
+          && !bd_membership_is_relay (&daemon->membership, member))
+        bd_daemon_send_instances (daemon, member);
+    }
+}
+
+void
+bd_daemon_take_instances (struct bd_daemon *daemon, const char *text)
+{
+  json_decref (daemon->instances_text);
+  daemon->instances_text = json_loads (text, 0, NULL);
+  take_list (daemon, text);
+}
+
+static void
+handle_list_done (void *ctx, struct bd_http_call *call,
+                  const struct bd_http_result *result)
+{
+  struct bd_daemon *daemon = ctx;
+  json_t *own;
+  char *text;
+
+  (void)call;
+  daemon->is_listing = false;
+  if (!result->is_whole || result->status != 200)
+    return;
+  own = own_part (daemon, result->body, result->body_size);
+  if (!json_equal (own, daemon->instances_text))
+    {
+      text = json_dumps (own, JSON_COMPACT);
+      bd_daemon_take_instances (daemon, text);
+      push_instances (daemon);
+      free (text);
+    }
+  json_decref (own);
+}
+
+static const struct bd_http_call_ops list_ops
+    = { NULL, NULL, handle_list_done };
+
+void
+bd_daemon_list_instances (void *ctx)
+{
+  struct bd_daemon *daemon = ctx;
+  struct bd_http_out out = { .method = "GET",
+                             .url = daemon->settings->instances_url,
+                             .timeout_ms = LIST_TIMEOUT_MS };
+  bool wants = daemon->instances_text == NULL || bd_daemon_is_relay (daemon);
+
+  if (!wants || daemon->is_listing)
+    return;
+  daemon->is_listing
+      = bd_http_send (&daemon->client, &out, &list_ops, daemon) != NULL;
+}
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -207,12 +207,14 @@
 void bd_daemon_send_allotment (struct bd_daemon *daemon,
                                const struct bd_member *member);
 
-/* daemon_observe.c: endpoints.  */
-void bd_daemon_poll (void *ctx);
+/* daemon_instances.c: the instance list.  */
 void bd_daemon_list_instances (void *ctx);
 void bd_daemon_take_instances (struct bd_daemon *daemon, const char *text);
 void bd_daemon_send_instances (struct bd_daemon *daemon,
                                const struct bd_member *member);
+
+/* daemon_observe.c: load reports and digests.  */
+void bd_daemon_poll (void *ctx);
 void bd_daemon_take_digest (struct bd_daemon *daemon,
                             const struct bd_digest *digest);
 void bd_daemon_take_groups (struct bd_daemon *daemon,
@@ -276,7 +278,7 @@
 uint32_t bd_daemon_rooms_elsewhere (struct bd_daemon *daemon,
                                     struct bd_room *rooms);
 
-/* daemon_calls.c: calls of callers.  */
+/* daemon_calls.c, daemon_jobs.c, daemon_attempts.c: calls of callers.  */
 
 /* One call with everything that carries it out.  */
 struct bd_job
@@ -339,7 +341,7 @@
 {
   struct bd_daemon *daemon;
   struct bd_claim claim;
-  /* Called once; result, and for a replay the outcome.  */
+  /* Called once, unless NULL; result, and for a replay the outcome.  */
   void (*done) (void *ctx, struct bd_claim_work *work);
   void *ctx;
   int64_t give_up_ms;
--- /dev/null
+++ b/src/daemon/daemon_jobs.c
@@ -0,0 +1,279 @@
+/* A job: one call with everything that carries it out, from its making to its
+   one final answer.  */
+
+#include "daemon/job_internal.h"
+
+#include "base/log.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+enum
+{
+  MS_PER_S = 1000,
+  LEAST_RETRY_AFTER_MS = 1000,
+  FAILURE_RETRY_AFTER_MS = 1000,
+  SECONDS_SIZE = 24
+};
+
+static void
+format_seconds (int64_t ms, char out[SECONDS_SIZE])
+{
+  int64_t wait_ms = ms > LEAST_RETRY_AFTER_MS ? ms : LEAST_RETRY_AFTER_MS;
+
+  snprintf (out, SECONDS_SIZE, "%lld",
+            (long long)((wait_ms + MS_PER_S - 1) / MS_PER_S));
+}
+
+static char *
+problem_text (void *ctx, enum bd_error error, enum bd_run_state run)
+{
+  return talloc_asprintf (
+      ctx,
+      "{\"type\":\"about:blank\",\"title\":\"%s\",\"status\":%u,"
+      "\"kind\":\"%s\",\"run\":\"%s\"}",
+      bd_error_text (error), bd_error_http_status (error),
+      bd_error_name (error), bd_run_state_name (run));
+}
+
+void
+bd_daemon_problem (struct bd_daemon *daemon, struct bd_http_exchange *exchange,
+                   enum bd_error error, enum bd_run_state run,
+                   int64_t retry_after_ms)
+{
+  char *text = problem_text (exchange, error, run);
+  char seconds[SECONDS_SIZE];
+  struct bd_http_pair headers[5]
+      = { { "Content-Type", "application/problem+json" },
+          { "X-Run-State", bd_run_state_name (run) } };
+  uint32_t count = 2;
+
+  format_seconds (retry_after_ms, seconds);
+  if (bd_error_is_temporary (error))
+    headers[count++] = (struct bd_http_pair){ "Retry-After", seconds };
+  if (error == BD_ERR_STOPPING)
+    headers[count++] = (struct bd_http_pair){ "Connection", "close" };
+  bd_count (&daemon->counters, BD_COUNT_ANSWERS);
+  bd_count (&daemon->counters, BD_COUNT_FAILURES);
+  bd_http_respond (exchange, bd_error_http_status (error), headers, text,
+                   strlen (text));
+}
+
+static void
+unlink_job (struct bd_job *job)
+{
+  struct bd_daemon *daemon = job->daemon;
+
+  if (job->prev != NULL)
+    job->prev->next = job->next;
+  else
+    daemon->jobs = job->next;
+  if (job->next != NULL)
+    job->next->prev = job->prev;
+  daemon->job_count--;
+}
+
+void
+bd_job_leave_place (struct bd_job *job)
+{
+  if (!job->has_place)
+    return;
+  job->has_place = false;
+  bd_daemon_leave_place (job->daemon, &job->place,
+                         job->verdict == BD_VERDICT_APART);
+}
+
+/* Frees a job; its answer has been given or nobody waits for it.  */
+void
+bd_job_end (struct bd_job *job)
+{
+  struct bd_pool *pool = bd_daemon_pool (job->daemon, job->service);
+
+  bd_job_leave_place (job);
+  if (job->waiting.lane != NULL)
+    bd_queue_remove (&pool->queue, &job->waiting);
+  else if (job->call.run == BD_RAN)
+    bd_queue_finished (&pool->queue,
+                       bd_daemon_now_ms (job->daemon) - job->attempt_ms,
+                       bd_daemon_now_ms (job->daemon));
+  if (job->attempt != NULL)
+    bd_http_call_cancel (job->attempt);
+  if (job->claim != NULL)
+    job->claim->ctx = NULL;
+  if (job->exchange != NULL)
+    job->exchange->user = NULL;
+  unlink_job (job);
+  talloc_free (job);
+}
+
+void
+bd_job_record (struct bd_job *job, enum bd_claim_kind kind, uint32_t status,
+               const char *content_type, const char *body)
+{
+  struct bd_claim claim = {
+    .kind = kind, .status = status, .content_type = content_type, .body = body
+  };
+
+  if (job->claim_key[0] == '\0')
+    return;
+  memcpy (claim.key, job->claim_key, BD_ID_SIZE);
+  memcpy (claim.id, job->call_id, BD_ID_SIZE);
+  bd_daemon_claim (job->daemon, &claim, NULL, NULL);
+}
+
+/* What a resend gets: the outcome, or only its status when it is too long or
+   not text.  */
+void
+bd_job_record_outcome (struct bd_job *job, uint32_t status,
+                       const char *content_type, const char *body, size_t size)
+{
+  bool can_keep = size <= BD_CLAIM_MAX_BODY_BYTES
+                  && memchr (body, '\0', size) == NULL
+                  && g_utf8_validate (body, (gssize)size, NULL);
+  char *text
+      = can_keep ? talloc_strndup (job, body, size) : talloc_strdup (job, "");
+
+  bd_job_record (job, BD_CLAIM_FINISH, status, content_type, text);
+}
+
+static int64_t
+retry_after_ms (struct bd_job *job)
+{
+  struct bd_daemon *daemon = job->daemon;
+  struct bd_pool *pool = bd_daemon_pool (daemon, job->service);
+  int64_t wait_ms = bd_queue_wait_ms (&pool->queue);
+
+  if (job->call.error == BD_ERR_SUSPECT)
+    return bd_suspects_wait_ms (&daemon->suspects, job->fingerprint,
+                                bd_daemon_now_ms (daemon));
+  return wait_ms > FAILURE_RETRY_AFTER_MS ? wait_ms : FAILURE_RETRY_AFTER_MS;
+}
+
+/* A stream that has begun ends with an error event, never silently.  */
+static void
+end_stream_with_error (struct bd_job *job)
+{
+  char *problem = problem_text (job, job->call.error, job->call.run);
+  char *event = talloc_asprintf (job, "event: error\ndata: %s\n\n", problem);
+
+  bd_count (&job->daemon->counters, BD_COUNT_ANSWERS);
+  bd_count (&job->daemon->counters, BD_COUNT_FAILURES);
+  bd_http_stream_write (job->exchange, event, strlen (event));
+  bd_http_stream_end (job->exchange, true);
+}
+
+void
+bd_job_fail (struct bd_job *job)
+{
+  if (job->call.run == BD_NOT_RUN)
+    bd_job_record (job, BD_CLAIM_RELEASE, 0, "", "");
+  else
+    bd_job_record (job, BD_CLAIM_FINISH, 0, "", "");
+  if (job->exchange != NULL && job->has_stream)
+    end_stream_with_error (job);
+  else if (job->exchange != NULL)
+    bd_daemon_problem (job->daemon, job->exchange, job->call.error,
+                       job->call.run, retry_after_ms (job));
+  bd_job_end (job);
+}
+
+void
+bd_job_act (struct bd_job *job, enum bd_action action)
+{
+  if (action == BD_ACTION_DISPATCH)
+    bd_job_dispatch (job);
+  else if (action == BD_ACTION_FAIL)
+    bd_job_fail (job);
+}
+
+static void
+handle_deadline (struct tevent_context *events, struct tevent_timer *timer,
+                 struct timeval now, void *private_data)
+{
+  struct bd_job *job = private_data;
+
+  (void)events;
+  (void)timer;
+  (void)now;
+  job->deadline = NULL;
+  if (job->attempt != NULL)
+    {
+      /* Closing the connection tells the endpoint to stop.  */
+      bd_http_call_cancel (job->attempt);
+      job->attempt = NULL;
+    }
+  bd_job_act (job, bd_call_expired (&job->call));
+}
+
+static int64_t
+deadline_of (struct bd_http_exchange *exchange,
+             const struct bd_service *service, int64_t now_ms)
+{
+  const char *asked = bd_http_header (exchange, "X-Deadline-Ms");
+  int64_t most = service->deadline_ms;
+  int64_t wanted = asked != NULL ? strtoll (asked, NULL, 10) : most;
+
+  return now_ms + (wanted > 0 && wanted < most ? wanted : most);
+}
+
+struct bd_job *
+bd_job_make (struct bd_daemon *daemon, struct bd_http_exchange *exchange,
+             const struct bd_request *request)
+{
+  struct bd_job *job = talloc_zero (daemon, struct bd_job);
+  const struct bd_service *service = request->service;
+  const char *account = bd_http_header (exchange, "X-Client-Account");
+  const char *key = bd_http_header (exchange, "Idempotency-Key");
+  const char *type = bd_http_header (exchange, "Content-Type");
+  const char *hop = bd_http_header (exchange, BD_HOP_HEADER);
+  const char *last = bd_http_header (exchange, "Last-Event-ID");
+  const struct bd_limit *limit;
+  int64_t deadline_ms
+      = deadline_of (exchange, service, bd_daemon_now_ms (daemon));
+
+  job->daemon = daemon;
+  job->exchange = exchange;
+  exchange->user = job;
+  bd_name_copy (job->service, service->name);
+  bd_name_copy (job->account, account != NULL ? account : "anonymous");
+  limit = bd_service_limit (service, job->account);
+  job->weight = limit != NULL ? limit->weight : 1.0;
+  job->method = talloc_strdup (job, exchange->method);
+  job->uri = talloc_strdup (job, exchange->uri);
+  job->body = talloc_steal (job, exchange->body);
+  exchange->body = NULL;
+  job->body_size = exchange->body_size;
+  job->content_type = talloc_strdup (job, type != NULL ? type : "");
+  job->idempotency_key = talloc_strdup (job, key != NULL ? key : "");
+  job->is_model = service->is_model;
+  job->is_hop = hop != NULL;
+  job->must_stay = hop != NULL && strcmp (hop, "suspect") == 0;
+  job->may_leave = hop != NULL && strcmp (hop, "relay") == 0;
+  job->fingerprint
+      = bd_hash_pair (job->service, job->account)
+        ^ bd_hash (job->body != NULL ? job->body : "", job->body_size);
+  if (request->prompt != NULL)
+    bd_prefix_make (&job->prefix, request->prompt, strlen (request->prompt));
+  bd_sse_init (&job->sse, job);
+  /* The daemon that passed the call on holds the claim.  */
+  bd_call_init (&job->call, service->may_repeat, key != NULL && !job->is_hop,
+                request->is_stream, deadline_ms);
+  if (job->is_hop && last != NULL)
+    bd_call_resume_after (&job->call, strtoll (last, NULL, 10));
+  job->deadline = tevent_add_timer (
+      daemon->events, job,
+      tevent_timeval_current_ofs (
+          (uint32_t)((deadline_ms - bd_daemon_now_ms (daemon)) / MS_PER_S),
+          (uint32_t)((deadline_ms - bd_daemon_now_ms (daemon)) % MS_PER_S)
+              * 1000),
+      handle_deadline, job);
+  job->next = daemon->jobs;
+  if (job->next != NULL)
+    job->next->prev = job;
+  daemon->jobs = job;
+  daemon->job_count++;
+  return job;
+}
--- a/src/groups/groups_test.c
+++ b/src/groups/groups_test.c
@@ -3,9 +3,10 @@
    A trace is a file of lines: what there is, then events and stated outcomes
    at their seconds (see tests/traces/README.md).  */
 
+#include "tests/unit.h"
+
 #include "tests/fakes/world.h"
 
-#include <CUnit/Basic.h>
 #include <dirent.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -450,23 +451,16 @@
   talloc_free (ctx);
 }
 
+static const struct unit_test tests[] = {
+  { "an allotment refuses a shared instance",
+    test_allotment_refuses_shared_instance },
+  { "an allotment survives its JSON", test_allotment_json_round_trip },
+  { "the gate", test_gate },
+  { "traces", test_traces },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("groups", NULL, NULL);
-  CU_add_test (suite, "an allotment refuses a shared instance",
-               test_allotment_refuses_shared_instance);
-  CU_add_test (suite, "an allotment survives its JSON",
-               test_allotment_json_round_trip);
-  CU_add_test (suite, "the gate", test_gate);
-  CU_add_test (suite, "traces", test_traces);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return UNIT_RUN ("groups", tests);
 }
--- a/src/membership/membership_test.c
+++ b/src/membership/membership_test.c
@@ -1,8 +1,9 @@
 /* Tests of the membership slice.  */
 
+#include "tests/unit.h"
+
 #include "membership/membership.h"
 
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <talloc.h>
 
@@ -134,21 +135,15 @@
   talloc_free (ctx);
 }
 
+static const struct unit_test tests[] = {
+  { "incarnations", test_incarnations },
+  { "a stopping member", test_stopping_member_has_no_duties },
+  { "duties are spread", test_duties_are_spread },
+  { "relays", test_only_relays_talk_to_other_centres },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("membership", NULL, NULL);
-  CU_add_test (suite, "incarnations", test_incarnations);
-  CU_add_test (suite, "a stopping member", test_stopping_member_has_no_duties);
-  CU_add_test (suite, "duties are spread", test_duties_are_spread);
-  CU_add_test (suite, "relays", test_only_relays_talk_to_other_centres);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return UNIT_RUN ("membership", tests);
 }
--- a/src/platform/platform_test.c
+++ b/src/platform/platform_test.c
@@ -1,10 +1,11 @@
 /* Tests of the platform slice: budgets, the breaker, settled updates, the
    instance list, and the client against a scripted Object API.  */
 
+#include "tests/unit.h"
+
 #include "platform/client.h"
 #include "platform/instances.h"
 
-#include <CUnit/Basic.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -284,31 +285,27 @@
   json_decref (other);
 }
 
+static const struct unit_test tests[] = {
+  { "token bucket", test_bucket },
+  { "circuit breaker", test_breaker },
+  { "backoff", test_backoff_grows_and_is_bounded },
+  { "a lost answer is found by its id", test_update_lost_answer_is_found },
+  { "a write that did not land is sent again",
+    test_update_not_applied_is_sent_again },
+  { "conflict", test_update_conflict },
+  { "recent write ids", test_envelope_keeps_recent_ids },
+  { "instance list", test_instances },
+  { "the client settles an update", test_client_settles },
+  { "the client loses an update", test_client_loses },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  int code;
 
   rng = gsl_rng_alloc (gsl_rng_mt19937);
-  CU_initialize_registry ();
-  suite = CU_add_suite ("platform", NULL, NULL);
-  CU_add_test (suite, "token bucket", test_bucket);
-  CU_add_test (suite, "circuit breaker", test_breaker);
-  CU_add_test (suite, "backoff", test_backoff_grows_and_is_bounded);
-  CU_add_test (suite, "a lost answer is found by its id",
-               test_update_lost_answer_is_found);
-  CU_add_test (suite, "a write that did not land is sent again",
-               test_update_not_applied_is_sent_again);
-  CU_add_test (suite, "conflict", test_update_conflict);
-  CU_add_test (suite, "recent write ids", test_envelope_keeps_recent_ids);
-  CU_add_test (suite, "instance list", test_instances);
-  CU_add_test (suite, "the client settles an update", test_client_settles);
-  CU_add_test (suite, "the client loses an update", test_client_loses);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
+  code = UNIT_RUN ("platform", tests);
   gsl_rng_free (rng);
-  return failures > 0;
+  return code;
 }
--- a/src/routing/routing_test.c
+++ b/src/routing/routing_test.c
@@ -1,9 +1,10 @@
 /* Tests of the routing slice.  */
 
+#include "tests/unit.h"
+
 #include "routing/prefix.h"
 #include "routing/routing.h"
 
-#include <CUnit/Basic.h>
 #include <string.h>
 
 static struct bd_routing_costs costs = { .prefill_ms = 100, .step_ms = 10 };
@@ -161,28 +162,24 @@
   bd_prefix_table_finish (&table);
 }
 
+static const struct unit_test tests[] = {
+  { "lagging reports", test_lagging_report_is_corrected },
+  { "full or tried", test_never_to_full_or_tried },
+  { "a share of a full replica", test_share_of_a_full_replica },
+  { "homes", test_homes_are_the_same_everywhere },
+  { "cache", test_cache_attracts_until_the_bound },
+  { "equal replicas", test_equal_replicas_share },
+  { "stragglers", test_straggler_gets_less },
+  { "prefix hints", test_prefix_hints },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
+  int code;
 
   rng = gsl_rng_alloc (gsl_rng_mt19937);
-  CU_initialize_registry ();
-  suite = CU_add_suite ("routing", NULL, NULL);
-  CU_add_test (suite, "lagging reports", test_lagging_report_is_corrected);
-  CU_add_test (suite, "full or tried", test_never_to_full_or_tried);
-  CU_add_test (suite, "a share of a full replica",
-               test_share_of_a_full_replica);
-  CU_add_test (suite, "homes", test_homes_are_the_same_everywhere);
-  CU_add_test (suite, "cache", test_cache_attracts_until_the_bound);
-  CU_add_test (suite, "equal replicas", test_equal_replicas_share);
-  CU_add_test (suite, "stragglers", test_straggler_gets_less);
-  CU_add_test (suite, "prefix hints", test_prefix_hints);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
+  code = UNIT_RUN ("routing", tests);
   gsl_rng_free (rng);
-  return failures > 0;
+  return code;
 }
--- a/src/settings/settings_test.c
+++ b/src/settings/settings_test.c
@@ -1,8 +1,9 @@
 /* Tests of the settings slice.  */
 
+#include "tests/unit.h"
+
 #include "settings/settings.h"
 
-#include <CUnit/Basic.h>
 #include <stdio.h>
 #include <string.h>
 #include <talloc.h>
@@ -62,19 +63,13 @@
   CU_ASSERT_EQUAL (s.http_port, 7);
 }
 
+static const struct unit_test tests[] = {
+  { "good", test_good },
+  { "faults", test_faults_leave_the_earlier_state },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("settings", NULL, NULL);
-  CU_add_test (suite, "good", test_good);
-  CU_add_test (suite, "faults", test_faults_leave_the_earlier_state);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return UNIT_RUN ("settings", tests);
 }
--- a/src/suspects/suspects_test.c
+++ b/src/suspects/suspects_test.c
@@ -1,8 +1,8 @@
 /* Tests of the suspects slice.  */
 
-#include "suspects/suspects.h"
+#include "tests/unit.h"
 
-#include <CUnit/Basic.h>
+#include "suspects/suspects.h"
 
 static void
 test_two_deaths_refuse (void)
@@ -67,21 +67,15 @@
   bd_suspects_finish (&s);
 }
 
+static const struct unit_test tests[] = {
+  { "two deaths", test_two_deaths_refuse },
+  { "the innocent", test_innocent_is_cleared },
+  { "acquittal", test_place_that_lives_acquits },
+  { "bounds", test_table_is_bounded },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("suspects", NULL, NULL);
-  CU_add_test (suite, "two deaths", test_two_deaths_refuse);
-  CU_add_test (suite, "the innocent", test_innocent_is_cleared);
-  CU_add_test (suite, "acquittal", test_place_that_lives_acquits);
-  CU_add_test (suite, "bounds", test_table_is_bounded);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return UNIT_RUN ("suspects", tests);
 }
--- a/src/wire/wire_test.c
+++ b/src/wire/wire_test.c
@@ -1,9 +1,10 @@
 /* Tests of the wire slice: messages survive packing, and nothing malformed is
    taken for a message.  */
 
+#include "tests/unit.h"
+
 #include "wire/messages.h"
 
-#include <CUnit/Basic.h>
 #include <gsl/gsl_rng.h>
 #include <string.h>
 #include <talloc.h>
@@ -84,20 +85,13 @@
   gsl_rng_free (rng);
 }
 
+static const struct unit_test tests[] = {
+  { "round trip", test_round_trip },
+  { "cut and damaged messages", test_cut_and_damaged_messages },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  CU_initialize_registry ();
-  suite = CU_add_suite ("wire", NULL, NULL);
-  CU_add_test (suite, "round trip", test_round_trip);
-  CU_add_test (suite, "cut and damaged messages",
-               test_cut_and_damaged_messages);
-  CU_basic_set_mode (CU_BRM_VERBOSE);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures > 0;
+  return UNIT_RUN ("wire", tests);
 }
