--- a/tests/paths/bad_input.sh
+++ b/tests/paths/bad_input.sh
@@ -30,6 +30,19 @@
 
 timeout 0.4 curl -s -N -d '{"model":"drafter","max_tokens":2000,"stream":true,"prompt":"gone"}' "$A/v1/completions" >/dev/null || true
 check "a caller that leaves cancels the engine's work" until_true 5 bash -c "curl -s $(engine 0)/record | grep -q cancelled"
+# A caller that closes with answers unread: its kernel sends a reset.  The
+# engines stand still, so that nothing else tells of it.
+leave='{"model":"drafter","max_tokens":3000,"stream":true,"prompt":"reset"}'
+for i in 1 2 3; do
+  exec 9<>"/dev/tcp/127.0.0.1/$((BASE_PORT + 1))"
+  printf 'POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s' "${#leave}" "$leave" >&9
+  sleep 0.3
+  for e in $(seq 0 9); do faults "$(engine "$e")" '{"freeze":true}'; done
+  exec 9>&-
+  check "no call is left after a reset" until_true 3 bash -c "[ \$(curl -s $A/burdockdale/state | jq .calls) = 0 ]"
+  for e in $(seq 0 9); do faults "$(engine "$e")" '{"freeze":false}'; done
+  until_true 5 has_open_groups "$A" drafts 2 || fail "no groups"
+done
 check "no call is left" until_true 5 bash -c "[ \$(curl -s $A/burdockdale/state | jq .calls) = 0 ]"
 check "a peer that talks nonsense is dropped" bash -c "head -c 3000 /dev/urandom >/dev/tcp/127.0.0.1/$((BASE_PORT + 101)) || true"
 sleep 0.3
