--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -193,6 +193,8 @@
 void bd_daemon_tell_all (struct bd_daemon *daemon, enum bd_message_type type,
                          const void *message);
 bool bd_daemon_is_relay (const struct bd_daemon *daemon);
+/* The lowest revision in force among the live daemons of this centre.  */
+int64_t bd_daemon_lowest_revision (const struct bd_daemon *daemon);
 
 /* daemon_config.c: the configuration.  */
 void bd_daemon_config_step (struct bd_daemon *daemon);
@@ -203,6 +205,9 @@
                             const struct bd_member *member);
 bool bd_daemon_is_config_keeper (const struct bd_daemon *daemon);
 
+/* daemon_status.c: the status that operators read.  */
+void bd_daemon_write_status (struct bd_daemon *daemon);
+
 /* daemon_groups.c: allotment and orders.  */
 void bd_daemon_keep_groups (void *ctx);
 void bd_daemon_offer_allotment (struct bd_daemon *daemon, const json_t *data,
--- a/src/daemon/daemon_observe.c
+++ b/src/daemon/daemon_observe.c
@@ -394,27 +394,12 @@
   talloc_free (items);
 }
 
-static const struct bd_member *
-find_keeper (const struct bd_daemon *daemon)
-{
-  const struct bd_member *lowest = NULL;
-
-  for (uint32_t i = 0; i < daemon->membership.count; i++)
-    {
-      const struct bd_member *member = &daemon->membership.members[i];
-      if (member->is_live && !member->is_stopping
-          && strcmp (member->data_centre, daemon->settings->data_centre) == 0
-          && (lowest == NULL || strcmp (member->name, lowest->name) < 0))
-        lowest = member;
-    }
-  return lowest;
-}
-
 void
 bd_daemon_send_digests (struct bd_daemon *daemon)
 {
   int64_t now_ms = bd_daemon_now_ms (daemon);
-  const struct bd_member *keeper = find_keeper (daemon);
+  const struct bd_member *keeper = bd_membership_keeper (
+      &daemon->membership, daemon->settings->data_centre);
 
   if (daemon->keeper.allotment != NULL)
     for (uint32_t i = 1; i < daemon->membership.count; i++)
--- a/src/daemon/daemon_peers.c
+++ b/src/daemon/daemon_peers.c
@@ -99,9 +99,8 @@
   beat->usage_count = fill_usages (daemon, usages);
 }
 
-/* The lowest revision in force among the live daemons of this centre.  */
-static int64_t
-lowest_revision (const struct bd_daemon *daemon)
+int64_t
+bd_daemon_lowest_revision (const struct bd_daemon *daemon)
 {
   int64_t lowest = daemon->config.revision;
 
@@ -144,7 +143,7 @@
   memset (news, 0, sizeof *news);
   bd_name_copy (news->name, settings->data_centre);
   news->live = bd_membership_live (&daemon->membership, settings->data_centre);
-  news->lowest_revision = lowest_revision (daemon);
+  news->lowest_revision = bd_daemon_lowest_revision (daemon);
   bd_name_copy (news->address, settings->address);
   news->http_port = settings->http_port;
   news->rooms = rooms;
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -175,19 +175,28 @@
   return best != NULL ? best : &membership->members[0];
 }
 
+const struct bd_member *
+bd_membership_keeper (const struct bd_membership *membership,
+                      const char *data_centre)
+{
+  const struct bd_member *lowest = NULL;
+
+  for (uint32_t i = 0; i < membership->count; i++)
+    {
+      const struct bd_member *member = &membership->members[i];
+      if (is_candidate (member, data_centre)
+          && (lowest == NULL || strcmp (member->name, lowest->name) < 0))
+        lowest = member;
+    }
+  return lowest;
+}
+
 bool
 bd_membership_is_keeper (const struct bd_membership *membership,
                          const char *data_centre)
 {
-  const struct bd_member *self = &membership->members[0];
-
-  if (!is_candidate (self, data_centre))
-    return false;
-  for (uint32_t i = 1; i < membership->count; i++)
-    if (is_candidate (&membership->members[i], data_centre)
-        && strcmp (membership->members[i].name, self->name) < 0)
-      return false;
-  return true;
+  return bd_membership_keeper (membership, data_centre)
+         == &membership->members[0];
 }
 
 bool
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -97,8 +97,13 @@
 bd_membership_first (const struct bd_membership *membership,
                      const char *data_centre, const char *key);
 
-/* bd_membership_is_keeper(): whether this daemon is the lowest-ranked live
-   one (by name) of data_centre (NULL: of all).  */
+/* bd_membership_keeper(): the lowest-ranked live member (by name) of
+   data_centre (NULL: of all), or NULL.  */
+const struct bd_member *
+bd_membership_keeper (const struct bd_membership *membership,
+                      const char *data_centre);
+
+/* bd_membership_is_keeper(): whether this daemon is the keeper.  */
 bool bd_membership_is_keeper (const struct bd_membership *membership,
                               const char *data_centre);
 
