Groups: domains without a group hold weights as well

Cause: the new path domain_dark (kill -9 of every engine of a fabric domain) showed that a domain which comes back empty, its groups now elsewhere, loads nothing: spares were only assigned where a service has a group. The next dark domain then costs a load.

Ruled out: moving a group back to the empty domain; it cuts nothing, but drains a healthy group for a gain that warm spares give for nothing.

Change: what is left over in any domain holds the weights of the service with the highest priority.

--- a/src/groups/plan_spares.c
+++ b/src/groups/plan_spares.c
@@ -84,6 +84,15 @@
       mark_warm (plan, service, plan->next->groups[i].domain, UINT32_MAX);
 }
 
+/* Instances of domains without a group hold weights as well: they are what is
+   left when a whole domain goes dark.  */
+static void
+mark_everywhere (struct bd_plan *plan, const struct bd_service *service)
+{
+  for (uint32_t i = 0; i < plan->domain_count && service->replicas > 0; i++)
+    mark_warm (plan, service, plan->domains[i], UINT32_MAX);
+}
+
 void
 bd_keeper_assign_spares (struct bd_keeper *keeper,
                          const struct bd_allotment *allotment, int64_t now_ms)
@@ -110,5 +119,8 @@
   for (uint32_t i = 0; i < keeper->service_count; i++)
     if (sorted[i]->is_model)
       mark_spares (&plan, sorted[i]);
+  for (uint32_t i = 0; i < keeper->service_count; i++)
+    if (sorted[i]->is_model)
+      mark_everywhere (&plan, sorted[i]);
   talloc_free (plan.next);
 }
