Observation: a daemon lists its groups once a beat

Cause, worked out from membership-duty-us (4 us at 63 members): the digest asked for every member and group whether this daemon watches the group, 62 x 46 x 4 us = 11 ms a beat at full size, 0.75% of a core.

Ruled out: caching duties across beats; members change.

Change: the watched groups are listed once, then told to each member.

Before 11.4 ms, after 46 x 4 + 62 x 1.5 x 4 = 0.6 ms a beat (worked out from the slope, not measured at that size). Path leaving passes.

--- a/src/daemon/daemon_observe.c
+++ b/src/daemon/daemon_observe.c
@@ -325,29 +325,65 @@
   return true;
 }
 
-/* Tells the daemons of this centre which groups are whole; those that watch a
-   group themselves need no telling.  */
-static void
-tell_groups (struct bd_daemon *daemon, const struct bd_member *member,
-             int64_t now_ms)
+/* The groups that this daemon watches and finds whole.  */
+struct watched
 {
   struct bd_whole_group items[MAX_WHOLE];
-  struct bd_group_digest digest = { .items = items };
+  const char *ids[MAX_WHOLE];
+  uint32_t count;
+};
+
+static void
+list_watched (const struct bd_daemon *daemon, int64_t now_ms,
+              struct watched *out)
+{
   const struct bd_allotment *allotment = daemon->keeper.allotment;
 
-  for (uint32_t i = 0; i < allotment->count && digest.count < MAX_WHOLE; i++)
+  out->count = 0;
+  for (uint32_t i = 0; i < allotment->count && out->count < MAX_WHOLE; i++)
     {
       const struct bd_group *group = &allotment->groups[i];
-      if (is_observer (daemon, group->id)
-          && !bd_membership_is_duty (&daemon->membership, member->name,
-                                     member->data_centre, group->id, OBSERVERS)
-          && is_whole_here (daemon, group, now_ms, &items[digest.count]))
-        digest.count++;
+      if (!is_observer (daemon, group->id)
+          || !is_whole_here (daemon, group, now_ms, &out->items[out->count]))
+        continue;
+      out->ids[out->count++] = group->id;
     }
+}
+
+/* Tells a daemon of this centre which groups are whole; of those that it
+   watches itself it needs no telling.  */
+static void
+tell_groups (struct bd_daemon *daemon, const struct bd_member *member,
+             const struct watched *watched)
+{
+  struct bd_whole_group items[MAX_WHOLE];
+  struct bd_group_digest digest = { .items = items };
+
+  for (uint32_t i = 0; i < watched->count; i++)
+    if (!bd_membership_is_duty (&daemon->membership, member->name,
+                                member->data_centre, watched->ids[i],
+                                OBSERVERS))
+      items[digest.count++] = watched->items[i];
   if (digest.count > 0)
     bd_daemon_tell (daemon, member, BD_MESSAGE_GROUPS, &digest);
 }
 
+/* The same for every daemon of this centre.  */
+static void
+tell_centre_groups (struct bd_daemon *daemon, int64_t now_ms)
+{
+  struct watched watched;
+
+  list_watched (daemon, now_ms, &watched);
+  for (uint32_t i = 1; i < daemon->membership.count; i++)
+    {
+      const struct bd_member *member = &daemon->membership.members[i];
+      if (member->is_live
+          && strcmp (member->data_centre, daemon->settings->data_centre) == 0)
+        tell_groups (daemon, member, &watched);
+    }
+}
+
 static void
 fill_seen (const struct bd_endpoint *endpoint, int64_t now_ms,
            struct bd_seen *seen)
@@ -402,14 +438,7 @@
       &daemon->membership, daemon->settings->data_centre);
 
   if (daemon->keeper.allotment != NULL)
-    for (uint32_t i = 1; i < daemon->membership.count; i++)
-      {
-        const struct bd_member *member = &daemon->membership.members[i];
-        if (member->is_live
-            && strcmp (member->data_centre, daemon->settings->data_centre)
-                   == 0)
-          tell_groups (daemon, member, now_ms);
-      }
+    tell_centre_groups (daemon, now_ms);
   if (keeper != NULL && keeper != bd_membership_self (&daemon->membership))
     tell_keeper (daemon, keeper, now_ms);
 }
