Groups: no waiting where engines refuse old orders

Cause: a service file says whether its engines check fences, and the keeper did not read it: after each change of keeper all orders waited out the old keeper's bound of 5 s.

Ruled out: dropping the wait for all; engines that ignore fences may still get the old keeper's last orders within its bound.

Change: only orders for services whose engines ignore fences wait.

Before: trace failover-with-fences (keeper and member die together) had no open group after silence, join and a second.

--- a/src/groups/groups_properties.cc
+++ b/src/groups/groups_properties.cc
@@ -87,8 +87,10 @@
         world_add_unit (world, name, i < 6 ? "A" : "B", "p")->checks_fence
             = checks_fence;
       }
-    world_add_service (world, "high", "p", 3, 2, 10);
-    world_add_service (world, "low", "p", 2, 1, 1);
+    world_add_service (world, "high", "p", 3, 2, 10)->engines_check_fence
+        = checks_fence;
+    world_add_service (world, "low", "p", 2, 1, 1)->engines_check_fence
+        = checks_fence;
     world_add_keeper (world, "k1", &limits, &bd_mend_by_cost);
     world_add_keeper (world, "k2", &limits, &bd_mend_by_cost);
     world_run (world, 15000);
--- a/src/groups/groups_test.c
+++ b/src/groups/groups_test.c
@@ -244,6 +244,8 @@
     world->lose_answers = number (line, 3);
   else if (strcmp (event, "version") == 0)
     bd_name_copy (world->services[number (line, 3)].version, word (line, 4));
+  else if (strcmp (event, "fences-checked") == 0)
+    world->services[number (line, 3)].engines_check_fence = true;
   else if (strcmp (event, "replicas") == 0)
     world->services[number (line, 3)].replicas = number (line, 4);
   else if (strcmp (event, "ignore-fences") == 0)
--- a/src/groups/keeper.c
+++ b/src/groups/keeper.c
@@ -146,8 +146,7 @@
 {
   return keeper->allotment != NULL && keeper->is_chosen && keeper->is_confirmed
          && strcmp (keeper->allotment->keeper, keeper->self) == 0
-         && now_ms - keeper->confirmed_ms < keeper->limits.keeper_bound_ms
-         && now_ms >= keeper->orders_from_ms;
+         && now_ms - keeper->confirmed_ms < keeper->limits.keeper_bound_ms;
 }
 
 bool
--- a/src/groups/keeper.h
+++ b/src/groups/keeper.h
@@ -153,7 +153,8 @@
 struct bd_allotment *bd_keeper_plan (struct bd_keeper *keeper, void *ctx,
                                      int64_t now_ms);
 
-/* bd_keeper_may_order(): whether orders may go out now.  */
+/* bd_keeper_may_order(): whether orders may go out now.  Those to engines that
+   ignore fences also wait until orders_from_ms.  */
 bool bd_keeper_may_order (const struct bd_keeper *keeper, int64_t now_ms);
 
 /* bd_keeper_orders(): fills orders (room for max) and returns their number.
--- a/src/groups/keeper_orders.c
+++ b/src/groups/keeper_orders.c
@@ -5,6 +5,15 @@
 
 #include <string.h>
 
+/* What an instance should be told.  */
+struct wish
+{
+  const struct bd_service *service; /* NULL when none needs it.  */
+  const struct bd_group *group;     /* NULL when it is to be in none.  */
+  const char *model;
+  const char *version;
+};
+
 struct order_list
 {
   struct bd_order *items;
@@ -23,8 +32,7 @@
 
 static void
 add_order (struct bd_keeper *keeper, struct order_list *list,
-           struct bd_unit *unit, const struct bd_group *group,
-           const char *model, const char *version, int64_t now_ms)
+           struct bd_unit *unit, const struct wish *wish, int64_t now_ms)
 {
   struct bd_order *order = &list->items[list->count++];
 
@@ -34,27 +42,39 @@
   order->port = unit->info.port;
   order->fence_term = keeper->allotment->term;
   order->fence_sequence = keeper->allotment->sequence;
-  bd_name_copy (order->model, model);
-  bd_name_copy (order->version, version);
-  order->members = group;
-  if (group != NULL)
+  bd_name_copy (order->model, wish->model);
+  bd_name_copy (order->version, wish->version);
+  order->members = wish->group;
+  if (wish->group != NULL)
     {
-      bd_name_copy (order->group, group->id);
-      order->incarnation = group->incarnation;
+      bd_name_copy (order->group, wish->group->id);
+      order->incarnation = wish->group->incarnation;
     }
   unit->ordered_ms = now_ms;
   unit->ordered_sequence = keeper->allotment->sequence;
 }
 
+/* After a change of keeper the old one's last orders may still arrive.
+   Engines that check fences refuse them; for others its bound is waited out.
+ */
+static bool
+is_waiting_out (const struct bd_keeper *keeper,
+                const struct bd_service *service, int64_t now_ms)
+{
+  return now_ms < keeper->orders_from_ms
+         && (service == NULL || !service->engines_check_fence);
+}
+
 static void
 consider (struct bd_keeper *keeper, struct order_list *list,
-          struct bd_unit *unit, const struct bd_group *group,
-          const char *model, const char *version, int64_t now_ms)
+          struct bd_unit *unit, const struct wish *wish, int64_t now_ms)
 {
-  bool needs_load = !bd_report_holds (&unit->report, model, version);
+  bool needs_load
+      = !bd_report_holds (&unit->report, wish->model, wish->version);
   bool is_loading = unit->report.phase == BD_PHASE_LOADING;
 
-  if (list->count == list->max || was_ordered_lately (keeper, unit, now_ms))
+  if (list->count == list->max || was_ordered_lately (keeper, unit, now_ms)
+      || is_waiting_out (keeper, wish->service, now_ms))
     return;
   if (needs_load && !is_loading)
     {
@@ -62,7 +82,7 @@
         return;
       list->loading++;
     }
-  add_order (keeper, list, unit, group, model, version, now_ms);
+  add_order (keeper, list, unit, wish, now_ms);
 }
 
 static bool
@@ -81,14 +101,18 @@
 order_members (struct bd_keeper *keeper, struct order_list *list,
                const struct bd_group *group, int64_t now_ms)
 {
+  struct wish wish = { .service = bd_keeper_service (keeper, group->service),
+                       .group = group,
+                       .model = group->model,
+                       .version = group->version };
+
   for (uint32_t i = 0; i < group->member_count; i++)
     {
       struct bd_unit *unit = bd_keeper_unit (keeper, group->members[i]);
       if (bd_unit_is_lost (keeper, unit, now_ms)
           || is_as_ordered (unit, group))
         continue;
-      consider (keeper, list, unit, group, group->model, group->version,
-                now_ms);
+      consider (keeper, list, unit, &wish, now_ms);
     }
 }
 
@@ -101,19 +125,21 @@
   const struct bd_service *service
       = bd_keeper_service (keeper, unit->warm_for);
   bool is_in_group = unit->report.group[0] != '\0';
+  struct wish wish = { .service = service,
+                       .model = unit->report.model,
+                       .version = unit->report.version };
 
-  if (service == NULL)
+  if (service != NULL)
     {
-      if (is_in_group)
-        consider (keeper, list, unit, NULL, unit->report.model,
-                  unit->report.version, now_ms);
-      return;
+      wish.model = service->model;
+      wish.version = service->version;
     }
-  if (is_in_group || unit->report.phase == BD_PHASE_IDLE
-      || strcmp (unit->report.model, service->model) != 0
-      || strcmp (unit->report.version, service->version) != 0)
-    consider (keeper, list, unit, NULL, service->model, service->version,
-              now_ms);
+  if (is_in_group
+      || (service != NULL
+          && (unit->report.phase == BD_PHASE_IDLE
+              || strcmp (unit->report.model, wish.model) != 0
+              || strcmp (unit->report.version, wish.version) != 0)))
+    consider (keeper, list, unit, &wish, now_ms);
 }
 
 static uint32_t
