Calls: a handed-over call outlives its daemon; outcomes that are not kept

Cause, by reading: - A daemon that carries on a booking for another one read a header of the request after that daemon had gone, and died (spill: kill -9 of the first daemon during the booking). The same was open for a stream's end. - The outcome of a keyed call over 8 KB was recorded by its status with an empty body; a resend got 200 and nothing: an answer that is not whole.

Ruled out: keeping long outcomes; a shard's segment holds 32 KB.

Change: both places look whether the caller is there; an outcome that cannot be kept is answered as `outcome-not-kept`, run "ran".

--- a/src/base/error.c
+++ b/src/base/error.c
@@ -46,6 +46,9 @@
   [BD_ERR_KEY_UNKNOWN]
   = { "key-unknown", "the outcome of the call with this key is unknown", 409,
       false },
+  [BD_ERR_OUTCOME_NOT_KEPT]
+  = { "outcome-not-kept",
+      "the call with this key ran; its answer was not kept", 409, false },
   [BD_ERR_SUSPECT]
   = { "suspect", "this request has crashed endpoints and is refused", 503,
       true },
--- a/src/calls/call.c
+++ b/src/calls/call.c
@@ -154,6 +154,15 @@
   return fail (call, error);
 }
 
+enum bd_action
+bd_call_ran_before (struct bd_call *call)
+{
+  enum bd_action action = fail (call, BD_ERR_OUTCOME_NOT_KEPT);
+
+  call->run = BD_RAN;
+  return action;
+}
+
 enum bd_action
 bd_call_expired (struct bd_call *call)
 {
--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -118,6 +118,10 @@
 /* bd_call_refused(): admission, a claim or a suspicion refuses it.  */
 enum bd_action bd_call_refused (struct bd_call *call, enum bd_error error);
 
+/* bd_call_ran_before(): a call with its key has run, and nobody can say any
+   more what it answered.  */
+enum bd_action bd_call_ran_before (struct bd_call *call);
+
 /* bd_call_expired(): its deadline has passed.  */
 enum bd_action bd_call_expired (struct bd_call *call);
 
--- a/src/calls/calls_test.c
+++ b/src/calls/calls_test.c
@@ -81,6 +81,18 @@
   CU_ASSERT_EQUAL (call.run, BD_NOT_RUN);
 }
 
+static void
+test_key_that_ran (void)
+{
+  struct bd_call call;
+
+  bd_call_init (&call, false, true, false, 1000);
+  CU_ASSERT_EQUAL (bd_call_admitted (&call), BD_ACTION_CLAIM);
+  CU_ASSERT_EQUAL (bd_call_ran_before (&call), BD_ACTION_FAIL);
+  CU_ASSERT_EQUAL (call.error, BD_ERR_OUTCOME_NOT_KEPT);
+  CU_ASSERT_EQUAL (call.run, BD_RAN);
+}
+
 static void
 test_events (void)
 {
@@ -123,6 +135,7 @@
   { "a stream without ids", test_stream_without_ids_is_not_resumed },
   { "retry budget", test_retry_budget },
   { "deadline", test_deadline },
+  { "a key that ran", test_key_that_ran },
   { "events", test_events },
   { "an endless event", test_endless_event_is_refused },
 };
--- a/src/claims/shard.h
+++ b/src/claims/shard.h
@@ -52,6 +52,13 @@
   BD_CLAIM_UNAVAILABLE  /* Nothing was committed.  */
 };
 
+/* Outcomes that are no HTTP status.  */
+enum
+{
+  BD_OUTCOME_UNKNOWN = 0, /* Nobody knows whether the call ran.  */
+  BD_OUTCOME_NOT_KEPT = 1 /* It ran; its answer is too long or no text.  */
+};
+
 /* One wish to add an entry.  */
 struct bd_claim
 {
--- a/src/daemon/daemon_attempts.c
+++ b/src/daemon/daemon_attempts.c
@@ -126,7 +126,7 @@
             type != NULL ? type : "application/octet-stream" } };
   uint32_t count = 1;
 
-  if (job->is_hop)
+  if (job->is_hop && job->exchange != NULL)
     headers[count++] = (struct bd_http_pair){
       "X-Attempt-Id", bd_http_header (job->exchange, "X-Attempt-Id")
     };
@@ -249,8 +249,11 @@
                          job->tokens);
   bd_call_finished (&job->call);
   clear_suspicion (job);
-  bd_count (&daemon->counters, BD_COUNT_ANSWERS);
-  bd_http_stream_end (job->exchange, true);
+  if (job->exchange != NULL)
+    {
+      bd_count (&daemon->counters, BD_COUNT_ANSWERS);
+      bd_http_stream_end (job->exchange, true);
+    }
   bd_job_end (job);
 }
 
--- a/src/daemon/daemon_calls.c
+++ b/src/daemon/daemon_calls.c
@@ -24,7 +24,13 @@
                                     { NULL, NULL } };
 
   bd_count (&job->daemon->counters, BD_COUNT_CLAIM_REPLAYS);
-  if (claim->status == 0)
+  if (claim->status == BD_OUTCOME_NOT_KEPT)
+    {
+      job->claim_key[0] = '\0';
+      bd_job_act (job, bd_call_ran_before (&job->call));
+      return;
+    }
+  if (claim->status == BD_OUTCOME_UNKNOWN)
     {
       job->claim_key[0] = '\0';
       job->call.may_have_run = true;
--- a/src/daemon/daemon_jobs.c
+++ b/src/daemon/daemon_jobs.c
@@ -124,8 +124,6 @@
   bd_daemon_claim (job->daemon, &claim, NULL, NULL);
 }
 
-/* What a resend gets: the outcome, or only its status when it is too long or
-   not text.  */
 void
 bd_job_record_outcome (struct bd_job *job, uint32_t status,
                        const char *content_type, const char *body, size_t size)
@@ -133,10 +131,12 @@
   bool can_keep = size <= BD_CLAIM_MAX_BODY_BYTES
                   && memchr (body, '\0', size) == NULL
                   && g_utf8_validate (body, (gssize)size, NULL);
-  char *text
-      = can_keep ? talloc_strndup (job, body, size) : talloc_strdup (job, "");
 
-  bd_job_record (job, BD_CLAIM_FINISH, status, content_type, text);
+  if (can_keep)
+    bd_job_record (job, BD_CLAIM_FINISH, status, content_type,
+                   talloc_strndup (job, body, size));
+  else
+    bd_job_record (job, BD_CLAIM_FINISH, BD_OUTCOME_NOT_KEPT, "", "");
 }
 
 static int64_t
@@ -171,7 +171,7 @@
   if (job->call.run == BD_NOT_RUN)
     bd_job_record (job, BD_CLAIM_RELEASE, 0, "", "");
   else
-    bd_job_record (job, BD_CLAIM_FINISH, 0, "", "");
+    bd_job_record (job, BD_CLAIM_FINISH, BD_OUTCOME_UNKNOWN, "", "");
   if (job->exchange != NULL && job->has_stream)
     end_stream_with_error (job);
   else if (job->exchange != NULL)
--- a/src/daemon/job_internal.h
+++ b/src/daemon/job_internal.h
@@ -33,8 +33,8 @@
                     uint32_t status, const char *content_type,
                     const char *body);
 
-/* bd_job_record_outcome(): the same for an answer; a long one or one that is
-   not text is kept by its status alone.  */
+/* bd_job_record_outcome(): the same for an answer; of a long one or one that
+   is not text it is kept that the call ran.  */
 void bd_job_record_outcome (struct bd_job *job, uint32_t status,
                             const char *content_type, const char *body,
                             size_t size);
--- a/tests/fakes/service.c
+++ b/tests/fakes/service.c
@@ -2,7 +2,8 @@
 
    GET /state                     load report
    GET /record                    {"runs": {key: count}, "total": n}
-   POST /faults {"slow_ms": n, "cut_after_run": n, "refuse": b, "dead": b}
+   POST /faults {"slow_ms": n, "cut_after_run": n, "refuse": b, "dead": b,
+                 "long_answer": bytes}
    anything else                  one run  */
 
 #include "tests/fakes/fakes.h"
@@ -20,6 +21,7 @@
   uint32_t running;
   uint32_t slow_ms;
   uint32_t cut_after_run;
+  uint32_t long_answer; /* Bytes added to each answer.  */
   bool refuses;
   bool is_dead;
 };
@@ -38,6 +40,8 @@
       s->name, (unsigned long long)s->total, key != NULL ? key : "",
       x->body_size);
 
+  if (s->long_answer > 0)
+    text = talloc_asprintf_append (text, "%*s", (int)s->long_answer, ".");
   if (s->cut_after_run > 0)
     {
       s->cut_after_run--;
@@ -94,6 +98,8 @@
         s->slow_ms = (uint32_t)json_integer_value (value);
       else if (strcmp (name, "cut_after_run") == 0)
         s->cut_after_run = (uint32_t)json_integer_value (value);
+      else if (strcmp (name, "long_answer") == 0)
+        s->long_answer = (uint32_t)json_integer_value (value);
       else if (strcmp (name, "refuse") == 0)
         s->refuses = json_is_true (value);
       else if (strcmp (name, "dead") == 0)
--- a/tests/paths/spill.sh
+++ b/tests/paths/spill.sh
@@ -26,6 +26,25 @@
 check "one of the three is no relay" equals "$relays" 2
 check "a booking is served as well" equals "$(book "$A" far | jq -r .key)" far
 check "once" equals "$(runs far)" 1
+# The daemon that handed a booking over is killed before its answer.
+faults "$LEAGUE" '{"slow_ms":600}'
+book "$B" orphan >/dev/null 2>&1 &
+caller=$!
+sleep 0.25
+kill_hard b
+wait "$caller" || true
+sleep 0.8
+check "the daemon that took it over lives on" equals "$(get -o /dev/null -w '%{http_code}' "$N/healthz")" 200
+check "and the booking ran once" equals "$(runs orphan)" 1
+faults "$LEAGUE" '{"slow_ms":0}'
+# An outcome that is too long to keep: a resend is told that the call ran.
+faults "$LEAGUE" '{"long_answer":20000}'
+long=$(book "$A" long | wc -c)
+check "a long answer is whole" test "$long" -ge 20000
+faults "$LEAGUE" '{"long_answer":0}'
+not_kept () { [ "$(book "$A" long | jq -r '.kind + "," + .run')" = outcome-not-kept,ran ]; }
+check "its resend is told that it ran" until_true 5 not_kept
+check "and it ran once" equals "$(runs long)" 1
 kill_hard n
 sleep 2
 code=$(post -o "$WORK/none" -w '%{http_code}' -d '{"model":"drafter","prompt":"x"}' "$A/v1/completions")
