Membership: replaced daemons are forgotten

Ruled out: counting live daemons only; daemons that are cut off from each other would then use a limit twice.

Change: a member that is silent for 10 min and named neither by the settings nor by the instance list is forgotten; stale demand and notes go.

Before: membership_test counts 103 members after 100 replacements; after: 3.

--- a/src/admission/limits.c
+++ b/src/admission/limits.c
@@ -103,6 +103,8 @@
       const struct peer_demand *peer = value;
       if (now_ms - peer->heard_ms <= PEER_FRESH_MS)
         sum += peer->per_s;
+      else
+        g_hash_table_iter_remove (&iter);
     }
   return sum;
 }
--- a/src/daemon/daemon_peers.c
+++ b/src/daemon/daemon_peers.c
@@ -425,7 +425,9 @@
     {
       const struct bd_peer_address *peer = &daemon->settings->peers[i];
       bd_membership_learn (&daemon->membership, peer->name, peer->data_centre,
-                           peer->address, peer->port);
+                           peer->address, peer->port)
+          ->is_pinned
+          = true;
     }
 }
 
--- a/src/groups/keeper.c
+++ b/src/groups/keeper.c
@@ -116,6 +116,23 @@
     unit->joined_incarnation = report->incarnation;
 }
 
+static gboolean
+is_no_group (gpointer id, gpointer value, gpointer allotment)
+{
+  (void)value;
+  return bd_allotment_find (allotment, id) == NULL;
+}
+
+/* What was noted of groups that another keeper has removed.  */
+static void
+forget_groups (struct bd_keeper *keeper)
+{
+  g_hash_table_foreach_remove (keeper->short_since_ms, is_no_group,
+                               keeper->allotment);
+  g_hash_table_foreach_remove (keeper->drain_since_ms, is_no_group,
+                               keeper->allotment);
+}
+
 bool
 bd_keeper_confirm (struct bd_keeper *keeper,
                    const struct bd_allotment *allotment, int64_t asked_ms)
@@ -134,6 +151,7 @@
       struct bd_allotment *copy = bd_allotment_clone (NULL, allotment);
       talloc_free (keeper->allotment);
       keeper->allotment = copy;
+      forget_groups (keeper);
     }
   if (!keeper->is_confirmed || asked_ms > keeper->confirmed_ms)
     keeper->confirmed_ms = asked_ms;
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -7,7 +7,8 @@
 
 enum
 {
-  RELAYS_PER_CENTRE = 2
+  RELAYS_PER_CENTRE = 2,
+  FORGET_AFTER_MS = 600000
 };
 
 void
@@ -73,11 +74,17 @@
                      const struct bd_member *news, int64_t now_ms)
 {
   struct bd_member *member = member_made (membership, news->name);
+  bool is_pinned;
+  bool is_listed;
 
   if (member == bd_membership_self (membership)
       || news->incarnation < member->incarnation)
     return BD_ERR_STALE;
+  is_pinned = member->is_pinned;
+  is_listed = member->is_listed;
   *member = *news;
+  member->is_pinned = is_pinned;
+  member->is_listed = is_listed;
   member->heard_ms = now_ms;
   member->is_live = true;
   return BD_OK;
@@ -103,6 +110,29 @@
   held->heard_ms = now_ms;
 }
 
+void
+bd_membership_start_list (struct bd_membership *membership)
+{
+  for (uint32_t i = 1; i < membership->count; i++)
+    membership->members[i].is_listed = false;
+}
+
+static void
+forget_gone (struct bd_membership *membership, int64_t now_ms)
+{
+  uint32_t kept = 1;
+
+  for (uint32_t i = 1; i < membership->count; i++)
+    {
+      const struct bd_member *member = &membership->members[i];
+      if (!member->is_live && !member->is_pinned && !member->is_listed
+          && now_ms - member->heard_ms > FORGET_AFTER_MS)
+        continue;
+      membership->members[kept++] = *member;
+    }
+  membership->count = kept;
+}
+
 bool
 bd_membership_tick (struct bd_membership *membership, int64_t now_ms)
 {
@@ -117,6 +147,7 @@
       member->is_live = false;
       has_changed = true;
     }
+  forget_gone (membership, now_ms);
   return has_changed;
 }
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -28,6 +28,8 @@
   int64_t heard_ms;
   bool is_live;
   bool is_stopping;
+  bool is_pinned;          /* Named by the settings: never forgotten.  */
+  bool is_listed;          /* Named by the instance list.  */
   int64_t config_revision; /* In force there.  */
   int64_t allotment_term;
   int64_t allotment_sequence;
@@ -64,6 +66,10 @@
                                        const char *address,
                                        uint32_t peer_port);
 
+/* bd_membership_start_list(): a new instance list begins: nobody is listed
+   until bd_membership_learn() and is_listed say so again.  */
+void bd_membership_start_list (struct bd_membership *membership);
+
 /* bd_membership_heard(): a heartbeat.  news carries every field but heard_ms
    and is_live.  BD_ERR_STALE when it is of an earlier incarnation.  */
 enum bd_error bd_membership_heard (struct bd_membership *membership,
@@ -74,8 +80,9 @@
 void bd_membership_centre (struct bd_membership *membership,
                            const struct bd_centre *centre, int64_t now_ms);
 
-/* bd_membership_tick(): members that are silent for too long are dead.
-   Returns true when one was found.  */
+/* bd_membership_tick(): members that are silent for too long are dead; one
+   that has been dead for long and is named nowhere is forgotten, since
+   replaced instances come under new names.  Returns true when one died.  */
 bool bd_membership_tick (struct bd_membership *membership, int64_t now_ms);
 
 /* bd_membership_self(): this daemon.  */
--- a/src/membership/membership_test.c
+++ b/src/membership/membership_test.c
@@ -53,6 +53,36 @@
   talloc_free (ctx);
 }
 
+static void
+test_replaced_members_are_forgotten (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct bd_member self = member ("me", "x", 1);
+  struct bd_membership m;
+  char name[BD_NAME_SIZE];
+
+  bd_membership_init (&m, ctx, &self, 1000);
+  bd_membership_learn (&m, "pinned", "x", "127.0.0.1", 1)->is_pinned = true;
+  bd_membership_learn (&m, "listed", "x", "127.0.0.1", 2)->is_listed = true;
+  for (int i = 0; i < 100; i++)
+    {
+      snprintf (name, sizeof name, "replaced-%d", i);
+      hear (&m, name, "x", i * 1000);
+    }
+  hear (&m, "listed", "x", 0);
+  CU_ASSERT_EQUAL (m.count, 103);
+  bd_membership_tick (&m, 99000 + 600000);
+  CU_ASSERT_EQUAL (m.count, 4);
+  bd_membership_tick (&m, 99001 + 600000);
+  CU_ASSERT_EQUAL (m.count, 3);
+  /* No longer listed, and long silent.  */
+  bd_membership_start_list (&m);
+  bd_membership_tick (&m, 99002 + 600000);
+  CU_ASSERT_EQUAL (m.count, 2);
+  CU_ASSERT_PTR_NOT_NULL (bd_membership_find (&m, "pinned"));
+  talloc_free (ctx);
+}
+
 static void
 test_stopping_member_has_no_duties (void)
 {
@@ -137,6 +167,7 @@
 
 static const struct unit_test tests[] = {
   { "incarnations", test_incarnations },
+  { "replaced members", test_replaced_members_are_forgotten },
   { "a stopping member", test_stopping_member_has_no_duties },
   { "duties are spread", test_duties_are_spread },
   { "relays", test_only_relays_talk_to_other_centres },
