Start: a daemon hears its peers before it serves or keeps anything

Cause, by reading: a daemon that starts adopted the platform's head at once and was ready. With a store restored from an older copy it served, for up to a heartbeat, a configuration that the fleet had left behind, and could accept files on top of it.

Ruled out: asking every peer before the platform; a lone daemon has none, and the settling ends by itself.

Change: for three heartbeats after its start a daemon is not ready and holds no keeper's duty.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -9,6 +9,7 @@
 
 enum
 {
+  SETTLING_BEATS = 3,
   KEEPER_PERIOD_MS = 100,
   LIST_PERIOD_MS = 1000,
   EXPIRE_PERIOD_MS = 100,
@@ -28,12 +29,21 @@
   return bd_clock_now_ms (&daemon->clock);
 }
 
+bool
+bd_daemon_is_settling (const struct bd_daemon *daemon)
+{
+  return bd_daemon_now_ms (daemon) - daemon->started_ms
+         < SETTLING_BEATS * (int64_t)daemon->settings->heartbeat_ms;
+}
+
 bool
 bd_daemon_is_ready (const struct bd_daemon *daemon, const char **reason)
 {
   *reason = "";
   if (daemon->is_stopping)
     *reason = "stopping";
+  else if (bd_daemon_is_settling (daemon))
+    *reason = "starting: waiting to hear from peers";
   else if (daemon->config.revision == 0)
     *reason = "no configuration, neither from the platform nor from a peer";
   else if (daemon->instances_text == NULL)
@@ -153,6 +163,7 @@
   daemon->settings = settings;
   daemon->events = events;
   daemon->clock = bd_clock_system ();
+  daemon->started_ms = bd_daemon_now_ms (daemon);
   daemon->rng = gsl_rng_alloc (gsl_rng_mt19937);
   gsl_rng_set (daemon->rng, (unsigned long)bd_random_seed ());
   start_tables (daemon);
--- a/src/daemon/daemon_config.c
+++ b/src/daemon/daemon_config.c
@@ -56,7 +56,8 @@
 {
   const struct bd_member *self = &daemon->membership.members[0];
 
-  if (daemon->is_stopping || !bd_daemon_is_relay (daemon))
+  if (daemon->is_stopping || bd_daemon_is_settling (daemon)
+      || !bd_daemon_is_relay (daemon))
     return false;
   for (uint32_t i = 1; i < daemon->membership.count; i++)
     {
--- a/src/daemon/daemon_groups.c
+++ b/src/daemon/daemon_groups.c
@@ -328,8 +328,10 @@
   int64_t now_ms = bd_daemon_now_ms (daemon);
   int64_t read_age_ms = now_ms - daemon->allotment_read_ms;
 
-  daemon->keeper.is_chosen = bd_membership_is_keeper (
-      &daemon->membership, daemon->settings->data_centre);
+  daemon->keeper.is_chosen
+      = !bd_daemon_is_settling (daemon)
+        && bd_membership_is_keeper (&daemon->membership,
+                                    daemon->settings->data_centre);
   if (!daemon->keeper.is_chosen)
     {
       daemon->allotment_read_ms = 0;
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -172,6 +172,7 @@
   struct bd_ticker keeper_ticker;
   struct bd_ticker list_ticker;
   struct bd_ticker expire_ticker;
+  int64_t started_ms;
   bool is_stopping;
   int64_t stopping_since_ms;
   bool was_ready;
@@ -180,6 +181,11 @@
 /* Time.  */
 int64_t bd_daemon_now_ms (const struct bd_daemon *daemon);
 
+/* Whether the daemon has just started and may not have heard its peers yet.
+   What the platform shows it may be older than what they hold, so that it
+   neither serves nor keeps anything.  */
+bool bd_daemon_is_settling (const struct bd_daemon *daemon);
+
 /* Whether calls can be taken, and why not.  */
 bool bd_daemon_is_ready (const struct bd_daemon *daemon, const char **reason);
 
--- a/tests/paths/platform_away.sh
+++ b/tests/paths/platform_away.sh
@@ -2,6 +2,12 @@
 # The platform is away: serving goes on, a daemon that starts meanwhile learns
 # from its peers, and no published configuration is lost or reverts.
 BASE_PORT=22600
+# Slow heartbeats: a daemon that starts hears the platform before its peers.
+DAEMON_SETTINGS="heartbeat_ms = 700
+poll_ms = 100
+freshness_ms = 1500
+dead_after_ms = 2500
+keeper_bound_ms = 1500"
 . "$(dirname "$0")/common.sh"
 start_system
 
@@ -29,6 +35,12 @@
 faults "$PLATFORM" '{"restore":1}'
 kill_hard a
 start_daemon a
+for _ in $(seq 1 30); do
+  seen=$(get "$A/readyz" | jq -r '"\(.ready) \(.revision)"')
+  [ "${seen% *}" = true ] && [ "${seen#* }" -lt "$after" ] && fail "a serves revision ${seen#* } of the copy, $after is in force"
+  sleep 0.02
+done
+CHECKS=$((CHECKS + 1))
 until_true 8 is_ready "$A" || fail "a does not come back"
 check "no daemon goes back" test "$(get "$A/readyz" | jq .revision)" -ge "$after"
 check "b neither" test "$(get "$B/readyz" | jq .revision)" -ge "$after"
