Groups: two keepers that cannot hear each other come to rest

After each change of term orders wait out the old keeper's bound, so none was ever sent: a dead member was replaced in the allotment and the group never became whole.

Ruled out: writing a heartbeat into the allotment; 27 writes a second for a case that ends by a comparison of names.

Change: a daemon that sees a lower-named one take back the term that it had taken yields for 60 s.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -109,6 +109,8 @@
   {
     printf 'name = "%s"\ndata_centre = "%s"\naddress = "127.0.0.1"\n' "$name" "$centre"
     printf 'http_port = %d\npeer_port = %d\n' "$port" $((port + 100))
+    # Behind a pipe, the others reach this daemon by the pipe's port.
+    [ -n "${PIPED:-}" ] && printf 'advertised_peer_port = %d\n' $((port + 150))
     printf 'platform_url = "%s"\ninstances_url = "%s/instances"\n' "$PLATFORM" "$PLATFORM"
     printf '%s\n' "${DAEMON_SETTINGS:-heartbeat_ms = 100
 poll_ms = 100
@@ -119,7 +121,7 @@
       set -- $other
       [ "$1" = "$name" ] && continue
       printf '[[peer]]\nname = "%s"\ndata_centre = "%s"\naddress = "127.0.0.1"\nport = %d\n' \
-        "$1" "$2" $(($3 + 100))
+        "$1" "$2" $(($3 + ${PIPED:+50} + 100))
     done
   } >"$WORK/$name.toml"
 }
--- a/src/daemon/daemon_claims.c
+++ b/src/daemon/daemon_claims.c
@@ -352,7 +352,7 @@
 {
   struct bd_daemon *daemon = work->daemon;
   struct bd_claim_request request
-      = { .reply_port = daemon->settings->peer_port,
+      = { .reply_port = daemon->settings->advertised_peer_port,
           .hops = work->hops + 1,
           .fingerprint = work->claim.fingerprint,
           .kind = work->claim.kind,
--- a/src/daemon/daemon_peers.c
+++ b/src/daemon/daemon_peers.c
@@ -435,8 +435,8 @@
 bd_daemon_start_peers (struct bd_daemon *daemon)
 {
   const struct bd_settings *settings = daemon->settings;
-  struct bd_member self
-      = { .http_port = settings->http_port, .peer_port = settings->peer_port };
+  struct bd_member self = { .http_port = settings->http_port,
+                            .peer_port = settings->advertised_peer_port };
 
   bd_name_copy (self.name, settings->name);
   bd_name_copy (self.data_centre, settings->data_centre);
--- a/src/groups/groups_test.c
+++ b/src/groups/groups_test.c
@@ -238,6 +238,10 @@
     for_domain (world, word (line, 3), 2, world_revive);
   else if (strcmp (event, "platform-down") == 0)
     world->is_platform_down = true;
+  else if (strcmp (event, "part-keepers") == 0)
+    world->are_keepers_parted = true;
+  else if (strcmp (event, "meet-keepers") == 0)
+    world->are_keepers_parted = false;
   else if (strcmp (event, "platform-up") == 0)
     world->is_platform_down = false;
   else if (strcmp (event, "lose-answers") == 0)
--- a/src/groups/keeper.c
+++ b/src/groups/keeper.c
@@ -5,6 +5,11 @@
 #include <string.h>
 #include <talloc.h>
 
+enum
+{
+  YIELD_MS = 60000
+};
+
 void
 bd_keeper_init (struct bd_keeper *keeper, const char *data_centre,
                 const char *self, const struct bd_keeper_limits *limits)
@@ -142,6 +147,13 @@
 
   if (held != NULL && bd_allotment_is_newer (held, allotment))
     return false;
+  /* A daemon with a better claim took back what this one had taken from it: it
+     lives, although nothing is heard of it.  Two that kept on taking over from
+     each other would never come to order anything.  */
+  if (held != NULL && allotment->term > held->term
+      && strcmp (held->keeper, keeper->self) == 0
+      && strcmp (allotment->keeper, keeper->self) < 0)
+    keeper->yields_until_ms = asked_ms + YIELD_MS;
   /* Another keeper may have had orders under way until its bound ends.  */
   if (is_mine && allotment->term > 1
       && (held == NULL || held->term != allotment->term))
--- a/src/groups/keeper.h
+++ b/src/groups/keeper.h
@@ -98,7 +98,8 @@
   int64_t confirmed_ms;           /* When the confirming call was sent.  */
   bool is_confirmed;
   int64_t orders_from_ms; /* An older keeper's orders may arrive until then. */
-  GHashTable *units;      /* Instance name -> struct bd_unit.  */
+  int64_t yields_until_ms; /* A lower-ranked one has taken the term back.  */
+  GHashTable *units;       /* Instance name -> struct bd_unit.  */
   GHashTable *short_since_ms; /* Group id -> since when members are lost.  */
   GHashTable *drain_since_ms; /* Group id -> since when it drains.  */
   const struct bd_service *const *services;
--- a/src/groups/keeper_plan.c
+++ b/src/groups/keeper_plan.c
@@ -92,6 +92,12 @@
   plan.next = keeper->allotment != NULL
                   ? bd_allotment_clone (ctx, keeper->allotment)
                   : first_allotment (keeper, ctx);
+  if (strcmp (plan.next->keeper, keeper->self) != 0
+      && now_ms < keeper->yields_until_ms)
+    {
+      talloc_free (plan.next);
+      return NULL;
+    }
   if (strcmp (plan.next->keeper, keeper->self) != 0)
     return take_over (&plan);
   bd_plan_init (&plan);
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -26,6 +26,8 @@
   { "address", BD_FIELD_TEXT, AT (address), 0, 0, true },
   { "http_port", BD_FIELD_U32, AT (http_port), 1, MAX_PORT, true },
   { "peer_port", BD_FIELD_U32, AT (peer_port), 1, MAX_PORT, true },
+  { "advertised_peer_port", BD_FIELD_U32, AT (advertised_peer_port), 1,
+    MAX_PORT, false },
   { "platform_url", BD_FIELD_TEXT, AT (platform_url), 0, 0, true },
   { "instances_url", BD_FIELD_TEXT, AT (instances_url), 0, 0, true },
   { "heartbeat_ms", BD_FIELD_U32, AT (heartbeat_ms), 10, MAX_PERIOD_MS,
@@ -148,6 +150,8 @@
     read_peers (&raw.out, ctx, raw.peers, file_name, faults);
   if (faults->count != 0)
     return false;
+  if (raw.out.advertised_peer_port == 0)
+    raw.out.advertised_peer_port = raw.out.peer_port;
   *settings = raw.out;
   return true;
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -28,9 +28,11 @@
 {
   char name[BD_NAME_SIZE];
   char data_centre[BD_NAME_SIZE];
-  const char *address;       /* IP number that this daemon listens on.  */
-  uint32_t http_port;        /* Callers and operators.  */
-  uint32_t peer_port;        /* Other daemons.  */
+  const char *address; /* IP number that this daemon listens on.  */
+  uint32_t http_port;  /* Callers and operators.  */
+  uint32_t peer_port;  /* Other daemons.  */
+  /* Port that other daemons are told, where one in between forwards.  */
+  uint32_t advertised_peer_port;
   const char *platform_url;  /* Object API.  */
   const char *instances_url; /* Instance list.  */
   uint32_t heartbeat_ms;     /* Between heartbeats to a peer.  */
--- a/tests/fakes/fakes.h
+++ b/tests/fakes/fakes.h
@@ -42,5 +42,7 @@
                          const struct fake_options *options);
 bool fake_service_start (struct tevent_context *events,
                          const struct fake_options *options);
+bool fake_pipe_start (struct tevent_context *events,
+                      const struct fake_options *options);
 
 #endif
--- a/tests/fakes/main.c
+++ b/tests/fakes/main.c
@@ -70,6 +70,8 @@
     return fake_engines_start (events, options);
   if (strcmp (role, "service") == 0)
     return fake_service_start (events, options);
+  if (strcmp (role, "pipe") == 0)
+    return fake_pipe_start (events, options);
   return false;
 }
 
@@ -82,7 +84,8 @@
   signal (SIGPIPE, SIG_IGN);
   if (argc < 2 || !start (events, argv[1], &options))
     {
-      fprintf (stderr, "usage: fakes platform|engines|service port=N ...\n");
+      fprintf (stderr,
+               "usage: fakes platform|engines|service|pipe port=N ...\n");
       return 2;
     }
   return tevent_loop_wait (events);
--- a/tests/fakes/world.c
+++ b/tests/fakes/world.c
@@ -371,7 +371,8 @@
 static bool
 is_chosen (struct world *world, const struct world_keeper *k)
 {
-  for (uint32_t i = 0; i < world->keeper_count; i++)
+  for (uint32_t i = 0; i < world->keeper_count && !world->are_keepers_parted;
+       i++)
     {
       const struct world_keeper *other = &world->keepers[i];
       if (other != k && other->is_alive && !other->is_paused
--- a/tests/fakes/world.h
+++ b/tests/fakes/world.h
@@ -75,6 +75,7 @@
 
   /* The platform's object.  */
   bool is_platform_down;
+  bool are_keepers_parted; /* They hear nothing of each other.  */
   uint32_t lose_answers;
   int64_t version;
   struct bd_allotment *stored;
--- a/tests/paths/planned_stops.sh
+++ b/tests/paths/planned_stops.sh
@@ -25,6 +25,7 @@
 check "and recorded: a resend elsewhere gets it" until_true 5 bash -c "curl -s -X POST -H 'Idempotency-Key: slow' -d '{}' $B/league/bookings | grep -q '\"key\":\"slow\"'"
 check "once" equals "$(runs slow)" 1
 start_daemon a
+until_true 10 is_ready "$A" || fail "a is not ready"
 until_true 10 has_open_groups "$A" drafts 2 || fail "a does not come back"
 
 write_services 2
