--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -4,7 +4,6 @@
 
 #include "base/log.h"
 
-#include <string.h>
 #include <talloc.h>
 
 enum
--- a/src/daemon/daemon_claims.c
+++ b/src/daemon/daemon_claims.c
@@ -364,7 +364,6 @@
   bd_name_copy (request.reply_address, daemon->settings->address);
   memcpy (request.id, work->claim.id, BD_ID_SIZE);
   memcpy (request.key, work->claim.key, BD_ID_SIZE);
-  work->is_forwarded = true;
   work->next = daemon->forwarded;
   daemon->forwarded = work;
   work->timer = tevent_add_timer (
--- a/src/daemon/daemon_config.c
+++ b/src/daemon/daemon_config.c
@@ -31,24 +31,20 @@
   struct bd_acceptance result;
 };
 
-static void
-send_document (struct bd_daemon *daemon, const struct bd_member *member,
-               enum bd_message_type type, const json_t *value)
-{
-  char *text = json_dumps (value, JSON_COMPACT);
-  struct bd_document document = { .text = text };
-
-  if (text != NULL)
-    bd_daemon_tell (daemon, member, type, &document);
-  free (text);
-}
-
 void
 bd_daemon_send_config (struct bd_daemon *daemon,
                        const struct bd_member *member)
 {
-  if (daemon->config.revision > member->config_revision)
-    send_document (daemon, member, BD_MESSAGE_CONFIG, daemon->config.head);
+  char *text;
+  struct bd_document document;
+
+  if (daemon->config.revision <= member->config_revision)
+    return;
+  text = json_dumps (daemon->config.head, JSON_COMPACT);
+  document.text = text;
+  if (text != NULL)
+    bd_daemon_tell (daemon, member, BD_MESSAGE_CONFIG, &document);
+  free (text);
 }
 
 bool
@@ -83,13 +79,17 @@
 static void
 push_patch (struct bd_daemon *daemon, const json_t *patch)
 {
-  for (uint32_t i = 1; i < daemon->membership.count; i++)
+  char *text = json_dumps (patch, JSON_COMPACT);
+  struct bd_document document = { .text = text };
+
+  for (uint32_t i = 1; i < daemon->membership.count && text != NULL; i++)
     {
       const struct bd_member *member = &daemon->membership.members[i];
       if (member->is_live && member->config_revision < daemon->config.revision
           && bd_membership_must_tell (&daemon->membership, member))
-        send_document (daemon, member, BD_MESSAGE_CONFIG, patch);
+        bd_daemon_tell (daemon, member, BD_MESSAGE_CONFIG, &document);
     }
+  free (text);
 }
 
 /* Asks a peer of this centre for the whole head.  */
--- a/src/daemon/daemon_groups.c
+++ b/src/daemon/daemon_groups.c
@@ -24,34 +24,42 @@
             daemon->settings->data_centre);
 }
 
-void
-bd_daemon_send_allotment (struct bd_daemon *daemon,
-                          const struct bd_member *member)
+/* The allotment as text, to be freed; NULL when there is none.  */
+static char *
+allotment_text (const struct bd_daemon *daemon)
 {
   json_t *value;
   char *text;
-  struct bd_document document;
 
   if (daemon->keeper.allotment == NULL)
-    return;
+    return NULL;
   value = bd_allotment_to_json (daemon->keeper.allotment);
   text = json_dumps (value, JSON_COMPACT);
-  document.text = text;
-  bd_daemon_tell (daemon, member, BD_MESSAGE_ALLOTMENT, &document);
-  free (text);
   json_decref (value);
+  return text;
+}
+
+void
+bd_daemon_send_allotment (struct bd_daemon *daemon,
+                          const struct bd_member *member)
+{
+  char *text = allotment_text (daemon);
+  struct bd_document document = { .text = text };
+
+  if (text != NULL)
+    bd_daemon_tell (daemon, member, BD_MESSAGE_ALLOTMENT, &document);
+  free (text);
 }
 
 static void
 push_allotment (struct bd_daemon *daemon)
 {
-  for (uint32_t i = 1; i < daemon->membership.count; i++)
-    {
-      const struct bd_member *member = &daemon->membership.members[i];
-      if (member->is_live
-          && strcmp (member->data_centre, daemon->settings->data_centre) == 0)
-        bd_daemon_send_allotment (daemon, member);
-    }
+  char *text = allotment_text (daemon);
+  struct bd_document document = { .text = text };
+
+  if (text != NULL)
+    bd_daemon_tell_centre (daemon, BD_MESSAGE_ALLOTMENT, &document);
+  free (text);
 }
 
 static bool
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -44,7 +44,6 @@
   int64_t asked_ms; /* When the last answered poll was sent.  */
   uint32_t in_flight;
   uint32_t own_at_report;
-  double ms_per_token; /* Smoothed; 0 while unknown.  */
 };
 
 /* A group as other observers see it.  */
@@ -362,7 +361,6 @@
   uint32_t hops;
   char reply_address[BD_NAME_SIZE]; /* Of a forwarded claim.  */
   uint32_t reply_port;
-  bool is_forwarded;
   struct tevent_timer *timer;
   struct bd_claim_work *next;
 };
--- a/src/daemon/daemon_jobs.c
+++ b/src/daemon/daemon_jobs.c
@@ -3,9 +3,6 @@
 
 #include "daemon/job_internal.h"
 
-#include "base/log.h"
-
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/src/daemon/daemon_observe.c
+++ b/src/daemon/daemon_observe.c
@@ -7,9 +7,6 @@
 
 #include "daemon/daemon_internal.h"
 
-#include "base/log.h"
-
-#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
--- a/src/daemon/daemon_peers.c
+++ b/src/daemon/daemon_peers.c
@@ -5,7 +5,6 @@
 #include "base/log.h"
 
 #include <string.h>
-#include <talloc.h>
 
 enum
 {
--- a/src/groups/keeper_plan.c
+++ b/src/groups/keeper_plan.c
@@ -4,8 +4,6 @@
 
 #include "groups/plan_internal.h"
 
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
--- a/src/groups/plan_drains.c
+++ b/src/groups/plan_drains.c
@@ -2,10 +2,7 @@
 
 #include "groups/plan_internal.h"
 
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
-#include <talloc.h>
 
 static bool
 is_drained (const struct bd_plan *plan, const struct bd_group *group)
--- a/src/groups/plan_form.c
+++ b/src/groups/plan_form.c
@@ -5,7 +5,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <talloc.h>
 
 static void
 make_group_id (const struct bd_plan *plan, const struct bd_service *service,
--- a/src/groups/plan_mend.c
+++ b/src/groups/plan_mend.c
@@ -2,10 +2,7 @@
 
 #include "groups/plan_internal.h"
 
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
-#include <talloc.h>
 
 /* Whether the survivors of this group could complete a better one of the
    same service in the same domain.  */
--- a/tests/fakes/world.h
+++ b/tests/fakes/world.h
@@ -63,7 +63,6 @@
   uint32_t join_ms;
   uint32_t loads_at_full_speed;
   uint32_t freshness_ms;
-  uint32_t list_lag_ms;
 
   struct world_unit units[WORLD_MAX_UNITS];
   uint32_t unit_count;
