Timers on the monotonic clock; the store client gets a folder of its own

Cause: tevent keeps timers by the time of day, so that a step of that clock by seconds holds every timer up or sets it off early. Change: base/timer, one timer descriptor a loop, used by the HTTP client and server, tickers, claims and sessions. src/platform becomes src/store, since platform/ at the root will hold the users' platform.

--- a/src/admission/limits.h
+++ b/src/admission/limits.h
@@ -8,7 +8,7 @@
 #define BD_ADMISSION_LIMITS_H
 
 #include "config/service.h"
-#include "platform/budget.h"
+#include "store/budget.h"
 #include "wire/messages.h"
 
 #include <glib.h>
--- a/src/base/ticker.c
+++ b/src/base/ticker.c
@@ -7,15 +7,11 @@
 static void arm (struct bd_ticker *ticker, uint32_t delay_ms);
 
 static void
-handle_timer (struct tevent_context *events, struct tevent_timer *timer,
-              struct timeval now, void *private_data)
+handle_timer (void *private_data)
 {
   struct bd_ticker *ticker = private_data;
   double part = 0.9 + 0.2 * gsl_rng_uniform (ticker->rng);
 
-  (void)events;
-  (void)timer;
-  (void)now;
   ticker->timer = NULL;
   arm (ticker, (uint32_t)(ticker->period_ms * part));
   ticker->handler (ticker->ctx);
@@ -25,10 +21,8 @@
 arm (struct bd_ticker *ticker, uint32_t delay_ms)
 {
   TALLOC_FREE (ticker->timer);
-  ticker->timer = tevent_add_timer (
-      ticker->events, ticker->events,
-      tevent_timeval_current_ofs (delay_ms / 1000, delay_ms % 1000 * 1000),
-      handle_timer, ticker);
+  ticker->timer = bd_timer_add (ticker->events, ticker->events, delay_ms,
+                                handle_timer, ticker);
 }
 
 void
--- a/src/base/ticker.h
+++ b/src/base/ticker.h
@@ -3,6 +3,8 @@
 #ifndef BD_BASE_TICKER_H
 #define BD_BASE_TICKER_H
 
+#include "base/timer.h"
+
 #include <gsl/gsl_rng.h>
 #include <stdint.h>
 #include <tevent.h>
@@ -12,7 +14,7 @@
 struct bd_ticker
 {
   struct tevent_context *events;
-  struct tevent_timer *timer;
+  struct bd_timer *timer;
   gsl_rng *rng;
   uint32_t period_ms;
   bd_ticker_handler *handler;
--- a/src/burdockdale.h
+++ b/src/burdockdale.h
@@ -34,8 +34,8 @@
      groups/keeper.h     forming, mending, draining, rolling
    The system as a whole
      membership/membership.h  which daemons are alive and what each one does
-     platform/budget.h        how often the platform may be called
-     platform/update.h        updates whose answer was lost
+     store/budget.h        how often the platform may be called
+     store/update.h        updates whose answer was lost
      daemon/daemon.h          all of it on one event loop  */
 
 #ifndef BD_BURDOCKDALE_H
@@ -58,8 +58,8 @@
 #include "groups/gate.h"
 #include "groups/keeper.h"
 #include "membership/membership.h"
-#include "platform/budget.h"
-#include "platform/update.h"
+#include "store/budget.h"
+#include "store/update.h"
 #include "routing/prefix.h"
 #include "routing/routing.h"
 #include "settings/settings.h"
--- a/src/cli/serve.c
+++ b/src/cli/serve.c
@@ -1,6 +1,7 @@
 /* burdockdale serve: the daemon.  */
 
 #include "base/log.h"
+#include "base/timer.h"
 #include "cli/cli.h"
 #include "daemon/daemon.h"
 
@@ -10,6 +11,11 @@
 #include <stdio.h>
 #include <talloc.h>
 
+enum
+{
+  TICK_MS = 50
+};
+
 static void
 handle_stop (struct tevent_context *events, struct tevent_signal *signal_event,
              int signal_number, int count, void *info, void *private_data)
@@ -24,13 +30,11 @@
 
 /* Wakes the loop so that it looks whether a stop has come to its end.  */
 static void
-handle_tick (struct tevent_context *events, struct tevent_timer *timer,
-             struct timeval now, void *private_data)
+handle_tick (void *private_data)
 {
-  (void)timer;
-  (void)now;
-  tevent_add_timer (events, events, tevent_timeval_current_ofs (0, 50000),
-                    handle_tick, private_data);
+  struct tevent_context *events = private_data;
+
+  bd_timer_add (events, events, TICK_MS, handle_tick, events);
 }
 
 static int
@@ -44,7 +48,7 @@
     return BD_EXIT_FAILED;
   tevent_add_signal (events, events, SIGTERM, 0, handle_stop, daemon);
   tevent_add_signal (events, events, SIGINT, 0, handle_stop, daemon);
-  handle_tick (events, NULL, (struct timeval){ 0 }, daemon);
+  handle_tick (events);
   while (!bd_daemon_is_done (daemon))
     tevent_loop_once (events);
   bd_log ("stopped", NULL);
--- a/src/cli/session.c
+++ b/src/cli/session.c
@@ -1,6 +1,7 @@
 /* Waited-for calls of the platform.  */
 
 #include "cli/session.h"
+#include "base/timer.h"
 
 #include <string.h>
 #include <talloc.h>
@@ -99,12 +100,8 @@
 }
 
 static void
-handle_pause (struct tevent_context *events, struct tevent_timer *timer,
-              struct timeval now, void *private_data)
+handle_pause (void *private_data)
 {
-  (void)events;
-  (void)timer;
-  (void)now;
   *(bool *)private_data = true;
 }
 
@@ -113,10 +110,8 @@
 {
   bool is_over = false;
 
-  tevent_add_timer (
-      session->events, session->events,
-      tevent_timeval_current_ofs (pause_ms / 1000, pause_ms % 1000 * 1000),
-      handle_pause, &is_over);
+  bd_timer_add (session->events, session->events, pause_ms, handle_pause,
+                &is_over);
   while (!is_over)
     tevent_loop_once (session->events);
 }
--- a/src/cli/session.h
+++ b/src/cli/session.h
@@ -3,7 +3,7 @@
 #ifndef BD_CLI_SESSION_H
 #define BD_CLI_SESSION_H
 
-#include "platform/client.h"
+#include "store/client.h"
 
 #include <stdbool.h>
 
--- a/src/daemon/daemon_claims.c
+++ b/src/daemon/daemon_claims.c
@@ -86,14 +86,10 @@
 }
 
 static void
-handle_timer (struct tevent_context *events, struct tevent_timer *timer,
-              struct timeval now, void *private_data)
+handle_timer (void *private_data)
 {
   struct bd_shard_work *shard = private_data;
 
-  (void)events;
-  (void)timer;
-  (void)now;
   shard->timer = NULL;
   expire (shard, bd_daemon_now_ms (shard->daemon));
   pump_shard (shard);
@@ -103,10 +99,8 @@
 pump_later (struct bd_shard_work *shard, int64_t delay_ms)
 {
   if (shard->timer == NULL)
-    shard->timer = tevent_add_timer (
-        shard->daemon->events, shard->daemon,
-        tevent_timeval_current_ofs (0, (uint32_t)delay_ms * 1000),
-        handle_timer, shard);
+    shard->timer = bd_timer_add (shard->daemon->events, shard->daemon,
+                                 delay_ms, handle_timer, shard);
 }
 
 static void
@@ -331,15 +325,10 @@
 /* The owner does not answer: commit here.  An entry that it has made for this
    call is found by the call's id.  */
 static void
-handle_forward_timeout (struct tevent_context *events,
-                        struct tevent_timer *timer, struct timeval now,
-                        void *private_data)
+handle_forward_timeout (void *private_data)
 {
   struct bd_claim_work *work = private_data;
 
-  (void)events;
-  (void)timer;
-  (void)now;
   work->timer = NULL;
   unlink_forwarded (work);
   /* What memory says may be older than what the owner has committed.  */
@@ -366,10 +355,8 @@
   memcpy (request.key, work->claim.key, BD_ID_SIZE);
   work->next = daemon->forwarded;
   daemon->forwarded = work;
-  work->timer = tevent_add_timer (
-      daemon->events, work,
-      tevent_timeval_current_ofs (0, FORWARD_TIMEOUT_MS * 1000),
-      handle_forward_timeout, work);
+  work->timer = bd_timer_add (daemon->events, work, FORWARD_TIMEOUT_MS,
+                              handle_forward_timeout, work);
   bd_daemon_tell (daemon, owner, BD_MESSAGE_CLAIM, &request);
 }
 
@@ -408,12 +395,8 @@
 }
 
 static void
-handle_outage (struct tevent_context *events, struct tevent_timer *timer,
-               struct timeval now, void *private_data)
+handle_outage (void *private_data)
 {
-  (void)events;
-  (void)timer;
-  (void)now;
   finish_work (private_data, BD_CLAIM_UNAVAILABLE);
 }
 
@@ -426,9 +409,7 @@
 
   if (claim->kind == BD_CLAIM_TAKE && !bd_platform_is_up (&daemon->platform))
     /* Told at once, but not before the caller holds the work.  */
-    work->timer = tevent_add_timer (daemon->events, work,
-                                    tevent_timeval_current_ofs (0, 0),
-                                    handle_outage, work);
+    work->timer = bd_timer_add (daemon->events, work, 0, handle_outage, work);
   else
     start_work (work);
   return work;
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/ticker.h"
+#include "base/timer.h"
 #include "calls/call.h"
 #include "calls/sse.h"
 #include "claims/shard.h"
@@ -19,11 +20,11 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "membership/membership.h"
-#include "platform/client.h"
-#include "platform/instances.h"
 #include "routing/prefix.h"
 #include "routing/routing.h"
 #include "settings/settings.h"
+#include "store/client.h"
+#include "store/instances.h"
 #include "suspects/suspects.h"
 #include "wire/peers.h"
 
@@ -95,7 +96,7 @@
   bool is_loading;
   bool is_committing;
   int64_t committed_ms;
-  struct tevent_timer *timer;
+  struct bd_timer *timer;
   struct bd_shard_commit commit;
   struct bd_claim_work *batch[BD_CLAIM_MAX_BATCH];
   uint32_t batch_count;
@@ -332,7 +333,7 @@
   char call_id[BD_ID_SIZE];
   int64_t attempt_ms; /* When the attempt was sent.  */
   uint32_t tokens;    /* Events of the attempt.  */
-  struct tevent_timer *deadline;
+  struct bd_timer *deadline;
   struct bd_job *prev;
   struct bd_job *next;
 };
@@ -361,7 +362,7 @@
   uint32_t hops;
   char reply_address[BD_NAME_SIZE]; /* Of a forwarded claim.  */
   uint32_t reply_port;
-  struct tevent_timer *timer;
+  struct bd_timer *timer;
   struct bd_claim_work *next;
 };
 
--- a/src/daemon/daemon_jobs.c
+++ b/src/daemon/daemon_jobs.c
@@ -187,14 +187,10 @@
 }
 
 static void
-handle_deadline (struct tevent_context *events, struct tevent_timer *timer,
-                 struct timeval now, void *private_data)
+handle_deadline (void *private_data)
 {
   struct bd_job *job = private_data;
 
-  (void)events;
-  (void)timer;
-  (void)now;
   job->deadline = NULL;
   if (job->attempt != NULL)
     {
@@ -260,13 +256,9 @@
                 request->is_stream, deadline_ms);
   if (job->is_hop && last != NULL)
     bd_call_resume_after (&job->call, strtoll (last, NULL, 10));
-  job->deadline = tevent_add_timer (
-      daemon->events, job,
-      tevent_timeval_current_ofs (
-          (uint32_t)((deadline_ms - bd_daemon_now_ms (daemon)) / MS_PER_S),
-          (uint32_t)((deadline_ms - bd_daemon_now_ms (daemon)) % MS_PER_S)
-              * 1000),
-      handle_deadline, job);
+  job->deadline = bd_timer_add (daemon->events, job,
+                                deadline_ms - bd_daemon_now_ms (daemon),
+                                handle_deadline, job);
   job->next = daemon->jobs;
   if (job->next != NULL)
     job->next->prev = job;
--- a/src/groups/keeper.h
+++ b/src/groups/keeper.h
@@ -18,7 +18,7 @@
 #include "config/service.h"
 #include "endpoints/report.h"
 #include "groups/allotment.h"
-#include "platform/instances.h"
+#include "store/instances.h"
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -181,15 +181,11 @@
 }
 
 static void
-handle_timeout (struct tevent_context *events, struct tevent_timer *timer,
-                struct timeval now, void *private_data)
+handle_timeout (void *private_data)
 {
   struct bd_http_client *client = private_data;
   int running;
 
-  (void)events;
-  (void)timer;
-  (void)now;
   client->timer = NULL;
   curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
   finish_calls (client);
@@ -203,11 +199,8 @@
   (void)multi;
   TALLOC_FREE (client->timer);
   if (timeout_ms >= 0)
-    client->timer = tevent_add_timer (
-        client->events, client->events,
-        tevent_timeval_current_ofs ((uint32_t)(timeout_ms / 1000),
-                                    (uint32_t)(timeout_ms % 1000) * 1000),
-        handle_timeout, client);
+    client->timer = bd_timer_add (client->events, client->events, timeout_ms,
+                                  handle_timeout, client);
   return 0;
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -3,6 +3,7 @@
 #ifndef BD_HTTP_CLIENT_H
 #define BD_HTTP_CLIENT_H
 
+#include "base/timer.h"
 #include "http/server.h"
 
 #include <curl/curl.h>
@@ -60,7 +61,7 @@
 {
   struct tevent_context *events;
   CURLM *multi;
-  struct tevent_timer *timer;
+  struct bd_timer *timer;
   struct bd_http_call *calls; /* Running.  */
   CURL **idle;                /* Handles to be used again.  */
   uint32_t idle_count;
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -28,14 +28,10 @@
 static void run_soon (struct bd_http_server *server);
 
 static void
-handle_timer (struct tevent_context *events, struct tevent_timer *timer,
-              struct timeval now, void *private_data)
+handle_timer (void *private_data)
 {
   struct bd_http_server *server = private_data;
 
-  (void)events;
-  (void)timer;
-  (void)now;
   server->timer = NULL;
   server->is_run_due = false;
   MHD_run (server->daemon);
@@ -46,10 +42,8 @@
 set_timer (struct bd_http_server *server, uint64_t delay_ms)
 {
   TALLOC_FREE (server->timer);
-  server->timer = tevent_add_timer (
-      server->events, server->events,
-      tevent_timeval_current_ofs (delay_ms / 1000, delay_ms % 1000 * 1000),
-      handle_timer, server);
+  server->timer = bd_timer_add (server->events, server->events, delay_ms,
+                                handle_timer, server);
 }
 
 /* Arms the timer for the next moment at which the library wants to run.  */
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -7,6 +7,8 @@
 #ifndef BD_HTTP_SERVER_H
 #define BD_HTTP_SERVER_H
 
+#include "base/timer.h"
+
 #include <microhttpd.h>
 #include <stdbool.h>
 #include <stddef.h>
@@ -64,7 +66,7 @@
   struct tevent_context *events;
   struct MHD_Daemon *daemon;
   struct tevent_fd *fd;
-  struct tevent_timer *timer;
+  struct bd_timer *timer;
   bool is_run_due;
   uint32_t open_exchanges; /* Requests without a completed answer.  */
 };
--- a/src/platform/budget.c
+++ b/src/store/budget.c
@@ -1,6 +1,6 @@
 /* Token bucket, circuit breaker and backoff.  */
 
-#include "platform/budget.h"
+#include "store/budget.h"
 
 #include <math.h>
 
--- a/src/platform/budget.h
+++ b/src/store/budget.h
@@ -1,7 +1,7 @@
 /* How often the platform may be called: rates and a circuit breaker.  Pure. */
 
-#ifndef BD_PLATFORM_BUDGET_H
-#define BD_PLATFORM_BUDGET_H
+#ifndef BD_STORE_BUDGET_H
+#define BD_STORE_BUDGET_H
 
 #include <gsl/gsl_rng.h>
 #include <stdbool.h>
--- a/src/platform/client.c
+++ b/src/store/client.c
@@ -1,6 +1,6 @@
 /* The budgeted client of the Object API.  */
 
-#include "platform/client.h"
+#include "store/client.h"
 
 #include <string.h>
 #include <talloc.h>
@@ -197,14 +197,10 @@
 }
 
 static void
-handle_timer (struct tevent_context *events, struct tevent_timer *timer,
-              struct timeval now, void *private_data)
+handle_timer (void *private_data)
 {
   struct bd_platform *p = private_data;
 
-  (void)events;
-  (void)timer;
-  (void)now;
   p->timer = NULL;
   pump (p);
 }
@@ -214,13 +210,12 @@
 {
   enum
   {
-    RECHECK_US = 10000
+    RECHECK_MS = 10
   };
 
   if (p->timer == NULL)
-    p->timer = tevent_add_timer (p->events, p->events,
-                                 tevent_timeval_current_ofs (0, RECHECK_US),
-                                 handle_timer, p);
+    p->timer
+        = bd_timer_add (p->events, p->events, RECHECK_MS, handle_timer, p);
 }
 
 /* Sends or ends what is due in one queue; true when some calls stay.  */
--- a/src/platform/client.h
+++ b/src/store/client.h
@@ -7,14 +7,15 @@
      bd_platform_watch()   waits for a change below a prefix
      bd_platform_update()  a conditional update  */
 
-#ifndef BD_PLATFORM_CLIENT_H
-#define BD_PLATFORM_CLIENT_H
+#ifndef BD_STORE_CLIENT_H
+#define BD_STORE_CLIENT_H
 
 #include "base/clock.h"
 #include "base/counters.h"
-#include "platform/budget.h"
-#include "platform/object_api.h"
-#include "platform/update.h"
+#include "base/timer.h"
+#include "store/budget.h"
+#include "store/object_api.h"
+#include "store/update.h"
 
 #include <gsl/gsl_rng.h>
 #include <jansson.h>
@@ -62,7 +63,7 @@
   struct bd_breaker breaker;
   struct bd_platform_call *first[BD_PRIORITY_COUNT];
   struct bd_platform_call *last[BD_PRIORITY_COUNT];
-  struct tevent_timer *timer;
+  struct bd_timer *timer;
 };
 
 /* bd_platform_init(): reads_per_s and writes_per_s are this daemon's share.
--- a/src/platform/instances.c
+++ b/src/store/instances.c
@@ -1,6 +1,6 @@
 /* Parsing of the instance list.  */
 
-#include "platform/instances.h"
+#include "store/instances.h"
 
 #include <string.h>
 #include <talloc.h>
--- a/src/platform/instances.h
+++ b/src/store/instances.h
@@ -2,8 +2,8 @@
 
    The list lags; it says what the platform plans, not what answers now.  */
 
-#ifndef BD_PLATFORM_INSTANCES_H
-#define BD_PLATFORM_INSTANCES_H
+#ifndef BD_STORE_INSTANCES_H
+#define BD_STORE_INSTANCES_H
 
 #include "base/ids.h"
 
--- a/src/platform/object_api.h
+++ b/src/store/object_api.h
@@ -3,8 +3,8 @@
    An adapter turns one operation into the dialect of a platform and gives
    back one answer.  A new dialect is one new file with its own table.  */
 
-#ifndef BD_PLATFORM_OBJECT_API_H
-#define BD_PLATFORM_OBJECT_API_H
+#ifndef BD_STORE_OBJECT_API_H
+#define BD_STORE_OBJECT_API_H
 
 #include "base/error.h"
 #include "http/client.h"
--- a/src/platform/object_api_http.c
+++ b/src/store/object_api_http.c
@@ -1,6 +1,6 @@
 /* The Object API over HTTP and JSON.  */
 
-#include "platform/object_api.h"
+#include "store/object_api.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/platform/platform_test.c
+++ b/src/store/store_test.c
@@ -3,8 +3,9 @@
 
 #include "tests/unit.h"
 
-#include "platform/client.h"
-#include "platform/instances.h"
+#include "base/timer.h"
+#include "store/client.h"
+#include "store/instances.h"
 
 #include <string.h>
 #include <talloc.h>
@@ -179,14 +180,10 @@
 };
 
 static void
-answer_later (struct tevent_context *events, struct tevent_timer *timer,
-              struct timeval now, void *private_data)
+answer_later (void *private_data)
 {
   struct scripted_call call = *(struct scripted_call *)private_data;
 
-  (void)events;
-  (void)timer;
-  (void)now;
   talloc_free (private_data);
   call.done (call.ctx, &call.answer);
 }
@@ -203,8 +200,7 @@
   call->done = done;
   call->ctx = ctx;
   call->answer = script->answers[script->next++];
-  tevent_add_timer (script->events, script->events,
-                    tevent_timeval_current_ofs (0, 0), answer_later, call);
+  bd_timer_add (script->events, script->events, 0, answer_later, call);
   return true;
 }
 
--- a/src/platform/update.c
+++ b/src/store/update.c
@@ -1,6 +1,6 @@
 /* Settling of conditional updates.  */
 
-#include "platform/update.h"
+#include "store/update.h"
 
 #include <string.h>
 
--- a/src/platform/update.h
+++ b/src/store/update.h
@@ -6,8 +6,8 @@
    write may be sent again, since at most one copy of it can win the
    condition; anything else means that another writer won.  */
 
-#ifndef BD_PLATFORM_UPDATE_H
-#define BD_PLATFORM_UPDATE_H
+#ifndef BD_STORE_UPDATE_H
+#define BD_STORE_UPDATE_H
 
 #include "base/error.h"
 #include "base/ids.h"
--- a/tests/fakes/world.h
+++ b/tests/fakes/world.h
@@ -7,7 +7,7 @@
 
 #include "groups/gate.h"
 #include "groups/keeper.h"
-#include "platform/update.h"
+#include "store/update.h"
 
 #include <gsl/gsl_rng.h>
 #include <stdbool.h>
