--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 CXXFLAGS = -std=c++17 $(OPT) $(SAN) -Wall -Wextra -Werror -Isrc -I. $(PKG_CFLAGS)
 LIBS = $(PKG_LIBS) -lm -lstdc++
 
-LIB_C = $(filter-out %_test.c src/cli/main.c,$(wildcard src/*/*.c))
+LIB_C = $(filter-out %_test.c src/cli/main.c,$(wildcard src/*/*.c platform/*.c))
 LIB_CC = $(filter-out %_properties.cc,$(wildcard src/*/*.cc))
 LIB_O = $(LIB_C:%.c=$(BUILD)/%.o) $(LIB_CC:%.cc=$(BUILD)/%.o)
 LIB = $(BUILD)/libburdockdale.a
@@ -116,4 +116,4 @@
 clean:
 	@rm -rf build
 
--include $(LIB_O:.o=.d) $(wildcard $(BUILD)/src/*/*.d $(BUILD)/tests/fakes/*.d $(BUILD)/bench/*.d)
+-include $(LIB_O:.o=.d) $(wildcard $(BUILD)/platform/*.d $(BUILD)/src/*/*.d $(BUILD)/tests/fakes/*.d $(BUILD)/bench/*.d)
--- /dev/null
+++ b/src/admission/backlog.c
@@ -0,0 +1,94 @@
+/* The order of waiting requests.  */
+
+#include "admission/backlog.h"
+
+static gint
+compare (gconstpointer a, gconstpointer b, gpointer ctx)
+{
+  const struct bd_backlog_item *left = a;
+  const struct bd_backlog_item *right = b;
+
+  (void)ctx;
+  if (left->is_resumed != right->is_resumed)
+    return left->is_resumed ? -1 : 1;
+  if (left->is_late != right->is_late)
+    return left->is_late ? 1 : -1;
+  if (left->priority != right->priority)
+    return left->priority < right->priority ? -1 : 1;
+  if (left->objective_ms != right->objective_ms)
+    return left->objective_ms < right->objective_ms ? -1 : 1;
+  return left < right ? -1 : left > right;
+}
+
+void
+bd_backlog_init (struct bd_backlog *backlog)
+{
+  backlog->items = g_sequence_new (NULL);
+}
+
+void
+bd_backlog_finish (struct bd_backlog *backlog)
+{
+  g_sequence_free (backlog->items);
+}
+
+void
+bd_backlog_add (struct bd_backlog *backlog, struct bd_backlog_item *item,
+                int64_t now_ms)
+{
+  item->backlog = backlog;
+  item->since_ms = now_ms;
+  item->place = g_sequence_insert_sorted (backlog->items, item, compare, NULL);
+}
+
+void
+bd_backlog_remove (struct bd_backlog_item *item)
+{
+  if (item->backlog == NULL)
+    return;
+  g_sequence_remove (item->place);
+  item->backlog = NULL;
+  item->place = NULL;
+}
+
+uint32_t
+bd_backlog_count (const struct bd_backlog *backlog)
+{
+  return (uint32_t)g_sequence_get_length (backlog->items);
+}
+
+void
+bd_backlog_age (struct bd_backlog *backlog, int64_t least_ms, int64_t now_ms)
+{
+  GSequenceIter *iter = g_sequence_get_begin_iter (backlog->items);
+  bool has_changed = false;
+
+  for (; !g_sequence_iter_is_end (iter); iter = g_sequence_iter_next (iter))
+    {
+      struct bd_backlog_item *item = g_sequence_get (iter);
+
+      if (item->is_late || now_ms + least_ms <= item->objective_ms)
+        continue;
+      item->is_late = true;
+      has_changed = true;
+    }
+  if (has_changed)
+    g_sequence_sort (backlog->items, compare, NULL);
+}
+
+void
+bd_backlog_each (struct bd_backlog *backlog,
+                 bool (*visit) (void *ctx, struct bd_backlog_item *item),
+                 void *ctx)
+{
+  GSequenceIter *iter = g_sequence_get_begin_iter (backlog->items);
+
+  while (!g_sequence_iter_is_end (iter))
+    {
+      GSequenceIter *next = g_sequence_iter_next (iter);
+
+      if (!visit (ctx, g_sequence_get (iter)))
+        return;
+      iter = next;
+    }
+}
--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -16,7 +16,7 @@
   struct timespec now;
 
   (void)ctx;
-  clock_gettime (CLOCK_MONOTONIC, &now);
+  clock_gettime (CLOCK_BOOTTIME, &now);
   return now;
 }
 
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -20,7 +20,9 @@
   void *ctx;
 };
 
-/* bd_clock_system(): the clock of the machine.  */
+/* bd_clock_system(): the clock of the machine.  Its monotonic time runs on
+   while the machine is suspended, so that what has grown old meanwhile is
+   seen to be old.  */
 struct bd_clock bd_clock_system (void);
 
 /* bd_clock_now_ms(): monotonic time in milliseconds.  */
--- a/src/base/error.c
+++ b/src/base/error.c
@@ -20,6 +20,8 @@
   = { "too-large", "the request body is over the route's limit", 413, false },
   [BD_ERR_NO_ROUTE]
   = { "no-route", "no published service takes this request", 404, false },
+  [BD_ERR_UNAUTHORIZED]
+  = { "unauthorized", "no client account holds this API key", 401, false },
   [BD_ERR_RATE_LIMITED]
   = { "rate-limited", "the client account is over its limit", 429, true },
   [BD_ERR_OVERLOADED] = { "overloaded", "the queue is full", 503, true },
@@ -54,6 +56,9 @@
       true },
   [BD_ERR_PLATFORM_DOWN]
   = { "platform-down", "the claim cannot be recorded now", 503, true },
+  [BD_ERR_HISTORY_GONE]
+  = { "history-gone", "the changes since that revision are forgotten", 410,
+      true },
   [BD_ERR_STOPPING]
   = { "stopping", "this daemon is stopping; another one serves", 503, true },
   [BD_ERR_NOT_READY]
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -4,20 +4,36 @@
 
 #include "base/log.h"
 
+#include <fcntl.h>
 #include <glib.h>
 #include <jansson.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 enum
 {
-  MAX_FIELDS = 16,
-  TIME_SIZE = 40
+  MAX_FIELDS = 24,
+  TIME_SIZE = 40,
+  /* Lines a second; details leave the last part to the others.  */
+  LINES_PER_S = 400,
+  DETAILS_PER_S = 250,
+  /* Gathered before it is written.  */
+  FLUSH_BYTES = 4096,
+  /* Kept for a reader that does not keep up.  */
+  BUFFER_BYTES = 256 * 1024
 };
 
 static char process_name_text[64] = "burdockdale";
+static char buffer[BUFFER_BYTES];
+static size_t buffer_used;
+static uint64_t dropped;
+static time_t budget_second;
+static uint32_t budget_used;
 
 static void
 format_time (char out[TIME_SIZE])
@@ -32,6 +48,39 @@
   snprintf (out + used, TIME_SIZE - used, ".%03ldZ", now.tv_nsec / 1000000);
 }
 
+/* Standard output may be a pipe that nobody reads.  */
+static void
+write_some (void)
+{
+  ssize_t written;
+
+  while (buffer_used > 0)
+    {
+      written = write (STDOUT_FILENO, buffer, buffer_used);
+      if (written <= 0)
+        break;
+      memmove (buffer, buffer + written, buffer_used - (size_t)written);
+      buffer_used -= (size_t)written;
+    }
+}
+
+static void
+gather (const char *text)
+{
+  size_t size = strlen (text);
+
+  if (buffer_used + size + 1 > sizeof buffer)
+    {
+      dropped++;
+      return;
+    }
+  memcpy (buffer + buffer_used, text, size);
+  buffer_used += size;
+  buffer[buffer_used++] = '\n';
+  if (buffer_used >= FLUSH_BYTES)
+    write_some ();
+}
+
 /* Writes one record as a JSON line.  */
 static GLogWriterOutput
 write_json (GLogLevelFlags level, const GLogField *fields, gsize n_fields,
@@ -41,7 +90,6 @@
   json_t *line = json_object ();
   char *text;
 
-  (void)level;
   (void)user_data;
   format_time (time_text);
   json_object_set_new (line, "time", json_string (time_text));
@@ -55,28 +103,52 @@
     }
   text = json_dumps (line, JSON_COMPACT);
   if (text != NULL)
-    fprintf (stderr, "%s\n", text);
+    gather (text);
   free (text);
   json_decref (line);
+  if (level != G_LOG_LEVEL_INFO)
+    write_some ();
   return G_LOG_WRITER_HANDLED;
 }
 
+static bool
+is_within_budget (bool is_detail)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  if (now.tv_sec != budget_second)
+    {
+      budget_second = now.tv_sec;
+      budget_used = 0;
+    }
+  if (budget_used >= (is_detail ? DETAILS_PER_S : LINES_PER_S))
+    {
+      dropped++;
+      return false;
+    }
+  budget_used++;
+  return true;
+}
+
 void
 bd_log_init (const char *process_name)
 {
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+
   snprintf (process_name_text, sizeof process_name_text, "%s", process_name);
+  if (flags >= 0)
+    fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
   g_log_set_writer_func (write_json, NULL, NULL);
 }
 
-void
-bd_log (const char *event, ...)
+static void
+log_fields (GLogLevelFlags level, const char *event, va_list args)
 {
   GLogField fields[MAX_FIELDS];
   gsize count = 0;
-  va_list args;
 
   fields[count++] = (GLogField){ "event", event, -1 };
-  va_start (args, event);
   while (count < MAX_FIELDS)
     {
       const char *name = va_arg (args, const char *);
@@ -84,6 +156,48 @@
         break;
       fields[count++] = (GLogField){ name, va_arg (args, const char *), -1 };
     }
+  g_log_structured_array (level, fields, count);
+}
+
+void
+bd_log (const char *event, ...)
+{
+  va_list args;
+
+  if (!is_within_budget (false))
+    return;
+  va_start (args, event);
+  log_fields (G_LOG_LEVEL_MESSAGE, event, args);
+  va_end (args);
+}
+
+void
+bd_log_detail (const char *event, ...)
+{
+  va_list args;
+
+  if (!is_within_budget (true))
+    return;
+  va_start (args, event);
+  log_fields (G_LOG_LEVEL_INFO, event, args);
   va_end (args);
-  g_log_structured_array (G_LOG_LEVEL_MESSAGE, fields, count);
+}
+
+void
+bd_log_flush (void)
+{
+  write_some ();
+}
+
+uint64_t
+bd_log_dropped (void)
+{
+  return dropped;
+}
+
+char *
+bd_number_text (char text[24], int64_t value)
+{
+  snprintf (text, 24, "%lld", (long long)value);
+  return text;
 }
--- a/src/calls/call.c
+++ b/src/calls/call.c
@@ -14,12 +14,23 @@
 bd_retry_budget_init (struct bd_retry_budget *budget)
 {
   budget->tokens = retry_most;
+  budget->share = retry_share;
+  budget->most = retry_most;
+}
+
+void
+bd_retry_budget_limit (struct bd_retry_budget *budget, double share,
+                       double most)
+{
+  budget->share = share;
+  budget->most = most;
+  budget->tokens = fmin (budget->tokens, most);
 }
 
 void
 bd_retry_budget_fresh (struct bd_retry_budget *budget)
 {
-  budget->tokens = fmin (retry_most, budget->tokens + retry_share);
+  budget->tokens = fmin (budget->most, budget->tokens + budget->share);
 }
 
 bool
@@ -112,7 +123,8 @@
   bool has_not_started
       = failure == BD_FAILURE_NOT_SENT || failure == BD_FAILURE_REFUSED;
 
-  if (call->attempts >= BD_CALL_MAX_ATTEMPTS)
+  if (call->attempts >= BD_CALL_MAX_ATTEMPTS
+      || (call->max_runs > 0 && call->runs >= call->max_runs))
     return false;
   if (!call->may_repeat)
     return has_not_started && !call->may_have_run;
@@ -134,7 +146,10 @@
 {
   assert (call->state == BD_CALL_RUNNING);
   if (failure != BD_FAILURE_NOT_SENT && failure != BD_FAILURE_REFUSED)
-    call->may_have_run = true;
+    {
+      call->may_have_run = true;
+      call->runs++;
+    }
   if (now_ms >= call->deadline_ms)
     return fail (call, BD_ERR_DEADLINE_PASSED);
   if (!may_try_again (call, failure) || !bd_retry_budget_take (budget))
--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -36,7 +36,8 @@
   BD_FAILURE_REFUSED,  /* The endpoint said that it has not started.  */
   BD_FAILURE_BROKEN,   /* The connection ended early.  */
   BD_FAILURE_CROSSED,  /* The answer belongs to another attempt.  */
-  BD_FAILURE_TIMEOUT
+  BD_FAILURE_TIMEOUT,
+  BD_FAILURE_ANSWERED /* The endpoint has run it, and answered a failure.  */
 };
 
 enum bd_action
@@ -56,6 +57,8 @@
   bool is_stream;
   int64_t deadline_ms;
   uint32_t attempts;
+  uint32_t max_runs; /* Endpoints that may run it; 0 stands for any.  */
+  uint32_t runs;     /* Attempts that may have run.  */
   /* Whether some endpoint may have started the work.  */
   bool may_have_run;
   bool has_head;         /* The caller has the head of the answer.  */
@@ -70,12 +73,19 @@
 struct bd_retry_budget
 {
   double tokens;
+  double share; /* Retries for each fresh call.  */
+  double most;  /* That may be saved up.  */
 };
 
 /* bd_retry_budget_init(): starts with the most that may be saved up: the
    calls of a replica that dies can be sent elsewhere at once.  */
 void bd_retry_budget_init (struct bd_retry_budget *budget);
 
+/* bd_retry_budget_limit(): other limits than the usual ones, as for a daemon
+   that shares them with others.  */
+void bd_retry_budget_limit (struct bd_retry_budget *budget, double share,
+                            double most);
+
 /* bd_retry_budget_fresh(): a fresh call adds to the budget.  */
 void bd_retry_budget_fresh (struct bd_retry_budget *budget);
 
--- a/src/calls/calls_properties.cc
+++ b/src/calls/calls_properties.cc
@@ -77,7 +77,7 @@
     auto fates = *rc::gen::container<std::vector<int> > (
         8, rc::gen::inRange<int> (0, FATE_COUNT));
     struct bd_call call;
-    struct bd_retry_budget budget = { tokens };
+    struct bd_retry_budget budget = { tokens, 0.2, 100 };
     Outcome out;
     enum bd_action action;
 
@@ -137,7 +137,7 @@
     void *ctx = talloc_new (nullptr);
     struct bd_sse sse;
     struct bd_call call;
-    struct bd_retry_budget budget = { 10 };
+    struct bd_retry_budget budget = { 10, 0.2, 100 };
     std::string given;
     bool has_ended = false;
     enum bd_action action;
--- a/src/calls/calls_test.c
+++ b/src/calls/calls_test.c
@@ -8,7 +8,8 @@
 #include <string.h>
 #include <talloc.h>
 
-static struct bd_retry_budget rich = { 50 };
+static struct bd_retry_budget rich
+    = { .tokens = 50, .share = 0.2, .most = 100 };
 
 static void
 start (struct bd_call *call, bool may_repeat, bool is_stream)
@@ -51,7 +52,7 @@
 static void
 test_retry_budget (void)
 {
-  struct bd_retry_budget budget = { 0 };
+  struct bd_retry_budget budget = { .tokens = 0, .share = 0.2, .most = 100 };
 
   CU_ASSERT_FALSE (bd_retry_budget_take (&budget));
   for (int i = 0; i < 6; i++)
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -17,6 +17,7 @@
 /* Each takes the arguments from the subcommand's name on and returns an exit
    code.  */
 int bd_cli_serve (int argc, char **argv);
+int bd_cli_edge (int argc, char **argv);
 int bd_cli_check (int argc, char **argv);
 int bd_cli_publish (int argc, char **argv);
 int bd_cli_status (int argc, char **argv);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -15,6 +15,7 @@
 
 static const struct command commands[] = {
   { "serve", bd_cli_serve, "run the daemon" },
+  { "edge", bd_cli_edge, "run the daemon before the endpoints of a platform" },
   { "check", bd_cli_check, "check service files" },
   { "publish", bd_cli_publish, "publish service files" },
   { "status", bd_cli_status, "show what is in force where" },
--- a/src/daemon/daemon_attempts.c
+++ b/src/daemon/daemon_attempts.c
@@ -157,8 +157,7 @@
     finish_whole (job, call, result->status, result->body, result->body_size);
 }
 
-static const struct bd_http_call_ops whole_ops
-    = { NULL, NULL, handle_whole_done };
+static const struct bd_http_call_ops whole_ops = { .done = handle_whole_done };
 
 static void
 begin_stream (struct bd_job *job)
@@ -278,7 +277,9 @@
 }
 
 static const struct bd_http_call_ops stream_ops
-    = { handle_stream_head, handle_stream_data, handle_stream_done };
+    = { .head = handle_stream_head,
+        .data = handle_stream_data,
+        .done = handle_stream_done };
 
 struct attempt_headers
 {
--- a/src/daemon/daemon_groups.c
+++ b/src/daemon/daemon_groups.c
@@ -224,8 +224,7 @@
     bd_count (&daemon->counters, BD_COUNT_ORDERS_REFUSED);
 }
 
-static const struct bd_http_call_ops order_ops
-    = { NULL, NULL, handle_order_done };
+static const struct bd_http_call_ops order_ops = { .done = handle_order_done };
 
 static json_t *
 member_ports (const struct bd_daemon *daemon, const struct bd_group *group)
--- a/src/daemon/daemon_instances.c
+++ b/src/daemon/daemon_instances.c
@@ -163,8 +163,7 @@
   json_decref (own);
 }
 
-static const struct bd_http_call_ops list_ops
-    = { NULL, NULL, handle_list_done };
+static const struct bd_http_call_ops list_ops = { .done = handle_list_done };
 
 void
 bd_daemon_list_instances (void *ctx)
--- a/src/daemon/daemon_observe.c
+++ b/src/daemon/daemon_observe.c
@@ -215,8 +215,7 @@
   talloc_free (poll);
 }
 
-static const struct bd_http_call_ops poll_ops
-    = { NULL, NULL, handle_poll_done };
+static const struct bd_http_call_ops poll_ops = { .done = handle_poll_done };
 
 static void
 poll_endpoint (struct bd_daemon *daemon, struct bd_endpoint *endpoint)
--- a/src/daemon/daemon_peers.c
+++ b/src/daemon/daemon_peers.c
@@ -412,6 +412,10 @@
     case BD_MESSAGE_CLAIM_REPLY:
       bd_daemon_take_claim_reply (daemon, message);
       break;
+    case BD_MESSAGE_NEWS:
+    case BD_MESSAGE_VOUCH_ASK:
+    case BD_MESSAGE_VOUCH:
+    case BD_MESSAGE_DOUBT:
     case BD_MESSAGE_COUNT:
       break;
     }
--- /dev/null
+++ b/src/edge/edge.c
@@ -0,0 +1,326 @@
+/* Start, stop and timers of the edge daemon.  */
+
+#include "edge/edge_internal.h"
+
+#include <string.h>
+#include <talloc.h>
+
+enum
+{
+  NEWS_PERIOD_MS = 100,
+  FEED_PERIOD_MS = 100,
+  KEEPER_PERIOD_MS = 50,
+  WATCHDOG_PERIOD_MS = 25,
+  SUSPICION_MS = 60000,
+  /* Handles of the HTTP client that are kept, and its open connections.  */
+  MAX_IDLE_CONNECTIONS = 256,
+  MAX_STORE_CONNECTIONS = 8,
+  MAX_BODY_BYTES = 4 << 20,
+  MAX_PAGE_CONNECTIONS = 32,
+  /* Of the descriptors: callers, endpoints and the rest share them.  */
+  CALLER_PART = 2,
+  STORE_TIMEOUT_MS = 600,
+  STORE_BACKOFF_MS = 400,
+  /* The balancer asks once a second and takes two misses; until it has
+     noticed, a daemon that stops takes new connections.  */
+  BALANCER_NOTICE_MS = 3200,
+  /* Left of the grace when the daemon ends whatever still runs.  */
+  GRACE_MARGIN_MS = 250
+};
+
+/* Part of the time in which a key may still be used after it was taken away
+   that the proof of the configuration may be old.  */
+static const double proof_part = 0.85;
+/* Part of the retries that all daemons share that are given out.  */
+static const double slack_part = 0.5;
+
+int64_t
+bd_edge_now_ms (const struct bd_edge *edge)
+{
+  return bd_clock_now_ms (&edge->clock);
+}
+
+bool
+bd_edge_is_key_proof_fresh (const struct bd_edge *edge)
+{
+  const struct bd_edge_bounds *bounds = &edge->settings->bounds;
+
+  return !bounds->revoke_fail_closed
+         || bd_edge_now_ms (edge) - edge->config_proof_ms
+                < (int64_t)(proof_part * bounds->revoke_ms);
+}
+
+bool
+bd_edge_is_ready (const struct bd_edge *edge, const char **reason)
+{
+  *reason = "";
+  if (edge->is_stopping)
+    *reason = "stopping\n";
+  else if (edge->routes == NULL)
+    *reason = "no configuration, neither from the store nor from a peer\n";
+  else if (!edge->fleet.is_known)
+    *reason = "no instance list, neither from the store nor from a peer\n";
+  else if (edge->routes->needs_keys && !bd_edge_is_key_proof_fresh (edge))
+    *reason = "the configuration may be out of date\n";
+  return (*reason)[0] == '\0';
+}
+
+uint32_t
+bd_edge_daemon_count (const struct bd_edge *edge)
+{
+  return edge->membership.count;
+}
+
+static void
+share_retries (struct bd_edge *edge, struct bd_edge_service *service)
+{
+  const struct bd_edge_bounds *bounds = &edge->settings->bounds;
+
+  bd_retry_budget_limit (
+      &service->retries, slack_part * bounds->retry_ratio,
+      1.0 + slack_part * bounds->retry_slack / bd_edge_daemon_count (edge));
+}
+
+struct bd_edge_service *
+bd_edge_service (struct bd_edge *edge, const char *name)
+{
+  struct bd_edge_service *service = g_hash_table_lookup (edge->services, name);
+
+  if (service != NULL)
+    return service;
+  service = g_new0 (struct bd_edge_service, 1);
+  bd_name_copy (service->name, name);
+  bd_retry_budget_init (&service->retries);
+  bd_backlog_init (&service->backlog);
+  share_retries (edge, service);
+  g_hash_table_insert (edge->services, service->name, service);
+  return service;
+}
+
+static void
+free_service (gpointer value)
+{
+  struct bd_edge_service *service = value;
+
+  bd_backlog_finish (&service->backlog);
+  g_free (service);
+}
+
+static size_t
+max_body (void *ctx, const char *path)
+{
+  const struct bd_edge *edge = ctx;
+
+  (void)path;
+  return edge->routes != NULL && edge->routes->limits.body_bytes > 0
+             ? edge->routes->limits.body_bytes
+             : MAX_BODY_BYTES;
+}
+
+static void
+handle_request (void *ctx, struct bd_http_exchange *exchange)
+{
+  bd_edge_take_request (ctx, exchange);
+}
+
+static void
+handle_gone (void *ctx, struct bd_http_exchange *exchange)
+{
+  bd_edge_caller_gone (ctx, exchange);
+}
+
+static void
+handle_writable (void *ctx, struct bd_http_exchange *exchange)
+{
+  bd_edge_caller_writable (ctx, exchange);
+}
+
+static const struct bd_http_server_ops caller_ops
+    = { max_body, handle_request, handle_gone, handle_writable };
+
+static size_t
+no_body (void *ctx, const char *path)
+{
+  (void)ctx;
+  (void)path;
+  return 0;
+}
+
+static void
+handle_ready (void *ctx, struct bd_http_exchange *exchange)
+{
+  bd_edge_serve_ready (ctx, exchange);
+}
+
+static void
+handle_metrics (void *ctx, struct bd_http_exchange *exchange)
+{
+  bd_edge_serve_metrics (ctx, exchange);
+}
+
+static void
+ignore_exchange (void *ctx, struct bd_http_exchange *exchange)
+{
+  (void)ctx;
+  (void)exchange;
+}
+
+static const struct bd_http_server_ops ready_ops
+    = { no_body, handle_ready, ignore_exchange, ignore_exchange };
+static const struct bd_http_server_ops metrics_ops
+    = { no_body, handle_metrics, ignore_exchange, ignore_exchange };
+
+static void
+start_tables (struct bd_edge *edge)
+{
+  bd_fleet_init (&edge->fleet);
+  bd_suspects_init (&edge->suspects, SUSPICION_MS);
+  edge->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
+}
+
+static bool
+start_clients (struct bd_edge *edge)
+{
+  const struct bd_edge_settings *settings = edge->settings;
+
+  if (!bd_http_client_init (&edge->client, edge->events, MAX_IDLE_CONNECTIONS)
+      || !bd_http_client_init (&edge->store_client, edge->events,
+                               MAX_STORE_CONNECTIONS))
+    return false;
+  bd_platform_init (&edge->store, edge->dialect->objects,
+                    edge->dialect->make_api (edge, &edge->store_client,
+                                             settings->platform_url),
+                    edge->events, &edge->clock, &edge->counters, edge->rng,
+                    settings->reads_per_s, settings->writes_per_s);
+  edge->store.call_timeout_ms = STORE_TIMEOUT_MS;
+  edge->store.most_backoff_ms = STORE_BACKOFF_MS;
+  return true;
+}
+
+static bool
+start_servers (struct bd_edge *edge)
+{
+  const struct bd_edge_settings *settings = edge->settings;
+
+  return bd_http_server_init (&edge->ready_server, edge->events,
+                              settings->address, settings->ready_port,
+                              MAX_PAGE_CONNECTIONS, &ready_ops, edge)
+         && bd_http_server_init (&edge->server, edge->events,
+                                 settings->address, settings->http_port,
+                                 settings->max_descriptors / CALLER_PART,
+                                 &caller_ops, edge)
+         && bd_http_server_init (&edge->metrics_server, edge->events,
+                                 settings->address, settings->metrics_port,
+                                 MAX_PAGE_CONNECTIONS, &metrics_ops, edge);
+}
+
+static void
+start_tickers (struct bd_edge *edge)
+{
+  bd_ticker_init (&edge->news_ticker, edge->events, edge->rng, NEWS_PERIOD_MS,
+                  bd_edge_send_news, edge);
+  bd_ticker_init (&edge->feed_ticker, edge->events, edge->rng, FEED_PERIOD_MS,
+                  bd_edge_feed, edge);
+  bd_ticker_init (&edge->keeper_ticker, edge->events, edge->rng,
+                  KEEPER_PERIOD_MS, bd_edge_keep, edge);
+  bd_ticker_init (&edge->watchdog_ticker, edge->events, edge->rng,
+                  WATCHDOG_PERIOD_MS, bd_edge_watch, edge);
+}
+
+struct bd_edge *
+bd_edge_start (void *ctx, struct tevent_context *events,
+               struct bd_edge_settings *settings,
+               const struct bd_dialect *dialect)
+{
+  struct bd_edge *edge = talloc_zero (ctx, struct bd_edge);
+
+  edge->settings = settings;
+  edge->dialect = dialect;
+  edge->events = events;
+  edge->clock = bd_clock_system ();
+  edge->started_ms = bd_edge_now_ms (edge);
+  /* What was never read is old.  */
+  edge->config_proof_ms = edge->started_ms - settings->bounds.revoke_ms;
+  edge->instances_proof_ms = edge->config_proof_ms;
+  edge->rng = gsl_rng_alloc (gsl_rng_mt19937);
+  gsl_rng_set (edge->rng, (unsigned long)bd_random_seed ());
+  start_tables (edge);
+  if (!start_clients (edge) || !bd_edge_start_peers (edge)
+      || !start_servers (edge))
+    {
+      bd_log ("cannot-listen", "address", settings->address, NULL);
+      bd_edge_finish (edge);
+      return NULL;
+    }
+  start_tickers (edge);
+  bd_log ("started", "data_centre", settings->data_centre, "address",
+          settings->address, "dialect", dialect->name, NULL);
+  return edge;
+}
+
+void
+bd_edge_stop (struct bd_edge *edge)
+{
+  if (edge->is_stopping)
+    return;
+  edge->is_stopping = true;
+  edge->stopping_since_ms = bd_edge_now_ms (edge);
+  bd_log ("stopping", "open", BD_NUM (edge->request_count), NULL);
+  /* Peers take over this daemon's duties at once.  */
+  bd_edge_send_news (edge);
+}
+
+void
+bd_edge_reload (struct bd_edge *edge, const struct bd_edge_settings *settings)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  edge->settings->bounds = settings->bounds;
+  g_hash_table_iter_init (&iter, edge->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    share_retries (edge, value);
+  bd_log ("reloaded", NULL);
+}
+
+bool
+bd_edge_is_done (const struct bd_edge *edge)
+{
+  int64_t passed_ms;
+
+  if (!edge->is_stopping)
+    return false;
+  passed_ms = bd_edge_now_ms (edge) - edge->stopping_since_ms;
+  if (passed_ms >= (int64_t)edge->settings->bounds.grace_ms - GRACE_MARGIN_MS)
+    return true;
+  return passed_ms >= BALANCER_NOTICE_MS && edge->request_count == 0
+         && edge->server.open_exchanges == 0;
+}
+
+void
+bd_edge_finish (struct bd_edge *edge)
+{
+  bd_ticker_finish (&edge->news_ticker);
+  bd_ticker_finish (&edge->feed_ticker);
+  bd_ticker_finish (&edge->keeper_ticker);
+  bd_ticker_finish (&edge->watchdog_ticker);
+  while (edge->requests != NULL)
+    bd_edge_request_end (edge->requests);
+  bd_http_server_finish (&edge->server);
+  bd_http_server_finish (&edge->ready_server);
+  bd_http_server_finish (&edge->metrics_server);
+  bd_peers_finish (&edge->peers);
+  bd_platform_finish (&edge->store);
+  bd_http_client_finish (&edge->client);
+  bd_http_client_finish (&edge->store_client);
+  bd_suspects_finish (&edge->suspects);
+  if (edge->peer_news != NULL)
+    g_hash_table_destroy (edge->peer_news);
+  g_hash_table_destroy (edge->services);
+  bd_fleet_finish (&edge->fleet);
+  json_decref (edge->config);
+  json_decref (edge->instances);
+  gsl_rng_free (edge->rng);
+  talloc_free (edge);
+}
--- /dev/null
+++ b/src/edge/ingress.c
@@ -0,0 +1,239 @@
+/* Requests as they come in: route, account, limits.  */
+
+#include "edge/edge_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <talloc.h>
+
+/* Headers that concern one connection only, or that are made anew.  */
+static const char *const dropped_headers[] = { "Connection",
+                                               "Keep-Alive",
+                                               "Proxy-Connection",
+                                               "Proxy-Authenticate",
+                                               "Proxy-Authorization",
+                                               "TE",
+                                               "Trailer",
+                                               "Transfer-Encoding",
+                                               "Upgrade",
+                                               "Content-Length",
+                                               "Expect" };
+
+enum
+{
+  DROPPED_COUNT = sizeof dropped_headers / sizeof dropped_headers[0],
+  /* After which a caller may come back while keys cannot be checked.  */
+  NOT_READY_RETRY_MS = 500
+};
+
+/* Whether a list of names, as in Connection, holds name.  */
+static bool
+is_listed (const char *list, const char *name)
+{
+  size_t size = strlen (name);
+
+  while (list != NULL && *list != '\0')
+    {
+      size_t part = strcspn (list, ", \t");
+
+      if (part == size && strncasecmp (list, name, size) == 0)
+        return true;
+      list += part;
+      list += strspn (list, ", \t");
+    }
+  return false;
+}
+
+static bool
+is_dropped (const struct bd_edge_request *request, const char *name)
+{
+  const struct bd_header_names *names = request->edge->dialect->headers;
+
+  for (uint32_t i = 0; i < DROPPED_COUNT; i++)
+    if (strcasecmp (name, dropped_headers[i]) == 0)
+      return true;
+  return strcasecmp (name, names->authorization) == 0
+         || strcasecmp (name, names->account) == 0
+         || strcasecmp (name, names->deadline_ms) == 0
+         || strcasecmp (name, names->target_endpoint) == 0
+         || strcasecmp (name, names->priority_class) == 0
+         || strcasecmp (name, names->last_event_id) == 0
+         || is_listed (bd_http_header (request->exchange, "Connection"), name);
+}
+
+static void
+keep_header (void *ctx, const char *name, const char *value)
+{
+  struct bd_edge_request *request = ctx;
+
+  if (request->header_count == BD_EDGE_MAX_HEADERS
+      || is_dropped (request, name))
+    return;
+  request->headers[request->header_count++]
+      = (struct bd_http_pair){ talloc_strdup (request, name),
+                               talloc_strdup (request, value) };
+}
+
+/* The API key of a request, or NULL.  */
+static const char *
+key_of (const struct bd_edge *edge, const struct bd_http_exchange *x)
+{
+  const struct bd_header_names *names = edge->dialect->headers;
+  const char *value = bd_http_header (x, names->authorization);
+  size_t size = strlen (names->key_scheme);
+
+  if (value == NULL || strncasecmp (value, names->key_scheme, size) != 0)
+    return NULL;
+  value += size;
+  return value + strspn (value, " ");
+}
+
+static void
+refuse (struct bd_edge *edge, struct bd_http_exchange *x, enum bd_error error,
+        const char *route, int64_t retry_after_ms)
+{
+  const char *id = bd_http_header (x, edge->dialect->headers->attempt_id);
+
+  bd_log ("refused", "id", id != NULL ? id : "", "route", route, "reason",
+          bd_error_name (error), "config",
+          BD_NUM (edge->routes != NULL ? edge->routes->version : 0),
+          "config_age_ms",
+          BD_NUM (bd_edge_now_ms (edge) - edge->config_proof_ms), NULL);
+  bd_edge_answer_failure (edge, x, id, error, BD_NOT_RUN, retry_after_ms);
+}
+
+static void
+read_tokens (struct bd_edge_request *request, const struct bd_engine *engine)
+{
+  const struct bd_header_names *names = request->edge->dialect->headers;
+  const char *counts = bd_http_header (request->exchange, names->token_counts);
+  const char *hint = bd_http_header (request->exchange, names->answer_hint);
+  uint32_t most = 0;
+  char *end;
+
+  request->answer_tokens = (uint32_t)engine->usual_answer;
+  request->prompt_tokens = (uint32_t)engine->usual_prompt;
+  if (counts != NULL)
+    {
+      request->prompt_tokens = (uint32_t)strtoul (counts, &end, 10);
+      if (*end == ',')
+        most = (uint32_t)strtoul (end + 1, NULL, 10);
+    }
+  if (hint != NULL && strtoul (hint, NULL, 10) > 0)
+    request->answer_tokens = (uint32_t)strtoul (hint, NULL, 10);
+  if (most > 0 && request->answer_tokens > most)
+    request->answer_tokens = most;
+}
+
+/* Whether the caller goes on with a stream after an event that it has.  */
+static void
+read_resumption (struct bd_edge_request *request)
+{
+  const char *last = bd_http_header (
+      request->exchange, request->edge->dialect->headers->last_event_id);
+
+  if (last != NULL && request->kind == BD_ROUTE_STREAM)
+    request->call.last_event_id = strtoll (last, NULL, 10);
+}
+
+static void
+read_route (struct bd_edge_request *request, const struct bd_route *route,
+            const struct bd_account *account)
+{
+  bd_name_copy (request->route, route->name);
+  request->kind = route->kind;
+  request->is_idempotent = bd_route_is_idempotent (route);
+  request->objective_ms = route->objective_ms;
+  request->gap_objective_ms = route->gap_objective_ms;
+  request->priority = account != NULL && account->has_priority
+                          ? account->priority
+                          : route->priority;
+  bd_name_copy (request->account, account != NULL ? account->name : "");
+  bd_name_copy (request->service, bd_route_choose (route, request->edge->rng));
+}
+
+static int64_t
+deadline_of (const struct bd_edge_request *request, uint32_t timeout_ms)
+{
+  const char *text = bd_http_header (
+      request->exchange, request->edge->dialect->headers->deadline_ms);
+  int64_t left_ms = text != NULL ? strtoll (text, NULL, 10) : timeout_ms;
+
+  if (left_ms > (int64_t)timeout_ms)
+    left_ms = timeout_ms;
+  return request->received_ms + left_ms;
+}
+
+static uint64_t
+fingerprint_of (const struct bd_edge_request *request)
+{
+  return bd_hash_pair (request->account, request->target)
+         ^ bd_hash_pair (request->method, "")
+         ^ bd_hash (request->body != NULL ? request->body : "",
+                    request->body_size);
+}
+
+static void
+start (struct bd_edge *edge, struct bd_http_exchange *x,
+       const struct bd_route *route, const struct bd_account *account)
+{
+  struct bd_edge_request *request = bd_edge_request_make (edge, x);
+  const struct bd_header_names *names = edge->dialect->headers;
+  const struct bd_route_service *service;
+  const char *id = bd_http_header (x, names->attempt_id);
+  const char *model = bd_http_header (x, names->model);
+
+  read_route (request, route, account);
+  bd_name_copy (request->attempt_id, id);
+  request->deadline_ms = deadline_of (request, route->timeout_ms);
+  service = bd_routes_service (edge->routes, request->service);
+  if (service != NULL && service->has_engine)
+    {
+      bd_name_copy (request->model, model);
+      read_tokens (request, &service->engine);
+    }
+  bd_http_headers (x, keep_header, request);
+  request->fingerprint = fingerprint_of (request);
+  bd_call_init (&request->call, request->is_idempotent, false,
+                request->kind == BD_ROUTE_STREAM, request->deadline_ms);
+  request->call.max_runs = route->max_attempts;
+  read_resumption (request);
+  bd_edge_admit (request);
+}
+
+void
+bd_edge_take_request (struct bd_edge *edge, struct bd_http_exchange *x)
+{
+  const struct bd_route *route;
+  const struct bd_account *account = NULL;
+
+  bd_count (&edge->counters, BD_COUNT_REQUESTS);
+  edge->has_traffic = true;
+  if (edge->routes == NULL)
+    {
+      refuse (edge, x, BD_ERR_NOT_READY, "", NOT_READY_RETRY_MS);
+      return;
+    }
+  route = bd_routes_match (edge->routes, bd_http_header (x, "Host"), x->uri);
+  if (route == NULL)
+    {
+      refuse (edge, x, BD_ERR_NO_ROUTE, "", 0);
+      return;
+    }
+  if (edge->routes->needs_keys && !route->is_public)
+    {
+      if (!bd_edge_is_key_proof_fresh (edge))
+        {
+          refuse (edge, x, BD_ERR_NOT_READY, route->name, NOT_READY_RETRY_MS);
+          return;
+        }
+      account = bd_routes_account (edge->routes, key_of (edge, x));
+      if (account == NULL)
+        {
+          refuse (edge, x, BD_ERR_UNAUTHORIZED, route->name, 0);
+          return;
+        }
+    }
+  start (edge, x, route, account);
+}
--- /dev/null
+++ b/src/edge/pages.c
@@ -0,0 +1,66 @@
+/* The daemon's own pages: readiness for the balancer, and metrics.  */
+
+#include "edge/edge_internal.h"
+
+#include <string.h>
+#include <talloc.h>
+
+void
+bd_edge_serve_ready (struct bd_edge *edge, struct bd_http_exchange *exchange)
+{
+  const char *reason;
+  bool is_ready;
+
+  if (strcmp (exchange->path, edge->dialect->ready_path) != 0)
+    {
+      bd_http_respond_text (exchange, 404, "text/plain", "no such page\n");
+      return;
+    }
+  is_ready = bd_edge_is_ready (edge, &reason);
+  bd_http_respond_text (exchange, is_ready ? 200 : 503, "text/plain",
+                        is_ready ? "ready\n" : reason);
+}
+
+static char *
+render_ages (struct bd_edge *edge, void *ctx)
+{
+  int64_t now_ms = bd_edge_now_ms (edge);
+
+  return talloc_asprintf (
+      ctx,
+      "# HELP burdockdale_config_age_seconds since the configuration was "
+      "known "
+      "to be the newest\n"
+      "# TYPE burdockdale_config_age_seconds gauge\n"
+      "burdockdale_config_age_seconds %.3f\n"
+      "# HELP burdockdale_instances_age_seconds since the instance list was "
+      "read\n"
+      "# TYPE burdockdale_instances_age_seconds gauge\n"
+      "burdockdale_instances_age_seconds %.3f\n"
+      "# HELP burdockdale_config_version in force\n"
+      "# TYPE burdockdale_config_version gauge\n"
+      "burdockdale_config_version %lld\n"
+      "# HELP burdockdale_requests_open requests without a final answer\n"
+      "# TYPE burdockdale_requests_open gauge\n"
+      "burdockdale_requests_open %u\n"
+      "# HELP burdockdale_log_lines_dropped_total log lines over the budget\n"
+      "# TYPE burdockdale_log_lines_dropped_total counter\n"
+      "burdockdale_log_lines_dropped_total %llu\n",
+      (double)(now_ms - edge->config_proof_ms) / 1000,
+      (double)(now_ms - edge->instances_proof_ms) / 1000,
+      (long long)(edge->routes != NULL ? edge->routes->version : 0),
+      edge->request_count, (unsigned long long)bd_log_dropped ());
+}
+
+void
+bd_edge_serve_metrics (struct bd_edge *edge, struct bd_http_exchange *exchange)
+{
+  char *text = bd_counters_render (&edge->counters, exchange);
+  char *ages = render_ages (edge, exchange);
+
+  text = text != NULL && ages != NULL
+             ? talloc_asprintf_append (text, "%s", ages)
+             : NULL;
+  bd_http_respond_text (exchange, text != NULL ? 200 : 503,
+                        "text/plain; version=0.0.4", text != NULL ? text : "");
+}
--- /dev/null
+++ b/src/edge/peers.c
@@ -0,0 +1,263 @@
+/* News among the daemons: who is alive, and what traffic each has where.  */
+
+#include "edge/edge_internal.h"
+
+#include <string.h>
+#include <talloc.h>
+
+enum
+{
+  /* Time without news after which a daemon counts as dead; keepers change
+     hands then.  */
+  DEAD_AFTER_MS = 1200,
+  /* Traffic of a daemon that has fallen silent counts for this long.  */
+  TRAFFIC_FRESH_MS = 1500,
+  MAX_PLACES = 512
+};
+
+void
+bd_edge_tell (struct bd_edge *edge, const struct bd_member *member,
+              enum bd_message_type type, const void *message)
+{
+  bd_peers_send (&edge->peers, member->address, member->peer_port, type,
+                 message);
+}
+
+void
+bd_edge_tell_all (struct bd_edge *edge, enum bd_message_type type,
+                  const void *message)
+{
+  for (uint32_t i = 1; i < edge->membership.count; i++)
+    bd_edge_tell (edge, &edge->membership.members[i], type, message);
+}
+
+static uint32_t
+collect_places (struct bd_edge *edge, struct bd_place_news *places)
+{
+  int64_t now_ms = bd_edge_now_ms (edge);
+  uint32_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, edge->fleet.groups);
+  while (count < MAX_PLACES && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct bd_fleet_group *group = value;
+
+      if (group->in_flight > 0)
+        places[count++] = (struct bd_place_news){
+          .place = group->hash,
+          .in_flight = group->in_flight,
+          .reading_ms = group->reading_ms,
+          .progress_age_ms = (uint32_t)(now_ms - group->progress_ms),
+        };
+    }
+  return count;
+}
+
+static uint32_t
+collect_work (struct bd_edge *edge, struct bd_work_news *work)
+{
+  for (uint32_t i = 0; i < edge->work_count; i++)
+    work[i] = (struct bd_work_news){
+      .model = bd_hash (edge->work[i].model, strlen (edge->work[i].model)),
+      .busy = edge->work[i].busy,
+    };
+  return edge->work_count;
+}
+
+/* Smooths the work that was offered since the last turn.  */
+static void
+reckon_work (struct bd_edge *edge)
+{
+  enum
+  {
+    WORK_PERIOD_MS = 500
+  };
+  static const double work_smoothing = 0.15;
+  int64_t now_ms = bd_edge_now_ms (edge);
+
+  for (uint32_t i = 0; i < edge->work_count; i++)
+    {
+      struct bd_edge_work *work = &edge->work[i];
+      int64_t passed_ms = now_ms - work->since_ms;
+      double busy;
+
+      if (passed_ms < WORK_PERIOD_MS)
+        continue;
+      busy = work->since_ms_work / (double)passed_ms;
+      work->busy = work->busy == 0
+                       ? busy
+                       : work->busy + work_smoothing * (busy - work->busy);
+      work->since_ms = now_ms;
+      work->since_ms_work = 0;
+    }
+}
+
+/* Sums up what the peers have on each group.  */
+static void
+sum_peers (struct bd_edge *edge)
+{
+  int64_t now_ms = bd_edge_now_ms (edge);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, edge->fleet.groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct bd_fleet_group *group = value;
+
+      group->peers_in_flight = 0;
+      group->peers_reading_ms = 0;
+    }
+  g_hash_table_iter_init (&iter, edge->peer_news);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct bd_edge_peer *peer = value;
+
+      if (now_ms - peer->heard_ms > TRAFFIC_FRESH_MS)
+        continue;
+      for (uint32_t i = 0; i < peer->place_count; i++)
+        {
+          const struct bd_place_news *news = &peer->places[i];
+          struct bd_fleet_group *group
+              = bd_fleet_group (&edge->fleet, news->place);
+          int64_t progress_ms = peer->heard_ms - news->progress_age_ms;
+
+          if (group == NULL)
+            continue;
+          group->peers_in_flight += news->in_flight;
+          group->peers_reading_ms += news->reading_ms;
+          if (progress_ms > group->peers_progress_ms)
+            group->peers_progress_ms = progress_ms;
+        }
+    }
+}
+
+static void
+free_peer (gpointer peer)
+{
+  talloc_free (peer);
+}
+
+static void
+take_news (struct bd_edge *edge, const struct bd_edge_news *news)
+{
+  int64_t now_ms = bd_edge_now_ms (edge);
+  struct bd_member member = { .peer_port = news->peer_port,
+                              .incarnation = news->incarnation,
+                              .is_stopping = news->is_stopping,
+                              .config_revision = news->config_version };
+  struct bd_edge_peer *peer;
+
+  bd_name_copy (member.name, news->name);
+  bd_name_copy (member.data_centre, news->data_centre);
+  bd_name_copy (member.address, news->address);
+  if (strcmp (news->name, edge->settings->name) == 0
+      || bd_membership_heard (&edge->membership, &member, now_ms) != BD_OK)
+    return;
+  peer = g_hash_table_lookup (edge->peer_news, news->name);
+  if (peer == NULL)
+    {
+      peer = talloc_zero (edge, struct bd_edge_peer);
+      bd_name_copy (peer->name, news->name);
+      g_hash_table_insert (edge->peer_news, peer->name, peer);
+      bd_log ("peer-found", "peer", news->name, "address", news->address,
+              NULL);
+    }
+  peer->heard_ms = now_ms;
+  edge->has_traffic = edge->has_traffic || news->has_traffic;
+  talloc_free (peer->places);
+  talloc_free (peer->work);
+  peer->place_count = news->place_count;
+  peer->places = talloc_memdup (peer, news->places,
+                                news->place_count * sizeof *news->places + 1);
+  peer->work_count = news->work_count;
+  peer->work = talloc_memdup (peer, news->work,
+                              news->work_count * sizeof *news->work + 1);
+  sum_peers (edge);
+}
+
+static void
+take_suspect (struct bd_edge *edge, const struct bd_suspect_news *news)
+{
+  if (news->is_cleared)
+    bd_suspects_clear (&edge->suspects, news->fingerprint);
+  else
+    bd_suspects_mark (&edge->suspects, news->fingerprint, news->place,
+                      bd_edge_now_ms (edge));
+}
+
+static void
+handle_message (void *ctx, enum bd_message_type type, const void *message)
+{
+  struct bd_edge *edge = ctx;
+
+  switch (type)
+    {
+    case BD_MESSAGE_NEWS:
+      take_news (edge, message);
+      break;
+    case BD_MESSAGE_VOUCH_ASK:
+      bd_edge_give_vouch (edge, message);
+      break;
+    case BD_MESSAGE_VOUCH:
+      bd_edge_take_vouch (edge, message);
+      break;
+    case BD_MESSAGE_DOUBT:
+      bd_edge_take_doubt (edge, message);
+      break;
+    case BD_MESSAGE_SUSPECT:
+      take_suspect (edge, message);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+bd_edge_send_news (void *ctx)
+{
+  struct bd_edge *edge = ctx;
+  const struct bd_edge_settings *settings = edge->settings;
+  static struct bd_place_news places[MAX_PLACES];
+  struct bd_work_news work[BD_ENGINE_MAX_MODELS];
+  struct bd_edge_news news
+      = { .peer_port = settings->peer_port,
+          .incarnation = bd_membership_self (&edge->membership)->incarnation,
+          .config_version = edge->routes != NULL ? edge->routes->version : 0,
+          .is_stopping = edge->is_stopping,
+          .has_traffic = edge->has_traffic,
+          .places = places,
+          .work = work };
+
+  reckon_work (edge);
+  if (bd_membership_tick (&edge->membership, bd_edge_now_ms (edge)))
+    bd_log ("peer-lost", "live",
+            BD_NUM (bd_membership_live (&edge->membership, NULL)), NULL);
+  sum_peers (edge);
+  bd_name_copy (news.name, settings->name);
+  bd_name_copy (news.data_centre, settings->data_centre);
+  bd_name_copy (news.address, settings->address);
+  news.place_count = collect_places (edge, places);
+  news.work_count = collect_work (edge, work);
+  bd_edge_tell_all (edge, BD_MESSAGE_NEWS, &news);
+}
+
+bool
+bd_edge_start_peers (struct bd_edge *edge)
+{
+  const struct bd_edge_settings *settings = edge->settings;
+  struct bd_member self = { .peer_port = settings->peer_port };
+
+  bd_name_copy (self.name, settings->name);
+  bd_name_copy (self.data_centre, settings->data_centre);
+  bd_name_copy (self.address, settings->address);
+  self.incarnation = bd_clock_calendar_ms (&edge->clock);
+  bd_membership_init (&edge->membership, edge, &self, DEAD_AFTER_MS);
+  edge->peer_news
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_peer);
+  return bd_peers_init (&edge->peers, edge->events, &edge->counters,
+                        settings->address, settings->peer_port, handle_message,
+                        edge);
+}
--- /dev/null
+++ b/src/edge/place.c
@@ -0,0 +1,348 @@
+/* Where a request goes: what is known of the places, given to the slice that
+   chooses.  */
+
+#include "edge/edge_internal.h"
+
+#include <string.h>
+
+enum
+{
+  MAX_CANDIDATES = 512,
+  /* Requests beyond its slots that a plain endpoint may have waiting.  */
+  ENDPOINT_ROOM = 2,
+  /* An endpoint's word on its load counts for this long.  */
+  LOAD_FRESH_MS = 200,
+  /* Pause before an endpoint is tried again that has said that it is full. */
+  REFUSED_PAUSE_MS = 40
+};
+
+/* What another data centre costs in the choice: the way there and back, and
+   that its traffic is for its own callers first.  */
+static const double other_centre_ms = 12.0;
+/* How quickly measured times and failures are believed.  */
+static const double smoothing = 0.2;
+
+static bool
+was_tried (const struct bd_edge_request *request, uint64_t place)
+{
+  return bd_call_was_tried (&request->call, place);
+}
+
+static double
+distance_ms (const struct bd_edge *edge, const char *data_centre)
+{
+  return strcmp (edge->settings->data_centre, data_centre) == 0
+             ? 0
+             : other_centre_ms;
+}
+
+static bool
+serves (const struct bd_edge_request *request,
+        const struct bd_fleet_group *group)
+{
+  return strcmp (group->model, request->model) == 0
+         && strcmp (group->service, request->service) == 0;
+}
+
+static void
+fill_group_load (const struct bd_edge_request *request,
+                 const struct bd_fleet_group *group,
+                 struct bd_group_load *load)
+{
+  const struct bd_edge *edge = request->edge;
+
+  load->running = group->in_flight + group->peers_in_flight;
+  load->reading_ms = group->reading_ms + group->peers_reading_ms;
+  load->pace = group->pace;
+  load->distance_ms = distance_ms (edge, group->data_centre);
+  load->is_tried = was_tried (request, group->hash);
+}
+
+static bool
+find_group (struct bd_edge_request *request, struct bd_edge_place *place,
+            bool *is_any)
+{
+  struct bd_edge *edge = request->edge;
+  const struct bd_route_service *service
+      = bd_routes_service (edge->routes, request->service);
+  const struct bd_engine_model *model
+      = service != NULL && service->has_engine
+            ? bd_engine_model (&service->engine, request->model)
+            : NULL;
+  static struct bd_group_load loads[MAX_CANDIDATES];
+  static struct bd_fleet_group *groups[MAX_CANDIDATES];
+  uint32_t count = 0;
+  int32_t chosen;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (model == NULL)
+    return false;
+  g_hash_table_iter_init (&iter, edge->fleet.groups);
+  while (count < MAX_CANDIDATES
+         && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct bd_fleet_group *group = value;
+
+      if (!serves (request, group)
+          || !bd_fleet_is_usable (group, model->members,
+                                  bd_edge_now_ms (edge)))
+        continue;
+      memset (&loads[count], 0, sizeof loads[count]);
+      fill_group_load (request, group, &loads[count]);
+      groups[count++] = group;
+    }
+  *is_any = count > 0;
+  chosen = bd_place_group (&service->engine, model, loads, count,
+                           request->prompt_tokens, edge->rng,
+                           &place->expected_ms);
+  if (chosen < 0)
+    return false;
+  place->group = groups[chosen]->hash;
+  place->candidates = count;
+  place->load = loads[chosen].running;
+  bd_name_copy (place->endpoint, groups[chosen]->members[0]->entry.id);
+  bd_name_copy (place->address, groups[chosen]->members[0]->entry.address);
+  place->port = groups[chosen]->members[0]->entry.port;
+  return true;
+}
+
+/* Requests on an endpoint: its own word while that is new, with what was sent
+   since, or else what the daemons say of their traffic.  */
+static uint32_t
+endpoint_running (const struct bd_edge *edge,
+                  const struct bd_fleet_endpoint *endpoint)
+{
+  uint32_t told = endpoint->load + endpoint->sent_since;
+  uint32_t seen = endpoint->in_flight;
+
+  if (bd_edge_now_ms (edge) - endpoint->load_ms < LOAD_FRESH_MS && told > seen)
+    return told;
+  return seen;
+}
+
+static bool
+is_endpoint_usable (const struct bd_edge_request *request,
+                    const struct bd_fleet_endpoint *endpoint)
+{
+  return endpoint->is_listed && !endpoint->entry.is_draining
+         && endpoint->life != BD_LIFE_DEAD
+         && strcmp (endpoint->entry.service, request->service) == 0;
+}
+
+static bool
+find_endpoint (struct bd_edge_request *request, struct bd_edge_place *place,
+               bool *is_any)
+{
+  struct bd_edge *edge = request->edge;
+  static struct bd_endpoint_load loads[MAX_CANDIDATES];
+  static struct bd_fleet_endpoint *endpoints[MAX_CANDIDATES];
+  int64_t now_ms = bd_edge_now_ms (edge);
+  uint32_t count = 0;
+  int32_t chosen;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, edge->fleet.endpoints);
+  while (count < MAX_CANDIDATES
+         && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct bd_fleet_endpoint *endpoint = value;
+      struct bd_endpoint_load *load = &loads[count];
+
+      if (!is_endpoint_usable (request, endpoint))
+        continue;
+      memset (load, 0, sizeof *load);
+      load->running = endpoint_running (edge, endpoint);
+      load->slots = endpoint->entry.slots;
+      load->latency_ms = endpoint->latency_ms;
+      load->failures = endpoint->failures;
+      load->distance_ms = distance_ms (edge, endpoint->entry.data_centre);
+      load->is_refusing = now_ms < endpoint->refused_until_ms;
+      load->is_tried = was_tried (
+          request, bd_hash (endpoint->entry.id, strlen (endpoint->entry.id)));
+      endpoints[count++] = endpoint;
+    }
+  *is_any = count > 0;
+  chosen = bd_place_endpoint (loads, count, ENDPOINT_ROOM, edge->rng);
+  if (chosen < 0)
+    return false;
+  place->group = 0;
+  place->candidates = count;
+  place->load = loads[chosen].running;
+  place->expected_ms = 0;
+  bd_name_copy (place->endpoint, endpoints[chosen]->entry.id);
+  bd_name_copy (place->address, endpoints[chosen]->entry.address);
+  place->port = endpoints[chosen]->entry.port;
+  return true;
+}
+
+bool
+bd_edge_find_place (struct bd_edge_request *request,
+                    struct bd_edge_place *place, bool *is_any)
+{
+  memset (place, 0, sizeof *place);
+  *is_any = false;
+  if (request->edge->routes == NULL)
+    return false;
+  return request->model[0] != '\0' ? find_group (request, place, is_any)
+                                   : find_endpoint (request, place, is_any);
+}
+
+void
+bd_edge_enter_place (struct bd_edge_request *request,
+                     const struct bd_edge_place *place)
+{
+  struct bd_edge *edge = request->edge;
+  struct bd_fleet_endpoint *endpoint
+      = bd_fleet_endpoint (&edge->fleet, place->endpoint);
+  struct bd_fleet_group *group = bd_fleet_group (&edge->fleet, place->group);
+  const struct bd_route_service *service
+      = bd_routes_service (edge->routes, request->service);
+
+  bd_name_copy (request->endpoint, place->endpoint);
+  request->group = place->group;
+  request->sent_ms = bd_edge_now_ms (edge);
+  request->event_ms = request->sent_ms;
+  request->expected_ms = place->expected_ms;
+  request->is_reading = true;
+  if (endpoint != NULL)
+    {
+      endpoint->in_flight++;
+      endpoint->sent_since++;
+    }
+  if (group == NULL)
+    return;
+  request->reading_ms = bd_engine_prefill_ms (
+      &service->engine, bd_engine_model (&service->engine, request->model),
+      request->prompt_tokens);
+  group->in_flight++;
+  group->reading++;
+  group->reading_ms += request->reading_ms;
+  group->sent_ms = request->sent_ms;
+}
+
+void
+bd_edge_leave_place (struct bd_edge_request *request)
+{
+  struct bd_edge *edge = request->edge;
+  struct bd_fleet_endpoint *endpoint
+      = bd_fleet_endpoint (&edge->fleet, request->endpoint);
+  struct bd_fleet_group *group = bd_fleet_group (&edge->fleet, request->group);
+
+  if (endpoint != NULL && endpoint->in_flight > 0)
+    endpoint->in_flight--;
+  if (group == NULL)
+    return;
+  if (group->in_flight > 0)
+    group->in_flight--;
+  bd_edge_note_read (request);
+}
+
+void
+bd_edge_note_read (struct bd_edge_request *request)
+{
+  struct bd_fleet_group *group
+      = bd_fleet_group (&request->edge->fleet, request->group);
+
+  if (!request->is_reading)
+    return;
+  request->is_reading = false;
+  if (group == NULL)
+    return;
+  if (group->reading > 0)
+    group->reading--;
+  group->reading_ms -= request->reading_ms;
+  if (group->reading_ms < 0 || group->reading == 0)
+    group->reading_ms = 0;
+}
+
+static void
+read_load (struct bd_edge *edge, struct bd_fleet_endpoint *endpoint,
+           const char *text)
+{
+  unsigned running;
+  unsigned waiting;
+  unsigned slots;
+
+  if (text == NULL
+      || sscanf (text, "%u,%u,%u", &running, &waiting, &slots) != 3)
+    return;
+  endpoint->load = running + waiting;
+  endpoint->load_ms = bd_edge_now_ms (edge);
+  endpoint->sent_since = 0;
+}
+
+void
+bd_edge_note_answer (struct bd_edge_request *request, const char *load,
+                     bool is_failed)
+{
+  struct bd_edge *edge = request->edge;
+  struct bd_fleet_endpoint *endpoint
+      = bd_fleet_endpoint (&edge->fleet, request->endpoint);
+  double took_ms = (double)(bd_edge_now_ms (edge) - request->sent_ms);
+
+  if (endpoint == NULL)
+    return;
+  read_load (edge, endpoint, load);
+  endpoint->failures
+      += smoothing * ((is_failed ? 1.0 : 0.0) - endpoint->failures);
+  if (is_failed)
+    endpoint->failed_ms = bd_edge_now_ms (edge);
+  else if (endpoint->latency_ms == 0)
+    endpoint->latency_ms = took_ms;
+  else
+    endpoint->latency_ms += smoothing * (took_ms - endpoint->latency_ms);
+}
+
+void
+bd_edge_note_refusal (struct bd_edge_request *request, const char *load)
+{
+  struct bd_edge *edge = request->edge;
+  struct bd_fleet_endpoint *endpoint
+      = bd_fleet_endpoint (&edge->fleet, request->endpoint);
+
+  if (endpoint == NULL)
+    return;
+  read_load (edge, endpoint, load);
+  endpoint->refused_until_ms = bd_edge_now_ms (edge) + REFUSED_PAUSE_MS;
+}
+
+uint32_t
+bd_edge_slots (struct bd_edge *edge, const char *service, const char *model)
+{
+  const struct bd_route_service *found
+      = edge->routes != NULL ? bd_routes_service (edge->routes, service)
+                             : NULL;
+  const struct bd_engine_model *of
+      = found != NULL && found->has_engine && model[0] != '\0'
+            ? bd_engine_model (&found->engine, model)
+            : NULL;
+  uint32_t slots = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (of == NULL)
+    {
+      g_hash_table_iter_init (&iter, edge->fleet.endpoints);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          const struct bd_fleet_endpoint *endpoint = value;
+
+          if (endpoint->is_listed && !endpoint->entry.is_draining
+              && strcmp (endpoint->entry.service, service) == 0)
+            slots += endpoint->entry.slots;
+        }
+      return slots;
+    }
+  g_hash_table_iter_init (&iter, edge->fleet.groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct bd_fleet_group *group = value;
+
+      if (strcmp (group->model, model) == 0
+          && bd_fleet_is_usable (group, of->members, bd_edge_now_ms (edge)))
+        slots += found->engine.slots;
+    }
+  return slots;
+}
--- /dev/null
+++ b/src/edge/settings.c
@@ -0,0 +1,135 @@
+/* Reading and checking of the edge daemon's settings.  */
+
+#include "edge/settings.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+enum
+{
+  MAX_PORT = 65535,
+  MAX_MS = 3600000
+};
+
+struct raw_settings
+{
+  struct bd_edge_settings out;
+  const char *callers; /* "address:port" */
+  const char *balancer;
+  const struct bd_toml *bounds;
+};
+
+#define AT(member) offsetof (struct raw_settings, out.member)
+#define BOUND(member) offsetof (struct bd_edge_bounds, member)
+
+static const struct bd_field fields[] = {
+  { "name", BD_FIELD_NAME, AT (name), 0, 0, true },
+  { "data_centre", BD_FIELD_NAME, AT (data_centre), 0, 0, true },
+  { "dialect", BD_FIELD_TEXT, AT (dialect), 0, 0, true },
+  { "callers", BD_FIELD_TEXT, offsetof (struct raw_settings, callers), 0, 0,
+    true },
+  { "balancer", BD_FIELD_TEXT, offsetof (struct raw_settings, balancer), 0, 0,
+    true },
+  { "peer_port", BD_FIELD_U32, AT (peer_port), 1, MAX_PORT, true },
+  { "metrics_port", BD_FIELD_U32, AT (metrics_port), 1, MAX_PORT, true },
+  { "platform_url", BD_FIELD_TEXT, AT (platform_url), 0, 0, true },
+  { "first_start", BD_FIELD_BOOL, AT (is_first_start), 0, 0, false },
+  { "heartbeat_ms", BD_FIELD_U32, AT (heartbeat_ms), 1, MAX_MS, false },
+  { "max_descriptors", BD_FIELD_U32, AT (max_descriptors), 64, 1e7, false },
+  { "reads_per_s", BD_FIELD_U32, AT (reads_per_s), 1, 1e7, false },
+  { "writes_per_s", BD_FIELD_U32, AT (writes_per_s), 1, 1e7, false },
+  { "bounds", BD_FIELD_TABLE, offsetof (struct raw_settings, bounds), 0, 0,
+    true },
+};
+
+static const struct bd_field bound_fields[] = {
+  { "contact_ms", BD_FIELD_U32, BOUND (contact_ms), 1, MAX_MS, true },
+  { "config_apply_ms", BD_FIELD_U32, BOUND (config_apply_ms), 1, MAX_MS,
+    true },
+  { "drain_ms", BD_FIELD_U32, BOUND (drain_ms), 1, MAX_MS, true },
+  { "grace_ms", BD_FIELD_U32, BOUND (grace_ms), 1, MAX_MS, true },
+  { "revoke_ms", BD_FIELD_U32, BOUND (revoke_ms), 1, MAX_MS, true },
+  { "revoke_fail_closed", BD_FIELD_BOOL, BOUND (revoke_fail_closed), 0, 0,
+    true },
+  { "retry_ratio", BD_FIELD_DOUBLE, BOUND (retry_ratio), 0, 100, true },
+  { "retry_window_s", BD_FIELD_U32, BOUND (retry_window_s), 1, MAX_MS, true },
+  { "retry_slack", BD_FIELD_U32, BOUND (retry_slack), 0, 1e7, true },
+  { "stall_ms", BD_FIELD_U32, BOUND (stall_ms), 1, MAX_MS, true },
+  { "fencing_enforced", BD_FIELD_BOOL, BOUND (fencing_enforced), 0, 0, true },
+};
+
+static const struct bd_edge_settings defaults = {
+  .heartbeat_ms = 1000,
+  .max_descriptors = 1024,
+  .reads_per_s = 200,
+  .writes_per_s = 40,
+};
+
+/* Takes "address:port" apart.  */
+static void
+read_endpoint (void *ctx, const char *key, const char *text,
+               const char *file_name, const char **address, uint32_t *port,
+               struct bd_faults *faults)
+{
+  const char *colon = text != NULL ? strrchr (text, ':') : NULL;
+  struct in_addr parsed;
+  char *end = NULL;
+  unsigned long number;
+
+  if (text == NULL)
+    return;
+  number = colon != NULL ? strtoul (colon + 1, &end, 10) : 0;
+  *address = colon != NULL ? talloc_strndup (ctx, text, colon - text) : text;
+  if (colon == NULL || *end != '\0' || number == 0 || number > MAX_PORT
+      || inet_pton (AF_INET, *address, &parsed) != 1)
+    {
+      bd_fault (faults, file_name, 1, "'%s' is not ADDRESS:PORT: '%s'", key,
+                text);
+      return;
+    }
+  *port = (uint32_t)number;
+}
+
+bool
+bd_edge_settings_parse (struct bd_edge_settings *settings, void *ctx,
+                        const char *file_name, const char *text, size_t size,
+                        struct bd_faults *faults)
+{
+  struct raw_settings raw = { .out = defaults };
+  struct bd_toml *root = bd_toml_parse (ctx, file_name, text, size, faults);
+  const char *balancer_address = NULL;
+
+  if (root == NULL)
+    return false;
+  bd_fields_read (root, file_name, fields, sizeof fields / sizeof fields[0],
+                  ctx, &raw, faults);
+  if (raw.bounds != NULL)
+    bd_fields_read (raw.bounds, file_name, bound_fields,
+                    sizeof bound_fields / sizeof bound_fields[0], ctx,
+                    &raw.out.bounds, faults);
+  read_endpoint (ctx, "callers", raw.callers, file_name, &raw.out.address,
+                 &raw.out.http_port, faults);
+  read_endpoint (ctx, "balancer", raw.balancer, file_name, &balancer_address,
+                 &raw.out.ready_port, faults);
+  if (faults->count != 0)
+    return false;
+  *settings = raw.out;
+  return true;
+}
+
+bool
+bd_edge_settings_read (struct bd_edge_settings *settings, void *ctx,
+                       const char *path, struct bd_faults *faults)
+{
+  size_t size = 0;
+  char *text = bd_file_read (ctx, path, &size);
+
+  if (text == NULL)
+    {
+      bd_fault (faults, path, 0, "cannot be read");
+      return false;
+    }
+  return bd_edge_settings_parse (settings, ctx, path, text, size, faults);
+}
--- /dev/null
+++ b/src/edge/watchdog.c
@@ -0,0 +1,109 @@
+/* Silence and deadlines.
+
+   The load that this answers: members that go dark, so that a group stands
+   still without any connection breaking.  A stream that has begun and hears
+   nothing for several passes is resumed elsewhere.  */
+
+#include "edge/edge_internal.h"
+
+enum
+{
+  /* Silence of a stream that has begun, beyond what passes take, after which
+     its group is doubted, and after which the stream goes elsewhere.  */
+  DOUBT_SILENCE_MS = 350,
+  MOVE_SILENCE_MS = 700,
+  /* Passes that may read long prompts in between.  */
+  SILENT_PASSES = 4,
+  /* The same for a first event, beyond what was expected.  */
+  DOUBT_FIRST_MS = 400,
+  MOVE_FIRST_MS = 900
+};
+
+static bool
+is_group_silent (const struct bd_fleet_group *group, int64_t limit_ms,
+                 int64_t now_ms)
+{
+  int64_t heard_ms = group->progress_ms > group->peers_progress_ms
+                         ? group->progress_ms
+                         : group->peers_progress_ms;
+
+  return now_ms - heard_ms >= limit_ms;
+}
+
+static double
+pass_ms (const struct bd_edge_request *request,
+         const struct bd_fleet_group *group)
+{
+  const struct bd_route_service *service
+      = bd_routes_service (request->edge->routes, request->service);
+  const struct bd_engine_model *model
+      = service != NULL ? bd_engine_model (&service->engine, request->model)
+                        : NULL;
+
+  return model == NULL
+             ? 0
+             : bd_engine_pass_ms (&service->engine, model,
+                                  group->in_flight + group->peers_in_flight);
+}
+
+static void
+watch_group (struct bd_edge_request *request, struct bd_fleet_group *group,
+             int64_t now_ms)
+{
+  int64_t silent_ms = now_ms - request->event_ms;
+  int64_t passes_ms
+      = (int64_t)(SILENT_PASSES * group->pace * pass_ms (request, group));
+  int64_t doubt_ms = request->is_reading
+                         ? (int64_t)request->expected_ms + DOUBT_FIRST_MS
+                         : DOUBT_SILENCE_MS + passes_ms;
+  int64_t move_ms = request->is_reading
+                        ? (int64_t)request->expected_ms + MOVE_FIRST_MS
+                        : MOVE_SILENCE_MS + passes_ms;
+
+  if (silent_ms >= doubt_ms && is_group_silent (group, doubt_ms, now_ms))
+    bd_edge_doubt_group (request->edge, group);
+  if (silent_ms >= move_ms && is_group_silent (group, doubt_ms, now_ms))
+    bd_edge_attempt_fail (request, BD_FAILURE_BROKEN);
+}
+
+/* The caller's time is up.  */
+static void
+expire (struct bd_edge_request *request)
+{
+  bd_backlog_remove (&request->waiting);
+  bd_edge_act (request, bd_call_expired (&request->call));
+}
+
+static void
+watch_request (struct bd_edge_request *request, int64_t now_ms)
+{
+  struct bd_fleet_group *group;
+
+  if (now_ms >= request->deadline_ms)
+    {
+      expire (request);
+      return;
+    }
+  if (request->attempt == NULL || request->group == 0)
+    return;
+  group = bd_fleet_group (&request->edge->fleet, request->group);
+  if (group != NULL)
+    watch_group (request, group, now_ms);
+}
+
+void
+bd_edge_watch (void *ctx)
+{
+  struct bd_edge *edge = ctx;
+  struct bd_edge_request *next;
+  int64_t now_ms = bd_edge_now_ms (edge);
+
+  for (struct bd_edge_request *request = edge->requests; request != NULL;
+       request = next)
+    {
+      next = request->next;
+      watch_request (request, now_ms);
+    }
+  bd_edge_pump (edge);
+  bd_log_flush ();
+}
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -2,13 +2,19 @@
 
 #include "http/client.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 #include <talloc.h>
 
 enum
 {
   CONNECT_TIMEOUT_MS = 2000,
+  /* A peer that acknowledges nothing for this long is taken as gone: a
+     partition shows no reset.  */
+  UNACKNOWLEDGED_MS = 3000,
   MAX_COLLECTED_BYTES = 16 << 20
 };
 
@@ -24,6 +30,7 @@
   size_t body_size;
   size_t body_room;
   bool has_head;
+  bool was_started; /* Handed to a connection once.  */
   bool is_paused;
   bool is_cancelled;
   uint32_t header_count;
@@ -65,6 +72,7 @@
   talloc_free (call);
 }
 
+/* Whether bytes of the request may have left.  */
 static bool
 was_request_sent (const struct bd_http_call *call, CURLcode code)
 {
@@ -239,15 +247,35 @@
   TALLOC_FREE (client->timer);
 }
 
+/* The line that ends a head.  */
+static bool
+is_head_end (const char *data, size_t length)
+{
+  return length <= 2 && (length == 0 || data[0] == '\r' || data[0] == '\n');
+}
+
+/* Heads of interim answers come before the one that counts.  */
+static bool
+is_accepted (struct bd_http_call *call)
+{
+  return bd_http_call_status (call) < 200 || call->ops->accepts == NULL
+         || call->ops->accepts (call->ctx, call);
+}
+
 static size_t
 handle_header (char *data, size_t size, size_t count, void *ctx)
 {
   struct bd_http_call *call = ctx;
   size_t length = size * count;
-  char *line = talloc_strndup (call, data, length);
-  char *colon = strchr (line, ':');
+  char *line;
+  char *colon;
   char *value;
 
+  if (is_head_end (data, length))
+    return call->is_cancelled || !is_accepted (call) ? 0 : length;
+  line = talloc_strndup (call, data, length);
+  colon = strchr (line, ':');
+
   if (strncmp (line, "HTTP/", 5) == 0)
     call->header_count = 0;
   if (colon == NULL || call->header_count == BD_HTTP_MAX_HEADERS)
@@ -324,13 +352,20 @@
 static void
 set_headers (struct bd_http_call *call, const struct bd_http_pair *headers)
 {
+  bool has_content_type = false;
+
   for (; headers != NULL && headers->name != NULL; headers++)
     {
       char *line
           = talloc_asprintf (call, "%s: %s", headers->name, headers->value);
+      has_content_type = has_content_type
+                         || strcasecmp (headers->name, "Content-Type") == 0;
       call->headers = curl_slist_append (call->headers, line);
       talloc_free (line);
     }
+  /* The library adds a content type where none is given.  */
+  if (!has_content_type)
+    call->headers = curl_slist_append (call->headers, "Content-Type:");
   /* No waiting for "100 Continue".  */
   call->headers = curl_slist_append (call->headers, "Expect:");
   curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
@@ -362,6 +397,36 @@
     curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, out->method);
 }
 
+static int
+handle_socket_made (void *ctx, curl_socket_t socket, curlsocktype purpose)
+{
+  unsigned timeout_ms = UNACKNOWLEDGED_MS;
+
+  (void)ctx;
+  (void)purpose;
+  setsockopt (socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+              sizeof timeout_ms);
+  return CURL_SOCKOPT_OK;
+}
+
+/* The library asks before it sends; a second time means that a kept
+   connection has died and that it would send the request again.  */
+static int
+handle_send (void *ctx, char *peer_ip, char *local_ip, int peer_port,
+             int local_port)
+{
+  struct bd_http_call *call = ctx;
+
+  (void)peer_ip;
+  (void)local_ip;
+  (void)peer_port;
+  (void)local_port;
+  if (call->was_started)
+    return CURL_PREREQFUNC_ABORT;
+  call->was_started = true;
+  return CURL_PREREQFUNC_OK;
+}
+
 static void
 set_options (struct bd_http_call *call, const struct bd_http_out *out)
 {
@@ -373,7 +438,11 @@
   curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
   curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    out->connect_timeout_ms > 0 ? (long)out->connect_timeout_ms
+                                                : (long)CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, handle_socket_made);
+  curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)out->timeout_ms);
   curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, handle_header);
@@ -385,6 +454,15 @@
       curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
     }
+  if (out->is_fresh)
+    curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+  if (out->target != NULL)
+    curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, out->target);
+  if (out->is_sent_once)
+    {
+      curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, handle_send);
+      curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
+    }
   set_method (call, out);
   set_headers (call, out->headers);
 }
@@ -416,6 +494,15 @@
   return call;
 }
 
+uint32_t
+bd_http_call_status (const struct bd_http_call *call)
+{
+  long status = 0;
+
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  return (uint32_t)status;
+}
+
 const char *
 bd_http_call_header (const struct bd_http_call *call, const char *name)
 {
@@ -425,6 +512,13 @@
   return NULL;
 }
 
+const struct bd_http_pair *
+bd_http_call_headers (const struct bd_http_call *call, uint32_t *count)
+{
+  *count = call->header_count;
+  return call->response_headers;
+}
+
 void
 bd_http_call_continue (struct bd_http_call *call)
 {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -35,6 +35,9 @@
 {
   /* The head of the answer is here.  May be NULL.  */
   void (*head) (void *ctx, struct bd_http_call *call, uint32_t status);
+  /* Whether this head answers the request.  When it does not, the call ends
+     as broken and its connection is closed.  May be NULL.  */
+  bool (*accepts) (void *ctx, struct bd_http_call *call);
   /* Bytes of the body.  Returns false to take no more until
      bd_http_call_continue().  NULL collects the body for done.  */
   bool (*data) (void *ctx, struct bd_http_call *call, const char *data,
@@ -51,7 +54,15 @@
   const struct bd_http_pair *headers; /* Ends with a NULL name, or NULL.  */
   const char *body;                   /* Copied.  */
   size_t body_size;
-  uint32_t timeout_ms; /* 0 stands for none.  */
+  uint32_t timeout_ms;         /* 0 stands for none.  */
+  uint32_t connect_timeout_ms; /* 0 stands for the default.  */
+  /* Sent as it is instead of the URL's path; NULL for none.  */
+  const char *target;
+  /* On a new connection, which may be kept.  */
+  bool is_fresh;
+  /* Never sent a second time by the library: a kept connection that turns out
+     dead breaks the call.  */
+  bool is_sent_once;
   /* A connection of its own, never reused.  The library then never sends a
      request a second time by itself.  */
   bool is_single_shot;
@@ -84,10 +95,17 @@
                                    const struct bd_http_call_ops *ops,
                                    void *ctx);
 
+/* bd_http_call_status(): of the answer; 0 before its head.  */
+uint32_t bd_http_call_status (const struct bd_http_call *call);
+
 /* bd_http_call_header(): a header of the answer, or NULL.  */
 const char *bd_http_call_header (const struct bd_http_call *call,
                                  const char *name);
 
+/* bd_http_call_headers(): all headers of the answer that were kept.  */
+const struct bd_http_pair *
+bd_http_call_headers (const struct bd_http_call *call, uint32_t *count);
+
 /* bd_http_call_continue(): takes data again after data returned false.  */
 void bd_http_call_continue (struct bd_http_call *call);
 
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -5,8 +5,10 @@
 #include <arpa/inet.h>
 #include <assert.h>
 #include <string.h>
+#include <strings.h>
 #include <sys/socket.h>
 #include <talloc.h>
+#include <unistd.h>
 
 enum
 {
@@ -22,6 +24,7 @@
   LOW_WATER_BYTES = 16 * 1024,
   STREAM_BLOCK_BYTES = 4 * 1024,
   IDLE_TIMEOUT_S = 75,
+  MS_PER_S = 1000,
   CONNECTION_MEMORY_BYTES = 16 * 1024
 };
 
@@ -185,6 +188,76 @@
   bd_http_respond_text (x, 413, "application/problem+json", text);
 }
 
+/* What frames a request, and whether it can be read in one way only.  */
+struct framing
+{
+  uint32_t hosts;
+  uint32_t lengths;
+  uint32_t codings;
+  bool is_malformed;
+};
+
+static enum MHD_Result
+check_header (void *ctx, enum MHD_ValueKind kind, const char *name,
+              const char *value)
+{
+  struct framing *framing = ctx;
+
+  (void)kind;
+  if (name[0] == '\0' || strpbrk (name, " \t") != NULL)
+    framing->is_malformed = true;
+  else if (strcasecmp (name, "Host") == 0)
+    framing->hosts++;
+  else if (strcasecmp (name, "Content-Length") == 0)
+    {
+      framing->lengths++;
+      if (value == NULL || value[0] == '\0'
+          || value[strspn (value, "0123456789")] != '\0')
+        framing->is_malformed = true;
+    }
+  else if (strcasecmp (name, "Transfer-Encoding") == 0)
+    {
+      framing->codings++;
+      if (value == NULL || strcasecmp (value, "chunked") != 0)
+        framing->is_malformed = true;
+    }
+  return MHD_YES;
+}
+
+/* By RFC 9112, section 6: a request whose length can be read in two ways may
+   be taken for two requests by another reader, so it is not taken at all.  */
+static bool
+is_ambiguous (struct MHD_Connection *connection, const char *uri)
+{
+  struct framing framing = { 0 };
+
+  MHD_get_connection_values (connection, MHD_HEADER_KIND, check_header,
+                             &framing);
+  return framing.is_malformed || framing.hosts != 1
+         || framing.lengths + framing.codings > 1 || uri[0] != '/';
+}
+
+static void
+respond_ambiguous (struct bd_http_exchange *x)
+{
+  static const char text[] = "{\"kind\":\"bad-request\",\"run\":\"not-run\","
+                             "\"status\":400}\n";
+  static const struct bd_http_pair headers[]
+      = { { "Content-Type", "application/problem+json" },
+          { "Connection", "close" },
+          { NULL, NULL } };
+
+  bd_http_respond (x, 400, headers, text, sizeof text - 1);
+}
+
+static void
+set_timeout (struct MHD_Connection *connection, uint32_t timeout_s)
+{
+  if (timeout_s > 0)
+    MHD_set_connection_option (connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                               (unsigned)timeout_s);
+}
+
 static enum MHD_Result
 handle_access (void *ctx, struct MHD_Connection *connection, const char *url,
                const char *method, const char *version, const char *data,
@@ -201,6 +274,13 @@
       x->connection = connection;
       x->method = method;
       x->path = talloc_strdup (x, url);
+      set_timeout (connection, server->idle_timeout_s);
+      if (is_ambiguous (connection, x->uri))
+        {
+          x->state = ANSWERED;
+          respond_ambiguous (x);
+          return queue (x);
+        }
       x->max_body = server->ops->max_body (server->ctx, url);
       if (!is_body_too_large (x))
         return MHD_YES;
@@ -268,6 +348,18 @@
   *con_cls = NULL;
 }
 
+static void
+handle_connection (void *ctx, struct MHD_Connection *connection,
+                   void **socket_context,
+                   enum MHD_ConnectionNotificationCode code)
+{
+  struct bd_http_server *server = ctx;
+
+  (void)socket_context;
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    set_timeout (connection, server->header_timeout_s);
+}
+
 bool
 bd_http_server_init (struct bd_http_server *server,
                      struct tevent_context *events, const char *address,
@@ -292,7 +384,8 @@
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_URI_LOG_CALLBACK,
       handle_uri, server, MHD_OPTION_NOTIFY_COMPLETED, handle_completed,
-      server, MHD_OPTION_END);
+      server, MHD_OPTION_NOTIFY_CONNECTION, handle_connection, server,
+      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
   if (server->daemon == NULL)
     return false;
   info = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
@@ -301,6 +394,24 @@
   return true;
 }
 
+void
+bd_http_server_set_timeouts (struct bd_http_server *server,
+                             uint32_t header_timeout_ms,
+                             uint32_t idle_timeout_ms)
+{
+  server->header_timeout_s = (header_timeout_ms + MS_PER_S - 1) / MS_PER_S;
+  server->idle_timeout_s = (idle_timeout_ms + MS_PER_S - 1) / MS_PER_S;
+}
+
+void
+bd_http_server_stop_listening (struct bd_http_server *server)
+{
+  int fd = MHD_quiesce_daemon (server->daemon);
+
+  if (fd >= 0)
+    close (fd);
+}
+
 void
 bd_http_server_finish (struct bd_http_server *server)
 {
@@ -318,6 +429,34 @@
   return MHD_lookup_connection_value (x->connection, MHD_HEADER_KIND, name);
 }
 
+struct each_header
+{
+  void (*each) (void *ctx, const char *name, const char *value);
+  void *ctx;
+};
+
+static enum MHD_Result
+give_header (void *ctx, enum MHD_ValueKind kind, const char *name,
+             const char *value)
+{
+  const struct each_header *each = ctx;
+
+  (void)kind;
+  each->each (each->ctx, name, value != NULL ? value : "");
+  return MHD_YES;
+}
+
+void
+bd_http_headers (const struct bd_http_exchange *x,
+                 void (*each) (void *ctx, const char *name, const char *value),
+                 void *ctx)
+{
+  struct each_header all = { each, ctx };
+
+  MHD_get_connection_values (x->connection, MHD_HEADER_KIND, give_header,
+                             &all);
+}
+
 const char *
 bd_http_query (const struct bd_http_exchange *x, const char *name)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -68,6 +68,8 @@
   struct tevent_fd *fd;
   struct bd_timer *timer;
   bool is_run_due;
+  uint32_t header_timeout_s;
+  uint32_t idle_timeout_s;
   uint32_t open_exchanges; /* Requests without a completed answer.  */
 };
 
@@ -79,6 +81,16 @@
                           uint32_t port, uint32_t max_connections,
                           const struct bd_http_server_ops *ops, void *ctx);
 
+/* bd_http_server_set_timeouts(): how long a new connection may take for its
+   first request, and how long a connection may be idle.  Applies to requests
+   and connections that come later.  */
+void bd_http_server_set_timeouts (struct bd_http_server *server,
+                                  uint32_t header_timeout_ms,
+                                  uint32_t idle_timeout_ms);
+
+/* bd_http_server_stop_listening(): takes no new connections.  */
+void bd_http_server_stop_listening (struct bd_http_server *server);
+
 /* bd_http_server_finish(): closes every connection.  */
 void bd_http_server_finish (struct bd_http_server *server);
 
@@ -86,6 +98,13 @@
 const char *bd_http_header (const struct bd_http_exchange *exchange,
                             const char *name);
 
+/* bd_http_headers(): calls each (name, value) for every request header, in
+   the order in which they came.  */
+void bd_http_headers (const struct bd_http_exchange *exchange,
+                      void (*each) (void *ctx, const char *name,
+                                    const char *value),
+                      void *ctx);
+
 /* bd_http_query(): a query argument, or NULL.  */
 const char *bd_http_query (const struct bd_http_exchange *exchange,
                            const char *name);
--- /dev/null
+++ b/src/placement/placement.c
@@ -0,0 +1,107 @@
+/* Estimates and choices.  */
+
+#include "placement/placement.h"
+
+#include <math.h>
+
+/* Places within this factor of the best count as equally good.  */
+static const double nearly_as_good = 1.15;
+/* A failure costs about as much as this many answers.  */
+static const double failure_cost = 12.0;
+/* Latency that is taken for an endpoint not heard of yet.  */
+static const double unknown_latency_ms = 20.0;
+/* From the arrival at an engine to its first step.  */
+static const double engine_start_ms = 100.0;
+
+double
+bd_first_event_ms (const struct bd_engine *engine,
+                   const struct bd_engine_model *model,
+                   const struct bd_group_load *load, uint32_t prompt_tokens)
+{
+  double pace = load->pace > 0 ? load->pace : 1.0;
+  double own_ms = bd_engine_prefill_ms (engine, model, prompt_tokens);
+  double pass_ms = bd_engine_pass_ms (engine, model, load->running + 1);
+
+  /* Half a pass until it is looked at, one until its event is out; passes
+     that read others' prompts are as long as those.  */
+  return load->distance_ms + engine_start_ms
+         + pace * (load->reading_ms + own_ms + 1.5 * pass_ms);
+}
+
+/* Draws one of the places whose cost is within reach of the best.  */
+static int32_t
+draw (const double *costs, uint32_t count, double best, gsl_rng *rng)
+{
+  uint32_t near = 0;
+  uint64_t drawn;
+
+  for (uint32_t i = 0; i < count; i++)
+    near += costs[i] <= best * nearly_as_good;
+  if (near == 0)
+    return -1;
+  drawn = gsl_rng_uniform_int (rng, near);
+  for (uint32_t i = 0; i < count; i++)
+    if (costs[i] <= best * nearly_as_good && drawn-- == 0)
+      return (int32_t)i;
+  return -1;
+}
+
+enum
+{
+  /* Places that are weighed for one request.  */
+  MAX_PLACES = 1024
+};
+
+int32_t
+bd_place_group (const struct bd_engine *engine,
+                const struct bd_engine_model *model,
+                const struct bd_group_load *loads, uint32_t count,
+                uint32_t prompt_tokens, gsl_rng *rng, double *expected_ms)
+{
+  double costs[MAX_PLACES];
+  double best = INFINITY;
+  int32_t chosen;
+
+  if (count > MAX_PLACES)
+    count = MAX_PLACES;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      costs[i] = INFINITY;
+      if (loads[i].is_tried || loads[i].running >= engine->slots)
+        continue;
+      costs[i] = bd_first_event_ms (engine, model, &loads[i], prompt_tokens);
+      best = fmin (best, costs[i]);
+    }
+  if (isinf (best))
+    return -1;
+  chosen = draw (costs, count, best, rng);
+  *expected_ms = chosen >= 0 ? costs[chosen] : 0;
+  return chosen;
+}
+
+int32_t
+bd_place_endpoint (const struct bd_endpoint_load *loads, uint32_t count,
+                   uint32_t room, gsl_rng *rng)
+{
+  double costs[MAX_PLACES];
+  double best = INFINITY;
+
+  if (count > MAX_PLACES)
+    count = MAX_PLACES;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const struct bd_endpoint_load *load = &loads[i];
+      double latency_ms
+          = load->latency_ms > 0 ? load->latency_ms : unknown_latency_ms;
+      uint32_t slots = load->slots > 0 ? load->slots : 1;
+
+      costs[i] = INFINITY;
+      if (load->is_tried || load->is_refusing || load->running >= slots + room)
+        continue;
+      costs[i] = load->distance_ms
+                 + latency_ms * (1.0 + (double)load->running / slots)
+                       * (1.0 + failure_cost * load->failures);
+      best = fmin (best, costs[i]);
+    }
+  return isinf (best) ? -1 : draw (costs, count, best, rng);
+}
--- /dev/null
+++ b/src/replicas/replicas.c
@@ -0,0 +1,575 @@
+/* Orders to the members of groups, and what comes of them.  */
+
+#include "replicas/replicas_internal.h"
+
+#include <string.h>
+
+enum
+{
+  /* An order without an answer is sent again after this; the client of the
+     daemon gives up on it sooner.  */
+  ORDER_AGAIN_MS = 500,
+  /* A group whose members do not all get ready is given up after this many
+     times its expected time.  */
+  FORMING_PATIENCE = 4,
+  FORMING_LEAST_MS = 3000,
+  /* Rejoining a model that the member had last, by the protocol.  */
+  REJOIN_MS = 200,
+  ASK_AGAIN_MS = 120,
+  ASK_DEAD_AGAIN_MS = 1000,
+  /* A group that is still served shows some progress in this time.  */
+  PROGRESS_MS = 600,
+  /* The most that an order may be carried out late, by the protocol.  */
+  LATE_ORDER_MS = 12000
+};
+
+/* Loads from before the first request take this part of their time.  */
+static const double early_load_part = 0.1;
+/* Part of the weight store's rate that is used, and loads saved up.  */
+static const double load_rate_part = 0.8;
+static const double load_burst = 2.0;
+
+const char *
+bd_order_name (enum bd_order_kind kind)
+{
+  static const char *const names[]
+      = { "none", "join", "open", "close", "leave", "stage" };
+
+  return names[kind];
+}
+
+void
+bd_replicas_init (struct bd_replicas *replicas, double loads_per_s,
+                  gsl_rng *rng, int64_t now_ms)
+{
+  memset (replicas, 0, sizeof *replicas);
+  replicas->rng = rng;
+  replicas->since_ms = now_ms;
+  bd_bucket_init (&replicas->loads, loads_per_s * load_rate_part, load_burst,
+                  now_ms);
+  /* The keeper before this one may have used what was saved up.  */
+  replicas->loads.tokens = 0;
+}
+
+bool
+bd_is_sound (const struct bd_fleet_endpoint *endpoint)
+{
+  return endpoint->is_listed && !endpoint->entry.is_draining
+         && endpoint->life == BD_LIFE_ALIVE;
+}
+
+bool
+bd_is_kept (const struct bd_replicas_input *input,
+            const struct bd_fleet_endpoint *endpoint)
+{
+  return strcmp (endpoint->entry.service, input->service) == 0
+         && input->keeps (input->ctx, endpoint->entry.data_centre);
+}
+
+bool
+bd_can_order (const struct bd_replicas_input *input,
+              const struct bd_fleet_endpoint *endpoint)
+{
+  (void)input;
+  return !endpoint->order.is_waiting;
+}
+
+bool
+bd_has_staged (const struct bd_fleet_endpoint *endpoint, const char *model)
+{
+  for (uint32_t i = 0; i < endpoint->entry.staged_count; i++)
+    if (strcmp (endpoint->entry.staged[i], model) == 0)
+      return true;
+  return false;
+}
+
+int64_t
+bd_join_ms (const struct bd_replicas_input *input,
+            const struct bd_fleet_endpoint *endpoint,
+            const struct bd_engine_model *model)
+{
+  if (strcmp (endpoint->last_model, model->name) == 0)
+    return REJOIN_MS;
+  if (bd_has_staged (endpoint, model->name))
+    return model->warm_ms;
+  if (input->has_traffic)
+    return -1;
+  return (int64_t)(early_load_part * (double)model->load_ms);
+}
+
+struct bd_order *
+bd_replicas_add_order (struct bd_replicas_step *step, enum bd_order_kind kind,
+                       const struct bd_fleet_endpoint *to, const char *reason)
+{
+  struct bd_order *order;
+
+  if (step->count == step->max)
+    return NULL;
+  order = &step->orders[step->count++];
+  memset (order, 0, sizeof *order);
+  order->kind = kind;
+  order->reason = reason;
+  bd_name_copy (order->endpoint, to->entry.id);
+  return order;
+}
+
+struct bd_forming *
+bd_forming_of (struct bd_replicas *replicas, const char *id)
+{
+  for (uint32_t i = 0; i < replicas->forming_count; i++)
+    for (uint32_t m = 0; m < replicas->forming[i].count; m++)
+      if (strcmp (replicas->forming[i].members[m], id) == 0)
+        return &replicas->forming[i];
+  return NULL;
+}
+
+static bool
+has_progress (const struct bd_replicas_input *input,
+              const struct bd_fleet_group *group)
+{
+  int64_t last_ms = group->progress_ms > group->peers_progress_ms
+                        ? group->progress_ms
+                        : group->peers_progress_ms;
+
+  return input->now_ms - last_ms < PROGRESS_MS;
+}
+
+/* Whether the leader may still serve the group, so that its members may not
+   go elsewhere.  */
+static bool
+is_held_by_leader (const struct bd_replicas_input *input,
+                   const struct bd_fleet_group *group)
+{
+  const struct bd_fleet_endpoint *leader = group->members[0];
+  const struct bd_order_state *order;
+
+  if (leader == NULL)
+    return false;
+  if (leader->life == BD_LIFE_DEAD)
+    return has_progress (input, group);
+  order = &leader->order;
+  switch (leader->entry.member.state)
+    {
+    case BD_MEMBER_OPEN:
+    case BD_MEMBER_CLOSING:
+      return true;
+    case BD_MEMBER_READY:
+    case BD_MEMBER_JOINING:
+      /* An order to open may be carried out late.  */
+      return order->kind == BD_ORDER_OPEN && order->epoch == group->epoch
+             && strcmp (order->group, group->name) == 0
+             && input->now_ms - order->sent_ms < LATE_ORDER_MS;
+    case BD_MEMBER_NONE:
+    case BD_MEMBER_BROKEN:
+      break;
+    }
+  return false;
+}
+
+enum bd_group_phase
+bd_group_phase (const struct bd_replicas_input *input,
+                const struct bd_fleet_group *group)
+{
+  const struct bd_engine_model *model
+      = bd_engine_model (input->engine, group->model);
+  uint32_t size = model != NULL ? model->members : 0;
+  bool is_whole = size > 0 && group->member_count == size;
+  bool is_draining = false;
+  bool is_ready = true;
+
+  for (uint32_t i = 0; i < size && is_whole; i++)
+    {
+      const struct bd_fleet_endpoint *member = group->members[i];
+
+      if (member == NULL || !member->is_listed || member->life == BD_LIFE_DEAD
+          || member->entry.member.state == BD_MEMBER_BROKEN)
+        is_whole = false;
+      else if (member->entry.is_draining)
+        is_draining = true;
+      else if (member->entry.member.state == BD_MEMBER_JOINING)
+        is_ready = false;
+    }
+  if (is_whole && !is_draining)
+    {
+      enum bd_member_state state = group->members[0]->entry.member.state;
+
+      if (state == BD_MEMBER_OPEN || state == BD_MEMBER_CLOSING)
+        return BD_PHASE_OPEN;
+      return is_ready ? BD_PHASE_READY : BD_PHASE_JOINING;
+    }
+  if (!is_held_by_leader (input, group))
+    return BD_PHASE_FREE;
+  return is_whole ? BD_PHASE_LEAVING : BD_PHASE_HELD;
+}
+
+static bool
+has_sent_lately (const struct bd_replicas_input *input,
+                 const struct bd_fleet_endpoint *endpoint,
+                 enum bd_order_kind kind, const struct bd_fleet_group *group)
+{
+  return endpoint->order.kind == kind && endpoint->order.epoch == group->epoch
+         && strcmp (endpoint->order.group, group->name) == 0
+         && input->now_ms - endpoint->order.sent_ms < ORDER_AGAIN_MS;
+}
+
+static void
+order_leader (struct bd_replicas_step *step, struct bd_fleet_group *group,
+              enum bd_order_kind kind, const char *reason)
+{
+  struct bd_fleet_endpoint *leader = group->members[0];
+  struct bd_order *order;
+
+  if (leader == NULL || !bd_can_order (step->input, leader)
+      || has_sent_lately (step->input, leader, kind, group))
+    return;
+  order = bd_replicas_add_order (step, kind, leader, reason);
+  if (order == NULL)
+    return;
+  bd_name_copy (order->group, group->name);
+  bd_name_copy (order->model, group->model);
+  order->epoch = group->epoch;
+}
+
+static bool
+is_kept_group (const struct bd_replicas_input *input,
+               const struct bd_fleet_group *group)
+{
+  for (uint32_t i = 0; i < BD_FLEET_MAX_MEMBERS; i++)
+    if (group->members[i] != NULL)
+      return bd_is_kept (input, group->members[i]);
+  return false;
+}
+
+/* Opens what is ready; takes apart what has lost a member.  */
+static void
+tend_group (struct bd_replicas_step *step, struct bd_fleet_group *group)
+{
+  switch (bd_group_phase (step->input, group))
+    {
+    case BD_PHASE_READY:
+      order_leader (step, group, BD_ORDER_OPEN, "every member is ready");
+      break;
+    case BD_PHASE_HELD:
+      order_leader (step, group, BD_ORDER_LEAVE, "a member is lost");
+      break;
+    case BD_PHASE_LEAVING:
+      if (group->in_flight + group->peers_in_flight == 0)
+        order_leader (step, group, BD_ORDER_LEAVE, "a member is leaving");
+      break;
+    case BD_PHASE_JOINING:
+    case BD_PHASE_OPEN:
+    case BD_PHASE_FREE:
+      break;
+    }
+}
+
+static void
+drop_forming (struct bd_replicas *replicas, uint32_t index)
+{
+  replicas->forming[index] = replicas->forming[--replicas->forming_count];
+}
+
+static bool
+is_in (const struct bd_fleet_endpoint *endpoint,
+       const struct bd_forming *forming)
+{
+  const struct bd_membership_view *member = &endpoint->entry.member;
+
+  return member->state != BD_MEMBER_NONE && member->epoch == forming->epoch
+         && strcmp (member->group, forming->name) == 0;
+}
+
+static void
+order_join (struct bd_replicas_step *step, const struct bd_forming *forming,
+            const struct bd_fleet_endpoint *member)
+{
+  struct bd_order *order
+      = bd_replicas_add_order (step, BD_ORDER_JOIN, member, "forming");
+
+  if (order == NULL)
+    return;
+  bd_name_copy (order->group, forming->name);
+  bd_name_copy (order->model, forming->model);
+  order->epoch = forming->epoch;
+  memcpy (order->members, forming->members, sizeof order->members);
+  order->member_count = forming->count;
+}
+
+static bool
+needs_join (const struct bd_replicas_input *input,
+            const struct bd_forming *forming,
+            const struct bd_fleet_endpoint *member)
+{
+  const struct bd_order_state *order = &member->order;
+
+  if (is_in (member, forming) || !bd_can_order (input, member))
+    return false;
+  return order->kind != BD_ORDER_JOIN || order->epoch != forming->epoch
+         || strcmp (order->group, forming->name) != 0
+         || input->now_ms - order->sent_ms >= ORDER_AGAIN_MS;
+}
+
+/* How long a group may take to get ready.  */
+static int64_t
+patience_ms (const struct bd_replicas_input *input,
+             const struct bd_forming *forming)
+{
+  const struct bd_engine_model *model
+      = bd_engine_model (input->engine, forming->model);
+  int64_t usual_ms = model == NULL        ? 0
+                     : input->has_traffic ? model->warm_ms
+                                          : model->load_ms;
+
+  return FORMING_LEAST_MS + FORMING_PATIENCE * usual_ms;
+}
+
+/* Sends what is due for a group that is being formed; false when it is over,
+   well or badly.  */
+static bool
+tend_forming (struct bd_replicas_step *step, const struct bd_forming *forming)
+{
+  const struct bd_replicas_input *input = step->input;
+  uint32_t open = 0;
+
+  if (input->now_ms - forming->since_ms > patience_ms (input, forming))
+    return false;
+  for (uint32_t i = 0; i < forming->count; i++)
+    {
+      const struct bd_fleet_endpoint *member
+          = bd_fleet_endpoint (input->fleet, forming->members[i]);
+
+      if (member == NULL || !bd_is_sound (member)
+          || member->entry.member.epoch > forming->epoch)
+        return false;
+      if (is_in (member, forming)
+          && member->entry.member.state == BD_MEMBER_OPEN)
+        open++;
+    }
+  if (open > 0)
+    return false;
+  for (uint32_t i = 0; i < forming->count; i++)
+    {
+      const struct bd_fleet_endpoint *member
+          = bd_fleet_endpoint (input->fleet, forming->members[i]);
+
+      if (needs_join (input, forming, member))
+        order_join (step, forming, member);
+    }
+  return true;
+}
+
+uint32_t
+bd_replicas_step (struct bd_replicas *replicas,
+                  const struct bd_replicas_input *input,
+                  struct bd_order *orders, uint32_t max)
+{
+  struct bd_replicas_step step
+      = { .replicas = replicas, .input = input, .orders = orders, .max = max };
+  GHashTableIter iter;
+  gpointer value;
+
+  bd_fleet_refresh (input->fleet, input->now_ms);
+  for (uint32_t i = replicas->forming_count; i-- > 0;)
+    if (!tend_forming (&step, &replicas->forming[i]))
+      drop_forming (replicas, i);
+  g_hash_table_iter_init (&iter, input->fleet->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (is_kept_group (input, value))
+      tend_group (&step, value);
+  bd_replicas_plan (&step);
+  bd_replicas_stage (&step);
+  return step.count;
+}
+
+void
+bd_replicas_sent (struct bd_fleet *fleet, const struct bd_order *order,
+                  int64_t now_ms)
+{
+  struct bd_fleet_endpoint *endpoint
+      = bd_fleet_endpoint (fleet, order->endpoint);
+
+  if (endpoint == NULL)
+    return;
+  endpoint->order.is_waiting = true;
+  endpoint->order.sent_ms = now_ms;
+  endpoint->order.accepted_ms = 0;
+  endpoint->order.kind = order->kind;
+  endpoint->order.epoch = order->epoch;
+  bd_name_copy (endpoint->order.group, order->group);
+  bd_name_copy (endpoint->order.model, order->model);
+}
+
+static uint32_t
+rank_of (const struct bd_order *order)
+{
+  uint32_t rank = 0;
+
+  while (rank < order->member_count
+         && strcmp (order->members[rank], order->endpoint) != 0)
+    rank++;
+  return rank;
+}
+
+/* What an accepted order makes of the endpoint's place, until it says so
+   itself.  */
+static void
+take_effect (struct bd_fleet_endpoint *endpoint, const struct bd_order *order,
+             enum bd_order_answer answer, int64_t now_ms)
+{
+  struct bd_membership_view *member = &endpoint->entry.member;
+
+  endpoint->member_ms = now_ms;
+  switch (order->kind)
+    {
+    case BD_ORDER_JOIN:
+      if (answer == BD_ORDER_HOLDS && member->epoch == order->epoch
+          && strcmp (member->group, order->group) == 0)
+        return;
+      memset (member, 0, sizeof *member);
+      member->state = BD_MEMBER_JOINING;
+      member->epoch = order->epoch;
+      member->rank = rank_of (order);
+      bd_name_copy (member->group, order->group);
+      bd_name_copy (member->model, order->model);
+      break;
+    case BD_ORDER_LEAVE:
+      if (member->epoch == order->epoch
+          && strcmp (member->group, order->group) == 0)
+        member->state = BD_MEMBER_NONE;
+      break;
+    case BD_ORDER_STAGE:
+      endpoint->is_staging = answer == BD_ORDER_ACCEPTED;
+      bd_name_copy (endpoint->staging_model, order->model);
+      break;
+    case BD_ORDER_NONE:
+    case BD_ORDER_OPEN:
+    case BD_ORDER_CLOSE:
+      break;
+    }
+}
+
+static void
+give_up_forming (struct bd_replicas *replicas, const struct bd_order *order)
+{
+  for (uint32_t i = replicas->forming_count; i-- > 0;)
+    if (replicas->forming[i].epoch == order->epoch
+        && strcmp (replicas->forming[i].name, order->group) == 0)
+      drop_forming (replicas, i);
+}
+
+void
+bd_replicas_answered (struct bd_replicas *replicas, struct bd_fleet *fleet,
+                      const struct bd_order *order,
+                      enum bd_order_answer answer, int64_t now_ms)
+{
+  struct bd_fleet_endpoint *endpoint
+      = bd_fleet_endpoint (fleet, order->endpoint);
+
+  if (endpoint == NULL)
+    return;
+  endpoint->order.is_waiting = false;
+  switch (answer)
+    {
+    case BD_ORDER_ACCEPTED:
+    case BD_ORDER_HOLDS:
+      endpoint->order.accepted_ms = now_ms;
+      endpoint->misses = 0;
+      take_effect (endpoint, order, answer, now_ms);
+      break;
+    case BD_ORDER_REFUSED:
+    case BD_ORDER_FENCED:
+      /* Its state is not what was thought; a report will say.  */
+      bd_fleet_doubt (endpoint, now_ms);
+      if (order->kind == BD_ORDER_JOIN)
+        give_up_forming (replicas, order);
+      break;
+    case BD_ORDER_LOST:
+      bd_fleet_doubt (endpoint, now_ms);
+      break;
+    }
+  fleet->changed_ms = now_ms;
+}
+
+/* When a member that has accepted to join should be ready.  */
+static bool
+is_ready_due (const struct bd_replicas_input *input,
+              const struct bd_fleet_endpoint *endpoint)
+{
+  const struct bd_membership_view *member = &endpoint->entry.member;
+  const struct bd_engine_model *model
+      = bd_engine_model (input->engine, member->model);
+  int64_t due_ms = endpoint->order.accepted_ms + REJOIN_MS;
+
+  if (member->state != BD_MEMBER_JOINING || model == NULL)
+    return false;
+  if (strcmp (endpoint->last_model, model->name) != 0)
+    due_ms = endpoint->order.accepted_ms
+             + (bd_has_staged (endpoint, model->name)
+                    ? model->warm_ms
+                    : (int64_t)(early_load_part * (double)model->load_ms));
+  return input->now_ms >= due_ms;
+}
+
+static bool
+is_open_due (const struct bd_replicas_input *input,
+             const struct bd_fleet_endpoint *endpoint)
+{
+  return endpoint->order.kind == BD_ORDER_OPEN
+         && endpoint->order.accepted_ms > 0
+         && endpoint->entry.member.state == BD_MEMBER_READY
+         && input->now_ms - endpoint->order.accepted_ms
+                >= input->engine->form_ms;
+}
+
+/* An endpoint that the list has lost may still lead a group.  */
+static bool
+is_lost_member (const struct bd_fleet_endpoint *endpoint)
+{
+  return !endpoint->is_listed && endpoint->life != BD_LIFE_DEAD
+         && endpoint->entry.member.state != BD_MEMBER_NONE;
+}
+
+static bool
+must_ask (const struct bd_replicas_input *input,
+          const struct bd_fleet_endpoint *endpoint)
+{
+  int64_t since_ms = input->now_ms - endpoint->answered_ms;
+
+  if (endpoint->is_asked)
+    return false;
+  switch (endpoint->life)
+    {
+    case BD_LIFE_DOUBTED:
+      return true;
+    case BD_LIFE_DEAD:
+      return endpoint->is_listed
+             && input->now_ms - endpoint->life_ms >= ASK_DEAD_AGAIN_MS;
+    case BD_LIFE_ALIVE:
+      break;
+    }
+  if (is_lost_member (endpoint))
+    return since_ms >= ASK_DEAD_AGAIN_MS;
+  return since_ms >= ASK_AGAIN_MS
+         && (is_ready_due (input, endpoint) || is_open_due (input, endpoint));
+}
+
+uint32_t
+bd_replicas_questions (struct bd_replicas *replicas,
+                       const struct bd_replicas_input *input, const char **ids,
+                       uint32_t max)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  (void)replicas;
+  g_hash_table_iter_init (&iter, input->fleet->endpoints);
+  while (count < max && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct bd_fleet_endpoint *endpoint = value;
+
+      if (bd_is_kept (input, endpoint) && must_ask (input, endpoint))
+        ids[count++] = endpoint->entry.id;
+    }
+  return count;
+}
--- a/src/store/budget.c
+++ b/src/store/budget.c
@@ -8,7 +8,6 @@
 {
   FAILURES_TO_OPEN = 3,
   BACKOFF_FIRST_MS = 50,
-  BACKOFF_MOST_MS = 2000,
   BACKOFF_DOUBLINGS = 6,
   PROBE_TIMEOUT_MS = 5000
 };
@@ -89,12 +88,14 @@
 }
 
 void
-bd_breaker_failed (struct bd_breaker *breaker, int64_t now_ms, gsl_rng *rng)
+bd_breaker_failed (struct bd_breaker *breaker, int64_t now_ms,
+                   uint32_t most_ms, gsl_rng *rng)
 {
   breaker->failures++;
   breaker->is_probing = false;
   if (breaker->failures >= FAILURES_TO_OPEN)
-    breaker->open_until_ms = now_ms + bd_backoff_ms (breaker->failures, rng);
+    breaker->open_until_ms
+        = now_ms + bd_backoff_ms (breaker->failures, most_ms, rng);
 }
 
 bool
@@ -104,12 +105,11 @@
 }
 
 int64_t
-bd_backoff_ms (uint32_t failures, gsl_rng *rng)
+bd_backoff_ms (uint32_t failures, uint32_t most_ms, gsl_rng *rng)
 {
   uint32_t doublings
       = failures < BACKOFF_DOUBLINGS ? failures : BACKOFF_DOUBLINGS;
-  double limit
-      = fmin (BACKOFF_MOST_MS, ldexp (BACKOFF_FIRST_MS, (int)doublings));
+  double limit = fmin (most_ms, ldexp (BACKOFF_FIRST_MS, (int)doublings));
 
   return (int64_t)(limit * (0.5 + 0.5 * gsl_rng_uniform (rng)));
 }
--- a/src/store/client.c
+++ b/src/store/client.c
@@ -7,7 +7,7 @@
 
 enum
 {
-  CALL_TIMEOUT_MS = 1000,
+  DEFAULT_CALL_TIMEOUT_MS = 1000,
   /* Calls above the rate that a second's pause allows at once.  */
   BURST_S = 1
 };
@@ -83,7 +83,9 @@
 {
   call->failures++;
   call->not_before_ms
-      = now_ms + bd_backoff_ms (call->failures, call->platform->rng);
+      = now_ms
+        + bd_backoff_ms (call->failures, call->platform->most_backoff_ms,
+                         call->platform->rng);
   append (call);
   pump_later (call->platform);
 }
@@ -127,7 +129,7 @@
   if (error == BD_ERR_PLATFORM_DOWN)
     {
       bd_count (p->counters, BD_COUNT_PLATFORM_FAILURES);
-      bd_breaker_failed (&p->breaker, now_ms, p->rng);
+      bd_breaker_failed (&p->breaker, now_ms, p->most_backoff_ms, p->rng);
     }
   else
     bd_breaker_succeeded (&p->breaker);
@@ -186,7 +188,8 @@
           .version
           = call->is_update ? call->update.expected_version : call->since,
           .timeout_ms
-          = call->kind == BD_OBJECT_WATCH ? call->wait_ms : CALL_TIMEOUT_MS };
+          = call->kind == BD_OBJECT_WATCH ? call->wait_ms : p->call_timeout_ms,
+          .may_be_stale = call->kind == BD_OBJECT_WATCH };
 
   call->asked_ms = now_ms;
   bd_count (p->counters, call->kind == BD_OBJECT_WRITE
@@ -300,6 +303,8 @@
   platform->clock = clock;
   platform->counters = counters;
   platform->rng = rng;
+  platform->call_timeout_ms = DEFAULT_CALL_TIMEOUT_MS;
+  platform->most_backoff_ms = BD_BACKOFF_MOST_MS;
   bd_bucket_init (&platform->reads, reads_per_s, reads_per_s * BURST_S,
                   now_ms);
   bd_bucket_init (&platform->writes, writes_per_s, writes_per_s * BURST_S,
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -61,6 +61,8 @@
   struct bd_bucket reads;
   struct bd_bucket writes;
   struct bd_breaker breaker;
+  uint32_t call_timeout_ms; /* Of calls that do not wait.  */
+  uint32_t most_backoff_ms; /* Between tries of a call.  */
   struct bd_platform_call *first[BD_PRIORITY_COUNT];
   struct bd_platform_call *last[BD_PRIORITY_COUNT];
   struct bd_timer *timer;
@@ -90,7 +92,8 @@
                        uint32_t give_up_ms, bd_platform_done *done, void *ctx);
 
 /* bd_platform_watch(): answers with items newer than since, or with none
-   after wait_ms.  */
+   after wait_ms.  That there are none proves nothing: a watch may miss news
+   for a while.  */
 void bd_platform_watch (struct bd_platform *platform, const char *prefix,
                         int64_t since, uint32_t wait_ms,
                         bd_platform_done *done, void *ctx);
--- a/src/store/object_api.h
+++ b/src/store/object_api.h
@@ -36,17 +36,22 @@
   int64_t version; /* Expected by a write; known already by a watch.  */
   const char *value;
   uint32_t timeout_ms;
+  /* An answer from some seconds ago will do, where the platform has a cheaper
+     one.  */
+  bool may_be_stale;
 };
 
 struct bd_object_answer
 {
-  /* BD_OK, BD_ERR_NOT_FOUND, BD_ERR_CONFLICT, BD_ERR_RATE_LIMITED (nothing
-     was done) or BD_ERR_PLATFORM_DOWN (nobody knows).  */
+  /* BD_OK, BD_ERR_NOT_FOUND, BD_ERR_CONFLICT, BD_ERR_HISTORY_GONE (of a
+     watch: list again), BD_ERR_RATE_LIMITED (nothing was done) or
+     BD_ERR_PLATFORM_DOWN (nobody knows).  */
   enum bd_error error;
   int64_t version;  /* Of the object read or written.  */
   int64_t revision; /* Of the store, for lists and watches.  */
   json_t *value;    /* Borrowed.  */
-  json_t *items;    /* Borrowed; array of {key, version, value}.  */
+  json_t *items;    /* Borrowed; array of {key, version, value}, of a
+                       watch also is_deleted where the platform deletes.  */
 };
 
 typedef void bd_object_done (void *ctx, const struct bd_object_answer *answer);
--- a/src/store/object_api_http.c
+++ b/src/store/object_api_http.c
@@ -55,7 +55,7 @@
   talloc_free (pending);
 }
 
-static const struct bd_http_call_ops call_ops = { NULL, NULL, handle_done };
+static const struct bd_http_call_ops call_ops = { .done = handle_done };
 
 static char *
 make_url (void *ctx, const struct bd_object_api_http *api,
--- a/src/store/store_test.c
+++ b/src/store/store_test.c
@@ -36,7 +36,7 @@
   for (int i = 0; i < 3; i++)
     {
       CU_ASSERT_TRUE (bd_breaker_allows (&breaker, 0));
-      bd_breaker_failed (&breaker, 0, rng);
+      bd_breaker_failed (&breaker, 0, BD_BACKOFF_MOST_MS, rng);
     }
   CU_ASSERT_FALSE (bd_breaker_is_closed (&breaker));
   CU_ASSERT_FALSE (bd_breaker_allows (&breaker, 1));
@@ -53,11 +53,11 @@
 {
   for (uint32_t failures = 0; failures < 100; failures++)
     {
-      int64_t delay_ms = bd_backoff_ms (failures, rng);
+      int64_t delay_ms = bd_backoff_ms (failures, BD_BACKOFF_MOST_MS, rng);
       CU_ASSERT_TRUE (delay_ms >= 25 && delay_ms <= 2000);
     }
-  CU_ASSERT_TRUE (bd_backoff_ms (0, rng) <= 50);
-  CU_ASSERT_TRUE (bd_backoff_ms (50, rng) >= 1000);
+  CU_ASSERT_TRUE (bd_backoff_ms (0, BD_BACKOFF_MOST_MS, rng) <= 50);
+  CU_ASSERT_TRUE (bd_backoff_ms (50, BD_BACKOFF_MOST_MS, rng) >= 1000);
 }
 
 static const char id[BD_ID_SIZE] = "0123456789abcdef0123456789abcdef";
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -135,6 +135,46 @@
         FIELD (bd_claim_reply, TEXT, content_type),
         FIELD (bd_claim_reply, TEXT, body) };
 
+static const struct field place_fields[]
+    = { FIELD (bd_place_news, U64, place),
+        FIELD (bd_place_news, U32, in_flight),
+        FIELD (bd_place_news, DOUBLE, reading_ms),
+        FIELD (bd_place_news, U32, progress_age_ms) };
+static const struct layout place_layout = LAYOUT (bd_place_news, place_fields);
+
+static const struct field work_fields[]
+    = { FIELD (bd_work_news, U64, model), FIELD (bd_work_news, DOUBLE, busy) };
+static const struct layout work_layout = LAYOUT (bd_work_news, work_fields);
+
+static const struct field news_fields[]
+    = { FIELD (bd_edge_news, NAME, name),
+        FIELD (bd_edge_news, NAME, data_centre),
+        FIELD (bd_edge_news, NAME, address),
+        FIELD (bd_edge_news, U32, peer_port),
+        FIELD (bd_edge_news, I64, incarnation),
+        FIELD (bd_edge_news, I64, config_version),
+        FIELD (bd_edge_news, BOOL, is_stopping),
+        FIELD (bd_edge_news, BOOL, has_traffic),
+        LIST_FIELD (bd_edge_news, places, place_count, &place_layout),
+        LIST_FIELD (bd_edge_news, work, work_count, &work_layout) };
+
+static const struct field vouch_ask_fields[]
+    = { FIELD (bd_vouch_ask, NAME, from), FIELD (bd_vouch_ask, I64, asked_ms),
+        FIELD (bd_vouch_ask, I64, config_version),
+        FIELD (bd_vouch_ask, BOOL, wants_instances) };
+
+static const struct field vouch_fields[]
+    = { FIELD (bd_vouch, I64, asked_ms),
+        FIELD (bd_vouch, I64, config_version),
+        FIELD (bd_vouch, I64, config_age_ms),
+        FIELD (bd_vouch, TEXT, config),
+        FIELD (bd_vouch, I64, instances_age_ms),
+        FIELD (bd_vouch, TEXT, instances) };
+
+static const struct field doubt_fields[]
+    = { FIELD (bd_doubt_news, U64, group),
+        FIELD (bd_doubt_news, NAME, endpoint) };
+
 static const struct layout layouts[BD_MESSAGE_COUNT] = {
   [BD_MESSAGE_HEARTBEAT] = LAYOUT (bd_heartbeat, heartbeat_fields),
   [BD_MESSAGE_CENTRE] = LAYOUT (bd_centre_news, centre_fields),
@@ -148,6 +188,10 @@
   [BD_MESSAGE_SUSPECT] = LAYOUT (bd_suspect_news, suspect_fields),
   [BD_MESSAGE_CLAIM] = LAYOUT (bd_claim_request, claim_fields),
   [BD_MESSAGE_CLAIM_REPLY] = LAYOUT (bd_claim_reply, claim_reply_fields),
+  [BD_MESSAGE_NEWS] = LAYOUT (bd_edge_news, news_fields),
+  [BD_MESSAGE_VOUCH_ASK] = LAYOUT (bd_vouch_ask, vouch_ask_fields),
+  [BD_MESSAGE_VOUCH] = LAYOUT (bd_vouch, vouch_fields),
+  [BD_MESSAGE_DOUBT] = LAYOUT (bd_doubt_news, doubt_fields),
 };
 
 static void
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -28,6 +28,10 @@
   BD_MESSAGE_SUSPECT,
   BD_MESSAGE_CLAIM,
   BD_MESSAGE_CLAIM_REPLY,
+  BD_MESSAGE_NEWS,
+  BD_MESSAGE_VOUCH_ASK,
+  BD_MESSAGE_VOUCH,
+  BD_MESSAGE_DOUBT,
   BD_MESSAGE_COUNT
 };
 
@@ -160,6 +164,68 @@
   const char *body;
 };
 
+/* A daemon's traffic with one group or endpoint.  */
+struct bd_place_news
+{
+  uint64_t place; /* Hash of the group and epoch, or of the endpoint.  */
+  uint32_t in_flight;
+  double reading_ms;        /* Prompts that are being read, in time.  */
+  uint32_t progress_age_ms; /* Since the last event from it.  */
+};
+
+/* Work that callers of a daemon offer for one model.  */
+struct bd_work_news
+{
+  uint64_t model; /* Hash of its name.  */
+  double busy;    /* Replicas that it keeps busy.  */
+};
+
+/* An edge daemon is alive; its traffic and what it knows.  */
+struct bd_edge_news
+{
+  char name[BD_NAME_SIZE];
+  char data_centre[BD_NAME_SIZE];
+  char address[BD_NAME_SIZE];
+  uint32_t peer_port;
+  int64_t incarnation;
+  int64_t config_version;
+  bool is_stopping;
+  bool has_traffic;
+  struct bd_place_news *places;
+  uint32_t place_count;
+  struct bd_work_news *work;
+  uint32_t work_count;
+};
+
+/* Asks how newly a peer knows the newest configuration and the instance
+   list.  */
+struct bd_vouch_ask
+{
+  char from[BD_NAME_SIZE];
+  int64_t asked_ms; /* By the asking daemon's clock; comes back.  */
+  int64_t config_version;
+  bool wants_instances;
+};
+
+/* The answer.  Ages count from the sending of the store call that the peer
+   goes by.  */
+struct bd_vouch
+{
+  int64_t asked_ms;
+  int64_t config_version;
+  int64_t config_age_ms;
+  const char *config; /* Empty when the asking daemon has this version.  */
+  int64_t instances_age_ms;
+  const char *instances; /* Empty when not wanted.  */
+};
+
+/* A group, or an endpoint, is silent under traffic.  Goes to the keeper.  */
+struct bd_doubt_news
+{
+  uint64_t group; /* 0 when it is an endpoint.  */
+  char endpoint[BD_NAME_SIZE];
+};
+
 /* bd_message_pack(): appends a frame with message to buffer.  */
 void bd_message_pack (msgpack_sbuffer *buffer, enum bd_message_type type,
                       const void *message);
--- a/src/wire/peers.c
+++ b/src/wire/peers.c
@@ -16,7 +16,9 @@
   MAX_QUEUE_BYTES = 4 << 20,
   MAX_FRAME_BYTES = 4 << 20,
   READ_BYTES = 16 * 1024,
-  FRAME_HEAD_BYTES = 4
+  FRAME_HEAD_BYTES = 4,
+  /* A connection that a partition has silenced is opened anew after this.  */
+  UNACKNOWLEDGED_MS = 1500
 };
 
 struct bd_peer_connection
@@ -52,6 +54,7 @@
 {
   struct bd_peer_connection *c
       = talloc_zero (peers->events, struct bd_peer_connection);
+  unsigned timeout_ms = UNACKNOWLEDGED_MS;
   int on = 1;
 
   c->peers = peers;
@@ -62,6 +65,8 @@
     c->next->prev = c;
   *list = c;
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+              sizeof timeout_ms);
   c->event = tevent_add_fd (peers->events, c, fd, flags, handler, c);
   talloc_set_destructor (c, destroy_connection);
   return c;
--- a/tests/fakes/engine.c
+++ b/tests/fakes/engine.c
@@ -279,8 +279,7 @@
     fake_later (e->process->events, load, 100, retry_weights, load);
 }
 
-static const struct bd_http_call_ops weights_ops
-    = { NULL, NULL, handle_weights };
+static const struct bd_http_call_ops weights_ops = { .done = handle_weights };
 
 static void
 fetch_weights (struct load *load)
