Replicas: instances move to the model that has less capacity for its work

Ruled out: the rule that a rich model takes nothing (it left ten endpoints idle), loads for all (the weight store gives one load in 2.3 s). Change: reassign.c takes small groups apart where a large one can be formed, with a margin and a pause; plan.c and staging.c are files of their own; staging ahead keeps within the loads at once; free endpoints whose weights nobody can use are staged anew; a request counts as late when its first event would be; the published share holds until 4 s of work have been seen.

--- a/src/admission/backlog.c
+++ b/src/admission/backlog.c
@@ -58,7 +58,7 @@
 }
 
 void
-bd_backlog_age (struct bd_backlog *backlog, int64_t least_ms, int64_t now_ms)
+bd_backlog_age (struct bd_backlog *backlog, int64_t now_ms)
 {
   GSequenceIter *iter = g_sequence_get_begin_iter (backlog->items);
   bool has_changed = false;
@@ -67,7 +67,7 @@
     {
       struct bd_backlog_item *item = g_sequence_get (iter);
 
-      if (item->is_late || now_ms + least_ms <= item->objective_ms)
+      if (item->is_late || now_ms + item->needs_ms <= item->objective_ms)
         continue;
       item->is_late = true;
       has_changed = true;
--- a/src/admission/backlog.h
+++ b/src/admission/backlog.h
@@ -23,6 +23,7 @@
   GSequenceIter *place;
   int64_t since_ms;
   int64_t objective_ms; /* When its first event should be there.  */
+  int64_t needs_ms;     /* From a place until its first event.  */
   int64_t deadline_ms;
   uint32_t priority; /* 0 goes first.  */
   bool is_late;
@@ -47,10 +48,9 @@
 /* bd_backlog_count(): requests that wait.  */
 uint32_t bd_backlog_count (const struct bd_backlog *backlog);
 
-/* bd_backlog_age(): moves items behind whose objective cannot be met any
-   more, when a place needs least_ms for the first event.  */
-void bd_backlog_age (struct bd_backlog *backlog, int64_t least_ms,
-                     int64_t now_ms);
+/* bd_backlog_age(): moves items behind whose objective cannot be met any more,
+   even if they had a place now.  */
+void bd_backlog_age (struct bd_backlog *backlog, int64_t now_ms);
 
 /* bd_backlog_each(): calls visit for the items in order until it returns
    false; visit may remove the item that it is given.  */
--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -53,6 +53,7 @@
 
   item->owner = request;
   item->objective_ms = request->received_ms + request->objective_ms;
+  item->needs_ms = bd_edge_needs_ms (request);
   item->deadline_ms = request->deadline_ms;
   item->priority = request->priority;
   item->is_resumed = request->has_begun;
@@ -231,7 +232,7 @@
 
       if (bd_backlog_count (&service->backlog) == 0)
         continue;
-      bd_backlog_age (&service->backlog, 0, bd_edge_now_ms (edge));
+      bd_backlog_age (&service->backlog, bd_edge_now_ms (edge));
       bd_backlog_each (&service->backlog, visit_waiting, &pump);
     }
   edge->is_pumping = false;
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -119,6 +119,8 @@
   int64_t term;
   int64_t tried_ms;
   struct bd_replicas replicas;
+  struct bd_replicas_summary logged; /* Last one in the log.  */
+  int64_t logged_ms;
 };
 
 /* Traffic of a peer.  */
@@ -249,6 +251,9 @@
    serves it at all.  */
 bool bd_edge_find_place (struct bd_edge_request *request,
                          struct bd_edge_place *place, bool *is_any);
+/* From a place until the first event, in a full batch; until the answer of a
+   plain endpoint.  */
+int64_t bd_edge_needs_ms (const struct bd_edge_request *request);
 void bd_edge_enter_place (struct bd_edge_request *request,
                           const struct bd_edge_place *place);
 void bd_edge_leave_place (struct bd_edge_request *request);
--- a/src/edge/keeper.c
+++ b/src/edge/keeper.c
@@ -12,7 +12,7 @@
   MAX_ORDERS = 64,
   MAX_QUESTIONS = 64,
   ORDER_TIMEOUT_MS = 400,
-  REPORT_TIMEOUT_MS = 300,
+  REPORT_TIMEOUT_MS = 220,
   /* Unanswered reports in a row after which an endpoint counts as dead.  */
   MISSES_TO_DIE = 2,
   /* Daemons hear of each other in this time after the start.  */
@@ -24,6 +24,8 @@
   STANDSTILL_MS = 900,
   /* A group that is doubted is not used until its members have been asked. */
   DOUBT_MS = 900,
+  /* A model that nothing was offered for after this is not wanted.  */
+  DEMAND_SETTLE_MS = 30000,
   /* Added to the epoch when an endpoint has seen a higher one.  */
   EPOCH_LEAP = 1000
 };
@@ -119,8 +121,9 @@
     }
   keeper->is_keeping = true;
   bd_replicas_init (&keeper->replicas,
-                    pool->engine.loads_per_s / centre_count (edge), edge->rng,
-                    bd_edge_now_ms (edge));
+                    pool->engine.loads_per_s / centre_count (edge),
+                    pool->engine.loads_at_once / centre_count (edge),
+                    edge->rng, bd_edge_now_ms (edge));
   bd_log ("keeper-began", "data_centre", keeper->data_centre, "term",
           BD_NUM (keeper->term), NULL);
 }
@@ -365,10 +368,13 @@
   return strcmp (keeper->data_centre, data_centre) == 0;
 }
 
+/* Work offered to all daemons; all zero until each model has some.  */
 static void
 sum_demand (struct bd_edge *edge, const struct bd_engine *engine,
             double demand[BD_ENGINE_MAX_MODELS])
 {
+  int64_t now_ms = bd_edge_now_ms (edge);
+
   for (uint32_t m = 0; m < engine->model_count; m++)
     {
       const char *name = engine->models[m].name;
@@ -390,6 +396,38 @@
               demand[m] += peer->work[i].busy;
         }
     }
+  for (uint32_t m = 0; m < engine->model_count; m++)
+    if (demand[m] == 0 && now_ms - edge->started_ms < DEMAND_SETTLE_MS)
+      memset (demand, 0, BD_ENGINE_MAX_MODELS * sizeof *demand);
+}
+
+/* One line a change of what serves, at most twice a second.  */
+static void
+log_pool (struct bd_edge_keeper *keeper, const struct bd_replicas_input *input)
+{
+  enum
+  {
+    LOG_PERIOD_MS = 500
+  };
+  struct bd_replicas_summary now;
+
+  if (input->now_ms - keeper->logged_ms < LOG_PERIOD_MS)
+    return;
+  bd_replicas_summarize (&keeper->replicas, input, &now);
+  /* What is wanted changes all the time.  */
+  memcpy (keeper->logged.wanted_percent, now.wanted_percent,
+          sizeof now.wanted_percent);
+  if (memcmp (&now, &keeper->logged, sizeof now) == 0)
+    return;
+  keeper->logged = now;
+  keeper->logged_ms = input->now_ms;
+  for (uint32_t i = 0; i < input->engine->model_count; i++)
+    bd_log ("groups", "data_centre", keeper->data_centre, "model",
+            input->engine->models[i].name, "open", BD_NUM (now.open[i]),
+            "forming", BD_NUM (now.forming[i]), "broken",
+            BD_NUM (now.broken[i]), "wanted_share_percent",
+            BD_NUM (now.wanted_percent[i]), "free", BD_NUM (now.free), "cold",
+            BD_NUM (now.cold), NULL);
 }
 
 static void
@@ -419,6 +457,7 @@
       = bd_replicas_questions (&keeper->replicas, &input, ids, MAX_QUESTIONS);
   for (uint32_t i = 0; i < count; i++)
     ask_report (edge, ids[i]);
+  log_pool (keeper, &input);
 }
 
 /* Data centres are those that the instance list names.  */
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -72,9 +72,11 @@
 {
   enum
   {
-    WORK_PERIOD_MS = 500
+    WORK_PERIOD_MS = 500,
+    /* Less says little of what is offered; the published share holds.  */
+    LEAST_SPAN_MS = 4000
   };
-  static const double work_smoothing = 0.15;
+  static const double work_smoothing = 0.08;
   int64_t now_ms = bd_edge_now_ms (edge);
 
   for (uint32_t i = 0; i < edge->work_count; i++)
@@ -85,6 +87,8 @@
 
       if (passed_ms < WORK_PERIOD_MS)
         continue;
+      if (work->busy == 0 && passed_ms < LEAST_SPAN_MS)
+        continue;
       busy = work->since_ms_work / (double)passed_ms;
       work->busy = work->busy == 0
                        ? busy
--- a/src/edge/place.c
+++ b/src/edge/place.c
@@ -12,6 +12,8 @@
   ENDPOINT_ROOM = 2,
   /* An endpoint's word on its load counts for this long.  */
   LOAD_FRESH_MS = 200,
+  /* Usual time of a plain endpoint's answer.  */
+  PLAIN_ANSWER_MS = 30,
   /* Pause before an endpoint is tried again that has said that it is full. */
   REFUSED_PAUSE_MS = 40
 };
@@ -189,6 +191,24 @@
                                    : find_endpoint (request, place, is_any);
 }
 
+int64_t
+bd_edge_needs_ms (const struct bd_edge_request *request)
+{
+  const struct bd_route_service *service
+      = bd_routes_service (request->edge->routes, request->service);
+  const struct bd_engine_model *model
+      = service != NULL && service->has_engine
+            ? bd_engine_model (&service->engine, request->model)
+            : NULL;
+  struct bd_group_load load = { .pace = 1.0 };
+
+  if (model == NULL)
+    return PLAIN_ANSWER_MS;
+  load.running = service->engine.slots;
+  return (int64_t)bd_first_event_ms (&service->engine, model, &load,
+                                     request->prompt_tokens);
+}
+
 void
 bd_edge_enter_place (struct bd_edge_request *request,
                      const struct bd_edge_place *place)
--- a/src/replicas/plan.c
+++ b/src/replicas/plan.c
@@ -1,47 +1,23 @@
-/* Which groups to form of the endpoints that are free, and which weights to
-   stage.
+/* Which groups to form of the endpoints that are free.
 
    The load that this answers: a pool that loses members all the time, with
    models of different sizes.  Free endpoints of one fabric domain are put
    together for the model that has the least capacity for its offered work;
-   what none of them can be used for waits.  Weights are staged ahead so that
-   an endpoint can take a place of either model within seconds.  */
+   where they do not suffice, a group of a richer model is taken apart
+   (reassign.c).  */
 
-#include "replicas/replicas_internal.h"
+#include "replicas/plan_internal.h"
 
 #include <stdio.h>
 #include <string.h>
 
 enum
 {
-  MAX_FREE = 4096,
   /* Endpoints register one by one; groups wait until none has come for this
      long, so that a domain is planned as a whole.  */
   SETTLE_MS = 400
 };
 
-/* A model whose capacity is above the poorest one's by this factor does not
-   take endpoints that the poorest may need.  */
-static const double ample = 2.0;
-
-/* Loads left for hosts without any weights before others stage ahead.  */
-static const double load_reserve = 1.5;
-
-struct free_endpoint
-{
-  struct bd_fleet_endpoint *endpoint;
-  bool is_taken;
-};
-
-struct plan
-{
-  struct bd_replicas_step *step;
-  struct free_endpoint *free;
-  uint32_t free_count;
-  double have[BD_ENGINE_MAX_MODELS]; /* Replicas, whole or being formed.  */
-  double need[BD_ENGINE_MAX_MODELS];
-};
-
 static int32_t
 model_index (const struct bd_engine *engine, const char *name)
 {
@@ -53,8 +29,8 @@
 
 /* Work offered, or before any the published share.  That is a share of the
    instances, so that a large replica stands for more of it.  */
-static void
-reckon_need (struct plan *plan)
+void
+bd_plan_reckon_need (struct plan *plan)
 {
   const struct bd_replicas_input *input = plan->step->input;
   const struct bd_engine *engine = input->engine;
@@ -73,8 +49,8 @@
     }
 }
 
-static void
-reckon_have (struct plan *plan)
+void
+bd_plan_reckon_have (struct plan *plan)
 {
   const struct bd_replicas_input *input = plan->step->input;
   struct bd_replicas *replicas = plan->step->replicas;
@@ -159,7 +135,7 @@
 
   g_hash_table_iter_init (&iter, input->fleet->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value)
-         && plan->free_count < MAX_FREE)
+         && plan->free_count < BD_PLAN_MAX_FREE)
     {
       struct bd_fleet_endpoint *endpoint = value;
 
@@ -177,7 +153,36 @@
   uint32_t spare; /* Free endpoints that the domain has besides.  */
 };
 
-/* Keeps the quickest members; ties go by id, so that a choice repeats.  */
+/* Models that an endpoint could run at once.  */
+static uint32_t
+choices_of (const struct plan *plan, uint32_t index)
+{
+  const struct bd_replicas_input *input = plan->step->input;
+  uint32_t choices = 0;
+
+  for (uint32_t i = 0; i < input->engine->model_count; i++)
+    choices += bd_join_ms (input, plan->free[index].endpoint,
+                           &input->engine->models[i])
+               >= 0;
+  return choices;
+}
+
+/* Whether the endpoint at index goes before another one that takes as long:
+   who has no other use, then by id, so that a choice repeats.  */
+static bool
+goes_before (const struct plan *plan, uint32_t index, uint32_t other)
+{
+  uint32_t own = choices_of (plan, index);
+  uint32_t others = choices_of (plan, other);
+
+  if (own != others)
+    return own < others;
+  return strcmp (plan->free[index].endpoint->entry.id,
+                 plan->free[other].endpoint->entry.id)
+         < 0;
+}
+
+/* Keeps the quickest members.  */
 static void
 offer_member (const struct plan *plan, struct offer *offer,
               int64_t ms[BD_FLEET_MAX_MEMBERS], uint32_t size, uint32_t index,
@@ -185,13 +190,10 @@
 {
   uint32_t at = offer->count < size ? offer->count : size;
 
-  while (
-      at > 0
-      && (ms[at - 1] > join_ms
-          || (ms[at - 1] == join_ms
-              && strcmp (plan->free[offer->members[at - 1]].endpoint->entry.id,
-                         plan->free[index].endpoint->entry.id)
-                     > 0)))
+  while (at > 0
+         && (ms[at - 1] > join_ms
+             || (ms[at - 1] == join_ms
+                 && goes_before (plan, index, offer->members[at - 1]))))
     {
       if (at < size)
         {
@@ -255,7 +257,8 @@
         is_seen
             = !plan->free[j].is_taken
               && strcmp (plan->free[j].endpoint->entry.domain, domain) == 0;
-      if (is_seen || !offer_domain (plan, model, domain, &offer))
+      if (is_seen || bd_plan_is_reserved (plan->step, domain, model->name)
+          || !offer_domain (plan, model, domain, &offer))
         continue;
       if (!has_any || offer.ms < best->ms
           || (offer.ms == best->ms && offer.spare < best->spare))
@@ -289,6 +292,9 @@
       if (free->endpoint->entry.member.epoch > epoch)
         epoch = free->endpoint->entry.member.epoch;
     }
+  bd_plan_end_reservation (
+      plan->step, plan->free[offer->members[0]].endpoint->entry.domain,
+      model->name);
   replicas->epoch = epoch + 1;
   forming->epoch = replicas->epoch;
   /* A name of its own, whatever another keeper does meanwhile.  */
@@ -298,8 +304,9 @@
 }
 
 /* The model with the least capacity for its work among those not passed. */
-static int32_t
-poorest (const struct plan *plan, const bool passed[BD_ENGINE_MAX_MODELS])
+int32_t
+bd_plan_poorest (const struct plan *plan,
+                 const bool passed[BD_ENGINE_MAX_MODELS])
 {
   const struct bd_engine *engine = plan->step->input->engine;
   int32_t chosen = -1;
@@ -313,38 +320,33 @@
   return chosen;
 }
 
-/* Forms one group; false when none can be formed or should be.  */
+/* Forms one group, or makes room for one; false when nothing is to be done. */
 static bool
 form_next (struct plan *plan)
 {
   const struct bd_engine *engine = plan->step->input->engine;
   bool passed[BD_ENGINE_MAX_MODELS] = { false };
-  int32_t first = poorest (plan, passed);
   int32_t model;
 
-  while ((model = poorest (plan, passed)) >= 0)
+  while ((model = bd_plan_poorest (plan, passed)) >= 0)
     {
       struct offer offer;
 
-      if (model != first
-          && plan->have[model] / plan->need[model]
-                 > ample * plan->have[first] / plan->need[first]
-          && plan->step->input->has_traffic)
-        return false;
       if (best_offer (plan, &engine->models[model], &offer))
         {
           form (plan, &engine->models[model], &offer);
           plan->have[model]++;
           return true;
         }
+      bd_plan_reassign (plan, (uint32_t)model);
       passed[model] = true;
     }
   return false;
 }
 
 /* Whether endpoints are still coming in at the start.  */
-static bool
-is_settling (const struct bd_replicas_input *input)
+bool
+bd_plan_is_settling (const struct bd_replicas_input *input)
 {
   GHashTableIter iter;
   gpointer value;
@@ -362,142 +364,15 @@
 void
 bd_replicas_plan (struct bd_replicas_step *step)
 {
-  static struct free_endpoint free_list[MAX_FREE];
+  static struct free_endpoint free_list[BD_PLAN_MAX_FREE];
   struct plan plan = { .step = step, .free = free_list };
 
-  if (is_settling (step->input))
+  if (bd_plan_is_settling (step->input))
     return;
   memset (free_list, 0, sizeof free_list);
   collect_free (&plan);
-  if (plan.free_count == 0)
-    return;
-  reckon_need (&plan);
-  reckon_have (&plan);
+  bd_plan_reckon_need (&plan);
+  bd_plan_reckon_have (&plan);
   while (form_next (&plan))
     continue;
 }
-
-static bool
-is_model_at_hand (const struct bd_fleet_endpoint *endpoint, const char *model)
-{
-  return strcmp (endpoint->last_model, model) == 0
-         || bd_has_staged (endpoint, model);
-}
-
-/* The model whose weights the host should get next, or NULL.  */
-static const struct bd_engine_model *
-missing_model (const struct plan *plan,
-               const struct bd_fleet_endpoint *endpoint)
-{
-  bool passed[BD_ENGINE_MAX_MODELS] = { false };
-  int32_t model;
-
-  while ((model = poorest (plan, passed)) >= 0)
-    {
-      const struct bd_engine_model *chosen
-          = &plan->step->input->engine->models[model];
-
-      if (!is_model_at_hand (endpoint, chosen->name))
-        return chosen;
-      passed[model] = true;
-    }
-  return NULL;
-}
-
-/* Whether staging would push out weights that nothing else stands for.  */
-static bool
-has_room_to_stage (const struct bd_replicas_input *input,
-                   const struct bd_fleet_endpoint *endpoint)
-{
-  uint32_t needed = 0;
-
-  for (uint32_t i = 0; i < endpoint->entry.staged_count; i++)
-    if (strcmp (endpoint->entry.staged[i], endpoint->last_model) != 0)
-      needed++;
-  return needed < input->engine->retained_models;
-}
-
-static bool
-can_stage (const struct plan *plan, const struct bd_fleet_endpoint *endpoint)
-{
-  const struct bd_replicas_input *input = plan->step->input;
-
-  return bd_is_kept (input, endpoint) && bd_is_sound (endpoint)
-         && bd_can_order (input, endpoint) && endpoint->entry.domain[0] != '\0'
-         && endpoint->entry.member.state != BD_MEMBER_JOINING
-         && (!endpoint->is_staging
-             || bd_has_staged (endpoint, endpoint->staging_model)
-             || input->now_ms >= endpoint->staging_until_ms)
-         && bd_forming_of (plan->step->replicas, endpoint->entry.id) == NULL
-         && has_room_to_stage (input, endpoint);
-}
-
-static bool
-take_load (struct plan *plan, bool is_urgent)
-{
-  struct bd_replicas *replicas = plan->step->replicas;
-  const struct bd_replicas_input *input = plan->step->input;
-
-  /* Loads from before the first request are not counted.  */
-  if (!input->has_traffic)
-    return true;
-  (void)bd_bucket_wait_ms (&replicas->loads, input->now_ms);
-  if (!is_urgent && replicas->loads.tokens < load_reserve)
-    return false;
-  return bd_bucket_take (&replicas->loads, input->now_ms);
-}
-
-static void
-order_stage (struct plan *plan, struct bd_fleet_endpoint *endpoint)
-{
-  const struct bd_engine_model *model = missing_model (plan, endpoint);
-  bool is_urgent
-      = endpoint->last_model[0] == '\0' && endpoint->entry.staged_count == 0;
-  struct bd_order *order;
-
-  if (model == NULL || !take_load (plan, is_urgent))
-    return;
-  order = bd_replicas_add_order (plan->step, BD_ORDER_STAGE, endpoint,
-                                 is_urgent ? "new" : "ahead");
-  if (order == NULL)
-    return;
-  bd_name_copy (order->model, model->name);
-  endpoint->is_staging = true;
-  bd_name_copy (endpoint->staging_model, model->name);
-  endpoint->staging_until_ms = plan->step->input->now_ms + 2 * model->load_ms;
-}
-
-/* Hosts without any weights go first.  */
-static void
-stage_all (struct plan *plan, bool is_urgent)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, plan->step->input->fleet->endpoints);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct bd_fleet_endpoint *endpoint = value;
-      bool has_none = endpoint->last_model[0] == '\0'
-                      && endpoint->entry.staged_count == 0;
-
-      if (has_none == is_urgent && can_stage (plan, endpoint))
-        order_stage (plan, endpoint);
-    }
-}
-
-void
-bd_replicas_stage (struct bd_replicas_step *step)
-{
-  struct plan plan = { .step = step };
-
-  /* Joins that need the weight store go first.  */
-  if (step->replicas->forming_count > 0 && !step->input->has_traffic)
-    return;
-  if (is_settling (step->input))
-    return;
-  reckon_need (&plan);
-  reckon_have (&plan);
-  stage_all (&plan, true);
-  stage_all (&plan, false);
-}
--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -42,10 +42,11 @@
 
 void
 bd_replicas_init (struct bd_replicas *replicas, double loads_per_s,
-                  gsl_rng *rng, int64_t now_ms)
+                  uint32_t loads_at_once, gsl_rng *rng, int64_t now_ms)
 {
   memset (replicas, 0, sizeof *replicas);
   replicas->rng = rng;
+  replicas->loads_at_once = loads_at_once > 0 ? loads_at_once : 1;
   replicas->since_ms = now_ms;
   bd_bucket_init (&replicas->loads, loads_per_s * load_rate_part, load_burst,
                   now_ms);
@@ -634,3 +635,68 @@
     }
   return count;
 }
+
+static void
+count_group (const struct bd_replicas_input *input,
+             const struct bd_fleet_group *group,
+             struct bd_replicas_summary *summary)
+{
+  const struct bd_engine_model *model
+      = bd_engine_model (input->engine, group->model);
+  uint32_t index;
+
+  if (model == NULL || !is_kept_group (input, group))
+    return;
+  index = (uint32_t)(model - input->engine->models);
+  switch (bd_group_phase (input, group))
+    {
+    case BD_PHASE_OPEN:
+      summary->open[index]++;
+      break;
+    case BD_PHASE_READY:
+    case BD_PHASE_JOINING:
+      summary->forming[index]++;
+      break;
+    case BD_PHASE_LEAVING:
+    case BD_PHASE_HELD:
+      summary->broken[index]++;
+      break;
+    case BD_PHASE_FREE:
+      break;
+    }
+}
+
+void
+bd_replicas_summarize (const struct bd_replicas *replicas,
+                       const struct bd_replicas_input *input,
+                       struct bd_replicas_summary *summary)
+{
+  double total = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  (void)replicas;
+  memset (summary, 0, sizeof *summary);
+  g_hash_table_iter_init (&iter, input->fleet->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count_group (input, value, summary);
+  g_hash_table_iter_init (&iter, input->fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct bd_fleet_endpoint *endpoint = value;
+
+      if (!bd_is_kept (input, endpoint) || !bd_is_sound (endpoint)
+          || endpoint->entry.member.state != BD_MEMBER_NONE)
+        continue;
+      if (endpoint->last_model[0] == '\0' && endpoint->entry.staged_count == 0)
+        summary->cold++;
+      else
+        summary->free++;
+    }
+  for (uint32_t i = 0; i < input->engine->model_count; i++)
+    total += input->demand[i] * input->engine->models[i].members;
+  for (uint32_t i = 0; i < input->engine->model_count && total > 0; i++)
+    summary->wanted_percent[i]
+        = (uint32_t)(100 * input->demand[i] * input->engine->models[i].members
+                     / total);
+}
--- a/src/replicas/replicas.h
+++ b/src/replicas/replicas.h
@@ -64,7 +64,11 @@
 
 enum
 {
-  BD_REPLICAS_MAX_FORMING = 256
+  BD_REPLICAS_MAX_FORMING = 256,
+  BD_REPLICAS_MAX_RESERVED = 32,
+  /* Between two groups that are taken apart for another model: capacity as
+     the entries show it has to follow.  */
+  BD_REPLICAS_MOVE_PAUSE_MS = 1500
 };
 
 /* A group that is being formed.  */
@@ -78,10 +82,21 @@
   int64_t since_ms;
 };
 
+/* A domain whose free endpoints are kept for one model.  */
+struct bd_reservation
+{
+  char domain[BD_NAME_SIZE];
+  char model[BD_NAME_SIZE];
+  int64_t until_ms;
+};
+
 struct bd_replicas
 {
   struct bd_forming forming[BD_REPLICAS_MAX_FORMING];
   uint32_t forming_count;
+  struct bd_reservation reserved[BD_REPLICAS_MAX_RESERVED];
+  int64_t moved_ms;       /* Last move from one model to another.  */
+  uint32_t loads_at_once; /* More make each take longer.  */
   struct bd_bucket loads; /* Loads from the weight store.  */
   int64_t epoch;          /* Last one given out.  */
   int64_t since_ms;       /* When this keeper began.  */
@@ -103,10 +118,22 @@
   int64_t now_ms;
 };
 
-/* bd_replicas_init(): loads_per_s is this keeper's part of what the weight
-   store allows.  */
+/* Where the kept part of the pool stands.  */
+struct bd_replicas_summary
+{
+  uint32_t open[BD_ENGINE_MAX_MODELS];
+  uint32_t forming[BD_ENGINE_MAX_MODELS];
+  uint32_t broken[BD_ENGINE_MAX_MODELS]; /* Short of a member.  */
+  /* Part of the offered work, of the whole pool.  */
+  uint32_t wanted_percent[BD_ENGINE_MAX_MODELS];
+  uint32_t free; /* Sound and in no group, with weights at hand.  */
+  uint32_t cold; /* Sound, without any weights.  */
+};
+
+/* bd_replicas_init(): loads_per_s and loads_at_once are this keeper's part of
+   what the weight store allows.  */
 void bd_replicas_init (struct bd_replicas *replicas, double loads_per_s,
-                       gsl_rng *rng, int64_t now_ms);
+                       uint32_t loads_at_once, gsl_rng *rng, int64_t now_ms);
 
 /* bd_replicas_step(): fills in orders to be sent now; returns how many.  */
 uint32_t bd_replicas_step (struct bd_replicas *replicas,
@@ -119,6 +146,11 @@
                                 const struct bd_replicas_input *input,
                                 const char **ids, uint32_t max);
 
+/* bd_replicas_summarize(): for logs and metrics.  */
+void bd_replicas_summarize (const struct bd_replicas *replicas,
+                            const struct bd_replicas_input *input,
+                            struct bd_replicas_summary *summary);
+
 /* bd_replicas_sent(): the order is on its way.  */
 void bd_replicas_sent (struct bd_fleet *fleet, const struct bd_order *order,
                        int64_t now_ms);
--- a/src/replicas/replicas_test.c
+++ b/src/replicas/replicas_test.c
@@ -131,8 +131,8 @@
   replicas = pool.replicas;
   /* The inner one mends it.  */
   bd_fleet_init (&pool.fleet);
-  bd_replicas_init (&pool.replicas, pool.engine.loads_per_s, pool.rng,
-                    pool.now_ms);
+  bd_replicas_init (&pool.replicas, pool.engine.loads_per_s,
+                    pool.engine.loads_at_once, pool.rng, pool.now_ms);
   for (uint32_t i = 0; i < pool.count; i++)
     pool.members[i].is_reachable = pool.members[i].is_in_list = true;
   pool_run (&pool, 500);
@@ -149,6 +149,79 @@
   pool_finish (&pool);
 }
 
+/* A day of losses: two members of groups every 3 s, two new instances without
+   weights every 3 s, a domain dark for 9 s.  Returns the mean over the day of
+   the capacity of the model that has less for its work, as a part of what the
+   sound instances with weights at hand could give it.  */
+static double
+play_losses (uint64_t seed)
+{
+  double sum = 0;
+  uint32_t steps = 0;
+
+  pool_init (&pool, 6, 10, seed);
+  pool_run (&pool, 8000);
+  pool.has_traffic = true;
+  pool.demand[0] = 4;
+  pool.demand[1] = 8;
+  for (uint32_t ms = 0; ms < 34000; ms += 100)
+    {
+      uint32_t sound = 0;
+      double large;
+      double small;
+
+      if (ms % 3000 == 2000)
+        for (uint32_t lost = 0; lost < 2;)
+          {
+            uint32_t i = (uint32_t)gsl_rng_uniform_int (pool.rng, pool.count);
+
+            if (!pool.members[i].is_alive
+                || pool.members[i].entry.member.state == BD_MEMBER_NONE)
+              continue;
+            pool_lose (&pool, i);
+            lost++;
+          }
+      if (ms % 3000 == 1000 && ms > 10000)
+        {
+          char domain[8];
+
+          snprintf (domain, sizeof domain, "d%lu",
+                    gsl_rng_uniform_int (pool.rng, 6));
+          pool_add (&pool, domain);
+          pool_add (&pool, domain);
+        }
+      for (uint32_t i = 0; i < 10; i++)
+        if (ms == 11000)
+          pool_lose (&pool, i);
+        else if (ms == 20000)
+          pool_return (&pool, i);
+      pool_run (&pool, 100);
+      for (uint32_t i = 0; i < pool.count; i++)
+        sound += pool.members[i].is_alive
+                 && pool.members[i].entry.staged_count > 0;
+      large = 4.0 * pool_open (&pool, "large") / (sound / 2.0);
+      small = 2.0 * pool_open (&pool, "small") / (sound / 2.0);
+      sum += large < small ? large : small;
+      steps++;
+    }
+  check_rules ();
+  CU_ASSERT_EQUAL (pool.slow_joins, 0);
+  pool_finish (&pool);
+  return sum / steps;
+}
+
+static void
+test_both_models_keep_capacity (void)
+{
+  double mean = 0;
+
+  for (uint64_t seed = 1; seed <= 8; seed++)
+    mean += play_losses (seed) / 8;
+  printf ("(%.3f) ", mean);
+  /* The goal of docs/SYSTEM.md: three quarters.  */
+  CU_ASSERT_TRUE (mean >= 0.75);
+}
+
 /* Orders that are carried out seconds after they were sent.  */
 static void
 test_late_orders (void)
@@ -181,6 +254,7 @@
     { "cut centre returns", test_cut_centre_returns },
     { "new keeper, unlisted leaders", test_new_keeper_and_unlisted_leaders },
     { "two keepers parted", test_two_keepers_parted },
+    { "both models keep capacity", test_both_models_keep_capacity },
     { "late orders", test_late_orders },
   };
 
--- a/tests/fakes/pool.c
+++ b/tests/fakes/pool.c
@@ -50,24 +50,49 @@
                                      .usual_answer = 150 };
   add_model (&pool->engine, "large", 4, 1.0, 16000, 1600);
   add_model (&pool->engine, "small", 2, 0.6, 12000, 1100);
-  for (uint32_t i = 0; i < domains * domain_size && i < POOL_MAX; i++)
+  for (uint32_t i = 0; i < domains * domain_size; i++)
     {
-      struct pool_member *member = &pool->members[pool->count++];
-
-      snprintf (member->entry.id, sizeof member->entry.id, "i-%02u", i);
-      snprintf (member->entry.domain, sizeof member->entry.domain, "d%u",
-                i / domain_size);
-      bd_name_copy (member->entry.service, "pool");
-      bd_name_copy (member->entry.data_centre, "a");
-      bd_name_copy (member->entry.address, "127.0.0.1");
-      member->entry.port = 1000 + i;
-      member->entry.slots = pool->engine.slots;
-      member->entry.born_ms = 1;
-      member->is_alive = member->is_reachable = member->is_in_list = true;
+      char domain[BD_NAME_SIZE];
+
+      snprintf (domain, sizeof domain, "d%u", i / domain_size);
+      pool_add (pool, domain);
     }
   bd_fleet_init (&pool->fleet);
-  bd_replicas_init (&pool->replicas, pool->engine.loads_per_s, pool->rng,
-                    pool->now_ms);
+  bd_replicas_init (&pool->replicas, pool->engine.loads_per_s,
+                    pool->engine.loads_at_once, pool->rng, pool->now_ms);
+}
+
+void
+pool_add (struct pool *pool, const char *domain)
+{
+  struct pool_member *member = &pool->members[pool->count];
+
+  if (pool->count == POOL_MAX)
+    return;
+  memset (member, 0, sizeof *member);
+  snprintf (member->entry.id, sizeof member->entry.id, "i-%02u", pool->count);
+  bd_name_copy (member->entry.domain, domain);
+  bd_name_copy (member->entry.service, "pool");
+  bd_name_copy (member->entry.data_centre, "a");
+  bd_name_copy (member->entry.address, "127.0.0.1");
+  member->entry.port = 1000 + pool->count;
+  member->entry.slots = pool->engine.slots;
+  member->entry.born_ms = pool->now_ms;
+  member->is_alive = member->is_reachable = member->is_in_list = true;
+  pool->count++;
+}
+
+void
+pool_return (struct pool *pool, uint32_t index)
+{
+  struct pool_member *member = &pool->members[index];
+
+  memset (&member->entry.member, 0, sizeof member->entry.member);
+  member->last_model[0] = '\0';
+  member->ready_ms = member->open_ms = member->staged_ms = 0;
+  member->gone_ms = member->epoch = 0;
+  member->entry.born_ms = pool->now_ms;
+  member->is_alive = member->is_reachable = member->is_in_list = true;
 }
 
 void
@@ -409,8 +434,8 @@
 {
   bd_fleet_finish (&pool->fleet);
   bd_fleet_init (&pool->fleet);
-  bd_replicas_init (&pool->replicas, pool->engine.loads_per_s, pool->rng,
-                    pool->now_ms);
+  bd_replicas_init (&pool->replicas, pool->engine.loads_per_s,
+                    pool->engine.loads_at_once, pool->rng, pool->now_ms);
 }
 
 void
--- a/tests/fakes/pool.h
+++ b/tests/fakes/pool.h
@@ -14,7 +14,7 @@
 
   enum
   {
-    POOL_MAX = 64,
+    POOL_MAX = 128,
     POOL_MAX_LATE = 64
   };
 
@@ -80,6 +80,13 @@
   /* pool_lose(): an instance goes dark; the list loses it later.  */
   void pool_lose (struct pool *pool, uint32_t index);
 
+  /* pool_add(): a new instance without weights in a domain.  */
+  void pool_add (struct pool *pool, const char *domain);
+
+  /* pool_return(): a lost instance starts again; its host has kept what was
+     staged.  */
+  void pool_return (struct pool *pool, uint32_t index);
+
   /* pool_open(): groups of a model that are open and whole.  */
   uint32_t pool_open (const struct pool *pool, const char *model);
 
