--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -112,7 +112,9 @@
     {
       work = &edge->work[edge->work_count++];
       bd_name_copy (work->model, request->model);
-      work->since_ms = bd_edge_now_ms (edge);
+      if (edge->work_since_ms == 0)
+        edge->work_since_ms = bd_edge_now_ms (edge);
+      work->since_ms = edge->work_since_ms;
     }
   if (work != NULL)
     work->since_ms_work
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -10,7 +10,14 @@
 
 enum
 {
-  CONNECT_TIMEOUT_MS = 500,
+  /* A connection is open after a few milliseconds or not at all; the most
+     that is waited for one, and its part of the time left.  */
+  CONNECT_TIMEOUT_MS = 250,
+  CONNECT_PART = 4,
+  /* Pauses before an endpoint is tried again that is full, or that cannot be
+     reached.  */
+  FULL_PAUSE_MS = 40,
+  UNREACHED_PAUSE_MS = 700,
   /* The library's own end of a call; the watchdog ends it sooner.  */
   TIMEOUT_MARGIN_MS = 300,
   MAX_ANSWER_BYTES = 16 << 20,
@@ -191,8 +198,6 @@
 {
   struct bd_edge *edge = request->edge;
   struct bd_fleet_group *group = bd_fleet_group (&edge->fleet, request->group);
-  struct bd_fleet_endpoint *endpoint
-      = bd_fleet_endpoint (&edge->fleet, request->endpoint);
 
   if (failure == BD_FAILURE_CROSSED)
     bd_count (&edge->counters, BD_COUNT_CROSSED);
@@ -203,8 +208,10 @@
     return;
   if (group != NULL)
     bd_edge_doubt_group (edge, group);
-  else if (endpoint != NULL)
-    bd_edge_doubt_endpoint (edge, endpoint);
+  else if (failure == BD_FAILURE_NOT_SENT)
+    bd_edge_note_refusal (request, NULL, UNREACHED_PAUSE_MS);
+  else
+    bd_edge_note_answer (request, NULL, true);
 }
 
 /* The attempt has failed; the next one, or the final failure, follows.  */
@@ -292,13 +299,14 @@
 
   if (is_disowned (request, call, result->status))
     {
-      struct bd_fleet_endpoint *endpoint
-          = bd_fleet_endpoint (&request->edge->fleet, request->endpoint);
-
-      bd_edge_note_refusal (request, load);
-      if (result->status == 421 && endpoint != NULL && request->group == 0)
-        endpoint->refused_until_ms
-            = bd_edge_now_ms (request->edge) + MOVED_PAUSE_MS;
+      struct bd_fleet_group *group
+          = bd_fleet_group (&request->edge->fleet, request->group);
+
+      bd_edge_note_refusal (request, load,
+                            result->status == 421 ? MOVED_PAUSE_MS
+                                                  : FULL_PAUSE_MS);
+      if (result->status == 421 && group != NULL)
+        bd_edge_pause_group (request->edge, group);
       fail (request, BD_FAILURE_REFUSED, false,
             BD_NUM ((int64_t)result->status));
       return;
@@ -403,6 +411,16 @@
              : bd_hash (place->endpoint, strlen (place->endpoint));
 }
 
+static uint32_t
+connect_timeout_ms (int64_t left_ms)
+{
+  int64_t part_ms = left_ms / CONNECT_PART;
+
+  if (part_ms > CONNECT_TIMEOUT_MS)
+    return CONNECT_TIMEOUT_MS;
+  return part_ms > 1 ? (uint32_t)part_ms : 1;
+}
+
 void
 bd_edge_attempt (struct bd_edge_request *request,
                  const struct bd_edge_place *place)
@@ -418,9 +436,10 @@
     .body = request->body,
     .body_size = request->body_size,
     .timeout_ms = (uint32_t)(left_ms > 0 ? left_ms : 0) + TIMEOUT_MARGIN_MS,
-    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-    /* What may run only once never meets a connection that has died.  */
-    .is_fresh = !request->is_idempotent,
+    .connect_timeout_ms = connect_timeout_ms (left_ms),
+    /* What may run only once never meets a connection that has died, and
+       leaves none behind.  */
+    .is_single_shot = !request->is_idempotent,
     .is_sent_once = true,
   };
 
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -186,6 +186,7 @@
   GHashTable *services; /* Name -> struct bd_edge_service.  */
   struct bd_edge_work work[BD_ENGINE_MAX_MODELS];
   uint32_t work_count;
+  int64_t work_since_ms; /* First request for a model.  */
   struct bd_suspects suspects;
   bool has_traffic;
   struct bd_edge_request *requests;
@@ -263,8 +264,10 @@
    its load, or NULL.  */
 void bd_edge_note_answer (struct bd_edge_request *request, const char *load,
                           bool is_failed);
-/* The endpoint is full, or not the one that was meant.  */
-void bd_edge_note_refusal (struct bd_edge_request *request, const char *load);
+/* The endpoint has not taken the request: it is full, or not the one that was
+   meant, or cannot be reached.  It is left alone for pause_ms.  */
+void bd_edge_note_refusal (struct bd_edge_request *request, const char *load,
+                           int64_t pause_ms);
 /* Sound groups of the model, or endpoints of the service, and their slots.  */
 uint32_t bd_edge_slots (struct bd_edge *edge, const char *service,
                         const char *model);
@@ -307,10 +310,11 @@
                    enum bd_message_type type, const void *message);
 void bd_edge_tell_all (struct bd_edge *edge, enum bd_message_type type,
                        const void *message);
-/* Tells the keeper that a group, or an endpoint, is silent.  */
+/* Tells the keeper that a group is silent.  */
 void bd_edge_doubt_group (struct bd_edge *edge, struct bd_fleet_group *group);
-void bd_edge_doubt_endpoint (struct bd_edge *edge,
-                             struct bd_fleet_endpoint *endpoint);
+/* Sends nothing to a group whose leader serves it no more, until the list has
+   caught up.  */
+void bd_edge_pause_group (struct bd_edge *edge, struct bd_fleet_group *group);
 void bd_edge_take_doubt (struct bd_edge *edge,
                          const struct bd_doubt_news *news);
 
--- a/src/edge/keeper.c
+++ b/src/edge/keeper.c
@@ -26,6 +26,8 @@
   DOUBT_MS = 900,
   /* A model that nothing was offered for after this is not wanted.  */
   DEMAND_SETTLE_MS = 30000,
+  /* A group that is taken apart is not used until the list shows it.  */
+  ENDED_MS = 3000,
   /* Added to the epoch when an endpoint has seen a higher one.  */
   EPOCH_LEAP = 1000
 };
@@ -240,6 +242,18 @@
 
 static const struct bd_http_call_ops order_ops = { .done = handle_order_done };
 
+/* No daemon sends anything more to a group that is taken apart.  */
+static void
+end_group (struct bd_edge *edge, const struct bd_order *order)
+{
+  struct bd_doubt_news news
+      = { .group = bd_fleet_group_hash (order->group, order->epoch),
+          .is_ended = true };
+
+  bd_edge_take_doubt (edge, &news);
+  bd_edge_tell_all (edge, BD_MESSAGE_DOUBT, &news);
+}
+
 static void
 send_order (struct bd_edge_keeper *keeper, const struct bd_order *order)
 {
@@ -267,6 +281,8 @@
   out.url = talloc_asprintf (errand, "http://%s:%u%s", endpoint->entry.address,
                              endpoint->entry.port, edge->dialect->order_path);
   bd_replicas_sent (&edge->fleet, order, errand->sent_ms);
+  if (order->kind == BD_ORDER_LEAVE || order->kind == BD_ORDER_CLOSE)
+    end_group (edge, order);
   bd_count (&edge->counters, BD_COUNT_ORDERS);
   bd_log ("order", "kind", bd_order_name (order->kind), "endpoint",
           order->endpoint, "group", order->group, "epoch",
@@ -513,12 +529,13 @@
 bd_edge_take_doubt (struct bd_edge *edge, const struct bd_doubt_news *news)
 {
   struct bd_fleet_group *group = bd_fleet_group (&edge->fleet, news->group);
-  struct bd_fleet_endpoint *endpoint
-      = bd_fleet_endpoint (&edge->fleet, news->endpoint);
   int64_t now_ms = bd_edge_now_ms (edge);
 
-  if (endpoint != NULL)
-    bd_fleet_doubt (endpoint, now_ms);
+  if (group != NULL && news->is_ended)
+    {
+      group->doubted_until_ms = now_ms + ENDED_MS;
+      return;
+    }
   for (uint32_t i = 0; group != NULL && i < BD_FLEET_MAX_MEMBERS; i++)
     if (group->members[i] != NULL)
       bd_fleet_doubt (group->members[i], now_ms);
@@ -553,11 +570,7 @@
 }
 
 void
-bd_edge_doubt_endpoint (struct bd_edge *edge,
-                        struct bd_fleet_endpoint *endpoint)
+bd_edge_pause_group (struct bd_edge *edge, struct bd_fleet_group *group)
 {
-  (void)edge;
-  /* Plain endpoints take part in no group; their failures weigh in the
-     choice.  */
-  endpoint->failed_ms = bd_edge_now_ms (edge);
+  group->doubted_until_ms = bd_edge_now_ms (edge) + DOUBT_MS;
 }
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -79,6 +79,8 @@
   static const double work_smoothing = 0.08;
   int64_t now_ms = bd_edge_now_ms (edge);
 
+  if (edge->work_since_ms == 0 || now_ms - edge->work_since_ms < LEAST_SPAN_MS)
+    return;
   for (uint32_t i = 0; i < edge->work_count; i++)
     {
       struct bd_edge_work *work = &edge->work[i];
@@ -87,8 +89,6 @@
 
       if (passed_ms < WORK_PERIOD_MS)
         continue;
-      if (work->busy == 0 && passed_ms < LEAST_SPAN_MS)
-        continue;
       busy = work->since_ms_work / (double)passed_ms;
       work->busy = work->busy == 0
                        ? busy
--- a/src/edge/place.c
+++ b/src/edge/place.c
@@ -13,9 +13,8 @@
   /* An endpoint's word on its load counts for this long.  */
   LOAD_FRESH_MS = 200,
   /* Usual time of a plain endpoint's answer.  */
-  PLAIN_ANSWER_MS = 30,
-  /* Pause before an endpoint is tried again that has said that it is full. */
-  REFUSED_PAUSE_MS = 40
+  PLAIN_ANSWER_MS = 30
+
 };
 
 /* What another data centre costs in the choice: the way there and back, and
@@ -316,7 +315,8 @@
 }
 
 void
-bd_edge_note_refusal (struct bd_edge_request *request, const char *load)
+bd_edge_note_refusal (struct bd_edge_request *request, const char *load,
+                      int64_t pause_ms)
 {
   struct bd_edge *edge = request->edge;
   struct bd_fleet_endpoint *endpoint
@@ -325,7 +325,7 @@
   if (endpoint == NULL)
     return;
   read_load (edge, endpoint, load);
-  endpoint->refused_until_ms = bd_edge_now_ms (edge) + REFUSED_PAUSE_MS;
+  endpoint->refused_until_ms = bd_edge_now_ms (edge) + pause_ms;
 }
 
 uint32_t
--- a/src/edge/watchdog.c
+++ b/src/edge/watchdog.c
@@ -14,6 +14,10 @@
   MOVE_SILENCE_MS = 700,
   /* Passes that may read long prompts in between.  */
   SILENT_PASSES = 4,
+  /* Silence of a plain endpoint after which an idempotent request is tried
+     elsewhere, and its least part of the time that is left.  */
+  PLAIN_SILENCE_MS = 150,
+  PLAIN_PART = 2,
   /* The same for a first event, beyond what was expected.  */
   DOUBT_FIRST_MS = 400,
   MOVE_FIRST_MS = 900
@@ -66,12 +70,29 @@
     bd_edge_attempt_fail (request, BD_FAILURE_BROKEN);
 }
 
+/* An idempotent request at a plain endpoint that hangs is tried elsewhere
+   while there is time for it.  */
+static void
+watch_plain (struct bd_edge_request *request, int64_t now_ms)
+{
+  int64_t silent_ms = now_ms - request->event_ms;
+  int64_t left_ms = request->deadline_ms - now_ms;
+
+  if (request->is_idempotent && silent_ms >= PLAIN_SILENCE_MS
+      && silent_ms >= left_ms / PLAIN_PART)
+    bd_edge_attempt_fail (request, BD_FAILURE_BROKEN);
+}
+
 /* The caller's time is up.  */
 static void
 expire (struct bd_edge_request *request)
 {
+  bool has_not_run = request->attempt == NULL && !request->call.may_have_run;
+
   bd_backlog_remove (&request->waiting);
-  bd_edge_act (request, bd_call_expired (&request->call));
+  bd_edge_act (request, has_not_run ? bd_call_refused (&request->call,
+                                                       BD_ERR_OVERLOADED)
+                                    : bd_call_expired (&request->call));
 }
 
 static void
@@ -84,8 +105,13 @@
       expire (request);
       return;
     }
-  if (request->attempt == NULL || request->group == 0)
+  if (request->attempt == NULL)
     return;
+  if (request->group == 0)
+    {
+      watch_plain (request, now_ms);
+      return;
+    }
   group = bd_fleet_group (&request->edge->fleet, request->group);
   if (group != NULL)
     watch_group (request, group, now_ms);
@@ -98,12 +124,15 @@
   struct bd_edge_request *next;
   int64_t now_ms = bd_edge_now_ms (edge);
 
+  /* A pump in between could end the next request of the list.  */
+  edge->is_pumping = true;
   for (struct bd_edge_request *request = edge->requests; request != NULL;
        request = next)
     {
       next = request->next;
       watch_request (request, now_ms);
     }
+  edge->is_pumping = false;
   bd_edge_pump (edge);
   bd_log_flush ();
 }
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -173,7 +173,7 @@
 
 static const struct field doubt_fields[]
     = { FIELD (bd_doubt_news, U64, group),
-        FIELD (bd_doubt_news, NAME, endpoint) };
+        FIELD (bd_doubt_news, BOOL, is_ended) };
 
 static const struct layout layouts[BD_MESSAGE_COUNT] = {
   [BD_MESSAGE_HEARTBEAT] = LAYOUT (bd_heartbeat, heartbeat_fields),
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -219,11 +219,12 @@
   const char *instances; /* Empty when not wanted.  */
 };
 
-/* A group, or an endpoint, is silent under traffic.  Goes to the keeper.  */
+/* A group is silent under traffic: goes to the keeper.  Or it is being taken
+   apart: the keeper tells all.  */
 struct bd_doubt_news
 {
-  uint64_t group; /* 0 when it is an endpoint.  */
-  char endpoint[BD_NAME_SIZE];
+  uint64_t group;
+  bool is_ended;
 };
 
 /* bd_message_pack(): appends a frame with message to buffer.  */
