--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,9 @@
 LIB = $(BUILD)/libburdockdale.a
 BIN = $(BUILD)/burdockdale
 FAKES = $(BUILD)/fakes
-FAKES_C = $(filter-out tests/fakes/world.c tests/fakes/pool.c,$(wildcard tests/fakes/*.c))
+# Stand-ins that tests link, in their own process.
+IN_PROCESS = world pool site
+FAKES_C = $(filter-out $(IN_PROCESS:%=tests/fakes/%.c),$(wildcard tests/fakes/*.c))
 TESTS_C = $(wildcard src/*/*_test.c)
 TESTS = $(TESTS_C:src/%.c=$(BUILD)/tests/%)
 PROPS_CC = $(wildcard src/*/*_properties.cc)
@@ -67,7 +69,7 @@
 $(FAKES): $(FAKES_C:%.c=$(BUILD)/%.o) $(LIB)
 	@$(CC) $(SAN) $^ -o $@ $(LIBS)
 
-WORLD = $(BUILD)/tests/fakes/world.o $(BUILD)/tests/fakes/pool.o
+WORLD = $(IN_PROCESS:%=$(BUILD)/tests/fakes/%.o)
 
 $(BUILD)/tests/%_test: $(BUILD)/src/%_test.o $(WORLD) $(LIB)
 	@mkdir -p $(@D)
@@ -102,7 +104,7 @@
 	@scripts/lint
 
 format: deps
-	@clang-format -i $(wildcard src/*/*.[ch] src/*/*.cc tests/*/*.[ch] bench/*.[ch])
+	@clang-format -i $(wildcard src/*/*.[ch] platform/*.[ch] src/*/*.cc tests/*/*.[ch] bench/*.[ch])
 
 check: all lint test properties paths sanitize
 	@scripts/run-tests total
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -67,16 +67,15 @@
 static void
 gather (const char *text)
 {
-  size_t size = strlen (text);
+  size_t room = sizeof buffer - buffer_used;
+  int size = snprintf (buffer + buffer_used, room, "%s\n", text);
 
-  if (buffer_used + size + 1 > sizeof buffer)
+  if (size < 0 || (size_t)size >= room)
     {
       dropped++;
       return;
     }
-  memcpy (buffer + buffer_used, text, size);
-  buffer_used += size;
-  buffer[buffer_used++] = '\n';
+  buffer_used += (size_t)size;
   if (buffer_used >= FLUSH_BYTES)
     write_some ();
 }
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -65,6 +65,15 @@
   return (*reason)[0] == '\0';
 }
 
+bool
+bd_edge_lists (const struct bd_edge *edge, const char *id)
+{
+  const struct bd_fleet_endpoint *endpoint
+      = bd_fleet_endpoint (&edge->fleet, id);
+
+  return endpoint != NULL && endpoint->is_listed;
+}
+
 uint32_t
 bd_edge_daemon_count (const struct bd_edge *edge)
 {
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -35,6 +35,13 @@
 void bd_edge_reload (struct bd_edge *edge,
                      const struct bd_edge_settings *settings);
 
+/* bd_edge_is_ready(): whether requests can be taken; *reason says why not.  */
+bool bd_edge_is_ready (const struct bd_edge *edge, const char **reason);
+
+/* bd_edge_lists(): whether an endpoint is in the list as the daemon holds it.
+ */
+bool bd_edge_lists (const struct bd_edge *edge, const char *endpoint);
+
 /* bd_edge_is_done(): whether a stop has come to its end.  */
 bool bd_edge_is_done (const struct bd_edge *edge);
 
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -206,7 +206,6 @@
 int64_t bd_edge_now_ms (const struct bd_edge *edge);
 
 /* edge.c */
-bool bd_edge_is_ready (const struct bd_edge *edge, const char **reason);
 /* Whether keys can be trusted: the configuration was shown to be the newest
    lately enough.  */
 bool bd_edge_is_key_proof_fresh (const struct bd_edge *edge);
--- /dev/null
+++ b/src/edge/edge_test.c
@@ -0,0 +1,286 @@
+/* The whole daemon against the platform in one process: what callers get and
+   what workers see.  Waits are bounded; nothing here asserts a time.  */
+
+#include "tests/fakes/site.h"
+#include "tests/unit.h"
+
+#include <string.h>
+#include <talloc.h>
+
+static struct site site;
+
+static uint32_t
+arrivals (void)
+{
+  uint32_t sum = 0;
+
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    sum += site.workers[i].arrivals;
+  return sum;
+}
+
+static void
+set_modes (enum worker_mode mode)
+{
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    site.workers[i].mode = mode;
+}
+
+/* Routes, keys, and what a worker is told of its caller.  */
+static void
+test_routes_and_keys (void)
+{
+  struct site_call *call;
+
+  site_start (&site, 1, 0);
+  CU_ASSERT_TRUE (site_run (&site, site_is_ready, 5000));
+  call = site_call (&site, "GET", "/safe/x?y=1", "k1", NULL);
+  CU_ASSERT_EQUAL (call->status, 200);
+  CU_ASSERT_STRING_EQUAL (call->body, "w-0");
+  CU_ASSERT_STRING_EQUAL (call->seal, "w-0");
+  CU_ASSERT_STRING_EQUAL (site.workers[0].last_account, "acc");
+  CU_ASSERT_FALSE (site.workers[0].has_seen_key);
+  CU_ASSERT_TRUE (atoi (site.workers[0].last_deadline) <= 4000);
+  CU_ASSERT_EQUAL (site_call (&site, "GET", "/safe/x", "no", NULL)->status,
+                   401);
+  CU_ASSERT_EQUAL (site_call (&site, "GET", "/none/x", "k1", NULL)->status,
+                   404);
+  CU_ASSERT_EQUAL (arrivals (), 1);
+  site_finish (&site);
+}
+
+/* A request that may run once arrives once, whatever becomes of it; a promise
+   that it has not run is given only where it is true.  */
+static void
+test_unsafe_runs_once (void)
+{
+  struct site_call *call;
+
+  site_start (&site, 2, 0);
+  CU_ASSERT_TRUE (site_run (&site, site_is_ready, 5000));
+  set_modes (WORKER_RESET);
+  call = site_call (&site, "POST", "/unsafe/x", "k1", NULL);
+  CU_ASSERT_EQUAL (call->status, 502);
+  CU_ASSERT_EQUAL (arrivals (), 1);
+  set_modes (WORKER_CROSSED);
+  call = site_call (&site, "POST", "/unsafe/x", "k1", NULL);
+  CU_ASSERT_EQUAL (call->status, 502);
+  CU_ASSERT_EQUAL (arrivals (), 2);
+  set_modes (WORKER_FULL);
+  call = site_call (&site, "POST", "/unsafe/x", "k1", NULL);
+  CU_ASSERT_EQUAL (call->status, 503);
+  CU_ASSERT_PTR_NOT_NULL (call->retry_after);
+  set_modes (WORKER_FAILING);
+  call = site_call (&site, "POST", "/unsafe/x", "k1", NULL);
+  CU_ASSERT_EQUAL (call->status, 500);
+  CU_ASSERT_PTR_NOT_NULL (call->seal);
+  site_finish (&site);
+}
+
+/* What may be repeated is tried at another worker; the worker's own failure is
+   handed on when nothing better comes.  */
+static void
+test_safe_is_repeated (void)
+{
+  struct site_call *call;
+
+  site_start (&site, 2, 0);
+  CU_ASSERT_TRUE (site_run (&site, site_is_ready, 5000));
+  site.workers[0].mode = WORKER_FAILING;
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      call = site_call (&site, "GET", "/safe/x", "k1", NULL);
+      CU_ASSERT_EQUAL (call->status, 200);
+      CU_ASSERT_STRING_EQUAL (call->body, "w-1");
+    }
+  set_modes (WORKER_FAILING);
+  call = site_call (&site, "GET", "/safe/x", "k1", NULL);
+  CU_ASSERT_EQUAL (call->status, 500);
+  CU_ASSERT_PTR_NOT_NULL (call->seal);
+  site_finish (&site);
+}
+
+static bool
+is_stream_whole (const char *body)
+{
+  char expected[512] = "";
+
+  for (int i = 1; i <= 12; i++)
+    snprintf (expected + strlen (expected),
+              sizeof expected - strlen (expected), "id: %d\ndata: e%d\n\n", i,
+              i);
+  return strcmp (body, expected) == 0;
+}
+
+/* Groups are formed and serve; a stream whose group falls silent goes on
+   elsewhere after its last event.  */
+static void
+test_streams_resume (void)
+{
+  struct site_call *call;
+
+  site_start (&site, 0, 4);
+  CU_ASSERT_TRUE (site_run (&site, site_has_groups, 10000));
+  call = site_call (&site, "POST", "/stream/x", "k1", "m");
+  CU_ASSERT_EQUAL (call->status, 200);
+  CU_ASSERT_TRUE (is_stream_whole (call->body));
+  set_modes (WORKER_MUTE);
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    if (site.workers[i].arrivals > 0)
+      site.workers[i].mode = WORKER_WELL;
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      call = site_call (&site, "POST", "/stream/x", "k1", "m");
+      CU_ASSERT_EQUAL (call->status, 200);
+      CU_ASSERT_TRUE (call->is_whole);
+      CU_ASSERT_TRUE (is_stream_whole (call->body));
+    }
+  site_finish (&site);
+}
+
+static bool
+is_list_settled (struct site *w)
+{
+  return !bd_edge_lists (w->edge, "w-0");
+}
+
+/* The store is away for longer than an entry lives; the entry that it lacks
+   at its return is dropped a while later, and the daemon lives on.  */
+static void
+test_store_returns_without_an_entry (void)
+{
+  site_start (&site, 2, 0);
+  CU_ASSERT_TRUE (site_run (&site, site_is_ready, 5000));
+  site.store_mode = STORE_DOWN;
+  site_pause (&site, 4200);
+  site.workers[0].is_listed = false;
+  site_list (&site.workers[0]);
+  CU_ASSERT_TRUE (bd_edge_lists (site.edge, "w-0"));
+  site.store_mode = STORE_WELL;
+  CU_ASSERT_TRUE (site_run (&site, is_list_settled, 8000));
+  CU_ASSERT_TRUE (bd_edge_lists (site.edge, "w-1"));
+  CU_ASSERT_EQUAL (site_call (&site, "GET", "/safe/x", "k1", NULL)->status,
+                   200);
+  site_finish (&site);
+}
+
+static bool
+is_not_ready (struct site *w)
+{
+  return !site_is_ready (w);
+}
+
+/* While nobody can show that a key still holds, it is refused: not run.  */
+static void
+test_keys_fail_closed (void)
+{
+  struct site_call *call;
+
+  site_start (&site, 1, 0);
+  CU_ASSERT_TRUE (site_run (&site, site_is_ready, 5000));
+  site.store_mode = STORE_SILENT;
+  CU_ASSERT_TRUE (site_run (&site, is_not_ready, 8000));
+  call = site_call (&site, "GET", "/safe/x", "k1", NULL);
+  CU_ASSERT_EQUAL (call->status, 503);
+  CU_ASSERT_EQUAL (arrivals (), 0);
+  site.store_mode = STORE_WELL;
+  CU_ASSERT_TRUE (site_run (&site, site_is_ready, 8000));
+  CU_ASSERT_EQUAL (site_call (&site, "GET", "/safe/x", "k1", NULL)->status,
+                   200);
+  site_finish (&site);
+}
+
+static bool
+is_key_refused (struct site *w)
+{
+  return site_call (w, "GET", "/safe/x", "k1", NULL)->status == 401;
+}
+
+/* A version that takes a key away is in force soon; a lower one never.  */
+static void
+test_versions_only_rise (void)
+{
+  json_t *account;
+
+  site_start (&site, 1, 0);
+  CU_ASSERT_TRUE (site_run (&site, site_is_ready, 5000));
+  account = json_array_get (json_object_get (site.config, "Tenants"), 0);
+  json_array_remove (json_object_get (account, "ApiKeys"), 0);
+  site_publish (&site);
+  CU_ASSERT_TRUE (site_run (&site, is_key_refused, 5000));
+  json_array_append_new (json_object_get (account, "ApiKeys"),
+                         json_string ("k1"));
+  site.version -= 10;
+  site_publish (&site);
+  site_pause (&site, 1500);
+  CU_ASSERT_TRUE (is_key_refused (&site));
+  site_finish (&site);
+}
+
+static bool
+is_history_forgotten (struct site *w)
+{
+  return bd_edge_lists (w->edge, "w-1") && !bd_edge_lists (w->edge, "w-0");
+}
+
+/* The store forgets its history: the list is read again and compared.  */
+static void
+test_history_gone (void)
+{
+  site_start (&site, 2, 0);
+  CU_ASSERT_TRUE (site_run (&site, site_is_ready, 5000));
+  site.workers[0].is_listed = false;
+  json_object_del (json_object_get (site.objects, "servers"), "w-0");
+  site.compacted = ++site.revision;
+  site_list (&site.workers[1]);
+  CU_ASSERT_TRUE (site_run (&site, is_history_forgotten, 8000));
+  site_finish (&site);
+}
+
+/* Requests that wait while groups fall silent end in any order.  */
+static void
+test_silence_under_a_backlog (void)
+{
+  site_start (&site, 0, 4);
+  site.settings.bounds.retry_slack = 1000;
+  CU_ASSERT_TRUE (site_run (&site, site_has_groups, 10000));
+  set_modes (WORKER_SILENT);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      struct site_call *call
+          = site_call (&site, "POST", "/stream/x", "k1", "m");
+
+      CU_ASSERT_NOT_EQUAL (call->status, 200);
+    }
+  site_finish (&site);
+}
+
+static GLogWriterOutput
+drop_line (GLogLevelFlags level, const GLogField *fields, gsize count,
+           gpointer ctx)
+{
+  (void)level;
+  (void)fields;
+  (void)count;
+  (void)ctx;
+  return G_LOG_WRITER_HANDLED;
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[] = {
+    { "routes and keys", test_routes_and_keys },
+    { "unsafe runs once", test_unsafe_runs_once },
+    { "safe is repeated", test_safe_is_repeated },
+    { "streams resume", test_streams_resume },
+    { "store returns without an entry", test_store_returns_without_an_entry },
+    { "keys fail closed", test_keys_fail_closed },
+    { "versions only rise", test_versions_only_rise },
+    { "history gone", test_history_gone },
+    { "silence under a backlog", test_silence_under_a_backlog },
+  };
+
+  g_log_set_writer_func (drop_line, NULL, NULL);
+  return UNIT_RUN ("edge", tests);
+}
--- a/src/edge/feed.c
+++ b/src/edge/feed.c
@@ -162,8 +162,10 @@
   bd_fleet_replace (&edge->fleet, entries, count, bd_edge_now_ms (edge));
   bd_fleet_refresh (&edge->fleet, bd_edge_now_ms (edge));
   talloc_free (entries);
+  /* The list given may be the one that is held.  */
+  json_incref (instances);
   json_decref (edge->instances);
-  edge->instances = json_incref (instances);
+  edge->instances = instances;
   if (asked_ms > edge->instances_proof_ms)
     edge->instances_proof_ms = asked_ms;
   bd_edge_pump (edge);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -42,7 +42,7 @@
 }
 
 static void
-set_timer (struct bd_http_server *server, uint64_t delay_ms)
+set_timer (struct bd_http_server *server, int64_t delay_ms)
 {
   TALLOC_FREE (server->timer);
   server->timer = bd_timer_add (server->events, server->events, delay_ms,
@@ -58,7 +58,7 @@
   if (server->is_run_due)
     return;
   if (MHD_get_timeout (server->daemon, &delay_ms) == MHD_YES)
-    set_timer (server, delay_ms);
+    set_timer (server, (int64_t)delay_ms);
   else
     TALLOC_FREE (server->timer);
 }
@@ -325,6 +325,10 @@
   x->server = server;
   x->uri = talloc_strdup (x, uri);
   server->open_exchanges++;
+  x->next = server->exchanges;
+  if (x->next != NULL)
+    x->next->prev = x;
+  server->exchanges = x;
   return x;
 }
 
@@ -344,6 +348,12 @@
   if (x->response != NULL)
     MHD_destroy_response (x->response);
   x->server->open_exchanges--;
+  if (x->prev != NULL)
+    x->prev->next = x->next;
+  else
+    x->server->exchanges = x->next;
+  if (x->next != NULL)
+    x->next->prev = x->prev;
   talloc_free (x);
   *con_cls = NULL;
 }
@@ -417,6 +427,12 @@
 {
   if (server->daemon == NULL)
     return;
+  /* The library takes no stop while a connection is suspended.  */
+  for (struct bd_http_exchange *x = server->exchanges; x != NULL; x = x->next)
+    {
+      x->is_closed = true;
+      resume (x);
+    }
   TALLOC_FREE (server->fd);
   TALLOC_FREE (server->timer);
   MHD_stop_daemon (server->daemon);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -45,6 +45,8 @@
   size_t buffer_start;
   size_t buffer_used;
   size_t buffer_size;
+  struct bd_http_exchange *prev;
+  struct bd_http_exchange *next;
 };
 
 struct bd_http_server_ops
@@ -71,6 +73,7 @@
   uint32_t header_timeout_s;
   uint32_t idle_timeout_s;
   uint32_t open_exchanges; /* Requests without a completed answer.  */
+  struct bd_http_exchange *exchanges; /* All of them.  */
 };
 
 /* bd_http_server_init(): listens on address and port.
--- a/src/replicas/plan.c
+++ b/src/replicas/plan.c
@@ -214,7 +214,7 @@
 offer_domain (const struct plan *plan, const struct bd_engine_model *model,
               const char *domain, struct offer *offer)
 {
-  int64_t ms[BD_FLEET_MAX_MEMBERS];
+  int64_t ms[BD_FLEET_MAX_MEMBERS] = { 0 };
   uint32_t found = 0;
 
   memset (offer, 0, sizeof *offer);
--- /dev/null
+++ b/tests/fakes/site.c
@@ -0,0 +1,765 @@
+/* The platform in one process.  */
+
+#include "tests/fakes/site.h"
+
+#include "base/timer.h"
+#include "platform/platform.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+enum
+{
+  JOIN_MS = 60,
+  OPEN_MS = 30,
+  EVENT_MS = 15,
+  STREAM_EVENTS = 12,
+  MUTE_AFTER = 3,
+  STORE_PORT = SITE_BASE_PORT,
+  EDGE_PORT = SITE_BASE_PORT + 1,
+  READY_PORT = SITE_BASE_PORT + 2,
+  PEER_PORT = SITE_BASE_PORT + 3,
+  METRICS_PORT = SITE_BASE_PORT + 4,
+  WORKER_PORT = SITE_BASE_PORT + 10
+};
+
+/* A watch that waits.  */
+struct waiting
+{
+  struct site *site;
+  struct bd_http_exchange *exchange;
+  char kind[BD_NAME_SIZE];
+  int64_t since;
+};
+
+static void
+respond (struct bd_http_exchange *x, uint32_t status, json_t *body)
+{
+  char *text = json_dumps (body, JSON_COMPACT);
+
+  bd_http_respond_text (x, status, "application/json", text);
+  free (text);
+  json_decref (body);
+}
+
+static json_t *
+kind_of (struct site *site, const char *kind)
+{
+  json_t *objects = json_object_get (site->objects, kind);
+
+  if (objects != NULL)
+    return objects;
+  objects = json_object ();
+  json_object_set_new (site->objects, kind, objects);
+  return objects;
+}
+
+static json_t *
+events_since (struct site *site, const char *kind, int64_t since)
+{
+  json_t *events = json_array ();
+  json_t *entry;
+  size_t i;
+
+  json_array_foreach (site->history, i, entry)
+    if (json_integer_value (json_object_get (entry, "revision")) > since
+        && strcmp (json_string_value (json_object_get (entry, "kind")), kind)
+               == 0)
+      json_array_append (events, json_object_get (entry, "event"));
+  return events;
+}
+
+static void
+answer_watch (struct waiting *waiting)
+{
+  json_t *events = events_since (waiting->site, waiting->kind, waiting->since);
+
+  respond (waiting->exchange, 200,
+           json_pack ("{s:o,s:I}", "events", events, "At",
+                      (json_int_t)waiting->site->revision));
+  waiting->exchange->user = NULL;
+  g_ptr_array_remove_fast (waiting->site->watches, waiting);
+  talloc_free (waiting);
+}
+
+static void
+handle_watch_end (void *ctx)
+{
+  answer_watch (ctx);
+}
+
+static void
+record (struct site *site, const char *kind, json_t *object, bool is_deleted)
+{
+  json_array_append_new (site->history,
+                         json_pack ("{s:s,s:I,s:{s:b,s:O}}", "kind", kind,
+                                    "revision", (json_int_t)site->revision,
+                                    "event", "Deleted", is_deleted, "Object",
+                                    object));
+  for (guint i = site->watches->len; i-- > 0;)
+    {
+      struct waiting *waiting = g_ptr_array_index (site->watches, i);
+
+      if (strcmp (waiting->kind, kind) == 0)
+        answer_watch (waiting);
+    }
+}
+
+static json_t *
+store_put (struct site *site, const char *kind, const char *name, json_t *spec)
+{
+  json_t *object
+      = json_pack ("{s:{s:s,s:I},s:o}", "Metadata", "Name", name, "Revision",
+                   (json_int_t)++site->revision, "Spec", spec);
+
+  json_object_set_new (kind_of (site, kind), name, object);
+  record (site, kind, object, false);
+  return object;
+}
+
+static void
+store_delete (struct site *site, const char *kind, const char *name)
+{
+  json_t *object = json_object_get (kind_of (site, kind), name);
+
+  if (object == NULL)
+    return;
+  json_incref (object);
+  json_object_set_new (json_object_get (object, "Metadata"), "Revision",
+                       json_integer (++site->revision));
+  json_object_del (kind_of (site, kind), name);
+  record (site, kind, object, true);
+  json_decref (object);
+}
+
+static void
+list_kind (struct site *site, struct bd_http_exchange *x, const char *kind)
+{
+  json_t *items = json_array ();
+  const char *name;
+  json_t *object;
+
+  json_object_foreach (kind_of (site, kind), name, object)
+    json_array_append (items, object);
+  respond (x, 200,
+           json_pack ("{s:o,s:b,s:I}", "Items", items, "HasMore", 0, "At",
+                      (json_int_t)site->revision));
+}
+
+static void
+watch_kind (struct site *site, struct bd_http_exchange *x, const char *kind,
+            int64_t since)
+{
+  struct waiting *waiting;
+  const char *wait = bd_http_query (x, "WaitMs");
+  json_t *events = events_since (site, kind, since);
+
+  if (since < site->compacted)
+    {
+      respond (x, 410, json_pack ("{s:s}", "Error", "gone"));
+      json_decref (events);
+      return;
+    }
+  if (json_array_size (events) > 0)
+    {
+      respond (x, 200,
+               json_pack ("{s:o,s:I}", "events", events, "At",
+                          (json_int_t)site->revision));
+      return;
+    }
+  json_decref (events);
+  waiting = talloc_zero (site->events, struct waiting);
+  waiting->site = site;
+  waiting->exchange = x;
+  waiting->since = since;
+  bd_name_copy (waiting->kind, kind);
+  x->user = waiting;
+  g_ptr_array_add (site->watches, waiting);
+  bd_timer_add (site->events, waiting, wait != NULL ? atoi (wait) : 1000,
+                handle_watch_end, waiting);
+}
+
+static void
+write_object (struct site *site, struct bd_http_exchange *x, const char *kind)
+{
+  json_t *body = json_loadb (x->body, x->body_size, 0, NULL);
+  json_t *metadata = json_object_get (body, "Metadata");
+  const char *name = json_string_value (json_object_get (metadata, "Name"));
+  json_t *held = json_object_get (kind_of (site, kind), name);
+  json_int_t expected
+      = json_integer_value (json_object_get (metadata, "Revision"));
+  json_int_t found = json_integer_value (
+      json_object_get (json_object_get (held, "Metadata"), "Revision"));
+  json_t *object;
+
+  if (expected != found)
+    {
+      respond (x, 409, held != NULL ? json_incref (held) : json_object ());
+      json_decref (body);
+      return;
+    }
+  object = store_put (site, kind, name,
+                      json_incref (json_object_get (body, "Spec")));
+  if (site->store_mode == STORE_LOSING)
+    bd_http_abort (x);
+  else
+    respond (x, 200, json_incref (object));
+  json_decref (body);
+}
+
+static void
+handle_store (void *ctx, struct bd_http_exchange *x)
+{
+  struct site *site = ctx;
+  char kind[BD_NAME_SIZE] = "";
+  char name[BD_NAME_SIZE] = "";
+  const char *since = bd_http_query (x, "Watch");
+
+  if (site->store_mode == STORE_SILENT)
+    return;
+  sscanf (x->path, "/objects/%63[^/]/%63[^/]", kind, name);
+  if (site->store_mode == STORE_DOWN || kind[0] == '\0')
+    respond (x, 503, json_object ());
+  else if (strcmp (x->method, "GET") != 0)
+    write_object (site, x, kind);
+  else if (since != NULL)
+    watch_kind (site, x, kind, atoll (since));
+  else if (name[0] == '\0')
+    list_kind (site, x, kind);
+  else if (json_object_get (kind_of (site, kind), name) == NULL)
+    respond (x, 404, json_pack ("{s:I}", "At", (json_int_t)site->revision));
+  else
+    respond (x, 200,
+             json_incref (json_object_get (kind_of (site, kind), name)));
+}
+
+static void
+handle_store_gone (void *ctx, struct bd_http_exchange *x)
+{
+  struct site *site = ctx;
+
+  if (x->user == NULL)
+    return;
+  g_ptr_array_remove_fast (site->watches, x->user);
+  talloc_free (x->user);
+  x->user = NULL;
+}
+
+static void
+ignore (void *ctx, struct bd_http_exchange *x)
+{
+  (void)ctx;
+  (void)x;
+}
+
+static size_t
+max_body (void *ctx, const char *path)
+{
+  (void)ctx;
+  (void)path;
+  return 1 << 20;
+}
+
+static const struct bd_http_server_ops store_ops
+    = { max_body, handle_store, handle_store_gone, ignore };
+
+static json_t *
+worker_state (struct site_worker *worker)
+{
+  json_t *models = json_array ();
+
+  if (worker->model[0] != '\0')
+    json_array_append_new (
+        models, json_pack ("{s:s,s:i}", "Name", worker->model, "Version", 1));
+  return json_pack ("{s:o,s:s,s:O,s:O?,s:I,s:f}", "Models", models, "Domain",
+                    worker->domain, "Staged", worker->staged, "group",
+                    worker->group, "born", (json_int_t)1, "pace", 1.0);
+}
+
+void
+site_list (struct site_worker *worker)
+{
+  json_t *entry = worker_state (worker);
+  char address[BD_NAME_SIZE];
+
+  if (!worker->is_listed)
+    {
+      json_decref (entry);
+      store_delete (worker->site, "servers", worker->id);
+      return;
+    }
+  snprintf (address, sizeof address, "127.0.0.1:%u", worker->port);
+  json_object_set_new (entry, "Service", json_string (worker->service));
+  json_object_set_new (entry, "Address", json_string (address));
+  json_object_set_new (entry, "Zone", json_string ("a"));
+  json_object_set_new (entry, "Slots", json_integer (4));
+  json_object_set_new (
+      entry, "State",
+      json_string (worker->is_draining ? "draining" : "ready"));
+  store_put (worker->site, "servers", worker->id, entry);
+}
+
+static const char *
+group_state (const struct site_worker *worker)
+{
+  return json_string_value (json_object_get (worker->group, "State"));
+}
+
+static void
+handle_joined (void *ctx)
+{
+  struct site_worker *worker = ctx;
+
+  if (worker->group == NULL || strcmp (group_state (worker), "joining") != 0)
+    return;
+  json_object_set_new (worker->group, "State", json_string ("ready"));
+  json_array_clear (worker->staged);
+  json_array_append_new (worker->staged, json_string (worker->model));
+  site_list (worker);
+}
+
+static void
+handle_opened (void *ctx)
+{
+  struct site_worker *worker = ctx;
+
+  if (worker->group == NULL)
+    return;
+  json_object_set_new (worker->group, "State", json_string ("open"));
+  site_list (worker);
+}
+
+static uint32_t
+take_join (struct site_worker *worker, json_t *order)
+{
+  json_t *member;
+  size_t rank = 0;
+  size_t i;
+
+  json_array_foreach (json_object_get (order, "Members"), i, member)
+    if (strcmp (json_string_value (member), worker->id) == 0)
+      rank = i;
+  json_decref (worker->group);
+  worker->group = json_pack (
+      "{s:O,s:O,s:i,s:s}", "Name", json_object_get (order, "group"), "epoch",
+      json_object_get (order, "epoch"), "rank", (int)rank, "State", "joining");
+  bd_name_copy (worker->model,
+                json_string_value (json_object_get (order, "Model")));
+  bd_timer_add (worker->site->events, worker->site->events, JOIN_MS,
+                handle_joined, worker);
+  site_list (worker);
+  return 202;
+}
+
+static bool
+is_of_group (const struct site_worker *worker, const json_t *order)
+{
+  return worker->group != NULL
+         && json_equal (json_object_get (worker->group, "epoch"),
+                        json_object_get (order, "epoch"))
+         && json_equal (json_object_get (worker->group, "Name"),
+                        json_object_get (order, "group"));
+}
+
+static uint32_t
+take_order (struct site_worker *worker, json_t *order)
+{
+  const char *kind = json_string_value (json_object_get (order, "Operation"));
+
+  if (strcmp (kind, "join") == 0)
+    return is_of_group (worker, order) ? 200 : take_join (worker, order);
+  if (strcmp (kind, "Stage") == 0)
+    return 202;
+  if (!is_of_group (worker, order))
+    return 409;
+  if (strcmp (kind, "leave") == 0)
+    {
+      json_decref (worker->group);
+      worker->group = NULL;
+      site_list (worker);
+      return 200;
+    }
+  if (strcmp (group_state (worker), "ready") != 0)
+    return 409;
+  bd_timer_add (worker->site->events, worker->site->events, OPEN_MS,
+                handle_opened, worker);
+  return 202;
+}
+
+/* A stream that is being written.  */
+struct stream
+{
+  struct site_worker *worker;
+  struct bd_http_exchange *exchange;
+  uint32_t next;
+};
+
+static void
+write_event (void *ctx)
+{
+  struct stream *stream = ctx;
+  char text[64];
+  bool is_mute
+      = stream->worker->mode == WORKER_SILENT
+        || (stream->worker->mode == WORKER_MUTE && stream->next > MUTE_AFTER);
+
+  if (!is_mute && stream->next > STREAM_EVENTS)
+    {
+      bd_http_stream_end (stream->exchange, true);
+      return;
+    }
+  if (!is_mute)
+    {
+      snprintf (text, sizeof text, "id: %u\ndata: e%u\n\n", stream->next,
+                stream->next);
+      stream->next++;
+      bd_http_stream_write (stream->exchange, text, strlen (text));
+    }
+  bd_timer_add (stream->worker->site->events, stream, EVENT_MS, write_event,
+                stream);
+}
+
+static void
+begin_stream (struct site_worker *worker, struct bd_http_exchange *x)
+{
+  struct stream *stream = talloc_zero (x, struct stream);
+  const char *last = bd_http_header (x, "Last-Event-Id");
+  struct bd_http_pair headers[]
+      = { { "Content-Type", "text/event-stream" },
+          { "Attempt-Id", bd_http_header (x, "Attempt-Id") },
+          { "Response-Seal", worker->id },
+          { NULL, NULL } };
+
+  stream->worker = worker;
+  stream->exchange = x;
+  stream->next = (last != NULL ? (uint32_t)atoi (last) : 0) + 1;
+  x->user = stream;
+  bd_http_stream_begin (x, 200, headers);
+  bd_timer_add (worker->site->events, stream, EVENT_MS, write_event, stream);
+}
+
+static void
+answer_plain (struct site_worker *worker, struct bd_http_exchange *x)
+{
+  const char *id = worker->mode == WORKER_CROSSED
+                       ? "another"
+                       : bd_http_header (x, "Attempt-Id");
+  struct bd_http_pair headers[]
+      = { { "Attempt-Id", id }, { "Response-Seal", worker->id }, { NULL } };
+  struct bd_http_pair refusal[]
+      = { { "Attempt-Id", id }, { "Not-Executed", "1" }, { NULL } };
+
+  if (worker->mode == WORKER_RESET)
+    bd_http_abort (x);
+  else if (worker->mode == WORKER_FULL)
+    bd_http_respond (x, 503, refusal, "", 0);
+  else
+    bd_http_respond (x, worker->mode == WORKER_FAILING ? 500 : 200, headers,
+                     worker->id, strlen (worker->id));
+}
+
+static void
+note_request (struct site_worker *worker, struct bd_http_exchange *x)
+{
+  worker->arrivals++;
+  bd_name_copy (worker->last_account, bd_http_header (x, "Tenant"));
+  bd_name_copy (worker->last_deadline, bd_http_header (x, "Deadline-Ms"));
+  worker->has_seen_key
+      = worker->has_seen_key || bd_http_header (x, "Authorization") != NULL;
+}
+
+static void
+handle_worker (void *ctx, struct bd_http_exchange *x)
+{
+  struct site_worker *worker = ctx;
+  const char *target = bd_http_header (x, "Target-Instance");
+  bool is_order = strcmp (x->path, "/order") == 0;
+
+  if (worker->mode == WORKER_SILENT)
+    return;
+  if (target != NULL && strcmp (target, worker->id) != 0)
+    respond (x, 421, json_object ());
+  else if (strcmp (x->path, "/report") == 0)
+    respond (x, 200, worker_state (worker));
+  else if (is_order)
+    {
+      json_t *order = json_loadb (x->body, x->body_size, 0, NULL);
+
+      respond (x, take_order (worker, order), json_object ());
+      json_decref (order);
+    }
+  else
+    {
+      note_request (worker, x);
+      if (worker->domain[0] != '\0')
+        begin_stream (worker, x);
+      else
+        answer_plain (worker, x);
+    }
+}
+
+static void
+handle_worker_gone (void *ctx, struct bd_http_exchange *x)
+{
+  (void)ctx;
+  TALLOC_FREE (x->user);
+}
+
+static const struct bd_http_server_ops worker_ops
+    = { max_body, handle_worker, handle_worker_gone, ignore };
+
+static void
+add_worker (struct site *site, const char *service, const char *domain)
+{
+  uint32_t index = site->worker_count++;
+  struct site_worker *worker = &site->workers[index];
+
+  memset (worker, 0, sizeof *worker);
+  worker->site = site;
+  worker->service = service;
+  worker->domain = domain;
+  worker->port = WORKER_PORT + index;
+  worker->staged = json_array ();
+  worker->is_listed = true;
+  snprintf (worker->id, sizeof worker->id, "w-%u", index);
+  bd_http_server_init (&worker->server, site->events, "127.0.0.1",
+                       worker->port, 64, &worker_ops, worker);
+  site_list (worker);
+}
+
+static json_t *
+route_value (const char *prefix, const char *kind, const char *service,
+             int attempts)
+{
+  return json_pack ("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:b,s:b,s:i}",
+                    "Name", prefix, "Host", "h.example", "PathPrefix", prefix,
+                    "Type", kind, "TimeoutMs", 4000, "TargetLatencyMs", 300,
+                    "Priority", 1, "Service", service, "MaxAttempts", attempts,
+                    "Public", 0, "StreamResume",
+                    strcmp (kind, "streaming") == 0, "TargetGapMs", 200);
+}
+
+static json_t *
+engine_value (void)
+{
+  json_t *model
+      = json_pack ("{s:s,s:i,s:f,s:f,s:f,s:f}", "Name", "m", "size", 2,
+                   "Share", 1.0, "pace", 1.0, "LoadS", 0.5, "WarmupS", 0.1);
+
+  return json_pack (
+      "{s:i,s:i,s:i,s:[o],s:f,s:f,s:f,s:f,s:f,s:i,s:f,s:f,s:i,s:f,s:i,"
+      "s:{s:i,s:i}}",
+      "Slots", 4, "KvCapacity", 100000, "Stride", 1, "Models", model,
+      "step_ms", 15.0, "per_seq_ms", 0.1, "context_per_k", 0.01, "read_per_s",
+      40000.0, "pairs_per_m", 0.4, "chunk", 2048, "report_lag_ms", 10.0,
+      "LoadsPerS", 5.0, "loads_at_once", 7, "FormMs", 30.0, "RetentionCount",
+      1, "usual", "prompt", 100, "answer", 12);
+}
+
+void
+site_publish (struct site *site)
+{
+  json_object_set_new (site->config, "Version",
+                       json_integer (site->version += 3));
+  store_put (site, "config", "main", json_deep_copy (site->config));
+}
+
+static void
+make_config (struct site *site)
+{
+  json_t *routes
+      = json_pack ("[o,o,o]", route_value ("/safe/", "safe", "plain", 2),
+                   route_value ("/unsafe/", "unsafe", "plain", 1),
+                   route_value ("/stream/", "streaming", "pool", 2));
+
+  site->config = json_pack (
+      "{s:o,s:[{s:s,s:s},{s:s,s:s,s:o}],s:{s:i,s:i,s:i,s:i},s:[{s:s,s:[s,s]}]"
+      "}",
+      "Routes", routes, "Services", "Name", "plain", "HealthPath", "/healthz",
+      "Name", "pool", "HealthPath", "/healthz", "Engine", engine_value (),
+      "Limits", "MaxHeaderBytes", 16384, "MaxBodyBytes", 65536,
+      "HeaderTimeoutMs", 3000, "IdleTimeoutMs", 15000, "Tenants", "Name",
+      "acc", "ApiKeys", "k1", "k2");
+  site_publish (site);
+}
+
+static void
+make_settings (struct bd_edge_settings *settings)
+{
+  *settings = (struct bd_edge_settings){
+    .name = "edge-1",
+    .data_centre = "a",
+    .dialect = "platform",
+    .address = "127.0.0.1",
+    .http_port = EDGE_PORT,
+    .ready_port = READY_PORT,
+    .peer_port = PEER_PORT,
+    .metrics_port = METRICS_PORT,
+    .platform_url = "http://127.0.0.1:23100",
+    .is_first_start = true,
+    .heartbeat_ms = 300,
+    .max_descriptors = 256,
+    .reads_per_s = 200,
+    .writes_per_s = 100,
+    .bounds = { .contact_ms = 3000,
+                .config_apply_ms = 2000,
+                .drain_ms = 2000,
+                .grace_ms = 8000,
+                .revoke_ms = 2000,
+                .revoke_fail_closed = true,
+                .retry_ratio = 0.2,
+                .retry_window_s = 10,
+                .retry_slack = 100,
+                .stall_ms = 4000,
+                .fencing_enforced = true },
+  };
+}
+
+void
+site_start (struct site *site, uint32_t plain, uint32_t pool)
+{
+  memset (site, 0, sizeof *site);
+  site->events = tevent_context_init (NULL);
+  site->objects = json_object ();
+  site->history = json_array ();
+  site->watches = g_ptr_array_new ();
+  site->revision = 1;
+  bd_http_server_init (&site->store, site->events, "127.0.0.1", STORE_PORT, 64,
+                       &store_ops, site);
+  for (uint32_t i = 0; i < plain; i++)
+    add_worker (site, "plain", "");
+  for (uint32_t i = 0; i < pool; i++)
+    add_worker (site, "pool", "d0");
+  make_config (site);
+  make_settings (&site->settings);
+  bd_http_client_init (&site->client, site->events, 16);
+  site->edge = bd_edge_start (site->events, site->events, &site->settings,
+                              &bd_platform_dialect);
+}
+
+void
+site_finish (struct site *site)
+{
+  bd_edge_finish (site->edge);
+  bd_http_client_finish (&site->client);
+  for (guint i = site->watches->len; i-- > 0;)
+    talloc_free (g_ptr_array_index (site->watches, i));
+  g_ptr_array_set_size (site->watches, 0);
+  bd_http_server_finish (&site->store);
+  for (uint32_t i = 0; i < site->worker_count; i++)
+    {
+      bd_http_server_finish (&site->workers[i].server);
+      json_decref (site->workers[i].group);
+      json_decref (site->workers[i].staged);
+    }
+  g_ptr_array_free (site->watches, TRUE);
+  json_decref (site->objects);
+  json_decref (site->history);
+  json_decref (site->config);
+  talloc_free (site->events);
+}
+
+static void
+handle_limit (void *ctx)
+{
+  *(bool *)ctx = true;
+}
+
+bool
+site_run (struct site *site, bool (*is_true) (struct site *site),
+          int64_t limit_ms)
+{
+  bool is_over = false;
+  struct bd_timer *timer = bd_timer_add (site->events, site->events, limit_ms,
+                                         handle_limit, &is_over);
+
+  while (!is_over && !is_true (site))
+    tevent_loop_once (site->events);
+  if (!is_over)
+    talloc_free (timer);
+  return is_true (site);
+}
+
+static bool
+never (struct site *site)
+{
+  (void)site;
+  return false;
+}
+
+void
+site_pause (struct site *site, int64_t ms)
+{
+  site_run (site, never, ms);
+}
+
+static void
+handle_call_done (void *ctx, struct bd_http_call *call,
+                  const struct bd_http_result *result)
+{
+  struct site_call *out = ctx;
+
+  out->is_done = true;
+  out->is_whole = result->is_whole;
+  out->status = result->status;
+  out->body = talloc_strndup (out, result->body, result->body_size);
+  out->retry_after
+      = talloc_strdup (out, bd_http_call_header (call, "Retry-After"));
+  out->seal = talloc_strdup (out, bd_http_call_header (call, "Response-Seal"));
+}
+
+static const struct bd_http_call_ops client_ops = { .done = handle_call_done };
+
+struct site_call *
+site_call (struct site *site, const char *method, const char *target,
+           const char *key, const char *model)
+{
+  static uint32_t serial;
+  struct site_call *out = talloc_zero (site->events, struct site_call);
+  char *id = talloc_asprintf (out, "%016x", ++serial);
+  struct bd_http_pair headers[8] = { { "Host", "h.example" },
+                                     { "Attempt-Id", id },
+                                     { "Deadline-Ms", "4000" } };
+  uint32_t count = 3;
+  struct bd_http_out request
+      = { .method = method,
+          .url
+          = talloc_asprintf (out, "http://127.0.0.1:%u%s", EDGE_PORT, target),
+          .headers = headers,
+          .timeout_ms = 8000 };
+
+  if (key != NULL)
+    headers[count++]
+        = (struct bd_http_pair){ "Authorization",
+                                 talloc_asprintf (out, "Bearer %s", key) };
+  if (model != NULL)
+    {
+      headers[count++] = (struct bd_http_pair){ "Model", model };
+      headers[count++] = (struct bd_http_pair){ "Token-Usage", "100,12" };
+    }
+  bd_http_send (&site->client, &request, &client_ops, out);
+  while (!out->is_done)
+    tevent_loop_once (site->events);
+  return out;
+}
+
+bool
+site_is_ready (struct site *site)
+{
+  const char *reason;
+
+  return bd_edge_is_ready (site->edge, &reason);
+}
+
+bool
+site_has_groups (struct site *site)
+{
+  uint32_t open = 0;
+
+  for (uint32_t i = 0; i < site->worker_count; i++)
+    open += site->workers[i].group != NULL
+            && strcmp (group_state (&site->workers[i]), "open") == 0;
+  return open >= 2 && site_is_ready (site);
+}
--- /dev/null
+++ b/tests/fakes/site.h
@@ -0,0 +1,118 @@
+/* The users' platform in one process, on the test's event loop: a store with
+   revisions, watches and faults, workers that form groups by orders, stream
+   and answer, and a client.  It speaks the published protocol.  */
+
+#ifndef BD_TESTS_FAKES_SITE_H
+#define BD_TESTS_FAKES_SITE_H
+
+#include "edge/edge.h"
+#include "http/client.h"
+#include "http/server.h"
+
+#include <jansson.h>
+#include <tevent.h>
+
+enum
+{
+  SITE_WORKERS = 12,
+  SITE_MAX_SEEN = 256,
+  SITE_BASE_PORT = 23100
+};
+
+enum store_mode
+{
+  STORE_WELL,
+  STORE_DOWN,   /* Answers 503.  */
+  STORE_SILENT, /* Takes calls and never answers.  */
+  STORE_LOSING  /* Writes are done, and their answers lost.  */
+};
+
+enum worker_mode
+{
+  WORKER_WELL,
+  WORKER_SILENT,  /* Takes requests, orders and questions, answers none.  */
+  WORKER_MUTE,    /* Streams stop after three events, all else goes on.  */
+  WORKER_RESET,   /* Breaks the connection once it has run a request.  */
+  WORKER_CROSSED, /* Answers with another request's id.  */
+  WORKER_FULL,    /* 503, not run.  */
+  WORKER_FAILING  /* 500 of its own.  */
+};
+
+struct site_worker
+{
+  struct site *site;
+  struct bd_http_server server;
+  uint32_t port;
+  char id[BD_NAME_SIZE];
+  const char *service;
+  const char *domain;
+  enum worker_mode mode;
+  bool is_listed;
+  bool is_draining;
+  json_t *group; /* NULL while it is in none.  */
+  char model[BD_NAME_SIZE];
+  json_t *staged;
+  uint32_t arrivals; /* Requests of callers.  */
+  char last_account[BD_NAME_SIZE];
+  char last_deadline[BD_NAME_SIZE];
+  bool has_seen_key;
+};
+
+struct site
+{
+  struct tevent_context *events;
+  struct bd_http_server store;
+  enum store_mode store_mode;
+  json_t *objects; /* kind -> name -> object */
+  json_t *history; /* Of {kind, revision, event}.  */
+  int64_t revision;
+  int64_t compacted; /* Older history is forgotten.  */
+  GPtrArray *watches;
+  struct site_worker workers[SITE_WORKERS];
+  uint32_t worker_count;
+  struct bd_edge_settings settings;
+  struct bd_edge *edge;
+  struct bd_http_client client;
+  json_int_t version; /* Of the configuration.  */
+  json_t *config;
+};
+
+/* One request of a client, and what came of it.  */
+struct site_call
+{
+  bool is_done;
+  bool is_whole;
+  uint32_t status;
+  char *body;
+  char *retry_after;
+  char *seal;
+};
+
+/* site_start(): the store, a configuration with one account (key "k1"),
+   plain workers and a pool in one domain, and the edge daemon.  */
+void site_start (struct site *site, uint32_t plain, uint32_t pool);
+void site_finish (struct site *site);
+
+/* site_run(): turns the loop until *is_true or for at most limit_ms; returns
+   whether it became true.  */
+bool site_run (struct site *site, bool (*is_true) (struct site *site),
+               int64_t limit_ms);
+void site_pause (struct site *site, int64_t ms);
+
+/* site_call(): sends a request and waits for its end.  Results live on the
+   site's loop.  */
+struct site_call *site_call (struct site *site, const char *method,
+                             const char *target, const char *key,
+                             const char *model);
+
+/* site_publish(): puts the configuration under the next version.  */
+void site_publish (struct site *site);
+
+/* site_list(): writes, or removes, a worker's entry.  */
+void site_list (struct site_worker *worker);
+
+bool site_is_ready (struct site *site);
+/* Whether at least two groups are open.  */
+bool site_has_groups (struct site *site);
+
+#endif
