--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -268,6 +268,17 @@
   return edge;
 }
 
+/* The balancer has noticed: who still comes is told to go elsewhere, so that
+   nothing is taken that the grace may cut off.  */
+static void
+handle_notice_over (void *ctx)
+{
+  struct bd_edge *edge = ctx;
+
+  edge->is_closed = true;
+  bd_http_server_stop_listening (&edge->server);
+}
+
 void
 bd_edge_stop (struct bd_edge *edge)
 {
@@ -276,6 +287,8 @@
   edge->is_stopping = true;
   edge->stopping_since_ms = bd_edge_now_ms (edge);
   bd_log ("stopping", "open", BD_NUM (edge->request_count), NULL);
+  bd_timer_add (edge->events, edge, BALANCER_NOTICE_MS, handle_notice_over,
+                edge);
   /* Peers take over this daemon's duties at once.  */
   bd_edge_send_news (edge);
 }
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -199,6 +199,7 @@
   struct bd_ticker watchdog_ticker;
   int64_t started_ms;
   bool is_stopping;
+  bool is_closed; /* Takes no more requests.  */
   int64_t stopping_since_ms;
   bool was_ready;
 };
--- a/src/edge/edge_test.c
+++ b/src/edge/edge_test.c
@@ -237,6 +237,39 @@
   site_finish (&site);
 }
 
+static bool
+is_stopped (struct site *s)
+{
+  return bd_edge_is_done (s->edge);
+}
+
+/* A planned stop: what runs is finished; who comes late is told that nothing
+   has run.  */
+static void
+test_planned_stop (void)
+{
+  struct site_call *running;
+  struct site_call *late;
+
+  site_start (&site, 1, 4);
+  CU_ASSERT_TRUE (site_run (&site, site_has_groups, 10000));
+  CU_ASSERT_EQUAL (site_call (&site, "GET", "/safe/x", "k1", NULL)->status,
+                   200);
+  running = site_begin (&site, "POST", "/stream/x", "k1", "m");
+  site_pause (&site, 60);
+  bd_edge_stop (site.edge);
+  CU_ASSERT_EQUAL (site_call (&site, "GET", "/safe/x", "k1", NULL)->status,
+                   200);
+  site_pause (&site, 3500);
+  CU_ASSERT_TRUE (running->is_whole);
+  CU_ASSERT_TRUE (is_stream_whole (running->body));
+  late = site_call (&site, "GET", "/safe/x", "k1", NULL);
+  CU_ASSERT_TRUE (late->status == 503 || late->status == 0);
+  CU_ASSERT_EQUAL (site.workers[0].arrivals, 2);
+  CU_ASSERT_TRUE (site_run (&site, is_stopped, 8000));
+  site_finish (&site);
+}
+
 /* Requests that wait while groups fall silent end in any order.  */
 static void
 test_silence_under_a_backlog (void)
@@ -278,6 +311,7 @@
     { "keys fail closed", test_keys_fail_closed },
     { "versions only rise", test_versions_only_rise },
     { "history gone", test_history_gone },
+    { "planned stop", test_planned_stop },
     { "silence under a backlog", test_silence_under_a_backlog },
   };
 
--- a/src/edge/ingress.c
+++ b/src/edge/ingress.c
@@ -24,7 +24,9 @@
 {
   DROPPED_COUNT = sizeof dropped_headers / sizeof dropped_headers[0],
   /* After which a caller may come back while keys cannot be checked.  */
-  NOT_READY_RETRY_MS = 500
+  NOT_READY_RETRY_MS = 500,
+  /* Another daemon serves at once.  */
+  STOPPING_RETRY_MS = 50
 };
 
 /* Whether a list of names, as in Connection, holds name.  */
@@ -210,6 +212,11 @@
 
   bd_count (&edge->counters, BD_COUNT_REQUESTS);
   edge->has_traffic = true;
+  if (edge->is_closed)
+    {
+      refuse (edge, x, BD_ERR_STOPPING, "", STOPPING_RETRY_MS);
+      return;
+    }
   if (edge->routes == NULL)
     {
       refuse (edge, x, BD_ERR_NOT_READY, "", NOT_READY_RETRY_MS);
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -713,8 +713,8 @@
 static const struct bd_http_call_ops client_ops = { .done = handle_call_done };
 
 struct site_call *
-site_call (struct site *site, const char *method, const char *target,
-           const char *key, const char *model)
+site_begin (struct site *site, const char *method, const char *target,
+            const char *key, const char *model)
 {
   static uint32_t serial;
   struct site_call *out = talloc_zero (site->events, struct site_call);
@@ -740,11 +740,20 @@
       headers[count++] = (struct bd_http_pair){ "Token-Usage", "100,12" };
     }
   bd_http_send (&site->client, &request, &client_ops, out);
-  while (!out->is_done)
-    tevent_loop_once (site->events);
   return out;
 }
 
+struct site_call *
+site_call (struct site *site, const char *method, const char *target,
+           const char *key, const char *model)
+{
+  struct site_call *call = site_begin (site, method, target, key, model);
+
+  while (!call->is_done)
+    tevent_loop_once (site->events);
+  return call;
+}
+
 bool
 site_is_ready (struct site *site)
 {
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -105,6 +105,11 @@
                              const char *target, const char *key,
                              const char *model);
 
+/* site_begin(): the same without waiting.  */
+struct site_call *site_begin (struct site *site, const char *method,
+                              const char *target, const char *key,
+                              const char *model);
+
 /* site_publish(): puts the configuration under the next version.  */
 void site_publish (struct site *site);
 
