--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -381,6 +381,22 @@
   headers->pairs[headers->count++] = (struct bd_http_pair){ name, value };
 }
 
+/* A key may have passed to another account since the request came in, or
+   since its last attempt.  */
+static void
+renew_account (struct bd_edge_request *request)
+{
+  const struct bd_account *account
+      = bd_routes_account (request->edge->routes, request->key);
+
+  if (account == NULL || strcmp (account->name, request->account) == 0)
+    return;
+  bd_log ("account-changed", "id", request->attempt_id, "before",
+          request->account, "account", account->name, "config",
+          BD_NUM (request->edge->routes->version), NULL);
+  bd_name_copy (request->account, account->name);
+}
+
 static void
 fill_headers (struct bd_edge_request *request, struct attempt_headers *headers,
               void *mem)
@@ -443,6 +459,7 @@
     .is_sent_once = true,
   };
 
+  renew_account (request);
   bd_edge_enter_place (request, place);
   bd_call_sent (&request->call, place_hash (place));
   bd_count (&edge->counters, BD_COUNT_ATTEMPTS);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -31,8 +31,12 @@
 /* Part of the time in which a key may still be used after it was taken away
    that the proof of the configuration may be old.  */
 static const double proof_part = 0.85;
-/* Part of the retries that all daemons share that are given out.  */
-static const double slack_part = 0.5;
+/* Part of the retries that all daemons share that is given out; the rest is
+   for daemons that are not known of.  */
+static const double retry_part = 0.75;
+/* Part of what may be saved up that a daemon starts with: the process before
+   it may have used its own just now.  */
+static const double first_part = 0.4;
 
 int64_t
 bd_edge_now_ms (const struct bd_edge *edge)
@@ -86,8 +90,8 @@
   const struct bd_edge_bounds *bounds = &edge->settings->bounds;
 
   bd_retry_budget_limit (
-      &service->retries, slack_part * bounds->retry_ratio,
-      1.0 + slack_part * bounds->retry_slack / bd_edge_daemon_count (edge));
+      &service->retries, retry_part * bounds->retry_ratio,
+      1.0 + retry_part * bounds->retry_slack / bd_edge_daemon_count (edge));
 }
 
 struct bd_edge_service *
@@ -102,6 +106,7 @@
   bd_retry_budget_init (&service->retries);
   bd_backlog_init (&service->backlog);
   share_retries (edge, service);
+  service->retries.tokens *= first_part;
   g_hash_table_insert (edge->services, service->name, service);
   return service;
 }
@@ -294,15 +299,21 @@
 }
 
 void
-bd_edge_reload (struct bd_edge *edge, const struct bd_edge_settings *settings)
+bd_edge_share_retries (struct bd_edge *edge)
 {
   GHashTableIter iter;
   gpointer value;
 
-  edge->settings->bounds = settings->bounds;
   g_hash_table_iter_init (&iter, edge->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     share_retries (edge, value);
+}
+
+void
+bd_edge_reload (struct bd_edge *edge, const struct bd_edge_settings *settings)
+{
+  edge->settings->bounds = settings->bounds;
+  bd_edge_share_retries (edge);
   bd_log ("reloaded", NULL);
 }
 
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -43,6 +43,7 @@
   uint32_t priority;
   char service[BD_NAME_SIZE];
   char account[BD_NAME_SIZE];
+  char *key; /* API key; NULL on public routes.  Never logged.  */
   char attempt_id[BD_NAME_SIZE];
   char *method;
   char *target;
@@ -212,6 +213,8 @@
 bool bd_edge_is_key_proof_fresh (const struct bd_edge *edge);
 struct bd_edge_service *bd_edge_service (struct bd_edge *edge,
                                          const char *name);
+/* Shares the retries anew, as daemons come and go.  */
+void bd_edge_share_retries (struct bd_edge *edge);
 /* Daemons that share what all may use together.  */
 uint32_t bd_edge_daemon_count (const struct bd_edge *edge);
 
--- a/src/edge/edge_test.c
+++ b/src/edge/edge_test.c
@@ -237,6 +237,38 @@
   site_finish (&site);
 }
 
+/* A key that passes to another account while its stream runs: the rest of the
+   stream is asked for in the name of who holds it now.  */
+static void
+test_key_changes_hands (void)
+{
+  struct site_call *call;
+  json_t *accounts;
+
+  site_start (&site, 0, 4);
+  CU_ASSERT_TRUE (site_run (&site, site_has_groups, 10000));
+  set_modes (WORKER_MUTE);
+  call = site_begin (&site, "POST", "/stream/x", "k1", "m");
+  site_pause (&site, 100);
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    if (site.workers[i].arrivals == 0)
+      site.workers[i].mode = WORKER_WELL;
+  accounts = json_object_get (site.config, "Tenants");
+  json_array_remove (json_object_get (json_array_get (accounts, 0), "ApiKeys"),
+                     0);
+  json_array_append_new (
+      accounts, json_pack ("{s:s,s:[s]}", "Name", "heir", "ApiKeys", "k1"));
+  site_publish (&site);
+  while (!call->is_done)
+    tevent_loop_once (site.events);
+  CU_ASSERT_TRUE (is_stream_whole (call->body));
+  CU_ASSERT_EQUAL (arrivals (), 2);
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    if (site.workers[i].mode == WORKER_WELL && site.workers[i].arrivals > 0)
+      CU_ASSERT_STRING_EQUAL (site.workers[i].last_account, "heir");
+  site_finish (&site);
+}
+
 static bool
 is_stopped (struct site *s)
 {
@@ -311,6 +343,7 @@
     { "keys fail closed", test_keys_fail_closed },
     { "versions only rise", test_versions_only_rise },
     { "history gone", test_history_gone },
+    { "key changes hands", test_key_changes_hands },
     { "planned stop", test_planned_stop },
     { "silence under a backlog", test_silence_under_a_backlog },
   };
--- a/src/edge/ingress.c
+++ b/src/edge/ingress.c
@@ -187,6 +187,8 @@
   const char *model = bd_http_header (x, names->model);
 
   read_route (request, route, account);
+  if (account != NULL)
+    request->key = talloc_strdup (request, key_of (edge, x));
   bd_name_copy (request->attempt_id, id);
   request->deadline_ms = deadline_of (request, route->timeout_ms);
   service = bd_routes_service (edge->routes, request->service);
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -236,6 +236,7 @@
           .work = work };
 
   reckon_work (edge);
+  bd_edge_share_retries (edge);
   if (bd_membership_tick (&edge->membership, bd_edge_now_ms (edge)))
     bd_log ("peer-lost", "live",
             BD_NUM (bd_membership_live (&edge->membership, NULL)), NULL);
