Large data centres: two daemons read the store for all, news at a slower pace

Cause: at 82 daemons each would read the store twice a second and tell 81 peers its traffic ten times a second. Change: with more than three live daemons a data centre, two relays read and watch; the others ask them, twice a second, and get the list only when it has changed; news go out every 100 ms for each twelve daemons of the data centre, to other data centres every fourth time.

--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -152,6 +152,7 @@
   struct bd_platform store;
   struct bd_peers peers;
   struct bd_membership membership;
+  uint32_t news_turn;
   GHashTable *peer_news; /* Name -> struct bd_edge_peer.  */
 
   /* Configuration.  */
@@ -167,6 +168,7 @@
   struct bd_fleet fleet;
   json_t *instances; /* Id -> {revision, value}.  */
   int64_t instances_proof_ms;
+  int64_t instances_stamp; /* Revision of the store of the last change.  */
   int64_t instances_since;
   bool is_listing;
   bool is_watching_instances;
--- a/src/edge/feed.c
+++ b/src/edge/feed.c
@@ -20,7 +20,13 @@
   /* A peer is asked when this daemon's own knowledge is older than two
      periods.  */
   VOUCH_AFTER_MS = 2200,
-  VOUCH_PERIOD_MS = 250
+  VOUCH_PERIOD_MS = 250,
+  /* Up to so many daemons of a data centre each read the store.  */
+  READERS_AT_MOST = 3,
+  /* How old what a relay gave may be when it is asked again, and when a daemon
+     reads for itself.  */
+  RELAY_PERIOD_MS = 500,
+  OWN_READ_AFTER_MS = 2000
 };
 
 /* A kind of object of our own: one for each daemon.  */
@@ -186,6 +192,8 @@
   instances = json_object ();
   json_array_foreach (answer->items, i, item)
     keep_entry (edge, item, instances);
+  if (edge->instances == NULL || !json_equal (instances, edge->instances))
+    edge->instances_stamp = answer->revision;
   replace_instances (edge, instances, answer->asked_ms);
   json_decref (instances);
   if (!edge->is_watching_instances)
@@ -251,6 +259,7 @@
     take_event (edge, item);
   if (json_array_size (answer->items) == 0)
     return;
+  edge->instances_stamp = answer->revision;
   bd_fleet_refresh (&edge->fleet, bd_edge_now_ms (edge));
   bd_edge_pump (edge);
 }
@@ -274,34 +283,70 @@
     }
 }
 
-/* Asks one live peer after the other.  */
+/* In a large data centre two daemons read the store for all: calls to it are
+   dear, and its rates do not grow with the fleet.  The others ask them, and
+   read for themselves only when what they know grows old.  */
+static bool
+reads_store (struct bd_edge *edge)
+{
+  const struct bd_membership *membership = &edge->membership;
+  int64_t now_ms = bd_edge_now_ms (edge);
+
+  return bd_membership_live (membership, edge->settings->data_centre)
+             <= READERS_AT_MOST
+         || bd_membership_is_relay (membership, &membership->members[0])
+         || now_ms - edge->config_proof_ms >= OWN_READ_AFTER_MS
+         || now_ms - edge->instances_proof_ms >= OWN_READ_AFTER_MS;
+}
+
+/* Whom to ask: in turn any live peer, or one that reads the store.  */
+static const struct bd_member *
+next_peer (struct bd_edge *edge, bool must_be_relay)
+{
+  const struct bd_membership *membership = &edge->membership;
+
+  for (uint32_t i = 0; i < membership->count; i++)
+    {
+      const struct bd_member *member;
+
+      if (!must_be_relay || i > 0)
+        edge->vouch_turn = (edge->vouch_turn + 1) % membership->count;
+      member = &membership->members[edge->vouch_turn % membership->count];
+      if (member == &membership->members[0] || !member->is_live)
+        continue;
+      if (!must_be_relay
+          || (strcmp (member->data_centre, edge->settings->data_centre) == 0
+              && bd_membership_is_relay (membership, member)))
+        return member;
+    }
+  return NULL;
+}
+
+/* Asks a peer for what it knows when there is reason to.  */
 static void
-ask_peers (struct bd_edge *edge)
+ask_peers (struct bd_edge *edge, bool reads)
 {
   int64_t now_ms = bd_edge_now_ms (edge);
-  bool is_config_old = now_ms - edge->config_proof_ms >= VOUCH_AFTER_MS;
-  bool is_list_old = now_ms - edge->instances_proof_ms >= VOUCH_AFTER_MS;
+  int64_t after_ms = reads ? VOUCH_AFTER_MS : RELAY_PERIOD_MS;
+  bool is_config_old = now_ms - edge->config_proof_ms >= after_ms;
+  bool is_list_old = now_ms - edge->instances_proof_ms >= after_ms;
+  const struct bd_member *peer;
   struct bd_vouch_ask ask
       = { .asked_ms = now_ms,
           .config_version = edge->routes != NULL ? edge->routes->version : 0,
-          .wants_instances = is_list_old };
+          .wants_instances = is_list_old,
+          .instances_stamp = edge->instances_stamp };
 
   if ((!is_config_old && !is_list_old)
       || now_ms - edge->vouch_asked_ms < VOUCH_PERIOD_MS)
     return;
   edge->vouch_asked_ms = now_ms;
   bd_name_copy (ask.from, edge->settings->name);
-  for (uint32_t i = 0; i < edge->membership.count; i++)
-    {
-      const struct bd_member *member;
-
-      edge->vouch_turn = (edge->vouch_turn + 1) % edge->membership.count;
-      member = &edge->membership.members[edge->vouch_turn];
-      if (edge->vouch_turn == 0 || !member->is_live)
-        continue;
-      bd_edge_tell (edge, member, BD_MESSAGE_VOUCH_ASK, &ask);
-      return;
-    }
+  /* Relays that do not answer are passed over by asking anybody.  */
+  peer = next_peer (
+      edge, !reads && now_ms - edge->config_proof_ms < 2 * RELAY_PERIOD_MS);
+  if (peer != NULL)
+    bd_edge_tell (edge, peer, BD_MESSAGE_VOUCH_ASK, &ask);
 }
 
 void
@@ -315,14 +360,16 @@
   struct bd_vouch vouch
       = { .asked_ms = ask->asked_ms,
           .config_age_ms = now_ms - edge->config_proof_ms,
-          .instances_age_ms = now_ms - edge->instances_proof_ms };
+          .instances_age_ms = now_ms - edge->instances_proof_ms,
+          .instances_stamp = edge->instances_stamp };
 
   if (member == NULL || edge->routes == NULL)
     return;
   vouch.config_version = edge->routes->version;
   if (ask->config_version < edge->routes->version)
     config = json_dumps (edge->config, JSON_COMPACT);
-  if (ask->wants_instances && edge->instances != NULL)
+  if (ask->wants_instances && edge->instances != NULL
+      && ask->instances_stamp != edge->instances_stamp)
     instances = json_dumps (edge->instances, JSON_COMPACT);
   vouch.config = config != NULL ? config : "";
   vouch.instances = instances != NULL ? instances : "";
@@ -350,11 +397,22 @@
            && edge->routes->version == vouch->config_version
            && config_ms > edge->config_proof_ms)
     edge->config_proof_ms = config_ms;
-  if (vouch->instances[0] == '\0' || instances_ms <= edge->instances_proof_ms)
+  if (instances_ms <= edge->instances_proof_ms)
     return;
+  if (vouch->instances[0] == '\0')
+    {
+      /* The same list.  */
+      if (vouch->instances_stamp == edge->instances_stamp
+          && edge->instances != NULL)
+        edge->instances_proof_ms = instances_ms;
+      return;
+    }
   value = json_loads (vouch->instances, 0, NULL);
   if (value != NULL)
-    replace_instances (edge, value, instances_ms);
+    {
+      edge->instances_stamp = vouch->instances_stamp;
+      replace_instances (edge, value, instances_ms);
+    }
   json_decref (value);
 }
 
@@ -465,12 +523,13 @@
 {
   struct bd_edge *edge = ctx;
   int64_t now_ms = bd_edge_now_ms (edge);
+  bool reads = reads_store (edge);
 
   register_daemon (edge);
-  if (!edge->is_reading_config
+  if (reads && !edge->is_reading_config
       && now_ms - edge->config_read_ms >= READ_PERIOD_MS)
     read_config (edge);
-  if (!edge->is_listing && now_ms - edge->listed_ms >= READ_PERIOD_MS)
+  if (reads && !edge->is_listing && now_ms - edge->listed_ms >= READ_PERIOD_MS)
     {
       edge->listed_ms = now_ms;
       list_instances (edge);
@@ -481,6 +540,7 @@
       edge->must_settle_list = false;
       replace_instances (edge, edge->instances, edge->instances_proof_ms);
     }
-  watch_changes (edge);
-  ask_peers (edge);
+  if (reads)
+    watch_changes (edge);
+  ask_peers (edge, reads);
 }
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -7,11 +7,16 @@
 
 enum
 {
-  /* Time without news after which a daemon counts as dead; keepers change
-     hands then.  */
-  DEAD_AFTER_MS = 1200,
-  /* Traffic of a daemon that has fallen silent counts for this long.  */
-  TRAFFIC_FRESH_MS = 1500,
+  /* Between news of a small fleet, and how many daemons it may have: what a
+     daemon spends on news does not grow with the fleet.  */
+  NEWS_PERIOD_MS = 100,
+  SMALL_FLEET = 12,
+  /* In a large one, daemons of other data centres hear every so many.  */
+  FAR_TURNS = 4,
+  /* Time without news after which a daemon counts as dead, in periods;
+     keepers change hands then.  Traffic of a silent daemon counts as long.  */
+  DEAD_AFTER_TURNS = 5,
+  DEAD_AFTER_LEAST_MS = 1200,
   MAX_PLACES = 512
 };
 
@@ -119,7 +124,7 @@
     {
       const struct bd_edge_peer *peer = value;
 
-      if (now_ms - peer->heard_ms > TRAFFIC_FRESH_MS)
+      if (now_ms - peer->heard_ms > edge->membership.far_dead_after_ms)
         continue;
       for (uint32_t i = 0; i < peer->place_count; i++)
         {
@@ -219,6 +224,37 @@
     }
 }
 
+/* Sets the pace of news by the size of the data centre.  */
+static void
+pace_news (struct bd_edge *edge)
+{
+  uint32_t near
+      = bd_membership_live (&edge->membership, edge->settings->data_centre);
+  bool is_small = edge->membership.count <= SMALL_FLEET;
+  uint32_t period_ms
+      = is_small ? NEWS_PERIOD_MS
+                 : NEWS_PERIOD_MS * (near + SMALL_FLEET - 1) / SMALL_FLEET;
+  uint32_t far_ms = is_small ? period_ms : FAR_TURNS * period_ms;
+
+  edge->news_ticker.period_ms = period_ms;
+  edge->membership.dead_after_ms
+      = DEAD_AFTER_TURNS * period_ms > DEAD_AFTER_LEAST_MS
+            ? DEAD_AFTER_TURNS * period_ms
+            : DEAD_AFTER_LEAST_MS;
+  edge->membership.far_dead_after_ms
+      = DEAD_AFTER_TURNS * far_ms > DEAD_AFTER_LEAST_MS
+            ? DEAD_AFTER_TURNS * far_ms
+            : DEAD_AFTER_LEAST_MS;
+}
+
+static bool
+hears_news (struct bd_edge *edge, const struct bd_member *member)
+{
+  return edge->membership.count <= SMALL_FLEET || edge->is_stopping
+         || strcmp (member->data_centre, edge->settings->data_centre) == 0
+         || edge->news_turn % FAR_TURNS == 0;
+}
+
 void
 bd_edge_send_news (void *ctx)
 {
@@ -246,7 +282,12 @@
   bd_name_copy (news.address, settings->address);
   news.place_count = collect_places (edge, places);
   news.work_count = collect_work (edge, work);
-  bd_edge_tell_all (edge, BD_MESSAGE_NEWS, &news);
+  pace_news (edge);
+  edge->news_turn++;
+  for (uint32_t i = 1; i < edge->membership.count; i++)
+    if (hears_news (edge, &edge->membership.members[i]))
+      bd_edge_tell (edge, &edge->membership.members[i], BD_MESSAGE_NEWS,
+                    &news);
 }
 
 bool
@@ -259,7 +300,7 @@
   bd_name_copy (self.data_centre, settings->data_centre);
   bd_name_copy (self.address, settings->address);
   self.incarnation = bd_clock_calendar_ms (&edge->clock);
-  bd_membership_init (&edge->membership, edge, &self, DEAD_AFTER_MS);
+  bd_membership_init (&edge->membership, edge, &self, DEAD_AFTER_LEAST_MS);
   edge->peer_news
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_peer);
   return bd_peers_init (&edge->peers, edge->events, &edge->counters,
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -133,6 +133,18 @@
   membership->count = kept;
 }
 
+static int64_t
+dead_after_ms (const struct bd_membership *membership,
+               const struct bd_member *member)
+{
+  bool is_far
+      = strcmp (member->data_centre, membership->members[0].data_centre) != 0;
+
+  return is_far && membership->far_dead_after_ms > 0
+             ? membership->far_dead_after_ms
+             : membership->dead_after_ms;
+}
+
 bool
 bd_membership_tick (struct bd_membership *membership, int64_t now_ms)
 {
@@ -142,7 +154,7 @@
     {
       struct bd_member *member = &membership->members[i];
       if (!member->is_live
-          || now_ms - member->heard_ms <= membership->dead_after_ms)
+          || now_ms - member->heard_ms <= dead_after_ms (membership, member))
         continue;
       member->is_live = false;
       has_changed = true;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -51,6 +51,7 @@
   struct bd_centre *centres;
   uint32_t centre_count;
   uint32_t dead_after_ms;
+  uint32_t far_dead_after_ms; /* Of other data centres; 0: the same.  */
   void *ctx;
 };
 
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -161,7 +161,8 @@
 static const struct field vouch_ask_fields[]
     = { FIELD (bd_vouch_ask, NAME, from), FIELD (bd_vouch_ask, I64, asked_ms),
         FIELD (bd_vouch_ask, I64, config_version),
-        FIELD (bd_vouch_ask, BOOL, wants_instances) };
+        FIELD (bd_vouch_ask, BOOL, wants_instances),
+        FIELD (bd_vouch_ask, I64, instances_stamp) };
 
 static const struct field vouch_fields[]
     = { FIELD (bd_vouch, I64, asked_ms),
@@ -169,6 +170,7 @@
         FIELD (bd_vouch, I64, config_age_ms),
         FIELD (bd_vouch, TEXT, config),
         FIELD (bd_vouch, I64, instances_age_ms),
+        FIELD (bd_vouch, I64, instances_stamp),
         FIELD (bd_vouch, TEXT, instances) };
 
 static const struct field doubt_fields[]
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -205,6 +205,7 @@
   int64_t asked_ms; /* By the asking daemon's clock; comes back.  */
   int64_t config_version;
   bool wants_instances;
+  int64_t instances_stamp; /* Of the list that the asking daemon holds.  */
 };
 
 /* The answer.  Ages count from the sending of the store call that the peer
@@ -216,7 +217,8 @@
   int64_t config_age_ms;
   const char *config; /* Empty when the asking daemon has this version.  */
   int64_t instances_age_ms;
-  const char *instances; /* Empty when not wanted.  */
+  int64_t instances_stamp;
+  const char *instances; /* Empty when not wanted, or when it is held.  */
 };
 
 /* A group is silent under traffic: goes to the keeper.  Or it is being taken
