Keeper: what it held of the dead is asked again after a standstill

Change: a daemon that has stood still takes back its verdicts; a question that took longer than its timeout by 80 ms is not counted. Test: fleet_test 'verdicts are forgotten'.

--- a/src/edge/keeper.c
+++ b/src/edge/keeper.c
@@ -13,6 +13,10 @@
   MAX_QUESTIONS = 64,
   ORDER_TIMEOUT_MS = 400,
   REPORT_TIMEOUT_MS = 220,
+  /* A question that took longer than its timeout by this says more of this
+     process than of the endpoint: it has stood still or is short of its
+     processor.  */
+  OWN_LAG_MS = 80,
   /* Unanswered reports in a row after which an endpoint counts as dead.  */
   MISSES_TO_DIE = 2,
   /* Daemons hear of each other in this time after the start.  */
@@ -337,7 +341,8 @@
   if (body != NULL && edge->dialect->read_report (body, &report))
     bd_fleet_report (&edge->fleet, endpoint->entry.id, &report,
                      errand->sent_ms, bd_edge_now_ms (edge));
-  else
+  else if (bd_edge_now_ms (edge) - errand->sent_ms
+           < REPORT_TIMEOUT_MS + OWN_LAG_MS)
     bd_fleet_missed (endpoint, MISSES_TO_DIE, errand->sent_ms,
                      bd_edge_now_ms (edge));
   note_life (edge, endpoint, before);
@@ -503,6 +508,8 @@
                          && now_ms - edge->keeper_tick_ms > STANDSTILL_MS;
 
   edge->keeper_tick_ms = now_ms;
+  if (has_stood_still)
+    bd_fleet_forget_verdicts (&edge->fleet, now_ms);
   if (pool == NULL || !edge->fleet.is_known || !edge->has_peer_list
       || now_ms - edge->started_ms < SETTLE_MS)
     return;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -332,3 +332,21 @@
             endpoint->misses >= misses_to_die ? BD_LIFE_DEAD : BD_LIFE_DOUBTED,
             now_ms);
 }
+
+void
+bd_fleet_forget_verdicts (struct bd_fleet *fleet, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct bd_fleet_endpoint *endpoint = value;
+
+      endpoint->misses = 0;
+      endpoint->missed_ms = 0;
+      if (endpoint->life == BD_LIFE_DEAD)
+        set_life (endpoint, BD_LIFE_DOUBTED, now_ms);
+    }
+}
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -215,6 +215,10 @@
 /* bd_fleet_doubt(): traffic says that an endpoint may be dead.  */
 void bd_fleet_doubt (struct bd_fleet_endpoint *endpoint, int64_t now_ms);
 
+/* bd_fleet_forget_verdicts(): this process has stood still, so that answers
+   seemed not to come: who counts as dead is asked again.  */
+void bd_fleet_forget_verdicts (struct bd_fleet *fleet, int64_t now_ms);
+
 /* bd_fleet_missed(): a question of asked_ms to an endpoint was not answered;
    after misses_to_die in a row it counts as dead.  */
 void bd_fleet_missed (struct bd_fleet_endpoint *endpoint,
--- a/src/fleet/fleet_test.c
+++ b/src/fleet/fleet_test.c
@@ -125,6 +125,30 @@
   bd_fleet_finish (&fleet);
 }
 
+/* A process that has stood still takes back what it held of the dead: answers
+   may have come meanwhile.  */
+static void
+test_verdicts_are_forgotten (void)
+{
+  struct bd_endpoint_entry entry = entry_of ("x");
+  struct bd_fleet_endpoint *endpoint;
+
+  bd_fleet_init (&fleet);
+  bd_fleet_put (&fleet, &entry, 1000);
+  endpoint = bd_fleet_endpoint (&fleet, "x");
+  bd_fleet_missed (endpoint, 2, 1100, 1300);
+  bd_fleet_missed (endpoint, 2, 1300, 1500);
+  CU_ASSERT_EQUAL (endpoint->life, BD_LIFE_DEAD);
+  bd_fleet_forget_verdicts (&fleet, 5000);
+  CU_ASSERT_EQUAL (endpoint->life, BD_LIFE_DOUBTED);
+  CU_ASSERT_EQUAL (endpoint->missed_ms, 0);
+  bd_fleet_missed (endpoint, 2, 5000, 5200);
+  CU_ASSERT_EQUAL (endpoint->life, BD_LIFE_DOUBTED);
+  bd_fleet_missed (endpoint, 2, 5200, 5400);
+  CU_ASSERT_EQUAL (endpoint->life, BD_LIFE_DEAD);
+  bd_fleet_finish (&fleet);
+}
+
 int
 main (void)
 {
@@ -132,6 +156,7 @@
     { "lapsed entries are kept", test_lapsed_entries_are_kept },
     { "gone for others is gone", test_gone_for_others_is_gone },
     { "group usable when whole", test_group_is_usable_when_whole },
+    { "verdicts are forgotten", test_verdicts_are_forgotten },
     { "epochs only rise in a life", test_epochs_only_rise_in_a_life },
   };
 
