--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -294,19 +294,20 @@
 end_answered (struct bd_edge_request *request, struct bd_http_call *call,
               const struct bd_http_result *result)
 {
+  struct bd_edge *edge = request->edge;
   const char *load = header_of (call, names_of (request)->load);
   bool is_failed = result->status >= 500;
 
   if (is_disowned (request, call, result->status))
     {
       struct bd_fleet_group *group
-          = bd_fleet_group (&request->edge->fleet, request->group);
+          = bd_fleet_group (&edge->fleet, request->group);
 
       bd_edge_note_refusal (request, load,
                             result->status == 421 ? MOVED_PAUSE_MS
                                                   : FULL_PAUSE_MS);
       if (result->status == 421 && group != NULL)
-        bd_edge_pause_group (request->edge, group);
+        bd_edge_pause_group (edge, group);
       fail (request, BD_FAILURE_REFUSED, false,
             BD_NUM ((int64_t)result->status));
       return;
@@ -326,7 +327,7 @@
     {
       bd_edge_leave_place (request);
       finish_whole (request, call, result);
-      bd_edge_pump (request->edge);
+      bd_edge_pump (edge);
     }
 }
 
