--- a/src/edge/answer.c
+++ b/src/edge/answer.c
@@ -67,9 +67,12 @@
 log_answer (const struct bd_edge_request *request, uint32_t status,
             const char *outcome)
 {
-  const struct bd_edge *edge = request->edge;
+  struct bd_edge *edge = request->edge;
   int64_t now_ms = bd_edge_now_ms (edge);
 
+  bd_observe (&edge->histograms, BD_HISTOGRAM_ANSWER,
+              now_ms - request->received_ms);
+
   (status < 400 ? bd_log_detail : bd_log) (
       "answer", "id", request->attempt_id, "status", BD_NUM (status),
       "outcome", outcome, "route", request->route, "endpoint",
@@ -212,6 +215,8 @@
 
   request->has_begun = true;
   request->begun_ms = bd_edge_now_ms (request->edge);
+  bd_observe (&request->edge->histograms, BD_HISTOGRAM_FIRST_EVENT,
+              request->begun_ms - request->received_ms);
   request->call.has_head = true;
   request->call.can_resume = true;
   if (request->exchange == NULL)
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -122,6 +122,10 @@
     return false;
   if (!request->has_begun)
     bd_edge_answer_begin (request, call);
+  else
+    bd_observe (&request->edge->histograms, BD_HISTOGRAM_PAUSE,
+                bd_edge_now_ms (request->edge) - request->given_ms);
+  request->given_ms = bd_edge_now_ms (request->edge);
   bd_call_event (&request->call, event->has_id, event->id);
   request->events++;
   *has_room = bd_edge_answer_event (request, event) && *has_room;
@@ -464,6 +468,9 @@
   bd_edge_enter_place (request, place);
   bd_call_sent (&request->call, place_hash (place));
   bd_count (&edge->counters, BD_COUNT_ATTEMPTS);
+  if (request->call.attempts == 1)
+    bd_observe (&edge->histograms, BD_HISTOGRAM_WAIT,
+                bd_edge_now_ms (edge) - request->received_ms);
   fill_headers (request, &headers, mem);
   out.headers = headers.pairs;
   bd_sse_reset (&request->sse);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -260,8 +260,8 @@
   edge->rng = gsl_rng_alloc (gsl_rng_mt19937);
   gsl_rng_set (edge->rng, (unsigned long)bd_random_seed ());
   start_tables (edge);
-  if (!start_clients (edge) || !bd_edge_start_peers (edge)
-      || !start_servers (edge))
+  if (!bd_histograms_init (&edge->histograms) || !start_clients (edge)
+      || !bd_edge_start_peers (edge) || !start_servers (edge))
     {
       bd_log ("cannot-listen", "address", settings->address, NULL);
       bd_edge_finish (edge);
@@ -354,6 +354,7 @@
   bd_fleet_finish (&edge->fleet);
   json_decref (edge->config);
   json_decref (edge->instances);
+  bd_histograms_finish (&edge->histograms);
   gsl_rng_free (edge->rng);
   talloc_free (edge);
 }
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -6,6 +6,7 @@
 #include "admission/backlog.h"
 #include "base/clock.h"
 #include "base/counters.h"
+#include "base/histograms.h"
 #include "base/log.h"
 #include "base/ticker.h"
 #include "calls/call.h"
@@ -74,6 +75,7 @@
   bool is_crossed;  /* Its head belongs to another request.  */
   bool is_gapped;   /* An event is missing.  */
   int64_t event_ms; /* Last event of the attempt.  */
+  int64_t given_ms; /* Last event given to the caller.  */
   uint32_t events;
   struct bd_sse sse;
   char *answer_body; /* Of an answer that is no stream.  */
@@ -144,6 +146,7 @@
   struct bd_clock clock;
   gsl_rng *rng;
   struct bd_counters counters;
+  struct bd_histograms histograms;
   struct bd_http_client client;       /* To endpoints.  */
   struct bd_http_client store_client; /* To the store.  */
   struct bd_http_server server;
--- a/src/edge/keeper.c
+++ b/src/edge/keeper.c
@@ -232,6 +232,7 @@
           "epoch", BD_NUM (errand->order.epoch), "status",
           BD_NUM (result->status), "took_ms",
           BD_NUM (now_ms - errand->sent_ms), NULL);
+  bd_observe (&edge->histograms, BD_HISTOGRAM_ORDER, now_ms - errand->sent_ms);
   if (answer == BD_ORDER_REFUSED || answer == BD_ORDER_FENCED)
     bd_count (&edge->counters, BD_COUNT_ORDERS_REFUSED);
   bd_replicas_answered (&errand->keeper->replicas, &edge->fleet,
--- a/src/edge/pages.c
+++ b/src/edge/pages.c
@@ -57,9 +57,10 @@
 {
   char *text = bd_counters_render (&edge->counters, exchange);
   char *ages = render_ages (edge, exchange);
+  char *latencies = bd_histograms_render (&edge->histograms, exchange);
 
-  text = text != NULL && ages != NULL
-             ? talloc_asprintf_append (text, "%s", ages)
+  text = text != NULL && ages != NULL && latencies != NULL
+             ? talloc_asprintf_append (text, "%s%s", ages, latencies)
              : NULL;
   bd_http_respond_text (exchange, text != NULL ? 200 : 503,
                         "text/plain; version=0.0.4", text != NULL ? text : "");
