--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -65,9 +65,8 @@
 dispatch (struct bd_edge_request *request)
 {
   struct bd_edge_place place;
-  bool is_any;
 
-  if (bd_edge_find_place (request, &place, &is_any))
+  if (bd_edge_find_place (request, &place))
     bd_edge_attempt (request, &place);
   else
     wait_for_place (request);
@@ -199,13 +198,12 @@
   struct pump *pump = ctx;
   struct bd_edge_request *request = item->owner;
   struct bd_edge_place place;
-  bool is_any;
 
   if (is_hopeless (request, bd_edge_now_ms (pump->edge)))
     give_up_waiting (request);
   else if (is_full (pump, request->model))
     return true;
-  else if (bd_edge_find_place (request, &place, &is_any))
+  else if (bd_edge_find_place (request, &place))
     {
       bd_backlog_remove (item);
       bd_edge_attempt (request, &place);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -256,10 +256,9 @@
   uint32_t candidates; /* That were weighed.  */
   uint32_t load;       /* Of the chosen one.  */
 };
-/* True when a place takes the request now; *is_any tells whether any place
-   serves it at all.  */
+/* True when a place takes the request now.  */
 bool bd_edge_find_place (struct bd_edge_request *request,
-                         struct bd_edge_place *place, bool *is_any);
+                         struct bd_edge_place *place);
 /* From a place until the first event, in a full batch; until the answer of a
    plain endpoint.  */
 int64_t bd_edge_needs_ms (const struct bd_edge_request *request);
--- a/src/edge/edge_test.c
+++ b/src/edge/edge_test.c
@@ -2,6 +2,7 @@
    what workers see.  Waits are bounded; nothing here asserts a time.  */
 
 #include "tests/fakes/site.h"
+#include "tests/quiet.h"
 #include "tests/unit.h"
 
 #include <string.h>
@@ -310,17 +311,6 @@
   site_finish (&site);
 }
 
-static GLogWriterOutput
-drop_line (GLogLevelFlags level, const GLogField *fields, gsize count,
-           gpointer ctx)
-{
-  (void)level;
-  (void)fields;
-  (void)count;
-  (void)ctx;
-  return G_LOG_WRITER_HANDLED;
-}
-
 int
 main (void)
 {
@@ -338,6 +328,6 @@
     { "silence under a backlog", test_silence_under_a_backlog },
   };
 
-  g_log_set_writer_func (drop_line, NULL, NULL);
+  unit_silence_log ();
   return UNIT_RUN ("edge", tests);
 }
--- a/src/edge/feed.c
+++ b/src/edge/feed.c
@@ -55,11 +55,9 @@
 static void
 take_config (struct bd_edge *edge, json_t *value, int64_t asked_ms)
 {
-  int64_t version = json_integer_value (json_object_get (value, "Version"));
   int64_t held = edge->routes != NULL ? edge->routes->version : 0;
   struct bd_routes *routes;
 
-  (void)version;
   routes = edge->config != NULL && json_equal (edge->config, value)
                ? edge->routes
                : edge->dialect->read_routes (edge, value);
@@ -138,7 +136,7 @@
 
 /* One entry of the list, or of a watch.  */
 static void
-keep_entry (struct bd_edge *edge, const json_t *item, json_t *into)
+keep_entry (const json_t *item, json_t *into)
 {
   const char *name = json_string_value (json_object_get (item, "name"));
 
@@ -147,7 +145,6 @@
                          json_pack ("{s:O,s:O}", "revision",
                                     json_object_get (item, "version"), "value",
                                     json_object_get (item, "value")));
-  (void)edge;
 }
 
 /* Gives the whole list to the fleet.  */
@@ -166,7 +163,7 @@
                                    &entries[count]))
       count++;
   bd_fleet_replace (&edge->fleet, entries, count, bd_edge_now_ms (edge));
-  bd_fleet_refresh (&edge->fleet, bd_edge_now_ms (edge));
+  bd_fleet_refresh (&edge->fleet);
   talloc_free (entries);
   /* The list given may be the one that is held.  */
   json_incref (instances);
@@ -191,7 +188,7 @@
     return;
   instances = json_object ();
   json_array_foreach (answer->items, i, item)
-    keep_entry (edge, item, instances);
+    keep_entry (item, instances);
   if (edge->instances == NULL || !json_equal (instances, edge->instances))
     edge->instances_stamp = answer->revision;
   replace_instances (edge, instances, answer->asked_ms);
@@ -235,7 +232,7 @@
       bd_fleet_remove (&edge->fleet, name, bd_edge_now_ms (edge));
       return;
     }
-  keep_entry (edge, item, edge->instances);
+  keep_entry (item, edge->instances);
   if (edge->dialect->read_entry (name, json_object_get (item, "value"),
                                  &entry))
     bd_fleet_put (&edge->fleet, &entry, bd_edge_now_ms (edge));
@@ -260,7 +257,7 @@
   if (json_array_size (answer->items) == 0)
     return;
   edge->instances_stamp = answer->revision;
-  bd_fleet_refresh (&edge->fleet, bd_edge_now_ms (edge));
+  bd_fleet_refresh (&edge->fleet);
   bd_edge_pump (edge);
 }
 
--- a/src/edge/keeper.c
+++ b/src/edge/keeper.c
@@ -300,8 +300,7 @@
 }
 
 static void
-note_life (struct bd_edge *edge, const struct bd_fleet_endpoint *endpoint,
-           enum bd_life before)
+note_life (const struct bd_fleet_endpoint *endpoint, enum bd_life before)
 {
   static const char *const names[] = { "alive", "doubted", "dead" };
 
@@ -310,7 +309,6 @@
     bd_log ("endpoint-life", "endpoint", endpoint->entry.id, "life",
             names[endpoint->life], "before", names[before], "misses",
             BD_NUM (endpoint->misses), NULL);
-  (void)edge;
 }
 
 static void
@@ -345,7 +343,7 @@
                      !result->is_whole && !result->was_sent
                          && !result->has_timed_out,
                      errand->sent_ms, bd_edge_now_ms (edge));
-  note_life (edge, endpoint, before);
+  note_life (endpoint, before);
   json_decref (body);
   talloc_free (errand);
 }
--- a/src/edge/place.c
+++ b/src/edge/place.c
@@ -60,8 +60,7 @@
 }
 
 static bool
-find_group (struct bd_edge_request *request, struct bd_edge_place *place,
-            bool *is_any)
+find_group (struct bd_edge_request *request, struct bd_edge_place *place)
 {
   struct bd_edge *edge = request->edge;
   const struct bd_route_service *service
@@ -93,7 +92,6 @@
       fill_group_load (request, group, &loads[count]);
       groups[count++] = group;
     }
-  *is_any = count > 0;
   chosen = bd_place_group (&service->engine, model, loads, count,
                            request->prompt_tokens, edge->rng,
                            &place->expected_ms);
@@ -132,8 +130,7 @@
 }
 
 static bool
-find_endpoint (struct bd_edge_request *request, struct bd_edge_place *place,
-               bool *is_any)
+find_endpoint (struct bd_edge_request *request, struct bd_edge_place *place)
 {
   struct bd_edge *edge = request->edge;
   static struct bd_endpoint_load loads[MAX_CANDIDATES];
@@ -164,7 +161,6 @@
           request, bd_hash (endpoint->entry.id, strlen (endpoint->entry.id)));
       endpoints[count++] = endpoint;
     }
-  *is_any = count > 0;
   chosen = bd_place_endpoint (loads, count, ENDPOINT_ROOM, edge->rng);
   if (chosen < 0)
     return false;
@@ -180,14 +176,13 @@
 
 bool
 bd_edge_find_place (struct bd_edge_request *request,
-                    struct bd_edge_place *place, bool *is_any)
+                    struct bd_edge_place *place)
 {
   memset (place, 0, sizeof *place);
-  *is_any = false;
   if (request->edge->routes == NULL)
     return false;
-  return request->model[0] != '\0' ? find_group (request, place, is_any)
-                                   : find_endpoint (request, place, is_any);
+  return request->model[0] != '\0' ? find_group (request, place)
+                                   : find_endpoint (request, place);
 }
 
 int64_t
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -284,12 +284,11 @@
 }
 
 void
-bd_fleet_refresh (struct bd_fleet *fleet, int64_t now_ms)
+bd_fleet_refresh (struct bd_fleet *fleet)
 {
   GHashTableIter iter;
   gpointer endpoint;
 
-  (void)now_ms;
   fleet->generation++;
   g_hash_table_iter_init (&iter, fleet->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &endpoint))
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -199,7 +199,7 @@
 
 /* bd_fleet_refresh(): forms the groups anew from the entries; to be called
    after changes.  Pointers to groups stay valid for groups that stay.  */
-void bd_fleet_refresh (struct bd_fleet *fleet, int64_t now_ms);
+void bd_fleet_refresh (struct bd_fleet *fleet);
 
 struct bd_fleet_endpoint *bd_fleet_endpoint (const struct bd_fleet *fleet,
                                              const char *id);
--- a/src/fleet/fleet_test.c
+++ b/src/fleet/fleet_test.c
@@ -78,7 +78,7 @@
   set_member (&entries[1], 7, 1, BD_MEMBER_READY);
   bd_fleet_init (&fleet);
   bd_fleet_replace (&fleet, entries, 2, 1000);
-  bd_fleet_refresh (&fleet, 1000);
+  bd_fleet_refresh (&fleet);
   group = bd_fleet_group (&fleet, bd_fleet_group_hash ("g", 7));
   CU_ASSERT_PTR_NOT_NULL_FATAL (group);
   CU_ASSERT_TRUE (bd_fleet_is_usable (group, 2, 1000));
@@ -93,7 +93,7 @@
 
   set_member (&entries[1], 8, 0, BD_MEMBER_JOINING);
   bd_fleet_put (&fleet, &entries[1], 1300);
-  bd_fleet_refresh (&fleet, 1300);
+  bd_fleet_refresh (&fleet);
   CU_ASSERT_FALSE (bd_fleet_is_usable (group, 2, 1300));
   bd_fleet_finish (&fleet);
 }
--- a/src/replicas/plan.c
+++ b/src/replicas/plan.c
@@ -107,7 +107,7 @@
   const struct bd_membership_view *member = &endpoint->entry.member;
   const struct bd_fleet_group *group;
 
-  if (!bd_is_sound (endpoint) || !bd_can_order (input, endpoint)
+  if (!bd_is_sound (endpoint) || !bd_can_order (endpoint)
       || endpoint->entry.domain[0] == '\0'
       || bd_forming_of (plan->step->replicas, endpoint->entry.id) != NULL)
     return false;
--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -75,10 +75,8 @@
 }
 
 bool
-bd_can_order (const struct bd_replicas_input *input,
-              const struct bd_fleet_endpoint *endpoint)
+bd_can_order (const struct bd_fleet_endpoint *endpoint)
 {
-  (void)input;
   return !endpoint->order.is_waiting;
 }
 
@@ -239,7 +237,7 @@
   struct bd_fleet_endpoint *leader = group->members[0];
   struct bd_order *order;
 
-  if (leader == NULL || !bd_can_order (step->input, leader)
+  if (leader == NULL || !bd_can_order (leader)
       || has_sent_lately (step->input, leader, kind, group))
     return;
   order = bd_replicas_add_order (step, kind, leader, reason);
@@ -364,7 +362,7 @@
 {
   const struct bd_order_state *order = &member->order;
 
-  if (is_in (member, forming) || !bd_can_order (input, member))
+  if (is_in (member, forming) || !bd_can_order (member))
     return false;
   return order->kind != BD_ORDER_JOIN || order->epoch != forming->epoch
          || strcmp (order->group, forming->name) != 0
@@ -430,7 +428,7 @@
   GHashTableIter iter;
   gpointer value;
 
-  bd_fleet_refresh (input->fleet, input->now_ms);
+  bd_fleet_refresh (input->fleet);
   for (uint32_t i = replicas->forming_count; i-- > 0;)
     if (!tend_forming (&step, &replicas->forming[i]))
       drop_forming (replicas, i);
--- a/src/replicas/replicas_internal.h
+++ b/src/replicas/replicas_internal.h
@@ -45,8 +45,7 @@
                  const struct bd_fleet_endpoint *endpoint);
 
 /* bd_can_order(): whether no order to the endpoint is on its way.  */
-bool bd_can_order (const struct bd_replicas_input *input,
-                   const struct bd_fleet_endpoint *endpoint);
+bool bd_can_order (const struct bd_fleet_endpoint *endpoint);
 
 /* bd_replicas_add_order(): a new order of this step, or NULL when there is no
    room.  */
--- a/src/replicas/staging.c
+++ b/src/replicas/staging.c
@@ -63,7 +63,7 @@
   const struct bd_replicas_input *input = plan->step->input;
 
   if (!bd_is_kept (input, endpoint) || !bd_is_sound (endpoint)
-      || !bd_can_order (input, endpoint) || endpoint->entry.domain[0] == '\0'
+      || !bd_can_order (endpoint) || endpoint->entry.domain[0] == '\0'
       || endpoint->entry.member.state == BD_MEMBER_JOINING
       || is_staging_now (input, endpoint)
       || bd_forming_of (plan->step->replicas, endpoint->entry.id) != NULL)
