--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -173,6 +173,7 @@
   int64_t instances_proof_ms;
   int64_t instances_stamp; /* Revision of the store of the last change.  */
   int64_t instances_since;
+  int64_t watched_ms; /* Last watch begun.  */
   bool is_listing;
   bool is_watching_instances;
   bool is_store_away;
--- a/src/edge/feed.c
+++ b/src/edge/feed.c
@@ -17,6 +17,9 @@
   READ_PERIOD_MS = 1000,
   GIVE_UP_MS = 1500,
   WATCH_WAIT_MS = 4000,
+  /* In a large data centre, changes that come within this are taken together:
+     each watch is a call.  */
+  WATCH_PAUSE_MS = 250,
   /* A peer is asked when this daemon's own knowledge is older than two
      periods.  */
   VOUCH_AFTER_MS = 2200,
@@ -261,6 +264,16 @@
   bd_edge_pump (edge);
 }
 
+/* In a small data centre a change is worth the call.  */
+static int64_t
+watch_pause_ms (const struct bd_edge *edge)
+{
+  return bd_membership_live (&edge->membership, edge->settings->data_centre)
+                 > READERS_AT_MOST
+             ? WATCH_PAUSE_MS
+             : 0;
+}
+
 static void
 watch_changes (struct bd_edge *edge)
 {
@@ -271,8 +284,10 @@
                          edge->config_since, WATCH_WAIT_MS,
                          handle_config_watch, edge);
     }
-  if (!edge->is_watching_instances && edge->instances_since > 0)
+  if (!edge->is_watching_instances && edge->instances_since > 0
+      && bd_edge_now_ms (edge) - edge->watched_ms >= watch_pause_ms (edge))
     {
+      edge->watched_ms = bd_edge_now_ms (edge);
       edge->is_watching_instances = true;
       bd_platform_watch (&edge->store, edge->dialect->instances_prefix,
                          edge->instances_since, WATCH_WAIT_MS,
@@ -511,8 +526,9 @@
     return;
   edge->is_registering = true;
   edge->registered_ms = now_ms;
-  bd_platform_list (&edge->store, BD_PRIORITY_CONFIG, DAEMONS_PREFIX,
-                    GIVE_UP_MS, handle_daemons, edge);
+  /* Who is missing from an old answer is heard of soon.  */
+  bd_platform_glance (&edge->store, BD_PRIORITY_CONFIG, DAEMONS_PREFIX,
+                      GIVE_UP_MS, handle_daemons, edge);
 }
 
 void
--- a/src/edge/keeper.c
+++ b/src/edge/keeper.c
@@ -541,8 +541,6 @@
       group->doubted_until_ms = now_ms + ENDED_MS;
       return;
     }
-  if (group != NULL)
-    group->silent_ms = now_ms;
   for (uint32_t i = 0; group != NULL && i < BD_FLEET_MAX_MEMBERS; i++)
     if (group->members[i] != NULL)
       bd_fleet_doubt (group->members[i], now_ms);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -142,10 +142,7 @@
   uint32_t server_load; /* Running and waiting by its last answer.  */
   int64_t server_load_ms;
   int64_t doubted_until_ms; /* Not used before this time.  */
-  /* When a daemon last told that its requests there hear nothing; kept by the
-     keeper.  */
-  int64_t silent_ms;
-  double pace; /* Measured over expected pause, smoothed.  */
+  double pace;              /* Measured over expected pause, smoothed.  */
 
   /* Traffic of the other daemons, summed from their last news.  */
   uint32_t peers_in_flight;
--- a/src/replicas/plan.c
+++ b/src/replicas/plan.c
@@ -88,15 +88,13 @@
    alive.  After a partition the members come back one by one, and a leader
    that seemed dead may be among those that are still to come.  */
 static bool
-is_death_known_since (const struct bd_replicas_input *input,
-                      const struct bd_fleet_group *group,
+is_death_known_since (const struct bd_fleet_group *group,
                       const struct bd_fleet_endpoint *member)
 {
   const struct bd_fleet_endpoint *leader = group->members[0];
 
   return leader == member
-         || ((bd_fleet_is_gone (leader) || bd_is_silent_to_all (input, group))
-             && leader->missed_ms > member->listed_ms
+         || (bd_fleet_is_gone (leader) && leader->missed_ms > member->listed_ms
              && leader->missed_ms > member->life_ms);
 }
 
@@ -127,7 +125,7 @@
            && input->now_ms - endpoint->listed_ms > input->stall_ms
            && input->now_ms - endpoint->member_ms > input->stall_ms;
   return group->members[0]->life != BD_LIFE_DEAD
-         || is_death_known_since (input, group, endpoint);
+         || is_death_known_since (group, endpoint);
 }
 
 static void
--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -21,9 +21,6 @@
   LIST_RETURN_MS = 2500,
   /* A group that is still served shows some progress in this time.  */
   PROGRESS_MS = 600,
-  /* Silence that a daemon has told of counts for this long: until the entry
-     of a dead leader has lapsed.  */
-  SILENCE_TOLD_MS = 6000,
   /* The most that an order may be carried out late, by the protocol.  */
   LATE_ORDER_MS = 12000
 };
@@ -140,18 +137,6 @@
   return input->now_ms - last_ms < PROGRESS_MS;
 }
 
-bool
-bd_is_silent_to_all (const struct bd_replicas_input *input,
-                     const struct bd_fleet_group *group)
-{
-  for (uint32_t i = 1; i < BD_FLEET_MAX_MEMBERS; i++)
-    if (group->members[i] != NULL && group->members[i]->life != BD_LIFE_ALIVE)
-      return false;
-  return group->silent_ms > 0
-         && input->now_ms - group->silent_ms < SILENCE_TOLD_MS
-         && !has_progress (input, group);
-}
-
 /* Whether the leader may still serve the group, so that its members may not
    go elsewhere.  */
 static bool
--- a/src/replicas/replicas_internal.h
+++ b/src/replicas/replicas_internal.h
@@ -30,13 +30,6 @@
 enum bd_group_phase bd_group_phase (const struct bd_replicas_input *input,
                                     const struct bd_fleet_group *group);
 
-/* bd_is_silent_to_all(): whether daemons have told lately that their requests
-   to the group hear nothing, none has heard from it since, and no other member
-   is the reason: a group that has lost one stands still while its leader
-   lives.  */
-bool bd_is_silent_to_all (const struct bd_replicas_input *input,
-                          const struct bd_fleet_group *group);
-
 /* bd_is_sound(): whether an endpoint may be given a place.  */
 bool bd_is_sound (const struct bd_fleet_endpoint *endpoint);
 
--- a/src/replicas/replicas_properties.cc
+++ b/src/replicas/replicas_properties.cc
@@ -114,7 +114,7 @@
             RC_LOG () << pool.fault << std::endl;
           RC_ASSERT (pool.two == 0);
           RC_ASSERT (pool.partial == 0);
-            pool_finish (&pool);
+          pool_finish (&pool);
         });
 
   return is_well ? 0 : 1;
--- a/src/store/client.c
+++ b/src/store/client.c
@@ -25,6 +25,7 @@
   int64_t asked_ms;
   uint32_t failures;
   bool is_update;
+  bool may_be_stale;
   struct bd_update update;
   json_t *envelope;
   char *value;
@@ -189,7 +190,7 @@
           = call->is_update ? call->update.expected_version : call->since,
           .timeout_ms
           = call->kind == BD_OBJECT_WATCH ? call->wait_ms : p->call_timeout_ms,
-          .may_be_stale = call->kind == BD_OBJECT_WATCH };
+          .may_be_stale = call->may_be_stale };
 
   call->asked_ms = now_ms;
   bd_count (p->counters, call->kind == BD_OBJECT_WRITE
@@ -340,6 +341,19 @@
   pump (platform);
 }
 
+void
+bd_platform_glance (struct bd_platform *platform,
+                    enum bd_platform_priority priority, const char *prefix,
+                    uint32_t give_up_ms, bd_platform_done *done, void *ctx)
+{
+  struct bd_platform_call *call = make_call (
+      platform, priority, BD_OBJECT_LIST, prefix, give_up_ms, done, ctx);
+
+  call->may_be_stale = true;
+  append (call);
+  pump (platform);
+}
+
 void
 bd_platform_watch (struct bd_platform *platform, const char *prefix,
                    int64_t since, uint32_t wait_ms, bd_platform_done *done,
@@ -351,6 +365,7 @@
 
   call->since = since;
   call->wait_ms = wait_ms;
+  call->may_be_stale = true;
   append (call);
   pump (platform);
 }
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -91,6 +91,13 @@
                        enum bd_platform_priority priority, const char *prefix,
                        uint32_t give_up_ms, bd_platform_done *done, void *ctx);
 
+/* bd_platform_glance(): the same, from some seconds ago where the platform has
+   a cheaper answer.  */
+void bd_platform_glance (struct bd_platform *platform,
+                         enum bd_platform_priority priority,
+                         const char *prefix, uint32_t give_up_ms,
+                         bd_platform_done *done, void *ctx);
+
 /* bd_platform_watch(): answers with items newer than since, or with none
    after wait_ms.  That there are none proves nothing: a watch may miss news
    for a while.  */
--- a/tests/fakes/pool.c
+++ b/tests/fakes/pool.c
@@ -457,15 +457,13 @@
   struct pool_member *member = &pool->members[index];
   struct bd_fleet_endpoint *endpoint
       = bd_fleet_endpoint (&pool->fleet, member->entry.id);
-  struct bd_fleet_group *group = bd_fleet_group (
+  const struct bd_fleet_group *group = bd_fleet_group (
       &pool->fleet, bd_fleet_group_hash (member->entry.member.group,
                                          member->entry.member.epoch));
 
   member->is_alive = false;
   member->gone_ms = pool->now_ms;
   /* Traffic falls silent, so that the keeper asks every member.  */
-  if (group != NULL)
-    group->silent_ms = pool->now_ms;
   if (endpoint != NULL)
     bd_fleet_doubt (endpoint, pool->now_ms);
   for (uint32_t i = 0; group != NULL && i < BD_FLEET_MAX_MEMBERS; i++)
