Replicas: the survivors of a silent leader leave it themselves

Survivors of a group whose leader is silent waited up to 4.4 s until its entry lapsed, since it may serve on where nobody hears it. Change: each sound member is ordered to leave; one that has left is free.

--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -284,6 +284,38 @@
   return true;
 }
 
+/* The leader does not answer and may live where nobody hears it.  A member
+   that has itself left the group is free all the same.  */
+static void
+release_members (struct bd_replicas_step *step,
+                 const struct bd_fleet_group *group)
+{
+  const struct bd_replicas_input *input = step->input;
+  const struct bd_fleet_endpoint *leader = group->members[0];
+
+  if (leader == NULL || leader->life != BD_LIFE_DEAD
+      || bd_fleet_is_gone (leader)
+      || leader->missed_ms <= last_return_ms (group))
+    return;
+  for (uint32_t i = 1; i < BD_FLEET_MAX_MEMBERS; i++)
+    {
+      const struct bd_fleet_endpoint *member = group->members[i];
+      struct bd_order *order;
+
+      if (member == NULL || !bd_is_sound (member) || !bd_can_order (member)
+          || leader->missed_ms <= member->life_ms
+          || has_sent_lately (input, member, BD_ORDER_LEAVE, group))
+        continue;
+      order = bd_replicas_add_order (step, BD_ORDER_LEAVE, member,
+                                     "the leader is silent");
+      if (order == NULL)
+        return;
+      bd_name_copy (order->group, group->name);
+      bd_name_copy (order->model, group->model);
+      order->epoch = group->epoch;
+    }
+}
+
 /* Opens what is ready; takes apart what has lost a member.  */
 static void
 tend_group (struct bd_replicas_step *step, struct bd_fleet_group *group)
@@ -301,9 +333,11 @@
       if (group->in_flight + group->peers_in_flight == 0)
         order_leader (step, group, BD_ORDER_LEAVE, "a member is leaving");
       break;
+    case BD_PHASE_FREE:
+      release_members (step, group);
+      break;
     case BD_PHASE_JOINING:
     case BD_PHASE_OPEN:
-    case BD_PHASE_FREE:
       break;
     }
 }
