Replicas: test of the survivors of a silent leader

Two groups of four lose their leaders, which stay listed: within 3 s the survivors serve again (14 of 20 instances at least).

--- a/src/replicas/replicas_test.c
+++ b/src/replicas/replicas_test.c
@@ -58,6 +58,27 @@
   pool_finish (&pool);
 }
 
+/* Members of leaders that are silent, and stay listed, serve again before the
+   entries lapse: each has been told to leave.  */
+static void
+test_survivors_leave (void)
+{
+  pool_init (&pool, 2, 10, 7);
+  pool_run (&pool, 8000);
+  pool.has_traffic = true;
+  CU_ASSERT_EQUAL (capacity (), 20);
+  for (uint32_t i = 0; i < pool.count; i++)
+    if (pool.members[i].entry.member.rank == 0
+        && strcmp (pool.members[i].entry.member.model, "large") == 0)
+      pool_lose (&pool, i);
+  pool_run (&pool, 3000);
+  for (uint32_t i = 0; i < pool.count; i++)
+    CU_ASSERT_TRUE (pool.members[i].is_in_list);
+  CU_ASSERT_TRUE (capacity () >= 14);
+  check_rules ();
+  pool_finish (&pool);
+}
+
 /* A leader that only the keeper cannot hear: it is listed, and serves on.  */
 static void
 test_unheard_leader (void)
@@ -281,6 +302,7 @@
   static const struct unit_test tests[] = {
     { "forms all", test_forms_all },
     { "mends", test_mends },
+    { "survivors leave", test_survivors_leave },
     { "unheard leader", test_unheard_leader },
     { "cut centre returns", test_cut_centre_returns },
     { "new keeper, unlisted leaders", test_new_keeper_and_unlisted_leaders },
