--- a/src/edge/adapter.h
+++ b/src/edge/adapter.h
@@ -33,6 +33,7 @@
   const char *last_event_id;
   const char *priority_class; /* 0 is served first; 5 when absent.  */
   const char *retry_after;    /* Seconds, with fractions.  */
+  const char *is_leaving; /* "1" in the responses of a leaving endpoint.  */
 };
 
 struct bd_adapter
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -63,13 +63,14 @@
   uint32_t status = bd_http_call_status (call);
   const char *id = header_of (call, names_of (request)->attempt_id);
 
-  if (id != NULL ? strcmp (id, request->attempt_id) == 0
-                 : is_refused (request, call, status))
-    return true;
-  if (request->attempt_id[0] == '\0' && id == NULL)
-    return true;
-  request->is_mismatched = true;
-  return false;
+  bool is_own = id != NULL ? strcmp (id, request->attempt_id) == 0
+                           : is_refused (request, call, status)
+                                 || request->attempt_id[0] == '\0';
+
+  if (is_own)
+    bd_edge_note_head (request->edge, request->endpoint, call, status);
+  request->is_mismatched = !is_own;
+  return is_own;
 }
 
 static bool
--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -27,6 +27,10 @@
   /* A controller that stalls for longer than this gives up its term and has to
      acquire a new one: another daemon may have taken over meanwhile.  */
   MAX_TICK_GAP_MS = 900,
+  /* Time after the store was restored until the instances have listed
+     themselves again, by the protocol.  Before, the list can show members of
+     open groups as free.  */
+  RELISTING_MS = 2200,
   /* Time for which a suspected group is not used, while its members are
      probed.  */
   SUSPECTED_GROUP_MS = 900,
@@ -60,22 +64,6 @@
   return false;
 }
 
-static struct bd_edge_controller *
-find_or_add_controller (struct bd_edge *edge, const char *data_centre)
-{
-  struct bd_edge_controller *controller;
-
-  for (uint32_t i = 0; i < edge->controller_count; i++)
-    if (strcmp (edge->controllers[i].data_centre, data_centre) == 0)
-      return &edge->controllers[i];
-  if (edge->controller_count == BD_EDGE_MAX_DATA_CENTRES)
-    return NULL;
-  controller = &edge->controllers[edge->controller_count++];
-  controller->edge = edge;
-  bd_name_copy (controller->data_centre, data_centre);
-  return controller;
-}
-
 /* Returns the service whose endpoints form groups, or NULL.  There is only one
    such pool.  */
 static const struct bd_route_service *
@@ -110,71 +98,49 @@
     return;
   controller->is_active = false;
   bd_log ("keeper-ended", "data_centre", controller->data_centre, "term",
-          BD_NUM (controller->term), "reason", reason, NULL);
+          BD_NUM (controller->term.number), "reason", reason, NULL);
+}
+
+void
+bd_edge_drop_terms (struct bd_edge *edge, const char *reason)
+{
+  for (uint32_t i = 0; i < edge->controller_count; i++)
+    drop_term (&edge->controllers[i], reason);
 }
 
 static void
-handle_term_written (void *ctx, const struct bd_store_reply *reply)
+handle_term (void *ctx, enum bd_error error)
 {
   struct bd_edge_controller *controller = ctx;
   struct bd_edge *edge = controller->edge;
   const struct bd_route_service *pool = find_pool (edge);
 
-  controller->is_acquiring_term = false;
-  if (reply->error != BD_OK || pool == NULL)
+  if (error != BD_OK || pool == NULL)
     {
       bd_log ("keeper-term-failed", "data_centre", controller->data_centre,
-              "reason", bd_error_name (reply->error), NULL);
+              "reason", bd_error_name (error), NULL);
       return;
     }
   controller->is_active = true;
-  bd_replicas_init (&controller->replicas, controller->term,
+  bd_replicas_init (&controller->replicas, controller->term.token,
                     pool->engine.loads_per_s / data_centre_count (edge),
                     pool->engine.loads_at_once / data_centre_count (edge),
                     edge->rng, bd_edge_now_ms (edge));
   bd_log ("keeper-began", "data_centre", controller->data_centre, "term",
-          BD_NUM (controller->term), NULL);
-}
-
-static void
-handle_term_read (void *ctx, const struct bd_store_reply *reply)
-{
-  struct bd_edge_controller *controller = ctx;
-  struct bd_edge *edge = controller->edge;
-  json_int_t term = json_integer_value (json_object_get (reply->data, "term"));
-  char *key;
-
-  if (reply->error != BD_OK && reply->error != BD_ERR_NOT_FOUND)
-    {
-      controller->is_acquiring_term = false;
-      return;
-    }
-  controller->term = (int64_t)term + 1;
-  key = talloc_asprintf (edge, "%s%s", TERMS_PREFIX, controller->data_centre);
-  bd_store_update (
-      &edge->store, BD_PRIORITY_GROUPS, key, reply->version, reply->envelope,
-      json_pack ("{s:I,s:s}", "term", (json_int_t)controller->term, "holder",
-                 edge->settings->name),
-      TERM_CALL_TIMEOUT_MS, handle_term_written, controller);
-  talloc_free (key);
+          BD_NUM (controller->term.number), "era",
+          BD_NUM (controller->term.era), NULL);
 }
 
 static void
 acquire_term (struct bd_edge_controller *controller)
 {
-  struct bd_edge *edge = controller->edge;
-  int64_t now_ms = bd_edge_now_ms (edge);
-  char *key;
+  int64_t now_ms = bd_edge_now_ms (controller->edge);
 
-  if (controller->is_acquiring_term
+  if (controller->term.is_pending
       || now_ms - controller->term_requested_ms < TERM_RETRY_MS)
     return;
-  controller->is_acquiring_term = true;
   controller->term_requested_ms = now_ms;
-  key = talloc_asprintf (edge, "%s%s", TERMS_PREFIX, controller->data_centre);
-  bd_store_read (&edge->store, BD_PRIORITY_GROUPS, key, TERM_CALL_TIMEOUT_MS,
-                 handle_term_read, controller);
-  talloc_free (key);
+  bd_term_acquire (&controller->term, TERM_CALL_TIMEOUT_MS);
 }
 
 /* An order or a probe in flight.  */
@@ -183,7 +149,7 @@
   struct bd_edge *edge;
   struct bd_edge_controller *controller;
   struct bd_order order; /* Of kind BD_ORDER_NONE for a probe.  */
-  int64_t term;
+  int64_t token;
   int64_t sent_ms;
 };
 
@@ -216,7 +182,7 @@
 {
   struct bd_edge_controller *controller = pending->controller;
 
-  if (!controller->is_active || controller->term != pending->term)
+  if (!controller->is_active || controller->term.token != pending->token)
     return;
   drop_term (controller, "refused");
 }
@@ -230,7 +196,7 @@
   enum bd_order_result outcome = order_result (result);
   int64_t now_ms = bd_edge_now_ms (edge);
 
-  (void)call;
+  bd_edge_note_head (edge, pending->order.endpoint, call, result->status);
   bd_log ("order-answered", "kind", bd_order_name (pending->order.kind),
           "endpoint", pending->order.endpoint, "group", pending->order.group,
           "epoch", BD_NUM (pending->order.epoch), "status",
@@ -283,9 +249,10 @@
   pending->edge = edge;
   pending->controller = controller;
   pending->order = *order;
-  pending->term = controller->term;
+  pending->token = controller->term.token;
   pending->sent_ms = bd_edge_now_ms (edge);
-  out.body = edge->adapter->write_order (pending, order, controller->term);
+  out.body
+      = edge->adapter->write_order (pending, order, controller->term.token);
   out.body_size = out.body != NULL ? strlen (out.body) : 0;
   out.url
       = talloc_asprintf (pending, "http://%s:%u%s", endpoint->entry.address,
@@ -298,7 +265,7 @@
           order->endpoint, "group", order->group, "epoch",
           BD_NUM (order->epoch), "model", order->model, "reason",
           order->reason != NULL ? order->reason : "", "term",
-          BD_NUM (controller->term), NULL);
+          BD_NUM (controller->term.number), NULL);
   if (bd_http_send (&edge->client, &out, &order_ops, pending) == NULL)
     {
       bd_replicas_apply_result (&controller->replicas, &edge->fleet, order,
@@ -333,7 +300,6 @@
   enum bd_liveness before;
   json_t *body;
 
-  (void)call;
   if (endpoint == NULL)
     {
       talloc_free (pending);
@@ -341,6 +307,7 @@
     }
   before = endpoint->liveness;
   endpoint->has_pending_probe = false;
+  bd_edge_note_head (edge, endpoint->entry.id, call, result->status);
   body = result->is_complete && result->status == 200
              ? json_loadb (result->body, result->body_size, 0, NULL)
              : NULL;
@@ -488,6 +455,17 @@
             BD_NUM (now.cold), NULL);
 }
 
+/* Whether the endpoint has asked this daemon to send nothing for now.  Orders
+   and probes that are not sent are due again in the next step.  */
+static bool
+is_closed (const struct bd_edge *edge, const char *id)
+{
+  const struct bd_fleet_endpoint *endpoint
+      = bd_fleet_endpoint (&edge->fleet, id);
+
+  return endpoint != NULL && bd_edge_now_ms (edge) < endpoint->closed_until_ms;
+}
+
 static void
 run_controller (struct bd_edge_controller *controller,
                 const struct bd_route_service *pool)
@@ -510,14 +488,35 @@
   sum_demand (edge, &pool->engine, input.demand);
   count = bd_replicas_step (&controller->replicas, &input, orders, MAX_ORDERS);
   for (uint32_t i = 0; i < count; i++)
-    send_order (controller, &orders[i]);
+    if (!is_closed (edge, orders[i].endpoint))
+      send_order (controller, &orders[i]);
   count = bd_replicas_due_probes (&controller->replicas, &input, ids,
                                   MAX_PROBES);
   for (uint32_t i = 0; i < count; i++)
-    send_probe (edge, ids[i]);
+    if (!is_closed (edge, ids[i]))
+      send_probe (edge, ids[i]);
   log_group_counts (controller, &input);
 }
 
+static struct bd_edge_controller *
+find_or_add_controller (struct bd_edge *edge, const char *data_centre)
+{
+  struct bd_edge_controller *controller;
+
+  for (uint32_t i = 0; i < edge->controller_count; i++)
+    if (strcmp (edge->controllers[i].data_centre, data_centre) == 0)
+      return &edge->controllers[i];
+  if (edge->controller_count == BD_EDGE_MAX_DATA_CENTRES)
+    return NULL;
+  controller = &edge->controllers[edge->controller_count++];
+  controller->edge = edge;
+  bd_name_copy (controller->data_centre, data_centre);
+  bd_term_init (&controller->term, &edge->store,
+                talloc_asprintf (edge, "%s%s", TERMS_PREFIX, data_centre),
+                edge->settings->name, handle_term, controller);
+  return controller;
+}
+
 /* Adds a controller for each data centre of the instance list.  */
 static void
 add_controllers (struct bd_edge *edge, const struct bd_route_service *pool)
@@ -548,7 +547,8 @@
   if (has_stalled)
     bd_fleet_reset_liveness (&edge->fleet, now_ms);
   if (pool == NULL || !edge->fleet.has_list || !edge->has_peer_list
-      || now_ms - edge->started_ms < PEER_DISCOVERY_MS)
+      || now_ms - edge->started_ms < PEER_DISCOVERY_MS
+      || (edge->restored_ms != 0 && now_ms - edge->restored_ms < RELISTING_MS))
     return;
   add_controllers (edge, pool);
   for (uint32_t i = 0; i < edge->controller_count; i++)
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -191,6 +191,7 @@
 start_tables (struct bd_edge *edge)
 {
   bd_fleet_init (&edge->fleet);
+  bd_edge_start_directory (edge);
   bd_poison_init (&edge->poison_requests, POISON_RECORD_MS);
   edge->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
@@ -212,6 +213,8 @@
                  settings->reads_per_s, settings->writes_per_s);
   edge->store.call_timeout_ms = STORE_TIMEOUT_MS;
   edge->store.max_backoff_ms = STORE_BACKOFF_MS;
+  edge->store.on_era = bd_edge_handle_era;
+  edge->store.era_ctx = edge;
   return true;
 }
 
@@ -359,7 +362,7 @@
   g_hash_table_destroy (edge->services);
   bd_fleet_finish (&edge->fleet);
   json_decref (edge->config);
-  json_decref (edge->instances);
+  bd_directory_finish (&edge->directory);
   bd_histograms_finish (&edge->histograms);
   gsl_rng_free (edge->rng);
   talloc_free (edge);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -11,6 +11,7 @@
 #include "base/ticker.h"
 #include "calls/call.h"
 #include "calls/sse.h"
+#include "directory/directory.h"
 #include "edge/edge.h"
 #include "fleet/fleet.h"
 #include "http/client.h"
@@ -20,6 +21,7 @@
 #include "poison/poison.h"
 #include "replicas/replicas.h"
 #include "store/client.h"
+#include "store/term.h"
 #include "wire/peers.h"
 
 enum
@@ -120,9 +122,8 @@
 {
   struct bd_edge *edge;
   char data_centre[BD_NAME_SIZE];
-  bool is_active;         /* This daemon owns the term.  */
-  bool is_acquiring_term; /* A store call for the term is pending.  */
-  int64_t term;
+  bool is_active; /* This daemon owns the term.  */
+  struct bd_term term;
   int64_t term_requested_ms;
   struct bd_replicas replicas;
   struct bd_replicas_summary last_summary; /* Last one logged.  */
@@ -167,6 +168,7 @@
   /* When the configuration was last known to be the newest: the time at which
      this daemon or a peer sent the read that returned it.  */
   int64_t config_verified_ms;
+  int64_t highest_config_version; /* Of all daemons, by their status.  */
   int64_t config_read_started_ms; /* Start of the last read.  */
   int64_t config_watch_revision; /* Where the next watch starts; 0 for none. */
   bool is_reading_config;
@@ -174,9 +176,9 @@
 
   /* Instance list.  */
   struct bd_fleet fleet;
-  json_t *instances;                /* Id -> {revision, value}.  */
+  struct bd_directory directory;
+  bool has_list_changed;            /* The groups have to be rebuilt.  */
   int64_t instances_verified_ms;    /* As config_verified_ms.  */
-  int64_t instances_revision;       /* Store revision of the last change.  */
   int64_t instances_watch_revision; /* As config_watch_revision.  */
   int64_t instances_watch_started_ms;
   bool is_listing;
@@ -189,13 +191,17 @@
   bool is_registered;      /* This daemon's entry is in the store.  */
   bool has_peer_list;
   bool is_registering;
-  int64_t register_started_ms;
+  int64_t register_period_ms; /* 0 before the first call.  */
+  int64_t register_due_ms;
   int64_t freshness_requested_ms;
+  char freshness_peer[BD_NAME_SIZE]; /* The peer whose log is followed.  */
+  uint32_t freshness_unanswered; /* Requests since its last fresh reply.  */
   uint32_t freshness_peer_index;
 
   struct bd_edge_controller controllers[BD_EDGE_MAX_DATA_CENTRES];
   uint32_t controller_count;
   int64_t controller_tick_ms;
+  int64_t restored_ms; /* When the store was last restored; 0 if never.  */
 
   GHashTable *services; /* Name -> struct bd_edge_service.  */
   struct bd_edge_work work[BD_ENGINE_MAX_MODELS];
@@ -332,6 +338,16 @@
 void bd_edge_note_refusal (struct bd_edge_request *request, const char *load,
                            int64_t backoff_ms);
 
+/* bd_edge_note_head(): reads what the head of an endpoint's response says
+   about the endpoint itself: that it leaves, or that it wants no requests for
+   some time.  */
+void bd_edge_note_head (struct bd_edge *edge, const char *endpoint,
+                        const struct bd_http_call *call, uint32_t status);
+
+/* bd_edge_receive_leaving(): a peer has learned that an endpoint leaves.  */
+void bd_edge_receive_leaving (struct bd_edge *edge,
+                              const struct bd_leaving_update *update);
+
 /* bd_edge_count_slots(): the slots of all usable groups of the model, or of
    the listed endpoints of the service when it has no such model.  */
 uint32_t bd_edge_count_slots (struct bd_edge *edge, const char *service,
@@ -391,6 +407,28 @@
    peers that are due.  */
 void bd_edge_sync (void *ctx);
 
+/* bd_edge_start_directory(): prepares the copy of the instance list.  */
+void bd_edge_start_directory (struct bd_edge *edge);
+
+/* bd_edge_apply_config(): applies a configuration unless its version is lower
+   than the current one.  verified_ms is when it was known to be the newest.
+ */
+void bd_edge_apply_config (struct bd_edge *edge, json_t *value,
+                           int64_t verified_ms);
+
+/* bd_edge_note_list(): to be called after changes of the directory, which was
+   verified at verified_ms (0: not).  */
+void bd_edge_note_list (struct bd_edge *edge, int64_t verified_ms);
+
+/* bd_edge_handle_era(): the store was restored from a copy.  */
+void bd_edge_handle_era (void *ctx, int64_t era);
+
+/* freshness.c: follows the configuration and the list of a peer.  */
+
+/* bd_edge_request_freshness(): asks a peer when the configuration or the list
+   is too old.  is_reader: this daemon reads the store itself.  */
+void bd_edge_request_freshness (struct bd_edge *edge, bool is_reader);
+
 /* bd_edge_receive_freshness_reply(): applies the configuration, the list and
    their ages from a peer's reply.  */
 void bd_edge_receive_freshness_reply (struct bd_edge *edge,
@@ -400,6 +438,18 @@
 void bd_edge_send_freshness_reply (struct bd_edge *edge,
                                    const struct bd_freshness_request *request);
 
+/* register.c: registers this daemon in the store.  */
+
+/* bd_edge_register(): starts the store call that is due.  */
+void bd_edge_register (struct bd_edge *edge);
+
+/* bd_edge_register_again(): the store has lost this daemon's entry.  */
+void bd_edge_register_again (struct bd_edge *edge);
+
+/* bd_edge_is_finding_peers(): whether the daemon has just started and does not
+   know the others yet.  */
+bool bd_edge_is_finding_peers (const struct bd_edge *edge);
+
 /* peers.c: messages between daemons.  */
 
 /* bd_edge_start_peers(): listens for messages; false when it cannot.  */
@@ -437,6 +487,9 @@
    runs a step for each data centre that this daemon controls.  */
 void bd_edge_run_controllers (void *ctx);
 
+/* bd_edge_drop_terms(): gives up all terms.  */
+void bd_edge_drop_terms (struct bd_edge *edge, const char *reason);
+
 /* bd_edge_is_controller_of(): whether this daemon owns the term of the data
    centre.  */
 bool bd_edge_is_controller_of (const struct bd_edge *edge,
--- a/src/edge/edge_test.c
+++ b/src/edge/edge_test.c
@@ -301,6 +301,123 @@
   site_finish (&site);
 }
 
+/* Whether the store has the daemon's own entry.  */
+static bool
+is_registered (struct site *s)
+{
+  return json_object_get (json_object_get (s->objects, "bd-daemons"), "edge-1")
+         != NULL;
+}
+
+static json_int_t
+stored_term (struct site *s)
+{
+  const json_t *term
+      = json_object_get (json_object_get (s->objects, "bd-terms"), "a");
+  const json_t *data
+      = json_object_get (json_object_get (term, "Spec"), "data");
+
+  return json_integer_value (json_object_get (data, "term"));
+}
+
+static bool
+has_term (struct site *s)
+{
+  return stored_term (s) > 0;
+}
+
+/* The store comes back from a copy that is older than the configuration, the
+   daemon's entry and its term.  A revoked key stays refused, the daemon writes
+   itself in again and acquires another term, and what runs is served.  */
+static void
+test_store_restored (void)
+{
+  json_t *copy;
+
+  site_start (&site, 1, 4);
+  copy = site_copy_store (&site);
+  CU_ASSERT_TRUE (site_run (&site, site_has_groups, 10000));
+  CU_ASSERT_TRUE (is_registered (&site));
+  CU_ASSERT_TRUE (has_term (&site));
+  site_revoke_key (&site);
+  CU_ASSERT_TRUE (site_run (&site, is_key_refused, 5000));
+  site_restore_store (&site, copy);
+  CU_ASSERT_FALSE (is_registered (&site));
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      CU_ASSERT_NOT_EQUAL (
+          site_call (&site, "GET", "/safe/x", "k1", NULL)->status, 200);
+      site_wait (&site, 150);
+    }
+  /* The operator and the workers write again what they wrote.  */
+  site_publish (&site);
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    site_list_worker (&site.workers[i]);
+  CU_ASSERT_TRUE (site_run (&site, is_registered, 8000));
+  CU_ASSERT_TRUE (site_run (&site, has_term, 8000));
+  CU_ASSERT_TRUE (site_run (&site, site_has_groups, 8000));
+  CU_ASSERT_TRUE (is_key_refused (&site));
+  CU_ASSERT_EQUAL (site_call (&site, "GET", "/safe/x", "k2", NULL)->status,
+                   200);
+  CU_ASSERT_TRUE (is_stream_complete (
+      site_call (&site, "POST", "/stream/x", "k2", "m")->body));
+  CU_ASSERT_EQUAL (site.partial_runs, 0);
+  CU_ASSERT_EQUAL (site.stolen_joins, 0);
+  site_finish (&site);
+}
+
+/* A worker that says in a response that it leaves gets no more requests,
+   though the list shows it as ready.  */
+static void
+test_leaving_worker (void)
+{
+  uint32_t before;
+
+  site_start (&site, 2, 0);
+  CU_ASSERT_TRUE (site_run (&site, site_is_ready, 5000));
+  site.workers[0].is_leaving = true;
+  for (uint32_t i = 0; i < 20 && site.workers[0].request_count == 0; i++)
+    site_call (&site, "GET", "/safe/x", "k1", NULL);
+  before = site.workers[0].request_count;
+  CU_ASSERT_EQUAL (before, 1);
+  site_wait (&site, 1500);
+  for (uint32_t i = 0; i < 20; i++)
+    CU_ASSERT_EQUAL (site_call (&site, "GET", "/safe/x", "k1", NULL)->status,
+                     200);
+  CU_ASSERT_EQUAL (site.workers[0].request_count, before);
+  site_finish (&site);
+}
+
+/* A worker that refuses with a Retry-After gets no requests until then.  */
+static void
+test_closed_worker (void)
+{
+  uint32_t before;
+
+  site_start (&site, 2, 0);
+  CU_ASSERT_TRUE (site_run (&site, site_is_ready, 5000));
+  site.workers[0].mode = WORKER_FULL;
+  site.workers[0].retry_after = "1.5";
+  for (uint32_t i = 0; i < 20 && site.workers[0].request_count == 0; i++)
+    site_call (&site, "GET", "/safe/x", "k1", NULL);
+  before = site.workers[0].request_count;
+  for (uint32_t i = 0; i < 12; i++)
+    {
+      CU_ASSERT_EQUAL (site_call (&site, "GET", "/safe/x", "k1", NULL)->status,
+                       200);
+      site_wait (&site, 100);
+    }
+  CU_ASSERT_EQUAL (site.workers[0].request_count, before);
+  site.workers[0].mode = WORKER_HEALTHY;
+  site_wait (&site, 900);
+  /* More requests at once than the other worker takes.  */
+  for (uint32_t i = 0; i < 10; i++)
+    site_start_call (&site, "GET", "/safe/x", "k1", NULL);
+  site_wait (&site, 500);
+  CU_ASSERT_TRUE (site.workers[0].request_count > before);
+  site_finish (&site);
+}
+
 /* While groups stall, requests in the backlog end in any order.  The watchdog
    must not continue with a request that has been freed.  */
 static void
@@ -334,6 +451,9 @@
     { "history gone", test_history_compacted },
     { "key changes account", test_key_changes_account },
     { "planned stop", test_planned_stop },
+    { "store restored from a copy", test_store_restored },
+    { "leaving worker", test_leaving_worker },
+    { "closed worker", test_closed_worker },
     { "stalled groups with backlog", test_stalled_groups_with_backlog },
   };
 
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -186,6 +186,8 @@
               NULL);
     }
   peer->last_received_ms = now_ms;
+  if (status->config_version > edge->highest_config_version)
+    edge->highest_config_version = status->config_version;
   edge->has_traffic = edge->has_traffic || status->has_traffic;
   talloc_free (peer->targets);
   talloc_free (peer->work);
@@ -229,6 +231,9 @@
     case BD_MESSAGE_SUSPICION:
       bd_edge_receive_suspicion (edge, message);
       break;
+    case BD_MESSAGE_LEAVING:
+      bd_edge_receive_leaving (edge, message);
+      break;
     case BD_MESSAGE_POISON:
       receive_poison_update (edge, message);
       break;
--- a/src/edge/sync.c
+++ b/src/edge/sync.c
@@ -2,41 +2,65 @@
 
    Both are read periodically, because only the reply to a read shows which
    version is the newest.  Watches deliver changes between reads, but a watch
-   without changes does not show that there are none.  A daemon that cannot
-   reach the store asks its peers.  */
+   without changes does not show that there are none.  In a large data centre
+   only its relays read the store; the others follow them, see freshness.c.  */
 
 #include "edge/edge_internal.h"
 
-#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
 enum
 {
-  /* Period of the reads of the configuration and of the list: half of
-     config_apply_ms and of drain_ms, so that one reply may be lost.  */
-  READ_PERIOD_MS = 1000,
   STORE_CALL_TIMEOUT_MS = 1500,
   WATCH_WAIT_MS = 4000,
   /* Minimum time between watches of the list in a large data centre: each
      watch is a store call, and changes within this time arrive in one.  */
   WATCH_INTERVAL_MS = 250,
-  /* Age of this daemon's own data above which it asks a peer: two read
-     periods.  */
-  FRESHNESS_AFTER_MS = 2200,
-  /* Minimum time between two freshness requests.  */
-  FRESHNESS_PERIOD_MS = 250,
+  /* Limits of the read period.  */
+  MIN_READ_PERIOD_MS = 250,
+  MAX_READ_PERIOD_MS = 2000,
+  /* Reads within the time after which a key must not be accepted any more.  */
+  READS_PER_REVOCATION = 4,
+  /* Time of the way from a relay to the daemons that follow it.  */
+  RELAY_DELAY_MS = 1000,
   /* Up to this number of live daemons in a data centre, each of them reads the
      store.  */
   MAX_READERS = 3,
-  /* Age of the data from a relay at which the relay is asked again, and at
-     which a daemon reads the store itself.  */
-  RELAY_PERIOD_MS = 500,
+  /* Age of the data from a relay at which a daemon reads the store itself.  */
   OWN_READ_AFTER_MS = 2000
 };
 
-/* Objects of burdockdale in the store: one for each daemon.  */
-#define DAEMONS_PREFIX "bd-daemons/"
+static int64_t
+min_ms (int64_t a, int64_t b)
+{
+  return a < b ? a : b;
+}
+
+static bool
+is_large_data_centre (const struct bd_edge *edge)
+{
+  return bd_membership_count_live (&edge->membership,
+                                   edge->settings->data_centre)
+         > MAX_READERS;
+}
+
+/* Half of the time in which a change has to be in force, so that one reply may
+   be lost.  */
+static int64_t
+read_period_ms (const struct bd_edge *edge)
+{
+  const struct bd_edge_bounds *bounds = &edge->settings->bounds;
+  int64_t bound_ms = min_ms (bounds->config_apply_ms, bounds->drain_ms);
+  int64_t period_ms;
+
+  if (is_large_data_centre (edge))
+    bound_ms -= RELAY_DELAY_MS;
+  period_ms = min_ms (bound_ms / 2, bounds->revoke_ms / READS_PER_REVOCATION);
+  if (period_ms < MIN_READ_PERIOD_MS)
+    return MIN_READ_PERIOD_MS;
+  return min_ms (period_ms, MAX_READ_PERIOD_MS);
+}
 
 /* Records whether the store is reachable.  When it is reachable again, entries
    of the list may have expired during the outage; the fleet then keeps them
@@ -60,10 +84,8 @@
           BD_NUM (now_ms - edge->instances_verified_ms), NULL);
 }
 
-/* Applies a configuration unless its version is lower than the current one.
-   verified_ms is when it was known to be the newest.  */
-static void
-apply_config (struct bd_edge *edge, json_t *value, int64_t verified_ms)
+void
+bd_edge_apply_config (struct bd_edge *edge, json_t *value, int64_t verified_ms)
 {
   int64_t current_version = edge->routes != NULL ? edge->routes->version : 0;
   struct bd_routes *routes;
@@ -81,7 +103,10 @@
       talloc_free (routes);
       return;
     }
-  if (verified_ms > edge->config_verified_ms)
+  /* A lower version than a peer holds is not the newest: the store may have
+     been restored from a copy.  */
+  if (verified_ms > edge->config_verified_ms
+      && routes->version >= edge->highest_config_version)
     edge->config_verified_ms = verified_ms;
   if (routes == edge->routes)
     return;
@@ -112,7 +137,8 @@
       const char *key = json_string_value (json_object_get (item, "key"));
 
       if (key != NULL && strcmp (key, edge->adapter->configuration_key) == 0)
-        apply_config (edge, json_object_get (item, "value"), reply->sent_ms);
+        bd_edge_apply_config (edge, json_object_get (item, "value"),
+                              reply->sent_ms);
     }
   if (!edge->is_watching_config)
     edge->config_watch_revision = reply->revision;
@@ -144,51 +170,83 @@
     read_config (edge);
 }
 
-/* Adds an entry of the list, or of a watch, to a list of instances.  */
+/* Listener of the directory: passes a change of the list to the fleet.  */
 static void
-put_entry (const json_t *item, json_t *into)
+handle_change (void *ctx, const struct bd_directory_record *record)
 {
-  const char *name = json_string_value (json_object_get (item, "name"));
+  struct bd_edge *edge = ctx;
+  int64_t now_ms = bd_edge_now_ms (edge);
 
-  if (name != NULL)
-    json_object_set_new (into, name,
-                         json_pack ("{s:O,s:O}", "revision",
-                                    json_object_get (item, "version"), "value",
-                                    json_object_get (item, "value")));
+  edge->has_list_changed = true;
+  if (!record->is_removed)
+    {
+      bd_fleet_put (&edge->fleet, &record->entry, now_ms);
+      return;
+    }
+  bd_log ("instance-gone", "instance", record->entry.id, NULL);
+  bd_fleet_remove (&edge->fleet, record->entry.id, now_ms);
 }
 
-/* Replaces the list and passes all of it to the fleet.  */
-static void
-apply_instances (struct bd_edge *edge, json_t *instances, int64_t verified_ms)
+void
+bd_edge_start_directory (struct bd_edge *edge)
+{
+  uint64_t log = bd_random_u64 (edge->rng);
+
+  bd_directory_init (&edge->directory, log != 0 ? log : 1, handle_change,
+                     edge);
+}
+
+void
+bd_edge_note_list (struct bd_edge *edge, int64_t verified_ms)
 {
-  size_t size = json_object_size (instances);
-  struct bd_endpoint_entry *entries
-      = talloc_array (edge, struct bd_endpoint_entry, size + 1);
-  uint32_t count = 0;
-  const char *name;
-  json_t *item;
-
-  json_object_foreach (instances, name, item)
-    if (edge->adapter->read_entry (name, json_object_get (item, "value"),
-                                   &entries[count]))
-      count++;
-  bd_fleet_replace (&edge->fleet, entries, count, bd_edge_now_ms (edge));
-  bd_fleet_refresh (&edge->fleet);
-  talloc_free (entries);
-  /* instances may be edge->instances itself.  */
-  json_incref (instances);
-  json_decref (edge->instances);
-  edge->instances = instances;
   if (verified_ms > edge->instances_verified_ms)
     edge->instances_verified_ms = verified_ms;
+  edge->fleet.has_list = edge->fleet.has_list || edge->directory.is_complete;
+  if (!edge->has_list_changed)
+    return;
+  edge->has_list_changed = false;
+  bd_fleet_refresh (&edge->fleet);
   bd_edge_dispatch_backlogs (edge);
 }
 
+/* Removes the endpoints that the list lacks and that the fleet has kept.  */
+static void
+reapply_list (struct bd_edge *edge)
+{
+  int64_t now_ms = bd_edge_now_ms (edge);
+  GHashTableIter iter;
+  gpointer id;
+
+  edge->is_reapply_pending = false;
+  g_hash_table_iter_init (&iter, edge->fleet.endpoints);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    if (!bd_directory_lists (&edge->directory, id))
+      bd_fleet_remove (&edge->fleet, id, now_ms);
+  bd_fleet_expire (&edge->fleet, now_ms);
+  edge->has_list_changed = true;
+  bd_edge_note_list (edge, 0);
+}
+
+static void
+put_item (struct bd_edge *edge, const json_t *item, int64_t era)
+{
+  const char *name = json_string_value (json_object_get (item, "name"));
+  int64_t revision = json_integer_value (json_object_get (item, "version"));
+  struct bd_endpoint_entry entry;
+
+  if (name == NULL)
+    return;
+  if (json_is_true (json_object_get (item, "is_deleted")))
+    bd_directory_remove (&edge->directory, name, era, revision);
+  else if (edge->adapter->read_entry (name, json_object_get (item, "value"),
+                                      &entry))
+    bd_directory_put (&edge->directory, &entry, era, revision);
+}
+
 static void
 handle_list (void *ctx, const struct bd_store_reply *reply)
 {
   struct bd_edge *edge = ctx;
-  json_t *instances;
   const json_t *item;
   size_t i;
 
@@ -196,13 +254,14 @@
   set_store_unreachable (edge, reply->error != BD_OK);
   if (reply->error != BD_OK)
     return;
-  instances = json_object ();
+  bd_directory_begin_list (&edge->directory, reply->era, reply->revision);
   json_array_foreach (reply->items, i, item)
-    put_entry (item, instances);
-  if (edge->instances == NULL || !json_equal (instances, edge->instances))
-    edge->instances_revision = reply->revision;
-  apply_instances (edge, instances, reply->sent_ms);
-  json_decref (instances);
+    put_item (edge, item, reply->era);
+  bd_directory_end_list (&edge->directory);
+  edge->has_list_changed
+      = bd_fleet_expire (&edge->fleet, bd_edge_now_ms (edge))
+        || edge->has_list_changed;
+  bd_edge_note_list (edge, reply->sent_ms);
   if (!edge->is_watching_instances)
     edge->instances_watch_revision = reply->revision;
 }
@@ -211,43 +270,12 @@
 list_instances (struct bd_edge *edge)
 {
   edge->is_listing = true;
+  edge->list_started_ms = bd_edge_now_ms (edge);
   bd_store_list (&edge->store, BD_PRIORITY_GROUPS,
                  edge->adapter->instances_prefix, STORE_CALL_TIMEOUT_MS,
                  handle_list, edge);
 }
 
-/* Whether a watch event is at least as new as the stored entry; a watch may
-   lag behind the list.  */
-static bool
-is_newer (const struct bd_edge *edge, const char *name, const json_t *item)
-{
-  const json_t *stored = json_object_get (edge->instances, name);
-
-  return json_integer_value (json_object_get (item, "version"))
-         >= json_integer_value (json_object_get (stored, "revision"));
-}
-
-static void
-apply_event (struct bd_edge *edge, const json_t *item)
-{
-  const char *name = json_string_value (json_object_get (item, "name"));
-  struct bd_endpoint_entry entry;
-
-  if (name == NULL || edge->instances == NULL || !is_newer (edge, name, item))
-    return;
-  if (json_is_true (json_object_get (item, "is_deleted")))
-    {
-      bd_log ("instance-gone", "instance", name, NULL);
-      json_object_del (edge->instances, name);
-      bd_fleet_remove (&edge->fleet, name, bd_edge_now_ms (edge));
-      return;
-    }
-  put_entry (item, edge->instances);
-  if (edge->adapter->read_entry (name, json_object_get (item, "value"),
-                                 &entry))
-    bd_fleet_put (&edge->fleet, &entry, bd_edge_now_ms (edge));
-}
-
 static void
 handle_instances_watch (void *ctx, const struct bd_store_reply *reply)
 {
@@ -262,24 +290,18 @@
       return;
     }
   edge->instances_watch_revision = reply->revision;
-  json_array_foreach (reply->items, i, item)
-    apply_event (edge, item);
-  if (json_array_size (reply->items) == 0)
+  if (!edge->directory.is_complete)
     return;
-  edge->instances_revision = reply->revision;
-  bd_fleet_refresh (&edge->fleet);
-  bd_edge_dispatch_backlogs (edge);
+  json_array_foreach (reply->items, i, item)
+    put_item (edge, item, reply->era);
+  bd_edge_note_list (edge, 0);
 }
 
 /* A small data centre watches without a pause: it needs few store calls.  */
 static int64_t
 watch_interval_ms (const struct bd_edge *edge)
 {
-  return bd_membership_count_live (&edge->membership,
-                                   edge->settings->data_centre)
-                 > MAX_READERS
-             ? WATCH_INTERVAL_MS
-             : 0;
+  return is_large_data_centre (edge) ? WATCH_INTERVAL_MS : 0;
 }
 
 static void
@@ -304,250 +326,44 @@
     }
 }
 
-/* Whether this daemon reads the store.  In a large data centre two daemons,
-   the relays, read it for all, because store calls are expensive and their
-   rate limits do not grow with the fleet.  The others ask the relays, and read
-   the store only when their own data is too old.  */
-static bool
-should_read_store (struct bd_edge *edge)
-{
-  const struct bd_membership *membership = &edge->membership;
-  int64_t now_ms = bd_edge_now_ms (edge);
-
-  return bd_membership_count_live (membership, edge->settings->data_centre)
-             <= MAX_READERS
-         || bd_membership_is_relay (membership, &membership->members[0])
-         || now_ms - edge->config_verified_ms >= OWN_READ_AFTER_MS
-         || now_ms - edge->instances_verified_ms >= OWN_READ_AFTER_MS;
-}
-
-/* Returns the peer to ask: each live peer in turn, or each relay of this data
-   centre in turn when is_relay_required.  */
-static const struct bd_member *
-next_peer (struct bd_edge *edge, bool is_relay_required)
-{
-  const struct bd_membership *membership = &edge->membership;
-
-  for (uint32_t i = 0; i < membership->count; i++)
-    {
-      const struct bd_member *member;
-
-      if (!is_relay_required || i > 0)
-        edge->freshness_peer_index
-            = (edge->freshness_peer_index + 1) % membership->count;
-      member = &membership
-                    ->members[edge->freshness_peer_index % membership->count];
-      if (member == &membership->members[0] || !member->is_live)
-        continue;
-      if (!is_relay_required
-          || (strcmp (member->data_centre, edge->settings->data_centre) == 0
-              && bd_membership_is_relay (membership, member)))
-        return member;
-    }
-  return NULL;
-}
-
-/* Sends a freshness request to a peer when the configuration or the list is
-   too old.  */
-static void
-request_freshness (struct bd_edge *edge, bool is_reader)
-{
-  int64_t now_ms = bd_edge_now_ms (edge);
-  int64_t after_ms = is_reader ? FRESHNESS_AFTER_MS : RELAY_PERIOD_MS;
-  bool is_config_old = now_ms - edge->config_verified_ms >= after_ms;
-  bool is_list_old = now_ms - edge->instances_verified_ms >= after_ms;
-  const struct bd_member *peer;
-  struct bd_freshness_request request
-      = { .sent_ms = now_ms,
-          .config_version = edge->routes != NULL ? edge->routes->version : 0,
-          .wants_instances = is_list_old,
-          .instances_stamp = edge->instances_revision };
-
-  if ((!is_config_old && !is_list_old)
-      || now_ms - edge->freshness_requested_ms < FRESHNESS_PERIOD_MS)
-    return;
-  edge->freshness_requested_ms = now_ms;
-  bd_name_copy (request.from, edge->settings->name);
-  /* When the relays do not reply, any peer is asked.  */
-  peer = next_peer (edge, !is_reader
-                              && now_ms - edge->config_verified_ms
-                                     < 2 * RELAY_PERIOD_MS);
-  if (peer != NULL)
-    bd_edge_send_to_peer (edge, peer, BD_MESSAGE_FRESHNESS_REQUEST, &request);
-}
-
 void
-bd_edge_send_freshness_reply (struct bd_edge *edge,
-                              const struct bd_freshness_request *request)
-{
-  const struct bd_member *member
-      = bd_membership_find (&edge->membership, request->from);
-  int64_t now_ms = bd_edge_now_ms (edge);
-  char *config = NULL;
-  char *instances = NULL;
-  struct bd_freshness_reply reply
-      = { .sent_ms = request->sent_ms,
-          .config_age_ms = now_ms - edge->config_verified_ms,
-          .instances_age_ms = now_ms - edge->instances_verified_ms,
-          .instances_stamp = edge->instances_revision };
-
-  if (member == NULL || edge->routes == NULL)
-    return;
-  reply.config_version = edge->routes->version;
-  if (request->config_version < edge->routes->version)
-    config = json_dumps (edge->config, JSON_COMPACT);
-  if (request->wants_instances && edge->instances != NULL
-      && request->instances_stamp != edge->instances_revision)
-    instances = json_dumps (edge->instances, JSON_COMPACT);
-  reply.config = config != NULL ? config : "";
-  reply.instances = instances != NULL ? instances : "";
-  bd_edge_send_to_peer (edge, member, BD_MESSAGE_FRESHNESS_REPLY, &reply);
-  free (config);
-  free (instances);
-}
-
-void
-bd_edge_receive_freshness_reply (struct bd_edge *edge,
-                                 const struct bd_freshness_reply *reply)
-{
-  /* The peer's ages are counted back from the sending of the request, the
-     earliest time at which the peer can have computed them.  */
-  int64_t config_ms = reply->sent_ms - reply->config_age_ms;
-  int64_t instances_ms = reply->sent_ms - reply->instances_age_ms;
-  json_t *value;
-
-  if (reply->config[0] != '\0')
-    {
-      value = json_loads (reply->config, 0, NULL);
-      if (value != NULL)
-        apply_config (edge, value, config_ms);
-      json_decref (value);
-    }
-  else if (edge->routes != NULL
-           && edge->routes->version == reply->config_version
-           && config_ms > edge->config_verified_ms)
-    edge->config_verified_ms = config_ms;
-  if (instances_ms <= edge->instances_verified_ms)
-    return;
-  if (reply->instances[0] == '\0')
-    {
-      /* The peer has the same list.  */
-      if (reply->instances_stamp == edge->instances_revision
-          && edge->instances != NULL)
-        edge->instances_verified_ms = instances_ms;
-      return;
-    }
-  value = json_loads (reply->instances, 0, NULL);
-  if (value != NULL)
-    {
-      edge->instances_revision = reply->instances_stamp;
-      apply_instances (edge, value, instances_ms);
-    }
-  json_decref (value);
-}
-
-static void
-add_daemons (struct bd_edge *edge, const json_t *items, const json_t **own)
-{
-  const json_t *item;
-  size_t i;
-
-  bd_membership_clear_listed (&edge->membership);
-  json_array_foreach (items, i, item)
-    {
-      const json_t *envelope = json_object_get (item, "value");
-      const json_t *data = bd_envelope_data (envelope);
-      const char *name = json_string_value (json_object_get (item, "name"));
-      const char *address
-          = json_string_value (json_object_get (data, "address"));
-      const char *data_centre
-          = json_string_value (json_object_get (data, "data_centre"));
-      json_int_t port
-          = json_integer_value (json_object_get (data, "peer_port"));
-
-      if (name == NULL || address == NULL || data_centre == NULL || port <= 0)
-        continue;
-      if (strcmp (name, edge->settings->name) == 0)
-        *own = item;
-      else
-        bd_membership_add (&edge->membership, name, data_centre, address,
-                           (uint32_t)port)
-            ->is_listed
-            = true;
-    }
-}
-
-static void
-handle_registered (void *ctx, const struct bd_store_reply *reply)
+bd_edge_handle_era (void *ctx, int64_t era)
 {
   struct bd_edge *edge = ctx;
+  int64_t now_ms = bd_edge_now_ms (edge);
 
-  edge->is_registered = reply->error == BD_OK;
-  if (!edge->is_registered)
-    bd_log ("register-failed", "reason", bd_error_name (reply->error), NULL);
-}
-
-static void
-handle_daemons (void *ctx, const struct bd_store_reply *reply)
-{
-  struct bd_edge *edge = ctx;
-  const struct bd_edge_settings *settings = edge->settings;
-  const json_t *own = NULL;
-  const json_t *envelope;
-  char *key;
-
-  edge->is_registering = false;
-  if (reply->error != BD_OK)
-    return;
-  /* Daemons that start together find each other only once all are
-     registered.  */
-  edge->has_peer_list = edge->is_registered;
-  add_daemons (edge, reply->items, &own);
-  envelope = json_object_get (own, "value");
-  if (own != NULL
-      && strcmp (json_string_value (
-                     json_object_get (bd_envelope_data (envelope), "address")),
-                 settings->address)
-             == 0)
-    {
-      edge->is_registered = true;
-      return;
-    }
-  key = talloc_asprintf (edge, "%s%s", DAEMONS_PREFIX, settings->name);
-  bd_store_update (
-      &edge->store, BD_PRIORITY_STATUS, key,
-      json_integer_value (json_object_get (own, "version")), envelope,
-      json_pack ("{s:s,s:s,s:i}", "address", settings->address, "data_centre",
-                 settings->data_centre, "peer_port", (int)settings->peer_port),
-      STORE_CALL_TIMEOUT_MS, handle_registered, edge);
-  talloc_free (key);
+  bd_log ("store-restored", "era", BD_NUM (era), "list_age_ms",
+          BD_NUM (now_ms - edge->instances_verified_ms), NULL);
+  edge->restored_ms = now_ms;
+  edge->config_watch_revision = 0;
+  edge->instances_watch_revision = 0;
+  edge->config_read_started_ms = 0;
+  edge->list_started_ms = 0;
+  /* Instances write themselves in again, as after an outage.  */
+  bd_fleet_mark_store_restored (&edge->fleet, now_ms);
+  edge->is_reapply_pending = true;
+  bd_edge_register_again (edge);
+  bd_edge_drop_terms (edge, "store restored from a copy");
 }
 
-/* Registers this daemon in the store and reads the entries of the others.
-   Daemons that are missing there become known by their status messages.  */
-static void
-register_daemon (struct bd_edge *edge)
+/* Whether this daemon reads the store.  In a large data centre two daemons,
+   the relays, read it for all, because store calls are expensive and their
+   rate limits do not grow with the fleet.  The others read the store only when
+   their own data is too old.  */
+static bool
+should_read_store (struct bd_edge *edge)
 {
-  enum
-  {
-    RETRY_MS = 400,
-    REFRESH_MS = 15000,
-    /* The daemons of a fleet start within this time of each other.  */
-    STARTUP_MS = 3000
-  };
+  const struct bd_membership *membership = &edge->membership;
   int64_t now_ms = bd_edge_now_ms (edge);
-  bool is_starting = now_ms - edge->started_ms < STARTUP_MS;
-  int64_t period_ms
-      = edge->has_peer_list && !is_starting ? REFRESH_MS : RETRY_MS;
+  int64_t old_ms = now_ms - OWN_READ_AFTER_MS;
 
-  if (edge->is_registering || now_ms - edge->register_started_ms < period_ms)
-    return;
-  edge->is_registering = true;
-  edge->register_started_ms = now_ms;
-  /* An old reply is good enough: daemons that it lacks soon send status
-     messages.  */
-  bd_store_list_stale (&edge->store, BD_PRIORITY_CONFIG, DAEMONS_PREFIX,
-                       STORE_CALL_TIMEOUT_MS, handle_daemons, edge);
+  if (bd_edge_is_finding_peers (edge))
+    return false;
+  return !is_large_data_centre (edge)
+         || bd_membership_is_relay (membership, &membership->members[0])
+         || (edge->started_ms <= old_ms
+             && (edge->config_verified_ms <= old_ms
+                 || edge->instances_verified_ms <= old_ms));
 }
 
 void
@@ -555,25 +371,20 @@
 {
   struct bd_edge *edge = ctx;
   int64_t now_ms = bd_edge_now_ms (edge);
+  int64_t period_ms = read_period_ms (edge);
   bool is_reader = should_read_store (edge);
 
-  register_daemon (edge);
+  bd_edge_register (edge);
   if (is_reader && !edge->is_reading_config
-      && now_ms - edge->config_read_started_ms >= READ_PERIOD_MS)
+      && now_ms - edge->config_read_started_ms >= period_ms)
     read_config (edge);
   if (is_reader && !edge->is_listing
-      && now_ms - edge->list_started_ms >= READ_PERIOD_MS)
-    {
-      edge->list_started_ms = now_ms;
-      list_instances (edge);
-    }
+      && now_ms - edge->list_started_ms >= period_ms)
+    list_instances (edge);
   if (edge->is_reapply_pending && !edge->is_store_unreachable
-      && now_ms >= edge->fleet.retain_until_ms && edge->instances != NULL)
-    {
-      edge->is_reapply_pending = false;
-      apply_instances (edge, edge->instances, edge->instances_verified_ms);
-    }
+      && now_ms >= edge->fleet.retain_until_ms && edge->directory.is_complete)
+    reapply_list (edge);
   if (is_reader)
     watch_changes (edge);
-  request_freshness (edge, is_reader);
+  bd_edge_request_freshness (edge, is_reader);
 }
--- a/src/edge/target.c
+++ b/src/edge/target.c
@@ -3,6 +3,7 @@
 
 #include "edge/edge_internal.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 enum
@@ -13,7 +14,13 @@
   /* Time for which the load that an endpoint reports is used.  */
   LOAD_FRESH_MS = 200,
   /* Usual response time of a plain endpoint.  */
-  PLAIN_RESPONSE_MS = 30
+  PLAIN_RESPONSE_MS = 30,
+  /* Longest time for which an endpoint can ask for no requests; it may have
+     recovered sooner.  */
+  MAX_CLOSED_S = 60,
+  /* Shortest time over which the daemons return to an endpoint.  */
+  MIN_RETURN_SPREAD_MS = 100,
+  MS_PER_S = 1000
 };
 
 /* Time added to targets in other data centres: the round trip, and a
@@ -127,6 +134,7 @@
 {
   return endpoint->is_listed && !endpoint->entry.is_draining
          && endpoint->liveness != BD_LIVENESS_DEAD
+         && bd_edge_now_ms (request->edge) >= endpoint->closed_until_ms
          && strcmp (endpoint->entry.service, request->service) == 0;
 }
 
@@ -272,6 +280,69 @@
     group->prefill_ms = 0;
 }
 
+/* The time that a response asks to wait, in ms; 0 for none.  */
+static int64_t
+wait_of (const struct bd_edge *edge, const struct bd_http_call *call)
+{
+  const char *text
+      = bd_http_call_header (call, edge->adapter->headers->retry_after);
+  double seconds = text != NULL ? strtod (text, NULL) : 0;
+
+  if (!(seconds > 0))
+    return 0;
+  return seconds < MAX_CLOSED_S ? (int64_t)(seconds * MS_PER_S)
+                                : MAX_CLOSED_S * MS_PER_S;
+}
+
+/* Closes the endpoint.  The time is extended by up to a quarter, so that the
+   daemons do not all return at the same moment.  */
+static void
+close_endpoint (struct bd_edge *edge, const char *id, int64_t wait_ms)
+{
+  int64_t spread_ms = wait_ms / 4 + MIN_RETURN_SPREAD_MS;
+  int64_t until_ms
+      = bd_edge_now_ms (edge) + wait_ms
+        + (int64_t)gsl_rng_uniform_int (edge->rng, (unsigned long)spread_ms);
+
+  bd_fleet_close (&edge->fleet, id, until_ms);
+  bd_log ("endpoint-closed", "endpoint", id, "wait_ms", BD_NUM (wait_ms),
+          NULL);
+}
+
+void
+bd_edge_note_head (struct bd_edge *edge, const char *id,
+                   const struct bd_http_call *call, uint32_t status)
+{
+  const struct bd_fleet_endpoint *endpoint
+      = bd_fleet_endpoint (&edge->fleet, id);
+  const char *leaving
+      = bd_http_call_header (call, edge->adapter->headers->is_leaving);
+  struct bd_leaving_update update = { .endpoint = "" };
+
+  /* Status 421: another endpoint has responded.  */
+  if (endpoint == NULL || status == 421)
+    return;
+  if (status == 503 && wait_of (edge, call) > 0)
+    close_endpoint (edge, id, wait_of (edge, call));
+  if (leaving == NULL || strcmp (leaving, "1") != 0
+      || !bd_fleet_mark_leaving (&edge->fleet, id, 0, bd_edge_now_ms (edge)))
+    return;
+  bd_log ("endpoint-leaving", "endpoint", id, "source", "response", NULL);
+  bd_name_copy (update.endpoint, id);
+  update.started_ms = endpoint->entry.started_ms;
+  bd_edge_broadcast (edge, BD_MESSAGE_LEAVING, &update);
+}
+
+void
+bd_edge_receive_leaving (struct bd_edge *edge,
+                         const struct bd_leaving_update *update)
+{
+  if (bd_fleet_mark_leaving (&edge->fleet, update->endpoint,
+                             update->started_ms, bd_edge_now_ms (edge)))
+    bd_log ("endpoint-leaving", "endpoint", update->endpoint, "source", "peer",
+            NULL);
+}
+
 static void
 update_load (struct bd_edge *edge, struct bd_fleet_endpoint *endpoint,
              const char *text)
@@ -347,6 +418,7 @@
           const struct bd_fleet_endpoint *endpoint = value;
 
           if (endpoint->is_listed && !endpoint->entry.is_draining
+              && bd_edge_now_ms (edge) >= endpoint->closed_until_ms
               && strcmp (endpoint->entry.service, service) == 0)
             slots += endpoint->entry.slots;
         }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -98,6 +98,8 @@
   endpoint->load = 0;
   endpoint->sent_since_load = 0;
   endpoint->backoff_until_ms = 0;
+  endpoint->closed_until_ms = 0;
+  endpoint->is_leaving = false;
   endpoint->reported_pace = 1.0;
   endpoint->is_staging = false;
   endpoint->order = (struct bd_order_state){ 0 };
@@ -135,6 +137,7 @@
   if (!is_new_incarnation && !endpoint->is_listed)
     set_liveness (endpoint, BD_LIVENESS_ALIVE, now_ms);
   endpoint->is_listed = true;
+  endpoint->entry.is_draining = entry->is_draining || endpoint->is_leaving;
   /* Epochs only increase: a lower one in the list is older than the last
      report.  */
   if (is_new_incarnation || entry->member.state == BD_MEMBER_NONE
@@ -157,6 +160,30 @@
   fleet->changed_ms = now_ms;
 }
 
+bool
+bd_fleet_mark_leaving (struct bd_fleet *fleet, const char *id,
+                       int64_t started_ms, int64_t now_ms)
+{
+  struct bd_fleet_endpoint *endpoint = bd_fleet_endpoint (fleet, id);
+
+  if (endpoint == NULL || endpoint->is_leaving
+      || (started_ms != 0 && started_ms != endpoint->entry.started_ms))
+    return false;
+  endpoint->is_leaving = true;
+  endpoint->entry.is_draining = true;
+  fleet->changed_ms = now_ms;
+  return true;
+}
+
+void
+bd_fleet_close (struct bd_fleet *fleet, const char *id, int64_t until_ms)
+{
+  struct bd_fleet_endpoint *endpoint = bd_fleet_endpoint (fleet, id);
+
+  if (endpoint != NULL && until_ms > endpoint->closed_until_ms)
+    endpoint->closed_until_ms = until_ms;
+}
+
 void
 bd_fleet_mark_store_unavailable (struct bd_fleet *fleet, int64_t now_ms)
 {
@@ -173,6 +200,22 @@
   return can_have_expired;
 }
 
+void
+bd_fleet_mark_store_restored (struct bd_fleet *fleet, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  fleet->retain_until_ms = now_ms + RELISTING_MS;
+  g_hash_table_iter_init (&iter, fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct bd_fleet_endpoint *endpoint = value;
+
+      endpoint->is_leaving = endpoint->entry.is_draining;
+    }
+}
+
 static gboolean
 is_expired (gpointer key, gpointer value, gpointer now_ms)
 {
@@ -203,10 +246,17 @@
     if (!g_hash_table_contains (listed_ids, id))
       bd_fleet_remove (fleet, id, now_ms);
   g_hash_table_destroy (listed_ids);
-  g_hash_table_foreach_remove (fleet->endpoints, is_expired, &now_ms);
+  bd_fleet_expire (fleet, now_ms);
   fleet->has_list = true;
 }
 
+bool
+bd_fleet_expire (struct bd_fleet *fleet, int64_t now_ms)
+{
+  return g_hash_table_foreach_remove (fleet->endpoints, is_expired, &now_ms)
+         > 0;
+}
+
 void
 bd_fleet_apply_report (struct bd_fleet *fleet, const char *id,
                        const struct bd_endpoint_entry *report,
@@ -315,7 +365,8 @@
           || member->liveness == BD_LIVENESS_DEAD)
         return false;
     }
-  return group->members[0]->entry.member.state == BD_MEMBER_OPEN;
+  return group->members[0]->entry.member.state == BD_MEMBER_OPEN
+         && now_ms >= group->members[0]->closed_until_ms;
 }
 
 void
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -58,6 +58,7 @@
   uint32_t slots;
   bool is_draining;
   int64_t started_ms; /* Start of this incarnation, Unix time; 0 if unknown. */
+  int64_t heartbeats; /* Count of its heartbeats; list only.  */
   char staged[BD_FLEET_MAX_STAGED][BD_NAME_SIZE]; /* Models, on the host.  */
   uint32_t staged_count;
   struct bd_membership_view member;
@@ -89,6 +90,10 @@
 {
   struct bd_endpoint_entry entry;
   bool is_listed;
+  /* This incarnation has said in a response that it leaves, or in the list of
+     a store that has been restored since.  Its entry does not take that
+     back.  */
+  bool is_leaving;
   int64_t listed_ms;             /* When it was last added to the list.  */
   int64_t delisted_ms;           /* When it was removed from the list.  */
   int64_t member_updated_ms;     /* When entry.member was last updated.  */
@@ -113,6 +118,7 @@
   int64_t load_updated_ms;  /* When that response was received.  */
   uint32_t sent_since_load; /* Requests sent to it since load_updated_ms.  */
   int64_t backoff_until_ms; /* It has reported that it is full.  */
+  int64_t closed_until_ms;  /* It has asked for no requests until then.  */
 
   struct bd_order_state order;
   /* Epoch of the last join that was sent and not accepted, 0 if none.  It can
@@ -212,6 +218,15 @@
 bool bd_fleet_mark_store_available (struct bd_fleet *fleet,
                                     int64_t verified_ms, int64_t now_ms);
 
+/* bd_fleet_mark_store_restored(): the store was restored from an older copy,
+   and instances list themselves again.  Entries are retained for that time;
+   the caller has to pass the list again after that.  */
+void bd_fleet_mark_store_restored (struct bd_fleet *fleet, int64_t now_ms);
+
+/* bd_fleet_expire(): frees the records of endpoints that were delisted long
+   ago.  Returns whether there were any; the groups then have to be rebuilt. */
+bool bd_fleet_expire (struct bd_fleet *fleet, int64_t now_ms);
+
 /* bd_fleet_refresh(): rebuilds the groups from the entries; to be called after
    changes.  Pointers to groups that still exist stay valid.  */
 void bd_fleet_refresh (struct bd_fleet *fleet);
@@ -233,6 +248,15 @@
 bool bd_fleet_is_usable (const struct bd_fleet_group *group, uint32_t members,
                          int64_t now_ms);
 
+/* bd_fleet_mark_leaving(): the incarnation of an endpoint that started at
+   started_ms (0: the current one) has said that it leaves.  Returns whether
+   that is new.  */
+bool bd_fleet_mark_leaving (struct bd_fleet *fleet, const char *id,
+                            int64_t started_ms, int64_t now_ms);
+
+/* bd_fleet_close(): the endpoint has asked for no requests until until_ms.  */
+void bd_fleet_close (struct bd_fleet *fleet, const char *id, int64_t until_ms);
+
 /* bd_fleet_suspect(): marks a live endpoint as suspected, for example after a
    failed request.  */
 void bd_fleet_suspect (struct bd_fleet_endpoint *endpoint, int64_t now_ms);
--- a/src/fleet/fleet_test.c
+++ b/src/fleet/fleet_test.c
@@ -151,6 +151,69 @@
   bd_fleet_finish (&fleet);
 }
 
+/* What an endpoint has said in a response holds for its incarnation, whatever
+   its entry says.  */
+static void
+test_leaving_holds_for_the_incarnation (void)
+{
+  struct bd_endpoint_entry entry = make_entry ("x");
+  const struct bd_fleet_endpoint *endpoint;
+
+  bd_fleet_init (&fleet);
+  bd_fleet_put (&fleet, &entry, 1000);
+  endpoint = bd_fleet_endpoint (&fleet, "x");
+  CU_ASSERT_FALSE (bd_fleet_mark_leaving (&fleet, "x", 7, 1100));
+  CU_ASSERT_TRUE (bd_fleet_mark_leaving (&fleet, "x", 1, 1100));
+  CU_ASSERT_FALSE (bd_fleet_mark_leaving (&fleet, "x", 1, 1200));
+  bd_fleet_put (&fleet, &entry, 1300);
+  CU_ASSERT_TRUE (endpoint->entry.is_draining);
+  entry.started_ms = 2;
+  bd_fleet_put (&fleet, &entry, 1400);
+  CU_ASSERT_FALSE (endpoint->entry.is_draining);
+  bd_fleet_finish (&fleet);
+}
+
+/* A store that was restored shows an older entry of a draining endpoint.  */
+static void
+test_restored_store_takes_no_drain_back (void)
+{
+  struct bd_endpoint_entry entry = make_entry ("x");
+
+  bd_fleet_init (&fleet);
+  entry.is_draining = true;
+  bd_fleet_put (&fleet, &entry, 1000);
+  bd_fleet_mark_store_restored (&fleet, 1100);
+  entry.is_draining = false;
+  bd_fleet_put (&fleet, &entry, 1200);
+  CU_ASSERT_TRUE (bd_fleet_endpoint (&fleet, "x")->entry.is_draining);
+  /* Entries are retained until the instances had time to list themselves.  */
+  bd_fleet_remove (&fleet, "x", 1300);
+  CU_ASSERT_TRUE (bd_fleet_endpoint (&fleet, "x")->is_listed);
+  bd_fleet_remove (&fleet, "x", fleet.retain_until_ms);
+  CU_ASSERT_FALSE (bd_fleet_endpoint (&fleet, "x")->is_listed);
+  bd_fleet_finish (&fleet);
+}
+
+/* A group whose leader has asked for no requests is not usable until then.  */
+static void
+test_closed_leader (void)
+{
+  struct bd_endpoint_entry entry = make_entry ("x");
+  const struct bd_fleet_group *group;
+
+  set_member (&entry, 7, 0, BD_MEMBER_OPEN);
+  bd_fleet_init (&fleet);
+  bd_fleet_put (&fleet, &entry, 1000);
+  bd_fleet_refresh (&fleet);
+  group = bd_fleet_group (&fleet, bd_fleet_group_hash ("g", 7));
+  CU_ASSERT_PTR_NOT_NULL_FATAL (group);
+  bd_fleet_close (&fleet, "x", 2000);
+  bd_fleet_close (&fleet, "x", 1500);
+  CU_ASSERT_FALSE (bd_fleet_is_usable (group, 1, 1999));
+  CU_ASSERT_TRUE (bd_fleet_is_usable (group, 1, 2000));
+  bd_fleet_finish (&fleet);
+}
+
 int
 main (void)
 {
@@ -162,6 +225,11 @@
     { "liveness is reset", test_liveness_is_reset },
     { "epochs only increase per incarnation",
       test_epochs_only_increase_per_incarnation },
+    { "leaving holds for the incarnation",
+      test_leaving_holds_for_the_incarnation },
+    { "a restored store takes no drain back",
+      test_restored_store_takes_no_drain_back },
+    { "closed leader", test_closed_leader },
   };
 
   return UNIT_RUN ("fleet", tests);
--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -43,13 +43,14 @@
 }
 
 void
-bd_replicas_init (struct bd_replicas *replicas, int64_t term,
+bd_replicas_init (struct bd_replicas *replicas, int64_t token,
                   double loads_per_s, uint32_t loads_at_once, gsl_rng *rng,
                   int64_t now_ms)
 {
   memset (replicas, 0, sizeof *replicas);
   replicas->rng = rng;
-  replicas->epoch = replicas->first_epoch = term * BD_REPLICAS_EPOCHS_PER_TERM;
+  replicas->epoch = replicas->first_epoch
+      = token * BD_REPLICAS_EPOCHS_PER_TERM;
   replicas->loads_at_once = loads_at_once > 0 ? loads_at_once : 1;
   replicas->started_ms = now_ms;
   bd_bucket_init (&replicas->loads, loads_per_s * load_rate_share, load_burst,
--- a/src/replicas/replicas.h
+++ b/src/replicas/replicas.h
@@ -134,12 +134,12 @@
   uint32_t cold; /* Available, in no group, without any weights.  */
 };
 
-/* bd_replicas_init(): initializes the controller of a term.  Its epochs are
-   greater than those of all earlier terms, so that instances refuse a delayed
+/* bd_replicas_init(): initializes the controller with a token.  Its epochs are
+   greater than those of all lower tokens, so that instances refuse a delayed
    order of an earlier controller even if they do not check fences.
    loads_per_s and loads_at_once are this controller's share of the weight
    store's limits.  */
-void bd_replicas_init (struct bd_replicas *replicas, int64_t term,
+void bd_replicas_init (struct bd_replicas *replicas, int64_t token,
                        double loads_per_s, uint32_t loads_at_once,
                        gsl_rng *rng, int64_t now_ms);
 
--- a/src/store/client.c
+++ b/src/store/client.c
@@ -26,6 +26,7 @@
   uint32_t failures;
   bool is_update;
   bool allows_stale;
+  int64_t era; /* Of the expected version, or at the start of a watch.  */
   struct bd_update update;
   json_t *envelope;
   char *value;
@@ -96,6 +97,7 @@
 {
   struct bd_store_reply reply = { .error = call->update.error,
                                   .version = call->update.version,
+                                  .era = call->store->era,
                                   .envelope = call->envelope,
                                   .sent_ms = call->sent_ms };
 
@@ -138,24 +140,71 @@
     bd_breaker_record_success (&p->breaker);
 }
 
+void
+bd_store_note_era (struct bd_store *store, int64_t era)
+{
+  bool is_first = store->era == 0;
+
+  if (era <= store->era)
+    return;
+  store->era = era;
+  if (!is_first && store->on_era != NULL)
+    store->on_era (store->era_ctx, era);
+}
+
+/* Whether what a call refers to, a version or a revision, is of an era before
+   the one of its reply.  */
+static bool
+is_of_earlier_era (const struct bd_store_call *call, int64_t era)
+{
+  return call->era != 0 && era > call->era;
+}
+
+/* The expected version means nothing in the new era, whether or not the update
+   took effect there.  */
+static void
+end_update_of_earlier_era (struct bd_store_call *call)
+{
+  struct bd_store_reply reply
+      = { .error = BD_ERR_CONFLICT, .sent_ms = call->sent_ms };
+
+  finish (call, &reply);
+}
+
 static void
 handle_reply (void *ctx, const struct bd_object_reply *received)
 {
   struct bd_store_call *call = ctx;
   struct bd_store *p = call->store;
   int64_t now_ms = bd_clock_now_ms (p->clock);
+  const struct bd_object_reply lost = { .error = BD_ERR_PLATFORM_DOWN };
   struct bd_store_reply reply = { .error = received->error,
+                                  .era = received->era,
                                   .version = received->version,
                                   .revision = received->revision,
                                   .items = received->items,
                                   .sent_ms = call->sent_ms };
 
   record_health (p, received->error, now_ms);
+  bd_store_note_era (p, received->era);
+  if (received->era != 0 && received->era < p->era)
+    received = &lost;
   if (call->is_update)
     {
+      if (is_of_earlier_era (call, p->era))
+        {
+          end_update_of_earlier_era (call);
+          return;
+        }
       advance_update (call, received, now_ms);
       return;
     }
+  if (call->kind == BD_OBJECT_WATCH && is_of_earlier_era (call, p->era))
+    {
+      reply = (struct bd_store_reply){ .error = BD_ERR_HISTORY_GONE };
+      finish (call, &reply);
+      return;
+    }
   if (received->error == BD_ERR_PLATFORM_DOWN
       || received->error == BD_ERR_RATE_LIMITED)
     {
@@ -196,6 +245,8 @@
           .allows_stale = call->allows_stale };
 
   call->sent_ms = now_ms;
+  if (call->kind == BD_OBJECT_WATCH && call->era == 0)
+    call->era = p->era;
   bd_count (p->counters, call->kind == BD_OBJECT_WRITE
                              ? BD_COUNT_PLATFORM_WRITES
                              : BD_COUNT_PLATFORM_READS);
@@ -387,6 +438,7 @@
   call->value = talloc_strdup (call, text);
   free (text);
   call->is_update = true;
+  call->era = store->era;
   bd_update_init (&call->update, write_id, expected_version);
   enqueue (call);
   dispatch (store);
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -13,6 +13,12 @@
      bd_store_watch()       waits for a change below a prefix
      bd_store_update()      updates an object conditionally
 
+   A store that is restored from a copy has a higher era.  Replies of an
+   earlier era that arrive after one of a later era count as lost.  An update
+   whose expected version is of an earlier era ends with BD_ERR_CONFLICT, and a
+   watch with BD_ERR_HISTORY_GONE, because versions and revisions are given out
+   again.
+
    done is called exactly once for each call, with borrowed JSON values, unless
    bd_store_finish() drops the call.  */
 
@@ -48,6 +54,7 @@
   enum bd_error error;
   int64_t version;  /* Of the object read or written.  */
   int64_t revision; /* Of the store, for lists and watches.  */
+  int64_t era;      /* Of the store; 0 when the platform states none.  */
   json_t *envelope; /* Borrowed; of the object read or written.  */
   json_t *data;     /* Borrowed; payload of the envelope read.  */
   json_t *items;    /* Borrowed; for lists and watches.  */
@@ -56,6 +63,10 @@
 
 typedef void bd_store_done (void *ctx, const struct bd_store_reply *reply);
 
+/* Called once for each era after the first, before the reply that shows it is
+   handled.  */
+typedef void bd_store_era_handler (void *ctx, int64_t era);
+
 struct bd_store_call;
 
 struct bd_store
@@ -69,8 +80,11 @@
   struct bd_bucket reads;  /* Rate limit of reads, lists and watches.  */
   struct bd_bucket writes; /* Rate limit of writes.  */
   struct bd_breaker breaker;
-  uint32_t call_timeout_ms; /* Of one attempt, except for watches.  */
-  uint32_t max_backoff_ms;  /* Maximum delay between attempts.  */
+  uint32_t call_timeout_ms;     /* Of one attempt, except for watches.  */
+  uint32_t max_backoff_ms;      /* Maximum delay between attempts.  */
+  int64_t era;                  /* Highest one seen; 0 before the first.  */
+  bd_store_era_handler *on_era; /* May be NULL.  */
+  void *era_ctx;
   struct bd_store_call *first[BD_PRIORITY_COUNT];
   struct bd_store_call *last[BD_PRIORITY_COUNT];
   struct bd_timer *timer;
@@ -84,6 +98,9 @@
                     const struct bd_clock *clock, struct bd_counters *counters,
                     gsl_rng *rng, uint32_t reads_per_s, uint32_t writes_per_s);
 
+/* bd_store_note_era(): a peer has seen this era.  */
+void bd_store_note_era (struct bd_store *store, int64_t era);
+
 /* bd_store_finish(): drops queued calls without calling done.  */
 void bd_store_finish (struct bd_store *store);
 
@@ -112,11 +129,12 @@
 void bd_store_watch (struct bd_store *store, const char *prefix, int64_t since,
                      uint32_t wait_ms, bd_store_done *done, void *ctx);
 
-/* bd_store_update(): writes data, whose reference it takes over, if the
-   object still has expected_version.  previous is the envelope that was read,
-   or NULL.
-   Results: BD_OK, BD_ERR_CONFLICT, or BD_ERR_PLATFORM_DOWN after timeout_ms;
-   in the last case it is unknown whether the write took effect.  */
+/* bd_store_update(): expected_version is of the era that the store client
+   knows at the time of the call.  Writes data, whose reference it takes over,
+   if the object still has expected_version.  previous is the envelope that was
+   read, or NULL. Results: BD_OK, BD_ERR_CONFLICT, or BD_ERR_PLATFORM_DOWN
+   after timeout_ms; in the last case it is unknown whether the write took
+   effect.  */
 void bd_store_update (struct bd_store *store, enum bd_store_priority priority,
                       const char *key, int64_t expected_version,
                       const json_t *previous, json_t *data,
--- a/src/store/object_api.h
+++ b/src/store/object_api.h
@@ -49,9 +49,12 @@
   enum bd_error error;
   int64_t version;  /* Of the object read or written.  */
   int64_t revision; /* Of the store, for lists and watches.  */
-  json_t *value;    /* Borrowed.  */
-  json_t *items;    /* Borrowed; array of {key, version, value}, plus
-                       is_deleted where the platform reports deletions.  */
+  /* Rises each time the store is restored from a copy: revisions of an earlier
+     era may be given out again.  0 when the platform states none.  */
+  int64_t era;
+  json_t *value; /* Borrowed.  */
+  json_t *items; /* Borrowed; array of {key, version, value}, plus
+                    is_deleted where the platform reports deletions.  */
 };
 
 typedef void bd_object_done (void *ctx, const struct bd_object_reply *reply);
--- a/src/store/object_api_http.c
+++ b/src/store/object_api_http.c
@@ -40,12 +40,14 @@
   struct pending *pending = ctx;
   struct bd_object_reply reply = { .error = error_of_status (result) };
   const char *etag = bd_http_call_header (call, "ETag");
+  const char *era = bd_http_call_header (call, "Store-Generation");
   json_t *body = NULL;
 
   if (reply.error == BD_OK)
     body = json_loadb (result->body, result->body_size, JSON_DECODE_ANY, NULL);
   if (reply.error == BD_OK && body == NULL)
     reply.error = BD_ERR_PLATFORM_DOWN;
+  reply.era = era != NULL ? strtoll (era, NULL, 10) : 0;
   reply.version = etag != NULL ? strtoll (etag, NULL, 10) : 0;
   reply.revision = json_integer_value (json_object_get (body, "revision"));
   reply.items = json_object_get (body, "items");
--- a/src/store/store_test.c
+++ b/src/store/store_test.c
@@ -281,6 +281,105 @@
   json_decref (other);
 }
 
+static uint32_t era_changes;
+
+static void
+count_era (void *ctx, int64_t era)
+{
+  (void)ctx;
+  (void)era;
+  era_changes++;
+}
+
+/* Runs the calls that start begins, on a store client that has seen era.  */
+static struct client_result
+run_in_era (struct script *script, int64_t era,
+            void (*start) (struct bd_store *store,
+                           struct client_result *result))
+{
+  struct tevent_context *events = tevent_context_init (NULL);
+  struct bd_clock clock = bd_clock_system ();
+  struct bd_counters counters = { 0 };
+  struct bd_store store;
+  struct client_result result = { 0 };
+
+  script->events = events;
+  era_changes = 0;
+  bd_store_init (&store, &script_ops, script, events, &clock, &counters, rng,
+                 1000, 1000);
+  store.on_era = count_era;
+  bd_store_note_era (&store, era);
+  start (&store, &result);
+  while (!result.is_done)
+    tevent_loop_once (events);
+  bd_store_finish (&store);
+  talloc_free (events);
+  return result;
+}
+
+static void
+start_read (struct bd_store *store, struct client_result *result)
+{
+  bd_store_read (store, BD_PRIORITY_CONFIG, "k", 20000, store_result, result);
+}
+
+static void
+start_update (struct bd_store *store, struct client_result *result)
+{
+  bd_store_update (store, BD_PRIORITY_CONFIG, "k", 3, NULL, json_integer (1),
+                   20000, store_result, result);
+}
+
+static void
+start_watch (struct bd_store *store, struct client_result *result)
+{
+  bd_store_watch (store, "k", 3, 20000, store_result, result);
+}
+
+/* A reply of an earlier era counts as lost: the call is sent again.  */
+static void
+test_reply_of_an_earlier_era (void)
+{
+  struct script script
+      = { .replies = { { .error = BD_OK, .version = 9, .era = 1 },
+                       { .error = BD_OK, .version = 4, .era = 2 } } };
+  struct client_result result = run_in_era (&script, 2, start_read);
+
+  CU_ASSERT_EQUAL (result.error, BD_OK);
+  CU_ASSERT_EQUAL (result.version, 4);
+  CU_ASSERT_EQUAL (script.next, 2);
+  CU_ASSERT_EQUAL (era_changes, 0);
+}
+
+/* An update whose expected version is of an earlier era means nothing, even if
+   the store has accepted it: versions are given out again.  */
+static void
+test_update_across_eras (void)
+{
+  struct script accepted
+      = { .replies = { { .error = BD_OK, .version = 4, .era = 2 } } };
+  struct script lost
+      = { .replies = { { .error = BD_ERR_PLATFORM_DOWN },
+                       { .error = BD_OK, .version = 3, .era = 2 } } };
+
+  CU_ASSERT_EQUAL (run_in_era (&accepted, 1, start_update).error,
+                   BD_ERR_CONFLICT);
+  CU_ASSERT_EQUAL (era_changes, 1);
+  CU_ASSERT_EQUAL (run_in_era (&lost, 1, start_update).error, BD_ERR_CONFLICT);
+  CU_ASSERT_EQUAL (lost.next, 2);
+}
+
+/* A watch from a revision of an earlier era may have missed changes.  */
+static void
+test_watch_across_eras (void)
+{
+  struct script script
+      = { .replies = { { .error = BD_OK, .revision = 8, .era = 2 } } };
+
+  CU_ASSERT_EQUAL (run_in_era (&script, 1, start_watch).error,
+                   BD_ERR_HISTORY_GONE);
+}
+
 static const struct unit_test tests[] = {
   { "token bucket", test_bucket },
   { "circuit breaker", test_breaker },
@@ -294,6 +393,9 @@
   { "instance list", test_instances },
   { "the client retries an update", test_client_retries_update },
   { "the client reports a conflict", test_client_reports_conflict },
+  { "a reply of an earlier era", test_reply_of_an_earlier_era },
+  { "an update across eras", test_update_across_eras },
+  { "a watch across eras", test_watch_across_eras },
 };
 
 int
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -6,6 +6,13 @@
 #include <string.h>
 #include <talloc.h>
 
+enum
+{
+  /* Largest decoded list.  An encoded element can be a single byte, so the
+     size of the frame does not limit it.  */
+  MAX_LIST_BYTES = 8 << 20
+};
+
 enum kind
 {
   NAME,
@@ -175,16 +182,58 @@
         FIELD (bd_freshness_request, I64, sent_ms),
         FIELD (bd_freshness_request, I64, config_version),
         FIELD (bd_freshness_request, BOOL, wants_instances),
-        FIELD (bd_freshness_request, I64, instances_stamp) };
+        FIELD (bd_freshness_request, U64, position.log),
+        FIELD (bd_freshness_request, U64, position.change),
+        FIELD (bd_freshness_request, BOOL, position.is_whole) };
+
+static const struct field record_fields[]
+    = { FIELD (bd_directory_record, I64, era),
+        FIELD (bd_directory_record, I64, revision),
+        FIELD (bd_directory_record, BOOL, is_removed),
+        FIELD (bd_directory_record, NAME, entry.id),
+        FIELD (bd_directory_record, NAME, entry.service),
+        FIELD (bd_directory_record, NAME, entry.address),
+        FIELD (bd_directory_record, U32, entry.port),
+        FIELD (bd_directory_record, NAME, entry.data_centre),
+        FIELD (bd_directory_record, NAME, entry.domain),
+        FIELD (bd_directory_record, U32, entry.slots),
+        FIELD (bd_directory_record, BOOL, entry.is_draining),
+        FIELD (bd_directory_record, I64, entry.started_ms),
+        FIELD (bd_directory_record, I64, entry.heartbeats),
+        FIELD (bd_directory_record, U32, entry.staged_count),
+        FIELD (bd_directory_record, NAME, entry.staged[0]),
+        FIELD (bd_directory_record, NAME, entry.staged[1]),
+        FIELD (bd_directory_record, NAME, entry.staged[2]),
+        FIELD (bd_directory_record, NAME, entry.staged[3]),
+        FIELD (bd_directory_record, NAME, entry.member.group),
+        FIELD (bd_directory_record, I64, entry.member.epoch),
+        FIELD (bd_directory_record, U32, entry.member.rank),
+        FIELD (bd_directory_record, U32, entry.member.state),
+        FIELD (bd_directory_record, NAME, entry.member.model) };
+static const struct layout record_layout
+    = LAYOUT (bd_directory_record, record_fields);
 
 static const struct field freshness_reply_fields[]
     = { FIELD (bd_freshness_reply, I64, sent_ms),
         FIELD (bd_freshness_reply, I64, config_version),
         FIELD (bd_freshness_reply, I64, config_age_ms),
         FIELD (bd_freshness_reply, TEXT, config),
+        FIELD (bd_freshness_reply, I64, era),
         FIELD (bd_freshness_reply, I64, instances_age_ms),
-        FIELD (bd_freshness_reply, I64, instances_stamp),
-        FIELD (bd_freshness_reply, TEXT, instances) };
+        FIELD (bd_freshness_reply, BOOL, has_frame),
+        FIELD (bd_freshness_reply, U64, frame.log),
+        FIELD (bd_freshness_reply, U64, frame.from),
+        FIELD (bd_freshness_reply, U64, frame.to),
+        FIELD (bd_freshness_reply, BOOL, frame.is_whole),
+        FIELD (bd_freshness_reply, BOOL, frame.is_last),
+        FIELD (bd_freshness_reply, I64, frame.era),
+        FIELD (bd_freshness_reply, I64, frame.revision),
+        LIST_FIELD (bd_freshness_reply, frame.records, frame.record_count,
+                    &record_layout) };
+
+static const struct field leaving_fields[]
+    = { FIELD (bd_leaving_update, NAME, endpoint),
+        FIELD (bd_leaving_update, I64, started_ms) };
 
 static const struct field suspicion_fields[]
     = { FIELD (bd_suspicion_update, U64, group),
@@ -212,6 +261,7 @@
   [BD_MESSAGE_FRESHNESS_REPLY]
   = LAYOUT (bd_freshness_reply, freshness_reply_fields),
   [BD_MESSAGE_SUSPICION] = LAYOUT (bd_suspicion_update, suspicion_fields),
+  [BD_MESSAGE_LEAVING] = LAYOUT (bd_leaving_update, leaving_fields),
 };
 
 static void
@@ -348,7 +398,8 @@
   char **items = (char **)((char *)message + field->offset);
   uint32_t *count = (uint32_t *)((char *)message + field->count_offset);
 
-  if (value->type != MSGPACK_OBJECT_ARRAY)
+  if (value->type != MSGPACK_OBJECT_ARRAY
+      || value->via.array.size > MAX_LIST_BYTES / field->element->size)
     return false;
   *count = value->via.array.size;
   *items = talloc_zero_size (ctx, (size_t)*count * field->element->size + 1);
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -11,6 +11,7 @@
 #define BD_WIRE_MESSAGES_H
 
 #include "base/ids.h"
+#include "directory/directory.h"
 
 #include <msgpack.h>
 #include <stdbool.h>
@@ -35,6 +36,7 @@
   BD_MESSAGE_FRESHNESS_REQUEST,
   BD_MESSAGE_FRESHNESS_REPLY,
   BD_MESSAGE_SUSPICION,
+  BD_MESSAGE_LEAVING,
   BD_MESSAGE_COUNT
 };
 
@@ -216,7 +218,7 @@
   int64_t sent_ms; /* On the requester's clock; echoed in the reply.  */
   int64_t config_version;
   bool wants_instances;
-  int64_t instances_stamp; /* Of the requester's list.  */
+  struct bd_directory_position position; /* In the log of a peer.  */
 };
 
 /* Reply to bd_freshness_request.  An age is the time since the peer sent the
@@ -227,9 +229,17 @@
   int64_t config_version;
   int64_t config_age_ms;
   const char *config; /* Empty when the requester has this version.  */
+  int64_t era;        /* Of the store.  */
   int64_t instances_age_ms;
-  int64_t instances_stamp;
-  const char *instances; /* Empty when not requested or not changed.  */
+  bool has_frame; /* The next changes of the instance list follow.  */
+  struct bd_directory_frame frame;
+};
+
+/* An endpoint has said in a response that it leaves.  */
+struct bd_leaving_update
+{
+  char endpoint[BD_NAME_SIZE];
+  int64_t started_ms; /* Of its incarnation.  */
 };
 
 /* Sent to the controller when a group with traffic sends no events and is
--- a/src/wire/wire_test.c
+++ b/src/wire/wire_test.c
@@ -86,9 +86,44 @@
   gsl_rng_free (rng);
 }
 
+/* An element of a list takes one byte in the frame and some hundred bytes in
+   memory: a frame that claims too many is rejected before they are allocated.
+ */
+static void
+test_huge_list (void)
+{
+  enum
+  {
+    ELEMENTS = 1 << 20
+  };
+  void *ctx = talloc_new (NULL);
+  struct bd_freshness_reply reply = { .config = "" };
+  msgpack_sbuffer buffer;
+  enum bd_message_type type;
+  char *payload;
+  size_t size;
+
+  msgpack_sbuffer_init (&buffer);
+  bd_message_pack (&buffer, BD_MESSAGE_FRESHNESS_REPLY, &reply);
+  size = buffer.size - LENGTH_BYTES;
+  CU_ASSERT_PTR_NOT_NULL (
+      bd_message_unpack (ctx, buffer.data + LENGTH_BYTES, size, &type));
+  /* The empty list at the end becomes one of ELEMENTS times nil.  */
+  payload = talloc_array (ctx, char, size + 4 + ELEMENTS);
+  memcpy (payload, buffer.data + LENGTH_BYTES, size);
+  memcpy (payload + size - 1, "\xdd\x00\x10\x00\x00", 5);
+  memset (payload + size + 4, 0xc0, ELEMENTS);
+  CU_ASSERT_PTR_NULL (
+      bd_message_unpack (ctx, payload, size + 4 + ELEMENTS, &type));
+  CU_ASSERT_TRUE (talloc_total_size (ctx) < 4 * ELEMENTS);
+  msgpack_sbuffer_destroy (&buffer);
+  talloc_free (ctx);
+}
+
 static const struct unit_test tests[] = {
   { "round trip", test_round_trip },
   { "truncated and damaged messages", test_truncated_and_damaged_messages },
+  { "huge list", test_huge_list },
 };
 
 int
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -44,6 +44,24 @@
   json_decref (body);
 }
 
+/* The store states its era in every response.  */
+static void
+respond_from_store (struct site *site, struct bd_http_exchange *x,
+                    uint32_t status, json_t *body)
+{
+  char *text = json_dumps (body, JSON_COMPACT);
+  char era[32];
+  struct bd_http_header_field headers[]
+      = { { "Content-Type", "application/json" },
+          { "Store-Era", era },
+          { NULL, NULL } };
+
+  snprintf (era, sizeof era, "%lld", (long long)site->era);
+  bd_http_respond (x, status, headers, text, strlen (text));
+  free (text);
+  json_decref (body);
+}
+
 static json_t *
 objects_of_kind (struct site *site, const char *kind)
 {
@@ -76,9 +94,9 @@
 {
   json_t *events = events_since (watch->site, watch->kind, watch->since);
 
-  respond (watch->exchange, 200,
-           json_pack ("{s:o,s:I}", "events", events, "At",
-                      (json_int_t)watch->site->revision));
+  respond_from_store (watch->site, watch->exchange, 200,
+                      json_pack ("{s:o,s:I}", "events", events, "At",
+                                 (json_int_t)watch->site->revision));
   watch->exchange->user = NULL;
   g_ptr_array_remove_fast (watch->site->watches, watch);
   talloc_free (watch);
@@ -145,9 +163,9 @@
 
   json_object_foreach (objects_of_kind (site, kind), name, object)
     json_array_append (items, object);
-  respond (x, 200,
-           json_pack ("{s:o,s:b,s:I}", "Items", items, "HasMore", 0, "At",
-                      (json_int_t)site->revision));
+  respond_from_store (site, x, 200,
+                      json_pack ("{s:o,s:b,s:I}", "Items", items, "HasMore", 0,
+                                 "At", (json_int_t)site->revision));
 }
 
 static void
@@ -158,17 +176,17 @@
   const char *timeout = bd_http_query (x, "WaitMs");
   json_t *events = events_since (site, kind, since);
 
-  if (since < site->compacted_revision)
+  if (since < site->compacted_revision || since > site->revision)
     {
-      respond (x, 410, json_pack ("{s:s}", "Error", "gone"));
+      respond_from_store (site, x, 410, json_pack ("{s:s}", "Error", "gone"));
       json_decref (events);
       return;
     }
   if (json_array_size (events) > 0)
     {
-      respond (x, 200,
-               json_pack ("{s:o,s:I}", "events", events, "At",
-                          (json_int_t)site->revision));
+      respond_from_store (site, x, 200,
+                          json_pack ("{s:o,s:I}", "events", events, "At",
+                                     (json_int_t)site->revision));
       return;
     }
   json_decref (events);
@@ -198,7 +216,9 @@
 
   if (expected != found)
     {
-      respond (x, 409, stored != NULL ? json_incref (stored) : json_object ());
+      respond_from_store (site, x, 409,
+                          stored != NULL ? json_incref (stored)
+                                         : json_object ());
       json_decref (body);
       return;
     }
@@ -207,7 +227,7 @@
   if (site->store_mode == STORE_LOSING_REPLIES)
     bd_http_abort (x);
   else
-    respond (x, 200, json_incref (object));
+    respond_from_store (site, x, 200, json_incref (object));
   json_decref (body);
 }
 
@@ -223,7 +243,7 @@
     return;
   sscanf (x->path, "/objects/%63[^/]/%63[^/]", kind, name);
   if (site->store_mode == STORE_DOWN || kind[0] == '\0')
-    respond (x, 503, json_object ());
+    respond_from_store (site, x, 503, json_object ());
   else if (strcmp (x->method, "GET") != 0)
     write_object (site, x, kind);
   else if (since != NULL)
@@ -231,10 +251,11 @@
   else if (name[0] == '\0')
     list_kind (site, x, kind);
   else if (json_object_get (objects_of_kind (site, kind), name) == NULL)
-    respond (x, 404, json_pack ("{s:I}", "At", (json_int_t)site->revision));
+    respond_from_store (site, x, 404,
+                        json_pack ("{s:I}", "At", (json_int_t)site->revision));
   else
-    respond (
-        x, 200,
+    respond_from_store (
+        site, x, 200,
         json_incref (json_object_get (objects_of_kind (site, kind), name)));
 }
 
@@ -265,6 +286,33 @@
   return 1 << 20;
 }
 
+json_t *
+site_copy_store (struct site *site)
+{
+  return json_pack ("{s:o,s:I}", "objects", json_deep_copy (site->objects),
+                    "revision", (json_int_t)site->revision);
+}
+
+void
+site_restore_store (struct site *site, json_t *copy)
+{
+  json_decref (site->objects);
+  site->objects = json_incref (json_object_get (copy, "objects"));
+  site->revision = json_integer_value (json_object_get (copy, "revision"));
+  site->era++;
+  json_array_clear (site->history);
+  for (guint i = site->watches->len; i-- > 0;)
+    {
+      struct watch *watch = g_ptr_array_index (site->watches, i);
+
+      watch->exchange->user = NULL;
+      bd_http_abort (watch->exchange);
+      talloc_free (watch);
+    }
+  g_ptr_array_set_size (site->watches, 0);
+  json_decref (copy);
+}
+
 static const struct bd_http_server_ops store_ops
     = { max_body, handle_store, handle_store_disconnect, ignore };
 
@@ -297,6 +345,7 @@
   snprintf (address, sizeof address, "127.0.0.1:%u", worker->port);
   json_object_set_new (entry, "Service", json_string (worker->service));
   json_object_set_new (entry, "Address", json_string (address));
+  json_object_set_new (entry, "Sequence", json_integer (++worker->heartbeats));
   json_object_set_new (entry, "Zone", json_string ("a"));
   json_object_set_new (entry, "Slots", json_integer (4));
   json_object_set_new (
@@ -551,6 +600,7 @@
       = { { "Content-Type", "text/event-stream" },
           { "Attempt-Id", bd_http_header (x, "Attempt-Id") },
           { "Response-Seal", worker->id },
+          { worker->is_leaving ? "Server-Leaving" : NULL, "1" },
           { NULL, NULL } };
 
   stream->worker = worker;
@@ -564,11 +614,14 @@
 }
 
 static void
-respond_not_executed (struct bd_http_exchange *x)
+respond_not_executed (const struct site_worker *worker,
+                      struct bd_http_exchange *x)
 {
   struct bd_http_header_field headers[]
       = { { "Attempt-Id", bd_http_header (x, "Attempt-Id") },
           { "Not-Executed", "1" },
+          { worker->retry_after != NULL ? "Retry-After" : NULL,
+            worker->retry_after },
           { NULL, NULL } };
 
   bd_http_respond (x, 503, headers, "", 0);
@@ -581,7 +634,10 @@
                        ? "another"
                        : bd_http_header (x, "Attempt-Id");
   struct bd_http_header_field headers[]
-      = { { "Attempt-Id", id }, { "Response-Seal", worker->id }, { NULL } };
+      = { { "Attempt-Id", id },
+          { "Response-Seal", worker->id },
+          { worker->is_leaving ? "Server-Leaving" : NULL, "1" },
+          { NULL, NULL } };
   const char *body = worker->mode == WORKER_WRONG_ID ? "another"
                      : worker->site->echoes_path     ? x->path
                                                      : worker->id;
@@ -612,7 +668,7 @@
 
   if (!can_run (worker))
     {
-      respond_not_executed (x);
+      respond_not_executed (worker, x);
       return;
     }
   if (site->on_run != NULL)
@@ -786,6 +842,7 @@
   site->history = json_array ();
   site->watches = g_ptr_array_new ();
   site->revision = 1;
+  site->era = 1;
   site->daemon_port = EDGE_PORT;
   bd_http_server_init (&site->store, site->events, "127.0.0.1", STORE_PORT, 64,
                        &store_ops, site);
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -55,12 +55,15 @@
   enum worker_mode mode;
   bool is_listed;
   bool is_draining;
-  json_t *group; /* Or NULL.  */
+  bool is_leaving;         /* Says so in its responses.  */
+  const char *retry_after; /* Of its refusals; NULL for none.  */
+  json_t *group;           /* Or NULL.  */
   char model[BD_NAME_SIZE];
   json_t *staged;
   json_t *members;        /* Of its group, by rank.  */
   json_t *ready_groups;   /* Set of "GROUP/EPOCH" keys.  */
   int64_t start_count;    /* Reported as "born".  */
+  int64_t heartbeats;     /* Entries written.  */
   uint32_t request_count; /* Requests of callers.  */
   char last_account[BD_NAME_SIZE];
   char last_deadline[BD_NAME_SIZE];
@@ -81,6 +84,7 @@
   json_t *objects; /* kind -> name -> object */
   json_t *history; /* Array of {kind, revision, event}.  */
   int64_t revision;
+  int64_t era;                /* Rises with each site_restore_store().  */
   int64_t compacted_revision; /* Watches from before it get 410.  */
   GPtrArray *watches;
   struct site_worker workers[SITE_MAX_WORKERS];
@@ -149,6 +153,11 @@
    older revision get 410.  */
 void site_compact_history (struct site *site);
 
+/* site_copy_store(): a copy of the store; to be passed to
+   site_restore_store(), which loses all that was written since.  */
+json_t *site_copy_store (struct site *site);
+void site_restore_store (struct site *site, json_t *copy);
+
 /* site_revoke_key(): removes key "k1" from its account, and publishes.
    site_grant_key(): adds it to an account, which is created if there is none,
    and publishes.  */
