--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -364,62 +364,34 @@
   return strcmp (controller->data_centre, data_centre) == 0;
 }
 
-static bool
-has_reported_load (const struct bd_edge_peer *peer)
-{
-  for (uint32_t i = 0; i < peer->work_count; i++)
-    if (peer->work[i].busy_replicas > 0)
-      return true;
-  return false;
-}
-
-/* Returns the number of daemons, including this one, that have reported an
-   offered load.  */
-static uint32_t
-count_reporting_daemons (struct bd_edge *edge)
-{
-  uint32_t reporting_count = 0;
-  GHashTableIter iter;
-  gpointer value;
-
-  for (uint32_t i = 0; i < edge->work_count && reporting_count == 0; i++)
-    reporting_count = edge->work[i].offered_replicas > 0;
-  g_hash_table_iter_init (&iter, edge->peer_traffic);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    reporting_count += has_reported_load (value);
-  return reporting_count;
-}
-
 /* Sums the load offered to all daemons, by model; all zero until it is
    known.  */
 static void
 sum_demand (struct bd_edge *edge, const struct bd_engine *engine,
             double demand[BD_ENGINE_MAX_MODELS])
 {
+  struct bd_model_demand models[BD_ENGINE_MAX_MODELS];
+  struct bd_traffic_report sum = { .demand = models, .daemon_count = 1 };
+
+  for (uint32_t i = 0; i < edge->work_count; i++)
+    if (edge->work[i].offered_replicas > 0)
+      sum.reporting_count = 1;
+  bd_edge_add_peer_demand (edge, &sum, BD_ENGINE_MAX_MODELS);
   for (uint32_t m = 0; m < engine->model_count; m++)
     {
       const char *name = engine->models[m].name;
       uint64_t hash = bd_hash (name, strlen (name));
-      GHashTableIter iter;
-      gpointer value;
 
       demand[m] = 0;
       for (uint32_t i = 0; i < edge->work_count; i++)
         if (strcmp (edge->work[i].model, name) == 0)
           demand[m] += edge->work[i].offered_replicas;
-      g_hash_table_iter_init (&iter, edge->peer_traffic);
-      while (g_hash_table_iter_next (&iter, NULL, &value))
-        {
-          const struct bd_edge_peer *peer = value;
-
-          for (uint32_t i = 0; i < peer->work_count; i++)
-            if (peer->work[i].model == hash)
-              demand[m] += peer->work[i].busy_replicas;
-        }
+      for (uint32_t i = 0; i < sum.demand_count; i++)
+        if (models[i].model == hash)
+          demand[m] += models[i].busy_replicas;
     }
   if (!bd_replicas_is_demand_known (demand, engine->model_count,
-                                    count_reporting_daemons (edge),
-                                    g_hash_table_size (edge->peer_traffic) + 1,
+                                    sum.reporting_count, sum.daemon_count,
                                     bd_edge_now_ms (edge) - edge->started_ms))
     memset (demand, 0, BD_ENGINE_MAX_MODELS * sizeof *demand);
 }
@@ -569,7 +541,7 @@
     }
 }
 
-void
+bool
 bd_edge_receive_suspicion (struct bd_edge *edge,
                            const struct bd_suspicion_update *suspicion)
 {
@@ -577,14 +549,20 @@
       = bd_fleet_group (&edge->fleet, suspicion->group);
   int64_t now_ms = bd_edge_now_ms (edge);
 
-  if (group != NULL && suspicion->is_dissolved)
+  if (group == NULL)
+    return false;
+  if (suspicion->is_dissolved)
     {
+      bool is_new
+          = group->suspected_until_ms < now_ms + DISSOLVED_GROUP_MS / 2;
+
       group->suspected_until_ms = now_ms + DISSOLVED_GROUP_MS;
-      return;
+      return is_new;
     }
-  for (uint32_t i = 0; group != NULL && i < BD_FLEET_MAX_MEMBERS; i++)
+  for (uint32_t i = 0; i < BD_FLEET_MAX_MEMBERS; i++)
     if (group->members[i] != NULL)
       bd_fleet_suspect (group->members[i], now_ms);
+  return false;
 }
 
 static void
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -357,8 +357,8 @@
   bd_http_client_finish (&edge->client);
   bd_http_client_finish (&edge->store_client);
   bd_poison_finish (&edge->poison_requests);
-  if (edge->peer_traffic != NULL)
-    g_hash_table_destroy (edge->peer_traffic);
+  bd_traffic_finish (&edge->traffic);
+  bd_traffic_finish (&edge->remote_traffic);
   g_hash_table_destroy (edge->services);
   bd_fleet_finish (&edge->fleet);
   json_decref (edge->config);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -28,7 +28,8 @@
 {
   BD_EDGE_MAX_DATA_CENTRES = 64,
   /* Headers of a request that are forwarded.  */
-  BD_EDGE_MAX_HEADERS = 48
+  BD_EDGE_MAX_HEADERS = 48,
+  BD_EDGE_MAX_RELAY_REPORTS = 4
 };
 
 /* One request of a caller, from its arrival to its final response.  */
@@ -130,16 +131,11 @@
   int64_t last_summary_ms;
 };
 
-/* Traffic of a peer, by its last status message.  */
-struct bd_edge_peer
+/* The live daemons that a relay has reported last.  */
+struct bd_edge_relay_report
 {
-  char name[BD_NAME_SIZE];
-  int64_t last_received_ms;
-  bool has_traffic;
-  struct bd_target_traffic *targets; /* Child of this struct.  */
-  uint32_t target_count;
-  struct bd_model_demand *work;
-  uint32_t work_count;
+  uint64_t relay; /* Hash of its name; 0 if unused.  */
+  uint64_t checksum;
 };
 
 struct bd_edge
@@ -160,7 +156,13 @@
   struct bd_peers peers;
   struct bd_membership membership;
   uint32_t status_turn;
-  GHashTable *peer_traffic; /* Name -> struct bd_edge_peer.  */
+  /* Traffic of the other daemons, and, at a relay, of this one; by daemon and
+     by data centre.  */
+  struct bd_traffic traffic;
+  struct bd_traffic remote_traffic;
+  struct bd_edge_relay_report relay_reports[BD_EDGE_MAX_RELAY_REPORTS];
+  int64_t
+      relay_since_ms; /* When this daemon became a relay; 0 if it is not. */
 
   /* Configuration.  */
   struct bd_routes *routes; /* NULL before the first one.  */
@@ -344,8 +346,9 @@
 void bd_edge_note_head (struct bd_edge *edge, const char *endpoint,
                         const struct bd_http_call *call, uint32_t status);
 
-/* bd_edge_receive_leaving(): a peer has learned that an endpoint leaves.  */
-void bd_edge_receive_leaving (struct bd_edge *edge,
+/* bd_edge_receive_leaving(): a peer has learned that an endpoint leaves.
+   Returns whether that is new.  */
+bool bd_edge_receive_leaving (struct bd_edge *edge,
                               const struct bd_leaving_update *update);
 
 /* bd_edge_count_slots(): the slots of all usable groups of the model, or of
@@ -455,6 +458,12 @@
 /* bd_edge_start_peers(): listens for messages; false when it cannot.  */
 bool bd_edge_start_peers (struct bd_edge *edge);
 
+/* bd_edge_add_peer_demand(): adds the load that the callers of the other
+   daemons offer, and the number of daemons, to report.  */
+void bd_edge_add_peer_demand (struct bd_edge *edge,
+                              struct bd_traffic_report *report,
+                              uint32_t max_models);
+
 /* bd_edge_send_status(): timer callback: sends this daemon's status to the
    peers that are due.  */
 void bd_edge_send_status (void *ctx);
@@ -463,7 +472,8 @@
                            const struct bd_member *member,
                            enum bd_message_type type, const void *message);
 
-/* bd_edge_broadcast(): sends a message to all known peers.  */
+/* bd_edge_broadcast(): sends a message to all daemons; in a large fleet, over
+   the relays.  */
 void bd_edge_broadcast (struct bd_edge *edge, enum bd_message_type type,
                         const void *message);
 
@@ -479,8 +489,8 @@
                             struct bd_fleet_group *group);
 
 /* bd_edge_receive_suspicion(): handles a report that a group is stalled or is
-   being dissolved.  */
-void bd_edge_receive_suspicion (struct bd_edge *edge,
+   being dissolved.  Returns whether the latter is new.  */
+bool bd_edge_receive_suspicion (struct bd_edge *edge,
                                 const struct bd_suspicion_update *suspicion);
 
 /* bd_edge_run_controllers(): timer callback: acquires and gives up terms, and
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -1,5 +1,13 @@
 /* Messages between daemons.  The periodic status of a daemon shows that it is
-   alive, and contains its traffic on each group.  */
+   alive, and contains its traffic on each group.
+
+   In a small fleet every daemon sends its status to all others.  In a large
+   one it goes to the relays of its data centre, the largest instances there.
+   One of them replies with the sum over the fleet and, when that has changed,
+   with the daemons that are alive; the first relay of each data centre sends
+   the sum over it to the relays of the others.  So a daemon sends and receives
+   the same number of messages in a fleet of any size, and its view is two
+   periods old within a data centre and three across.  */
 
 #include "edge/edge_internal.h"
 
@@ -8,20 +16,34 @@
 
 enum
 {
-  /* Period of the status in a small fleet, and the maximum number of daemons
-     of such a fleet.  In larger fleets the period is longer, so that the cost
-     of the status messages for each daemon does not grow with the fleet.  */
-  STATUS_PERIOD_MS = 100,
+  /* Maximum number of daemons of a small fleet, and the status periods.  */
   SMALL_FLEET_DAEMONS = 12,
-  /* In a large fleet, daemons of other data centres get only every fourth
-     status.  */
-  REMOTE_TURNS = 4,
-  /* Status periods without a message after which a daemon counts as dead, and
-     the minimum time.  Another daemon then becomes controller in its place.
-     The traffic of an unresponsive daemon counts for the same time.  */
-  DEAD_AFTER_PERIODS = 5,
-  MIN_DEAD_AFTER_MS = 1200,
-  MAX_TARGETS = 512
+  SMALL_PERIOD_MS = 100,
+  LARGE_PERIOD_MS = 200,
+  /* Time without a message after which a daemon counts as dead; another one
+     then takes over its duties.  A daemon of another data centre is heard of
+     over a relay there, which has to be replaced first if it fails, and so is
+     one that only a relay reports.  */
+  DEAD_AFTER_MS = 1200,
+  REMOTE_DEAD_AFTER_MS = 3000,
+  REPORTED_DEAD_AFTER_MS = 3600,
+  /* Time after which a new relay has heard from the daemons of its data
+     centre.  */
+  RELAY_WARM_MS = 500,
+  RELAYS = 2,
+  MAX_TARGETS = 1024,
+  MAX_LIVE = 4096
+};
+
+/* Source of the traffic that a relay reports for the whole fleet.  */
+static const uint64_t fleet_source = 1;
+
+/* A report with room for the sums.  */
+struct report_buffer
+{
+  struct bd_traffic_report report;
+  struct bd_target_traffic targets[MAX_TARGETS];
+  struct bd_model_demand demand[BD_ENGINE_MAX_MODELS];
 };
 
 void
@@ -32,12 +54,82 @@
                  message);
 }
 
+static bool
+is_small_fleet (const struct bd_edge *edge)
+{
+  return edge->membership.count <= SMALL_FLEET_DAEMONS;
+}
+
+static bool
+is_local (const struct bd_edge *edge, const char *data_centre)
+{
+  return strcmp (edge->settings->data_centre, data_centre) == 0;
+}
+
+static bool
+is_relay (const struct bd_edge *edge)
+{
+  return bd_membership_is_relay (&edge->membership,
+                                 &edge->membership.members[0]);
+}
+
+/* Fills in the live relays of this data centre, without this daemon, or those
+   of all others.  */
+static uint32_t
+find_relays (const struct bd_edge *edge, bool is_own_data_centre,
+             const struct bd_member **relays, uint32_t max)
+{
+  const struct bd_membership *membership = &edge->membership;
+  uint32_t count = 0;
+
+  for (uint32_t i = 1; i < membership->count && count < max; i++)
+    {
+      const struct bd_member *member = &membership->members[i];
+
+      if (member->is_live
+          && is_local (edge, member->data_centre) == is_own_data_centre
+          && bd_membership_is_relay (membership, member))
+        relays[count++] = member;
+    }
+  return count;
+}
+
+static void
+send_to_relays (struct bd_edge *edge, bool is_own_data_centre,
+                enum bd_message_type type, const void *message)
+{
+  const struct bd_member *relays[RELAYS * BD_EDGE_MAX_DATA_CENTRES];
+  uint32_t count = find_relays (edge, is_own_data_centre, relays,
+                                RELAYS * BD_EDGE_MAX_DATA_CENTRES);
+
+  for (uint32_t i = 0; i < count; i++)
+    bd_edge_send_to_peer (edge, relays[i], type, message);
+}
+
+/* Sends a message to the members of this data centre, or to all.  */
+static void
+send_to_members (struct bd_edge *edge, bool is_own_data_centre,
+                 enum bd_message_type type, const void *message)
+{
+  for (uint32_t i = 1; i < edge->membership.count; i++)
+    if (!is_own_data_centre
+        || is_local (edge, edge->membership.members[i].data_centre))
+      bd_edge_send_to_peer (edge, &edge->membership.members[i], type, message);
+}
+
 void
 bd_edge_broadcast (struct bd_edge *edge, enum bd_message_type type,
                    const void *message)
 {
-  for (uint32_t i = 1; i < edge->membership.count; i++)
-    bd_edge_send_to_peer (edge, &edge->membership.members[i], type, message);
+  if (is_small_fleet (edge))
+    send_to_members (edge, false, type, message);
+  else if (!is_relay (edge))
+    send_to_relays (edge, true, type, message);
+  else
+    {
+      send_to_members (edge, true, type, message);
+      send_to_relays (edge, false, type, message);
+    }
 }
 
 static uint32_t
@@ -57,22 +149,34 @@
         targets[count++] = (struct bd_target_traffic){
           .target = group->hash,
           .in_flight = group->in_flight,
-          .prefill_ms = group->prefill_ms,
+          .prefill_ms = (uint32_t)group->prefill_ms,
           .progress_age_ms = (uint32_t)(now_ms - group->progress_ms),
         };
     }
   return count;
 }
 
-static uint32_t
-collect_work (struct bd_edge *edge, struct bd_model_demand *work)
+/* Sets buffer to the traffic and the demand of this daemon.  */
+static void
+collect_own_traffic (struct bd_edge *edge, struct report_buffer *buffer)
 {
+  struct bd_traffic_report *report = &buffer->report;
+
+  *report = (struct bd_traffic_report){ .targets = buffer->targets,
+                                        .demand = buffer->demand,
+                                        .daemon_count = 1 };
+  report->target_count = collect_targets (edge, buffer->targets);
   for (uint32_t i = 0; i < edge->work_count; i++)
-    work[i] = (struct bd_model_demand){
-      .model = bd_hash (edge->work[i].model, strlen (edge->work[i].model)),
-      .busy_replicas = edge->work[i].offered_replicas,
-    };
-  return edge->work_count;
+    {
+      const struct bd_edge_work *work = &edge->work[i];
+
+      buffer->demand[report->demand_count++] = (struct bd_model_demand){
+        .model = bd_hash (work->model, strlen (work->model)),
+        .busy_replicas = work->offered_replicas,
+      };
+      if (work->offered_replicas > 0)
+        report->reporting_count = 1;
+    }
 }
 
 /* Updates the moving average of the load offered for each model.  */
@@ -111,105 +215,255 @@
     }
 }
 
-/* Sums the traffic of the peers on each group.  */
+static uint64_t
+own_source (const struct bd_edge *edge)
+{
+  return edge->membership.members[0].name_hash;
+}
+
+/* Sets the traffic of the other daemons on a group.  */
 static void
-sum_peer_traffic (struct bd_edge *edge)
+update_group (struct bd_edge *edge, struct bd_fleet_group *group)
+{
+  struct bd_traffic_load local
+      = bd_traffic_load (&edge->traffic, group->hash, own_source (edge));
+  struct bd_traffic_load remote
+      = bd_traffic_load (&edge->remote_traffic, group->hash, 0);
+
+  group->peers_in_flight = local.in_flight + remote.in_flight;
+  group->peers_prefill_ms = local.prefill_ms + remote.prefill_ms;
+  if (local.progress_ms > group->peers_progress_ms)
+    group->peers_progress_ms = local.progress_ms;
+  if (remote.progress_ms > group->peers_progress_ms)
+    group->peers_progress_ms = remote.progress_ms;
+}
+
+static void
+update_all_groups (struct bd_edge *edge)
 {
-  int64_t now_ms = bd_edge_now_ms (edge);
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, edge->fleet.groups);
   while (g_hash_table_iter_next (&iter, NULL, &value))
+    update_group (edge, value);
+}
+
+void
+bd_edge_add_peer_demand (struct bd_edge *edge,
+                         struct bd_traffic_report *report, uint32_t max_models)
+{
+  bd_traffic_add_counts (&edge->traffic, own_source (edge), report,
+                         max_models);
+  bd_traffic_add_counts (&edge->remote_traffic, 0, report, max_models);
+}
+
+/* Stores the traffic of a status message.  Groups that the message names are
+   updated at once, the others with the next status of this daemon.  */
+static void
+store_traffic (struct bd_edge *edge, const struct bd_edge_status *status,
+               uint64_t sender)
+{
+  bool is_remote = !is_local (edge, status->data_centre);
+  struct bd_traffic *traffic
+      = is_remote ? &edge->remote_traffic : &edge->traffic;
+  uint64_t source = sender;
+
+  if (status->scope == BD_STATUS_DATA_CENTRE)
+    source = bd_hash (status->data_centre, strlen (status->data_centre));
+  if (status->scope == BD_STATUS_FLEET)
+    {
+      /* The sums of a relay cover all that other messages have said.  */
+      if (is_relay (edge))
+        return;
+      source = fleet_source;
+      bd_traffic_clear (&edge->traffic, fleet_source);
+      bd_traffic_clear (&edge->remote_traffic, 0);
+    }
+  bd_traffic_report (traffic, source, &status->traffic, bd_edge_now_ms (edge));
+  for (uint32_t i = 0; i < status->traffic.target_count; i++)
     {
-      struct bd_fleet_group *group = value;
+      struct bd_fleet_group *group
+          = bd_fleet_group (&edge->fleet, status->traffic.targets[i].target);
 
-      group->peers_in_flight = 0;
-      group->peers_prefill_ms = 0;
+      if (group != NULL)
+        update_group (edge, group);
     }
-  g_hash_table_iter_init (&iter, edge->peer_traffic);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+}
+
+static struct bd_edge_relay_report *
+find_relay_report (struct bd_edge *edge, uint64_t relay)
+{
+  struct bd_edge_relay_report *found = &edge->relay_reports[0];
+
+  for (uint32_t i = 0; i < BD_EDGE_MAX_RELAY_REPORTS; i++)
     {
-      const struct bd_edge_peer *peer = value;
+      if (edge->relay_reports[i].relay == relay)
+        return &edge->relay_reports[i];
+      if (edge->relay_reports[i].relay == 0)
+        found = &edge->relay_reports[i];
+    }
+  *found = (struct bd_edge_relay_report){ .relay = relay };
+  return found;
+}
+
+/* Stores which daemons a relay reports as alive.  */
+static void
+store_live (struct bd_edge *edge, const struct bd_edge_status *status,
+            uint64_t sender)
+{
+  int64_t now_ms = bd_edge_now_ms (edge);
+
+  if (status->live_count == 0)
+    {
+      bd_membership_confirm_reported (&edge->membership, now_ms);
+      return;
+    }
+  if (status->scope != BD_STATUS_DATA_CENTRE)
+    {
+      find_relay_report (edge, sender)->checksum = status->live_checksum;
+      bd_membership_begin_report (&edge->membership);
+    }
+  for (uint32_t i = 0; i < status->live_count; i++)
+    bd_membership_report (&edge->membership, status->live[i].name_hash,
+                          status->live[i].is_stopping, now_ms);
+}
+
+/* Sets the fields of a status message that describe this daemon.  */
+static void
+fill_status (struct bd_edge *edge, struct bd_edge_status *status,
+             enum bd_status_scope scope)
+{
+  const struct bd_edge_settings *settings = edge->settings;
+  int64_t own_version = edge->routes != NULL ? edge->routes->version : 0;
+
+  *status = (struct bd_edge_status){
+    .scope = scope,
+    .peer_port = settings->peer_port,
+    .incarnation = bd_membership_self (&edge->membership)->incarnation,
+    .config_version
+    = scope == BD_STATUS_DAEMON || own_version > edge->highest_config_version
+          ? own_version
+          : edge->highest_config_version,
+    .is_stopping = edge->is_stopping,
+    .has_traffic = edge->has_traffic,
+  };
+  bd_name_copy (status->name, settings->name);
+  bd_name_copy (status->data_centre, settings->data_centre);
+  bd_name_copy (status->address, settings->address);
+}
 
-      if (now_ms - peer->last_received_ms
-          > edge->membership.remote_dead_after_ms)
+/* Adds the live daemons, of this data centre or of all, to a status.  */
+static void
+add_live (struct bd_edge *edge, struct bd_edge_status *status,
+          bool is_own_data_centre)
+{
+  static struct bd_live_daemon live[MAX_LIVE];
+
+  status->live = live;
+  for (uint32_t i = 0;
+       i < edge->membership.count && status->live_count < MAX_LIVE; i++)
+    {
+      const struct bd_member *member = &edge->membership.members[i];
+
+      if (!member->is_live
+          || (is_own_data_centre && !is_local (edge, member->data_centre)))
         continue;
-      for (uint32_t i = 0; i < peer->target_count; i++)
-        {
-          const struct bd_target_traffic *target = &peer->targets[i];
-          struct bd_fleet_group *group
-              = bd_fleet_group (&edge->fleet, target->target);
-          int64_t progress_ms
-              = peer->last_received_ms - target->progress_age_ms;
-
-          if (group == NULL)
-            continue;
-          group->peers_in_flight += target->in_flight;
-          group->peers_prefill_ms += target->prefill_ms;
-          if (progress_ms > group->peers_progress_ms)
-            group->peers_progress_ms = progress_ms;
-        }
+      live[status->live_count++] = (struct bd_live_daemon){
+        .name_hash = member->name_hash,
+        .is_stopping = i == 0 ? edge->is_stopping : member->is_stopping,
+      };
     }
 }
 
+/* Whether this daemon is a relay that has heard from the daemons of its data
+   centre.  */
+static bool
+is_warm_relay (const struct bd_edge *edge)
+{
+  return edge->relay_since_ms != 0
+         && bd_edge_now_ms (edge) - edge->relay_since_ms >= RELAY_WARM_MS;
+}
+
+/* Replies to the status of a daemon with the daemons that are alive and, from
+   a relay, with the sums over the fleet.  A daemon that is no relay replies
+   too: the sender may take it for one because it has lost the relays.  */
 static void
-free_peer (gpointer peer)
+send_reply (struct bd_edge *edge, const struct bd_member *receiver,
+            uint64_t known_checksum)
 {
-  talloc_free (peer);
+  static struct report_buffer buffer;
+  struct bd_traffic_report *report = &buffer.report;
+  bool has_sums = is_warm_relay (edge);
+  struct bd_edge_status status;
+  int64_t now_ms = bd_edge_now_ms (edge);
+
+  *report = (struct bd_traffic_report){ .targets = buffer.targets,
+                                        .demand = buffer.demand };
+  if (has_sums)
+    {
+      bd_traffic_add_to (&edge->traffic, receiver->name_hash, report,
+                         MAX_TARGETS, BD_ENGINE_MAX_MODELS, now_ms);
+      bd_traffic_add_to (&edge->remote_traffic, 0, report, MAX_TARGETS,
+                         BD_ENGINE_MAX_MODELS, now_ms);
+    }
+  fill_status (edge, &status, has_sums ? BD_STATUS_FLEET : BD_STATUS_MEMBERS);
+  status.traffic = *report;
+  status.live_checksum = bd_membership_checksum (&edge->membership);
+  if (status.live_checksum != known_checksum)
+    add_live (edge, &status, false);
+  bd_edge_send_to_peer (edge, receiver, BD_MESSAGE_EDGE_STATUS, &status);
 }
 
 static void
 receive_status (struct bd_edge *edge, const struct bd_edge_status *status)
 {
   int64_t now_ms = bd_edge_now_ms (edge);
-  struct bd_member member = { .peer_port = status->peer_port,
-                              .incarnation = status->incarnation,
-                              .is_stopping = status->is_stopping,
-                              .config_revision = status->config_version };
-  struct bd_edge_peer *peer;
-
-  bd_name_copy (member.name, status->name);
-  bd_name_copy (member.data_centre, status->data_centre);
-  bd_name_copy (member.address, status->address);
+  struct bd_member heartbeat = { .peer_port = status->peer_port,
+                                 .incarnation = status->incarnation,
+                                 .is_stopping = status->is_stopping,
+                                 .config_revision = status->config_version };
+  const struct bd_member *sender;
+
+  bd_name_copy (heartbeat.name, status->name);
+  bd_name_copy (heartbeat.data_centre, status->data_centre);
+  bd_name_copy (heartbeat.address, status->address);
   if (strcmp (status->name, edge->settings->name) == 0
-      || bd_membership_receive_heartbeat (&edge->membership, &member, now_ms)
+      || bd_membership_receive_heartbeat (&edge->membership, &heartbeat,
+                                          now_ms)
              != BD_OK)
     return;
-  peer = g_hash_table_lookup (edge->peer_traffic, status->name);
-  if (peer == NULL)
-    {
-      peer = talloc_zero (edge, struct bd_edge_peer);
-      bd_name_copy (peer->name, status->name);
-      g_hash_table_insert (edge->peer_traffic, peer->name, peer);
-      bd_log ("peer-found", "peer", status->name, "address", status->address,
-              NULL);
-    }
-  peer->last_received_ms = now_ms;
+  sender = bd_membership_find (&edge->membership, status->name);
   if (status->config_version > edge->highest_config_version)
     edge->highest_config_version = status->config_version;
   edge->has_traffic = edge->has_traffic || status->has_traffic;
-  talloc_free (peer->targets);
-  talloc_free (peer->work);
-  peer->target_count = status->target_count;
-  peer->targets
-      = talloc_memdup (peer, status->targets,
-                       status->target_count * sizeof *status->targets + 1);
-  peer->work_count = status->work_count;
-  peer->work = talloc_memdup (peer, status->work,
-                              status->work_count * sizeof *status->work + 1);
-  sum_peer_traffic (edge);
+  if (status->scope != BD_STATUS_MEMBERS)
+    store_traffic (edge, status, sender->name_hash);
+  if (status->scope != BD_STATUS_DAEMON)
+    store_live (edge, status, sender->name_hash);
+  else if (status->wants_reply)
+    send_reply (edge, sender, status->live_checksum);
 }
 
-static void
+static bool
 receive_poison_update (struct bd_edge *edge,
                        const struct bd_poison_update *update)
 {
-  if (update->is_cleared)
-    bd_poison_clear (&edge->poison_requests, update->fingerprint);
-  else
-    bd_poison_record_crash (&edge->poison_requests, update->fingerprint,
-                            update->target, bd_edge_now_ms (edge));
+  return update->is_cleared
+             ? bd_poison_clear (&edge->poison_requests, update->fingerprint)
+             : bd_poison_record_crash (&edge->poison_requests,
+                                       update->fingerprint, update->target,
+                                       bd_edge_now_ms (edge));
+}
+
+/* Passes a message for all daemons on.  Only news are passed on, so a message
+   that comes back ends here.  */
+static void
+forward_news (struct bd_edge *edge, enum bd_message_type type,
+              const void *message, bool is_news)
+{
+  if (is_news && !is_small_fleet (edge) && is_relay (edge))
+    bd_edge_broadcast (edge, type, message);
 }
 
 static void
@@ -229,100 +483,139 @@
       bd_edge_receive_freshness_reply (edge, message);
       break;
     case BD_MESSAGE_SUSPICION:
-      bd_edge_receive_suspicion (edge, message);
+      forward_news (edge, type, message,
+                    bd_edge_receive_suspicion (edge, message));
       break;
     case BD_MESSAGE_LEAVING:
-      bd_edge_receive_leaving (edge, message);
+      forward_news (edge, type, message,
+                    bd_edge_receive_leaving (edge, message));
       break;
     case BD_MESSAGE_POISON:
-      receive_poison_update (edge, message);
+      forward_news (edge, type, message,
+                    receive_poison_update (edge, message));
       break;
     default:
       break;
     }
 }
 
-/* Sets the status period, and the time after which a daemon is dead, by the
-   size of the fleet and of the data centre.  */
 static void
-adjust_status_period (struct bd_edge *edge)
-{
-  uint32_t local_daemons = bd_membership_count_live (
-      &edge->membership, edge->settings->data_centre);
-  bool is_small = edge->membership.count <= SMALL_FLEET_DAEMONS;
-  uint32_t period_ms
-      = is_small ? STATUS_PERIOD_MS
-                 : STATUS_PERIOD_MS * (local_daemons + SMALL_FLEET_DAEMONS - 1)
-                       / SMALL_FLEET_DAEMONS;
-  uint32_t remote_period_ms = is_small ? period_ms : REMOTE_TURNS * period_ms;
-
-  edge->status_ticker.period_ms = period_ms;
-  edge->membership.dead_after_ms
-      = DEAD_AFTER_PERIODS * period_ms > MIN_DEAD_AFTER_MS
-            ? DEAD_AFTER_PERIODS * period_ms
-            : MIN_DEAD_AFTER_MS;
+adjust_to_fleet_size (struct bd_edge *edge)
+{
+  bool is_small = is_small_fleet (edge);
+
+  edge->status_ticker.period_ms = is_small ? SMALL_PERIOD_MS : LARGE_PERIOD_MS;
+  edge->membership.dead_after_ms = DEAD_AFTER_MS;
   edge->membership.remote_dead_after_ms
-      = DEAD_AFTER_PERIODS * remote_period_ms > MIN_DEAD_AFTER_MS
-            ? DEAD_AFTER_PERIODS * remote_period_ms
-            : MIN_DEAD_AFTER_MS;
+      = is_small ? DEAD_AFTER_MS : REMOTE_DEAD_AFTER_MS;
+  edge->membership.reported_dead_after_ms = REPORTED_DEAD_AFTER_MS;
 }
 
-static bool
-is_status_due (struct bd_edge *edge, const struct bd_member *member)
+/* Drops the traffic of daemons and data centres that are silent.  */
+static void
+expire_traffic (struct bd_edge *edge)
+{
+  int64_t now_ms = bd_edge_now_ms (edge);
+
+  bd_traffic_expire (&edge->traffic, now_ms - DEAD_AFTER_MS);
+  bd_traffic_expire (&edge->remote_traffic,
+                     now_ms - edge->membership.remote_dead_after_ms);
+}
+
+/* Sends this daemon's status to the relays of its data centre; one of them, by
+   turns, replies.  */
+static void
+send_to_own_relays (struct bd_edge *edge, struct bd_edge_status *status)
+{
+  const struct bd_member *relays[RELAYS];
+  uint32_t count = find_relays (edge, true, relays, RELAYS);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      status->wants_reply = edge->status_turn % count == i;
+      status->live_checksum
+          = find_relay_report (edge, relays[i]->name_hash)->checksum;
+      bd_edge_send_to_peer (edge, relays[i], BD_MESSAGE_EDGE_STATUS, status);
+    }
+}
+
+/* The first relay of a data centre sends the sum over it to the relays of the
+   other data centres.  */
+static void
+send_data_centre_status (struct bd_edge *edge)
 {
-  return edge->membership.count <= SMALL_FLEET_DAEMONS || edge->is_stopping
-         || strcmp (member->data_centre, edge->settings->data_centre) == 0
-         || edge->status_turn % REMOTE_TURNS == 0;
+  static struct report_buffer buffer;
+  struct bd_edge_status status;
+
+  if (bd_membership_relay_rank (&edge->membership,
+                                &edge->membership.members[0])
+      != 0)
+    return;
+  buffer.report = (struct bd_traffic_report){ .targets = buffer.targets,
+                                              .demand = buffer.demand };
+  bd_traffic_add_to (&edge->traffic, fleet_source, &buffer.report, MAX_TARGETS,
+                     BD_ENGINE_MAX_MODELS, bd_edge_now_ms (edge));
+  fill_status (edge, &status, BD_STATUS_DATA_CENTRE);
+  status.traffic = buffer.report;
+  add_live (edge, &status, true);
+  send_to_relays (edge, false, BD_MESSAGE_EDGE_STATUS, &status);
 }
 
 void
 bd_edge_send_status (void *ctx)
 {
   struct bd_edge *edge = ctx;
-  const struct bd_edge_settings *settings = edge->settings;
-  static struct bd_target_traffic targets[MAX_TARGETS];
-  struct bd_model_demand work[BD_ENGINE_MAX_MODELS];
-  struct bd_edge_status status
-      = { .peer_port = settings->peer_port,
-          .incarnation = bd_membership_self (&edge->membership)->incarnation,
-          .config_version = edge->routes != NULL ? edge->routes->version : 0,
-          .is_stopping = edge->is_stopping,
-          .has_traffic = edge->has_traffic,
-          .targets = targets,
-          .work = work };
+  static struct report_buffer buffer;
+  struct bd_edge_status status;
+  int64_t now_ms = bd_edge_now_ms (edge);
 
   update_offered_load (edge);
   bd_edge_share_retries (edge);
-  if (bd_membership_tick (&edge->membership, bd_edge_now_ms (edge)))
+  if (bd_membership_tick (&edge->membership, now_ms))
     bd_log ("peer-lost", "live",
             BD_NUM (bd_membership_count_live (&edge->membership, NULL)), NULL);
-  sum_peer_traffic (edge);
-  bd_name_copy (status.name, settings->name);
-  bd_name_copy (status.data_centre, settings->data_centre);
-  bd_name_copy (status.address, settings->address);
-  status.target_count = collect_targets (edge, targets);
-  status.work_count = collect_work (edge, work);
-  adjust_status_period (edge);
+  adjust_to_fleet_size (edge);
+  expire_traffic (edge);
+  collect_own_traffic (edge, &buffer);
+  fill_status (edge, &status, BD_STATUS_DAEMON);
+  status.traffic = buffer.report;
   edge->status_turn++;
-  for (uint32_t i = 1; i < edge->membership.count; i++)
-    if (is_status_due (edge, &edge->membership.members[i]))
-      bd_edge_send_to_peer (edge, &edge->membership.members[i],
-                            BD_MESSAGE_EDGE_STATUS, &status);
+  if (is_small_fleet (edge))
+    {
+      edge->relay_since_ms = 0;
+      send_to_members (edge, false, BD_MESSAGE_EDGE_STATUS, &status);
+    }
+  else
+    {
+      if (!is_relay (edge))
+        edge->relay_since_ms = 0;
+      else if (edge->relay_since_ms == 0)
+        edge->relay_since_ms = now_ms;
+      if (edge->relay_since_ms != 0)
+        {
+          bd_traffic_report (&edge->traffic, own_source (edge), &buffer.report,
+                             now_ms);
+          send_data_centre_status (edge);
+        }
+      send_to_own_relays (edge, &status);
+    }
+  update_all_groups (edge);
 }
 
 bool
 bd_edge_start_peers (struct bd_edge *edge)
 {
   const struct bd_edge_settings *settings = edge->settings;
-  struct bd_member self = { .peer_port = settings->peer_port };
+  struct bd_member self
+      = { .peer_port = settings->peer_port, .cpu_share = settings->cpu_share };
 
   bd_name_copy (self.name, settings->name);
   bd_name_copy (self.data_centre, settings->data_centre);
   bd_name_copy (self.address, settings->address);
   self.incarnation = bd_clock_calendar_ms (&edge->clock);
-  bd_membership_init (&edge->membership, edge, &self, MIN_DEAD_AFTER_MS);
-  edge->peer_traffic
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_peer);
+  bd_membership_init (&edge->membership, edge, &self, DEAD_AFTER_MS);
+  bd_traffic_init (&edge->traffic);
+  bd_traffic_init (&edge->remote_traffic);
   return bd_peers_init (&edge->peers, edge->events, &edge->counters,
                         settings->address, settings->peer_port, handle_message,
                         edge);
--- a/src/edge/register.c
+++ b/src/edge/register.c
@@ -53,6 +53,7 @@
   member = bd_membership_add (&edge->membership, name, data_centre, address,
                               (uint32_t)port);
   member->is_listed = true;
+  member->cpu_share = json_number_value (json_object_get (data, "cpu_share"));
   if (!is_new)
     return;
   member->is_live = true;
@@ -77,13 +78,14 @@
   const struct bd_edge_settings *settings = edge->settings;
   char *key = talloc_asprintf (edge, "%s%s", DAEMONS_PREFIX, settings->name);
 
-  bd_store_update (&edge->store, BD_PRIORITY_STATUS, key,
-                   json_integer_value (json_object_get (previous, "version")),
-                   json_object_get (previous, "value"),
-                   json_pack ("{s:s,s:s,s:i}", "address", settings->address,
-                              "data_centre", settings->data_centre,
-                              "peer_port", (int)settings->peer_port),
-                   CALL_TIMEOUT_MS, handle_registered, edge);
+  bd_store_update (
+      &edge->store, BD_PRIORITY_STATUS, key,
+      json_integer_value (json_object_get (previous, "version")),
+      json_object_get (previous, "value"),
+      json_pack ("{s:s,s:s,s:i,s:f}", "address", settings->address,
+                 "data_centre", settings->data_centre, "peer_port",
+                 (int)settings->peer_port, "cpu_share", settings->cpu_share),
+      CALL_TIMEOUT_MS, handle_registered, edge);
   talloc_free (key);
 }
 
--- a/src/edge/target.c
+++ b/src/edge/target.c
@@ -333,14 +333,16 @@
   bd_edge_broadcast (edge, BD_MESSAGE_LEAVING, &update);
 }
 
-void
+bool
 bd_edge_receive_leaving (struct bd_edge *edge,
                          const struct bd_leaving_update *update)
 {
-  if (bd_fleet_mark_leaving (&edge->fleet, update->endpoint,
-                             update->started_ms, bd_edge_now_ms (edge)))
-    bd_log ("endpoint-leaving", "endpoint", update->endpoint, "source", "peer",
-            NULL);
+  if (!bd_fleet_mark_leaving (&edge->fleet, update->endpoint,
+                              update->started_ms, bd_edge_now_ms (edge)))
+    return false;
+  bd_log ("endpoint-leaving", "endpoint", update->endpoint, "source", "peer",
+          NULL);
+  return true;
 }
 
 static void
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -11,6 +11,13 @@
   DEAD_MEMBER_RETENTION_MS = 600000
 };
 
+static void
+hash_name (struct bd_member *member)
+{
+  member->name_hash = bd_hash (member->name, strlen (member->name));
+  member->relay_rank = bd_hash_pair ("relay", member->name);
+}
+
 void
 bd_membership_init (struct bd_membership *membership, void *ctx,
                     const struct bd_member *self, uint32_t dead_after_ms)
@@ -20,6 +27,7 @@
   membership->dead_after_ms = dead_after_ms;
   membership->members = talloc_memdup (ctx, self, sizeof *self);
   membership->members[0].is_live = true;
+  hash_name (&membership->members[0]);
   membership->count = 1;
 }
 
@@ -51,6 +59,7 @@
   member = &membership->members[membership->count++];
   memset (member, 0, sizeof *member);
   bd_name_copy (member->name, name);
+  hash_name (member);
   return member;
 }
 
@@ -75,22 +84,97 @@
                                  int64_t now_ms)
 {
   struct bd_member *member = get_or_add_member (membership, heartbeat->name);
-  bool is_pinned;
-  bool is_listed;
+  struct bd_member known;
 
   if (member == bd_membership_self (membership)
       || heartbeat->incarnation < member->incarnation)
     return BD_ERR_STALE;
-  is_pinned = member->is_pinned;
-  is_listed = member->is_listed;
+  known = *member;
   *member = *heartbeat;
-  member->is_pinned = is_pinned;
-  member->is_listed = is_listed;
+  member->is_pinned = known.is_pinned;
+  member->is_listed = known.is_listed;
+  member->name_hash = known.name_hash;
+  member->relay_rank = known.relay_rank;
+  member->cpu_share = known.cpu_share;
+  member->is_confirmed = known.is_confirmed;
+  member->is_reported = false;
   member->last_received_ms = now_ms;
   member->is_live = true;
   return BD_OK;
 }
 
+/* A member whose own heartbeats arrive needs no report.  */
+static bool
+has_heartbeats (const struct bd_membership *membership,
+                const struct bd_member *member, int64_t now_ms)
+{
+  return member->is_live && !member->is_reported
+         && now_ms - member->last_received_ms <= membership->dead_after_ms / 2;
+}
+
+void
+bd_membership_begin_report (struct bd_membership *membership)
+{
+  for (uint32_t i = 1; i < membership->count; i++)
+    membership->members[i].is_confirmed = false;
+}
+
+static void
+refresh_reported (const struct bd_membership *membership,
+                  struct bd_member *member, int64_t now_ms)
+{
+  if (has_heartbeats (membership, member, now_ms))
+    return;
+  member->is_live = true;
+  member->is_reported = true;
+  member->last_received_ms = now_ms;
+}
+
+void
+bd_membership_report (struct bd_membership *membership, uint64_t name_hash,
+                      bool is_stopping, int64_t now_ms)
+{
+  for (uint32_t i = 1; i < membership->count; i++)
+    {
+      struct bd_member *member = &membership->members[i];
+
+      if (member->name_hash != name_hash)
+        continue;
+      member->is_confirmed = true;
+      refresh_reported (membership, member, now_ms);
+      if (member->is_reported)
+        member->is_stopping = is_stopping;
+      return;
+    }
+}
+
+void
+bd_membership_confirm_reported (struct bd_membership *membership,
+                                int64_t now_ms)
+{
+  for (uint32_t i = 1; i < membership->count; i++)
+    if (membership->members[i].is_confirmed)
+      refresh_reported (membership, &membership->members[i], now_ms);
+}
+
+uint64_t
+bd_membership_checksum (const struct bd_membership *membership)
+{
+  enum
+  {
+    LIVE_FACTOR = 1,
+    STOPPING_FACTOR = 3
+  };
+  uint64_t sum = 0;
+
+  for (uint32_t i = 0; i < membership->count; i++)
+    if (membership->members[i].is_live)
+      sum += membership->members[i].name_hash
+             * (membership->members[i].is_stopping ? STOPPING_FACTOR
+                                                   : LIVE_FACTOR);
+  return sum;
+}
+
 void
 bd_membership_update_data_centre (
     struct bd_membership *membership,
@@ -146,6 +230,8 @@
   bool is_remote
       = strcmp (member->data_centre, membership->members[0].data_centre) != 0;
 
+  if (member->is_reported && membership->reported_dead_after_ms > 0)
+    return membership->reported_dead_after_ms;
   return is_remote && membership->remote_dead_after_ms > 0
              ? membership->remote_dead_after_ms
              : membership->dead_after_ms;
@@ -178,7 +264,7 @@
              || strcmp (member->data_centre, data_centre) == 0);
 }
 
-/* Whether a ranks before b for key (rendezvous hashing).  */
+/* Whether a ranks before b for key: by size, then by rendezvous hashing.  */
 static bool
 ranks_before (const struct bd_member *a, const struct bd_member *b,
               const char *key)
@@ -186,6 +272,8 @@
   uint64_t rank_a = bd_hash_pair (key, a->name);
   uint64_t rank_b = bd_hash_pair (key, b->name);
 
+  if (a->cpu_share != b->cpu_share)
+    return a->cpu_share > b->cpu_share;
   return rank_a != rank_b ? rank_a > rank_b : strcmp (a->name, b->name) < 0;
 }
 
@@ -225,6 +313,13 @@
   return best != NULL ? best : &membership->members[0];
 }
 
+static bool
+is_better_controller (const struct bd_member *a, const struct bd_member *b)
+{
+  return a->cpu_share != b->cpu_share ? a->cpu_share > b->cpu_share
+                                      : strcmp (a->name, b->name) < 0;
+}
+
 const struct bd_member *
 bd_membership_controller (const struct bd_membership *membership,
                           const char *data_centre)
@@ -235,7 +330,7 @@
     {
       const struct bd_member *member = &membership->members[i];
       if (is_candidate (member, data_centre)
-          && (lowest == NULL || strcmp (member->name, lowest->name) < 0))
+          && (lowest == NULL || is_better_controller (member, lowest)))
         lowest = member;
     }
   return lowest;
@@ -249,12 +344,40 @@
          == &membership->members[0];
 }
 
+static bool
+is_better_relay (const struct bd_member *a, const struct bd_member *b)
+{
+  if (a->cpu_share != b->cpu_share)
+    return a->cpu_share > b->cpu_share;
+  return a->relay_rank != b->relay_rank ? a->relay_rank > b->relay_rank
+                                        : strcmp (a->name, b->name) < 0;
+}
+
+uint32_t
+bd_membership_relay_rank (const struct bd_membership *membership,
+                          const struct bd_member *member)
+{
+  uint32_t before = 0;
+
+  if (!is_candidate (member, NULL))
+    return UINT32_MAX;
+  for (uint32_t i = 0; i < membership->count; i++)
+    {
+      const struct bd_member *other = &membership->members[i];
+
+      if (other != member && is_candidate (other, member->data_centre)
+          && is_better_relay (other, member))
+        before++;
+    }
+  return before;
+}
+
 bool
 bd_membership_is_relay (const struct bd_membership *membership,
                         const struct bd_member *member)
 {
-  return bd_membership_has_duty (membership, member->name, member->data_centre,
-                                 "relay", RELAYS_PER_DATA_CENTRE);
+  return bd_membership_relay_rank (membership, member)
+         < RELAYS_PER_DATA_CENTRE;
 }
 
 uint32_t
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -33,6 +33,14 @@
   int64_t last_received_ms;
   bool is_live;
   bool is_stopping;
+  /* Known to be live by the report of a relay, not by its own heartbeats.  */
+  bool is_reported;
+  bool is_confirmed; /* In the last report of a relay.  */
+  uint64_t name_hash;
+  uint64_t relay_rank; /* Order among instances of the same size.  */
+  /* Cores that its instance has; 0 if unknown.  Instances with more are chosen
+     first for duties.  */
+  double cpu_share;
   bool is_pinned;          /* Named in the settings: never removed.  */
   bool is_listed;          /* Named in the instance list.  */
   int64_t config_revision; /* The one that the daemon uses.  */
@@ -58,6 +66,9 @@
   uint32_t dead_after_ms; /* Time without a heartbeat until it is dead.  */
   /* The same for members of other data centres; 0: dead_after_ms.  */
   uint32_t remote_dead_after_ms;
+  /* The same for members known by reports: a relay that fails must not take
+     with it those that it has reported.  0: dead_after_ms.  */
+  uint32_t reported_dead_after_ms;
   void *ctx;
 };
 
@@ -86,6 +97,22 @@
                                  const struct bd_member *heartbeat,
                                  int64_t now_ms);
 
+/* bd_membership_begin_report(): a relay reports all live members anew; to be
+   followed by bd_membership_report() for each.  */
+void bd_membership_begin_report (struct bd_membership *membership);
+void bd_membership_report (struct bd_membership *membership,
+                           uint64_t name_hash, bool is_stopping,
+                           int64_t now_ms);
+
+/* bd_membership_confirm_reported(): a relay reports the same live members as
+   before.  */
+void bd_membership_confirm_reported (struct bd_membership *membership,
+                                     int64_t now_ms);
+
+/* bd_membership_checksum(): of the live members and of which are stopping;
+   does not depend on their order.  */
+uint64_t bd_membership_checksum (const struct bd_membership *membership);
+
 /* bd_membership_update_data_centre(): stores the state of another data centre
    that one of its relays has reported.  */
 void bd_membership_update_data_centre (
@@ -108,7 +135,8 @@
 
 /* bd_membership_has_duty(): whether the member is among the max_holders
    highest-ranked for key of the live members of data_centre (NULL: of all).
-   Members that are stopping have no duties.  */
+   Members with a larger cpu_share rank first.  Members that are stopping have
+   no duties.  */
 bool bd_membership_has_duty (const struct bd_membership *membership,
                              const char *name, const char *data_centre,
                              const char *key, uint32_t max_holders);
@@ -119,8 +147,9 @@
 bd_membership_highest_ranked (const struct bd_membership *membership,
                               const char *data_centre, const char *key);
 
-/* bd_membership_controller(): returns the live member with the lowest name of
-   data_centre (NULL: of all), or NULL.  */
+/* bd_membership_controller(): returns the live member with the largest
+   cpu_share, and of those the one with the lowest name, of data_centre (NULL:
+   of all), or NULL.  */
 const struct bd_member *
 bd_membership_controller (const struct bd_membership *membership,
                           const char *data_centre);
@@ -129,6 +158,12 @@
 bool bd_membership_is_controller (const struct bd_membership *membership,
                                   const char *data_centre);
 
+/* bd_membership_relay_rank(): the number of live members of the member's data
+   centre that are chosen as relay before it: larger ones, and by a hash of the
+   name.  UINT32_MAX when it has no duties.  */
+uint32_t bd_membership_relay_rank (const struct bd_membership *membership,
+                                   const struct bd_member *member);
+
 /* bd_membership_is_relay(): whether the member is a relay of its data centre.
    Relays keep the watches on the platform and exchange messages with other
    data centres.  */
--- a/src/membership/membership_test.c
+++ b/src/membership/membership_test.c
@@ -170,7 +170,69 @@
   talloc_free (ctx);
 }
 
+/* Members that a relay reports live longer than the relay itself, and a report
+   of no change keeps them alive.  */
+static void
+test_reported_members (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct bd_member self = member ("b", "x", 1);
+  struct bd_membership m;
+  const struct bd_member *reported;
+
+  bd_membership_init (&m, ctx, &self, 1000);
+  m.reported_dead_after_ms = 3000;
+  receive_heartbeat (&m, "relay", "x", 0);
+  bd_membership_add (&m, "c", "x", "10.0.0.3", 1);
+  bd_membership_begin_report (&m);
+  bd_membership_report (&m, bd_hash ("c", 1), false, 0);
+  bd_membership_report (&m, bd_hash ("relay", 5), false, 0);
+  reported = bd_membership_find (&m, "c");
+  CU_ASSERT_TRUE (reported->is_live);
+  CU_ASSERT_TRUE (bd_membership_tick (&m, 1001));
+  CU_ASSERT_FALSE (bd_membership_find (&m, "relay")->is_live);
+  CU_ASSERT_TRUE (reported->is_live);
+  bd_membership_confirm_reported (&m, 2900);
+  CU_ASSERT_FALSE (bd_membership_tick (&m, 5900));
+  CU_ASSERT_TRUE (reported->is_live);
+  /* The next report lacks it.  */
+  bd_membership_begin_report (&m);
+  bd_membership_report (&m, bd_hash ("relay", 5), false, 5900);
+  bd_membership_confirm_reported (&m, 5900);
+  CU_ASSERT_TRUE (bd_membership_tick (&m, 5901));
+  CU_ASSERT_FALSE (reported->is_live);
+  CU_ASSERT_TRUE (bd_membership_find (&m, "relay")->is_live);
+  talloc_free (ctx);
+}
+
+/* Duties go to the largest instances; equal ones are chosen by a hash.  */
+static void
+test_larger_instances_first (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct bd_member self = member ("a", "x", 1);
+  struct bd_membership m;
+  uint32_t relays = 0;
+
+  bd_membership_init (&m, ctx, &self, 1000);
+  m.members[0].cpu_share = 0.12;
+  receive_heartbeat (&m, "b", "x", 0);
+  receive_heartbeat (&m, "c", "x", 0);
+  receive_heartbeat (&m, "d", "x", 0);
+  bd_membership_find (&m, "c")->cpu_share = 0.5;
+  bd_membership_find (&m, "d")->cpu_share = 0.5;
+  for (uint32_t i = 0; i < m.count; i++)
+    relays += bd_membership_is_relay (&m, &m.members[i]);
+  CU_ASSERT_EQUAL (relays, 2);
+  CU_ASSERT_TRUE (bd_membership_is_relay (&m, bd_membership_find (&m, "c")));
+  CU_ASSERT_TRUE (bd_membership_is_relay (&m, bd_membership_find (&m, "d")));
+  CU_ASSERT_STRING_EQUAL (bd_membership_controller (&m, "x")->name, "c");
+  talloc_free (ctx);
+}
+
 static const struct unit_test tests[] = {
+  { "reported members", test_reported_members },
+  { "larger instances first", test_larger_instances_first },
   { "incarnations", test_incarnations },
   { "replaced members", test_replaced_members_are_removed },
   { "a stopping member has no duties", test_stopping_member_has_no_duties },
--- /dev/null
+++ b/src/traffic/traffic.h
@@ -0,0 +1,91 @@
+/* Sums of the traffic that several daemons report.  Pure.
+
+   A source is a daemon, or a data centre of which a relay reports the sum. Its
+   last report counts until it is replaced or expires.  Reports are folded into
+   the sums as they arrive: the cost of a report is its own size, whatever the
+   number of sources.  */
+
+#ifndef BD_TRAFFIC_TRAFFIC_H
+#define BD_TRAFFIC_TRAFFIC_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Traffic with one group or endpoint.  */
+struct bd_target_traffic
+{
+  uint64_t target; /* Hash of group and epoch, or of the endpoint.  */
+  uint32_t in_flight;
+  uint32_t prefill_ms;      /* Expected time of the running prefills.  */
+  uint32_t progress_age_ms; /* Since the last event or response.  */
+};
+
+/* Load that callers put on one model.  */
+struct bd_model_demand
+{
+  uint64_t model;       /* Hash of the model's name.  */
+  double busy_replicas; /* Replicas that the load keeps busy.  */
+};
+
+/* What one source reports.  */
+struct bd_traffic_report
+{
+  struct bd_target_traffic *targets;
+  uint32_t target_count;
+  struct bd_model_demand *demand;
+  uint32_t demand_count;
+  uint32_t daemon_count;    /* Daemons that the report covers.  */
+  uint32_t reporting_count; /* Of those, daemons that know their demand.  */
+};
+
+/* Sum over the sources for one target.  */
+struct bd_traffic_load
+{
+  uint32_t in_flight;
+  uint32_t prefill_ms;
+  int64_t progress_ms; /* Time of the last progress; 0 for none.  */
+};
+
+struct bd_traffic
+{
+  GHashTable *sources; /* Id -> struct source, in traffic.c.  */
+  GHashTable *sums;    /* Target -> struct sum, in traffic.c.  */
+};
+
+void bd_traffic_init (struct bd_traffic *traffic);
+void bd_traffic_finish (struct bd_traffic *traffic);
+
+/* bd_traffic_report(): replaces the report of a source, which is copied.  */
+void bd_traffic_report (struct bd_traffic *traffic, uint64_t source,
+                        const struct bd_traffic_report *report,
+                        int64_t now_ms);
+
+/* bd_traffic_expire(): drops the reports from before the given time.  */
+void bd_traffic_expire (struct bd_traffic *traffic, int64_t before_ms);
+
+/* bd_traffic_clear(): drops all reports but that of the source kept.  */
+void bd_traffic_clear (struct bd_traffic *traffic, uint64_t kept);
+
+/* bd_traffic_load(): the sum for one target over all sources but one (0 for
+   none).  */
+struct bd_traffic_load bd_traffic_load (const struct bd_traffic *traffic,
+                                        uint64_t target, uint64_t excluded);
+
+/* bd_traffic_add_to(): adds the sums over all sources but one to a report
+   whose arrays have room for max_targets and max_models; what does not fit is
+   left out.  */
+void bd_traffic_add_to (const struct bd_traffic *traffic, uint64_t excluded,
+                        struct bd_traffic_report *report, uint32_t max_targets,
+                        uint32_t max_models, int64_t now_ms);
+
+/* bd_traffic_add_counts(): adds the demand and the counts only.  */
+void bd_traffic_add_counts (const struct bd_traffic *traffic,
+                            uint64_t excluded,
+                            struct bd_traffic_report *report,
+                            uint32_t max_models);
+
+/* bd_traffic_source_count(): number of sources.  */
+uint32_t bd_traffic_source_count (const struct bd_traffic *traffic);
+
+#endif
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -154,7 +154,7 @@
 static const struct field target_fields[]
     = { FIELD (bd_target_traffic, U64, target),
         FIELD (bd_target_traffic, U32, in_flight),
-        FIELD (bd_target_traffic, DOUBLE, prefill_ms),
+        FIELD (bd_target_traffic, U32, prefill_ms),
         FIELD (bd_target_traffic, U32, progress_age_ms) };
 static const struct layout target_layout
     = LAYOUT (bd_target_traffic, target_fields);
@@ -165,8 +165,14 @@
 static const struct layout demand_layout
     = LAYOUT (bd_model_demand, demand_fields);
 
+static const struct field live_fields[]
+    = { FIELD (bd_live_daemon, U64, name_hash),
+        FIELD (bd_live_daemon, BOOL, is_stopping) };
+static const struct layout live_layout = LAYOUT (bd_live_daemon, live_fields);
+
 static const struct field edge_status_fields[]
-    = { FIELD (bd_edge_status, NAME, name),
+    = { FIELD (bd_edge_status, U32, scope),
+        FIELD (bd_edge_status, NAME, name),
         FIELD (bd_edge_status, NAME, data_centre),
         FIELD (bd_edge_status, NAME, address),
         FIELD (bd_edge_status, U32, peer_port),
@@ -174,8 +180,15 @@
         FIELD (bd_edge_status, I64, config_version),
         FIELD (bd_edge_status, BOOL, is_stopping),
         FIELD (bd_edge_status, BOOL, has_traffic),
-        LIST_FIELD (bd_edge_status, targets, target_count, &target_layout),
-        LIST_FIELD (bd_edge_status, work, work_count, &demand_layout) };
+        FIELD (bd_edge_status, BOOL, wants_reply),
+        FIELD (bd_edge_status, U64, live_checksum),
+        FIELD (bd_edge_status, U32, traffic.daemon_count),
+        FIELD (bd_edge_status, U32, traffic.reporting_count),
+        LIST_FIELD (bd_edge_status, traffic.targets, traffic.target_count,
+                    &target_layout),
+        LIST_FIELD (bd_edge_status, traffic.demand, traffic.demand_count,
+                    &demand_layout),
+        LIST_FIELD (bd_edge_status, live, live_count, &live_layout) };
 
 static const struct field freshness_request_fields[]
     = { FIELD (bd_freshness_request, NAME, from),
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -12,6 +12,7 @@
 
 #include "base/ids.h"
 #include "directory/directory.h"
+#include "traffic/traffic.h"
 
 #include <msgpack.h>
 #include <stdbool.h>
@@ -178,37 +179,39 @@
   const char *body;
 };
 
-/* Traffic of a daemon with one group or endpoint.  */
-struct bd_target_traffic
+enum bd_status_scope
 {
-  uint64_t target; /* Hash of group and epoch, or of the endpoint.  */
-  uint32_t in_flight;
-  double prefill_ms;        /* Expected time of its running prefills.  */
-  uint32_t progress_age_ms; /* Since its last event or response.  */
+  BD_STATUS_DAEMON,      /* Of the sender.  */
+  BD_STATUS_DATA_CENTRE, /* Sum over the data centre of the sender, a relay. */
+  BD_STATUS_FLEET,  /* Reply of a relay: sum over all but the receiver.  */
+  BD_STATUS_MEMBERS /* Reply without traffic: only the live daemons.  */
 };
 
-/* Load that the callers of a daemon put on one model.  */
-struct bd_model_demand
+/* A live daemon.  */
+struct bd_live_daemon
 {
-  uint64_t model;       /* Hash of the model's name.  */
-  double busy_replicas; /* Replicas that the load keeps busy.  */
+  uint64_t name_hash;
+  bool is_stopping;
 };
 
 /* Periodic status of an edge daemon: liveness, traffic and demand.  */
 struct bd_edge_status
 {
+  uint32_t scope; /* enum bd_status_scope; of the traffic, not of the rest.  */
   char name[BD_NAME_SIZE];
   char data_centre[BD_NAME_SIZE];
   char address[BD_NAME_SIZE];
   uint32_t peer_port;
   int64_t incarnation;
-  int64_t config_version;
+  int64_t config_version; /* The highest one in the scope.  */
   bool is_stopping;
   bool has_traffic;
-  struct bd_target_traffic *targets;
-  uint32_t target_count;
-  struct bd_model_demand *work;
-  uint32_t work_count;
+  bool wants_reply;       /* The receiver, a relay, sends the fleet's.  */
+  uint64_t live_checksum; /* Of the live daemons that the sender knows.  */
+  struct bd_traffic_report traffic;
+  /* Live daemons in the scope; empty when the receiver knows them.  */
+  struct bd_live_daemon *live;
+  uint32_t live_count;
 };
 
 /* Asks a peer how fresh its configuration and its instance list are.  */
