Preferred groups on a ring for each daemon; verified list applied again

Cause: 1. each daemon drew among all groups within 15% of the best: 195 daemons with 5 requests a second each opened 0.8 connections a request. 2. since the list arrives as changes, a report of an endpoint, which is some hundred ms old, could replace a newer entry for good: forming groups were never seen as ready. Ruled out: rendezvous hashing of daemons and groups (uneven by chance, with few daemons by a factor of two). Change: src/placement/subset places the daemons of a data centre evenly on a ring of its groups; each prefers 4 or more neighbouring ones, compared with a sample of 8 others, and takes another when the preferred ones take 1.3 times as long; when they are all full or lost, all groups are compared. Of two near-equal groups the one with fewer requests is taken. Groups are kept sorted by service, model and data centre, so a choice does not walk the others. A controller passes the list to its fleet again each time that the list is verified, for entries whose member changed before that.

--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -522,7 +522,9 @@
       || now_ms - edge->started_ms < PEER_DISCOVERY_MS
       || (edge->restored_ms != 0 && now_ms - edge->restored_ms < RELISTING_MS))
     return;
-  add_controllers (edge, pool);
+  if (edge->controllers_list_ms != edge->fleet.changed_ms)
+    add_controllers (edge, pool);
+  edge->controllers_list_ms = edge->fleet.changed_ms;
   for (uint32_t i = 0; i < edge->controller_count; i++)
     {
       struct bd_edge_controller *controller = &edge->controllers[i];
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -156,6 +156,10 @@
   struct bd_peers peers;
   struct bd_membership membership;
   uint32_t status_turn;
+  /* The live daemons of this data centre, and the place of this one in the
+     order of their names.  */
+  uint32_t local_daemons;
+  uint32_t local_place;
   /* Traffic of the other daemons, and, at a relay, of this one; by daemon and
      by data centre.  */
   struct bd_traffic traffic;
@@ -203,6 +207,8 @@
   struct bd_edge_controller controllers[BD_EDGE_MAX_DATA_CENTRES];
   uint32_t controller_count;
   int64_t controller_tick_ms;
+  /* Change of the fleet for which the controllers were added.  */
+  int64_t controllers_list_ms;
   int64_t restored_ms; /* When the store was last restored; 0 if never.  */
 
   GHashTable *services; /* Name -> struct bd_edge_service.  */
--- a/src/edge/edge_test.c
+++ b/src/edge/edge_test.c
@@ -366,6 +366,21 @@
   site_finish (&site);
 }
 
+/* The list shows that members are ready before their responses to the join
+   orders arrive, and before their reports say so.  */
+static void
+test_late_responses_and_reports (void)
+{
+  site_start (&site, 0, 4);
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    {
+      site.workers[i].order_delay_ms = 200;
+      site.workers[i].report_lag_ms = 500;
+    }
+  CU_ASSERT_TRUE (site_run (&site, site_has_groups, 6000));
+  site_finish (&site);
+}
+
 /* A worker that says in a response that it leaves gets no more requests,
    though the list shows it as ready.  */
 static void
@@ -455,6 +470,7 @@
     { "key changes account", test_key_changes_account },
     { "planned stop", test_planned_stop },
     { "store restored from a copy", test_store_restored },
+    { "late responses and reports", test_late_responses_and_reports },
     { "leaving worker", test_leaving_worker },
     { "closed worker", test_closed_worker },
     { "stalled groups with backlog", test_stalled_groups_with_backlog },
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -511,6 +511,25 @@
   edge->membership.reported_dead_after_ms = REPORTED_DEAD_AFTER_MS;
 }
 
+/* Finds this daemon's place among those of its data centre.  */
+static void
+update_place (struct bd_edge *edge)
+{
+  const struct bd_membership *membership = &edge->membership;
+
+  edge->local_daemons = 1;
+  edge->local_place = 0;
+  for (uint32_t i = 1; i < membership->count; i++)
+    {
+      const struct bd_member *member = &membership->members[i];
+
+      if (!member->is_live || !is_local (edge, member->data_centre))
+        continue;
+      edge->local_daemons++;
+      edge->local_place += strcmp (member->name, edge->settings->name) < 0;
+    }
+}
+
 /* Drops the traffic of daemons and data centres that are silent.  */
 static void
 expire_traffic (struct bd_edge *edge)
@@ -576,6 +595,7 @@
             BD_NUM (bd_membership_count_live (&edge->membership, NULL)), NULL);
   adjust_to_fleet_size (edge);
   expire_traffic (edge);
+  update_place (edge);
   collect_own_traffic (edge, &buffer);
   fill_status (edge, &status, BD_STATUS_DAEMON);
   status.traffic = buffer.report;
@@ -614,6 +634,7 @@
   bd_name_copy (self.address, settings->address);
   self.incarnation = bd_clock_calendar_ms (&edge->clock);
   bd_membership_init (&edge->membership, edge, &self, DEAD_AFTER_MS);
+  update_place (edge);
   bd_traffic_init (&edge->traffic);
   bd_traffic_init (&edge->remote_traffic);
   return bd_peers_init (&edge->peers, edge->events, &edge->counters,
--- a/src/edge/sync.c
+++ b/src/edge/sync.c
@@ -117,6 +117,8 @@
   edge->routes = routes;
   json_decref (edge->config);
   edge->config = json_incref (value);
+  /* The pool may be another one.  */
+  edge->controllers_list_ms = 0;
   bd_http_server_set_timeouts (&edge->server, routes->limits.header_timeout_ms,
                                routes->limits.idle_timeout_ms);
 }
@@ -196,11 +198,40 @@
                      edge);
 }
 
+/* Passes an entry to the fleet again if the list was verified after the fleet
+   last changed its member: a report that an endpoint sends is some hundred ms
+   old, and can have replaced a newer entry.  */
+static void
+put_again (void *ctx, const struct bd_directory_record *record)
+{
+  struct bd_edge *edge = ctx;
+  const struct bd_fleet_endpoint *endpoint
+      = bd_fleet_endpoint (&edge->fleet, record->entry.id);
+
+  if (endpoint != NULL
+      && endpoint->member_updated_ms < edge->instances_verified_ms)
+    bd_fleet_put (&edge->fleet, &record->entry, bd_edge_now_ms (edge));
+}
+
+static bool
+is_controller (const struct bd_edge *edge)
+{
+  for (uint32_t i = 0; i < edge->controller_count; i++)
+    if (edge->controllers[i].is_active)
+      return true;
+  return false;
+}
+
 void
 bd_edge_note_list (struct bd_edge *edge, int64_t verified_ms)
 {
   if (verified_ms > edge->instances_verified_ms)
-    edge->instances_verified_ms = verified_ms;
+    {
+      edge->instances_verified_ms = verified_ms;
+      /* Only controllers probe, and assume the results of orders.  */
+      if (is_controller (edge))
+        bd_directory_foreach (&edge->directory, put_again, edge);
+    }
   edge->fleet.has_list = edge->fleet.has_list || edge->directory.is_complete;
   if (!edge->has_list_changed)
     return;
--- a/src/edge/target.c
+++ b/src/edge/target.c
@@ -2,6 +2,7 @@
    request, has placement/ choose one, and tracks the requests on each.  */
 
 #include "edge/edge_internal.h"
+#include "placement/subset.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -9,6 +10,12 @@
 enum
 {
   MAX_CANDIDATES = 512,
+  /* Groups of a model that a daemon prefers, and daemons that prefer a group,
+     at least.  */
+  MIN_PREFERRED = 4,
+  MIN_DAEMONS_PER_GROUP = 4,
+  /* Other groups that a request is compared with.  */
+  SAMPLED_OTHERS = 8,
   /* Requests beyond its slots that may wait at a plain endpoint.  */
   MAX_ENDPOINT_QUEUE = 2,
   /* Time for which the load that an endpoint reports is used.  */
@@ -26,6 +33,9 @@
 /* Time added to targets in other data centres: the round trip, and a
    preference for leaving their capacity to their own callers.  */
 static const double remote_penalty_ms = 12.0;
+/* A group that is not preferred is used when the preferred ones take this many
+   times as long.  */
+static const double widen_factor = 1.3;
 /* Weight of a new sample of latency or failures in the moving average.  */
 static const double smoothing = 0.2;
 
@@ -43,14 +53,6 @@
              : remote_penalty_ms;
 }
 
-static bool
-serves_request (const struct bd_edge_request *request,
-                const struct bd_fleet_group *group)
-{
-  return strcmp (group->model, request->model) == 0
-         && strcmp (group->service, request->service) == 0;
-}
-
 static void
 fill_group_load (const struct bd_edge_request *request,
                  const struct bd_fleet_group *group,
@@ -65,9 +67,93 @@
   load->is_tried = was_tried (request, group->hash);
 }
 
+/* The groups that are compared for one request.  */
+struct candidates
+{
+  struct bd_group_load loads[MAX_CANDIDATES];
+  struct bd_fleet_group *groups[MAX_CANDIDATES];
+  uint32_t count;
+};
+
+/* Adds count of size groups from the one with index first, after the last the
+   first, if they are usable.  */
+static void
+add_candidates (const struct bd_edge_request *request,
+                const struct bd_engine_model *model,
+                struct candidates *candidates, struct bd_fleet_group **groups,
+                uint32_t size, uint32_t first, uint32_t count)
+{
+  int64_t now_ms = bd_edge_now_ms (request->edge);
+
+  for (uint32_t i = 0; i < count && candidates->count < MAX_CANDIDATES; i++)
+    {
+      struct bd_fleet_group *group = groups[(first + i) % size];
+      struct bd_group_load *load = &candidates->loads[candidates->count];
+
+      if (!bd_fleet_is_usable (group, model->members, now_ms))
+        continue;
+      memset (load, 0, sizeof *load);
+      fill_group_load (request, group, load);
+      candidates->groups[candidates->count++] = group;
+    }
+}
+
+/* Chooses among the groups that this daemon prefers.  */
+static int32_t
+choose_preferred (const struct bd_edge_request *request,
+                  const struct bd_engine *engine,
+                  const struct bd_engine_model *model,
+                  struct candidates *candidates, double *expected_ms)
+{
+  const struct bd_edge *edge = request->edge;
+  uint32_t size;
+  struct bd_fleet_group **groups
+      = bd_fleet_groups_of (&edge->fleet, request->service, model->name,
+                            edge->settings->data_centre, &size);
+  uint32_t width;
+
+  candidates->count = 0;
+  if (size == 0)
+    return -1;
+  width = bd_subset_width (size, edge->local_daemons, MIN_PREFERRED,
+                           MIN_DAEMONS_PER_GROUP);
+  add_candidates (
+      request, model, candidates, groups, size,
+      bd_subset_first (size, width, edge->local_place, edge->local_daemons),
+      width);
+  return bd_choose_group (engine, model, candidates->loads, candidates->count,
+                          request->prompt_tokens, edge->rng, expected_ms);
+}
+
+/* Chooses among all groups of the model, or among a part of them that is drawn
+   at random.  */
+static int32_t
+choose_any (const struct bd_edge_request *request,
+            const struct bd_engine *engine,
+            const struct bd_engine_model *model, uint32_t max,
+            struct candidates *candidates, double *expected_ms)
+{
+  const struct bd_edge *edge = request->edge;
+  uint32_t size;
+  struct bd_fleet_group **groups = bd_fleet_groups_of (
+      &edge->fleet, request->service, model->name, NULL, &size);
+  uint32_t first;
+
+  candidates->count = 0;
+  if (size == 0)
+    return -1;
+  first = (uint32_t)gsl_rng_uniform_int (edge->rng, size);
+  add_candidates (request, model, candidates, groups, size, first,
+                  size < max ? size : max);
+  return bd_choose_group (engine, model, candidates->loads, candidates->count,
+                          request->prompt_tokens, edge->rng, expected_ms);
+}
+
 static bool
 find_group (struct bd_edge_request *request, struct bd_edge_target *target)
 {
+  static struct candidates preferred;
+  static struct candidates others;
   struct bd_edge *edge = request->edge;
   const struct bd_route_service *service
       = bd_routes_service (edge->routes, request->service);
@@ -75,40 +161,36 @@
       = service != NULL && service->has_engine
             ? bd_engine_model (&service->engine, request->model)
             : NULL;
-  static struct bd_group_load loads[MAX_CANDIDATES];
-  static struct bd_fleet_group *groups[MAX_CANDIDATES];
-  uint32_t count = 0;
+  const struct candidates *from = &preferred;
+  double other_ms;
   int32_t chosen;
-  GHashTableIter iter;
-  gpointer value;
+  int32_t other;
 
   if (model == NULL)
     return false;
-  g_hash_table_iter_init (&iter, edge->fleet.groups);
-  while (count < MAX_CANDIDATES
-         && g_hash_table_iter_next (&iter, NULL, &value))
+  chosen = choose_preferred (request, &service->engine, model, &preferred,
+                             &target->expected_ms);
+  /* A few others show whether the preferred ones are overloaded.  Only when
+     all of those are full, all are compared.  */
+  other = choose_any (request, &service->engine, model,
+                      chosen >= 0 ? SAMPLED_OTHERS : MAX_CANDIDATES, &others,
+                      &other_ms);
+  if (other >= 0
+      && (chosen < 0 || other_ms * widen_factor < target->expected_ms))
     {
-      struct bd_fleet_group *group = value;
-
-      if (!serves_request (request, group)
-          || !bd_fleet_is_usable (group, model->members,
-                                  bd_edge_now_ms (edge)))
-        continue;
-      memset (&loads[count], 0, sizeof loads[count]);
-      fill_group_load (request, group, &loads[count]);
-      groups[count++] = group;
+      from = &others;
+      chosen = other;
+      target->expected_ms = other_ms;
     }
-  chosen = bd_choose_group (&service->engine, model, loads, count,
-                            request->prompt_tokens, edge->rng,
-                            &target->expected_ms);
   if (chosen < 0)
     return false;
-  target->group = groups[chosen]->hash;
-  target->candidates = count;
-  target->load = loads[chosen].running;
-  bd_name_copy (target->endpoint, groups[chosen]->members[0]->entry.id);
-  bd_name_copy (target->address, groups[chosen]->members[0]->entry.address);
-  target->port = groups[chosen]->members[0]->entry.port;
+  target->group = from->groups[chosen]->hash;
+  target->candidates = preferred.count + others.count;
+  target->load = from->loads[chosen].running;
+  bd_name_copy (target->endpoint, from->groups[chosen]->members[0]->entry.id);
+  bd_name_copy (target->address,
+                from->groups[chosen]->members[0]->entry.address);
+  target->port = from->groups[chosen]->members[0]->entry.port;
   return true;
 }
 
@@ -409,6 +491,8 @@
             ? bd_engine_model (&route_service->engine, model)
             : NULL;
   uint32_t slots = 0;
+  struct bd_fleet_group **groups;
+  uint32_t size;
   GHashTableIter iter;
   gpointer value;
 
@@ -426,15 +510,10 @@
         }
       return slots;
     }
-  g_hash_table_iter_init (&iter, edge->fleet.groups);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct bd_fleet_group *group = value;
-
-      if (strcmp (group->model, model) == 0
-          && bd_fleet_is_usable (group, engine_model->members,
-                                 bd_edge_now_ms (edge)))
-        slots += route_service->engine.slots;
-    }
+  groups = bd_fleet_groups_of (&edge->fleet, service, model, NULL, &size);
+  for (uint32_t i = 0; i < size; i++)
+    if (bd_fleet_is_usable (groups[i], engine_model->members,
+                            bd_edge_now_ms (edge)))
+      slots += route_service->engine.slots;
   return slots;
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -23,6 +23,7 @@
   memset (fleet, 0, sizeof *fleet);
   fleet->endpoints
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  fleet->sorted_groups = g_ptr_array_new ();
   fleet->groups
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
 }
@@ -32,6 +33,7 @@
 {
   if (fleet->endpoints == NULL)
     return;
+  g_ptr_array_free (fleet->sorted_groups, TRUE);
   g_hash_table_destroy (fleet->groups);
   g_hash_table_destroy (fleet->endpoints);
   fleet->endpoints = NULL;
@@ -337,6 +339,47 @@
   return group->in_flight == 0;
 }
 
+/* Orders a group relative to those of a service, a model and, unless NULL, a
+   data centre.  */
+static int
+compare_class (const struct bd_fleet_group *group, const char *service,
+               const char *model, const char *data_centre)
+{
+  int order = strcmp (group->service, service);
+
+  if (order == 0)
+    order = strcmp (group->model, model);
+  if (order == 0 && data_centre != NULL)
+    order = strcmp (group->data_centre, data_centre);
+  return order;
+}
+
+static gint
+compare_groups (gconstpointer a, gconstpointer b)
+{
+  const struct bd_fleet_group *left = *(struct bd_fleet_group *const *)a;
+  const struct bd_fleet_group *right = *(struct bd_fleet_group *const *)b;
+  int order
+      = compare_class (left, right->service, right->model, right->data_centre);
+
+  if (order != 0)
+    return order;
+  return left->hash < right->hash ? -1 : left->hash > right->hash;
+}
+
+static void
+sort_groups (struct bd_fleet *fleet)
+{
+  GHashTableIter iter;
+  gpointer group;
+
+  g_ptr_array_set_size (fleet->sorted_groups, 0);
+  g_hash_table_iter_init (&iter, fleet->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &group))
+    g_ptr_array_add (fleet->sorted_groups, group);
+  g_ptr_array_sort (fleet->sorted_groups, compare_groups);
+}
+
 void
 bd_fleet_refresh (struct bd_fleet *fleet)
 {
@@ -348,6 +391,34 @@
   while (g_hash_table_iter_next (&iter, NULL, &endpoint))
     add_group_member (fleet, endpoint);
   g_hash_table_foreach_remove (fleet->groups, is_stale, fleet);
+  sort_groups (fleet);
+}
+
+struct bd_fleet_group **
+bd_fleet_groups_of (const struct bd_fleet *fleet, const char *service,
+                    const char *model, const char *data_centre,
+                    uint32_t *count)
+{
+  struct bd_fleet_group **groups
+      = (struct bd_fleet_group **)fleet->sorted_groups->pdata;
+  uint32_t first = 0;
+  uint32_t end = fleet->sorted_groups->len;
+
+  while (first < end)
+    {
+      uint32_t middle = first + (end - first) / 2;
+
+      if (compare_class (groups[middle], service, model, data_centre) < 0)
+        first = middle + 1;
+      else
+        end = middle;
+    }
+  *count = 0;
+  while (first + *count < fleet->sorted_groups->len
+         && compare_class (groups[first + *count], service, model, data_centre)
+                == 0)
+    (*count)++;
+  return groups + first;
 }
 
 bool
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -172,6 +172,8 @@
 {
   GHashTable *endpoints; /* Id -> struct bd_fleet_endpoint.  */
   GHashTable *groups;    /* Hash -> struct bd_fleet_group.  */
+  /* The groups ordered by service, model, data centre and hash.  */
+  GPtrArray *sorted_groups;
   uint32_t generation;
   bool has_list;      /* The list has been read at least once.  */
   int64_t changed_ms; /* Last change of any entry.  */
@@ -239,6 +241,15 @@
 struct bd_fleet_group *bd_fleet_group (const struct bd_fleet *fleet,
                                        uint64_t hash);
 
+/* bd_fleet_groups_of(): returns the groups of a model, of one data centre or
+   (NULL) of all, in a fixed order, and sets *count.  Valid until the next
+   refresh.  */
+struct bd_fleet_group **bd_fleet_groups_of (const struct bd_fleet *fleet,
+                                            const char *service,
+                                            const char *model,
+                                            const char *data_centre,
+                                            uint32_t *count);
+
 /* bd_fleet_group_hash(): returns the key of a group: the hash of its name and
    epoch.  */
 uint64_t bd_fleet_group_hash (const char *name, int64_t epoch);
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -63,6 +63,7 @@
   double costs[MAX_TARGETS];
   double best = INFINITY;
   int32_t chosen;
+  int32_t other;
 
   if (count > MAX_TARGETS)
     count = MAX_TARGETS;
@@ -77,6 +78,12 @@
   if (isinf (best))
     return -1;
   chosen = choose_random (costs, count, best, rng);
+  other = choose_random (costs, count, best, rng);
+  /* Their times are nearly equal; the one with fewer requests fills up
+     later.  */
+  if (chosen >= 0 && other >= 0
+      && loads[other].running < loads[chosen].running)
+    chosen = other;
   *expected_ms = chosen >= 0 ? costs[chosen] : 0;
   return chosen;
 }
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -2,10 +2,11 @@
 
    Designed for many daemons that share the same replica groups, each with a
    delayed view of the load of the others.  A request is sent to the group
-   with the shortest expected time to its first event.  The choice among nearly
-   equal targets is random, so that daemons with the same view do not all
-   choose the same one.  A target without a free slot is not chosen: the
-   request waits at the daemon, which can still send it to any target.  */
+   with the shortest expected time to its first event.  Of two random ones of
+   the nearly equal groups, the one with fewer requests is chosen, so that
+   daemons with the same view do not all choose the same one.  A target without
+   a free slot is not chosen: the request waits at the daemon, which can still
+   send it to any target.  */
 
 #ifndef BD_PLACEMENT_PLACEMENT_H
 #define BD_PLACEMENT_PLACEMENT_H
--- a/src/placement/placement_test.c
+++ b/src/placement/placement_test.c
@@ -1,6 +1,7 @@
 /* Tests of the engine's time formula and of the choice among targets.  */
 
 #include "placement/placement.h"
+#include "placement/subset.h"
 #include "tests/unit.h"
 
 #include <string.h>
@@ -86,6 +87,40 @@
   CU_ASSERT_EQUAL (bd_choose_endpoint (loads, 2, 2, rng), -1);
 }
 
+/* Every target is preferred by the same number of daemons, to within the
+   rounding of places, and by at least as many as asked for.  */
+static void
+test_subsets_are_even (void)
+{
+  static const uint32_t daemon_counts[] = { 1, 3, 6, 39, 63, 300 };
+  static const uint32_t target_counts[] = { 1, 3, 10, 28, 130 };
+
+  for (size_t d = 0; d < sizeof daemon_counts / sizeof daemon_counts[0]; d++)
+    for (size_t t = 0; t < sizeof target_counts / sizeof target_counts[0]; t++)
+      {
+        uint32_t daemons = daemon_counts[d];
+        uint32_t targets = target_counts[t];
+        uint32_t width = bd_subset_width (targets, daemons, 4, 4);
+        uint32_t counts[130] = { 0 };
+        uint32_t lowest = UINT32_MAX;
+        uint32_t highest = 0;
+
+        CU_ASSERT_TRUE (width >= (targets < 4 ? targets : 4));
+        CU_ASSERT_TRUE (width <= targets);
+        for (uint32_t place = 0; place < daemons; place++)
+          for (uint32_t i = 0; i < width; i++)
+            counts[(bd_subset_first (targets, width, place, daemons) + i)
+                   % targets]++;
+        for (uint32_t i = 0; i < targets; i++)
+          {
+            lowest = counts[i] < lowest ? counts[i] : lowest;
+            highest = counts[i] > highest ? counts[i] : highest;
+          }
+        CU_ASSERT_TRUE (highest - lowest <= 1 + daemons / targets);
+        CU_ASSERT_TRUE (lowest >= (daemons < 4 ? daemons : 3));
+      }
+}
+
 int
 main (void)
 {
@@ -93,7 +128,8 @@
       = { { "formula", test_formula },
           { "soonest first event", test_soonest_first_event },
           { "spreads over equal targets", test_spreads_over_equal_targets },
-          { "failing endpoints get less", test_failing_endpoints_get_less } };
+          { "failing endpoints get less", test_failing_endpoints_get_less },
+          { "subsets are even", test_subsets_are_even } };
   int code;
 
   rng = gsl_rng_alloc (gsl_rng_mt19937);
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -2,6 +2,7 @@
 
 #include "tests/fakes/site.h"
 
+#include "base/clock.h"
 #include "base/timer.h"
 #include "platform/platform.h"
 
@@ -690,6 +691,62 @@
                              || bd_http_header (x, "Authorization") != NULL;
 }
 
+static json_t *
+copy_and_release (json_t *value)
+{
+  json_t *copy = json_deep_copy (value);
+
+  json_decref (value);
+  return copy;
+}
+
+/* The worker's report, which is made anew only when it is too old.  */
+static json_t *
+lagging_report (struct site_worker *worker)
+{
+  struct bd_clock clock = bd_clock_system ();
+  int64_t now_ms = bd_clock_now_ms (&clock);
+
+  if (worker->report == NULL
+      || now_ms - worker->report_ms >= worker->report_lag_ms)
+    {
+      json_decref (worker->report);
+      worker->report = copy_and_release (make_worker_report (worker));
+      worker->report_ms = now_ms;
+    }
+  return json_incref (worker->report);
+}
+
+/* The response to an order that was carried out at once.  */
+struct late_response
+{
+  struct bd_http_exchange *exchange;
+  uint32_t status;
+};
+
+static void
+send_late_response (void *ctx)
+{
+  struct late_response *response = ctx;
+
+  respond (response->exchange, response->status, json_object ());
+}
+
+static void
+respond_to_order (struct site_worker *worker, struct bd_http_exchange *x,
+                  uint32_t status)
+{
+  struct late_response *response = talloc_zero (x, struct late_response);
+
+  response->exchange = x;
+  response->status = status;
+  if (worker->order_delay_ms == 0)
+    send_late_response (response);
+  else
+    bd_timer_add (worker->site->events, response, worker->order_delay_ms,
+                  send_late_response, response);
+}
+
 static void
 handle_worker (void *ctx, struct bd_http_exchange *x)
 {
@@ -702,12 +759,12 @@
   if (target != NULL && strcmp (target, worker->id) != 0)
     respond (x, 421, json_object ());
   else if (strcmp (x->path, "/report") == 0)
-    respond (x, 200, make_worker_report (worker));
+    respond (x, 200, lagging_report (worker));
   else if (is_order)
     {
       json_t *order = json_loadb (x->body, x->body_size, 0, NULL);
 
-      respond (x, handle_order (worker, order), json_object ());
+      respond_to_order (worker, x, handle_order (worker, order));
       json_decref (order);
     }
   else
@@ -871,6 +928,7 @@
       bd_http_server_finish (&site->workers[i].server);
       json_decref (site->workers[i].group);
       json_decref (site->workers[i].staged);
+      json_decref (site->workers[i].report);
       json_decref (site->workers[i].members);
       json_decref (site->workers[i].ready_groups);
     }
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -57,6 +57,10 @@
   bool is_draining;
   bool is_leaving;         /* Says so in its responses.  */
   const char *retry_after; /* Of its refusals; NULL for none.  */
+  uint32_t order_delay_ms; /* Until it responds to an order.  */
+  uint32_t report_lag_ms;  /* Age that its reports can have.  */
+  json_t *report;          /* The last one, or NULL.  */
+  int64_t report_ms;       /* When it was made.  */
   json_t *group;           /* Or NULL.  */
   char model[BD_NAME_SIZE];
   json_t *staged;
