Responses without end are cut at a bound; edge: an invalid response ends its attempt

Cause: a plain response above 16 MiB, or a stream with a gap or an event without an end, was recorded as incomplete, but the daemon read on until the deadline of the request, and a body could take 16 MiB of an instance of 160 MB. Change: bd_http_call_reject() ends a call from its data callback; attempts reject a body above 4 MiB, a gap and an event without an end; heads are bounded at 64 KiB a call, lines beyond the first 24 are no longer copied. An invalid response is not counted as a crash by the request. Test: http_test 'endless responses': head of many lines, one line, no head at all, a body, interim responses; each is cut long before its timeout.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -20,7 +20,7 @@
   /* The HTTP library's timeout is this much after the deadline; the watchdog
      ends the attempt before.  */
   TIMEOUT_MARGIN_MS = 300,
-  MAX_RESPONSE_BYTES = 16 << 20,
+  MAX_RESPONSE_BYTES = 4 << 20,
   /* Backoff for an address where another endpoint responded (status 421); by
      then the instance list shows where the endpoint has moved.  */
   MISDIRECTED_BACKOFF_MS = 2000
@@ -134,6 +134,14 @@
   return true;
 }
 
+/* Ends the attempt: its bytes are no response, and may come without end.  */
+static void
+reject (struct bd_edge_request *request, struct bd_http_call *call)
+{
+  request->is_incomplete = true;
+  bd_http_call_reject (call);
+}
+
 static bool
 handle_data (void *ctx, struct bd_http_call *call, const char *data,
              size_t size)
@@ -147,7 +155,7 @@
   if (!is_stream (call))
     {
       if (!append_body (request, data, size))
-        request->is_incomplete = true;
+        reject (request, call);
       return true;
     }
   if (request->is_incomplete || request->exchange == NULL)
@@ -156,6 +164,8 @@
   while (!request->is_incomplete && bd_sse_next (&request->sse, &event))
     request->is_incomplete
         = !forward_event (request, call, &event, &can_write);
+  if (request->is_incomplete)
+    reject (request, call);
   return can_write;
 }
 
@@ -356,6 +366,8 @@
   if (request->is_mismatched)
     fail (request, BD_FAILURE_MISMATCHED, false,
           "response does not have the id of this request");
+  else if (request->is_incomplete)
+    fail (request, BD_FAILURE_BROKEN, false, "invalid response");
   else if (!result->is_complete)
     fail (request,
           result->has_timed_out && result->was_sent ? BD_FAILURE_TIMEOUT
@@ -364,7 +376,7 @@
           result->was_sent && !result->has_timed_out
               && bd_edge_now_ms (edge) > request->sent_ms,
           "connection");
-  else if (request->is_incomplete || (is_stream (call) && is_partial))
+  else if (is_stream (call) && is_partial)
     fail (request, BD_FAILURE_BROKEN, false, "gap");
   else if (!is_stream (call))
     handle_complete_response (request, call, result);
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -15,7 +15,9 @@
   /* A peer that acknowledges no data for this long is treated as disconnected,
      because a network partition causes no reset.  */
   UNACKNOWLEDGED_TIMEOUT_MS = 3000,
-  MAX_BODY_BYTES = 16 << 20
+  MAX_BODY_BYTES = 16 << 20,
+  /* Of all response heads of a call, interim ones included.  */
+  MAX_HEAD_BYTES = 64 << 10
 };
 
 struct bd_http_call
@@ -29,10 +31,12 @@
   char *body;
   size_t body_size;
   size_t body_capacity;
+  size_t head_size;
   bool has_head;
   bool was_started; /* A connection has been assigned to it once.  */
   bool is_paused;
   bool is_cancelled;
+  bool is_rejected; /* Fails when the current callback returns.  */
   uint32_t header_count;
   struct bd_http_header_field response_headers[BD_HTTP_MAX_HEADERS];
   struct bd_http_call *prev;
@@ -271,15 +275,22 @@
   char *colon;
   char *value;
 
+  call->head_size += length;
+  if (call->head_size > MAX_HEAD_BYTES)
+    return 0;
   if (is_head_end (data, length))
     return call->is_cancelled || !is_accepted (call) ? 0 : length;
-  line = talloc_strndup (call, data, length);
-  colon = strchr (line, ':');
-
-  if (strncmp (line, "HTTP/", 5) == 0)
+  if (length >= 5 && strncmp (data, "HTTP/", 5) == 0)
     call->header_count = 0;
-  if (colon == NULL || call->header_count == BD_HTTP_MAX_HEADERS)
+  if (call->header_count == BD_HTTP_MAX_HEADERS)
     return length;
+  line = talloc_strndup (call, data, length);
+  colon = strchr (line, ':');
+  if (colon == NULL)
+    {
+      talloc_free (line);
+      return length;
+    }
   *colon = '\0';
   value = colon + 1;
   value += strspn (value, " \t");
@@ -337,7 +348,7 @@
   else
     {
       wants_more = call->ops->data (call->ctx, call, data, length);
-      if (call->is_cancelled)
+      if (call->is_cancelled || call->is_rejected)
         length = 0;
       else if (!wants_more)
         {
@@ -524,6 +535,12 @@
   return call->response_headers;
 }
 
+void
+bd_http_call_reject (struct bd_http_call *call)
+{
+  call->is_rejected = true;
+}
+
 void
 bd_http_call_continue (struct bd_http_call *call)
 {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -117,6 +117,10 @@
 const struct bd_http_header_field *
 bd_http_call_headers (const struct bd_http_call *call, uint32_t *count);
 
+/* bd_http_call_reject(): the data are no valid response.  Called from the data
+   callback; the call then fails and its connection is closed.  */
+void bd_http_call_reject (struct bd_http_call *call);
+
 /* bd_http_call_continue(): resumes the transfer after the data callback paused
    it.  */
 void bd_http_call_continue (struct bd_http_call *call);
--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -8,6 +8,7 @@
 #include "tests/unit.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <talloc.h>
@@ -187,6 +188,7 @@
    looks like a kept-alive connection that has died.  */
 struct raw_server
 {
+  struct tevent_fd *event;
   int listen_fd;
   uint32_t request_count;
 };
@@ -247,10 +249,11 @@
 }
 
 static void
-start_raw_server (struct raw_server *raw)
+start_listening (struct raw_server *raw, uint32_t port,
+                 tevent_fd_handler_t handler, void *ctx)
 {
   struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_port = htons (RAW_PORT) };
+      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
   int on = 1;
 
   raw->listen_fd = socket (AF_INET, SOCK_STREAM, 0);
@@ -259,8 +262,14 @@
   CU_ASSERT_EQUAL (
       bind (raw->listen_fd, (struct sockaddr *)&address, sizeof address), 0);
   CU_ASSERT_EQUAL (listen (raw->listen_fd, 8), 0);
-  tevent_add_fd (events, events, raw->listen_fd, TEVENT_FD_READ,
-                 handle_raw_listen, raw);
+  raw->event = tevent_add_fd (events, events, raw->listen_fd, TEVENT_FD_READ,
+                              handler, ctx);
+}
+
+static void
+start_raw_server (struct raw_server *raw)
+{
+  start_listening (raw, RAW_PORT, handle_raw_listen, raw);
 }
 
 struct outcome
@@ -285,11 +294,11 @@
 static const struct bd_http_call_ops call_ops = { .done = handle_done };
 
 static struct outcome
-post (struct bd_http_client *client, bool is_sent_once)
+post_to (struct bd_http_client *client, const char *url, bool is_sent_once)
 {
   struct outcome outcome = { .is_done = false };
   struct bd_http_request request = { .method = "POST",
-                                     .url = "http://127.0.0.1:25091/",
+                                     .url = url,
                                      .body = "abc",
                                      .body_size = 3,
                                      .timeout_ms = LIMIT_MS,
@@ -301,6 +310,12 @@
   return outcome;
 }
 
+static struct outcome
+post (struct bd_http_client *client, bool is_sent_once)
+{
+  return post_to (client, "http://127.0.0.1:25091/", is_sent_once);
+}
+
 /* By default, libcurl resends a request when a kept-alive connection turns out
    to be dead.  With is_sent_once, the request arrives once and the call
    fails.  */
@@ -322,6 +337,124 @@
   bd_http_client_finish (&client);
 }
 
+enum
+{
+  /* Far more than any bound that the client may have, and so little that the
+     test ends soon without one.  */
+  ENDLESS_BYTES = 64 << 20,
+  CHUNK_BYTES = 16 * 1024
+};
+
+/* A server that sends a head or a body without end, until the client closes.
+ */
+struct endless_server
+{
+  const char *start; /* Of the response.  */
+  const char *line;  /* Repeated.  */
+  size_t sent;
+  int listen_fd;
+  int fd;
+  struct tevent_fd *event;
+};
+
+static void
+send_endlessly (struct tevent_context *ev, struct tevent_fd *fd,
+                uint16_t flags, void *ctx)
+{
+  struct endless_server *endless = ctx;
+  char chunk[CHUNK_BYTES];
+  size_t size = strlen (endless->line);
+  size_t used = 0;
+  ssize_t sent;
+
+  (void)ev;
+  if ((flags & TEVENT_FD_READ) != 0)
+    {
+      /* The request, or the end of the connection.  */
+      if (recv (endless->fd, chunk, sizeof chunk, MSG_DONTWAIT) <= 0)
+        TALLOC_FREE (endless->event);
+      else
+        {
+          send (endless->fd, endless->start, strlen (endless->start),
+                MSG_NOSIGNAL);
+          tevent_fd_set_flags (fd, TEVENT_FD_WRITE);
+        }
+      return;
+    }
+  while (used + size <= sizeof chunk)
+    {
+      memcpy (chunk + used, endless->line, size);
+      used += size;
+    }
+  sent = send (endless->fd, chunk, used, MSG_NOSIGNAL | MSG_DONTWAIT);
+  /* What remains of a line that was sent in part is left out; a line without
+     its beginning is as bad.  */
+  if (sent > 0)
+    endless->sent += (size_t)sent;
+  else if (errno != EAGAIN)
+    TALLOC_FREE (endless->event);
+  if (endless->sent >= ENDLESS_BYTES)
+    TALLOC_FREE (endless->event);
+}
+
+static void
+handle_endless_listen (struct tevent_context *ev, struct tevent_fd *fd,
+                       uint16_t flags, void *ctx)
+{
+  struct endless_server *endless = ctx;
+
+  (void)fd;
+  (void)flags;
+  endless->fd = accept (endless->listen_fd, NULL, NULL);
+  endless->event = tevent_add_fd (ev, ev, endless->fd, TEVENT_FD_READ,
+                                  send_endlessly, endless);
+}
+
+/* Bytes that are no response, in a head or a body without end, are cut at a
+   bound, long before the timeout, and the memory of the call stays small.  */
+static void
+check_endless (const char *start, const char *line, size_t max_bytes)
+{
+  struct endless_server endless = { .start = start, .line = line };
+  struct raw_server raw = { .request_count = 0 };
+  struct bd_http_client client;
+  struct outcome outcome;
+
+  start_listening (&raw, RAW_PORT + 1, handle_endless_listen, &endless);
+  endless.listen_fd = raw.listen_fd;
+  bd_http_client_init (&client, events, 4);
+  outcome = post_to (&client, "http://127.0.0.1:25092/", true);
+  CU_ASSERT_FALSE (outcome.is_complete);
+  CU_ASSERT_TRUE (outcome.was_sent);
+  CU_ASSERT_TRUE (endless.sent < max_bytes);
+  bd_http_client_finish (&client);
+  TALLOC_FREE (endless.event);
+  close (endless.fd);
+  talloc_free (raw.event);
+  close (raw.listen_fd);
+}
+
+static void
+test_endless_responses (void)
+{
+  enum
+  {
+    /* Socket buffers on both sides hold what was sent and not read.  */
+    BUFFERS = 8 << 20,
+    MAX_HEAD = 128 << 10,
+    MAX_BODY = 16 << 20
+  };
+
+  check_endless ("HTTP/1.1 200 OK\r\n", "X-Noise: 0123456789\r\n",
+                 MAX_HEAD + BUFFERS);
+  check_endless ("HTTP/1.1 200 OK\r\nX-Noise: ", "0123456789",
+                 MAX_HEAD + BUFFERS);
+  check_endless ("", "no response at all ", MAX_HEAD + BUFFERS);
+  check_endless ("HTTP/1.1 200 OK\r\n\r\n", "0123456789", MAX_BODY + BUFFERS);
+  check_endless ("HTTP/1.1 100 Continue\r\n\r\n",
+                 "HTTP/1.1 100 Continue\r\n\r\n", MAX_HEAD + BUFFERS);
+}
+
 int
 main (void)
 {
@@ -329,7 +462,8 @@
       = { { "ambiguous framing", test_ambiguous_framing },
           { "plain requests", test_plain_requests },
           { "partial head times out", test_partial_head_times_out },
-          { "sent once", test_sent_once } };
+          { "sent once", test_sent_once },
+          { "endless responses", test_endless_responses } };
   int code;
 
   events = tevent_context_init (NULL);
