--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -1,6 +1,5 @@
 /* Admission: sends requests at once, queues them, or refuses them.  */
 
-#include "admission/wait.h"
 #include "edge/edge_internal.h"
 
 #include <string.h>
@@ -63,15 +62,6 @@
   bd_backlog_add (&service->backlog, item, bd_edge_now_ms (edge));
 }
 
-static const struct bd_edge_work *
-find_work (const struct bd_edge *edge, const char *model)
-{
-  for (uint32_t i = 0; i < edge->work_count; i++)
-    if (strcmp (edge->work[i].model, model) == 0)
-      return &edge->work[i];
-  return NULL;
-}
-
 static void
 send_or_enqueue (struct bd_edge_request *request)
 {
@@ -157,45 +147,21 @@
   bd_edge_run_action (request, bd_call_admitted (&request->call));
 }
 
-static int64_t
-max_wait_ms (const struct bd_edge_request *request)
-{
-  int64_t total_ms = request->deadline_ms - request->received_ms;
-  int64_t wait_ms = (int64_t)(max_wait_fraction * (double)total_ms);
-
-  return wait_ms < (int64_t)request->objective_ms ? request->objective_ms
-                                                  : wait_ms;
-}
-
-/* Whether a request of a model that has waited since since_ms, behind ahead
-   others of that model, is not expected to get a slot in time.  */
-static bool
-is_hopeless (struct bd_edge_request *request, uint32_t ahead, int64_t since_ms,
-             int64_t now_ms)
-{
-  struct bd_edge *edge = request->edge;
-  const struct bd_edge_work *work = find_work (edge, request->model);
-  struct bd_wait_capacity capacity
-      = { .daemon_count = bd_edge_daemon_count (edge) };
-
-  if (work == NULL || request->has_stream_begun || request->call.attempts > 0)
-    return false;
-  capacity.run_ms = work->run_ms;
-  capacity.slots
-      = bd_edge_count_slots (edge, request->service, request->model);
-  return bd_wait_is_hopeless (now_ms - since_ms, bd_wait_ms (&capacity, ahead),
-                              max_wait_ms (request));
-}
-
 /* Whether a waiting request has waited too long to be served.  */
 static bool
 should_give_up (const struct bd_edge_request *request, int64_t now_ms)
 {
+  int64_t waited_ms = now_ms - request->backlog_item.since_ms;
+  int64_t total_ms = request->deadline_ms - request->received_ms;
+  int64_t max_wait_ms = (int64_t)(max_wait_fraction * (double)total_ms);
+
   if (now_ms + MIN_RESPONSE_MS >= request->deadline_ms)
     return true;
   if (request->has_stream_begun)
     return now_ms - request->last_event_ms >= MAX_RESUME_WAIT_MS;
-  return now_ms - request->backlog_item.since_ms >= max_wait_ms (request);
+  if (max_wait_ms < (int64_t)request->objective_ms)
+    max_wait_ms = request->objective_ms;
+  return waited_ms >= max_wait_ms;
 }
 
 static void
@@ -213,9 +179,6 @@
 struct dispatch_pass
 {
   struct bd_edge *edge;
-  /* Requests of each model that stay in the backlog, by index of edge->work.
-   */
-  uint32_t ahead[BD_ENGINE_MAX_MODELS];
   /* Models for which this pass has found no free target.  */
   char full_models[BD_ENGINE_MAX_MODELS][BD_NAME_SIZE];
   uint32_t full_model_count;
@@ -230,22 +193,6 @@
   return false;
 }
 
-/* Leaves the request in the backlog unless that is hopeless.  */
-static void
-keep_waiting (struct dispatch_pass *pass, struct bd_edge_request *request)
-{
-  const struct bd_edge_work *work = find_work (pass->edge, request->model);
-  uint32_t *ahead
-      = work != NULL ? &pass->ahead[work - pass->edge->work] : NULL;
-
-  if (ahead != NULL
-      && is_hopeless (request, *ahead, request->backlog_item.since_ms,
-                      bd_edge_now_ms (pass->edge)))
-    give_up (request);
-  else if (ahead != NULL)
-    (*ahead)++;
-}
-
 static bool
 dispatch_item (void *ctx, struct bd_backlog_item *item)
 {
@@ -256,7 +203,7 @@
   if (should_give_up (request, bd_edge_now_ms (pass->edge)))
     give_up (request);
   else if (is_model_full (pass, request->model))
-    keep_waiting (pass, request);
+    return true;
   else if (bd_edge_choose_target (request, &target))
     {
       bd_backlog_remove (item);
@@ -264,11 +211,7 @@
     }
   else if (request->call.attempts == 0
            && pass->full_model_count < BD_ENGINE_MAX_MODELS)
-    {
-      bd_name_copy (pass->full_models[pass->full_model_count++],
-                    request->model);
-      keep_waiting (pass, request);
-    }
+    bd_name_copy (pass->full_models[pass->full_model_count++], request->model);
   return true;
 }
 
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -277,7 +277,6 @@
 static void
 finish_stream (struct bd_edge_request *request)
 {
-  bd_edge_note_run_time (request);
   bd_call_finished (&request->call);
   clear_poison (request);
   bd_edge_end_stream (request);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -115,7 +115,6 @@
   char model[BD_NAME_SIZE];
   double offered_replicas; /* Replicas that the load keeps busy.  */
   double window_work_ms;   /* Since window_start_ms.  */
-  double run_ms; /* Smoothed time that a request holds a slot; 0 if unknown. */
   int64_t window_start_ms;
 };
 
@@ -332,10 +331,6 @@
                            const struct bd_edge_target *target);
 void bd_edge_release_slot (struct bd_edge_request *request);
 
-/* bd_edge_note_run_time(): records how long the request, which is complete,
-   has held its slot.  */
-void bd_edge_note_run_time (struct bd_edge_request *request);
-
 /* bd_edge_note_prefill_done(): records that the first event or a response has
    arrived.  */
 void bd_edge_note_prefill_done (struct bd_edge_request *request);
--- a/src/edge/target.c
+++ b/src/edge/target.c
@@ -36,8 +36,6 @@
 /* A group that is not preferred is used when the preferred ones take this many
    times as long.  */
 static const double widen_factor = 1.3;
-/* Weight of a new sample of the time that a request holds a slot.  */
-static const double run_smoothing = 0.05;
 /* Weight of a new sample of latency or failures in the moving average.  */
 static const double smoothing = 0.2;
 
@@ -346,24 +344,6 @@
   bd_edge_note_prefill_done (request);
 }
 
-void
-bd_edge_note_run_time (struct bd_edge_request *request)
-{
-  struct bd_edge *edge = request->edge;
-  double ms = (double)(bd_edge_now_ms (edge) - request->sent_ms);
-
-  for (uint32_t i = 0; i < edge->work_count; i++)
-    {
-      struct bd_edge_work *work = &edge->work[i];
-
-      if (strcmp (work->model, request->model) != 0)
-        continue;
-      work->run_ms = work->run_ms == 0
-                         ? ms
-                         : work->run_ms + run_smoothing * (ms - work->run_ms);
-    }
-}
-
 void
 bd_edge_note_prefill_done (struct bd_edge_request *request)
 {
