News travel in stages, so that they never come back

Relays passed on whatever was news to them. Answers were lost from 0.5 s on, so requests were suspected and cleared again; the suspicion and its end were news to each relay in turn, and went round among ten relays for ever, each time to all daemons. Ruled out: the three configurations of 0.3 to 0.5 s (all daemons of the data centre had the last one by 0.9 s). Change: src/membership/news gives each copy a stage: daemon, relays of its data centre, relays of the others, members. A copy is passed on with a later stage only.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -184,7 +184,7 @@
 
   if (bd_poison_record_crash (&edge->poison_requests, update.fingerprint,
                               update.target, bd_edge_now_ms (edge)))
-    bd_edge_broadcast (edge, BD_MESSAGE_POISON, &update);
+    bd_edge_broadcast (edge, BD_MESSAGE_POISON, &update, &update.stage);
 }
 
 static void
@@ -194,7 +194,8 @@
       = { .fingerprint = request->fingerprint, .is_cleared = true };
 
   if (bd_poison_clear (&request->edge->poison_requests, request->fingerprint))
-    bd_edge_broadcast (request->edge, BD_MESSAGE_POISON, &update);
+    bd_edge_broadcast (request->edge, BD_MESSAGE_POISON, &update,
+                       &update.stage);
 }
 
 static const char *
--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -225,7 +225,7 @@
           .is_dissolved = true };
 
   bd_edge_receive_suspicion (edge, &suspicion);
-  bd_edge_broadcast (edge, BD_MESSAGE_SUSPICION, &suspicion);
+  bd_edge_broadcast (edge, BD_MESSAGE_SUSPICION, &suspicion, &suspicion.stage);
 }
 
 static void
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -479,9 +479,9 @@
                            enum bd_message_type type, const void *message);
 
 /* bd_edge_broadcast(): sends a message to all daemons; in a large fleet, over
-   the relays.  */
+   the relays.  stage is the member of the message with that name.  */
 void bd_edge_broadcast (struct bd_edge *edge, enum bd_message_type type,
-                        const void *message);
+                        const void *message, uint32_t *stage);
 
 /* controller.c: controls replica groups.  */
 
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -10,6 +10,7 @@
    periods old within a data centre and three across.  */
 
 #include "edge/edge_internal.h"
+#include "membership/news.h"
 
 #include <string.h>
 #include <talloc.h>
@@ -117,19 +118,31 @@
       bd_edge_send_to_peer (edge, &edge->membership.members[i], type, message);
 }
 
+/* Sends copies of a message; stage is its member.  */
+static void
+send_news (struct bd_edge *edge, enum bd_message_type type,
+           const void *message, uint32_t *stage,
+           const struct bd_news_receivers *receivers)
+{
+  *stage = BD_NEWS_TO_OWN_RELAYS;
+  if (receivers->own_relays)
+    send_to_relays (edge, true, type, message);
+  *stage = BD_NEWS_TO_OTHER_RELAYS;
+  if (receivers->other_relays)
+    send_to_relays (edge, false, type, message);
+  *stage = BD_NEWS_TO_MEMBERS;
+  if (receivers->members)
+    send_to_members (edge, !is_small_fleet (edge), type, message);
+}
+
 void
 bd_edge_broadcast (struct bd_edge *edge, enum bd_message_type type,
-                   const void *message)
+                   const void *message, uint32_t *stage)
 {
-  if (is_small_fleet (edge))
-    send_to_members (edge, false, type, message);
-  else if (!is_relay (edge))
-    send_to_relays (edge, true, type, message);
-  else
-    {
-      send_to_members (edge, true, type, message);
-      send_to_relays (edge, false, type, message);
-    }
+  struct bd_news_receivers receivers
+      = bd_news_start (is_small_fleet (edge), is_relay (edge));
+
+  send_news (edge, type, message, stage, &receivers);
 }
 
 static uint32_t
@@ -456,14 +469,41 @@
                                        bd_edge_now_ms (edge));
 }
 
-/* Passes a message for all daemons on.  Only news are passed on, so a message
-   that comes back ends here.  */
+/* Passes a message for all daemons on if it is news here.  */
+static void
+forward_news (struct bd_edge *edge, enum bd_message_type type, void *message,
+              uint32_t *stage, bool is_news)
+{
+  struct bd_news_receivers receivers;
+
+  if (!is_news || is_small_fleet (edge) || *stage > BD_NEWS_TO_MEMBERS)
+    return;
+  receivers = bd_news_forward ((enum bd_news_stage) * stage, is_relay (edge));
+  send_news (edge, type, message, stage, &receivers);
+}
+
+static void
+receive_suspicion (struct bd_edge *edge, struct bd_suspicion_update update)
+{
+  bool is_news = bd_edge_receive_suspicion (edge, &update);
+
+  forward_news (edge, BD_MESSAGE_SUSPICION, &update, &update.stage, is_news);
+}
+
 static void
-forward_news (struct bd_edge *edge, enum bd_message_type type,
-              const void *message, bool is_news)
+receive_leaving (struct bd_edge *edge, struct bd_leaving_update update)
 {
-  if (is_news && !is_small_fleet (edge) && is_relay (edge))
-    bd_edge_broadcast (edge, type, message);
+  bool is_news = bd_edge_receive_leaving (edge, &update);
+
+  forward_news (edge, BD_MESSAGE_LEAVING, &update, &update.stage, is_news);
+}
+
+static void
+receive_poison (struct bd_edge *edge, struct bd_poison_update update)
+{
+  bool is_news = receive_poison_update (edge, &update);
+
+  forward_news (edge, BD_MESSAGE_POISON, &update, &update.stage, is_news);
 }
 
 static void
@@ -483,16 +523,13 @@
       bd_edge_receive_freshness_reply (edge, message);
       break;
     case BD_MESSAGE_SUSPICION:
-      forward_news (edge, type, message,
-                    bd_edge_receive_suspicion (edge, message));
+      receive_suspicion (edge, *(const struct bd_suspicion_update *)message);
       break;
     case BD_MESSAGE_LEAVING:
-      forward_news (edge, type, message,
-                    bd_edge_receive_leaving (edge, message));
+      receive_leaving (edge, *(const struct bd_leaving_update *)message);
       break;
     case BD_MESSAGE_POISON:
-      forward_news (edge, type, message,
-                    receive_poison_update (edge, message));
+      receive_poison (edge, *(const struct bd_poison_update *)message);
       break;
     default:
       break;
--- a/src/edge/target.c
+++ b/src/edge/target.c
@@ -414,7 +414,7 @@
   bd_count (&edge->counters, BD_COUNT_ENDPOINTS_LEAVING);
   bd_name_copy (update.endpoint, id);
   update.started_ms = endpoint->entry.started_ms;
-  bd_edge_broadcast (edge, BD_MESSAGE_LEAVING, &update);
+  bd_edge_broadcast (edge, BD_MESSAGE_LEAVING, &update, &update.stage);
 }
 
 bool
--- a/src/membership/membership_test.c
+++ b/src/membership/membership_test.c
@@ -3,6 +3,7 @@
 #include "tests/unit.h"
 
 #include "membership/membership.h"
+#include "membership/news.h"
 
 #include <stdio.h>
 #include <talloc.h>
@@ -205,6 +206,32 @@
   talloc_free (ctx);
 }
 
+/* A copy is passed on with a later stage only, by whomever it reaches, so that
+   news and their end do not go round between relays for ever; and every daemon
+   gets one.  */
+static void
+test_news_do_not_come_back (void)
+{
+  for (uint32_t stage = BD_NEWS_TO_OWN_RELAYS; stage <= BD_NEWS_TO_MEMBERS;
+       stage++)
+    for (int is_relay = 0; is_relay < 2; is_relay++)
+      {
+        struct bd_news_receivers out
+            = bd_news_forward ((enum bd_news_stage)stage, is_relay != 0);
+
+        CU_ASSERT_FALSE (out.own_relays);
+        CU_ASSERT_TRUE (!out.other_relays || stage < BD_NEWS_TO_OTHER_RELAYS);
+        CU_ASSERT_TRUE (!out.members || stage < BD_NEWS_TO_MEMBERS);
+      }
+  CU_ASSERT_TRUE (bd_news_start (true, false).members);
+  CU_ASSERT_TRUE (bd_news_start (false, false).own_relays);
+  CU_ASSERT_TRUE (bd_news_start (false, true).members);
+  CU_ASSERT_TRUE (bd_news_start (false, true).other_relays);
+  CU_ASSERT_TRUE (bd_news_forward (BD_NEWS_TO_OWN_RELAYS, true).members);
+  CU_ASSERT_TRUE (bd_news_forward (BD_NEWS_TO_OWN_RELAYS, true).other_relays);
+  CU_ASSERT_TRUE (bd_news_forward (BD_NEWS_TO_OTHER_RELAYS, true).members);
+}
+
 /* Duties go to the largest instances; equal ones are chosen by a hash.  */
 static void
 test_larger_instances_first (void)
@@ -232,6 +259,7 @@
 
 static const struct unit_test tests[] = {
   { "reported members", test_reported_members },
+  { "news do not come back", test_news_do_not_come_back },
   { "larger instances first", test_larger_instances_first },
   { "incarnations", test_incarnations },
   { "replaced members", test_replaced_members_are_removed },
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -128,7 +128,8 @@
 static const struct field poison_fields[]
     = { FIELD (bd_poison_update, U64, fingerprint),
         FIELD (bd_poison_update, U64, target),
-        FIELD (bd_poison_update, BOOL, is_cleared) };
+        FIELD (bd_poison_update, BOOL, is_cleared),
+        FIELD (bd_poison_update, U32, stage) };
 
 static const struct field claim_fields[]
     = { FIELD (bd_claim_request, NAME, reply_address),
@@ -246,11 +247,13 @@
 
 static const struct field leaving_fields[]
     = { FIELD (bd_leaving_update, NAME, endpoint),
-        FIELD (bd_leaving_update, I64, started_ms) };
+        FIELD (bd_leaving_update, I64, started_ms),
+        FIELD (bd_leaving_update, U32, stage) };
 
 static const struct field suspicion_fields[]
     = { FIELD (bd_suspicion_update, U64, group),
-        FIELD (bd_suspicion_update, BOOL, is_dissolved) };
+        FIELD (bd_suspicion_update, BOOL, is_dissolved),
+        FIELD (bd_suspicion_update, U32, stage) };
 
 static const struct layout layouts[BD_MESSAGE_COUNT] = {
   [BD_MESSAGE_HEARTBEAT] = LAYOUT (bd_heartbeat, heartbeat_fields),
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -151,6 +151,7 @@
   uint64_t target; /* Hash of the group that died, with its incarnation
                       or epoch, or of the endpoint.  */
   bool is_cleared;
+  uint32_t stage; /* enum bd_news_stage */
 };
 
 /* Request to the owner of a shard to record a claim or its outcome.  */
@@ -243,6 +244,7 @@
 {
   char endpoint[BD_NAME_SIZE];
   int64_t started_ms; /* Of its incarnation.  */
+  uint32_t stage;     /* enum bd_news_stage */
 };
 
 /* Sent to the controller when a group with traffic sends no events and is
@@ -252,6 +254,7 @@
 {
   uint64_t group;
   bool is_dissolved;
+  uint32_t stage; /* enum bd_news_stage; used with is_dissolved.  */
 };
 
 /* bd_message_pack(): appends a frame to buffer.  message points to the struct
