Followers stay with a relay that answers

Cause: found by reading the change: a daemon that follows a relay counted a reply as fresh only if it moved its own age on. The relay reads the store every 1.25 s, the daemon asks twice a second, so after two requests it went to the other relay, whose log it did not have, and got the whole list again. Ruled out: counting only requests outside a transfer; the count would still rise between two reads of the relay. Change: a reply is fresh when the peer's copies are less than 2 s old. No test of its own: the stand-ins run one edge daemon; listed as open.

--- a/src/edge/freshness.c
+++ b/src/edge/freshness.c
@@ -22,7 +22,10 @@
   /* Minimum time between two requests.  */
   REQUEST_PERIOD_MS = 250,
   /* Requests without a fresh reply after which another peer is asked.  */
-  MAX_UNANSWERED = 2
+  MAX_UNANSWERED = 2,
+  /* Age of a peer's copies up to which its reply is fresh: the store is read
+     at least this often.  */
+  FRESH_MS = 2000
 };
 
 /* Whether a non-reader may ask the member: a relay of its data centre, or any
@@ -182,7 +185,7 @@
   bd_store_note_era (&edge->store, reply->era);
   if (reply->era < edge->store.era)
     return;
-  if (config_ms > edge->config_verified_ms)
+  if (reply->config_age_ms < FRESH_MS && reply->instances_age_ms < FRESH_MS)
     edge->freshness_unanswered = 0;
   receive_config (edge, reply, config_ms);
   if (!reply->has_frame || !is_valid_frame (&reply->frame)
