--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -165,8 +165,8 @@
   struct bd_traffic traffic;
   struct bd_traffic remote_traffic;
   struct bd_edge_relay_report relay_reports[BD_EDGE_MAX_RELAY_REPORTS];
-  int64_t
-      relay_since_ms; /* When this daemon became a relay; 0 if it is not. */
+  /* When this daemon became a relay; 0 if it is not.  */
+  int64_t relay_since_ms;
 
   /* Configuration.  */
   struct bd_routes *routes; /* NULL before the first one.  */
