Tidy: one constant for the relays of a data centre; no unused function

Cause: read over once more: the number of relays stood in membership and again in edge/peers, and bd_traffic_source_count() had no caller. Change: BD_MEMBERSHIP_RELAYS in membership.h serves both; the function is gone. No behaviour changes.

--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -31,7 +31,6 @@
   /* Time after which a new relay has heard from the daemons of its data
      centre.  */
   RELAY_WARM_MS = 500,
-  RELAYS = 2,
   MAX_TARGETS = 1024,
   MAX_LIVE = 4096
 };
@@ -99,9 +98,11 @@
 send_to_relays (struct bd_edge *edge, bool is_own_data_centre,
                 enum bd_message_type type, const void *message)
 {
-  const struct bd_member *relays[RELAYS * BD_EDGE_MAX_DATA_CENTRES];
-  uint32_t count = find_relays (edge, is_own_data_centre, relays,
-                                RELAYS * BD_EDGE_MAX_DATA_CENTRES);
+  const struct bd_member
+      *relays[BD_MEMBERSHIP_RELAYS * BD_EDGE_MAX_DATA_CENTRES];
+  uint32_t count
+      = find_relays (edge, is_own_data_centre, relays,
+                     BD_MEMBERSHIP_RELAYS * BD_EDGE_MAX_DATA_CENTRES);
 
   for (uint32_t i = 0; i < count; i++)
     bd_edge_send_to_peer (edge, relays[i], type, message);
@@ -583,8 +584,8 @@
 static void
 send_to_own_relays (struct bd_edge *edge, struct bd_edge_status *status)
 {
-  const struct bd_member *relays[RELAYS];
-  uint32_t count = find_relays (edge, true, relays, RELAYS);
+  const struct bd_member *relays[BD_MEMBERSHIP_RELAYS];
+  uint32_t count = find_relays (edge, true, relays, BD_MEMBERSHIP_RELAYS);
 
   for (uint32_t i = 0; i < count; i++)
     {
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -7,7 +7,6 @@
 
 enum
 {
-  RELAYS_PER_DATA_CENTRE = 2,
   DEAD_MEMBER_RETENTION_MS = 600000
 };
 
@@ -376,8 +375,7 @@
 bd_membership_is_relay (const struct bd_membership *membership,
                         const struct bd_member *member)
 {
-  return bd_membership_relay_rank (membership, member)
-         < RELAYS_PER_DATA_CENTRE;
+  return bd_membership_relay_rank (membership, member) < BD_MEMBERSHIP_RELAYS;
 }
 
 uint32_t
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -22,6 +22,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+enum
+{
+  BD_MEMBERSHIP_RELAYS = 2 /* Of each data centre.  */
+};
+
 struct bd_member
 {
   char name[BD_NAME_SIZE];
--- a/src/traffic/traffic.c
+++ b/src/traffic/traffic.c
@@ -257,9 +257,3 @@
     }
   bd_traffic_add_counts (traffic, excluded, report, max_models);
 }
-
-uint32_t
-bd_traffic_source_count (const struct bd_traffic *traffic)
-{
-  return g_hash_table_size (traffic->sources);
-}
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -85,7 +85,4 @@
                             struct bd_traffic_report *report,
                             uint32_t max_models);
 
-/* bd_traffic_source_count(): number of sources.  */
-uint32_t bd_traffic_source_count (const struct bd_traffic *traffic);
-
 #endif
