Log what changes a controller's view of a member

The record of the incident shows which orders were sent and why, but not what made the controller believe that an instance had left its group: a list entry or a report, and of which incarnation. One line for each such change, on the daemon that controls the instance: endpoint-member, with source, state, group, epoch, incarnation and the state before.

--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -288,6 +288,27 @@
             BD_NUM (endpoint->missed_probes), NULL);
 }
 
+void
+bd_edge_log_member (const struct bd_edge *edge,
+                    const struct bd_fleet_endpoint *endpoint,
+                    const struct bd_membership_view *before,
+                    const char *source)
+{
+  static const char *const names[]
+      = { "none", "joining", "ready", "open", "closing", "broken" };
+  const struct bd_membership_view *member = &endpoint->entry.member;
+
+  if ((member->state == before->state && member->epoch == before->epoch
+       && strcmp (member->group, before->group) == 0)
+      || !bd_edge_is_controller_of (edge, endpoint->entry.data_centre))
+    return;
+  bd_log ("endpoint-member", "endpoint", endpoint->entry.id, "source", source,
+          "state", names[member->state], "group", member->group, "epoch",
+          BD_NUM (member->epoch), "rank", BD_NUM (member->rank), "started_ms",
+          BD_NUM (endpoint->entry.started_ms), "before", names[before->state],
+          "before_group", before->group, NULL);
+}
+
 static void
 handle_probe_done (void *ctx, struct bd_http_call *call,
                    const struct bd_http_result *result)
@@ -296,6 +317,7 @@
   struct bd_edge *edge = pending->edge;
   struct bd_fleet_endpoint *endpoint
       = bd_fleet_endpoint (&edge->fleet, pending->order.endpoint);
+  struct bd_membership_view member_before;
   struct bd_endpoint_entry report;
   enum bd_liveness before;
   json_t *body;
@@ -306,6 +328,7 @@
       return;
     }
   before = endpoint->liveness;
+  member_before = endpoint->entry.member;
   endpoint->has_pending_probe = false;
   bd_edge_note_head (edge, endpoint->entry.id, call, result->status);
   body = result->is_complete && result->status == 200
@@ -321,6 +344,7 @@
                                       && !result->has_timed_out,
                                   pending->sent_ms, bd_edge_now_ms (edge));
   log_liveness (endpoint, before);
+  bd_edge_log_member (edge, endpoint, &member_before, "report");
   json_decref (body);
   talloc_free (pending);
 }
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -511,6 +511,13 @@
 bool bd_edge_is_controller_of (const struct bd_edge *edge,
                                const char *data_centre);
 
+/* bd_edge_log_member(): logs a change of an endpoint's membership that a
+   source ("report", "list") has caused, if this daemon controls it.  */
+void bd_edge_log_member (const struct bd_edge *edge,
+                         const struct bd_fleet_endpoint *endpoint,
+                         const struct bd_membership_view *before,
+                         const char *source);
+
 /* bd_edge_find_controller(): the daemon that controls the groups of the data
    centre: one of its live daemons, or one of another data centre when it has
    none.  */
--- a/src/edge/sync.c
+++ b/src/edge/sync.c
@@ -172,21 +172,34 @@
     read_config (edge);
 }
 
+static void
+put_entry (struct bd_edge *edge, const struct bd_endpoint_entry *entry)
+{
+  const struct bd_fleet_endpoint *endpoint
+      = bd_fleet_endpoint (&edge->fleet, entry->id);
+  struct bd_membership_view before = { .state = BD_MEMBER_NONE };
+
+  if (endpoint != NULL)
+    before = endpoint->entry.member;
+  bd_fleet_put (&edge->fleet, entry, bd_edge_now_ms (edge));
+  bd_edge_log_member (edge, bd_fleet_endpoint (&edge->fleet, entry->id),
+                      &before, "list");
+}
+
 /* Listener of the directory: passes a change of the list to the fleet.  */
 static void
 handle_change (void *ctx, const struct bd_directory_record *record)
 {
   struct bd_edge *edge = ctx;
-  int64_t now_ms = bd_edge_now_ms (edge);
 
   edge->has_list_changed = true;
   if (!record->is_removed)
     {
-      bd_fleet_put (&edge->fleet, &record->entry, now_ms);
+      put_entry (edge, &record->entry);
       return;
     }
   bd_log ("instance-gone", "instance", record->entry.id, NULL);
-  bd_fleet_remove (&edge->fleet, record->entry.id, now_ms);
+  bd_fleet_remove (&edge->fleet, record->entry.id, bd_edge_now_ms (edge));
 }
 
 void
@@ -210,7 +223,7 @@
 
   if (endpoint != NULL
       && endpoint->member_updated_ms < edge->instances_verified_ms)
-    bd_fleet_put (&edge->fleet, &record->entry, bd_edge_now_ms (edge));
+    put_entry (edge, &record->entry);
 }
 
 static bool
