--- a/src/replicas/replicas_properties.cc
+++ b/src/replicas/replicas_properties.cc
@@ -89,34 +89,48 @@
     }
 }
 
+/* Forms groups and disturbs them; the list and the reports show the past.  */
+static void
+check_groups (int64_t list_lag_ms, int64_t report_lag_ms)
+{
+  auto seed = *rc::gen::inRange<uint32_t> (1, 1000000);
+  auto steps = *rc::gen::container<std::vector<std::pair<int, uint32_t> > > (
+      rc::gen::pair (rc::gen::inRange (0, 14),
+                     rc::gen::inRange<uint32_t> (0, 1000)));
+
+  pool_init (&pool, 2, 10, seed);
+  pool.list_lag_ms = list_lag_ms;
+  pool.report_lag_ms = report_lag_ms;
+  pool_run (&pool, 5000);
+  pool.has_traffic = true;
+  for (const auto &step : steps)
+    {
+      disturb (step.first, step.second);
+      pool_run (&pool, 100);
+    }
+  heal ();
+  pool.delayed_share = 0;
+  pool_run (&pool, 20000);
+  if (pool.stolen_joins + pool.partial_opens > 0)
+    RC_LOG () << pool.violation << std::endl;
+  RC_ASSERT (pool.stolen_joins == 0);
+  RC_ASSERT (pool.partial_opens == 0);
+  pool_finish (&pool);
+}
+
 int
 main ()
 {
   bool has_passed
-      = rc::check ("no group without a member, no instance in two groups", [] {
-          auto seed = *rc::gen::inRange<uint32_t> (1, 1000000);
-          auto steps
-              = *rc::gen::container<std::vector<std::pair<int, uint32_t> > > (
-                  rc::gen::pair (rc::gen::inRange (0, 14),
-                                 rc::gen::inRange<uint32_t> (0, 1000)));
-
-          pool_init (&pool, 2, 10, seed);
-          pool_run (&pool, 5000);
-          pool.has_traffic = true;
-          for (const auto &step : steps)
-            {
-              disturb (step.first, step.second);
-              pool_run (&pool, 100);
-            }
-          heal ();
-          pool.delayed_share = 0;
-          pool_run (&pool, 20000);
-          if (pool.stolen_joins + pool.partial_opens > 0)
-            RC_LOG () << pool.violation << std::endl;
-          RC_ASSERT (pool.stolen_joins == 0);
-          RC_ASSERT (pool.partial_opens == 0);
-          pool_finish (&pool);
-        });
+      = rc::check ("no group without a member, no instance in two groups",
+                   [] { check_groups (0, 0); });
 
+  has_passed = rc::check ("the same while the list and the reports lag",
+                          [] {
+                            check_groups (*rc::gen::inRange<int64_t> (
+                                              0, POOL_MAX_LAG_MS),
+                                          *rc::gen::inRange<int64_t> (0, 400));
+                          })
+               && has_passed;
   return has_passed ? 0 : 1;
 }
--- a/tests/fakes/pool.c
+++ b/tests/fakes/pool.c
@@ -8,7 +8,6 @@
 
 enum
 {
-  STEP_MS = 50,
   REJOIN_DELAY_MS = 200,
   STALL_MS = 4000,
   DELIST_DELAY_MS = 3600,
@@ -83,6 +82,16 @@
   pool->count++;
 }
 
+void
+pool_add_instance_at (struct pool *pool, uint32_t lost)
+{
+  uint32_t added = pool->count;
+
+  pool_add_instance (pool, pool->members[lost].entry.domain);
+  if (pool->count > added)
+    pool->members[added].entry.port = pool->members[lost].entry.port;
+}
+
 void
 pool_restart_instance (struct pool *pool, uint32_t index)
 {
@@ -92,6 +101,7 @@
   member->last_model[0] = '\0';
   member->ready_ms = member->open_ms = member->staged_ms = 0;
   member->lost_since_ms = member->epoch = 0;
+  member->step_count = 0;
   member->entry.started_ms = pool->now_ms;
   member->is_alive = member->is_reachable = member->is_in_list = true;
 }
@@ -344,15 +354,56 @@
       }
 }
 
+static void
+record_history (struct pool *pool)
+{
+  for (uint32_t i = 0; i < pool->count; i++)
+    {
+      struct pool_member *member = &pool->members[i];
+
+      member->history[member->step_count++ % POOL_HISTORY_STEPS]
+          = member->entry;
+    }
+}
+
+/* Returns a member's entry as it was lag_ms ago, or the first one of its
+   incarnation.  */
+static const struct bd_endpoint_entry *
+past_entry (const struct pool_member *member, int64_t lag_ms)
+{
+  uint32_t steps = (uint32_t)(lag_ms / POOL_STEP_MS);
+
+  if (steps == 0 || member->step_count == 0)
+    return &member->entry;
+  if (steps > member->step_count - 1)
+    steps = member->step_count - 1;
+  return &member
+              ->history[(member->step_count - 1 - steps) % POOL_HISTORY_STEPS];
+}
+
+static int64_t
+list_lag_ms (const struct pool *pool, uint32_t index)
+{
+  enum
+  {
+    LAG_PARTS = 8,
+    LAG_STRIDE = 5
+  };
+
+  return pool->list_lag_ms * (index * LAG_STRIDE % LAG_PARTS)
+         / (LAG_PARTS - 1);
+}
+
 static void
 publish_list (struct pool *pool)
 {
-  struct bd_endpoint_entry entries[POOL_MAX_INSTANCES];
+  static struct bd_endpoint_entry entries[POOL_MAX_INSTANCES];
   uint32_t count = 0;
 
   for (uint32_t i = 0; i < pool->count; i++)
     if (pool->members[i].is_in_list)
-      entries[count++] = pool->members[i].entry;
+      entries[count++]
+          = *past_entry (&pool->members[i], list_lag_ms (pool, i));
   bd_fleet_replace (&pool->fleet, entries, count, pool->now_ms);
 }
 
@@ -363,10 +414,23 @@
   return strcmp (data_centre, "a") == 0;
 }
 
+/* Returns the running instance at a member's address: another one if the
+   address was given to it after the member's loss; NULL if there is none.  */
+static struct pool_member *
+find_at_address_of (struct pool *pool, const struct pool_member *member)
+{
+  for (uint32_t i = 0; i < pool->count; i++)
+    if (pool->members[i].is_alive
+        && pool->members[i].entry.port == member->entry.port)
+      return &pool->members[i];
+  return NULL;
+}
+
 static void
 deliver_order (struct pool *pool, const struct bd_order *order)
 {
   struct pool_member *member = pool_find (pool, order->endpoint);
+  const struct pool_member *reached = find_at_address_of (pool, member);
   enum bd_order_result result = BD_ORDER_UNANSWERED;
 
   if (getenv ("POOL_TRACE") != NULL)
@@ -375,8 +439,10 @@
             order->endpoint, order->group, (long long)order->epoch,
             order->model, order->reason);
   bd_replicas_mark_sent (&pool->fleet, order, pool->now_ms);
-  if (!member->is_alive || !member->is_reachable)
+  if (reached == NULL || !reached->is_reachable)
     result = BD_ORDER_UNANSWERED;
+  else if (reached != member)
+    result = BD_ORDER_REFUSED;
   else if (gsl_rng_uniform (pool->rng) < pool->delayed_share
            && pool->delayed_count < POOL_MAX_DELAYED)
     pool->delayed[pool->delayed_count++] = (struct pool_delayed_order){
@@ -390,15 +456,18 @@
                             pool->now_ms);
 }
 
+/* Whoever is at the address responds: a report names no instance.  */
 static void
 probe (struct pool *pool, const char *id)
 {
   const struct pool_member *member = pool_find (pool, id);
+  const struct pool_member *reached = find_at_address_of (pool, member);
   struct bd_fleet_endpoint *endpoint = bd_fleet_endpoint (&pool->fleet, id);
 
-  if (member->is_alive && member->is_reachable)
-    bd_fleet_apply_report (&pool->fleet, id, &member->entry, pool->now_ms,
-                           pool->now_ms);
+  if (reached != NULL && reached->is_reachable)
+    bd_fleet_apply_report (&pool->fleet, id,
+                           past_entry (reached, pool->report_lag_ms),
+                           pool->now_ms, pool->now_ms);
   else
     bd_fleet_record_missed_probe (endpoint, 2, member->is_refusing,
                                   pool->now_ms, pool->now_ms);
@@ -434,8 +503,9 @@
 
   while (pool->now_ms < end_ms)
     {
-      pool->now_ms += STEP_MS;
+      pool->now_ms += POOL_STEP_MS;
       advance (pool);
+      record_history (pool);
       publish_list (pool);
       step_controller (pool);
     }
--- a/tests/fakes/pool.h
+++ b/tests/fakes/pool.h
@@ -21,7 +21,10 @@
   enum
   {
     POOL_MAX_INSTANCES = 128,
-    POOL_MAX_DELAYED = 64
+    POOL_MAX_DELAYED = 64,
+    POOL_STEP_MS = 50,
+    POOL_MAX_LAG_MS = 3000,
+    POOL_HISTORY_STEPS = POOL_MAX_LAG_MS / POOL_STEP_MS + 1
   };
 
   struct pool_member
@@ -41,6 +44,9 @@
     char staging[BD_NAME_SIZE]; /* The model that is being staged.  */
     int64_t epoch;              /* The highest received.  */
     int64_t lost_since_ms; /* Since it died or lost a member; 0 if neither.  */
+    /* Its entry in each of the last steps, a ring.  */
+    struct bd_endpoint_entry history[POOL_HISTORY_STEPS];
+    uint32_t step_count; /* Steps of this incarnation.  */
   };
 
   /* An order that is executed at due_ms; its sender gets no reply.  */
@@ -60,6 +66,10 @@
     struct pool_delayed_order delayed[POOL_MAX_DELAYED];
     uint32_t delayed_count;
     double delayed_share; /* Share of orders delayed without a reply.  */
+    /* The list shows entries that are up to this old, each instance's with an
+       age of its own; at most POOL_MAX_LAG_MS.  */
+    int64_t list_lag_ms;
+    int64_t report_lag_ms; /* Age of what a report shows.  */
     int64_t now_ms;
     int64_t term; /* Of the controller.  */
     bool has_traffic;
@@ -96,6 +106,10 @@
      nothing when the pool is full.  */
   void pool_add_instance (struct pool *pool, const char *domain);
 
+  /* pool_add_instance_at(): adds an instance at the address of a lost one, of
+     its domain.  */
+  void pool_add_instance_at (struct pool *pool, uint32_t lost);
+
   /* pool_restart_instance(): restarts a lost instance.  Its host has kept the
      staged weights.  */
   void pool_restart_instance (struct pool *pool, uint32_t index);
