A report of another incarnation is not taken for the endpoint's own

Cause: a report names no instance, and a worker answers it whatever instance the probe is for (tried by hand: orders for another instance get 421, GET /report gets 200). An instance's address is given to a new one after its loss. When the controller probed the lost one, the new one answered; since the report's start was later, it was taken for a restart of the lost one. The lost instance so became a second leader of the new one's group in the controller's view, alive, not listed and, as reports are 200 ms old, ready and not open: the group counted as released and its leader as free.

Ruled out by the record: a late copy of an order (every order was answered within 5 ms) and a second controller (one term).

Change: a report counts only for the incarnation whose start it states. One of a later incarnation shows that the known one is gone, since an address has one process; the list shows the new one. The same goes for what the report's headers say of leaving and closing. Line report-foreign.

--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -309,6 +309,21 @@
           "before_group", before->group, NULL);
 }
 
+/* Another endpoint that has this one's address responds to its probes too.  */
+static void
+apply_report (struct bd_edge *edge, struct bd_fleet_endpoint *endpoint,
+              const struct bd_http_call *call,
+              const struct bd_endpoint_entry *report, int64_t sent_ms)
+{
+  if (bd_fleet_apply_report (&edge->fleet, endpoint->entry.id, report, sent_ms,
+                             bd_edge_now_ms (edge)))
+    bd_edge_note_head (edge, endpoint->entry.id, call, 200);
+  else
+    bd_log ("report-foreign", "endpoint", endpoint->entry.id, "started_ms",
+            BD_NUM (endpoint->entry.started_ms), "reported_started_ms",
+            BD_NUM (report->started_ms), NULL);
+}
+
 static void
 handle_probe_done (void *ctx, struct bd_http_call *call,
                    const struct bd_http_result *result)
@@ -330,13 +345,11 @@
   before = endpoint->liveness;
   member_before = endpoint->entry.member;
   endpoint->has_pending_probe = false;
-  bd_edge_note_head (edge, endpoint->entry.id, call, result->status);
   body = result->is_complete && result->status == 200
              ? json_loadb (result->body, result->body_size, 0, NULL)
              : NULL;
   if (body != NULL && edge->adapter->read_report (body, &report))
-    bd_fleet_apply_report (&edge->fleet, endpoint->entry.id, &report,
-                           pending->sent_ms, bd_edge_now_ms (edge));
+    apply_report (edge, endpoint, call, &report, pending->sent_ms);
   else if (bd_edge_now_ms (edge) - pending->sent_ms
            < PROBE_TIMEOUT_MS + MAX_OWN_LAG_MS)
     bd_fleet_record_missed_probe (endpoint, MISSES_UNTIL_DEAD,
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -259,19 +259,21 @@
          > 0;
 }
 
-void
+bool
 bd_fleet_apply_report (struct bd_fleet *fleet, const char *id,
                        const struct bd_endpoint_entry *report,
                        int64_t probe_sent_ms, int64_t now_ms)
 {
   struct bd_fleet_endpoint *endpoint = bd_fleet_endpoint (fleet, id);
 
-  if (endpoint == NULL || report->started_ms < endpoint->entry.started_ms)
-    return;
-  if (report->started_ms > endpoint->entry.started_ms)
+  if (endpoint == NULL)
+    return false;
+  if (report->started_ms != endpoint->entry.started_ms)
     {
-      endpoint->entry.started_ms = report->started_ms;
-      begin_incarnation (endpoint, now_ms);
+      if (report->started_ms > endpoint->entry.started_ms)
+        bd_fleet_record_missed_probe (endpoint, 1, true, probe_sent_ms,
+                                      now_ms);
+      return false;
     }
   endpoint->missed_probes = 0;
   endpoint->last_probe_ms = probe_sent_ms;
@@ -284,6 +286,7 @@
       || report->member.epoch >= endpoint->entry.member.epoch)
     set_membership (endpoint, &report->member, probe_sent_ms);
   fleet->changed_ms = now_ms;
+  return true;
 }
 
 static void
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -201,9 +201,12 @@
                        const struct bd_endpoint_entry *entries, uint32_t count,
                        int64_t now_ms);
 
-/* bd_fleet_apply_report(): applies an endpoint's report in reply to a probe
-   sent at probe_sent_ms.  Only the fields that a report has are used.  */
-void bd_fleet_apply_report (struct bd_fleet *fleet, const char *id,
+/* bd_fleet_apply_report(): applies a report that a probe of the endpoint, sent
+   at probe_sent_ms, has returned.  Only the fields that a report has are used.
+   Returns whether the report is of this incarnation.  If it is of a later one,
+   the endpoint has restarted or another one has its address: this incarnation
+   is dead, and the list shows the new one.  */
+bool bd_fleet_apply_report (struct bd_fleet *fleet, const char *id,
                             const struct bd_endpoint_entry *report,
                             int64_t probe_sent_ms, int64_t now_ms);
 
--- a/src/fleet/fleet_test.c
+++ b/src/fleet/fleet_test.c
@@ -126,6 +126,33 @@
   bd_fleet_finish (&fleet);
 }
 
+/* A report names no instance: one of a later incarnation can be of another
+   instance that has the address.  */
+static void
+test_report_of_another_incarnation (void)
+{
+  struct bd_endpoint_entry entry = make_entry ("x");
+  struct bd_endpoint_entry report = make_entry ("x");
+  const struct bd_fleet_endpoint *endpoint;
+
+  set_member (&entry, 3, 1, BD_MEMBER_READY);
+  set_member (&report, 4, 0, BD_MEMBER_OPEN);
+  report.started_ms = 2;
+  bd_fleet_init (&fleet);
+  bd_fleet_put (&fleet, &entry, 1000);
+  endpoint = bd_fleet_endpoint (&fleet, "x");
+  CU_ASSERT_FALSE (bd_fleet_apply_report (&fleet, "x", &report, 1100, 1110));
+  CU_ASSERT_EQUAL (endpoint->entry.member.epoch, 3);
+  CU_ASSERT_EQUAL (endpoint->entry.started_ms, 1);
+  CU_ASSERT_TRUE (bd_fleet_is_confirmed_dead (endpoint));
+  entry.started_ms = 2;
+  bd_fleet_put (&fleet, &entry, 1200);
+  CU_ASSERT_EQUAL (endpoint->liveness, BD_LIVENESS_ALIVE);
+  CU_ASSERT_TRUE (bd_fleet_apply_report (&fleet, "x", &report, 1300, 1310));
+  CU_ASSERT_EQUAL (endpoint->entry.member.epoch, 4);
+  bd_fleet_finish (&fleet);
+}
+
 /* After a stall of this process, dead endpoints are suspected again: their
    replies can have arrived during the stall.  */
 static void
@@ -225,6 +252,7 @@
     { "liveness is reset", test_liveness_is_reset },
     { "epochs only increase per incarnation",
       test_epochs_only_increase_per_incarnation },
+    { "report of another incarnation", test_report_of_another_incarnation },
     { "leaving holds for the incarnation",
       test_leaving_holds_for_the_incarnation },
     { "a restored store takes no drain back",
