Orders are conditional on the state that they rest on; old state replaces none

Cause: the controller acted on old observations, and nothing tied the order to them.

Change: an endpoint counts the orders that it has begun, and its reports state the count. The count is the version of its state. The controller keeps the last confirmed state: what a report says of a version, and what the result of its own order implies for the next one. Joins and openings state the version that they rest on and are refused at any other, so that late copies die with the first order that comes between. A list entry replaces a confirmed state only with what can have followed it: a higher epoch, or a later state in the same group; if it keeps contradicting, the endpoint is probed. A group counts as released when its leader has confirmed a leave, has joined a higher epoch or is broken. A new term forgets all of it, and the list counts until a report comes.

--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -97,6 +97,9 @@
   if (!controller->is_active)
     return;
   controller->is_active = false;
+  bd_fleet_forget_confirmed (&controller->edge->fleet,
+                             controller->data_centre);
+  bd_edge_put_entries_again (controller->edge);
   bd_log ("keeper-ended", "data_centre", controller->data_centre, "term",
           BD_NUM (controller->term.number), "reason", reason, NULL);
 }
@@ -122,6 +125,7 @@
       return;
     }
   controller->is_active = true;
+  bd_fleet_forget_confirmed (&edge->fleet, controller->data_centre);
   bd_replicas_init (&controller->replicas, controller->term.token,
                     pool->engine.loads_per_s / data_centre_count (edge),
                     pool->engine.loads_at_once / data_centre_count (edge),
@@ -263,7 +267,8 @@
   bd_count (&edge->counters, BD_COUNT_ORDERS);
   bd_log ("order", "kind", bd_order_name (order->kind), "endpoint",
           order->endpoint, "group", order->group, "epoch",
-          BD_NUM (order->epoch), "model", order->model, "reason",
+          BD_NUM (order->epoch), "expected_version",
+          BD_NUM (order->expected_version), "model", order->model, "reason",
           order->reason != NULL ? order->reason : "", "term",
           BD_NUM (controller->term.number), NULL);
   if (bd_http_send (&edge->client, &out, &order_ops, pending) == NULL)
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -429,6 +429,10 @@
    verified at verified_ms (0: not).  */
 void bd_edge_note_list (struct bd_edge *edge, int64_t verified_ms);
 
+/* bd_edge_put_entries_again(): passes all entries of the list to the fleet
+   once more.  */
+void bd_edge_put_entries_again (struct bd_edge *edge);
+
 /* bd_edge_handle_era(): the store was restored from a copy.  */
 void bd_edge_handle_era (void *ctx, int64_t era);
 
--- a/src/edge/sync.c
+++ b/src/edge/sync.c
@@ -211,19 +211,16 @@
                      edge);
 }
 
-/* Passes an entry to the fleet again if the list was verified after the fleet
-   last changed its member: a report that an endpoint sends is some hundred ms
-   old, and can have replaced a newer entry.  */
 static void
 put_again (void *ctx, const struct bd_directory_record *record)
 {
-  struct bd_edge *edge = ctx;
-  const struct bd_fleet_endpoint *endpoint
-      = bd_fleet_endpoint (&edge->fleet, record->entry.id);
+  put_entry (ctx, &record->entry);
+}
 
-  if (endpoint != NULL
-      && endpoint->member_updated_ms < edge->instances_verified_ms)
-    put_entry (edge, &record->entry);
+void
+bd_edge_put_entries_again (struct bd_edge *edge)
+{
+  bd_directory_foreach (&edge->directory, put_again, edge);
 }
 
 static bool
@@ -241,9 +238,10 @@
   if (verified_ms > edge->instances_verified_ms)
     {
       edge->instances_verified_ms = verified_ms;
-      /* Only controllers probe, and assume the results of orders.  */
+      /* Only controllers confirm states, which can then lag behind an entry
+         that was not taken.  */
       if (is_controller (edge))
-        bd_directory_foreach (&edge->directory, put_again, edge);
+        bd_edge_put_entries_again (edge);
     }
   edge->fleet.has_list = edge->fleet.has_list || edge->directory.is_complete;
   if (!edge->has_list_changed)
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -78,12 +78,26 @@
   endpoint->liveness_changed_ms = now_ms;
 }
 
+static bool
+is_in_same_group (const struct bd_membership_view *a,
+                  const struct bd_membership_view *b)
+{
+  return a->state != BD_MEMBER_NONE && b->state != BD_MEMBER_NONE
+         && a->epoch == b->epoch && strcmp (a->group, b->group) == 0;
+}
+
+/* An endpoint that leaves its group keeps the epoch that it has seen.  */
 static void
 set_membership (struct bd_fleet_endpoint *endpoint,
                 const struct bd_membership_view *member, int64_t now_ms)
 {
-  endpoint->entry.member = *member;
   endpoint->member_updated_ms = now_ms;
+  if (member->state == BD_MEMBER_NONE)
+    {
+      endpoint->entry.member.state = BD_MEMBER_NONE;
+      return;
+    }
+  endpoint->entry.member = *member;
   if (member->model[0] != '\0')
     bd_name_copy (endpoint->last_model, member->model);
 }
@@ -105,10 +119,64 @@
   endpoint->reported_pace = 1.0;
   endpoint->is_staging = false;
   endpoint->order = (struct bd_order_state){ 0 };
+  endpoint->entry.member = (struct bd_membership_view){ 0 };
+  /* No order has been executed yet.  */
+  endpoint->confirmed
+      = (struct bd_confirmed_state){ .is_current = true,
+                                     .pending_join_version = -1 };
   endpoint->liveness = BD_LIVENESS_ALIVE;
   endpoint->liveness_changed_ms = now_ms;
 }
 
+/* Whether an endpoint enters a state without a further order: it is ready or
+   broken some time after it has joined, and open after it has accepted that
+   order.  */
+static bool
+is_reached_without_order (const struct bd_fleet_endpoint *endpoint,
+                          enum bd_member_state state)
+{
+  const struct bd_confirmed_state *confirmed = &endpoint->confirmed;
+
+  return state == BD_MEMBER_READY || state == BD_MEMBER_BROKEN
+         || (state == BD_MEMBER_OPEN && confirmed->opening_version > 0
+             && confirmed->opening_version == confirmed->version);
+}
+
+/* Applies the membership that the list shows.  A confirmed state is replaced
+   only by what can have followed it: a higher epoch, or a later state in the
+   same group.  */
+static void
+apply_listed_member (struct bd_fleet_endpoint *endpoint,
+                     const struct bd_membership_view *listed, int64_t now_ms)
+{
+  const struct bd_membership_view *known = &endpoint->entry.member;
+  struct bd_confirmed_state *confirmed = &endpoint->confirmed;
+
+  if (listed->state == known->state
+      && (listed->state == BD_MEMBER_NONE || is_same_member (listed, known)))
+    {
+      confirmed->contradicted_ms = 0;
+      return;
+    }
+  if (listed->state != BD_MEMBER_NONE && listed->epoch > known->epoch)
+    confirmed->is_current = false;
+  else if (confirmed->is_current
+           && !(is_in_same_group (listed, known)
+                && listed->state > known->state))
+    {
+      if (confirmed->contradicted_ms == 0)
+        confirmed->contradicted_ms = now_ms;
+      return;
+    }
+  else if (!confirmed->is_current && listed->state != BD_MEMBER_NONE
+           && listed->epoch < known->epoch)
+    return;
+  else if (!is_reached_without_order (endpoint, listed->state))
+    confirmed->is_current = false;
+  confirmed->contradicted_ms = 0;
+  set_membership (endpoint, listed, now_ms);
+}
+
 void
 bd_fleet_put (struct bd_fleet *fleet, const struct bd_endpoint_entry *entry,
               int64_t now_ms)
@@ -140,12 +208,7 @@
     set_liveness (endpoint, BD_LIVENESS_ALIVE, now_ms);
   endpoint->is_listed = true;
   endpoint->entry.is_draining = entry->is_draining || endpoint->is_leaving;
-  /* Epochs only increase: a lower one in the list is older than the last
-     report.  */
-  if (is_new_incarnation || entry->member.state == BD_MEMBER_NONE
-      || entry->member.epoch >= known_member.epoch)
-    if (is_new_incarnation || !is_same_member (&entry->member, &known_member))
-      set_membership (endpoint, &entry->member, now_ms);
+  apply_listed_member (endpoint, &entry->member, now_ms);
   fleet->changed_ms = now_ms;
 }
 
@@ -259,6 +322,35 @@
          > 0;
 }
 
+/* Applies the membership of a report whose version is not older than the
+   confirmed one.  A report can still be older than the list.  */
+static void
+apply_reported_member (struct bd_fleet_endpoint *endpoint,
+                       const struct bd_endpoint_entry *report,
+                       int64_t probe_sent_ms)
+{
+  const struct bd_membership_view *reported = &report->member;
+  const struct bd_membership_view *known = &endpoint->entry.member;
+  struct bd_confirmed_state *confirmed = &endpoint->confirmed;
+  bool is_behind = reported->state != BD_MEMBER_NONE
+                   && (reported->epoch < known->epoch
+                       || (is_in_same_group (reported, known)
+                           && reported->state < known->state));
+
+  if (confirmed->is_current && report->version == confirmed->version)
+    {
+      confirmed->contradicted_ms = 0;
+      if (is_in_same_group (reported, known) && !is_behind)
+        set_membership (endpoint, reported, probe_sent_ms);
+      return;
+    }
+  if (is_behind)
+    return;
+  set_membership (endpoint, reported, probe_sent_ms);
+  confirmed->contradicted_ms = 0;
+  bd_fleet_set_confirmed (endpoint, report->version);
+}
+
 bool
 bd_fleet_apply_report (struct bd_fleet *fleet, const char *id,
                        const struct bd_endpoint_entry *report,
@@ -278,17 +370,47 @@
   endpoint->missed_probes = 0;
   endpoint->last_probe_ms = probe_sent_ms;
   set_liveness (endpoint, BD_LIVENESS_ALIVE, now_ms);
-  memcpy (endpoint->entry.staged, report->staged, sizeof report->staged);
-  endpoint->entry.staged_count = report->staged_count;
   if (report->pace > 0)
     endpoint->reported_pace = report->pace;
-  if (report->member.state == BD_MEMBER_NONE
-      || report->member.epoch >= endpoint->entry.member.epoch)
-    set_membership (endpoint, &report->member, probe_sent_ms);
   fleet->changed_ms = now_ms;
+  if (report->version < endpoint->confirmed.version)
+    return true;
+  memcpy (endpoint->entry.staged, report->staged, sizeof report->staged);
+  endpoint->entry.staged_count = report->staged_count;
+  apply_reported_member (endpoint, report, probe_sent_ms);
   return true;
 }
 
+void
+bd_fleet_set_confirmed (struct bd_fleet_endpoint *endpoint, int64_t version)
+{
+  endpoint->confirmed.version = version;
+  endpoint->confirmed.is_current = true;
+  endpoint->confirmed.is_report_needed = false;
+}
+
+void
+bd_fleet_forget_confirmed (struct bd_fleet *fleet, const char *data_centre)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct bd_fleet_endpoint *endpoint = value;
+
+      if (strcmp (endpoint->entry.data_centre, data_centre) != 0)
+        continue;
+      /* One that was in no group yet is still at its first version, or refuses
+         an order on that condition.  */
+      endpoint->confirmed.is_current = endpoint->entry.member.epoch == 0;
+      endpoint->confirmed.left_group = 0;
+      endpoint->confirmed.pending_join_version = -1;
+      endpoint->confirmed.contradicted_ms = 0;
+    }
+}
+
 static void
 add_group_member (struct bd_fleet *fleet, struct bd_fleet_endpoint *endpoint)
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -6,6 +6,12 @@
    of requests.  An endpoint that is no longer listed receives no requests; its
    record is retained for a while, since it can still be a member of a group.
 
+   An endpoint counts the orders that it executes; the count is the version of
+   its state.  What a report says, and what the result of an order implies, is
+   true of one version: a report of a lower version than the confirmed one is
+   old.  Entries of the list have no version: against a confirmed state they
+   count only if they show what can have followed it.
+
    A group is usable while its leader reports that it is open and every other
    rank is filled by a listed endpoint with the same group and epoch.  */
 
@@ -62,8 +68,9 @@
   char staged[BD_FLEET_MAX_STAGED][BD_NAME_SIZE]; /* Models, on the host.  */
   uint32_t staged_count;
   struct bd_membership_view member;
-  double pace;  /* Reports only: over 1 when slow; 0 if not reported.  */
-  bool is_busy; /* Reports only: an order is being executed.  */
+  int64_t version; /* Reports only: number of orders executed.  */
+  double pace;     /* Reports only: over 1 when slow; 0 if not reported.  */
+  bool is_busy;    /* Reports only: an order is being executed.  */
 };
 
 enum bd_liveness
@@ -86,6 +93,26 @@
   char model[BD_NAME_SIZE];
 };
 
+/* State of an endpoint at a version.  */
+struct bd_confirmed_state
+{
+  int64_t version;
+  /* Whether this is the last known state: no unanswered or refused order, and
+     no entry of the list, shows a later one.  */
+  bool is_current;
+  /* A report is needed before the next order to it.  */
+  bool is_report_needed;
+  /* Since when the list has shown another state; 0 if it does not.  */
+  int64_t contradicted_ms;
+  /* Version that an accepted open order has led to, 0 if none.  */
+  int64_t opening_version;
+  /* Condition of the last unanswered join, -1 if none.  It can be executed
+     late, while the endpoint is still at this version.  */
+  int64_t pending_join_version;
+  /* Hash of the group that it has last confirmed to have left; 0 if none.  */
+  uint64_t left_group;
+};
+
 struct bd_fleet_endpoint
 {
   struct bd_endpoint_entry entry;
@@ -121,16 +148,7 @@
   int64_t closed_until_ms;  /* It has asked for no requests until then.  */
 
   struct bd_order_state order;
-  /* Epoch of the last join that was sent and not accepted, 0 if none.  It can
-     be executed late.  */
-  int64_t pending_epoch;
-  /* Epoch and time of the last unanswered join and the last unanswered open
-     order; 0 after a join with a higher epoch was accepted.  Copies of both
-     can be executed late.  */
-  int64_t unanswered_join_epoch;
-  int64_t unanswered_join_ms;
-  int64_t unanswered_open_epoch;
-  int64_t unanswered_open_ms;
+  struct bd_confirmed_state confirmed;
   bool is_staging;
   int64_t staging_until_ms;
   char staging_model[BD_NAME_SIZE];
@@ -210,6 +228,17 @@
                             const struct bd_endpoint_entry *report,
                             int64_t probe_sent_ms, int64_t now_ms);
 
+/* bd_fleet_set_confirmed(): the result of an order shows that the endpoint is
+   at this version, with the membership state that its entry now has.  */
+void bd_fleet_set_confirmed (struct bd_fleet_endpoint *endpoint,
+                             int64_t version);
+
+/* bd_fleet_forget_confirmed(): the states of the endpoints of a data centre
+   are no longer confirmed; the list counts again.  To be called when another
+   daemon may have sent orders to them.  */
+void bd_fleet_forget_confirmed (struct bd_fleet *fleet,
+                                const char *data_centre);
+
 /* bd_fleet_mark_store_unavailable(): the store does not respond, so endpoints
    are not delisted for a while.  To be called on each failure.  */
 void bd_fleet_mark_store_unavailable (struct bd_fleet *fleet, int64_t now_ms);
--- a/src/fleet/fleet_test.c
+++ b/src/fleet/fleet_test.c
@@ -126,6 +126,69 @@
   bd_fleet_finish (&fleet);
 }
 
+/* A report of a lower version, and a list entry that shows what came before,
+   do not replace the confirmed state.  */
+static void
+test_old_state_is_ignored (void)
+{
+  struct bd_endpoint_entry entry = make_entry ("x");
+  struct bd_endpoint_entry report = make_entry ("x");
+  const struct bd_fleet_endpoint *endpoint;
+
+  bd_fleet_init (&fleet);
+  bd_fleet_put (&fleet, &entry, 1000);
+  endpoint = bd_fleet_endpoint (&fleet, "x");
+  CU_ASSERT_TRUE (endpoint->confirmed.is_current);
+  set_member (&report, 4, 0, BD_MEMBER_OPEN);
+  report.version = 2;
+  bd_fleet_apply_report (&fleet, "x", &report, 1100, 1110);
+  report.version = 1;
+  report.member.state = BD_MEMBER_READY;
+  bd_fleet_apply_report (&fleet, "x", &report, 1200, 1210);
+  CU_ASSERT_EQUAL (endpoint->entry.member.state, BD_MEMBER_OPEN);
+  bd_fleet_put (&fleet, &entry, 1300);
+  CU_ASSERT_EQUAL (endpoint->entry.member.state, BD_MEMBER_OPEN);
+  CU_ASSERT_EQUAL (endpoint->confirmed.contradicted_ms, 1300);
+  set_member (&entry, 4, 0, BD_MEMBER_JOINING);
+  bd_fleet_put (&fleet, &entry, 1400);
+  CU_ASSERT_EQUAL (endpoint->entry.member.state, BD_MEMBER_OPEN);
+  CU_ASSERT_TRUE (endpoint->confirmed.is_current);
+  /* A later state in the same group is reached without an order.  */
+  set_member (&entry, 4, 0, BD_MEMBER_BROKEN);
+  bd_fleet_put (&fleet, &entry, 1500);
+  CU_ASSERT_EQUAL (endpoint->entry.member.state, BD_MEMBER_BROKEN);
+  CU_ASSERT_TRUE (endpoint->confirmed.is_current);
+  /* A higher epoch shows that another order was executed.  */
+  set_member (&entry, 5, 0, BD_MEMBER_JOINING);
+  bd_fleet_put (&fleet, &entry, 1600);
+  CU_ASSERT_EQUAL (endpoint->entry.member.epoch, 5);
+  CU_ASSERT_FALSE (endpoint->confirmed.is_current);
+  bd_fleet_finish (&fleet);
+}
+
+/* Without a confirmed state the list counts, as after the end of a term.  */
+static void
+test_list_counts_after_the_term (void)
+{
+  struct bd_endpoint_entry entry = make_entry ("x");
+  struct bd_endpoint_entry report = make_entry ("x");
+  const struct bd_fleet_endpoint *endpoint;
+
+  bd_fleet_init (&fleet);
+  bd_fleet_put (&fleet, &entry, 1000);
+  endpoint = bd_fleet_endpoint (&fleet, "x");
+  set_member (&report, 4, 0, BD_MEMBER_OPEN);
+  report.version = 2;
+  bd_fleet_apply_report (&fleet, "x", &report, 1100, 1110);
+  bd_fleet_forget_confirmed (&fleet, "b");
+  CU_ASSERT_TRUE (endpoint->confirmed.is_current);
+  bd_fleet_forget_confirmed (&fleet, "a");
+  CU_ASSERT_FALSE (endpoint->confirmed.is_current);
+  bd_fleet_put (&fleet, &entry, 1200);
+  CU_ASSERT_EQUAL (endpoint->entry.member.state, BD_MEMBER_NONE);
+  bd_fleet_finish (&fleet);
+}
+
 /* A report names no instance: one of a later incarnation can be of another
    instance that has the address.  */
 static void
@@ -252,6 +315,8 @@
     { "liveness is reset", test_liveness_is_reset },
     { "epochs only increase per incarnation",
       test_epochs_only_increase_per_incarnation },
+    { "old state is ignored", test_old_state_is_ignored },
+    { "list counts after the term", test_list_counts_after_the_term },
     { "report of another incarnation", test_report_of_another_incarnation },
     { "leaving holds for the incarnation",
       test_leaving_holds_for_the_incarnation },
--- a/src/replicas/plan.c
+++ b/src/replicas/plan.c
@@ -110,62 +110,54 @@
    members return one by one, and a leader that was considered dead can return
    later than its members.  */
 static bool
-is_leader_death_confirmed (const struct bd_fleet_group *group,
+is_leader_death_confirmed (const struct bd_fleet_endpoint *leader,
                            const struct bd_fleet_endpoint *member)
 {
-  const struct bd_fleet_endpoint *leader = group->members[0];
-
   return leader == member
          || (bd_fleet_is_confirmed_dead (leader)
              && leader->missed_probe_ms > member->listed_ms
              && leader->missed_probe_ms > member->liveness_changed_ms);
 }
 
-/* Whether the group that an endpoint is in, or has led, can open again.  */
-static bool
-can_group_reopen (const struct bd_replicas_input *input,
-                  const struct bd_fleet_endpoint *endpoint)
-{
-  const struct bd_membership_view *member = &endpoint->entry.member;
-  const struct bd_fleet_group *group = bd_fleet_group (
-      input->fleet, bd_fleet_group_hash (member->group, member->epoch));
-  const struct bd_fleet_endpoint *leader
-      = group != NULL ? bd_fleet_endpoint (input->fleet, group->leader) : NULL;
-
-  return bd_can_reopen (input, endpoint)
-         || (leader != NULL && leader->unanswered_join_epoch == group->epoch
-             && bd_can_reopen (input, leader));
-}
-
-static bool
-is_free (const struct plan *plan, const struct bd_fleet_endpoint *endpoint)
+bool
+bd_is_released (const struct bd_replicas *replicas,
+                const struct bd_replicas_input *input,
+                const struct bd_fleet_endpoint *endpoint)
 {
-  const struct bd_replicas_input *input = plan->step->input;
   const struct bd_membership_view *member = &endpoint->entry.member;
+  const struct bd_fleet_endpoint *leader;
   const struct bd_fleet_group *group;
 
-  if (!bd_is_available (endpoint) || !bd_can_order (endpoint)
-      || endpoint->entry.domain[0] == '\0'
-      || bd_find_forming (plan->step->replicas, endpoint->entry.id) != NULL
-      || can_group_reopen (input, endpoint))
-    return false;
   if (member->state == BD_MEMBER_NONE || member->state == BD_MEMBER_BROKEN)
     return true;
   group = bd_fleet_group (input->fleet,
                           bd_fleet_group_hash (member->group, member->epoch));
   if (group == NULL || bd_group_phase (input, group) != BD_PHASE_RELEASED)
     return false;
-  /* The leader has left the group.  */
-  if (group->members[0] == NULL && group->leader[0] != '\0')
+  leader = bd_group_leader (input, group);
+  if (leader != NULL)
+    return leader->liveness != BD_LIVENESS_DEAD
+           || is_leader_death_confirmed (leader, endpoint);
+  /* The leader's record has expired.  */
+  if (group->leader[0] != '\0')
     return true;
   /* The leader was never listed here: it can be alive but unreachable, or be
      listed later than its members.  */
-  if (group->members[0] == NULL)
-    return input->now_ms - plan->step->replicas->started_ms > input->stall_ms
-           && input->now_ms - endpoint->listed_ms > input->stall_ms
-           && input->now_ms - endpoint->member_updated_ms > input->stall_ms;
-  return group->members[0]->liveness != BD_LIVENESS_DEAD
-         || is_leader_death_confirmed (group, endpoint);
+  return input->now_ms - replicas->started_ms > input->stall_ms
+         && input->now_ms - endpoint->listed_ms > input->stall_ms
+         && input->now_ms - endpoint->member_updated_ms > input->stall_ms;
+}
+
+static bool
+is_free (const struct plan *plan, struct bd_fleet_endpoint *endpoint)
+{
+  struct bd_replicas *replicas = plan->step->replicas;
+
+  return bd_is_available (endpoint) && bd_can_order (endpoint)
+         && endpoint->entry.domain[0] != '\0'
+         && bd_find_forming (replicas, endpoint->entry.id) == NULL
+         && bd_is_released (replicas, plan->step->input, endpoint)
+         && bd_is_confirmed (endpoint);
 }
 
 static void
--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -22,8 +22,9 @@
   RELISTING_MS = 2500,
   /* A group that serves requests makes progress within this time.  */
   PROGRESS_WINDOW_MS = 600,
-  /* Longest delay until an unanswered order is executed, by the protocol.  */
-  MAX_ORDER_DELAY_MS = 12000
+  /* An endpoint is probed when the list shows another state than the confirmed
+     one for this long.  */
+  CONTRADICTION_MS = 1000
 };
 
 /* Loads before the first request take this fraction of the usual time.  */
@@ -115,10 +116,19 @@
   memset (order, 0, sizeof *order);
   order->kind = kind;
   order->reason = reason;
+  order->expected_version
+      = to->confirmed.is_current ? to->confirmed.version : -1;
   bd_name_copy (order->endpoint, to->entry.id);
   return order;
 }
 
+bool
+bd_is_confirmed (struct bd_fleet_endpoint *endpoint)
+{
+  endpoint->confirmed.is_report_needed = !endpoint->confirmed.is_current;
+  return endpoint->confirmed.is_current;
+}
+
 struct bd_forming *
 bd_find_forming (struct bd_replicas *replicas, const char *id)
 {
@@ -140,46 +150,41 @@
   return input->now_ms - last_ms < PROGRESS_WINDOW_MS;
 }
 
+struct bd_fleet_endpoint *
+bd_group_leader (const struct bd_replicas_input *input,
+                 const struct bd_fleet_group *group)
+{
+  return group->members[0] != NULL
+             ? group->members[0]
+             : bd_fleet_endpoint (input->fleet, group->leader);
+}
+
+/* Whether the leader is in the group no more and cannot return: endpoints
+   refuse joins of lower epochs, and a confirmed leave is newer than all joins
+   that were sent before.  */
+static bool
+has_left (const struct bd_fleet_endpoint *leader,
+          const struct bd_fleet_group *group)
+{
+  const struct bd_membership_view *member = &leader->entry.member;
+
+  return member->epoch > group->epoch
+         || leader->confirmed.left_group == group->hash
+         || (member->state == BD_MEMBER_BROKEN && member->epoch == group->epoch
+             && strcmp (member->group, group->name) == 0);
+}
+
 /* Whether the leader can still serve the group, so that its members are not
    allowed to join another one.  */
 static bool
 can_leader_serve (const struct bd_replicas_input *input,
                   const struct bd_fleet_group *group)
 {
-  const struct bd_fleet_endpoint *leader = group->members[0];
-  const struct bd_order_state *order;
+  const struct bd_fleet_endpoint *leader = bd_group_leader (input, group);
 
-  if (leader == NULL)
+  if (leader == NULL || has_left (leader, group))
     return false;
-  if (leader->liveness == BD_LIVENESS_DEAD)
-    return has_progress (input, group);
-  order = &leader->order;
-  switch (leader->entry.member.state)
-    {
-    case BD_MEMBER_OPEN:
-    case BD_MEMBER_CLOSING:
-      return true;
-    case BD_MEMBER_READY:
-    case BD_MEMBER_JOINING:
-      /* An open order can still be executed late.  */
-      return order->kind == BD_ORDER_OPEN && order->epoch == group->epoch
-             && strcmp (order->group, group->name) == 0
-             && input->now_ms - order->sent_ms < MAX_ORDER_DELAY_MS;
-    case BD_MEMBER_NONE:
-    case BD_MEMBER_BROKEN:
-      break;
-    }
-  return false;
-}
-
-bool
-bd_can_reopen (const struct bd_replicas_input *input,
-               const struct bd_fleet_endpoint *leader)
-{
-  return leader->unanswered_join_epoch != 0
-         && leader->unanswered_join_epoch == leader->unanswered_open_epoch
-         && input->now_ms - leader->unanswered_join_ms < MAX_ORDER_DELAY_MS
-         && input->now_ms - leader->unanswered_open_ms < MAX_ORDER_DELAY_MS;
+  return leader->liveness != BD_LIVENESS_DEAD || has_progress (input, group);
 }
 
 enum bd_group_phase
@@ -250,13 +255,16 @@
   order->epoch = group->epoch;
 }
 
+/* Does nothing, too, while the leader's state is not confirmed.  */
 static void
 order_leader (struct bd_replicas_step *step,
               const struct bd_fleet_group *group, enum bd_order_kind kind,
               const char *reason)
 {
-  if (group->members[0] != NULL)
-    order_member (step, group, group->members[0], kind, reason);
+  struct bd_fleet_endpoint *leader = bd_group_leader (step->input, group);
+
+  if (leader != NULL && bd_is_confirmed (leader))
+    order_member (step, group, leader, kind, reason);
 }
 
 bool
@@ -337,20 +345,66 @@
     }
 }
 
-/* Whether no delayed join can remove a member from the group.  This excludes
-   groups with a member that has not accepted a later join of this controller,
-   and groups of an earlier controller, whose orders are unknown here.  */
-static bool
-is_safe_to_open (const struct bd_replicas *replicas,
-                 const struct bd_fleet_group *group)
+enum open_decision
+{
+  OPEN_NOW,
+  OPEN_LATER, /* The state of a member is not confirmed.  */
+  OPEN_NEVER  /* A delayed join can remove a member.  */
+};
+
+/* Decides whether a ready group can be opened.  A member that is still at the
+   version that an unanswered join expects can be removed by it.  The orders of
+   an earlier controller are unknown here, so its groups are formed again.  */
+static enum open_decision
+decide_open (const struct bd_replicas *replicas,
+             const struct bd_fleet_group *group)
 {
+  enum open_decision decision = OPEN_NOW;
+
   if (group->epoch <= replicas->first_epoch)
-    return false;
+    return OPEN_NEVER;
   for (uint32_t i = 0; i < BD_FLEET_MAX_MEMBERS; i++)
-    if (group->members[i] != NULL
-        && group->members[i]->pending_epoch > group->epoch)
-      return false;
-  return true;
+    {
+      struct bd_fleet_endpoint *member = group->members[i];
+
+      if (member == NULL)
+        continue;
+      if (!bd_is_confirmed (member))
+        decision = OPEN_LATER;
+      else if (member->confirmed.pending_join_version
+               == member->confirmed.version)
+        return OPEN_NEVER;
+    }
+  return decision;
+}
+
+static void
+reconcile_ready_group (struct bd_replicas_step *step,
+                       const struct bd_fleet_group *group)
+{
+  switch (decide_open (step->replicas, group))
+    {
+    case OPEN_NOW:
+      order_leader (step, group, BD_ORDER_OPEN, "every member is ready");
+      break;
+    case OPEN_LATER:
+      break;
+    case OPEN_NEVER:
+      order_leader (step, group, BD_ORDER_LEAVE,
+                    "a delayed join can remove a member");
+      break;
+    }
+}
+
+static bool
+is_forming (const struct bd_replicas *replicas,
+            const struct bd_fleet_group *group)
+{
+  for (uint32_t i = 0; i < replicas->forming_count; i++)
+    if (replicas->forming[i].epoch == group->epoch
+        && strcmp (replicas->forming[i].name, group->name) == 0)
+      return true;
+  return false;
 }
 
 /* Opens a ready group; dissolves a group that has lost a member.  */
@@ -360,14 +414,11 @@
   switch (bd_group_phase (step->input, group))
     {
     case BD_PHASE_READY:
-      if (is_safe_to_open (step->replicas, group))
-        order_leader (step, group, BD_ORDER_OPEN, "every member is ready");
-      else
-        order_leader (step, group, BD_ORDER_LEAVE,
-                      "a delayed join can remove a member");
+      reconcile_ready_group (step, group);
       break;
     case BD_PHASE_INCOMPLETE:
-      if (!is_relisting_expected (step->input, group))
+      if (!is_forming (step->replicas, group)
+          && !is_relisting_expected (step->input, group))
         order_leader (step, group, BD_ORDER_LEAVE, "a member is lost");
       break;
     case BD_PHASE_LEAVING:
@@ -471,11 +522,14 @@
     return false;
   for (uint32_t i = 0; i < forming->count; i++)
     {
-      const struct bd_fleet_endpoint *member
+      struct bd_fleet_endpoint *member
           = bd_fleet_endpoint (input->fleet, forming->members[i]);
 
-      if (needs_join (input, forming, member))
-        order_join (step, forming, member);
+      if (!needs_join (input, forming, member) || !bd_is_confirmed (member))
+        continue;
+      if (!bd_is_released (step->replicas, input, member))
+        return false;
+      order_join (step, forming, member);
     }
   return true;
 }
@@ -519,8 +573,6 @@
   endpoint->order.epoch = order->epoch;
   bd_name_copy (endpoint->order.group, order->group);
   bd_name_copy (endpoint->order.model, order->model);
-  if (order->kind == BD_ORDER_JOIN)
-    endpoint->pending_epoch = order->epoch;
 }
 
 static uint32_t
@@ -534,62 +586,93 @@
   return rank;
 }
 
+/* Records the version that an executed order has led to.  An order that finds
+   its state reached does not count.  */
+static void
+confirm_order (struct bd_fleet_endpoint *endpoint,
+               const struct bd_order *order, bool has_begun)
+{
+  if (order->expected_version < 0)
+    endpoint->confirmed.is_current = false;
+  else if (order->expected_version == endpoint->confirmed.version)
+    bd_fleet_set_confirmed (endpoint, order->expected_version + has_begun);
+}
+
+static void
+apply_join (struct bd_fleet_endpoint *endpoint, const struct bd_order *order,
+            enum bd_order_result result)
+{
+  struct bd_membership_view *member = &endpoint->entry.member;
+
+  confirm_order (endpoint, order, result == BD_ORDER_ACCEPTED);
+  endpoint->confirmed.left_group = 0;
+  if (result == BD_ORDER_DONE && member->epoch == order->epoch
+      && strcmp (member->group, order->group) == 0)
+    return;
+  memset (member, 0, sizeof *member);
+  member->state = BD_MEMBER_JOINING;
+  member->epoch = order->epoch;
+  member->rank = rank_of (order);
+  bd_name_copy (member->group, order->group);
+  bd_name_copy (member->model, order->model);
+}
+
+static void
+apply_leave (struct bd_fleet_endpoint *endpoint, const struct bd_order *order)
+{
+  struct bd_membership_view *member = &endpoint->entry.member;
+  bool is_member = member->state != BD_MEMBER_NONE
+                   && member->epoch == order->epoch
+                   && strcmp (member->group, order->group) == 0;
+
+  confirm_order (endpoint, order, is_member);
+  endpoint->confirmed.left_group
+      = bd_fleet_group_hash (order->group, order->epoch);
+  if (is_member)
+    member->state = BD_MEMBER_NONE;
+}
+
 /* Applies the effect of an accepted order to the endpoint's entry, until the
    endpoint reports its state.  */
 static void
 apply_order (struct bd_fleet_endpoint *endpoint, const struct bd_order *order,
              enum bd_order_result result, int64_t now_ms)
 {
-  struct bd_membership_view *member = &endpoint->entry.member;
-
   endpoint->member_updated_ms = now_ms;
   switch (order->kind)
     {
     case BD_ORDER_JOIN:
-      /* The endpoint now refuses all joins sent earlier.  */
-      endpoint->pending_epoch = 0;
-      if (order->epoch > endpoint->unanswered_join_epoch)
-        endpoint->unanswered_join_epoch = endpoint->unanswered_open_epoch = 0;
-      if (result == BD_ORDER_DONE && member->epoch == order->epoch
-          && strcmp (member->group, order->group) == 0)
-        return;
-      memset (member, 0, sizeof *member);
-      member->state = BD_MEMBER_JOINING;
-      member->epoch = order->epoch;
-      member->rank = rank_of (order);
-      bd_name_copy (member->group, order->group);
-      bd_name_copy (member->model, order->model);
+      apply_join (endpoint, order, result);
+      break;
+    case BD_ORDER_OPEN:
+      confirm_order (endpoint, order, result == BD_ORDER_ACCEPTED);
+      if (result == BD_ORDER_ACCEPTED)
+        endpoint->confirmed.opening_version = order->expected_version + 1;
       break;
     case BD_ORDER_LEAVE:
-      if (member->epoch == order->epoch
-          && strcmp (member->group, order->group) == 0)
-        member->state = BD_MEMBER_NONE;
+      apply_leave (endpoint, order);
       break;
     case BD_ORDER_STAGE:
+      confirm_order (endpoint, order, result == BD_ORDER_ACCEPTED);
       endpoint->is_staging = result == BD_ORDER_ACCEPTED;
       bd_name_copy (endpoint->staging_model, order->model);
       break;
     case BD_ORDER_NONE:
-    case BD_ORDER_OPEN:
     case BD_ORDER_CLOSE:
       break;
     }
 }
 
+/* The endpoint's state differs from the confirmed one, or can come to differ
+   from it; a report corrects it.  */
 static void
-record_unanswered (struct bd_fleet_endpoint *endpoint,
-                   const struct bd_order *order, int64_t now_ms)
+doubt_state (struct bd_fleet_endpoint *endpoint, const struct bd_order *order,
+             int64_t now_ms)
 {
-  if (order->kind == BD_ORDER_JOIN)
-    {
-      endpoint->unanswered_join_epoch = order->epoch;
-      endpoint->unanswered_join_ms = now_ms;
-    }
-  else if (order->kind == BD_ORDER_OPEN)
-    {
-      endpoint->unanswered_open_epoch = order->epoch;
-      endpoint->unanswered_open_ms = now_ms;
-    }
+  endpoint->confirmed.is_current = false;
+  if (order->kind == BD_ORDER_STAGE)
+    endpoint->is_staging = false;
+  bd_fleet_suspect (endpoint, now_ms);
 }
 
 static void
@@ -621,15 +704,17 @@
       apply_order (endpoint, order, result, now_ms);
       break;
     case BD_ORDER_REFUSED:
+      doubt_state (endpoint, order, now_ms);
+      break;
     case BD_ORDER_FENCED:
-      /* The endpoint's state differs from the entry; a probe corrects it.  */
-      bd_fleet_suspect (endpoint, now_ms);
+      doubt_state (endpoint, order, now_ms);
       if (order->kind == BD_ORDER_JOIN)
         abandon_forming (replicas, order);
       break;
     case BD_ORDER_UNANSWERED:
-      record_unanswered (endpoint, order, now_ms);
-      bd_fleet_suspect (endpoint, now_ms);
+      if (order->kind == BD_ORDER_JOIN)
+        endpoint->confirmed.pending_join_version = order->expected_version;
+      doubt_state (endpoint, order, now_ms);
       break;
     }
   fleet->changed_ms = now_ms;
@@ -692,6 +777,21 @@
              || endpoint->missed_probe_ms <= last_listed_ms (group));
 }
 
+/* Whether the list has shown another state for long, and no probe was sent
+   since.  */
+static bool
+is_contradicted (const struct bd_replicas_input *input,
+                 const struct bd_fleet_endpoint *endpoint)
+{
+  int64_t since_ms = endpoint->confirmed.contradicted_ms;
+
+  if (since_ms == 0)
+    return false;
+  if (endpoint->last_probe_ms > since_ms)
+    since_ms = endpoint->last_probe_ms;
+  return input->now_ms - since_ms >= CONTRADICTION_MS;
+}
+
 static bool
 is_probe_due (const struct bd_replicas_input *input,
               const struct bd_fleet_endpoint *endpoint)
@@ -714,8 +814,12 @@
     }
   if (is_unlisted_member (endpoint))
     return elapsed_ms >= DEAD_PROBE_INTERVAL_MS;
+  if (is_contradicted (input, endpoint))
+    return true;
   return elapsed_ms >= PROBE_INTERVAL_MS
-         && (is_ready_due (input, endpoint) || is_open_due (input, endpoint));
+         && (endpoint->confirmed.is_report_needed
+             || is_ready_due (input, endpoint)
+             || is_open_due (input, endpoint));
 }
 
 uint32_t
--- a/src/replicas/replicas.h
+++ b/src/replicas/replicas.h
@@ -11,7 +11,10 @@
    - A leader is ordered to open only after every member has reported that it
      is ready under this name and epoch.
    - A member is ordered into another group only when the leader of its old
-     group has left it, has reported that it is broken, or does not respond.
+     group has confirmed that it has left it, is broken, or does not respond.
+   - An order to join or open is conditional on the version of the endpoint's
+     state that the decision rests on; the endpoint refuses it when any other
+     order came between, and late copies with it.
 
    Use, every few tens of milliseconds:
      count = bd_replicas_step (&replicas, &input, orders, max);
@@ -50,7 +53,8 @@
   char model[BD_NAME_SIZE];
   char members[BD_FLEET_MAX_MEMBERS][BD_NAME_SIZE]; /* Leader first.  */
   uint32_t member_count;
-  const char *reason; /* For the log.  */
+  int64_t expected_version; /* Refused at any other one; -1: no condition.  */
+  const char *reason;       /* For the log.  */
 };
 
 enum bd_order_result
--- a/src/replicas/replicas_internal.h
+++ b/src/replicas/replicas_internal.h
@@ -34,12 +34,21 @@
 enum bd_group_phase bd_group_phase (const struct bd_replicas_input *input,
                                     const struct bd_fleet_group *group);
 
-/* bd_can_reopen(): whether a leader that has left its group can join and open
-   it again.  It can when a join and an open order of the same epoch went
-   unanswered, both can still be executed late, and the leader has accepted no
-   join of a higher epoch since.  */
-bool bd_can_reopen (const struct bd_replicas_input *input,
-                    const struct bd_fleet_endpoint *leader);
+/* bd_group_leader(): returns the leader of a group, also when it is no longer
+   a member; NULL when it is unknown.  */
+struct bd_fleet_endpoint *
+bd_group_leader (const struct bd_replicas_input *input,
+                 const struct bd_fleet_group *group);
+
+/* bd_is_released(): whether an endpoint is in no group, or no leader can serve
+   its group.  */
+bool bd_is_released (const struct bd_replicas *replicas,
+                     const struct bd_replicas_input *input,
+                     const struct bd_fleet_endpoint *endpoint);
+
+/* bd_is_confirmed(): whether the endpoint's state is confirmed and current, so
+   that an order can be conditional on it.  Requests a report if not.  */
+bool bd_is_confirmed (struct bd_fleet_endpoint *endpoint);
 
 /* bd_is_available(): whether an endpoint is listed, alive and not draining, so
    that it can be a member of a group.  */
--- a/tests/fakes/pool.c
+++ b/tests/fakes/pool.c
@@ -102,6 +102,7 @@
   member->ready_ms = member->open_ms = member->staged_ms = 0;
   member->lost_since_ms = member->epoch = 0;
   member->step_count = 0;
+  member->entry.version = 0;
   member->entry.started_ms = pool->now_ms;
   member->is_alive = member->is_reachable = member->is_in_list = true;
 }
@@ -229,8 +230,8 @@
 }
 
 static enum bd_order_result
-handle_order (struct pool *pool, struct pool_member *member,
-              const struct bd_order *order)
+execute_order (struct pool *pool, struct pool_member *member,
+               const struct bd_order *order)
 {
   struct bd_membership_view *view = &member->entry.member;
 
@@ -253,6 +254,7 @@
         {
           view->state = BD_MEMBER_NONE;
           member->ready_ms = member->open_ms = 0;
+          member->entry.version++;
         }
       return BD_ORDER_DONE;
     case BD_ORDER_STAGE:
@@ -273,6 +275,22 @@
   return BD_ORDER_REFUSED;
 }
 
+/* An order that begins something makes a new version of the state.  */
+static enum bd_order_result
+handle_order (struct pool *pool, struct pool_member *member,
+              const struct bd_order *order)
+{
+  enum bd_order_result result;
+
+  if (order->expected_version >= 0
+      && order->expected_version != member->entry.version)
+    return BD_ORDER_REFUSED;
+  result = execute_order (pool, member, order);
+  if (result == BD_ORDER_ACCEPTED)
+    member->entry.version++;
+  return result;
+}
+
 static bool
 has_lost_member (struct pool *pool, const struct pool_member *leader)
 {
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -67,6 +67,7 @@
   json_t *members;        /* Of its group, by rank.  */
   json_t *ready_groups;   /* Set of "GROUP/EPOCH" keys.  */
   int64_t start_count;    /* Reported as "born".  */
+  int64_t order_count;    /* Orders begun since the start.  */
   int64_t heartbeats;     /* Entries written.  */
   uint32_t request_count; /* Requests of callers.  */
   char last_account[BD_NAME_SIZE];
