An unlisted leader that does not respond is not taken for dead

Cause: after a partition, in which entries expire, the members of a group returned 350 ms before its leader. A leader that had missed a probe since then and was not listed counted as confirmed dead, although it served on.

Change: only an instance that says that it has no such process is confirmed dead. The members of another leader that does not respond are ordered to leave its group first, listed or not; also those of a leader that was never seen, after the time that they waited for before. A member that has left can join another group whatever its old leader does.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -609,6 +609,5 @@
 bool
 bd_fleet_is_confirmed_dead (const struct bd_fleet_endpoint *endpoint)
 {
-  return endpoint->liveness == BD_LIVENESS_DEAD
-         && (endpoint->is_probe_refused || !endpoint->is_listed);
+  return endpoint->liveness == BD_LIVENESS_DEAD && endpoint->is_probe_refused;
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -317,9 +317,9 @@
                                    bool is_probe_refused,
                                    int64_t probe_sent_ms, int64_t now_ms);
 
-/* bd_fleet_is_confirmed_dead(): whether an endpoint is dead and either its
-   instance has no such process or its entry has expired.  A dead endpoint that
-   is still listed can be alive but unreachable.  */
+/* bd_fleet_is_confirmed_dead(): whether an endpoint is dead and its instance
+   has no such process.  Another dead endpoint can be alive but unreachable,
+   also one that is no longer listed.  */
 bool bd_fleet_is_confirmed_dead (const struct bd_fleet_endpoint *endpoint);
 
 #endif
--- a/src/replicas/plan.c
+++ b/src/replicas/plan.c
@@ -120,8 +120,7 @@
 }
 
 bool
-bd_is_released (const struct bd_replicas *replicas,
-                const struct bd_replicas_input *input,
+bd_is_released (const struct bd_replicas_input *input,
                 const struct bd_fleet_endpoint *endpoint)
 {
   const struct bd_membership_view *member = &endpoint->entry.member;
@@ -138,14 +137,8 @@
   if (leader != NULL)
     return leader->liveness != BD_LIVENESS_DEAD
            || is_leader_death_confirmed (leader, endpoint);
-  /* The leader's record has expired.  */
-  if (group->leader[0] != '\0')
-    return true;
-  /* The leader was never listed here: it can be alive but unreachable, or be
-     listed later than its members.  */
-  return input->now_ms - replicas->started_ms > input->stall_ms
-         && input->now_ms - endpoint->listed_ms > input->stall_ms
-         && input->now_ms - endpoint->member_updated_ms > input->stall_ms;
+  /* The record of a leader that was listed once has expired.  */
+  return group->leader[0] != '\0';
 }
 
 static bool
@@ -156,7 +149,7 @@
   return bd_is_available (endpoint) && bd_can_order (endpoint)
          && endpoint->entry.domain[0] != '\0'
          && bd_find_forming (replicas, endpoint->entry.id) == NULL
-         && bd_is_released (replicas, plan->step->input, endpoint)
+         && bd_is_released (plan->step->input, endpoint)
          && bd_is_confirmed (endpoint);
 }
 
--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -321,28 +321,42 @@
   return true;
 }
 
-/* Orders the members to leave when the leader does not respond but can be
-   alive and unreachable.  A member that has left the group can join another
-   one although its leader can still be alive.  */
+/* Whether a member of a released group has to leave it before it can join
+   another one: its leader can be alive and unreachable.  */
+static bool
+must_leave (const struct bd_replicas_step *step,
+            const struct bd_fleet_group *group,
+            const struct bd_fleet_endpoint *member)
+{
+  const struct bd_fleet_endpoint *leader
+      = bd_group_leader (step->input, group);
+  int64_t stall_ms = step->input->stall_ms;
+  int64_t now_ms = step->input->now_ms;
+
+  if (!bd_is_available (member))
+    return false;
+  if (leader != NULL)
+    return leader->liveness == BD_LIVENESS_DEAD
+           && !bd_fleet_is_confirmed_dead (leader)
+           && leader->missed_probe_ms > last_listed_ms (group)
+           && leader->missed_probe_ms > member->liveness_changed_ms;
+  /* A leader that was never listed here can be listed later than its
+     members.  */
+  return group->leader[0] == '\0'
+         && now_ms - step->replicas->started_ms > stall_ms
+         && now_ms - member->listed_ms > stall_ms
+         && now_ms - member->member_updated_ms > stall_ms;
+}
+
 static void
 release_members (struct bd_replicas_step *step,
                  const struct bd_fleet_group *group)
 {
-  const struct bd_fleet_endpoint *leader = group->members[0];
-
-  if (leader == NULL || leader->liveness != BD_LIVENESS_DEAD
-      || bd_fleet_is_confirmed_dead (leader)
-      || leader->missed_probe_ms <= last_listed_ms (group))
-    return;
   for (uint32_t i = 1; i < BD_FLEET_MAX_MEMBERS; i++)
-    {
-      struct bd_fleet_endpoint *member = group->members[i];
-
-      if (member != NULL && bd_is_available (member)
-          && leader->missed_probe_ms > member->liveness_changed_ms)
-        order_member (step, group, member, BD_ORDER_LEAVE,
-                      "the leader does not respond");
-    }
+    if (group->members[i] != NULL
+        && must_leave (step, group, group->members[i]))
+      order_member (step, group, group->members[i], BD_ORDER_LEAVE,
+                    "the leader does not respond");
 }
 
 enum open_decision
@@ -527,7 +541,7 @@
 
       if (!needs_join (input, forming, member) || !bd_is_confirmed (member))
         continue;
-      if (!bd_is_released (step->replicas, input, member))
+      if (!bd_is_released (input, member))
         return false;
       order_join (step, forming, member);
     }
--- a/src/replicas/two_groups_test.c
+++ b/src/replicas/two_groups_test.c
@@ -50,6 +50,37 @@
     }
 }
 
+/* After a partition members return before their leaders, which served all the
+   time.  */
+static void
+test_leaders_return_late (void)
+{
+  for (int64_t late_ms = 200; late_ms <= 3000; late_ms += 200)
+    {
+      pool_init (&pool, 2, 10, 14);
+      pool_run (&pool, 8000);
+      pool.has_traffic = true;
+      for (uint32_t i = 0; i < pool.count; i++)
+        {
+          pool.members[i].is_reachable = pool.members[i].is_in_list = false;
+          bd_fleet_suspect (
+              bd_fleet_endpoint (&pool.fleet, pool.members[i].entry.id),
+              pool.now_ms);
+        }
+      pool_run (&pool, 4000);
+      for (uint32_t i = 0; i < pool.count; i++)
+        pool.members[i].is_reachable = pool.members[i].is_in_list
+            = pool.members[i].entry.member.rank > 0;
+      pool_run (&pool, late_ms);
+      for (uint32_t i = 0; i < pool.count; i++)
+        pool.members[i].is_reachable = pool.members[i].is_in_list = true;
+      pool_run (&pool, 8000);
+      CU_ASSERT_EQUAL (capacity (), 20);
+      check_invariants ();
+      pool_finish (&pool);
+    }
+}
+
 /* Instances are lost and added and the controller is replaced, while the list
    and the reports show the past.  */
 static void
@@ -104,6 +135,7 @@
 {
   static const struct unit_test tests[] = {
     { "reused addresses", test_reused_addresses },
+    { "leaders return late", test_leaders_return_late },
     { "lagging list and reports", test_lagging_list_and_reports },
     { "lag and delayed orders", test_lag_and_delayed_orders },
   };
