A refused stage order gives its load back to the budget

A new controller doesn't know how many orders an instance has executed; its first stage order can be refused, and is sent again after the report. The refused one had used up one of the few loads that may begin.

--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -719,6 +719,9 @@
       break;
     case BD_ORDER_REFUSED:
       doubt_state (endpoint, order, now_ms);
+      /* No load has begun.  */
+      if (order->kind == BD_ORDER_STAGE)
+        replicas->loads.tokens++;
       break;
     case BD_ORDER_FENCED:
       doubt_state (endpoint, order, now_ms);
