Store: a watch that probes does not hold up other calls

Callers saw: a daemon that could not prove its configuration for up to 5 s after the store had come back, refused keyed requests with 503, and handled changes late. Peers that had read the store hid it when there were any.

Cause: while the circuit breaker is open, one call is sent as a probe and all others wait for its result. A watch can be that call. The store responds to a watch only when something changes or after its wait (4 s of the edge daemon, 20 s of the product's own interface), so the first call that found the store healthy blocked all others until then, or until the probe's limit of 5 s.

Ruled out: that watches are never first.

Change: a watch that is sent as a probe waits 1 ms. Its empty reply closes the breaker, and the caller watches again. Never probing with a watch was weighed; a client with only watches queued would then never call again.

Test: store_test, "a watch as the probe of the breaker". The read behind the watch failed at its timeout of 2 s; now it succeeds.

--- a/src/store/client.c
+++ b/src/store/client.c
@@ -9,7 +9,10 @@
 {
   DEFAULT_CALL_TIMEOUT_MS = 1000,
   /* Burst that the rate limits allow, in seconds of the rate.  */
-  BURST_S = 1
+  BURST_S = 1,
+  /* Wait of a watch that probes a store which may be down: all other calls
+     wait for its reply.  */
+  PROBE_WAIT_MS = 1
 };
 
 struct bd_store_call
@@ -233,6 +236,16 @@
   return bd_bucket_take (bucket, now_ms);
 }
 
+static uint32_t
+attempt_timeout_ms (const struct bd_store_call *call)
+{
+  const struct bd_store *p = call->store;
+
+  if (call->kind != BD_OBJECT_WATCH)
+    return p->call_timeout_ms;
+  return bd_breaker_is_closed (&p->breaker) ? call->wait_ms : PROBE_WAIT_MS;
+}
+
 static void
 start_call (struct bd_store_call *call, int64_t now_ms)
 {
@@ -243,8 +256,7 @@
           .value = call->value,
           .version
           = call->is_update ? call->update.expected_version : call->since,
-          .timeout_ms
-          = call->kind == BD_OBJECT_WATCH ? call->wait_ms : p->call_timeout_ms,
+          .timeout_ms = attempt_timeout_ms (call),
           .allows_stale = call->allows_stale };
 
   call->sent_ms = now_ms;
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -123,9 +123,10 @@
                           uint32_t timeout_ms, bd_store_done *done, void *ctx);
 
 /* bd_store_watch(): waits until objects with a prefix change after revision
-   since; the reply has the changes in items, or none after wait_ms.  An empty
-   reply does not prove that nothing changed, because a watch can miss changes
-   for a while.  */
+   since; the reply has the changes in items, or none after wait_ms, and
+   sooner when the watch was the first call to a store that did not respond
+   before.  An empty reply does not prove that nothing changed, because a watch
+   can miss changes for a while.  */
 void bd_store_watch (struct bd_store *store, const char *prefix, int64_t since,
                      uint32_t wait_ms, bd_store_done *done, void *ctx);
 
--- a/src/store/store_test.c
+++ b/src/store/store_test.c
@@ -195,12 +195,17 @@
   struct script *script = api;
   struct scripted_call *call
       = talloc_zero (script->events, struct scripted_call);
+  uint32_t delay_ms;
 
   script->kinds[script->next] = op->kind;
   call->done = done;
   call->ctx = ctx;
   call->reply = script->replies[script->next++];
-  bd_timer_add (script->events, script->events, 0, reply_later, call);
+  /* A watch without a change is answered at its end.  */
+  delay_ms = op->kind == BD_OBJECT_WATCH && call->reply.error == BD_OK
+                 ? op->timeout_ms
+                 : 0;
+  bd_timer_add (script->events, script->events, delay_ms, reply_later, call);
   return true;
 }
 
@@ -380,6 +385,46 @@
                    BD_ERR_HISTORY_GONE);
 }
 
+/* The breaker opens, and its probe is a watch that nothing changes: a read is
+   answered long before the watch would end.  */
+static void
+test_watch_as_probe (void)
+{
+  enum
+  {
+    FAILURES_TO_OPEN = 3
+  };
+  struct script script = { .replies = { { .error = BD_ERR_PLATFORM_DOWN },
+                                        { .error = BD_ERR_PLATFORM_DOWN },
+                                        { .error = BD_ERR_PLATFORM_DOWN },
+                                        { .error = BD_OK, .revision = 3 },
+                                        { .error = BD_OK, .version = 4 } } };
+  struct tevent_context *events = tevent_context_init (NULL);
+  struct bd_clock clock = bd_clock_system ();
+  struct bd_counters counters = { 0 };
+  struct bd_store store;
+  struct client_result watch_result = { 0 };
+  struct client_result read_result = { 0 };
+
+  script.events = events;
+  bd_store_init (&store, &script_ops, &script, events, &clock, &counters, rng,
+                 1000, 1000);
+  bd_store_watch (&store, "k", 3, 20000, store_result, &watch_result);
+  while (script.next <= FAILURES_TO_OPEN)
+    tevent_loop_once (events);
+  CU_ASSERT_EQUAL (script.kinds[FAILURES_TO_OPEN], BD_OBJECT_WATCH);
+  bd_store_read (&store, BD_PRIORITY_CONFIG, "k", 2000, store_result,
+                 &read_result);
+  while (!read_result.is_done)
+    tevent_loop_once (events);
+  CU_ASSERT_EQUAL (read_result.error, BD_OK);
+  CU_ASSERT_EQUAL (read_result.version, 4);
+  CU_ASSERT_TRUE (watch_result.is_done);
+  CU_ASSERT_EQUAL (watch_result.error, BD_OK);
+  bd_store_finish (&store);
+  talloc_free (events);
+}
+
 static const struct unit_test tests[] = {
   { "token bucket", test_bucket },
   { "circuit breaker", test_breaker },
@@ -396,6 +441,7 @@
   { "a reply of an earlier era", test_reply_of_an_earlier_era },
   { "an update across eras", test_update_across_eras },
   { "a watch across eras", test_watch_across_eras },
+  { "a watch as the probe of the breaker", test_watch_as_probe },
 };
 
 int
