A load report counts only for the instance that made it

What callers saw: a booking was run and answered by another instance, to which the address of its service's lost endpoint had been given while the instance list still had the lost one. In a simulated data centre a group stayed open whose leader was dead, because what answered at the leader's address had taken the leader's place on an order meant for it; and a lost engine stayed in the books as a free spare.

Cause: a probe is sent to an address, and its answer was stored for whatever instance the list has there. The report names its instance; the parser dropped the name.

Ruled out: the gate and the assignment. They decide by instance names and are right when the reports are. Lagging list entries and reports alone break no invariant of the properties (they pass with them, before and after).

Change: a report is parsed with its name, and bd_received_report_update() takes it only for that instance. A report under another name voids the earlier ones: the gate closes and a plain endpoint gets no more calls at once; the controller counts the instance as lost after dead_after_ms as before, since a list entry with a wrong address must not cost a group. A report without a name is no one's. An answer to a probe of an address that the endpoint no longer has is dropped. wrong_instance_total counts.

The simulation probes and orders by address, gives addresses of lost instances to new ones, and lets list entries and reports lag, each from its history; the properties run with all four kinds. A group's members are checked against the instances themselves, not against the observations.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -24,6 +24,8 @@
      "answers with a foreign attempt id")                                     \
   X (WRONG_INCARNATION, "wrong_incarnation_total",                            \
      "answers under another incarnation than the call was sent to")           \
+  X (WRONG_INSTANCE, "wrong_instance_total",                                  \
+     "load reports of another instance than the probed one")                  \
   X (RATE_LIMITED, "rate_limited_total", "calls over an account's limit")     \
   X (SHED, "shed_total", "calls refused because of backlog")                  \
   X (POISON_REFUSED, "suspects_refused_total", "suspect requests refused")    \
--- a/src/daemon/daemon_probes.c
+++ b/src/daemon/daemon_probes.c
@@ -118,20 +118,19 @@
 
 /* The age of a report counts from when its probe was sent, because the
    endpoint can have made the report at any time since then.  */
-static void
+static bool
 record_report (struct bd_daemon *daemon, struct bd_endpoint *endpoint,
                const struct bd_report *report, int64_t probed_ms)
 {
-  struct bd_received_report *observation = &endpoint->observation;
-
-  if (observation->has_report && observation->last_received_ms > probed_ms)
-    return;
-  observation->has_report = true;
-  observation->last_received_ms = probed_ms;
-  observation->report = *report;
+  if (!bd_report_is_from (report, endpoint->info.name))
+    bd_count (&daemon->counters, BD_COUNT_WRONG_INSTANCE);
+  if (!bd_received_report_update (&endpoint->observation, endpoint->info.name,
+                                  report, probed_ms))
+    return false;
   record_own_in_flight (daemon, endpoint);
   bd_controller_add_report (&daemon->controller, endpoint->info.name, report,
                             probed_ms);
+  return true;
 }
 
 static gboolean
@@ -194,9 +193,37 @@
 {
   struct bd_daemon *daemon;
   char instance[BD_NAME_SIZE];
+  char address[BD_NAME_SIZE];
+  uint32_t port;
   int64_t probe_sent_ms;
 };
 
+/* The instance may have been given another address since the probe.  */
+static bool
+is_at_probed_address (const struct probe *probe,
+                      const struct bd_endpoint *endpoint)
+{
+  return endpoint->info.port == probe->port
+         && strcmp (endpoint->info.address, probe->address) == 0;
+}
+
+static void
+handle_probed_report (struct bd_daemon *daemon, struct bd_endpoint *endpoint,
+                      const struct bd_report *report, int64_t probe_sent_ms)
+{
+  const struct bd_group *group = NULL;
+
+  if (!record_report (daemon, endpoint, report, probe_sent_ms))
+    return;
+  endpoint->probe_sent_ms = probe_sent_ms;
+  if (daemon->controller.assignment != NULL)
+    group = bd_assignment_group_of (daemon->controller.assignment,
+                                    endpoint->info.name);
+  if (group != NULL)
+    clear_suspicion_if_alive (daemon, group);
+  bd_daemon_dispatch_queues (daemon);
+}
+
 static void
 handle_probe_done (void *ctx, struct bd_http_call *call,
                    const struct bd_http_result *result)
@@ -211,19 +238,10 @@
   if (endpoint != NULL)
     {
       endpoint->is_probing = false;
-      if (result->is_complete && result->status == 200
+      if (is_at_probed_address (probe, endpoint) && result->is_complete
+          && result->status == 200
           && bd_report_parse (result->body, result->body_size, &report))
-        {
-          const struct bd_group *group = NULL;
-          endpoint->probe_sent_ms = probe->probe_sent_ms;
-          record_report (daemon, endpoint, &report, probe->probe_sent_ms);
-          if (daemon->controller.assignment != NULL)
-            group = bd_assignment_group_of (daemon->controller.assignment,
-                                            endpoint->info.name);
-          if (group != NULL)
-            clear_suspicion_if_alive (daemon, group);
-          bd_daemon_dispatch_queues (daemon);
-        }
+        handle_probed_report (daemon, endpoint, &report, probe->probe_sent_ms);
     }
   talloc_free (probe);
 }
@@ -243,6 +261,8 @@
   probe->daemon = daemon;
   probe->probe_sent_ms = bd_daemon_now_ms (daemon);
   bd_name_copy (probe->instance, endpoint->info.name);
+  bd_name_copy (probe->address, endpoint->info.address);
+  probe->port = endpoint->info.port;
   url = talloc_asprintf (probe, "http://%s:%u/state", endpoint->info.address,
                          endpoint->info.port);
   out.url = url;
@@ -480,6 +500,7 @@
                                   .running = item->running };
       if (endpoint == NULL)
         continue;
+      bd_name_copy (report.instance, item->instance);
       bd_name_copy (report.group, item->group);
       bd_name_copy (report.model, item->model);
       bd_name_copy (report.version, item->version);
--- a/src/endpoints/report.c
+++ b/src/endpoints/report.c
@@ -32,6 +32,7 @@
       return false;
     }
   memset (report, 0, sizeof *report);
+  bd_name_copy (report->instance, text_of (root, "instance"));
   report->phase = phase_of (text_of (root, "phase"));
   bd_name_copy (report->group, text_of (root, "group"));
   bd_name_copy (report->model, text_of (root, "model"));
@@ -44,6 +45,13 @@
   return true;
 }
 
+bool
+bd_report_is_from (const struct bd_report *report, const char *instance)
+{
+  return report->instance[0] != '\0'
+         && strcmp (report->instance, instance) == 0;
+}
+
 bool
 bd_report_is_member (const struct bd_report *report, const char *group,
                      int64_t incarnation)
--- a/src/endpoints/report.h
+++ b/src/endpoints/report.h
@@ -20,6 +20,7 @@
 
 struct bd_report
 {
+  char instance[BD_NAME_SIZE]; /* Of the process that made the report.  */
   enum bd_phase phase;
   char group[BD_NAME_SIZE]; /* Empty when the instance is in no group.  */
   int64_t incarnation;
@@ -32,6 +33,10 @@
    false when body is not a JSON object.  */
 bool bd_report_parse (const char *body, size_t size, struct bd_report *report);
 
+/* bd_report_is_from(): whether the report was made by this instance.  A report
+   that names no instance is from none.  */
+bool bd_report_is_from (const struct bd_report *report, const char *instance);
+
 /* bd_report_is_member(): whether the instance is ready in exactly this
    incarnation of a group.  */
 bool bd_report_is_member (const struct bd_report *report, const char *group,
--- a/src/groups/gate.c
+++ b/src/groups/gate.c
@@ -5,6 +5,20 @@
 #include <assert.h>
 #include <stddef.h>
 
+bool
+bd_received_report_update (struct bd_received_report *received,
+                           const char *instance,
+                           const struct bd_report *report, int64_t sent_ms)
+{
+  if (received->last_received_ms > sent_ms)
+    return false;
+  received->last_received_ms = sent_ms;
+  received->has_report = bd_report_is_from (report, instance);
+  if (received->has_report)
+    received->report = *report;
+  return received->has_report;
+}
+
 static bool
 is_present (const struct bd_group *group,
             const struct bd_received_report *received, int64_t now_ms,
--- a/src/groups/gate.h
+++ b/src/groups/gate.h
@@ -25,6 +25,16 @@
 typedef const struct bd_received_report *
 bd_received_report_lookup (void *ctx, const char *instance);
 
+/* bd_received_report_update(): a probe of the instance, sent at sent_ms, was
+   answered with report.  Stores the report and returns true.  Returns false
+   when a probe that was sent later has been answered, or when the report is of
+   another instance, which has been given the address; in the latter case the
+   earlier reports no longer count.  */
+bool bd_received_report_update (struct bd_received_report *received,
+                                const char *instance,
+                                const struct bd_report *report,
+                                int64_t sent_ms);
+
 enum bd_gate
 {
   BD_GATE_OPEN,
--- a/src/groups/groups_properties.cc
+++ b/src/groups/groups_properties.cc
@@ -8,6 +8,7 @@
 }
 
 #include <cstdio>
+#include <cstring>
 #include <rapidcheck.h>
 #include <talloc.h>
 
@@ -33,9 +34,52 @@
   LOSE_REPLY,
   NEW_VERSION,
   WAIT,
-  EVENT_COUNT
+  EVENT_COUNT,
+  /* Only with faulty observations.  */
+  REUSE_ADDRESS = EVENT_COUNT,
+  REUSE_ADDRESS_IN_OTHER_POOL,
+  EVENT_COUNT_WITH_REUSE
 };
 
+enum
+{
+  LIST_LAG_MS = 3000,
+  REPORT_LAG_MS = 500
+};
+
+/* How the observations of a scenario can be wrong.  */
+enum class Observations
+{
+  PRESENT,
+  LAGGING,     /* The list and the reports are of earlier states.  */
+  MISDIRECTED, /* New instances get the addresses of lost ones.  */
+  LAGGING_AND_MISDIRECTED
+};
+
+bool
+isLagging (Observations observations)
+{
+  return observations == Observations::LAGGING
+         || observations == Observations::LAGGING_AND_MISDIRECTED;
+}
+
+bool
+isMisdirected (Observations observations)
+{
+  return observations == Observations::MISDIRECTED
+         || observations == Observations::LAGGING_AND_MISDIRECTED;
+}
+
+const char *
+nameOf (Observations observations)
+{
+  static const char *const names[]
+      = { "", ", lagging observations", ", reused addresses",
+          ", lagging observations and reused addresses" };
+
+  return names[static_cast<int> (observations)];
+}
+
 struct Step
 {
   int event;
@@ -50,10 +94,13 @@
 }
 
 rc::Gen<Step>
-genStep ()
+genStep (Observations observations)
 {
+  int count
+      = isMisdirected (observations) ? EVENT_COUNT_WITH_REUSE : EVENT_COUNT;
+
   return rc::gen::build<Step> (
-      rc::gen::set (&Step::event, rc::gen::inRange<int> (0, EVENT_COUNT)),
+      rc::gen::set (&Step::event, rc::gen::inRange<int> (0, count)),
       rc::gen::set (&Step::target, rc::gen::inRange<unsigned> (0, 100)),
       rc::gen::set (&Step::wait_ms, rc::gen::inRange<unsigned> (100, 9000)));
 }
@@ -64,7 +111,7 @@
   struct sim *sim = talloc (ctx, struct sim);
   uint32_t version = 1;
 
-  explicit Scenario (bool checks_fence)
+  Scenario (bool checks_fence, Observations observations)
   {
     struct bd_controller_limits limits = {};
     char name[BD_NAME_SIZE];
@@ -81,6 +128,11 @@
     sim_init (sim, ctx, 7);
     sim->load_ms = 4000;
     sim->join_ms = 500;
+    if (isLagging (observations))
+      {
+        sim->list_lag_ms = LIST_LAG_MS;
+        sim->report_lag_ms = REPORT_LAG_MS;
+      }
     for (int i = 0; i < 10; i++)
       {
         snprintf (name, sizeof name, "u%d", i);
@@ -102,6 +154,17 @@
     talloc_free (ctx);
   }
 
+  void
+  reuseAddress (struct sim_instance *old, const char *pool)
+  {
+    char name[BD_NAME_SIZE];
+
+    if (old->has_lost_address)
+      return;
+    snprintf (name, sizeof name, "n%u", sim->instance_count);
+    sim_reuse_address (sim, old, name, pool);
+  }
+
   void
   applyInstanceEvent (int event, struct sim_instance *instance)
   {
@@ -129,6 +192,12 @@
         instance->is_listed = true;
         instance->info.is_leaving = false;
         break;
+      case REUSE_ADDRESS:
+        reuseAddress (instance, "p");
+        break;
+      case REUSE_ADDRESS_IN_OTHER_POOL:
+        reuseAddress (instance, "q");
+        break;
       }
   }
 
@@ -188,6 +257,24 @@
     sim_run (sim, step.wait_ms);
   }
 
+  /* Adds instances in place of those whose addresses went to another pool.  */
+  void
+  replaceLostInstances ()
+  {
+    uint32_t count = sim->instance_count;
+    char name[BD_NAME_SIZE];
+
+    for (uint32_t i = 0; i < count; i++)
+      if (strcmp (sim->instances[i].info.pool, "q") == 0)
+        {
+          snprintf (name, sizeof name, "r%u", i);
+          sim_add_instance (sim, name, sim->instances[i].info.fabric_domain,
+                            "p")
+              ->checks_fence
+              = sim->instances[i].checks_fence;
+        }
+  }
+
   /* Brings back all instances, controllers and the platform, and waits until
      the groups are repaired.  */
   void
@@ -198,6 +285,7 @@
         applyInstanceEvent (RELIST_INSTANCE, &sim->instances[i]);
         sim_revive_instance (&sim->instances[i]);
       }
+    replaceLostInstances ();
     for (uint32_t i = 0; i < sim->controller_count; i++)
       {
         applyControllerEvent (RESUME_CONTROLLER, &sim->controllers[i]);
@@ -210,29 +298,31 @@
 };
 
 bool
-checkGroupInvariants (bool checks_fence)
+checkGroupInvariants (bool checks_fence, Observations observations)
 {
-  return rc::check (
-      checks_fence ? "groups stay whole, with engines that check fences"
-                   : "groups stay whole, with engines that ignore fences",
-      [checks_fence] {
-        auto steps = *rc::gen::container<std::vector<Step> > (40, genStep ());
-        Scenario scenario (checks_fence);
-        for (const Step &step : steps)
-          {
-            scenario.apply (step);
-            if (scenario.sim->violation != nullptr)
-              RC_FAIL (std::string (scenario.sim->violation));
-          }
-        scenario.restoreAll ();
+  std::string name
+      = checks_fence ? "groups stay whole, with engines that check fences"
+                     : "groups stay whole, with engines that ignore fences";
+
+  return rc::check (name + nameOf (observations), [=] {
+    auto steps
+        = *rc::gen::container<std::vector<Step> > (40, genStep (observations));
+    Scenario scenario (checks_fence, observations);
+    for (const Step &step : steps)
+      {
+        scenario.apply (step);
         if (scenario.sim->violation != nullptr)
           RC_FAIL (std::string (scenario.sim->violation));
-        /* Every service has all of its groups open again.  */
-        RC_ASSERT (sim_count_open_groups (scenario.sim, "high") == 2u);
-        RC_ASSERT (sim_count_open_groups (scenario.sim, "low") == 1u);
-        if (checks_fence)
-          RC_ASSERT (scenario.sim->stale_orders_executed == 0u);
-      });
+      }
+    scenario.restoreAll ();
+    if (scenario.sim->violation != nullptr)
+      RC_FAIL (std::string (scenario.sim->violation));
+    /* Every service has all of its groups open again.  */
+    RC_ASSERT (sim_count_open_groups (scenario.sim, "high") == 2u);
+    RC_ASSERT (sim_count_open_groups (scenario.sim, "low") == 1u);
+    if (checks_fence)
+      RC_ASSERT (scenario.sim->stale_orders_executed == 0u);
+  });
 }
 
 }
@@ -240,8 +330,14 @@
 int
 main ()
 {
-  bool has_passed = checkGroupInvariants (true);
+  static const Observations all[]
+      = { Observations::PRESENT, Observations::LAGGING,
+          Observations::MISDIRECTED, Observations::LAGGING_AND_MISDIRECTED };
+  bool has_passed = true;
 
-  has_passed = checkGroupInvariants (false) && has_passed;
+  for (Observations observations : all)
+    for (bool checks_fence : { true, false })
+      has_passed
+          = checkGroupInvariants (checks_fence, observations) && has_passed;
   return has_passed ? 0 : 1;
 }
--- a/src/groups/groups_test.c
+++ b/src/groups/groups_test.c
@@ -196,6 +196,8 @@
       instance->is_listed = false;
       sim_add_instance (sim, word (line, 4), domain, pool);
     }
+  else if (strcmp (event, "reuse-address") == 0)
+    sim_reuse_address (sim, instance, word (line, 4), word (line, 5));
   else
     return false;
   return true;
@@ -257,6 +259,10 @@
     sim->services[number (line, 3)].engines_check_fence = true;
   else if (strcmp (event, "replicas") == 0)
     sim->services[number (line, 3)].replicas = number (line, 4);
+  else if (strcmp (event, "list-lag") == 0)
+    sim->list_lag_ms = number (line, 3);
+  else if (strcmp (event, "report-lag") == 0)
+    sim->report_lag_ms = number (line, 3);
   else if (strcmp (event, "ignore-fences") == 0)
     for (uint32_t i = 0; i < sim->instance_count; i++)
       sim->instances[i].checks_fence = false;
@@ -463,12 +469,55 @@
   talloc_free (ctx);
 }
 
+static void
+test_report_of_another_instance (void)
+{
+  struct bd_received_report received = { 0 };
+  struct bd_report own = { .instance = "u0", .phase = BD_PHASE_READY };
+  struct bd_report other = { .instance = "n0", .phase = BD_PHASE_READY };
+  struct bd_report nameless = { .phase = BD_PHASE_READY };
+
+  CU_ASSERT_FALSE (bd_received_report_update (&received, "u0", &other, 1000));
+  CU_ASSERT_FALSE (received.has_report);
+  CU_ASSERT_TRUE (bd_received_report_update (&received, "u0", &own, 2000));
+  CU_ASSERT_TRUE (received.has_report);
+  /* A probe that was sent earlier says nothing of who is there now.  */
+  CU_ASSERT_FALSE (bd_received_report_update (&received, "u0", &other, 1500));
+  CU_ASSERT_TRUE (received.has_report);
+  CU_ASSERT_FALSE (bd_received_report_update (&received, "u0", &other, 3000));
+  CU_ASSERT_FALSE (received.has_report);
+  /* Nor does another prober's earlier report bring the instance back.  */
+  CU_ASSERT_FALSE (bd_received_report_update (&received, "u0", &own, 2500));
+  CU_ASSERT_FALSE (received.has_report);
+  CU_ASSERT_TRUE (bd_received_report_update (&received, "u0", &own, 4000));
+  CU_ASSERT_FALSE (
+      bd_received_report_update (&received, "u0", &nameless, 5000));
+  CU_ASSERT_FALSE (received.has_report);
+}
+
+static void
+test_report_parse (void)
+{
+  static const char body[]
+      = "{\"instance\": \"u0\", \"phase\": \"ready\", \"group\": \"g\", "
+        "\"incarnation\": 5}";
+  struct bd_report report;
+
+  CU_ASSERT_TRUE_FATAL (bd_report_parse (body, sizeof body - 1, &report));
+  CU_ASSERT_TRUE (bd_report_is_from (&report, "u0"));
+  CU_ASSERT_FALSE (bd_report_is_from (&report, "u1"));
+  CU_ASSERT_TRUE (bd_report_is_member (&report, "g", 5));
+}
+
 static const struct unit_test tests[] = {
   { "an assignment with a shared instance is invalid",
     test_assignment_rejects_shared_instance },
   { "an assignment survives a JSON round trip",
     test_assignment_json_round_trip },
   { "gate states", test_gate },
+  { "a report counts only for the instance that made it",
+    test_report_of_another_instance },
+  { "a report names its instance", test_report_parse },
   { "traces", test_traces },
 };
 
--- a/tests/fakes/engine.c
+++ b/tests/fakes/engine.c
@@ -10,7 +10,7 @@
                                  accepted by the first member of a replica only
    POST /faults {"dead": b, "freeze": b, "token_ms": n, "load_ms": n,
                  "crash_on": "text", "break_after": n, "wrong_id": n,
-                 "wrong_incarnation": n, "cut_whole": n}
+                 "wrong_incarnation": n, "cut_whole": n, "name": "text"}
    GET /record                   events of this process, in order
 
    "crash_on" crashes the engine on a request whose body contains the text.
@@ -19,6 +19,8 @@
    "wrong_incarnation" and "cut_whole" apply to the next n responses: another
    attempt id, the previous incarnation, half of a complete body.
 
+   "name" puts another instance in place of the engine, at its address.
+
    A replica that loses a member aborts its streams and responses.  A
    completion that arrives while a member is missing is refused, and recorded
    as "asked-while-incomplete".  */
@@ -676,6 +678,17 @@
                    finish_completion, g);
 }
 
+/* Replaces the engine by an instance of another name.  */
+static void
+replace_engine (struct engine *e, const char *name)
+{
+  crash (e);
+  bd_name_copy (e->name, name);
+  e->model[0] = '\0';
+  e->version[0] = '\0';
+  e->is_dead = false;
+}
+
 static void
 set_faults (struct engine *e, struct bd_http_exchange *x)
 {
@@ -704,6 +717,8 @@
         e->wrong_incarnations_to_send = (uint32_t)json_integer_value (value);
       else if (strcmp (name, "cut_whole") == 0)
         e->responses_to_truncate = (uint32_t)json_integer_value (value);
+      else if (strcmp (name, "name") == 0)
+        replace_engine (e, json_string_value (value));
       else if (strcmp (name, "crash_on") == 0)
         e->crash_on = talloc_strdup (e->process, json_string_value (value));
     }
--- a/tests/fakes/service.c
+++ b/tests/fakes/service.c
@@ -5,12 +5,13 @@
    GET /state                     load report
    GET /record                    {"runs": {key: count}, "total": n}
    POST /faults {"slow_ms": n, "cut_after_run": n, "refuse": b, "dead": b,
-                 "long_answer": bytes}
+                 "long_answer": bytes, "name": "text"}
    any other path                 one run
 
    "cut_after_run" closes the connection without a response after each of the
    next n runs.  "refuse" returns 503 without a run.  "dead" closes every
-   connection except for /faults and /record.  */
+   connection except for /faults and /record.  "name" puts another instance in
+   place of the service, at its address.  */
 
 #include "tests/fakes/fakes.h"
 
@@ -21,7 +22,7 @@
 {
   struct tevent_context *events;
   struct bd_http_server server;
-  const char *name;
+  char *name;
   json_t *runs;
   uint64_t total;
   uint32_t running;
@@ -108,6 +109,11 @@
         s->padding_bytes = (uint32_t)json_integer_value (value);
       else if (strcmp (name, "refuse") == 0)
         s->is_refusing = json_is_true (value);
+      else if (strcmp (name, "name") == 0)
+        {
+          talloc_free (s->name);
+          s->name = talloc_strdup (s, json_string_value (value));
+        }
       else if (strcmp (name, "dead") == 0)
         s->is_dead = json_is_true (value);
     }
@@ -165,7 +171,7 @@
 
   s->events = events;
   s->runs = json_object ();
-  s->name = fake_option (options, "name", "service");
+  s->name = talloc_strdup (s, fake_option (options, "name", "service"));
   return bd_http_server_init (
       &s->server, events, fake_option (options, "address", "127.0.0.1"),
       (uint32_t)fake_option_int (options, "port", 0), 4096, &ops, s);
--- a/tests/fakes/sim.c
+++ b/tests/fakes/sim.c
@@ -114,18 +114,106 @@
   inst->fence_term = 0;
   inst->fence_sequence = 0;
   inst->running = 0;
+  inst->steps_alive = 0;
   memset (&inst->report, 0, sizeof inst->report);
 }
 
 void
 sim_revive_instance (struct sim_instance *inst)
 {
-  inst->is_alive = true;
+  inst->is_alive = !inst->has_lost_address;
   inst->is_paused = false;
 }
 
+struct sim_instance *
+sim_reuse_address (struct sim *sim, struct sim_instance *old, const char *name,
+                   const char *pool)
+{
+  struct sim_instance *inst
+      = sim_add_instance (sim, name, old->info.fabric_domain, pool);
+
+  sim_kill_instance (old);
+  old->has_lost_address = true;
+  inst->info.port = old->info.port;
+  inst->checks_fence = old->checks_fence;
+  sim->has_reused_addresses = true;
+  return inst;
+}
+
 /* Instances.  */
 
+static bool
+is_responsive (const struct sim_instance *inst)
+{
+  return inst->is_alive && !inst->is_paused;
+}
+
+/* The process that answers at the address of info, or NULL.  */
+static struct sim_instance *
+instance_at (struct sim *sim, const struct bd_instance *info)
+{
+  struct sim_instance *found = NULL;
+
+  if (!sim->has_reused_addresses)
+    {
+      found = sim_instance (sim, info->name);
+      return found != NULL && is_responsive (found) ? found : NULL;
+    }
+  for (uint32_t i = 0; i < sim->instance_count; i++)
+    if (sim->instances[i].info.port == info->port
+        && is_responsive (&sim->instances[i]))
+      found = &sim->instances[i];
+  return found;
+}
+
+static void
+record_snapshots (struct sim *sim)
+{
+  for (uint32_t i = 0; i < sim->instance_count; i++)
+    {
+      struct sim_instance *inst = &sim->instances[i];
+      inst->report.running = inst->running;
+      bd_name_copy (inst->report.instance, inst->info.name);
+      inst->history[inst->history_count++ % SIM_HISTORY]
+          = (struct sim_snapshot){ .info = inst->info,
+                                   .is_listed = inst->is_listed,
+                                   .report = inst->report };
+      if (!is_responsive (inst))
+        continue;
+      inst->last_alive_ms = sim->now_ms;
+      inst->steps_alive++;
+    }
+}
+
+/* The snapshot of age_steps ago, or the oldest one.  */
+static const struct sim_snapshot *
+snapshot_before (const struct sim_instance *inst, uint32_t age_steps)
+{
+  if (age_steps >= inst->history_count)
+    age_steps = inst->history_count - 1;
+  return &inst->history[(inst->history_count - 1 - age_steps) % SIM_HISTORY];
+}
+
+static uint32_t
+random_age (const struct sim *sim, uint32_t lag_ms)
+{
+  return lag_ms < sim->step_ms ? 0
+                               : (uint32_t)gsl_rng_uniform_int (
+                                   sim->rng, lag_ms / sim->step_ms + 1);
+}
+
+/* The report that inst returns to a probe.  It is never of a state before inst
+   started.  */
+static const struct bd_report *
+make_report (const struct sim *sim, const struct sim_instance *inst)
+{
+  uint32_t age = random_age (sim, sim->report_lag_ms);
+
+  if (age >= inst->steps_alive)
+    age = inst->steps_alive - 1;
+  return &snapshot_before (inst, age)->report;
+}
+
 static void
 execute_order (struct sim *sim, struct sim_instance *inst,
                const struct bd_order *order)
@@ -154,10 +242,13 @@
 static void
 receive_order (struct sim *sim, const struct bd_order *order)
 {
-  struct sim_instance *inst = sim_instance (sim, order->instance);
+  struct bd_instance target = { .port = order->port };
+  struct sim_instance *inst;
   bool is_stale;
 
-  if (inst == NULL || !inst->is_alive || inst->is_paused)
+  bd_name_copy (target.name, order->instance);
+  inst = instance_at (sim, &target);
+  if (inst == NULL)
     return;
   is_stale = order->fence_term < inst->fence_term
              || (order->fence_term == inst->fence_term
@@ -193,6 +284,7 @@
               = &c->delayed_orders[c->delayed_order_count++];
           memset (order, 0, sizeof *order);
           bd_name_copy (order->instance, group->members[m]);
+          order->port = sim_instance (sim, group->members[m])->info.port;
           bd_name_copy (order->group, group->id);
           bd_name_copy (order->model, group->model);
           bd_name_copy (order->version, group->version);
@@ -349,25 +441,44 @@
 /* Controllers.  */
 
 static void
-update_instance_reports (struct sim *sim, struct sim_controller *c)
+update_instance_list (struct sim *sim, struct sim_controller *c)
 {
   struct bd_instance listed[SIM_MAX_INSTANCES];
   struct bd_instance_list list = { .items = listed };
 
   for (uint32_t i = 0; i < sim->instance_count; i++)
-    if (sim->instances[i].is_listed)
-      listed[list.count++] = sim->instances[i].info;
+    {
+      const struct sim_snapshot *entry = snapshot_before (
+          &sim->instances[i], random_age (sim, sim->list_lag_ms));
+      if (entry->is_listed)
+        listed[list.count++] = entry->info;
+    }
   bd_controller_set_instances (&c->controller, &list);
+}
+
+/* Probes the address of one instance and records the result.  */
+static bool
+probe (struct sim *sim, const struct sim_instance *inst,
+       struct bd_received_report *received)
+{
+  const struct sim_instance *answering = instance_at (sim, &inst->info);
+
+  return answering != NULL
+         && bd_received_report_update (received, inst->info.name,
+                                       make_report (sim, answering),
+                                       sim->now_ms);
+}
+
+static void
+update_instance_reports (struct sim *sim, struct sim_controller *c)
+{
+  update_instance_list (sim, c);
   if (c->is_cut_off_from_instances)
     return;
   for (uint32_t i = 0; i < sim->instance_count; i++)
-    {
-      struct sim_instance *inst = &sim->instances[i];
-      inst->report.running = inst->running;
-      if (inst->is_alive && !inst->is_paused)
-        bd_controller_add_report (&c->controller, inst->info.name,
-                                  &inst->report, sim->now_ms);
-    }
+    if (probe (sim, &sim->instances[i], &c->received[i]))
+      bd_controller_add_report (&c->controller, sim->instances[i].info.name,
+                                &c->received[i].report, sim->now_ms);
 }
 
 /* Whether no reachable controller has a lower name.  */
@@ -435,14 +546,8 @@
 {
   for (uint32_t i = 0; i < sim->instance_count; i++)
     {
-      const struct sim_instance *inst = &sim->instances[i];
-      struct bd_received_report *observation = &sim->observations[i];
-      observation->is_leaving = inst->info.is_leaving;
-      if (!inst->is_alive || inst->is_paused)
-        continue;
-      observation->has_report = true;
-      observation->last_received_ms = sim->now_ms;
-      observation->report = inst->report;
+      sim->observations[i].is_leaving = sim->instances[i].info.is_leaving;
+      probe (sim, &sim->instances[i], &sim->observations[i]);
     }
 }
 
@@ -460,6 +565,25 @@
   return true;
 }
 
+/* Whether the instance was a member of the group when a report that arrives
+   now can have been made.  */
+static bool
+was_member (const struct sim *sim, const struct sim_instance *inst,
+            const struct bd_group *group)
+{
+  uint32_t oldest = sim->report_lag_ms / sim->step_ms;
+
+  if (bd_report_is_member (&inst->report, group->id, group->incarnation))
+    return true;
+  for (uint32_t age = 0;
+       sim->report_lag_ms > 0 && age <= oldest && age < inst->steps_alive;
+       age++)
+    if (bd_report_is_member (&snapshot_before (inst, age)->report, group->id,
+                             group->incarnation))
+      return true;
+  return false;
+}
+
 /* Whether a member has been unresponsive for longer than freshness_ms, or has
    left the group.  */
 static bool
@@ -468,20 +592,27 @@
   for (uint32_t i = 0; i < group->member_count; i++)
     {
       const struct sim_instance *inst = sim_instance (sim, group->members[i]);
-      const struct bd_received_report *observation
-          = find_observation (sim, group->members[i]);
-      bool is_unresponsive = !inst->is_alive || inst->is_paused;
-      if (is_unresponsive
-          && sim->now_ms - observation->last_received_ms > sim->freshness_ms)
+      if (!is_responsive (inst)
+          && sim->now_ms - inst->last_alive_ms > sim->freshness_ms)
         return true;
-      if (!is_unresponsive
-          && !bd_report_is_member (&inst->report, group->id,
-                                   group->incarnation))
+      if (is_responsive (inst) && !was_member (sim, inst, group))
         return true;
     }
   return false;
 }
 
+/* Whether another process answers at the leader's address under the group's
+   incarnation, by which a daemon would take its answers for the group's.  */
+static bool
+is_answered_by_another (struct sim *sim, const struct bd_group *group)
+{
+  const struct sim_instance *leader = sim_instance (sim, group->members[0]);
+  const struct sim_instance *answering = instance_at (sim, &leader->info);
+
+  return answering != NULL && answering != leader
+         && answering->report.incarnation == group->incarnation;
+}
+
 static void
 check_gates (struct sim *sim)
 {
@@ -496,6 +627,8 @@
         continue;
       if (has_absent_member (sim, group))
         sim->violation = "an open group lacks a member";
+      if (is_answered_by_another (sim, group))
+        sim->violation = "a call would run under another one's incarnation";
       for (uint32_t m = 0; m < group->member_count; m++)
         if (!g_hash_table_add (assigned_members, group->members[m]))
           sim->violation = "an instance is in two open groups";
@@ -566,6 +699,7 @@
     {
       sim->now_ms += sim->step_ms;
       advance_loads (sim);
+      record_snapshots (sim);
       update_observations (sim);
       for (uint32_t i = 0; i < sim->controller_count; i++)
         step_controller (sim, &sim->controllers[i]);
@@ -604,6 +738,7 @@
 {
   accumulate_measures (sim, (double)skip_ms);
   sim->now_ms += skip_ms;
+  record_snapshots (sim);
   for (uint32_t i = 0; i < sim->controller_count; i++)
     update_instance_reports (sim, &sim->controllers[i]);
   update_observations (sim);
--- a/tests/fakes/sim.h
+++ b/tests/fakes/sim.h
@@ -24,7 +24,16 @@
   SIM_MAX_INSTANCES = 256,
   SIM_MAX_CONTROLLERS = 4,
   SIM_MAX_SERVICES = 4,
-  SIM_MAX_ORDERS = 256
+  SIM_MAX_ORDERS = 256,
+  SIM_HISTORY = 32 /* Steps.  */
+};
+
+/* What could be observed of an instance at one step.  */
+struct sim_snapshot
+{
+  struct bd_instance info;
+  bool is_listed;
+  struct bd_report report;
 };
 
 struct sim_instance
@@ -40,7 +49,12 @@
   double join_left_ms;
   int64_t fence_term;
   int64_t fence_sequence;
-  uint32_t running; /* Calls in flight; a drain waits for them.  */
+  uint32_t running;      /* Calls in flight; a drain waits for them.  */
+  bool has_lost_address; /* Another instance has it; it never comes back.  */
+  int64_t last_alive_ms;
+  struct sim_snapshot history[SIM_HISTORY]; /* A ring.  */
+  uint32_t history_count;
+  uint32_t steps_alive; /* Since it started.  */
 };
 
 struct sim_controller
@@ -55,6 +69,7 @@
   struct bd_assignment *pending; /* Being written.  */
   int64_t sent_ms;
   int64_t version; /* Of the object when it was last read.  */
+  struct bd_received_report received[SIM_MAX_INSTANCES];
   struct bd_order delayed_orders[SIM_MAX_ORDERS];
   uint32_t delayed_order_count;
 };
@@ -70,6 +85,13 @@
   uint32_t loads_at_full_speed; /* More loads share their speed.  */
   uint32_t freshness_ms;
 
+  /* Faults.  Every list entry and every report is of an earlier state, of a
+     random age up to the given one; a later one can be of an older state.  The
+     maximum is SIM_HISTORY - 1 steps.  */
+  uint32_t list_lag_ms;
+  uint32_t report_lag_ms;
+  bool has_reused_addresses;
+
   struct sim_instance instances[SIM_MAX_INSTANCES];
   uint32_t instance_count;
   struct sim_controller controllers[SIM_MAX_CONTROLLERS];
@@ -128,6 +150,12 @@
 void sim_kill_instance (struct sim_instance *inst);
 void sim_revive_instance (struct sim_instance *inst);
 
+/* sim_reuse_address(): kills old, which stays in the list, and adds a new
+   instance of the pool at its address.  */
+struct sim_instance *sim_reuse_address (struct sim *sim,
+                                        struct sim_instance *old,
+                                        const char *name, const char *pool);
+
 /* sim_delay_orders(): stores the orders that the controller would send now. If
    there are none, stores a load order for every member of its assignment.
    sim_deliver_delayed_orders() delivers them.  */
