Daemons that start ask the relays of their data centre

What callers saw: a data centre that starts as a whole is ready later than it need be, and some followers read the configuration and the list from the store. Cause: a follower asks any peer once its configuration is 2 s old, and at the start it has none. It took the peers in the order of its table, most of them followers without a configuration, two requests each, until it read the store itself; then it went to a relay and got the whole list again. Not looked at: whether the relays could read earlier themselves; they have not read yet when the first requests arrive. Change: any peer is asked only 2 s after the start. Test: src/edge/edge_relays_test.c, the first that runs enough edge daemons for the way over relays: eight of one data centre and five of another one before the fake site, which now tells the callers of the store apart. It checks who reads the store, that followers stay with a relay, changes of the list and the configuration, news and their end, a restored store and a relay that stops. Without the change "start" and "only relays read the store" fail.

--- /dev/null
+++ b/src/edge/edge_relays_test.c
@@ -0,0 +1,707 @@
+/* Runs the edge daemons of two data centres before a fake platform in one
+   process.  There are more than read the store each for themselves, and more
+   than send their status to all others, so what they know comes over relays.
+
+   The tests use one fleet, one after another, and the last ones stop daemons
+   of it.  Bounds are those of the settings, and the constants of the product
+   that are repeated here by their names.  They are measured in time in which
+   the process ran: time in which it waited for a processor is left out.  */
+
+#include "base/timer.h"
+#include "edge/edge_internal.h"
+#include "platform/platform.h"
+#include "tests/fakes/site.h"
+#include "tests/quiet.h"
+#include "tests/unit.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+enum
+{
+  LOCAL_DAEMONS = 8,
+  REMOTE_DAEMONS = 5,
+  DAEMONS = LOCAL_DAEMONS + REMOTE_DAEMONS,
+  FIRST_PORT = SITE_BASE_PORT - 200,
+  PORTS_PER_DAEMON = 4,
+  PLAIN_WORKERS = 3,
+  /* The worker that the tests list and remove, and the one that leaves.  */
+  CHANGING_WORKER = 1,
+  LEAVING_WORKER = 2,
+  START_LIMIT_MS = 10000,
+  SAMPLE_MS = 10,
+
+  /* Bounds of the settings, and the read period that follows from them.  */
+  CONFIG_APPLY_MS = 3500,
+  DRAIN_MS = 3500,
+  REVOKE_MS = 5000,
+  READ_PERIOD_MS = 1250,
+
+  /* Of sync.c, peers.c and register.c.  */
+  OWN_READ_AFTER_MS = 2000,
+  DEAD_AFTER_MS = 1200,
+  STATUS_PERIOD_MS = 200,
+  RESTORE_SPREAD_MS = 2500,
+  /* Of fleet.c: a listed endpoint is kept for this time after a restore.  */
+  RELISTING_MS = 2200,
+
+  /* Copies of one message that a daemon receives: from the sender, from the
+     other relay of its data centre, and from the two of the other one.  */
+  MAX_COPIES = 4,
+  CROSSED_NEWS = 20
+};
+
+/* How old one kind of state has been at most.  */
+struct age
+{
+  int64_t verified_ms;
+  int64_t starved_ms; /* starved_ms of the process at that time.  */
+  int64_t max_ms;
+};
+
+struct daemon
+{
+  struct bd_edge_settings settings;
+  char url[64];
+  struct bd_edge *edge; /* NULL when it has stopped.  */
+  bool is_silent;       /* It does nothing any more.  */
+  bd_peers_handler *handler;
+  uint32_t reads;       /* Of the configuration and the instance list.  */
+  uint32_t whole_lists; /* Transfers of all entries that it has received.  */
+  uint32_t news;        /* Messages about poison requests received.  */
+  struct age config;
+  struct age instances;
+};
+
+typedef bool daemon_condition (const struct daemon *daemon);
+
+static struct site site;
+static struct daemon daemons[DAEMONS];
+static int64_t sampled_ms;
+static int64_t sampled_cpu_ms;
+static int64_t starved_ms;
+/* Ends each suspicion as soon as it hears of it.  */
+static struct daemon *contradicting;
+
+static int64_t
+now_ms (void)
+{
+  return g_get_monotonic_time () / 1000;
+}
+
+static int64_t
+cpu_ms (void)
+{
+  struct timespec time;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &time);
+  return (int64_t)time.tv_sec * 1000 + time.tv_nsec / 1000000;
+}
+
+static bool
+is_running (const struct daemon *daemon)
+{
+  return daemon->edge != NULL && !daemon->is_silent;
+}
+
+static bool
+is_local (const struct daemon *daemon)
+{
+  return strcmp (daemon->settings.data_centre, "a") == 0;
+}
+
+static bool
+is_relay (const struct daemon *daemon)
+{
+  return bd_membership_is_relay (&daemon->edge->membership,
+                                 &daemon->edge->membership.members[0]);
+}
+
+static void
+sample_age (struct age *age, int64_t verified_ms)
+{
+  int64_t age_ms;
+
+  if (verified_ms != age->verified_ms)
+    {
+      age->verified_ms = verified_ms;
+      age->starved_ms = starved_ms;
+    }
+  age_ms = now_ms () - verified_ms - (starved_ms - age->starved_ms);
+  if (age_ms > age->max_ms)
+    age->max_ms = age_ms;
+}
+
+/* Samples the ages of what the daemons know, and adds up the time in which
+   this process got no processor: the lateness of the sample that was not spent
+   computing.  */
+static void
+sample (void *ctx)
+{
+  int64_t late_ms = now_ms () - sampled_ms - SAMPLE_MS;
+  int64_t spent_ms = cpu_ms () - sampled_cpu_ms;
+
+  if (late_ms > spent_ms)
+    starved_ms += late_ms - spent_ms;
+  sampled_ms = now_ms ();
+  sampled_cpu_ms = cpu_ms ();
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    if (is_running (&daemons[i]))
+      {
+        sample_age (&daemons[i].config, daemons[i].edge->config_verified_ms);
+        sample_age (&daemons[i].instances,
+                    daemons[i].edge->instances_verified_ms);
+      }
+  bd_timer_add (site.events, site.events, SAMPLE_MS, sample, ctx);
+}
+
+static bool
+is_true_of_all (daemon_condition *is_true)
+{
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    if (is_running (&daemons[i]) && !is_true (&daemons[i]))
+      return false;
+  return true;
+}
+
+/* Runs the event loop until a condition is true of all running daemons, or for
+   limit_ms.  Returns whether it is true of all.  */
+static bool
+run_until (daemon_condition *is_true, int64_t limit_ms)
+{
+  int64_t end_ms = now_ms () - starved_ms + limit_ms;
+
+  while (!is_true_of_all (is_true))
+    {
+      if (now_ms () - starved_ms > end_ms)
+        {
+          for (uint32_t i = 0; i < DAEMONS; i++)
+            if (is_running (&daemons[i]) && !is_true (&daemons[i]))
+              printf ("[%s] ", daemons[i].settings.name);
+          return false;
+        }
+      tevent_loop_once (site.events);
+    }
+  return true;
+}
+
+/* Runs the event loop for a time.  */
+static void
+run_for (int64_t duration_ms)
+{
+  int64_t end_ms = now_ms () - starved_ms + duration_ms;
+
+  while (now_ms () - starved_ms < end_ms)
+    tevent_loop_once (site.events);
+}
+
+/* Forgets what has been counted so far.  */
+static void
+begin_observation (void)
+{
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    {
+      daemons[i].reads = 0;
+      daemons[i].whole_lists = 0;
+      daemons[i].news = 0;
+      daemons[i].config.max_ms = 0;
+      daemons[i].instances.max_ms = 0;
+    }
+}
+
+static void
+count_store_call (const char *path, const char *kind)
+{
+  unsigned index = 0;
+
+  if (strcmp (kind, "config") != 0 && strcmp (kind, "servers") != 0)
+    return;
+  /* The first daemon's calls have no number.  */
+  sscanf (path, "/%u/", &index);
+  if (index < DAEMONS)
+    daemons[index].reads++;
+}
+
+static void
+end_suspicion (struct daemon *daemon, uint64_t fingerprint)
+{
+  struct bd_poison_update update
+      = { .fingerprint = fingerprint, .is_cleared = true };
+
+  if (bd_poison_clear (&daemon->edge->poison_requests, fingerprint))
+    bd_edge_broadcast (daemon->edge, BD_MESSAGE_POISON, &update,
+                       &update.stage);
+}
+
+static void
+begin_suspicion (struct daemon *daemon, uint64_t fingerprint)
+{
+  struct bd_poison_update update = { .fingerprint = fingerprint, .target = 1 };
+
+  if (bd_poison_record_crash (&daemon->edge->poison_requests, fingerprint,
+                              update.target, bd_edge_now_ms (daemon->edge)))
+    bd_edge_broadcast (daemon->edge, BD_MESSAGE_POISON, &update,
+                       &update.stage);
+}
+
+/* Counts a message before the daemon handles it.  */
+static void
+count_message (void *ctx, enum bd_message_type type, const void *message)
+{
+  struct daemon *daemon = ctx;
+  const struct bd_freshness_reply *reply = message;
+  const struct bd_poison_update *update = message;
+
+  if (daemon->is_silent)
+    return;
+  if (type == BD_MESSAGE_FRESHNESS_REPLY && reply->has_frame
+      && reply->frame.is_whole && reply->frame.from == 0)
+    daemon->whole_lists++;
+  daemon->news += type == BD_MESSAGE_POISON;
+  daemon->handler (daemon->edge, type, message);
+  if (type == BD_MESSAGE_POISON && daemon == contradicting
+      && !update->is_cleared)
+    end_suspicion (daemon, update->fingerprint);
+}
+
+static void
+intercept_messages (struct daemon *daemon)
+{
+  daemon->handler = daemon->edge->peers.handler;
+  daemon->edge->peers.handler = count_message;
+  daemon->edge->peers.ctx = daemon;
+}
+
+static void
+start_daemon (uint32_t index)
+{
+  struct daemon *daemon = &daemons[index];
+  uint32_t port = FIRST_PORT + index * PORTS_PER_DAEMON;
+
+  daemon->settings = site.settings;
+  snprintf (daemon->settings.name, sizeof daemon->settings.name, "edge-%u",
+            index + 1);
+  bd_name_copy (daemon->settings.data_centre,
+                index < LOCAL_DAEMONS ? "a" : "b");
+  snprintf (daemon->url, sizeof daemon->url, "%s/%u",
+            site.settings.platform_url, index);
+  daemon->settings.platform_url = daemon->url;
+  daemon->settings.http_port = port;
+  daemon->settings.ready_port = port + 1;
+  daemon->settings.peer_port = port + 2;
+  daemon->settings.metrics_port = port + 3;
+  daemon->edge = bd_edge_start (site.events, site.events, &daemon->settings,
+                                &bd_platform_adapter);
+}
+
+static struct bd_edge_bounds
+make_bounds (uint32_t config_apply_ms, uint32_t drain_ms, uint32_t revoke_ms)
+{
+  struct bd_edge_bounds bounds = site.settings.bounds;
+
+  bounds.config_apply_ms = config_apply_ms;
+  bounds.drain_ms = drain_ms;
+  bounds.revoke_ms = revoke_ms;
+  return bounds;
+}
+
+static bool
+is_ready (const struct daemon *daemon)
+{
+  const char *reason;
+
+  return bd_edge_is_ready (daemon->edge, &reason);
+}
+
+static uint32_t
+count_running (const char *data_centre)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    count += is_running (&daemons[i])
+             && strcmp (daemons[i].settings.data_centre, data_centre) == 0;
+  return count;
+}
+
+/* Whether it knows which daemons are alive.  */
+static bool
+knows_daemons (const struct daemon *daemon)
+{
+  const struct bd_membership *membership = &daemon->edge->membership;
+
+  return bd_membership_count_live (membership, "a") == count_running ("a")
+         && bd_membership_count_live (membership, "b") == count_running ("b");
+}
+
+static bool
+has_started (const struct daemon *daemon)
+{
+  return is_ready (daemon) && knows_daemons (daemon);
+}
+
+static void
+start_fleet (void)
+{
+  site_start (&site, PLAIN_WORKERS, 0);
+  site.on_store_call = count_store_call;
+  site.settings.bounds = make_bounds (CONFIG_APPLY_MS, DRAIN_MS, REVOKE_MS);
+  site.workers[CHANGING_WORKER].is_listed = false;
+  site_list_worker (&site.workers[CHANGING_WORKER]);
+  daemons[0].edge = site.edge;
+  daemons[0].settings = site.settings;
+  sampled_ms = now_ms ();
+  sampled_cpu_ms = cpu_ms ();
+  sample (NULL);
+  for (uint32_t i = 1; i < DAEMONS; i++)
+    start_daemon (i);
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    {
+      CU_ASSERT_PTR_NOT_NULL_FATAL (daemons[i].edge);
+      intercept_messages (&daemons[i]);
+    }
+}
+
+/* Ends the daemon as its process does when it is killed.  */
+static void
+kill_daemon (struct daemon *daemon)
+{
+  struct bd_edge *edge = daemon->edge;
+
+  daemon->edge = NULL;
+  bd_edge_finish (edge);
+}
+
+static void
+finish_fleet (void)
+{
+  uint32_t kept = DAEMONS;
+
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    if (daemons[i].edge == NULL)
+      continue;
+    else if (kept == DAEMONS)
+      kept = i;
+    else
+      bd_edge_finish (daemons[i].edge);
+  site.edge = daemons[kept].edge;
+  site_finish (&site);
+}
+
+/* A relay of the data centre.  */
+static struct daemon *
+find_relay (const char *data_centre)
+{
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    if (is_running (&daemons[i]) && is_relay (&daemons[i])
+        && strcmp (daemons[i].settings.data_centre, data_centre) == 0)
+      return &daemons[i];
+  return NULL;
+}
+
+static struct daemon *
+find_follower (const char *data_centre)
+{
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    if (is_running (&daemons[i]) && !is_relay (&daemons[i])
+        && strcmp (daemons[i].settings.data_centre, data_centre) == 0)
+      return &daemons[i];
+  return NULL;
+}
+
+/* Prints and checks the ages since the last begin_observation().  */
+static void
+check_ages (int64_t limit_ms)
+{
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    {
+      const struct daemon *daemon = &daemons[i];
+
+      if (daemon->config.max_ms > limit_ms
+          || daemon->instances.max_ms > limit_ms)
+        printf ("[%s: configuration %lld ms, list %lld ms old] ",
+                daemon->settings.name, (long long)daemon->config.max_ms,
+                (long long)daemon->instances.max_ms);
+      CU_ASSERT_TRUE (daemon->config.max_ms <= limit_ms);
+      CU_ASSERT_TRUE (daemon->instances.max_ms <= limit_ms);
+    }
+}
+
+/* Checks that since then the relays read the store and nobody else did, and
+   that each follower got the whole list at most so many times.  */
+static void
+check_readers (uint32_t max_whole_lists)
+{
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    {
+      const struct daemon *daemon = &daemons[i];
+
+      if ((daemon->reads > 0) != is_relay (daemon)
+          || daemon->whole_lists > max_whole_lists)
+        printf ("[%s, %s: %u reads, %u whole lists] ", daemon->settings.name,
+                is_relay (daemon) ? "relay" : "follower", daemon->reads,
+                daemon->whole_lists);
+      CU_ASSERT_EQUAL (daemon->reads > 0, is_relay (daemon));
+      CU_ASSERT_TRUE (daemon->whole_lists <= max_whole_lists);
+    }
+}
+
+/* All daemons find each other and become ready.  The followers wait for the
+   relays.  */
+static void
+test_start (void)
+{
+  uint32_t relays[2] = { 0 };
+
+  start_fleet ();
+  CU_ASSERT_TRUE (run_until (has_started, START_LIMIT_MS));
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    relays[is_local (&daemons[i])] += is_relay (&daemons[i]);
+  CU_ASSERT_EQUAL (relays[0], BD_MEMBERSHIP_RELAYS);
+  CU_ASSERT_EQUAL (relays[1], BD_MEMBERSHIP_RELAYS);
+  check_readers (1);
+}
+
+/* Only the relays read the store, and followers stay with one relay.  */
+static void
+test_readers (void)
+{
+  begin_observation ();
+  run_for (2 * READ_PERIOD_MS);
+  check_readers (0);
+  check_ages (OWN_READ_AFTER_MS);
+}
+
+static bool
+lists_worker (const struct daemon *daemon)
+{
+  return bd_edge_is_endpoint_listed (daemon->edge,
+                                     site.workers[CHANGING_WORKER].id);
+}
+
+static bool
+lists_no_worker (const struct daemon *daemon)
+{
+  return !lists_worker (daemon);
+}
+
+static bool
+drains_worker (const struct daemon *daemon)
+{
+  const struct bd_fleet_endpoint *endpoint = bd_fleet_endpoint (
+      &daemon->edge->fleet, site.workers[CHANGING_WORKER].id);
+
+  return endpoint != NULL && endpoint->entry.is_draining;
+}
+
+static bool
+has_newest_config (const struct daemon *daemon)
+{
+  return daemon->edge->routes->version == site.version;
+}
+
+/* An instance appears, changes and goes, and the operator writes a
+   configuration.  */
+static void
+test_changes (void)
+{
+  struct site_worker *worker = &site.workers[CHANGING_WORKER];
+
+  CU_ASSERT_TRUE (is_true_of_all (lists_no_worker));
+  worker->is_listed = true;
+  site_list_worker (worker);
+  CU_ASSERT_TRUE (run_until (lists_worker, DRAIN_MS));
+  worker->is_draining = true;
+  site_list_worker (worker);
+  CU_ASSERT_TRUE (run_until (drains_worker, DRAIN_MS));
+  worker->is_listed = false;
+  site_list_worker (worker);
+  CU_ASSERT_TRUE (run_until (lists_no_worker, DRAIN_MS));
+  site_publish (&site);
+  CU_ASSERT_TRUE (run_until (has_newest_config, CONFIG_APPLY_MS));
+  worker->is_draining = false;
+}
+
+static uint64_t suspect;
+
+static bool
+suspects (const struct daemon *daemon)
+{
+  return bd_poison_remaining_ms (&daemon->edge->poison_requests, suspect,
+                                 bd_edge_now_ms (daemon->edge))
+         > 0;
+}
+
+static bool
+suspects_not (const struct daemon *daemon)
+{
+  return !suspects (daemon);
+}
+
+/* Checks that no daemon received more copies of so many messages than the way
+   over the relays makes.  */
+static void
+check_news (uint32_t messages)
+{
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    {
+      if (daemons[i].news > MAX_COPIES * messages)
+        printf ("[%s: %u copies] ", daemons[i].settings.name, daemons[i].news);
+      CU_ASSERT_TRUE (daemons[i].news <= MAX_COPIES * messages);
+    }
+}
+
+/* A suspicion and its end reach every daemon, whoever has them first, and then
+   stop.  */
+static void
+test_news (void)
+{
+  struct daemon *const sources[]
+      = { find_follower ("a"), find_relay ("a"), find_follower ("b") };
+
+  for (uint32_t i = 0; i < sizeof sources / sizeof sources[0]; i++)
+    {
+      suspect = 1 + i;
+      begin_observation ();
+      begin_suspicion (sources[i], suspect);
+      CU_ASSERT_TRUE (run_until (suspects, DEAD_AFTER_MS));
+      end_suspicion (sources[i], suspect);
+      CU_ASSERT_TRUE (run_until (suspects_not, DEAD_AFTER_MS));
+      run_for (STATUS_PERIOD_MS);
+      check_news (2);
+    }
+}
+
+/* Suspicions that end while they are still on their way do not go round.  */
+static void
+test_crossed_news (void)
+{
+  begin_observation ();
+  contradicting = find_follower ("b");
+  for (uint32_t i = 0; i < CROSSED_NEWS; i++)
+    begin_suspicion (find_follower ("a"), 100 + i);
+  run_for (2 * STATUS_PERIOD_MS);
+  contradicting = NULL;
+  check_news (2 * CROSSED_NEWS);
+  for (suspect = 100; suspect < 100 + CROSSED_NEWS; suspect++)
+    CU_ASSERT_TRUE (run_until (suspects_not, 0));
+  begin_observation ();
+  run_for (STATUS_PERIOD_MS);
+  check_news (0);
+}
+
+static bool
+knows_leaving (const struct daemon *daemon)
+{
+  const struct bd_fleet_endpoint *endpoint = bd_fleet_endpoint (
+      &daemon->edge->fleet, site.workers[LEAVING_WORKER].id);
+
+  return endpoint != NULL && endpoint->is_leaving;
+}
+
+/* An endpoint tells one daemon in a response that it leaves.  */
+static void
+test_leaving_endpoint (void)
+{
+  site.daemon_port = find_follower ("b")->settings.http_port;
+  site.workers[LEAVING_WORKER].is_leaving = true;
+  /* More requests at once than the other worker takes.  */
+  for (uint32_t i = 0; i < 10; i++)
+    site_start_call (&site, "GET", "/safe/x", "k1", NULL);
+  CU_ASSERT_TRUE (run_until (knows_leaving, DEAD_AFTER_MS));
+  site.workers[LEAVING_WORKER].is_leaving = false;
+}
+
+static bool
+is_in_era (const struct daemon *daemon)
+{
+  return daemon->edge->store.era == site.era;
+}
+
+static bool
+is_registered (const struct daemon *daemon)
+{
+  return json_object_get (json_object_get (site.objects, "bd-daemons"),
+                          daemon->settings.name)
+         != NULL;
+}
+
+/* The store comes back from a copy that lacks the last configuration, an
+   instance and the daemons.  */
+static void
+test_store_restored (void)
+{
+  struct site_worker *worker = &site.workers[CHANGING_WORKER];
+  json_t *copy = site_copy_store (&site);
+  json_int_t version;
+
+  json_object_del (json_object_get (copy, "objects"), "bd-daemons");
+  worker->is_listed = true;
+  site_list_worker (worker);
+  site_publish (&site);
+  CU_ASSERT_TRUE (run_until (lists_worker, DRAIN_MS));
+  CU_ASSERT_TRUE (run_until (has_newest_config, CONFIG_APPLY_MS));
+  site_restore_store (&site, copy);
+  CU_ASSERT_TRUE (run_until (is_in_era, CONFIG_APPLY_MS));
+  CU_ASSERT_TRUE (is_true_of_all (has_newest_config));
+  CU_ASSERT_TRUE (is_true_of_all (lists_worker));
+  version = site.version;
+  site_publish (&site);
+  CU_ASSERT_TRUE (site.version > version);
+  CU_ASSERT_TRUE (run_until (has_newest_config, CONFIG_APPLY_MS));
+  /* The instance never writes itself in again.  */
+  CU_ASSERT_TRUE (run_until (lists_no_worker, RELISTING_MS + DRAIN_MS));
+  CU_ASSERT_TRUE (run_until (is_registered, RESTORE_SPREAD_MS));
+  site_list_worker (worker);
+  CU_ASSERT_TRUE (run_until (lists_worker, DRAIN_MS));
+}
+
+static bool
+is_data_centre_covered (const struct daemon *of)
+{
+  uint32_t readers = 0;
+
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    readers += is_running (&daemons[i]) && !daemons[i].edge->is_stopping
+               && is_relay (&daemons[i]) && daemons[i].reads > 0
+               && strcmp (daemons[i].settings.data_centre,
+                          of->settings.data_centre)
+                      == 0;
+  return readers == BD_MEMBERSHIP_RELAYS;
+}
+
+/* A relay stops gracefully.  */
+static void
+test_relay_stops (void)
+{
+  struct daemon *relay = find_relay ("a");
+
+  begin_observation ();
+  bd_edge_stop (relay->edge);
+  CU_ASSERT_TRUE (run_until (is_data_centre_covered, DEAD_AFTER_MS));
+  run_for (OWN_READ_AFTER_MS);
+  check_ages (OWN_READ_AFTER_MS + READ_PERIOD_MS);
+  kill_daemon (relay);
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[] = {
+    { "start", test_start },
+    { "only relays read the store", test_readers },
+    { "changes reach all", test_changes },
+    { "news reach all and stop", test_news },
+    { "crossed news stop", test_crossed_news },
+    { "leaving endpoint", test_leaving_endpoint },
+    { "store restored from a copy", test_store_restored },
+    { "relay stops", test_relay_stops },
+    { "end", finish_fleet },
+  };
+
+  signal (SIGPIPE, SIG_IGN);
+  unit_silence_log ();
+  return UNIT_RUN ("edge relays", tests);
+}
--- a/src/edge/freshness.c
+++ b/src/edge/freshness.c
@@ -19,6 +19,8 @@
   READER_AFTER_MS = 2200,
   /* Age of the data from a relay at which the relay is asked again.  */
   RELAY_PERIOD_MS = 500,
+  /* Time without a reply from a relay after which any peer is asked.  */
+  RELAYS_SILENT_MS = 4 * RELAY_PERIOD_MS,
   /* Minimum time between two requests.  */
   REQUEST_PERIOD_MS = 250,
   /* Requests without a fresh reply after which another peer is asked.  */
@@ -43,6 +45,18 @@
              && bd_membership_is_relay (membership, member));
 }
 
+/* Whether this daemon has had a time to get the configuration from a relay,
+   and got none.  */
+static bool
+are_relays_silent (const struct bd_edge *edge)
+{
+  int64_t since_ms = edge->config_verified_ms > edge->started_ms
+                         ? edge->config_verified_ms
+                         : edge->started_ms;
+
+  return bd_edge_now_ms (edge) - since_ms >= RELAYS_SILENT_MS;
+}
+
 /* Returns the peer to ask: the same as before, or the next one if that does
    not answer.  */
 static const struct bd_member *
@@ -92,9 +106,8 @@
 {
   int64_t now_ms = bd_edge_now_ms (edge);
   int64_t after_ms = is_reader ? READER_AFTER_MS : RELAY_PERIOD_MS;
-  int64_t config_age_ms = now_ms - edge->config_verified_ms;
   bool is_config_old
-      = config_age_ms >= after_ms
+      = now_ms - edge->config_verified_ms >= after_ms
         || (edge->routes != NULL
             && edge->routes->version < edge->highest_config_version);
   bool is_list_old = now_ms - edge->instances_verified_ms >= after_ms;
@@ -103,7 +116,7 @@
   if ((!is_config_old && !is_list_old)
       || now_ms - edge->freshness_requested_ms < REQUEST_PERIOD_MS)
     return;
-  peer = choose_peer (edge, !is_reader && config_age_ms < 4 * RELAY_PERIOD_MS);
+  peer = choose_peer (edge, !is_reader && !are_relays_silent (edge));
   if (peer == NULL)
     peer = choose_peer (edge, false);
   if (peer != NULL)
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -18,6 +18,7 @@
   EVENT_INTERVAL_MS = 15,
   STREAM_EVENTS = 12,
   STALL_AFTER_EVENTS = 3,
+  MAX_STORE_CONNECTIONS = 256,
   STORE_PORT = SITE_BASE_PORT,
   EDGE_PORT = SITE_BASE_PORT + 1,
   READY_PORT = SITE_BASE_PORT + 2,
@@ -239,10 +240,14 @@
   char kind[BD_NAME_SIZE] = "";
   char name[BD_NAME_SIZE] = "";
   const char *since = bd_http_query (x, "Watch");
+  const char *objects = strstr (x->path, "/objects/");
 
+  if (objects != NULL)
+    sscanf (objects, "/objects/%63[^/]/%63[^/]", kind, name);
+  if (site->on_store_call != NULL && strcmp (x->method, "GET") == 0)
+    site->on_store_call (x->path, kind);
   if (site->store_mode == STORE_UNRESPONSIVE)
     return;
-  sscanf (x->path, "/objects/%63[^/]/%63[^/]", kind, name);
   if (site->store_mode == STORE_DOWN || kind[0] == '\0')
     respond_from_store (site, x, 503, json_object ());
   else if (strcmp (x->method, "GET") != 0)
@@ -901,8 +906,8 @@
   site->revision = 1;
   site->era = 1;
   site->daemon_port = EDGE_PORT;
-  bd_http_server_init (&site->store, site->events, "127.0.0.1", STORE_PORT, 64,
-                       &store_ops, site);
+  bd_http_server_init (&site->store, site->events, "127.0.0.1", STORE_PORT,
+                       MAX_STORE_CONNECTIONS, &store_ops, site);
   for (uint32_t i = 0; i < plain; i++)
     add_worker (site, "plain", "");
   for (uint32_t i = 0; i < pool; i++)
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -80,6 +80,11 @@
 typedef void site_run_handler (struct site_worker *worker, const char *path,
                                const char *account);
 
+/* Called for each read and watch of the store.  path begins with the path of
+   the caller's platform_url, if that has one, by which several daemons can be
+   told apart; kind is "config" or "servers", for example.  */
+typedef void site_store_handler (const char *path, const char *kind);
+
 struct site
 {
   struct tevent_context *events;
@@ -101,6 +106,7 @@
   uint32_t daemon_port; /* Where site_call() sends requests.  */
   bool echoes_path;     /* Responses and events contain the path.  */
   site_run_handler *on_run;
+  site_store_handler *on_store_call;
   uint32_t partial_runs; /* Runs in groups of which a member was
                             never ready.  */
   uint32_t stolen_joins; /* Joins of members of an open group.  */
