Followers of a relay that reads seldom leave the store alone

What callers saw: nothing; the store gets calls from every daemon of a large data centre whose bounds are long, and each of these reads makes the daemon fetch the whole list from its relay after it. Cause: a follower reads the store itself once its data are 2 s old. With config_apply_ms and drain_ms from 5 s on and revoke_ms from 8 s on, a relay reads every 2 s, and what a follower has of it gets older than that. Ruled out: reading more often at the relays: it costs store calls, which are dear, where the bounds need none. Change: a follower waits for the relay's period and the second that is reckoned for the way from it, if that is more than 2 s. The bounds hold: the period is half of what is left of them after that second.

--- a/src/edge/sync.c
+++ b/src/edge/sync.c
@@ -27,7 +27,8 @@
   /* Up to this number of live daemons in a data centre, each of them reads the
      store.  */
   MAX_READERS = 3,
-  /* Age of the data from a relay at which a daemon reads the store itself.  */
+  /* Age of the data from a relay at which a daemon reads the store itself;
+     more if the relay reads so seldom that its own get almost as old.  */
   OWN_READ_AFTER_MS = 2000
 };
 
@@ -62,6 +63,15 @@
   return min_ms (period_ms, MAX_READ_PERIOD_MS);
 }
 
+static int64_t
+own_read_after_ms (const struct bd_edge *edge)
+{
+  int64_t follower_age_ms = read_period_ms (edge) + RELAY_DELAY_MS;
+
+  return follower_age_ms > OWN_READ_AFTER_MS ? follower_age_ms
+                                             : OWN_READ_AFTER_MS;
+}
+
 /* Records whether the store is reachable.  When it is reachable again, entries
    of the list may have expired during the outage; the fleet then keeps them
    for a while, and the list has to be applied again afterwards.  */
@@ -386,7 +396,7 @@
 {
   const struct bd_membership *membership = &edge->membership;
   int64_t now_ms = bd_edge_now_ms (edge);
-  int64_t old_ms = now_ms - OWN_READ_AFTER_MS;
+  int64_t old_ms = now_ms - own_read_after_ms (edge);
 
   if (bd_edge_is_finding_peers (edge))
     return false;
