Reports of reports do not keep dead daemons alive

What callers saw: in a fleet of more than twelve daemons a daemon that died was not missed: a dead relay was not replaced, and by the code every second status asked it for a reply in vain. Cause: a relay reported all daemons that it held for alive, also those that it knew from reports only. After 0.6 s without a heartbeat the two relays of a data centre took the dead one from each other's reports, each time anew. The same between a relay and a daemon that it took for the next one. Ruled out: the longer time after which a reported daemon counts as dead (3.6 s): a dead relay was still not replaced after 10 s. Change: a daemon reports whom it has heard itself within the time after which that one counts as dead, and daemons of another data centre whom a relay of theirs has reported within it. A daemon that the relay which named it last no longer names is dead at once, and the other relays are then asked for all that they know. Test: edge_relays_test, "relays die": a relay and a follower are killed, and a relay of the other data centre falls silent; membership_test, "reports do not keep the dead" and "reports that differ". The first two fail without the change.

--- a/src/edge/edge_relays_test.c
+++ b/src/edge/edge_relays_test.c
@@ -46,6 +46,7 @@
   MAX_READ_PERIOD_MS = 2000,
   RELAY_DELAY_MS = 1000,
   DEAD_AFTER_MS = 1200,
+  REPORTED_DEAD_AFTER_MS = 3600,
   STATUS_PERIOD_MS = 200,
   RESTORE_SPREAD_MS = 2500,
   /* Age at which a follower reads the store itself.  */
@@ -53,6 +54,12 @@
   /* Of fleet.c: a listed endpoint is kept for this time after a restore.  */
   RELISTING_MS = 2200,
 
+  /* A relay misses its status, then the other one has to tell it to the
+     followers, which ask it every second time.  */
+  TAKE_OVER_MS = DEAD_AFTER_MS + 4 * STATUS_PERIOD_MS,
+  /* The same, and then the other data centre is told.  */
+  FORGET_MS = TAKE_OVER_MS + REPORTED_DEAD_AFTER_MS,
+
   /* Copies of one message that a daemon receives: from the sender, from the
      other relay of its data centre, and from the two of the other one.  */
   MAX_COPIES = 4,
@@ -380,6 +387,17 @@
   bd_edge_finish (edge);
 }
 
+/* Silences the daemon: its connections stay, and nobody reads them.  */
+static void
+silence_daemon (struct daemon *daemon)
+{
+  daemon->is_silent = true;
+  bd_ticker_finish (&daemon->edge->status_ticker);
+  bd_ticker_finish (&daemon->edge->sync_ticker);
+  bd_ticker_finish (&daemon->edge->controller_ticker);
+  bd_ticker_finish (&daemon->edge->watchdog_ticker);
+}
+
 static void
 finish_fleet (void)
 {
@@ -710,6 +728,20 @@
   kill_daemon (relay);
 }
 
+/* A relay of one data centre is killed, with a follower, and one of the other
+   one no longer does anything.  */
+static void
+test_relays_die (void)
+{
+  begin_observation ();
+  kill_daemon (find_relay ("a"));
+  kill_daemon (find_follower ("a"));
+  silence_daemon (find_relay ("b"));
+  CU_ASSERT_TRUE (run_until (is_data_centre_covered, TAKE_OVER_MS));
+  CU_ASSERT_TRUE (run_until (knows_daemons, FORGET_MS));
+  check_ages (OWN_READ_AFTER_MS + READ_PERIOD_MS);
+}
+
 int
 main (void)
 {
@@ -723,6 +755,7 @@
     { "leaving endpoint", test_leaving_endpoint },
     { "store restored from a copy", test_store_restored },
     { "relay stops", test_relay_stops },
+    { "relays die", test_relays_die },
     { "end", finish_fleet },
   };
 
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -321,26 +321,42 @@
   return found;
 }
 
+/* Makes the other relays report all live daemons anew.  */
+static void
+request_reports (struct bd_edge *edge, const struct bd_member *except)
+{
+  for (uint32_t i = 0; i < BD_EDGE_MAX_RELAY_REPORTS; i++)
+    if (edge->relay_reports[i].relay != except->name_hash)
+      edge->relay_reports[i].checksum = 0;
+}
+
 /* Stores which daemons a relay reports as alive.  */
 static void
 store_live (struct bd_edge *edge, const struct bd_edge_status *status,
-            uint64_t sender)
+            const struct bd_member *sender)
 {
+  struct bd_membership *membership = &edge->membership;
+  bool is_whole = status->scope != BD_STATUS_DATA_CENTRE;
   int64_t now_ms = bd_edge_now_ms (edge);
 
   if (status->live_count == 0)
     {
-      bd_membership_confirm_reported (&edge->membership, now_ms);
+      bd_membership_confirm_reported (membership, sender, now_ms);
       return;
     }
-  if (status->scope != BD_STATUS_DATA_CENTRE)
+  if (is_whole)
     {
-      find_relay_report (edge, sender)->checksum = status->live_checksum;
-      bd_membership_begin_report (&edge->membership);
+      find_relay_report (edge, sender->name_hash)->checksum
+          = status->live_checksum;
+      bd_membership_begin_report (membership);
     }
   for (uint32_t i = 0; i < status->live_count; i++)
-    bd_membership_report (&edge->membership, status->live[i].name_hash,
+    bd_membership_report (membership, sender, status->live[i].name_hash,
                           status->live[i].is_stopping, now_ms);
+  /* Two relays differ: a report of no change no longer tells which daemons it
+     means.  */
+  if (is_whole && bd_membership_end_report (membership, sender))
+    request_reports (edge, sender);
 }
 
 /* Sets the fields of a status message that describe this daemon.  */
@@ -367,12 +383,14 @@
   bd_name_copy (status->address, settings->address);
 }
 
-/* Adds the live daemons, of this data centre or of all, to a status.  */
+/* Adds the live daemons to a status: for another data centre, those of this
+   one; for a daemon of this one, those that others have not only reported.  */
 static void
 add_live (struct bd_edge *edge, struct bd_edge_status *status,
           bool is_own_data_centre)
 {
   static struct bd_live_daemon live[MAX_LIVE];
+  int64_t now_ms = bd_edge_now_ms (edge);
 
   status->live = live;
   for (uint32_t i = 0;
@@ -380,8 +398,10 @@
     {
       const struct bd_member *member = &edge->membership.members[i];
 
-      if (!member->is_live
-          || (is_own_data_centre && !is_local (edge, member->data_centre)))
+      if (is_own_data_centre
+              ? !member->is_live || !is_local (edge, member->data_centre)
+              : !bd_membership_is_witnessed (&edge->membership, member,
+                                             now_ms))
         continue;
       live[status->live_count++] = (struct bd_live_daemon){
         .name_hash = member->name_hash,
@@ -423,7 +443,7 @@
     }
   fill_status (edge, &status, has_sums ? BD_STATUS_FLEET : BD_STATUS_MEMBERS);
   status.traffic = *report;
-  status.live_checksum = bd_membership_checksum (&edge->membership);
+  status.live_checksum = bd_membership_checksum (&edge->membership, now_ms);
   if (status.live_checksum != known_checksum)
     add_live (edge, &status, false);
   bd_edge_send_to_peer (edge, receiver, BD_MESSAGE_EDGE_STATUS, &status);
@@ -454,7 +474,7 @@
   if (status->scope != BD_STATUS_MEMBERS)
     store_traffic (edge, status, sender->name_hash);
   if (status->scope != BD_STATUS_DAEMON)
-    store_live (edge, status, sender->name_hash);
+    store_live (edge, status, sender);
   else if (status->wants_reply)
     send_reply (edge, sender, status->live_checksum);
 }
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -96,8 +96,10 @@
   member->relay_rank = known.relay_rank;
   member->cpu_share = known.cpu_share;
   member->is_confirmed = known.is_confirmed;
+  member->reported_by = known.reported_by;
   member->is_reported = false;
   member->last_received_ms = now_ms;
+  member->witnessed_ms = now_ms;
   member->is_live = true;
   return BD_OK;
 }
@@ -118,19 +120,33 @@
     membership->members[i].is_confirmed = false;
 }
 
+static bool
+is_local (const struct bd_membership *membership,
+          const struct bd_member *member)
+{
+  return strcmp (member->data_centre, membership->members[0].data_centre) == 0;
+}
+
 static void
 refresh_reported (const struct bd_membership *membership,
-                  struct bd_member *member, int64_t now_ms)
+                  const struct bd_member *reporter, struct bd_member *member,
+                  int64_t now_ms)
 {
+  /* A relay of another data centre reports its own.  */
+  if (!is_local (membership, reporter)
+      && strcmp (reporter->data_centre, member->data_centre) == 0)
+    member->witnessed_ms = now_ms;
   if (has_heartbeats (membership, member, now_ms))
     return;
   member->is_live = true;
   member->is_reported = true;
+  member->reported_by = reporter->name_hash;
   member->last_received_ms = now_ms;
 }
 
 void
-bd_membership_report (struct bd_membership *membership, uint64_t name_hash,
+bd_membership_report (struct bd_membership *membership,
+                      const struct bd_member *reporter, uint64_t name_hash,
                       bool is_stopping, int64_t now_ms)
 {
   for (uint32_t i = 1; i < membership->count; i++)
@@ -140,24 +156,63 @@
       if (member->name_hash != name_hash)
         continue;
       member->is_confirmed = true;
-      refresh_reported (membership, member, now_ms);
+      refresh_reported (membership, reporter, member, now_ms);
       if (member->is_reported)
         member->is_stopping = is_stopping;
       return;
     }
 }
 
+bool
+bd_membership_end_report (struct bd_membership *membership,
+                          const struct bd_member *reporter)
+{
+  bool lacks_members = false;
+
+  for (uint32_t i = 1; i < membership->count; i++)
+    {
+      struct bd_member *member = &membership->members[i];
+
+      if (!member->is_live || !member->is_reported || member->is_confirmed)
+        continue;
+      lacks_members = true;
+      if (member->reported_by == reporter->name_hash)
+        member->is_live = false;
+    }
+  return lacks_members;
+}
+
 void
 bd_membership_confirm_reported (struct bd_membership *membership,
+                                const struct bd_member *reporter,
                                 int64_t now_ms)
 {
   for (uint32_t i = 1; i < membership->count; i++)
     if (membership->members[i].is_confirmed)
-      refresh_reported (membership, &membership->members[i], now_ms);
+      refresh_reported (membership, reporter, &membership->members[i], now_ms);
+}
+
+static uint32_t
+silence_limit_ms (const struct bd_membership *membership,
+                  const struct bd_member *member)
+{
+  return !is_local (membership, member) && membership->remote_dead_after_ms > 0
+             ? membership->remote_dead_after_ms
+             : membership->dead_after_ms;
+}
+
+bool
+bd_membership_is_witnessed (const struct bd_membership *membership,
+                            const struct bd_member *member, int64_t now_ms)
+{
+  return member == &membership->members[0]
+         || (member->is_live && member->witnessed_ms > 0
+             && now_ms - member->witnessed_ms
+                    <= silence_limit_ms (membership, member));
 }
 
 uint64_t
-bd_membership_checksum (const struct bd_membership *membership)
+bd_membership_checksum (const struct bd_membership *membership, int64_t now_ms)
 {
   enum
   {
@@ -167,7 +222,8 @@
   uint64_t sum = 0;
 
   for (uint32_t i = 0; i < membership->count; i++)
-    if (membership->members[i].is_live)
+    if (bd_membership_is_witnessed (membership, &membership->members[i],
+                                    now_ms))
       sum += membership->members[i].name_hash
              * (membership->members[i].is_stopping ? STOPPING_FACTOR
                                                    : LIVE_FACTOR);
@@ -226,14 +282,9 @@
 dead_after_ms (const struct bd_membership *membership,
                const struct bd_member *member)
 {
-  bool is_remote
-      = strcmp (member->data_centre, membership->members[0].data_centre) != 0;
-
-  if (member->is_reported && membership->reported_dead_after_ms > 0)
-    return membership->reported_dead_after_ms;
-  return is_remote && membership->remote_dead_after_ms > 0
-             ? membership->remote_dead_after_ms
-             : membership->dead_after_ms;
+  return member->is_reported && membership->reported_dead_after_ms > 0
+             ? membership->reported_dead_after_ms
+             : silence_limit_ms (membership, member);
 }
 
 bool
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -40,7 +40,12 @@
   bool is_stopping;
   /* Known to be live by the report of a relay, not by its own heartbeats.  */
   bool is_reported;
-  bool is_confirmed; /* In the last report of a relay.  */
+  bool is_confirmed;    /* In the last report of a relay.  */
+  uint64_t reported_by; /* Hash of the relay that has reported it last.  */
+  /* Its last heartbeat, or the last report from its own data centre to another
+     one.  Only then do its own reports to others name it: two daemons that
+     repeated each other's reports would keep a dead one alive for ever.  */
+  int64_t witnessed_ms;
   uint64_t name_hash;
   uint64_t relay_rank; /* Order among instances of the same size.  */
   /* Cores that its instance has; 0 if unknown.  Instances with more are chosen
@@ -102,21 +107,39 @@
                                  const struct bd_member *heartbeat,
                                  int64_t now_ms);
 
-/* bd_membership_begin_report(): a relay reports all live members anew; to be
-   followed by bd_membership_report() for each.  */
+/* bd_membership_begin_report(): reporter, a relay, reports all live members
+   anew; to be followed by bd_membership_report() for each and
+   bd_membership_end_report().  */
 void bd_membership_begin_report (struct bd_membership *membership);
 void bd_membership_report (struct bd_membership *membership,
+                           const struct bd_member *reporter,
                            uint64_t name_hash, bool is_stopping,
                            int64_t now_ms);
 
+/* bd_membership_end_report(): marks the members as dead that the reporter was
+   the last one to report, and that this report lacks.  Returns whether it
+   lacks any that are known by reports: the other relays may still report them.
+ */
+bool bd_membership_end_report (struct bd_membership *membership,
+                               const struct bd_member *reporter);
+
 /* bd_membership_confirm_reported(): a relay reports the same live members as
    before.  */
 void bd_membership_confirm_reported (struct bd_membership *membership,
+                                     const struct bd_member *reporter,
                                      int64_t now_ms);
 
-/* bd_membership_checksum(): of the live members and of which are stopping;
-   does not depend on their order.  */
-uint64_t bd_membership_checksum (const struct bd_membership *membership);
+/* bd_membership_is_witnessed(): whether this daemon may report the member to
+   others as alive: it has heard from it, or from a relay of its data centre
+   which had, within the time after which it counts as dead.  */
+bool bd_membership_is_witnessed (const struct bd_membership *membership,
+                                 const struct bd_member *member,
+                                 int64_t now_ms);
+
+/* bd_membership_checksum(): of the members that this daemon may report, and of
+   which are stopping; does not depend on their order.  */
+uint64_t bd_membership_checksum (const struct bd_membership *membership,
+                                 int64_t now_ms);
 
 /* bd_membership_update_data_centre(): stores the state of another data centre
    that one of its relays has reported.  */
--- a/src/membership/membership_test.c
+++ b/src/membership/membership_test.c
@@ -179,33 +179,134 @@
   void *ctx = talloc_new (NULL);
   struct bd_member self = member ("b", "x", 1);
   struct bd_membership m;
+  const struct bd_member *relay;
   const struct bd_member *reported;
 
   bd_membership_init (&m, ctx, &self, 1000);
   m.reported_dead_after_ms = 3000;
   receive_heartbeat (&m, "relay", "x", 0);
   bd_membership_add (&m, "c", "x", "10.0.0.3", 1);
+  relay = bd_membership_find (&m, "relay");
   bd_membership_begin_report (&m);
-  bd_membership_report (&m, bd_hash ("c", 1), false, 0);
-  bd_membership_report (&m, bd_hash ("relay", 5), false, 0);
+  bd_membership_report (&m, relay, bd_hash ("c", 1), false, 0);
+  bd_membership_report (&m, relay, bd_hash ("relay", 5), false, 0);
   reported = bd_membership_find (&m, "c");
   CU_ASSERT_TRUE (reported->is_live);
   CU_ASSERT_TRUE (bd_membership_tick (&m, 1001));
   CU_ASSERT_FALSE (bd_membership_find (&m, "relay")->is_live);
   CU_ASSERT_TRUE (reported->is_live);
-  bd_membership_confirm_reported (&m, 2900);
+  bd_membership_confirm_reported (&m, relay, 2900);
   CU_ASSERT_FALSE (bd_membership_tick (&m, 5900));
   CU_ASSERT_TRUE (reported->is_live);
   /* The next report lacks it.  */
   bd_membership_begin_report (&m);
-  bd_membership_report (&m, bd_hash ("relay", 5), false, 5900);
-  bd_membership_confirm_reported (&m, 5900);
+  bd_membership_report (&m, relay, bd_hash ("relay", 5), false, 5900);
+  bd_membership_confirm_reported (&m, relay, 5900);
   CU_ASSERT_TRUE (bd_membership_tick (&m, 5901));
   CU_ASSERT_FALSE (reported->is_live);
   CU_ASSERT_TRUE (bd_membership_find (&m, "relay")->is_live);
   talloc_free (ctx);
 }
 
+/* Sends the list of one table to another, as a relay replies to a status.  */
+static void
+send_report (const struct bd_membership *from, struct bd_membership *to,
+             int64_t now_ms)
+{
+  const struct bd_member *reporter
+      = bd_membership_find (to, from->members[0].name);
+
+  bd_membership_begin_report (to);
+  for (uint32_t i = 0; i < from->count; i++)
+    if (bd_membership_is_witnessed (from, &from->members[i], now_ms))
+      bd_membership_report (to, reporter, from->members[i].name_hash,
+                            from->members[i].is_stopping, now_ms);
+  bd_membership_end_report (to, reporter);
+}
+
+/* Two relays of a data centre and one that follows them forget a member that
+   has died, though each of them has it from reports of another one.  */
+static void
+test_reports_do_not_keep_the_dead (void)
+{
+  enum
+  {
+    DEAD_AFTER_MS = 1000,
+    REPORTED_DEAD_AFTER_MS = 3000,
+    PERIOD_MS = 200,
+    DIES_MS = 2000,
+    END_MS = DIES_MS + DEAD_AFTER_MS + REPORTED_DEAD_AFTER_MS + PERIOD_MS
+  };
+  void *ctx = talloc_new (NULL);
+  static const char *const names[] = { "r1", "r2", "f" };
+  struct bd_membership tables[3];
+
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      struct bd_member self = member (names[i], "x", 1);
+
+      bd_membership_init (&tables[i], ctx, &self, DEAD_AFTER_MS);
+      tables[i].reported_dead_after_ms = REPORTED_DEAD_AFTER_MS;
+      bd_membership_add (&tables[i], "d", "x", "10.0.0.4", 1);
+    }
+  for (int64_t now_ms = 1; now_ms <= END_MS; now_ms += PERIOD_MS)
+    {
+      for (uint32_t i = 0; i < 3; i++)
+        for (uint32_t j = 0; j < 3; j++)
+          if (i != j)
+            receive_heartbeat (&tables[i], names[j], "x", now_ms);
+      for (uint32_t i = 0; i < 2 && now_ms <= DIES_MS; i++)
+        receive_heartbeat (&tables[i], "d", "x", now_ms);
+      send_report (&tables[0], &tables[1], now_ms);
+      send_report (&tables[1], &tables[0], now_ms);
+      send_report (&tables[now_ms / PERIOD_MS % 2], &tables[2], now_ms);
+      /* The relays take it for one of them.  */
+      send_report (&tables[2], &tables[0], now_ms);
+      send_report (&tables[2], &tables[1], now_ms);
+      for (uint32_t i = 0; i < 3; i++)
+        bd_membership_tick (&tables[i], now_ms);
+      if (now_ms <= DIES_MS)
+        CU_ASSERT_TRUE (bd_membership_find (&tables[2], "d")->is_live);
+    }
+  for (uint32_t i = 0; i < 3; i++)
+    CU_ASSERT_FALSE (bd_membership_find (&tables[i], "d")->is_live);
+  talloc_free (ctx);
+}
+
+/* A member that one relay has reported stays when the report of another one
+   lacks it, and goes when that of the same one does.  */
+static void
+test_reports_that_differ (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct bd_member self = member ("f", "x", 1);
+  struct bd_membership m;
+  const struct bd_member *r1;
+  const struct bd_member *r2;
+
+  bd_membership_init (&m, ctx, &self, 1000);
+  m.reported_dead_after_ms = 3000;
+  receive_heartbeat (&m, "r1", "x", 0);
+  receive_heartbeat (&m, "r2", "x", 0);
+  bd_membership_add (&m, "d", "x", "10.0.0.4", 1);
+  r1 = bd_membership_find (&m, "r1");
+  r2 = bd_membership_find (&m, "r2");
+  bd_membership_begin_report (&m);
+  bd_membership_report (&m, r1, bd_hash ("d", 1), false, 100);
+  CU_ASSERT_FALSE (bd_membership_end_report (&m, r1));
+  bd_membership_begin_report (&m);
+  CU_ASSERT_TRUE (bd_membership_end_report (&m, r2));
+  CU_ASSERT_TRUE (bd_membership_find (&m, "d")->is_live);
+  bd_membership_begin_report (&m);
+  CU_ASSERT_TRUE (bd_membership_end_report (&m, r1));
+  CU_ASSERT_FALSE (bd_membership_find (&m, "d")->is_live);
+  bd_membership_begin_report (&m);
+  bd_membership_report (&m, r2, bd_hash ("d", 1), false, 300);
+  CU_ASSERT_FALSE (bd_membership_end_report (&m, r2));
+  CU_ASSERT_TRUE (bd_membership_find (&m, "d")->is_live);
+  talloc_free (ctx);
+}
+
 /* A copy is passed on with a later stage only, by whomever it reaches, so that
    news and their end do not go round between relays for ever; and every daemon
    gets one.  */
@@ -259,6 +360,8 @@
 
 static const struct unit_test tests[] = {
   { "reported members", test_reported_members },
+  { "reports do not keep the dead", test_reports_do_not_keep_the_dead },
+  { "reports that differ", test_reports_that_differ },
   { "news do not come back", test_news_do_not_come_back },
   { "larger instances first", test_larger_instances_first },
   { "incarnations", test_incarnations },
