Loop lag as a histogram of the edge daemon's metrics

What operators saw: a daemon that is short of processor time could not be told from one whose peers or endpoints are slow. Change: a ticker knows when its next call is due and how late the last one was; the watchdog, every 25 ms, puts that into burdockdale_loop_lag_seconds. It costs two readings of the clock a tick.

--- a/src/base/histograms.h
+++ b/src/base/histograms.h
@@ -20,7 +20,9 @@
      "from the arrival of a request to the end of its answer")                \
   X (QUEUE_WAIT, "place_wait_seconds",                                        \
      "from the arrival of a request until it is sent to a place")             \
-  X (ORDER, "order_seconds", "from an order to its answer")
+  X (ORDER, "order_seconds", "from an order to its answer")                   \
+  X (LOOP_LAG, "loop_lag_seconds",                                            \
+     "from when the event loop was due to run a periodic task until it did")
 
 enum bd_histogram
 {
--- a/src/base/histograms_test.c
+++ b/src/base/histograms_test.c
@@ -33,6 +33,10 @@
       strstr (text, "burdockdale_answer_seconds_sum 70.123\n"));
   CU_ASSERT_PTR_NOT_NULL (
       strstr (text, "burdockdale_first_event_seconds_count 0\n"));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (text, "# HELP burdockdale_loop_lag_seconds "));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (text, "# TYPE burdockdale_loop_lag_seconds histogram\n"));
   talloc_free (text);
   bd_histograms_finish (&histograms);
 }
--- a/src/base/ticker.c
+++ b/src/base/ticker.c
@@ -4,6 +4,11 @@
 
 #include <talloc.h>
 
+enum
+{
+  US_PER_MS = 1000
+};
+
 static void arm (struct bd_ticker *ticker, uint32_t delay_ms);
 
 static void
@@ -13,6 +18,8 @@
   double jitter_factor = 0.9 + 0.2 * gsl_rng_uniform (ticker->rng);
 
   ticker->timer = NULL;
+  ticker->lag_ms
+      = (bd_clock_now_us (&ticker->clock) - ticker->due_us) / US_PER_MS;
   arm (ticker, (uint32_t)(ticker->period_ms * jitter_factor));
   ticker->handler (ticker->ctx);
 }
@@ -21,6 +28,8 @@
 arm (struct bd_ticker *ticker, uint32_t delay_ms)
 {
   TALLOC_FREE (ticker->timer);
+  ticker->due_us
+      = bd_clock_now_us (&ticker->clock) + (int64_t)delay_ms * US_PER_MS;
   ticker->timer = bd_timer_add (ticker->events, ticker->events, delay_ms,
                                 handle_timer, ticker);
 }
@@ -33,12 +42,20 @@
   ticker->events = events;
   ticker->timer = NULL;
   ticker->rng = rng;
+  ticker->clock = bd_clock_system ();
   ticker->period_ms = period_ms;
+  ticker->lag_ms = 0;
   ticker->handler = handler;
   ticker->ctx = ctx;
   arm (ticker, 1);
 }
 
+int64_t
+bd_ticker_lag_ms (const struct bd_ticker *ticker)
+{
+  return ticker->lag_ms;
+}
+
 void
 bd_ticker_finish (struct bd_ticker *ticker)
 {
--- a/src/base/ticker.h
+++ b/src/base/ticker.h
@@ -3,6 +3,7 @@
 #ifndef BD_BASE_TICKER_H
 #define BD_BASE_TICKER_H
 
+#include "base/clock.h"
 #include "base/timer.h"
 
 #include <gsl/gsl_rng.h>
@@ -16,7 +17,10 @@
   struct tevent_context *events;
   struct bd_timer *timer;
   gsl_rng *rng;
+  struct bd_clock clock;
   uint32_t period_ms;
+  int64_t due_us; /* When the next call of handler is due.  */
+  int64_t lag_ms; /* How late the last one was.  */
   bd_ticker_handler *handler;
   void *ctx;
 };
@@ -28,6 +32,10 @@
                      gsl_rng *rng, uint32_t period_ms,
                      bd_ticker_handler *handler, void *ctx);
 
+/* bd_ticker_lag_ms(): time between when the last call of handler was due and
+   when it was made: how late the event loop is.  0 before the first call.  */
+int64_t bd_ticker_lag_ms (const struct bd_ticker *ticker);
+
 /* bd_ticker_finish(): stops the ticker.  */
 void bd_ticker_finish (struct bd_ticker *ticker);
 
--- a/src/edge/edge_test.c
+++ b/src/edge/edge_test.c
@@ -103,6 +103,26 @@
   site_finish (&site);
 }
 
+/* The metrics page tells how late the event loop has been, from a number of
+   measurements.  */
+static void
+test_loop_lag_metric (void)
+{
+  static const char *const count = "burdockdale_loop_lag_seconds_count ";
+  struct site_call *call;
+  const char *found;
+
+  site_start (&site, 1, 0);
+  CU_ASSERT_TRUE (site_run (&site, site_is_ready, 5000));
+  site.daemon_port = site.settings.metrics_port;
+  call = site_call (&site, "GET", "/metrics", NULL, NULL);
+  CU_ASSERT_EQUAL (call->status, 200);
+  found = strstr (call->body, count);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (found);
+  CU_ASSERT_TRUE (atoi (found + strlen (count)) > 0);
+  site_finish (&site);
+}
+
 static bool
 is_stream_complete (const char *body)
 {
@@ -462,6 +482,7 @@
     { "routes and keys", test_routes_and_keys },
     { "unsafe runs once", test_unsafe_runs_once },
     { "safe is retried", test_safe_is_retried },
+    { "loop lag metric", test_loop_lag_metric },
     { "streams resume", test_streams_resume },
     { "store returns without an entry", test_store_returns_without_an_entry },
     { "keys fail closed", test_keys_fail_closed },
--- a/src/edge/watchdog.c
+++ b/src/edge/watchdog.c
@@ -1,4 +1,5 @@
-/* Watchdog: ends requests at their deadline and attempts that stall.
+/* Watchdog: ends requests at their deadline and attempts that stall, and
+   measures how late the event loop is.
 
    A group stalls without a broken connection when one of its members becomes
    unreachable.  A stream that has begun and gets no event for several passes
@@ -133,6 +134,8 @@
   struct bd_edge_request *next;
   int64_t now_ms = bd_edge_now_ms (edge);
 
+  bd_observe (&edge->histograms, BD_HISTOGRAM_LOOP_LAG,
+              bd_ticker_lag_ms (&edge->watchdog_ticker));
   /* Prevents a dispatch inside the loop, which could end the next request of
      the list.  */
   edge->is_dispatching = true;
