--- a/bench/fit.c
+++ b/bench/fit.c
@@ -11,7 +11,7 @@
 
 enum
 {
-  MAX_SERIES = 64,
+  MAX_SERIES = 128,
   MAX_POINTS = 64,
   NAME_SIZE = 64
 };
