Members leave a group before they are taken, unless its leader has left it

- A leader that serves resets new connections (an engine with its maximum of connections does; libcurl then reports that it could not connect in 197 to 200 of 200 calls).
- A controller that does not know that it was deposed opens a group whose members the next one takes, where fences are not checked: the condition of a member's join says nothing of its leader.
Also a confirmed leave counted although a later report showed the leader in the group again, and a deposed controller numbered its groups above its successor's.

Cause: members were taken on evidence that is weaker than the leader's own leave to this controller.

Change: members of a dead leader, refused or not, and of groups that an earlier controller formed are ordered to leave first; a member that has left is free. A leave counts while the leader is not seen in the group again. An instance with an epoch above those of the term is not taken. A refused connection is no proof of anything any more; it is logged. Reports of an earlier incarnation than the list's now end as missed probes; the endpoint was probed at each step for ever (found by review; fleet_test).

The fake pool has a second controller, fences, and counts joins and openings without a condition; two_groups_test asserts that there are none.

--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -290,7 +290,8 @@
           || before == BD_LIVENESS_DEAD))
     bd_log ("endpoint-life", "endpoint", endpoint->entry.id, "life",
             names[endpoint->liveness], "before", names[before], "misses",
-            BD_NUM (endpoint->missed_probes), NULL);
+            BD_NUM (endpoint->missed_probes), "refused",
+            endpoint->is_probe_refused ? "yes" : "no", NULL);
 }
 
 void
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -14,7 +14,10 @@
      seconds of its recovery, by the protocol.  */
   RELISTING_MS = 2200,
   /* Shortest assumed time until an entry expires: three missed heartbeats.  */
-  MIN_ENTRY_TTL_MS = 2500
+  MIN_ENTRY_TTL_MS = 2500,
+  /* An endpoint is dead after this number of reports in a row that are of an
+     earlier incarnation: for a moment, reports are older than the list.  */
+  MISSES_BY_EARLIER_REPORTS = 4
 };
 
 void
@@ -362,9 +365,11 @@
     return false;
   if (report->started_ms != endpoint->entry.started_ms)
     {
-      if (report->started_ms > endpoint->entry.started_ms)
-        bd_fleet_record_missed_probe (endpoint, 1, true, probe_sent_ms,
-                                      now_ms);
+      bool is_later = report->started_ms > endpoint->entry.started_ms;
+
+      bd_fleet_record_missed_probe (endpoint,
+                                    is_later ? 1 : MISSES_BY_EARLIER_REPORTS,
+                                    false, probe_sent_ms, now_ms);
       return false;
     }
   endpoint->missed_probes = 0;
@@ -605,9 +610,3 @@
         set_liveness (endpoint, BD_LIVENESS_SUSPECTED, now_ms);
     }
 }
-
-bool
-bd_fleet_is_confirmed_dead (const struct bd_fleet_endpoint *endpoint)
-{
-  return endpoint->liveness == BD_LIVENESS_DEAD && endpoint->is_probe_refused;
-}
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -131,10 +131,12 @@
   int64_t liveness_changed_ms; /* When liveness changed.  */
   uint32_t missed_probes;      /* Consecutive missed probes.  */
   int64_t missed_probe_ms;     /* When the last missed probe was sent.  */
-  bool is_probe_refused;       /* The last missed probe: no such process.  */
-  bool has_pending_probe;      /* A probe is in flight.  */
-  int64_t last_probe_ms;       /* When the last probe was sent.  */
-  double reported_pace;        /* Last reported pace; 1 at normal speed.  */
+  /* The connection of the last missed probe was refused.  For the log: an
+     endpoint with its maximum of connections resets new ones too.  */
+  bool is_probe_refused;
+  bool has_pending_probe; /* A probe is in flight.  */
+  int64_t last_probe_ms;  /* When the last probe was sent.  */
+  double reported_pace;   /* Last reported pace; 1 at normal speed.  */
 
   /* This daemon's traffic with a plain endpoint.  */
   uint32_t in_flight;
@@ -311,15 +313,10 @@
 
 /* bd_fleet_record_missed_probe(): records that a probe sent at probe_sent_ms
    was not answered; after max_missed_probes in a row the endpoint is dead.
-   is_probe_refused: the instance replied that it has no such process.  */
+   is_probe_refused: the connection was refused or reset.  */
 void bd_fleet_record_missed_probe (struct bd_fleet_endpoint *endpoint,
                                    uint32_t max_missed_probes,
                                    bool is_probe_refused,
                                    int64_t probe_sent_ms, int64_t now_ms);
 
-/* bd_fleet_is_confirmed_dead(): whether an endpoint is dead and its instance
-   has no such process.  Another dead endpoint can be alive but unreachable,
-   also one that is no longer listed.  */
-bool bd_fleet_is_confirmed_dead (const struct bd_fleet_endpoint *endpoint);
-
 #endif
--- a/src/fleet/fleet_test.c
+++ b/src/fleet/fleet_test.c
@@ -207,12 +207,18 @@
   CU_ASSERT_FALSE (bd_fleet_apply_report (&fleet, "x", &report, 1100, 1110));
   CU_ASSERT_EQUAL (endpoint->entry.member.epoch, 3);
   CU_ASSERT_EQUAL (endpoint->entry.started_ms, 1);
-  CU_ASSERT_TRUE (bd_fleet_is_confirmed_dead (endpoint));
+  CU_ASSERT_EQUAL (endpoint->liveness, BD_LIVENESS_DEAD);
   entry.started_ms = 2;
   bd_fleet_put (&fleet, &entry, 1200);
   CU_ASSERT_EQUAL (endpoint->liveness, BD_LIVENESS_ALIVE);
   CU_ASSERT_TRUE (bd_fleet_apply_report (&fleet, "x", &report, 1300, 1310));
   CU_ASSERT_EQUAL (endpoint->entry.member.epoch, 4);
+  report.started_ms = 1;
+  for (uint32_t i = 0; i < 10; i++)
+    CU_ASSERT_FALSE (
+        bd_fleet_apply_report (&fleet, "x", &report, 1400 + i, 1400 + i));
+  CU_ASSERT_EQUAL (endpoint->liveness, BD_LIVENESS_DEAD);
+  CU_ASSERT_EQUAL (endpoint->entry.started_ms, 2);
   bd_fleet_finish (&fleet);
 }
 
@@ -230,7 +236,6 @@
   bd_fleet_record_missed_probe (endpoint, 2, false, 1100, 1300);
   bd_fleet_record_missed_probe (endpoint, 2, false, 1300, 1500);
   CU_ASSERT_EQUAL (endpoint->liveness, BD_LIVENESS_DEAD);
-  CU_ASSERT_FALSE (bd_fleet_is_confirmed_dead (endpoint));
   bd_fleet_reset_liveness (&fleet, 5000);
   CU_ASSERT_EQUAL (endpoint->liveness, BD_LIVENESS_SUSPECTED);
   CU_ASSERT_EQUAL (endpoint->missed_probe_ms, 0);
--- a/src/replicas/plan.c
+++ b/src/replicas/plan.c
@@ -105,22 +105,9 @@
     }
 }
 
-/* Whether the leader is confirmed dead and has missed a probe that was sent
-   after the member was last listed or found alive.  After a partition the
-   members return one by one, and a leader that was considered dead can return
-   later than its members.  */
-static bool
-is_leader_death_confirmed (const struct bd_fleet_endpoint *leader,
-                           const struct bd_fleet_endpoint *member)
-{
-  return leader == member
-         || (bd_fleet_is_confirmed_dead (leader)
-             && leader->missed_probe_ms > member->listed_ms
-             && leader->missed_probe_ms > member->liveness_changed_ms);
-}
-
 bool
-bd_is_released (const struct bd_replicas_input *input,
+bd_is_released (const struct bd_replicas *replicas,
+                const struct bd_replicas_input *input,
                 const struct bd_fleet_endpoint *endpoint)
 {
   const struct bd_membership_view *member = &endpoint->entry.member;
@@ -131,14 +118,21 @@
     return true;
   group = bd_fleet_group (input->fleet,
                           bd_fleet_group_hash (member->group, member->epoch));
-  if (group == NULL || bd_group_phase (input, group) != BD_PHASE_RELEASED)
+  if (group == NULL || group->epoch <= replicas->first_epoch
+      || bd_group_phase (input, group) != BD_PHASE_RELEASED)
     return false;
   leader = bd_group_leader (input, group);
-  if (leader != NULL)
-    return leader->liveness != BD_LIVENESS_DEAD
-           || is_leader_death_confirmed (leader, endpoint);
-  /* The record of a leader that was listed once has expired.  */
-  return group->leader[0] != '\0';
+  return leader != NULL && leader->liveness != BD_LIVENESS_DEAD;
+}
+
+/* An epoch above those of this term shows that another controller has taken
+   over.  */
+static bool
+is_of_later_term (const struct bd_replicas *replicas,
+                  const struct bd_fleet_endpoint *endpoint)
+{
+  return endpoint->entry.member.epoch
+         >= replicas->first_epoch + BD_REPLICAS_EPOCHS_PER_TERM;
 }
 
 static bool
@@ -148,8 +142,9 @@
 
   return bd_is_available (endpoint) && bd_can_order (endpoint)
          && endpoint->entry.domain[0] != '\0'
+         && !is_of_later_term (replicas, endpoint)
          && bd_find_forming (replicas, endpoint->entry.id) == NULL
-         && bd_is_released (plan->step->input, endpoint)
+         && bd_is_released (replicas, plan->step->input, endpoint)
          && bd_is_confirmed (endpoint);
 }
 
--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -159,9 +159,9 @@
              : bd_fleet_endpoint (input->fleet, group->leader);
 }
 
-/* Whether the leader is in the group no more and cannot return: endpoints
-   refuse joins of lower epochs, and a confirmed leave is newer than all joins
-   that were sent before.  */
+/* Whether the leader is in the group no more and no order that was sent before
+   can bring it back: endpoints refuse joins of lower epochs, and those whose
+   condition a confirmed leave has changed.  */
 static bool
 has_left (const struct bd_fleet_endpoint *leader,
           const struct bd_fleet_group *group)
@@ -169,7 +169,8 @@
   const struct bd_membership_view *member = &leader->entry.member;
 
   return member->epoch > group->epoch
-         || leader->confirmed.left_group == group->hash
+         || (leader->confirmed.left_group == group->hash
+             && group->members[0] != leader)
          || (member->state == BD_MEMBER_BROKEN && member->epoch == group->epoch
              && strcmp (member->group, group->name) == 0);
 }
@@ -322,7 +323,8 @@
 }
 
 /* Whether a member of a released group has to leave it before it can join
-   another one: its leader can be alive and unreachable.  */
+   another one: its leader can be alive and unreachable, or be ordered to open
+   by an earlier controller that is still active.  */
 static bool
 must_leave (const struct bd_replicas_step *step,
             const struct bd_fleet_group *group,
@@ -335,17 +337,17 @@
 
   if (!bd_is_available (member))
     return false;
-  if (leader != NULL)
-    return leader->liveness == BD_LIVENESS_DEAD
-           && !bd_fleet_is_confirmed_dead (leader)
-           && leader->missed_probe_ms > last_listed_ms (group)
+  if (leader != NULL && leader->liveness == BD_LIVENESS_DEAD)
+    return leader->missed_probe_ms > last_listed_ms (group)
            && leader->missed_probe_ms > member->liveness_changed_ms;
+  if (leader != NULL)
+    return group->epoch <= step->replicas->first_epoch;
   /* A leader that was never listed here can be listed later than its
      members.  */
-  return group->leader[0] == '\0'
-         && now_ms - step->replicas->started_ms > stall_ms
-         && now_ms - member->listed_ms > stall_ms
-         && now_ms - member->member_updated_ms > stall_ms;
+  return group->leader[0] != '\0'
+         || (now_ms - step->replicas->started_ms > stall_ms
+             && now_ms - member->listed_ms > stall_ms
+             && now_ms - member->member_updated_ms > stall_ms);
 }
 
 static void
@@ -356,7 +358,7 @@
     if (group->members[i] != NULL
         && must_leave (step, group, group->members[i]))
       order_member (step, group, group->members[i], BD_ORDER_LEAVE,
-                    "the leader does not respond");
+                    "the leader does not serve the group");
 }
 
 enum open_decision
@@ -541,7 +543,7 @@
 
       if (!needs_join (input, forming, member) || !bd_is_confirmed (member))
         continue;
-      if (!bd_is_released (input, member))
+      if (!bd_is_released (step->replicas, input, member))
         return false;
       order_join (step, forming, member);
     }
--- a/src/replicas/replicas.h
+++ b/src/replicas/replicas.h
@@ -10,8 +10,9 @@
    - A group name is used for one list of members only.
    - A leader is ordered to open only after every member has reported that it
      is ready under this name and epoch.
-   - A member is ordered into another group only when the leader of its old
-     group has confirmed that it has left it, is broken, or does not respond.
+   - A member is ordered into another group only when it has left its old one,
+     or the leader of that group has confirmed that it has left or is broken,
+     and no earlier controller has formed it.
    - An order to join or open is conditional on the version of the endpoint's
      state that the decision rests on; the endpoint refuses it when any other
      order came between, and late copies with it.
--- a/src/replicas/replicas_internal.h
+++ b/src/replicas/replicas_internal.h
@@ -40,9 +40,10 @@
 bd_group_leader (const struct bd_replicas_input *input,
                  const struct bd_fleet_group *group);
 
-/* bd_is_released(): whether an endpoint is in no group, or no leader can serve
-   its group.  */
-bool bd_is_released (const struct bd_replicas_input *input,
+/* bd_is_released(): whether an endpoint is in no group, or its leader has left
+   the group.  Members of other groups have to leave them first.  */
+bool bd_is_released (const struct bd_replicas *replicas,
+                     const struct bd_replicas_input *input,
                      const struct bd_fleet_endpoint *endpoint);
 
 /* bd_is_confirmed(): whether the endpoint's state is confirmed and current, so
--- a/src/replicas/two_groups_test.c
+++ b/src/replicas/two_groups_test.c
@@ -21,6 +21,7 @@
 {
   CU_ASSERT_EQUAL (pool.stolen_joins, 0);
   CU_ASSERT_EQUAL (pool.partial_opens, 0);
+  CU_ASSERT_EQUAL (pool.unconditional, 0);
   if (pool.stolen_joins + pool.partial_opens > 0)
     printf ("\n%s\n", pool.violation);
 }
@@ -81,6 +82,65 @@
     }
 }
 
+/* A leader that serves resets new connections, as one with its maximum does;
+   its probes end without a byte sent.  */
+static void
+test_leader_resets_connections (void)
+{
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      pool_init (&pool, 2, 10, 13);
+      pool_run (&pool, 8000);
+      pool.has_traffic = true;
+      pool.members[i].is_reachable = false;
+      pool.members[i].is_refusing = true;
+      bd_fleet_suspect (
+          bd_fleet_endpoint (&pool.fleet, pool.members[i].entry.id),
+          pool.now_ms);
+      pool_run (&pool, 5000);
+      check_invariants ();
+      pool_finish (&pool);
+    }
+}
+
+/* A controller that does not know that it was deposed orders on beside the
+   next one.  */
+static void
+run_with_overlap (uint64_t seed, bool has_fences, double delayed_share)
+{
+  pool_init (&pool, 2, 10, seed);
+  pool.has_fences = has_fences;
+  pool.list_lag_ms = 500 * (int64_t)(seed % 5);
+  pool.report_lag_ms = 100 * (int64_t)(seed % 4);
+  pool_run (&pool, 5000);
+  pool.has_traffic = true;
+  pool.delayed_share = delayed_share;
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      pool_lose_instance (&pool, (uint32_t)gsl_rng_uniform_int (pool.rng, 20));
+      pool_run (&pool, 50 * (int64_t)gsl_rng_uniform_int (pool.rng, 60));
+      pool_overlap_controller (&pool);
+      pool_run (&pool, 50 * (int64_t)gsl_rng_uniform_int (pool.rng, 60));
+      if (i % 2 == 1)
+        pool_end_overlap (&pool);
+    }
+  pool.delayed_share = 0;
+  pool_end_overlap (&pool);
+  pool_run (&pool, 20000);
+  check_invariants ();
+  pool_finish (&pool);
+}
+
+static void
+test_controllers_overlap (void)
+{
+  for (uint64_t seed = 1; seed <= 40; seed++)
+    {
+      run_with_overlap (seed, false, 0);
+      run_with_overlap (seed, true, 0.35);
+    }
+}
+
 /* Instances are lost and added and the controller is replaced, while the list
    and the reports show the past.  */
 static void
@@ -136,6 +196,8 @@
   static const struct unit_test tests[] = {
     { "reused addresses", test_reused_addresses },
     { "leaders return late", test_leaders_return_late },
+    { "leader resets connections", test_leader_resets_connections },
+    { "controllers overlap", test_controllers_overlap },
     { "lagging list and reports", test_lagging_list_and_reports },
     { "lag and delayed orders", test_lag_and_delayed_orders },
   };
--- a/tests/fakes/pool.c
+++ b/tests/fakes/pool.c
@@ -100,7 +100,7 @@
   memset (&member->entry.member, 0, sizeof member->entry.member);
   member->last_model[0] = '\0';
   member->ready_ms = member->open_ms = member->staged_ms = 0;
-  member->lost_since_ms = member->epoch = 0;
+  member->lost_since_ms = member->epoch = member->token = 0;
   member->step_count = 0;
   memset (member->ready_groups, 0, sizeof member->ready_groups);
   member->entry.version = 0;
@@ -111,6 +111,7 @@
 void
 pool_finish (struct pool *pool)
 {
+  pool_end_overlap (pool);
   bd_fleet_finish (&pool->fleet);
   gsl_rng_free (pool->rng);
 }
@@ -290,10 +291,14 @@
 /* An order that begins something makes a new version of the state.  */
 static enum bd_order_result
 handle_order (struct pool *pool, struct pool_member *member,
-              const struct bd_order *order)
+              const struct bd_order *order, int64_t token)
 {
   enum bd_order_result result;
 
+  if (pool->has_fences && token < member->token)
+    return BD_ORDER_FENCED;
+  if (token > member->token)
+    member->token = token;
   if (order->expected_version >= 0
       && order->expected_version != member->entry.version)
     return BD_ORDER_REFUSED;
@@ -381,7 +386,8 @@
                   member->entry.id, pool->delayed[i].order.group,
                   (long long)pool->delayed[i].order.epoch);
         if (member->is_alive)
-          handle_order (pool, member, &pool->delayed[i].order);
+          handle_order (pool, member, &pool->delayed[i].order,
+                        pool->delayed[i].token);
         pool->delayed[i] = pool->delayed[--pool->delayed_count];
       }
 }
@@ -466,10 +472,16 @@
   enum bd_order_result result = BD_ORDER_UNANSWERED;
 
   if (getenv ("POOL_TRACE") != NULL)
-    printf ("%lld %s %s group %.10s epoch %lld model %s: %s\n",
-            (long long)pool->now_ms, bd_order_name (order->kind),
-            order->endpoint, order->group, (long long)order->epoch,
-            order->model, order->reason);
+    printf (
+        "%lld C%lld %s %s group %.10s epoch %lld expect %lld model %s: %s\n",
+        (long long)pool->now_ms,
+        (long long)(pool->replicas.first_epoch / BD_REPLICAS_EPOCHS_PER_TERM),
+        bd_order_name (order->kind), order->endpoint, order->group,
+        (long long)order->epoch, (long long)order->expected_version,
+        order->model, order->reason);
+  if ((order->kind == BD_ORDER_JOIN || order->kind == BD_ORDER_OPEN)
+      && order->expected_version < 0)
+    pool->unconditional++;
   bd_replicas_mark_sent (&pool->fleet, order, pool->now_ms);
   if (reached == NULL || !reached->is_reachable)
     result = BD_ORDER_UNANSWERED;
@@ -479,11 +491,12 @@
            && pool->delayed_count < POOL_MAX_DELAYED)
     pool->delayed[pool->delayed_count++] = (struct pool_delayed_order){
       .order = *order,
+      .token = pool->replicas.first_epoch,
       .due_ms = pool->now_ms + MIN_ORDER_DELAY_MS
                 + (int64_t)(ORDER_DELAY_RANGE_MS * gsl_rng_uniform (pool->rng))
     };
   else
-    result = handle_order (pool, member, order);
+    result = handle_order (pool, member, order, pool->replicas.first_epoch);
   bd_replicas_apply_result (&pool->replicas, &pool->fleet, order, result,
                             pool->now_ms);
 }
@@ -528,6 +541,20 @@
     probe (pool, ids[i]);
 }
 
+/* Makes the earlier controller the present one, and back.  */
+static void
+swap_controllers (struct pool *pool)
+{
+  struct bd_fleet fleet = pool->fleet;
+  static struct bd_replicas replicas;
+
+  replicas = pool->replicas;
+  pool->fleet = pool->old_fleet;
+  pool->replicas = pool->old_replicas;
+  pool->old_fleet = fleet;
+  pool->old_replicas = replicas;
+}
+
 void
 pool_run (struct pool *pool, int64_t span_ms)
 {
@@ -540,9 +567,38 @@
       record_history (pool);
       publish_list (pool);
       step_controller (pool);
+      if (pool->has_old)
+        {
+          swap_controllers (pool);
+          publish_list (pool);
+          step_controller (pool);
+          swap_controllers (pool);
+        }
     }
 }
 
+void
+pool_overlap_controller (struct pool *pool)
+{
+  if (pool->has_old)
+    return;
+  pool->has_old = true;
+  pool->old_fleet = pool->fleet;
+  pool->old_replicas = pool->replicas;
+  bd_fleet_init (&pool->fleet);
+  bd_replicas_init (&pool->replicas, ++pool->term, pool->engine.loads_per_s,
+                    pool->engine.loads_at_once, pool->rng, pool->now_ms);
+}
+
+void
+pool_end_overlap (struct pool *pool)
+{
+  if (!pool->has_old)
+    return;
+  bd_fleet_finish (&pool->old_fleet);
+  pool->has_old = false;
+}
+
 void
 pool_restart_controller (struct pool *pool)
 {
--- a/tests/fakes/pool.h
+++ b/tests/fakes/pool.h
@@ -43,6 +43,7 @@
     int64_t open_ms;            /* End of the current opening, or 0.  */
     int64_t staged_ms;          /* End of the current staging, or 0.  */
     char staging[BD_NAME_SIZE]; /* The model that is being staged.  */
+    int64_t token;              /* Fencing token; the highest received.  */
     int64_t epoch;              /* The highest received.  */
     /* Hashes of the last groups that it has been ready in, a ring.  */
     uint64_t ready_groups[POOL_READY_GROUPS];
@@ -57,6 +58,7 @@
   struct pool_delayed_order
   {
     struct bd_order order;
+    int64_t token;
     int64_t due_ms;
   };
 
@@ -65,6 +67,11 @@
     struct bd_engine engine;
     struct bd_fleet fleet;
     struct bd_replicas replicas;
+    /* An earlier controller that orders on, if has_old.  */
+    struct bd_fleet old_fleet;
+    struct bd_replicas old_replicas;
+    bool has_old;
+    bool has_fences; /* Orders with a lower token are refused.  */
     struct pool_member members[POOL_MAX_INSTANCES];
     uint32_t count;
     struct pool_delayed_order delayed[POOL_MAX_DELAYED];
@@ -84,6 +91,7 @@
     uint32_t cold_joins;    /* Joins that loaded weights under traffic.  */
     uint32_t stolen_joins;  /* Joins of members of another open group.  */
     uint32_t partial_opens; /* Openings before every member was ready once.  */
+    uint32_t unconditional; /* Joins and openings without a condition.  */
     char violation[256];    /* The last one, as text.  */
   };
 
@@ -102,6 +110,14 @@
      which has only the list.  */
   void pool_restart_controller (struct pool *pool);
 
+  /* pool_overlap_controller(): adds a controller in a new term, which has only
+     the list, beside the present one, which orders on.  Does nothing while two
+     are active.  */
+  void pool_overlap_controller (struct pool *pool);
+
+  /* pool_end_overlap(): ends the earlier one of two controllers.  */
+  void pool_end_overlap (struct pool *pool);
+
   /* pool_lose_instance(): kills an instance.  It leaves the list 3.6 s
      later.  */
   void pool_lose_instance (struct pool *pool, uint32_t index);
