Soak: recovery is measured on what was read after the faults

Cause: the check, not the daemons. Keys are accepted for 0.85 of RevokeMs (1.7 s here) after the store last showed the configuration, so after an outage that ends with the faults a daemon still serves, on what it read before. The first success was counted as its recovery. That time then ends while the calls that the store left unanswered run into their timeout of 600 ms, the daemon has to refuse keyed requests until its next read, and the ten calls of the share, which take under a millisecond when they are refused, all fall into that gap. The 60 s are the limit of the check, not what was seen: the gap is some hundred milliseconds.

Ruled out: a store that no daemon reads again.

Recovery is checked once RevokeMs has passed after the faults, when nothing from before can be served on any more; its limit of 60 s counts from the end of the faults as before. What is checked is the same: each kind of call at each daemon, and most of ten calls after the first. A violation says the last status and when it was.

With a planted fault (keys refused in three of four tenths of a second) all nine shares are violated.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -45,6 +45,9 @@
   /* Far above RecoveryS of the deployments: the limit only makes the test end,
      it does not check that bound.  */
   RECOVERY_LIMIT_MS = 60000,
+  /* Outage of the store that ends with all other faults.  Keys are accepted
+     on what was read before it, which expires during the recovery.  */
+  LAST_OUTAGE_MS = 1000,
   RECOVERY_CALLS = 10,
   DEFAULT_SEED = 20261204,
   DEFAULT_FAULT_S = 15,
@@ -80,6 +83,7 @@
 static struct daemon_slot daemons[DAEMONS];
 static struct soak_call *calls[MAX_CALLS];
 static uint32_t call_count;
+static int64_t faults_end_ms;
 static int64_t revoked_ms; /* When "k1" was revoked; 0 while it is granted.  */
 static uint32_t violation_count;
 static uint32_t served[CALL_KINDS];
@@ -413,6 +417,7 @@
 static void
 end_faults (void)
 {
+  faults_end_ms = now_ms ();
   site.store_mode = STORE_HEALTHY;
   for (uint32_t i = 0; i < site.worker_count; i++)
     restore_worker (&site.workers[i]);
@@ -465,23 +470,36 @@
 check_success_share (enum call_kind kind, uint32_t daemon)
 {
   uint32_t success_count = 0;
+  uint32_t last_failure = 0;
 
   for (uint32_t i = 0; i < RECOVERY_CALLS; i++)
-    success_count += run_call (kind, daemon)->call->status == 200;
+    {
+      uint32_t status = run_call (kind, daemon)->call->status;
+
+      if (status == 200)
+        success_count++;
+      else
+        last_failure = status;
+    }
   if (2 * success_count > RECOVERY_CALLS)
     return;
   violation_count++;
-  printf ("VIOLATED recovery: daemon %u served %u of %u, %s\n", daemon,
-          success_count, RECOVERY_CALLS, paths[kind]);
+  printf ("VIOLATED recovery: daemon %u served %u of %u, %s, last failure %u, "
+          "%lld ms after the faults\n",
+          daemon, success_count, RECOVERY_CALLS, paths[kind], last_failure,
+          (long long)(now_ms () - faults_end_ms));
 }
 
 /* Checks that every daemon serves every kind of call again, and that it keeps
-   serving them after the first success.  */
+   serving them after the first success.  For revoke_ms after the faults a
+   daemon may serve on what it read before them, which does not show that it
+   has recovered.  */
 static void
 check_recovery (void)
 {
-  int64_t limit_ms = now_ms () + RECOVERY_LIMIT_MS;
+  int64_t limit_ms = faults_end_ms + RECOVERY_LIMIT_MS;
 
+  site_wait (&site, site.settings.bounds.revoke_ms);
   if (!site_run (&site, are_daemons_ready, RECOVERY_LIMIT_MS))
     {
       violation_count++;
@@ -559,6 +577,9 @@
     }
   is_over = true;
   site_wait (&site, MIN_FAULT_MS + FAULT_RANGE_MS);
+  log_fault ("store", "silent");
+  site.store_mode = STORE_UNRESPONSIVE;
+  site_wait (&site, LAST_OUTAGE_MS);
   end_faults ();
   check_recovery ();
   if (!site_run (&site, are_calls_done, START_LIMIT_MS))
