Store: a call without a token is not the probe

Callers saw: nothing yet; found by reading dispatch_queue(). While a write waits for its rate limit, a store that is back is not used for 5 s: no reads, no configuration, no claims.

Cause: the breaker was asked before the rate limit. It counts the call that it allows as its probe and makes all others wait for the result; a call that then got no token was not sent, so no result came until the probe's limit of 5 s.

Change: a call is shown to the breaker only when it is due and a token is there.

Test: store_test, "a probe needs a token", on a clock that the test moves. The read failed at its timeout of 3 s and the write after it did not get the reply that was meant for it; now the read is the probe.

Not changed: a call that the HTTP client cannot even start is not recorded as a failure either.

--- a/src/store/client.c
+++ b/src/store/client.c
@@ -226,14 +226,19 @@
   dispatch (p);
 }
 
+/* Takes what the call needs to be sent.  The breaker is asked last, since it
+   counts a call that it allows as its probe.  */
 static bool
-take_token (struct bd_store *p, const struct bd_store_call *call,
-            int64_t now_ms)
+take_permission (struct bd_store *p, const struct bd_store_call *call,
+                 int64_t now_ms)
 {
   struct bd_bucket *bucket
       = call->kind == BD_OBJECT_WRITE ? &p->writes : &p->reads;
 
-  return bd_bucket_take (bucket, now_ms);
+  return now_ms >= call->not_before_ms
+         && bd_bucket_wait_ms (bucket, now_ms) == 0
+         && bd_breaker_allows (&p->breaker, now_ms)
+         && bd_bucket_take (bucket, now_ms);
 }
 
 static uint32_t
@@ -314,9 +319,7 @@
           /* The callback can change the queue, so stop the iteration.  */
           return true;
         }
-      if (now_ms >= call->not_before_ms
-          && bd_breaker_allows (&p->breaker, now_ms)
-          && take_token (p, call, now_ms))
+      if (take_permission (p, call, now_ms))
         start_call (unlink_call (p, priority, previous, call), now_ms);
       else
         previous = call;
--- a/src/store/store_test.c
+++ b/src/store/store_test.c
@@ -425,6 +425,73 @@
   talloc_free (events);
 }
 
+static struct timespec
+fake_now (void *ctx)
+{
+  const int64_t *now_ms = ctx;
+
+  return (struct timespec){ .tv_sec = *now_ms / 1000,
+                            .tv_nsec = *now_ms % 1000 * 1000000 };
+}
+
+/* The breaker opens while a write waits for its rate limit: the write is not
+   taken as the probe, since it cannot be sent yet, and a read is.  */
+static void
+test_probe_needs_a_token (void)
+{
+  enum
+  {
+    START_MS = 1000,
+    STEP_MS = 10
+  };
+  static const struct bd_clock_ops fake_clock_ops = { fake_now, fake_now };
+  struct script script = { .replies = { { .error = BD_OK, .version = 4 },
+                                        { .error = BD_ERR_PLATFORM_DOWN },
+                                        { .error = BD_ERR_PLATFORM_DOWN },
+                                        { .error = BD_ERR_PLATFORM_DOWN },
+                                        { .error = BD_OK, .version = 5 },
+                                        { .error = BD_OK, .version = 6 } } };
+  struct tevent_context *events = tevent_context_init (NULL);
+  int64_t now_ms = START_MS;
+  struct bd_clock clock = { &fake_clock_ops, &now_ms };
+  struct bd_counters counters = { 0 };
+  struct bd_store store;
+  struct client_result first = { 0 };
+  struct client_result second = { 0 };
+  struct client_result read_result = { 0 };
+
+  script.events = events;
+  /* One write a second.  The breaker opens, and lets a probe through, before
+     the second write has its token.  */
+  bd_store_init (&store, &script_ops, &script, events, &clock, &counters, rng,
+                 1000, 1);
+  bd_store_update (&store, BD_PRIORITY_CLAIM, "k", 3, NULL, json_integer (1),
+                   20000, store_result, &first);
+  while (!first.is_done)
+    tevent_loop_once (events);
+  bd_store_update (&store, BD_PRIORITY_CLAIM, "k", 4, NULL, json_integer (2),
+                   20000, store_result, &second);
+  bd_store_read (&store, BD_PRIORITY_CONFIG, "k", 3000, store_result,
+                 &read_result);
+  while (!read_result.is_done)
+    {
+      tevent_loop_once (events);
+      now_ms += STEP_MS;
+    }
+  CU_ASSERT_EQUAL (read_result.error, BD_OK);
+  CU_ASSERT_EQUAL (read_result.version, 5);
+  CU_ASSERT_EQUAL (script.kinds[4], BD_OBJECT_READ);
+  while (!second.is_done)
+    {
+      tevent_loop_once (events);
+      now_ms += STEP_MS;
+    }
+  CU_ASSERT_EQUAL (second.error, BD_OK);
+  CU_ASSERT_EQUAL (second.version, 6);
+  bd_store_finish (&store);
+  talloc_free (events);
+}
+
 static const struct unit_test tests[] = {
   { "token bucket", test_bucket },
   { "circuit breaker", test_breaker },
@@ -442,6 +509,7 @@
   { "an update across eras", test_update_across_eras },
   { "a watch across eras", test_watch_across_eras },
   { "a watch as the probe of the breaker", test_watch_as_probe },
+  { "a probe needs a token", test_probe_needs_a_token },
 };
 
 int
