HTTP server: 408 and a deadline for requests that callers do not complete

Seen: callers with half a head or half a body were closed without a response, up to a second after their timeout, and one that sent a byte now and then was never closed. Cause: the timeouts were the library's, which count from the last byte, are whole seconds, and close without a response. A kept connection had the idle timeout for the head of its next request. Ruled out: a response through the library: it takes none before the head is complete. Change: a connection has a phase with a deadline (src/http/connection.c), which single bytes do not move: the head the header timeout from the connection's opening or the later request line, a body the idle timeout and the time that its bytes need at 16 KB/s, an idle connection the idle timeout, a response that is not read the idle timeout, or up to twice it. A request that is not complete by then gets 408 with run state "not-run" and never runs, also if the rest arrives while the 408 is sent. Tests: http_test, timeouts (12 cases, in place of "partial head times out", which asked only that one half head was closed; it is one of the cases); edge_test, callers that do not complete: 500 half heads, 500 half bodies and 500 idle ones at once, a tenth of the halves sending a byte now and then, three times; each ended within its timeout and half a second, no earlier and with the right status, 40 other calls each within their objective of 300 ms, no half request passed on, no memory in use that stays.

--- a/src/edge/edge_test.c
+++ b/src/edge/edge_test.c
@@ -2,12 +2,19 @@
    checks what callers and workers receive.  Waits are bounded; no test asserts
    a time.  */
 
+#include "base/clock.h"
+#include "base/timer.h"
 #include "tests/fakes/site.h"
 #include "tests/quiet.h"
 #include "tests/unit.h"
 
+#include <arpa/inet.h>
+#include <malloc.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
 #include <talloc.h>
+#include <unistd.h>
 
 static struct site site;
 
@@ -455,6 +462,240 @@
   site_finish (&site);
 }
 
+enum
+{
+  CALLERS_PER_KIND = 500,
+  CALLERS = 3 * CALLERS_PER_KIND,
+  HEADER_TIMEOUT_MS = 1000,
+  IDLE_TIMEOUT_MS = 2000,
+  /* One in so many callers that do not complete their request sends a byte
+     now and then.  */
+  DRIBBLE_SHARE = 10,
+  DRIBBLE_MS = 100,
+  /* The users' rules allow as much past a timeout.  */
+  SLACK_MS = 500,
+  OBJECTIVE_MS = 300, /* Of the site's routes.  */
+  USUAL_CALLS = 40
+};
+
+/* A caller that does not complete its request, or that stays idle.  */
+struct bad_caller
+{
+  int fd;
+  bool is_idle;
+  bool is_sending;
+  bool is_closed;
+  int64_t timeout_ms;
+  int64_t opened_ms;
+  int64_t closed_ms;
+  char response[256];
+  size_t used;
+};
+
+static struct bad_caller callers[CALLERS];
+
+static int64_t
+now_ms (void)
+{
+  struct bd_clock clock = bd_clock_system ();
+
+  return bd_clock_now_ms (&clock);
+}
+
+static void
+read_caller (struct tevent_context *ev, struct tevent_fd *event,
+             uint16_t flags, void *ctx)
+{
+  struct bad_caller *caller = ctx;
+  ssize_t received
+      = recv (caller->fd, caller->response + caller->used,
+              sizeof caller->response - 1 - caller->used, MSG_DONTWAIT);
+
+  (void)ev;
+  (void)flags;
+  if (received > 0)
+    caller->used += (size_t)received;
+  else
+    {
+      caller->is_closed = true;
+      caller->closed_ms = now_ms ();
+      talloc_free (event);
+      close (caller->fd);
+    }
+}
+
+static void
+open_caller (struct bad_caller *caller, const char *text)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET,
+          .sin_port = htons ((uint16_t)site.daemon_port) };
+
+  caller->opened_ms = now_ms ();
+  caller->fd = socket (AF_INET, SOCK_STREAM, 0);
+  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  if (connect (caller->fd, (struct sockaddr *)&address, sizeof address) != 0)
+    CU_FAIL ("connect");
+  send (caller->fd, text, strlen (text), MSG_NOSIGNAL);
+  tevent_add_fd (site.events, site.events, caller->fd, TEVENT_FD_READ,
+                 read_caller, caller);
+}
+
+static void
+send_bytes (void *ctx)
+{
+  (void)ctx;
+  for (uint32_t i = 0; i < CALLERS; i++)
+    if (callers[i].is_sending && !callers[i].is_closed)
+      send (callers[i].fd, "a", 1, MSG_NOSIGNAL | MSG_DONTWAIT);
+  bd_timer_add (site.events, site.events, DRIBBLE_MS, send_bytes, NULL);
+}
+
+static void
+open_callers (void)
+{
+  static const char half_head[] = "POST /safe/x HTTP/1.1\r\nHost: h.exam";
+  static const char half_body[]
+      = "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: half\r\n"
+        "Authorization: Bearer k1\r\nContent-Length: 9999\r\n\r\nabc";
+  static const char request[]
+      = "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: idle\r\n"
+        "Authorization: Bearer no\r\n\r\n";
+
+  memset (callers, 0, sizeof callers);
+  for (uint32_t i = 0; i < CALLERS; i++)
+    {
+      callers[i].is_idle = i % 3 == 2;
+      callers[i].is_sending = !callers[i].is_idle && i % DRIBBLE_SHARE == 0;
+      callers[i].timeout_ms = i % 3 == 0 ? HEADER_TIMEOUT_MS : IDLE_TIMEOUT_MS;
+      open_caller (&callers[i], i % 3 == 0   ? half_head
+                                : i % 3 == 1 ? half_body
+                                             : request);
+      tevent_loop_once (site.events);
+    }
+}
+
+static uint32_t
+open_count (uint32_t kind)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = kind; i < CALLERS; i += 3)
+    count += !callers[i].is_closed;
+  return count;
+}
+
+static bool
+are_heads_closed (struct site *s)
+{
+  (void)s;
+  return open_count (0) == 0;
+}
+
+static bool
+are_all_closed (struct site *s)
+{
+  (void)s;
+  return open_count (0) + open_count (1) + open_count (2) == 0;
+}
+
+static void
+check_callers (void)
+{
+  uint32_t wrong_status = 0;
+  uint32_t too_early = 0;
+
+  for (uint32_t i = 0; i < CALLERS; i++)
+    {
+      const char *expected
+          = callers[i].is_idle ? "HTTP/1.1 401 " : "HTTP/1.1 408 ";
+
+      wrong_status += strncmp (callers[i].response, expected, 13) != 0
+                      || strstr (callers[i].response + 1, "HTTP/1.1") != NULL;
+      too_early += callers[i].closed_ms - callers[i].opened_ms
+                   < callers[i].timeout_ms;
+    }
+  CU_ASSERT_EQUAL (wrong_status, 0);
+  CU_ASSERT_EQUAL (too_early, 0);
+}
+
+/* Calls as usual; returns how many were served within the objective.  */
+static uint32_t
+serve_usual_calls (void)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < USUAL_CALLS; i++)
+    {
+      int64_t before_ms = now_ms ();
+      struct site_call *call = site_call (&site, "GET", "/safe/x", "k1", NULL);
+
+      count += call->status == 200 && now_ms () - before_ms < OBJECTIVE_MS;
+      talloc_free (call);
+    }
+  return count;
+}
+
+/* 500 callers with half a head, 500 with half a body and 500 idle ones at
+   once: each is ended within its timeout, the others are served, and nothing
+   of them stays.  */
+static void
+test_callers_that_do_not_complete (void)
+{
+  enum
+  {
+    WAVES = 3,
+    /* The smallest leak of each caller would be as large.  */
+    MAX_GROWTH_BYTES = CALLERS * 32
+  };
+  struct rlimit files;
+  size_t used_bytes[WAVES];
+  json_t *limits;
+  int64_t begin_ms;
+  int64_t alone_ms;
+  int64_t beside_ms = 0;
+
+  getrlimit (RLIMIT_NOFILE, &files);
+  files.rlim_cur = files.rlim_max;
+  setrlimit (RLIMIT_NOFILE, &files);
+  site_start (&site, 2, 0);
+  limits = json_object_get (site.config, "Limits");
+  json_object_set_new (limits, "HeaderTimeoutMs",
+                       json_integer (HEADER_TIMEOUT_MS));
+  json_object_set_new (limits, "IdleTimeoutMs",
+                       json_integer (IDLE_TIMEOUT_MS));
+  site_publish (&site);
+  CU_ASSERT_TRUE (site_run (&site, site_is_ready, 5000));
+  send_bytes (NULL);
+  begin_ms = now_ms ();
+  CU_ASSERT_EQUAL (serve_usual_calls (), USUAL_CALLS);
+  alone_ms = now_ms () - begin_ms;
+  for (uint32_t i = 0; i < WAVES; i++)
+    {
+      uint32_t before = request_count ();
+
+      open_callers ();
+      begin_ms = now_ms ();
+      CU_ASSERT_EQUAL (serve_usual_calls (), USUAL_CALLS);
+      beside_ms += now_ms () - begin_ms;
+      CU_ASSERT_TRUE (
+          site_run (&site, are_heads_closed, HEADER_TIMEOUT_MS + SLACK_MS));
+      CU_ASSERT_TRUE (
+          site_run (&site, are_all_closed,
+                    IDLE_TIMEOUT_MS - HEADER_TIMEOUT_MS + SLACK_MS));
+      check_callers ();
+      CU_ASSERT_EQUAL (request_count (), before + USUAL_CALLS);
+      site_wait (&site, 300);
+      used_bytes[i] = mallinfo2 ().uordblks + mallinfo2 ().hblkhd;
+    }
+  CU_ASSERT_TRUE (used_bytes[WAVES - 1] < used_bytes[1] + MAX_GROWTH_BYTES);
+  printf (" (%d calls: %lld ms alone, %lld ms beside %d callers; in use after "
+          "each wave: %zu, %zu, %zu bytes) ",
+          USUAL_CALLS, (long long)alone_ms, (long long)beside_ms / WAVES,
+          CALLERS, used_bytes[0], used_bytes[1], used_bytes[2]);
+  site_finish (&site);
+}
+
 int
 main (void)
 {
@@ -474,6 +715,7 @@
     { "leaving worker", test_leaving_worker },
     { "closed worker", test_closed_worker },
     { "stalled groups with backlog", test_stalled_groups_with_backlog },
+    { "callers that do not complete", test_callers_that_do_not_complete },
   };
 
   unit_silence_log ();
--- /dev/null
+++ b/src/http/connection.c
@@ -0,0 +1,187 @@
+/* Watches the time-outs of callers' connections.  */
+
+#include "http/http_internal.h"
+
+#include "base/clock.h"
+
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+
+enum
+{
+  SWEEP_PERIOD_MS = 100,
+  /* Time for the caller to read a 408 before the connection is reset.  */
+  LINGER_MS = 200,
+  /* A body may take the idle timeout and the time that its bytes need at this
+     rate, so that a slow caller is served and one that sends a byte now and
+     then is not.  */
+  BODY_BYTES_PER_MS = 16,
+  /* The kernel states the age of the last bytes in coarse steps.  */
+  AGE_STEP_MS = 20
+};
+
+static int64_t
+get_now_ms (void)
+{
+  struct bd_clock clock = bd_clock_system ();
+
+  return bd_clock_now_ms (&clock);
+}
+
+static void
+sweep (void *ctx)
+{
+  struct bd_http_server *server = ctx;
+  int64_t now_ms = get_now_ms ();
+
+  server->sweep_timer = NULL;
+  for (struct bd_http_connection *c = server->connections; c != NULL;
+       c = c->next)
+    bd_http_connection_check (c, now_ms);
+  if (server->connections != NULL)
+    server->sweep_timer = bd_timer_add (server->events, server->events,
+                                        SWEEP_PERIOD_MS, sweep, server);
+}
+
+struct bd_http_connection *
+bd_http_connection_open (struct bd_http_server *server, int fd)
+{
+  struct bd_http_connection *c = talloc_zero (NULL, struct bd_http_connection);
+
+  if (c == NULL)
+    return NULL;
+  c->server = server;
+  c->fd = fd;
+  bd_http_connection_enter (c, BD_HTTP_FIRST_HEAD);
+  c->next = server->connections;
+  if (c->next != NULL)
+    c->next->prev = c;
+  server->connections = c;
+  if (server->sweep_timer == NULL)
+    server->sweep_timer = bd_timer_add (server->events, server->events,
+                                        SWEEP_PERIOD_MS, sweep, server);
+  return c;
+}
+
+void
+bd_http_connection_close (struct bd_http_connection *c)
+{
+  if (c->prev != NULL)
+    c->prev->next = c->next;
+  else
+    c->server->connections = c->next;
+  if (c->next != NULL)
+    c->next->prev = c->prev;
+  talloc_free (c);
+}
+
+void
+bd_http_connection_enter (struct bd_http_connection *c,
+                          enum bd_http_phase phase)
+{
+  const struct bd_http_server *server = c->server;
+  bool is_head = phase == BD_HTTP_FIRST_HEAD || phase == BD_HTTP_HEAD;
+  bool is_first = phase == BD_HTTP_HEAD && c->phase == BD_HTTP_FIRST_HEAD;
+
+  if (c->phase == BD_HTTP_ENDING)
+    return;
+  c->phase = phase;
+  c->body_bytes = 0;
+  /* The head of the first request has the time since the connection opened. */
+  if (is_first)
+    return;
+  c->since_ms = get_now_ms ();
+  c->deadline_ms
+      = c->since_ms
+        + (is_head ? server->header_timeout_ms : server->idle_timeout_ms);
+}
+
+void
+bd_http_connection_received (struct bd_http_connection *c, size_t size)
+{
+  if (c->phase != BD_HTTP_BODY)
+    return;
+  c->body_bytes += size;
+  c->deadline_ms = c->since_ms + c->server->idle_timeout_ms
+                   + (int64_t)(c->body_bytes / BODY_BYTES_PER_MS);
+}
+
+static struct tcp_info
+get_tcp_info (const struct bd_http_connection *c)
+{
+  struct tcp_info info;
+  socklen_t size = sizeof info;
+
+  memset (&info, 0, sizeof info);
+  getsockopt (c->fd, IPPROTO_TCP, TCP_INFO, &info, &size);
+  return info;
+}
+
+/* Whether the caller has sent a part of a request.  */
+static bool
+has_begun_request (const struct bd_http_connection *c, int64_t now_ms)
+{
+  struct tcp_info info;
+
+  if (c->phase == BD_HTTP_HEAD || c->phase == BD_HTTP_BODY)
+    return true;
+  info = get_tcp_info (c);
+  if (c->phase == BD_HTTP_FIRST_HEAD)
+    return info.tcpi_bytes_received > 0;
+  return (int64_t)info.tcpi_last_data_recv + AGE_STEP_MS
+         < now_ms - c->since_ms;
+}
+
+#define TIMEOUT_BODY                                                          \
+  "{\"kind\":\"request-timeout\",\"run\":\"not-run\",\"status\":408}\n"
+_Static_assert(sizeof TIMEOUT_BODY - 1 == 56, "Content-Length below");
+
+/* libmicrohttpd has no response for a request whose head is incomplete.
+   Nothing else is sent on the connection: no response has begun.  */
+static void
+send_timeout_response (struct bd_http_connection *c, int64_t now_ms)
+{
+  static const char text[] = "HTTP/1.1 408 Request Timeout\r\n"
+                             "Content-Type: application/problem+json\r\n"
+                             "Content-Length: 56\r\n"
+                             "Connection: close\r\n\r\n" TIMEOUT_BODY;
+
+  send (c->fd, text, sizeof text - 1, MSG_DONTWAIT | MSG_NOSIGNAL);
+  shutdown (c->fd, SHUT_WR);
+  c->phase = BD_HTTP_ENDING;
+  c->deadline_ms = now_ms + LINGER_MS;
+}
+
+/* Whether a response is not read.  One that waits for its content, and
+   whatever the caller takes, begins a new term.  */
+static bool
+is_response_stuck (struct bd_http_connection *c, int64_t now_ms)
+{
+  uint64_t acked_bytes = get_tcp_info (c).tcpi_bytes_acked;
+  bool is_waiting = c->exchange == NULL || c->exchange->is_suspended;
+  bool is_stuck = !is_waiting && acked_bytes == c->acked_bytes;
+
+  c->acked_bytes = acked_bytes;
+  c->deadline_ms = now_ms + c->server->idle_timeout_ms;
+  return is_stuck;
+}
+
+void
+bd_http_connection_check (struct bd_http_connection *c, int64_t now_ms)
+{
+  if (now_ms < c->deadline_ms)
+    return;
+  if (c->phase == BD_HTTP_RESPONSE && !is_response_stuck (c, now_ms))
+    return;
+  if (c->phase != BD_HTTP_RESPONSE && c->phase != BD_HTTP_ENDING
+      && has_begun_request (c, now_ms))
+    {
+      send_timeout_response (c, now_ms);
+      return;
+    }
+  /* libmicrohttpd sees the end of the connection and closes it.  */
+  shutdown (c->fd, SHUT_RDWR);
+}
--- /dev/null
+++ b/src/http/http_internal.h
@@ -0,0 +1,58 @@
+/* Time-outs of callers' connections.  For use by this slice only.
+
+   A connection is in one phase at a time: it sends the head or the body of a
+   request, waits for the response and reads it, or is idle.  Each phase has a
+   deadline that single bytes do not move.  A caller that does not complete a
+   request in time gets 408, which is true: the request was not passed on.  */
+
+#ifndef BD_HTTP_HTTP_INTERNAL_H
+#define BD_HTTP_HTTP_INTERNAL_H
+
+#include "http/server.h"
+
+enum bd_http_phase
+{
+  BD_HTTP_FIRST_HEAD, /* New; no request line has been received.  */
+  BD_HTTP_IDLE,       /* Kept after a response.  */
+  BD_HTTP_HEAD,       /* A request line has been received.  */
+  BD_HTTP_BODY,
+  BD_HTTP_RESPONSE,
+  BD_HTTP_ENDING /* 408 has been sent.  */
+};
+
+struct bd_http_connection
+{
+  struct bd_http_server *server;
+  int fd;
+  enum bd_http_phase phase;
+  int64_t since_ms; /* When the phase began.  */
+  int64_t deadline_ms;
+  uint64_t body_bytes;  /* Received in this phase.  */
+  uint64_t acked_bytes; /* Acknowledged by the caller at the last look.  */
+  const struct bd_http_exchange *exchange; /* NULL outside of requests.  */
+  struct bd_http_connection *prev;
+  struct bd_http_connection *next;
+};
+
+/* bd_http_connection_open(): starts to watch a new connection of server.  */
+struct bd_http_connection *
+bd_http_connection_open (struct bd_http_server *server, int fd);
+
+/* bd_http_connection_close(): ends the watch, and frees connection.  */
+void bd_http_connection_close (struct bd_http_connection *connection);
+
+/* bd_http_connection_enter(): the connection is in another phase.  A
+   connection that has got 408 stays in its phase.  */
+void bd_http_connection_enter (struct bd_http_connection *connection,
+                               enum bd_http_phase phase);
+
+/* bd_http_connection_received(): size bytes of a body have been received.  */
+void bd_http_connection_received (struct bd_http_connection *connection,
+                                  size_t size);
+
+/* bd_http_connection_check(): sends 408 or closes the connection if its
+   deadline has passed.  */
+void bd_http_connection_check (struct bd_http_connection *connection,
+                               int64_t now_ms);
+
+#endif
--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -1,5 +1,6 @@
-/* Tests on sockets that the server rejects requests with ambiguous framing and
-   closes connections whose request head is incomplete, and that the client
+/* Tests on sockets that the server rejects requests with ambiguous framing,
+   ends requests that are not completed in time and connections that are idle,
+   and shares its port with no other server, and that the client
    does not resend a request sent with is_sent_once.  */
 
 #include "base/timer.h"
@@ -172,16 +173,134 @@
   CU_ASSERT_EQUAL (handled_count, 2);
 }
 
-/* A connection with an incomplete request head is closed after the header
-   timeout.  */
+enum
+{
+  HEADER_TIMEOUT_MS = 400,
+  IDLE_TIMEOUT_MS = 900,
+  DRIBBLE_MS = 30
+};
+
+/* A connection whose caller sends a byte now and then.  */
+struct dribble
+{
+  int fd;
+  bool is_sending;
+};
+
 static void
-test_partial_head_times_out (void)
+send_byte (void *ctx)
 {
-  char response[4096];
+  struct dribble *dribble = ctx;
+
+  if (!dribble->is_sending)
+    {
+      talloc_free (dribble);
+      return;
+    }
+  send (dribble->fd, "a", 1, MSG_NOSIGNAL | MSG_DONTWAIT);
+  bd_timer_add (events, events, DRIBBLE_MS, send_byte, dribble);
+}
+
+/* Sends first, if there is one, and reads its response; then sends rest, and
+   bytes without end if it dribbles.  Returns whether the server closed the
+   connection, and what it sent after first.  */
+static bool
+is_timed_out (const char *first, const char *rest, bool dribbles,
+              char *response, size_t size)
+{
+  struct dribble *dribble = talloc_zero (NULL, struct dribble);
+  bool is_over = false;
+  bool is_closed = false;
+  size_t used = 0;
+  int fd = connect_to (SERVER_PORT);
+  struct bd_timer *timer
+      = bd_timer_add (events, events, LIMIT_MS, set_flag, &is_over);
+
+  while (first != NULL && !is_over && used == 0)
+    {
+      ssize_t received;
+
+      send (fd, first, strlen (first), MSG_NOSIGNAL);
+      first = "";
+      tevent_loop_once (events);
+      received = recv (fd, response, size - 1, MSG_DONTWAIT);
+      used = received > 0 ? (size_t)received : 0;
+    }
+  used = 0;
+  send (fd, rest, strlen (rest), MSG_NOSIGNAL);
+  dribble->fd = fd;
+  dribble->is_sending = dribbles;
+  send_byte (dribble);
+  while (!is_over && !is_closed)
+    {
+      ssize_t received
+          = recv (fd, response + used, size - used - 1, MSG_DONTWAIT);
 
-  bd_http_server_set_timeouts (&server, 1000, 15000);
-  CU_ASSERT_TRUE (send_and_read ("GET / HTTP/1.1\r\nHos", LIMIT_MS, response,
-                                 sizeof response));
+      if (received > 0)
+        used += (size_t)received;
+      else if (received == 0)
+        is_closed = true;
+      else
+        tevent_loop_once (events);
+    }
+  response[used] = '\0';
+  if (!is_over)
+    talloc_free (timer);
+  if (dribbles)
+    dribble->is_sending = false;
+  close (fd);
+  return is_closed;
+}
+
+/* A caller that does not complete a request in time gets 408, also if it sends
+   a byte now and then, and the request does not run.  An idle connection is
+   closed.  */
+static void
+test_timeouts (void)
+{
+  static const char request[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+  static const char half_head[] = "POST /x HTTP/1.1\r\nHost: h\r\nX-A: ";
+  static const char half_line[] = "POST /x";
+  static const char half_body[]
+      = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 999\r\n\r\nabc";
+  static const char half_chunk[] = "POST /x HTTP/1.1\r\nHost: h\r\n"
+                                   "Transfer-Encoding: chunked\r\n\r\n"
+                                   "3ff\r\nabc";
+  static const struct
+  {
+    const char *first;
+    const char *rest;
+    bool dribbles;
+    bool gets_408;
+  } cases[] = {
+    { NULL, "", false, false },         { NULL, half_line, false, true },
+    { NULL, half_head, false, true },   { NULL, half_head, true, true },
+    { NULL, half_body, false, true },   { NULL, half_body, true, true },
+    { NULL, half_chunk, false, true },  { NULL, half_chunk, true, true },
+    { request, "", false, false },      { request, half_head, false, true },
+    { request, half_head, true, true }, { request, half_body, true, true },
+  };
+
+  bd_http_server_set_timeouts (&server, HEADER_TIMEOUT_MS, IDLE_TIMEOUT_MS);
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      char response[4096];
+      uint32_t before;
+      bool is_closed;
+      bool is_408;
+
+      before = handled_count + (cases[i].first != NULL);
+      is_closed = is_timed_out (cases[i].first, cases[i].rest,
+                                cases[i].dribbles, response, sizeof response);
+      is_408 = strncmp (response, "HTTP/1.1 408 ", 13) == 0
+               && strstr (response, "\"status\":408}\n") != NULL;
+      CU_ASSERT_TRUE (is_closed);
+      CU_ASSERT_EQUAL (is_408, cases[i].gets_408);
+      CU_ASSERT_TRUE (is_408 || response[0] == '\0');
+      CU_ASSERT_EQUAL (handled_count, before);
+      if (!is_closed || is_408 != cases[i].gets_408)
+        printf ("\ncase %zu: closed %d, %.40s\n", i, is_closed, response);
+    }
 }
 
 /* A port belongs to one server.  If two could listen on it, the kernel would
@@ -498,7 +617,7 @@
   static const struct unit_test tests[]
       = { { "ambiguous framing", test_ambiguous_framing },
           { "plain requests", test_plain_requests },
-          { "partial head times out", test_partial_head_times_out },
+          { "timeouts", test_timeouts },
           { "port is not shared", test_port_is_not_shared },
           { "port is reused", test_port_is_reused },
           { "sent once", test_sent_once },
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -2,6 +2,8 @@
 
 #include "http/server.h"
 
+#include "http/http_internal.h"
+
 #include <arpa/inet.h>
 #include <assert.h>
 #include <string.h>
@@ -24,8 +26,8 @@
   HIGH_WATER_BYTES = 64 * 1024,
   LOW_WATER_BYTES = 16 * 1024,
   STREAM_BLOCK_BYTES = 4 * 1024,
-  IDLE_TIMEOUT_S = 75,
-  MS_PER_S = 1000,
+  HEADER_TIMEOUT_MS = 10000,
+  IDLE_TIMEOUT_MS = 75000,
   CONNECTION_MEMORY_BYTES = 16 * 1024
 };
 
@@ -256,14 +258,6 @@
   bd_http_respond (x, 400, headers, text, sizeof text - 1);
 }
 
-static void
-set_timeout (struct MHD_Connection *connection, uint32_t timeout_s)
-{
-  if (timeout_s > 0)
-    MHD_set_connection_option (connection, MHD_CONNECTION_OPTION_TIMEOUT,
-                               (unsigned)timeout_s);
-}
-
 static enum MHD_Result
 handle_access (void *ctx, struct MHD_Connection *connection, const char *url,
                const char *method, const char *version, const char *data,
@@ -273,17 +267,19 @@
   struct bd_http_server *server = ctx;
 
   (void)version;
-  if (x == NULL)
+  /* A request that got 408 must not run.  */
+  if (x == NULL || x->peer->phase == BD_HTTP_ENDING)
     return MHD_NO;
   if (x->connection == NULL)
     {
       x->connection = connection;
       x->method = method;
       x->path = talloc_strdup (x, url);
-      set_timeout (connection, server->idle_timeout_s);
+      bd_http_connection_enter (x->peer, BD_HTTP_BODY);
       if (is_ambiguous (connection, x->uri))
         {
           x->state = RESPONDED;
+          bd_http_connection_enter (x->peer, BD_HTTP_RESPONSE);
           respond_ambiguous (x);
           return queue_response (x);
         }
@@ -291,6 +287,7 @@
       if (!is_body_too_large (x))
         return MHD_YES;
       x->is_too_large = true;
+      bd_http_connection_enter (x->peer, BD_HTTP_RESPONSE);
       respond_too_large (x);
       return queue_response (x);
     }
@@ -299,12 +296,14 @@
   if (*size > 0)
     {
       append_body (x, data, *size);
+      bd_http_connection_received (x->peer, *size);
       *size = 0;
       return MHD_YES;
     }
   if (x->state == READING)
     {
       x->state = AWAITING_RESPONSE;
+      bd_http_connection_enter (x->peer, BD_HTTP_RESPONSE);
       if (x->is_too_large)
         respond_too_large (x);
       else
@@ -323,12 +322,19 @@
 handle_uri (void *ctx, const char *uri, struct MHD_Connection *connection)
 {
   struct bd_http_server *server = ctx;
-  struct bd_http_exchange *x = talloc_zero (NULL, struct bd_http_exchange);
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  struct bd_http_exchange *x;
 
-  (void)connection;
+  if (info->socket_context == NULL)
+    return NULL;
+  x = talloc_zero (NULL, struct bd_http_exchange);
   if (x == NULL)
     return NULL;
   x->server = server;
+  x->peer = info->socket_context;
+  x->peer->exchange = x;
+  bd_http_connection_enter (x->peer, BD_HTTP_HEAD);
   x->uri = talloc_strdup (x, uri);
   server->open_exchanges++;
   x->next = server->exchanges;
@@ -351,6 +357,8 @@
   if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && x->connection != NULL
       && x->state != READING)
     notify_disconnected (x);
+  x->peer->exchange = NULL;
+  bd_http_connection_enter (x->peer, BD_HTTP_IDLE);
   if (x->response != NULL)
     MHD_destroy_response (x->response);
   x->server->open_exchanges--;
@@ -369,11 +377,16 @@
                    void **socket_context,
                    enum MHD_ConnectionNotificationCode code)
 {
-  struct bd_http_server *server = ctx;
-
-  (void)socket_context;
   if (code == MHD_CONNECTION_NOTIFY_STARTED)
-    set_timeout (connection, server->header_timeout_s);
+    *socket_context = bd_http_connection_open (
+        ctx,
+        MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd);
+  else if (*socket_context != NULL)
+    {
+      bd_http_connection_close (*socket_context);
+      *socket_context = NULL;
+    }
 }
 
 bool
@@ -389,6 +402,8 @@
   server->ops = ops;
   server->ctx = ctx;
   server->events = events;
+  server->header_timeout_ms = HEADER_TIMEOUT_MS;
+  server->idle_timeout_ms = IDLE_TIMEOUT_MS;
   listen_address.sin_port = htons ((uint16_t)port);
   if (inet_pton (AF_INET, address, &listen_address.sin_addr) != 1)
     return false;
@@ -396,8 +411,7 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, (uint16_t)port, NULL, NULL,
       handle_access, server, MHD_OPTION_SOCK_ADDR,
       (struct sockaddr *)&listen_address, MHD_OPTION_CONNECTION_LIMIT,
-      (unsigned)max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
-      (unsigned)IDLE_TIMEOUT_S, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (unsigned)max_connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_URI_LOG_CALLBACK, handle_uri,
       server, MHD_OPTION_NOTIFY_COMPLETED, handle_completed, server,
       MHD_OPTION_NOTIFY_CONNECTION, handle_connection, server,
@@ -415,8 +429,10 @@
                              uint32_t header_timeout_ms,
                              uint32_t idle_timeout_ms)
 {
-  server->header_timeout_s = (header_timeout_ms + MS_PER_S - 1) / MS_PER_S;
-  server->idle_timeout_s = (idle_timeout_ms + MS_PER_S - 1) / MS_PER_S;
+  if (header_timeout_ms > 0)
+    server->header_timeout_ms = header_timeout_ms;
+  if (idle_timeout_ms > 0)
+    server->idle_timeout_ms = idle_timeout_ms;
 }
 
 void
@@ -442,6 +458,7 @@
   TALLOC_FREE (server->fd);
   TALLOC_FREE (server->timer);
   MHD_stop_daemon (server->daemon);
+  TALLOC_FREE (server->sweep_timer);
   server->daemon = NULL;
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -40,6 +40,7 @@
   bool has_ended;
   bool is_complete;
   bool is_writer_blocked;
+  struct bd_http_connection *peer;
   struct MHD_Response *response;
   uint32_t status;
   struct tevent_fd *watch;
@@ -75,10 +76,12 @@
   struct tevent_fd *fd;
   struct bd_timer *timer;
   bool is_run_due;
-  uint32_t header_timeout_s;
-  uint32_t idle_timeout_s;
+  uint32_t header_timeout_ms;
+  uint32_t idle_timeout_ms;
   uint32_t open_exchanges; /* Requests without a complete response.  */
   struct bd_http_exchange *exchanges; /* All open exchanges.  */
+  struct bd_http_connection *connections;
+  struct bd_timer *sweep_timer; /* Runs while there are connections.  */
 };
 
 /* bd_http_server_init(): listens on an IPv4 address and port.
@@ -90,9 +93,12 @@
                           uint32_t port, uint32_t max_connections,
                           const struct bd_http_server_ops *ops, void *ctx);
 
-/* bd_http_server_set_timeouts(): limits the time until a new connection sends
-   its first request head, and the time that a connection is idle.  Both are
-   rounded up to whole seconds.  Applies to later requests and connections.  */
+/* bd_http_server_set_timeouts(): limits the time from a new connection, or
+   from a later request line, to the complete request head, and the time that a
+   connection is idle or takes nothing of its response.  A body may take the
+   idle timeout and the time that its bytes need at a low rate.  A caller that
+   does not complete a request in time gets 408; an idle connection is closed.
+   0 leaves the default.  Applies to what begins later.  */
 void bd_http_server_set_timeouts (struct bd_http_server *server,
                                   uint32_t header_timeout_ms,
                                   uint32_t idle_timeout_ms);
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -876,7 +876,7 @@
     .platform_url = "http://127.0.0.1:25100",
     .is_first_start = true,
     .heartbeat_ms = 300,
-    .max_descriptors = 256,
+    .max_descriptors = 4096,
     .reads_per_s = 200,
     .writes_per_s = 100,
     .bounds = { .config_apply_ms = 2000,
