HTTP server: serve the connections that wait when it stops listening

Seen, played by a test: callers that had connected and sent a request while the server stopped listening had their connections reset. Cause: closing a listening socket resets what has not been accepted. Ruled out: refusing earlier: a caller that has connected by then waits for an answer, also for the refusal. Change: the connections that wait are accepted first. Left: a connection that is made between the last accept and the close. Test: http_test, stop listening: 40 callers connect and send, the server stops listening, each is to get its response.

--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -339,6 +339,46 @@
     }
 }
 
+/* A server that stops listening serves the callers that have connected by
+   then.  */
+static void
+test_stop_listening (void)
+{
+  enum
+  {
+    CALLERS = 40
+  };
+  static const char request[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+  struct bd_http_server other;
+  uint32_t before = handled_count;
+  uint32_t served = 0;
+  bool is_over = false;
+  int fds[CALLERS];
+
+  CU_ASSERT_TRUE (bd_http_server_init (&other, events, "127.0.0.1",
+                                       SECOND_PORT, 64, &ops, NULL));
+  for (uint32_t i = 0; i < CALLERS; i++)
+    {
+      fds[i] = connect_to (SECOND_PORT);
+      send (fds[i], request, sizeof request - 1, MSG_NOSIGNAL);
+    }
+  bd_http_server_stop_listening (&other);
+  bd_timer_add (events, events, SHORT_MS, set_flag, &is_over);
+  while (!is_over)
+    tevent_loop_once (events);
+  for (uint32_t i = 0; i < CALLERS; i++)
+    {
+      char response[256];
+
+      served += recv (fds[i], response, sizeof response, MSG_DONTWAIT) > 12
+                && strncmp (response, "HTTP/1.1 200", 12) == 0;
+      close (fds[i]);
+    }
+  CU_ASSERT_EQUAL (served, CALLERS);
+  CU_ASSERT_EQUAL (handled_count, before + CALLERS);
+  bd_http_server_finish (&other);
+}
+
 /* A server that responds to the first request of a connection and closes the
    connection at the second one without sending a byte.  To the client, this
    looks like a kept-alive connection that has died.  */
@@ -620,6 +660,7 @@
           { "timeouts", test_timeouts },
           { "port is not shared", test_port_is_not_shared },
           { "port is reused", test_port_is_reused },
+          { "stop listening", test_stop_listening },
           { "sent once", test_sent_once },
           { "endless responses", test_endless_responses } };
   int code;
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <assert.h>
+#include <poll.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
@@ -28,7 +29,10 @@
   STREAM_BLOCK_BYTES = 4 * 1024,
   HEADER_TIMEOUT_MS = 10000,
   IDLE_TIMEOUT_MS = 75000,
-  CONNECTION_MEMORY_BYTES = 16 * 1024
+  CONNECTION_MEMORY_BYTES = 16 * 1024,
+  /* libmicrohttpd accepts ten connections in one run.  The queue of waiting
+     connections is not longer than ten times this.  */
+  MAX_ACCEPT_RUNS = 500
 };
 
 static void schedule_next_run (struct bd_http_server *server);
@@ -435,13 +439,29 @@
     server->idle_timeout_ms = idle_timeout_ms;
 }
 
+/* Accepts the connections that wait: the kernel would reset them when their
+   listening socket is closed, though their requests may have arrived.  */
+static void
+accept_waiting_connections (struct bd_http_server *server)
+{
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+  struct pollfd listening = { .fd = info->listen_fd, .events = POLLIN };
+
+  for (uint32_t i = 0; i < MAX_ACCEPT_RUNS && poll (&listening, 1, 0) > 0; i++)
+    MHD_run (server->daemon);
+}
+
 void
 bd_http_server_stop_listening (struct bd_http_server *server)
 {
-  int fd = MHD_quiesce_daemon (server->daemon);
+  int fd;
 
+  accept_waiting_connections (server);
+  fd = MHD_quiesce_daemon (server->daemon);
   if (fd >= 0)
     close (fd);
+  schedule_immediate_run (server);
 }
 
 void
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -103,7 +103,8 @@
                                   uint32_t header_timeout_ms,
                                   uint32_t idle_timeout_ms);
 
-/* bd_http_server_stop_listening(): stops accepting new connections.  */
+/* bd_http_server_stop_listening(): accepts the connections that wait, and then
+   no more.  May call the request handler.  */
 void bd_http_server_stop_listening (struct bd_http_server *server);
 
 /* bd_http_server_finish(): closes all connections and stops the server.  */
