Edge: only whole events are progress of a stream

Seen, played by a test: a stream whose endpoint sent three events and then a byte now and then was held until the request's deadline and ended broken. Cause: each piece of data counted as progress of the attempt and its group, so that the watchdog did not take the group for stalled. Ruled out: a bound on bytes a second: an event may be short. Change: in a stream only whole events are progress. Tests: edge_test, trickling stream; and slow stream: events 190 ms apart, where the route allows 200 ms, are neither cut nor run twice. Before: trickling stream fails, not complete and not resumed; slow stream passes.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -150,10 +150,10 @@
   struct bd_sse_event event;
   bool can_write = true;
 
-  note_progress (request);
-  bd_edge_note_prefill_done (request);
   if (!is_stream (call))
     {
+      note_progress (request);
+      bd_edge_note_prefill_done (request);
       if (!append_body (request, data, size))
         reject (request, call);
       return true;
@@ -162,8 +162,14 @@
     return true;
   request->is_incomplete = !bd_sse_feed (&request->sse, data, size);
   while (!request->is_incomplete && bd_sse_next (&request->sse, &event))
-    request->is_incomplete
-        = !forward_event (request, call, &event, &can_write);
+    {
+      /* Only whole events are progress: an endpoint that sends a byte now and
+         then has stalled.  */
+      note_progress (request);
+      bd_edge_note_prefill_done (request);
+      request->is_incomplete
+          = !forward_event (request, call, &event, &can_write);
+    }
   if (request->is_incomplete)
     reject (request, call);
   return can_write;
--- a/src/edge/edge_test.c
+++ b/src/edge/edge_test.c
@@ -308,6 +308,47 @@
   site_finish (&site);
 }
 
+/* A stream that sends single bytes after its third event has stalled, and goes
+   on at another group well before its deadline.  */
+static void
+test_trickling_stream (void)
+{
+  struct site_call *call;
+
+  site_start (&site, 0, 4);
+  CU_ASSERT_TRUE (site_run (&site, site_has_groups, 10000));
+  set_modes (WORKER_TRICKLING);
+  call = site_start_call (&site, "POST", "/stream/x", "k1", "m");
+  site_wait (&site, 100);
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    if (site.workers[i].request_count == 0)
+      site.workers[i].mode = WORKER_HEALTHY;
+  while (!call->is_done)
+    tevent_loop_once (site.events);
+  CU_ASSERT_TRUE (call->is_complete);
+  CU_ASSERT_TRUE (is_stream_complete (call->body));
+  CU_ASSERT_EQUAL (request_count (), 2);
+  site_finish (&site);
+}
+
+/* A stream whose events come as slowly as its route allows is not cut, and
+   runs once.  */
+static void
+test_slow_stream (void)
+{
+  struct site_call *call;
+
+  site_start (&site, 0, 4);
+  CU_ASSERT_TRUE (site_run (&site, site_has_groups, 10000));
+  set_modes (WORKER_SLOW);
+  call = site_call (&site, "POST", "/stream/x", "k1", "m");
+  CU_ASSERT_EQUAL (call->status, 200);
+  CU_ASSERT_TRUE (call->is_complete);
+  CU_ASSERT_TRUE (is_stream_complete (call->body));
+  CU_ASSERT_EQUAL (request_count (), 1);
+  site_finish (&site);
+}
+
 /* Whether the store has the daemon's own entry.  */
 static bool
 is_registered (struct site *s)
@@ -715,6 +756,8 @@
     { "leaving worker", test_leaving_worker },
     { "closed worker", test_closed_worker },
     { "stalled groups with backlog", test_stalled_groups_with_backlog },
+    { "trickling stream", test_trickling_stream },
+    { "slow stream", test_slow_stream },
     { "callers that do not complete", test_callers_that_do_not_complete },
   };
 
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -568,7 +568,8 @@
   struct site *site = stream->worker->site;
   char text[256];
   bool is_stalled = stream->worker->mode == WORKER_UNRESPONSIVE
-                    || (stream->worker->mode == WORKER_STALLING
+                    || ((stream->worker->mode == WORKER_STALLING
+                         || stream->worker->mode == WORKER_TRICKLING)
                         && stream->next_event > STALL_AFTER_EVENTS);
 
   if (stream->start_count != stream->worker->start_count)
@@ -589,7 +590,12 @@
       stream->next_event++;
       bd_http_stream_write (stream->exchange, text, strlen (text));
     }
-  bd_timer_add (site->events, stream, EVENT_INTERVAL_MS, write_event, stream);
+  else if (stream->worker->mode == WORKER_TRICKLING)
+    bd_http_stream_write (stream->exchange, "i", 1);
+  bd_timer_add (site->events, stream,
+                stream->worker->mode == WORKER_SLOW ? SITE_SLOW_EVENT_MS
+                                                    : EVENT_INTERVAL_MS,
+                write_event, stream);
 }
 
 static void
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -22,7 +22,8 @@
 {
   SITE_MAX_WORKERS = 12,
   SITE_MAX_SEEN = 256,
-  SITE_BASE_PORT = 25100
+  SITE_BASE_PORT = 25100,
+  SITE_SLOW_EVENT_MS = 190
 };
 
 enum store_mode
@@ -41,7 +42,9 @@
   WORKER_RESETTING,    /* Runs a request, then closes the connection.  */
   WORKER_WRONG_ID,     /* Responds with another request's id.  */
   WORKER_FULL,         /* Responds 503 without running the request.  */
-  WORKER_FAILING       /* Runs the request and responds 500.  */
+  WORKER_FAILING,      /* Runs the request and responds 500.  */
+  WORKER_TRICKLING,    /* Streams send single bytes after three events.  */
+  WORKER_SLOW          /* Streams send an event every SITE_SLOW_EVENT_MS.  */
 };
 
 struct site_worker
