serve: header and idle timeouts from the settings

Seen: the timeouts of callers of `burdockdale serve` were fixed and could not be set. Change: settings header_timeout_ms and idle_timeout_ms (10 s and 75 s), which limit heads, bodies and idle connections as on the edge daemon. Test: path incomplete_requests with the real binary: 500 half heads, 500 half bodies and 500 idle connections at once, eight times; each gets its 408 or is closed, 20 bookings a wave are served beside them, no half request runs, and the memory does not grow by half a KB for each caller in the last two waves.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -179,6 +179,8 @@
                             settings->http_port, settings->max_connections,
                             &server_ops, daemon))
     goto fail;
+  bd_http_server_set_timeouts (&daemon->server, settings->header_timeout_ms,
+                               settings->idle_timeout_ms);
   start_tickers (daemon);
   bd_log ("started", "data_centre", settings->data_centre, NULL);
   return daemon;
