An older report takes no member out of its group

Cause: reports are ordered by when their probes were sent, which is not the order of the states in them: an instance may refresh its report only now and then, and two daemons probe it. A member that had reported ready and then, by a report of an older state, loading was counted as restarted without weights. In the same way an older "ready" set joined_incarnation back, and a restart after it was not noticed.

Ruled out: the gate. It closes for the moment of an older report and opens by the next one; no invariant of the properties is broken, before or after. Nor does a lagging list change a group: an entry of it holds no membership.

--- a/bench/scaling.c
+++ b/bench/scaling.c
@@ -130,7 +130,7 @@
           bd_name_copy (report.group, group->id);
           report.incarnation = group->incarnation;
         }
-      bd_controller_add_report (controller, name, &report, now_ms);
+      bd_controller_add_report (controller, name, &report, now_ms, now_ms);
     }
 }
 
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -16,6 +16,8 @@
   POISON_RETENTION_MS = 120000,
   PREFIX_HINT_TTL_MS = 60000,
   MAX_PREFIX_HINTS = 100000,
+  /* Assumed maximum age of the state in a report.  */
+  REPORT_LAG_MS = 500,
   /* Time for peers and callers to notice a stop.  */
   STOP_NOTICE_MS = 300,
   /* Largest body of a request on a path that belongs to no service.  The
@@ -104,6 +106,7 @@
   struct bd_controller_limits limits
       = { .dead_after_ms = settings->dead_after_ms,
           .controller_bound_ms = settings->controller_bound_ms,
+          .report_lag_ms = REPORT_LAG_MS,
           .drain_ms = settings->freshness_ms,
           .loads_at_once = settings->loads_at_once,
           .order_retry_ms = 1000,
--- a/src/daemon/daemon_probes.c
+++ b/src/daemon/daemon_probes.c
@@ -129,7 +129,7 @@
     return false;
   record_own_in_flight (daemon, endpoint);
   bd_controller_add_report (&daemon->controller, endpoint->info.name, report,
-                            probed_ms);
+                            probed_ms, bd_daemon_now_ms (daemon));
   return true;
 }
 
--- a/src/groups/controller.c
+++ b/src/groups/controller.c
@@ -114,7 +114,8 @@
 
 void
 bd_controller_add_report (struct bd_controller *controller, const char *name,
-                          const struct bd_report *report, int64_t now_ms)
+                          const struct bd_report *report, int64_t sent_ms,
+                          int64_t now_ms)
 {
   struct bd_instance_state *instance
       = bd_controller_find_instance (controller, name);
@@ -122,10 +123,15 @@
   if (instance == NULL)
     return;
   instance->has_report = true;
-  instance->last_received_ms = now_ms;
+  instance->last_received_ms = sent_ms;
   instance->report = *report;
-  if (report->phase == BD_PHASE_READY && report->incarnation > 0)
-    instance->joined_incarnation = report->incarnation;
+  /* A report can be of an older state than the one before it.  */
+  if (report->phase == BD_PHASE_READY && report->incarnation > 0
+      && report->incarnation >= instance->joined_incarnation)
+    {
+      instance->joined_incarnation = report->incarnation;
+      instance->joined_ms = now_ms;
+    }
 }
 
 static gboolean
--- a/src/groups/controller.h
+++ b/src/groups/controller.h
@@ -29,6 +29,7 @@
 {
   uint32_t dead_after_ms;       /* Time without a report until it is lost.  */
   uint32_t controller_bound_ms; /* How long a confirmation allows orders.  */
+  uint32_t report_lag_ms;       /* How old the state in a report can be.  */
   uint32_t drain_ms;       /* Minimum, so that all daemons learn of it.  */
   uint32_t loads_at_once;  /* Maximum of concurrent weight loads.  */
   uint32_t order_retry_ms; /* Interval until an order is sent again.  */
@@ -46,7 +47,8 @@
   bool has_report;
   int64_t last_received_ms;
   struct bd_report report;
-  int64_t joined_incarnation; /* Last one that it has reported ready in.  */
+  int64_t joined_incarnation; /* Highest one that it has reported ready in. */
+  int64_t joined_ms;          /* When the last such report came in.  */
   int64_t ordered_ms;
   int64_t ordered_sequence;
   /* Service whose weights a free instance should load; empty if none.  */
@@ -146,11 +148,13 @@
 void bd_controller_set_instances (struct bd_controller *controller,
                                   const struct bd_instance_list *list);
 
-/* bd_controller_add_report(): an instance has sent a report at now_ms. Reports
-   of unknown instances are ignored.  */
+/* bd_controller_add_report(): at now_ms, a report of an instance has come in
+   that answers a probe sent at sent_ms.  Reports of unknown instances are
+   ignored.  */
 void bd_controller_add_report (struct bd_controller *controller,
                                const char *name,
-                               const struct bd_report *report, int64_t now_ms);
+                               const struct bd_report *report, int64_t sent_ms,
+                               int64_t now_ms);
 
 /* bd_controller_confirm(): the platform stores this assignment, as returned by
    a call that was sent at sent_ms.  Copies it.  Returns false and ignores it
--- a/src/groups/groups_properties.cc
+++ b/src/groups/groups_properties.cc
@@ -118,6 +118,7 @@
 
     limits.dead_after_ms = 3000;
     limits.controller_bound_ms = 5000;
+    limits.report_lag_ms = REPORT_LAG_MS;
     limits.drain_ms = 2000;
     limits.loads_at_once = 8;
     limits.order_retry_ms = 1000;
@@ -320,6 +321,10 @@
     /* Every service has all of its groups open again.  */
     RC_ASSERT (sim_count_open_groups (scenario.sim, "high") == 2u);
     RC_ASSERT (sim_count_open_groups (scenario.sim, "low") == 1u);
+    /* And none changes without need.  */
+    uint32_t writes = scenario.sim->writes;
+    sim_run (scenario.sim, 10000);
+    RC_ASSERT (scenario.sim->writes == writes);
     if (checks_fence)
       RC_ASSERT (scenario.sim->stale_orders_executed == 0u);
   });
--- a/src/groups/groups_test.c
+++ b/src/groups/groups_test.c
@@ -32,6 +32,7 @@
 
 static struct bd_controller_limits limits = { .dead_after_ms = 3000,
                                               .controller_bound_ms = 5000,
+                                              .report_lag_ms = 500,
                                               .drain_ms = 2000,
                                               .loads_at_once = 8,
                                               .order_retry_ms = 1000,
@@ -509,6 +510,41 @@
   CU_ASSERT_TRUE (bd_report_is_member (&report, "g", 5));
 }
 
+/* A report of an earlier incarnation comes in after the member has joined a
+   later one; then the member restarts, and the group does not go on as it is.
+ */
+static void
+test_restart_after_older_report (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct sim *sim = talloc (ctx, struct sim);
+  struct sim_controller *controller;
+  struct sim_instance *member;
+  struct bd_report older;
+  int64_t incarnation;
+
+  sim_init (sim, ctx, 1);
+  member = sim_add_instance (sim, "u0", "A", "p");
+  sim_add_instance (sim, "u1", "A", "p");
+  sim_add_service (sim, "s", "p", 2, 1, 1);
+  controller = sim_add_controller (sim, "k1", &limits, &bd_repair_by_cost);
+  sim_run (sim, 60000);
+  CU_ASSERT_EQUAL_FATAL (sim_count_open_groups (sim, "s"), 1);
+  incarnation = sim->stored->groups[0].incarnation;
+  older = member->report;
+  older.incarnation--;
+  bd_controller_add_report (&controller->controller, "u0", &older, sim->now_ms,
+                            sim->now_ms);
+  sim_kill_instance (member);
+  sim_revive_instance (member);
+  sim_run (sim, limits.dead_after_ms);
+  CU_ASSERT_TRUE (sim->stored->count == 0
+                  || sim->stored->groups[0].incarnation > incarnation);
+  CU_ASSERT_PTR_NULL (sim->violation);
+  sim_finish (sim);
+  talloc_free (ctx);
+}
+
 static const struct unit_test tests[] = {
   { "an assignment with a shared instance is invalid",
     test_assignment_rejects_shared_instance },
@@ -518,6 +554,7 @@
   { "a report counts only for the instance that made it",
     test_report_of_another_instance },
   { "a report names its instance", test_report_parse },
+  { "an older report hides no restart", test_restart_after_older_report },
   { "traces", test_traces },
 };
 
--- a/src/groups/plan_state.c
+++ b/src/groups/plan_state.c
@@ -82,14 +82,17 @@
 }
 
 /* Whether the member has joined this incarnation of the group and no longer
-   reports it, because it has restarted.  */
+   reports it, because it has restarted.  A report that can be of a state from
+   before the join does not show that.  */
 static bool
-has_lost_membership (const struct bd_group *group,
+has_lost_membership (const struct bd_plan *plan, const struct bd_group *group,
                      const struct bd_instance_state *instance)
 {
   return instance->joined_incarnation == group->incarnation
          && !bd_report_is_member (&instance->report, group->id,
-                                  group->incarnation);
+                                  group->incarnation)
+         && instance->last_received_ms - instance->joined_ms
+                > plan->controller->limits.report_lag_ms;
 }
 
 bool
@@ -97,7 +100,7 @@
                     const struct bd_instance_state *instance)
 {
   return bd_instance_is_lost (plan->controller, instance, plan->now_ms)
-         || (has_lost_membership (group, instance)
+         || (has_lost_membership (plan, group, instance)
              && is_cold (group, instance));
 }
 
@@ -158,7 +161,7 @@
           = bd_plan_member (plan, group, i);
       if (bd_instance_is_lost (plan->controller, instance, plan->now_ms))
         out.lost++;
-      else if (has_lost_membership (group, instance))
+      else if (has_lost_membership (plan, group, instance))
         out.has_restarted = true;
       if (bd_plan_is_missing (plan, group, instance))
         out.missing++;
--- a/tests/fakes/sim.c
+++ b/tests/fakes/sim.c
@@ -478,7 +478,8 @@
   for (uint32_t i = 0; i < sim->instance_count; i++)
     if (probe (sim, &sim->instances[i], &c->received[i]))
       bd_controller_add_report (&c->controller, sim->instances[i].info.name,
-                                &c->received[i].report, sim->now_ms);
+                                &c->received[i].report, sim->now_ms,
+                                sim->now_ms);
 }
 
 /* Whether no reachable controller has a lower name.  */
