A drain counts from when its assignment is known to be stored

What callers saw, in a simulated data centre: a group was changed in the step in which its drain became known, so that a call sent to it by a daemon that had not yet learned of the drain would have been cut. It takes a write of the drain whose reply is late or lost by more than drain_ms, as in an outage of the platform.

Cause: the drain's time was taken when the drain was planned. Daemons learn of it from the stored assignment, which the controller sends out when it knows that the write took effect; drain_ms is the time for them to do so.

Ruled out: a write without effect. The group does not drain in the stored assignment then, and the time is taken anew with the next plan.

Change: planning a drain takes no time; the first plan on a stored assignment in which the group drains does.

--- a/src/groups/controller.h
+++ b/src/groups/controller.h
@@ -108,7 +108,7 @@
   int64_t yields_until_ms;
   GHashTable *instances;      /* Instance name -> struct bd_instance_state.  */
   GHashTable *short_since_ms; /* Group id -> when it first lacked members.  */
-  GHashTable *drain_since_ms; /* Group id -> when its drain started.  */
+  GHashTable *drain_since_ms; /* Group id -> when it was known to drain.  */
   const struct bd_service *const *services;
   uint32_t service_count;
 };
--- a/src/groups/groups_test.c
+++ b/src/groups/groups_test.c
@@ -545,6 +545,37 @@
   talloc_free (ctx);
 }
 
+/* The write of a drain takes effect, but its reply is lost and the platform is
+   down when the controller reads back.  No daemon can learn of the drain
+   before the controller does, so the drain counts from then.  */
+static void
+test_drain_counts_from_confirmation (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct sim *sim = talloc (ctx, struct sim);
+
+  sim_init (sim, ctx, 1);
+  sim_add_instance (sim, "u0", "A", "p");
+  sim_add_instance (sim, "u1", "A", "p");
+  sim_add_service (sim, "s", "p", 2, 1, 1);
+  sim_add_controller (sim, "k1", &limits, &bd_repair_by_cost);
+  sim_run (sim, 60000);
+  bd_name_copy (sim->services[0].version, "2");
+  sim->replies_to_lose = 1;
+  sim_run (sim, sim->step_ms);
+  CU_ASSERT_EQUAL_FATAL (sim->stored->groups[0].drain, BD_DRAIN_VERSION);
+  sim->is_platform_down = true;
+  sim_run (sim, 2 * limits.drain_ms);
+  sim->is_platform_down = false;
+  sim_run (sim, limits.drain_ms - sim->step_ms);
+  CU_ASSERT_EQUAL (sim->stored->groups[0].drain, BD_DRAIN_VERSION);
+  sim_run (sim, limits.drain_ms);
+  CU_ASSERT_EQUAL (sim->stored->groups[0].drain, BD_DRAIN_NONE);
+  CU_ASSERT_STRING_EQUAL (sim->stored->groups[0].version, "2");
+  sim_finish (sim);
+  talloc_free (ctx);
+}
+
 static const struct unit_test tests[] = {
   { "an assignment with a shared instance is invalid",
     test_assignment_rejects_shared_instance },
@@ -555,6 +586,8 @@
     test_report_of_another_instance },
   { "a report names its instance", test_report_parse },
   { "an older report hides no restart", test_restart_after_older_report },
+  { "a drain counts from its confirmation",
+    test_drain_counts_from_confirmation },
   { "traces", test_traces },
 };
 
--- a/src/groups/plan_state.c
+++ b/src/groups/plan_state.c
@@ -197,9 +197,8 @@
                      enum bd_drain drain)
 {
   group->drain = drain;
+  /* The drain counts from the first plan on an assignment that has it.  */
   g_hash_table_remove (plan->controller->drain_since_ms, group->id);
-  bd_plan_elapsed_ms (plan->controller->drain_since_ms, group->id,
-                      plan->now_ms);
   plan->has_changed = true;
 }
 
