An order names its instance

What callers saw, in a simulated data centre: an order for a lost instance that arrived at its address took effect on the instance that had the address by then, although that one is of another pool; it left what it did and joined the lost one's group.

Cause: an order is sent to an address and carried only the fence, which is the same for every instance of a data centre and so does not tell them apart.

Ruled out: the controller's books. It sends no order to an instance that has not reported under its own name within dead_after_ms; what is left is that time, and orders that are delivered late.

Change: an order carries the name of its instance.

--- a/src/daemon/daemon_groups.c
+++ b/src/daemon/daemon_groups.c
@@ -248,11 +248,12 @@
 send_order (struct bd_daemon *daemon, const struct bd_order *order)
 {
   json_t *body = json_pack (
-      "{s:s,s:I,s:I,s:s,s:I,s:s,s:s,s:o}", "action", "load", "fence_term",
-      (json_int_t)order->fence_term, "fence_sequence",
-      (json_int_t)order->fence_sequence, "group", order->group, "incarnation",
-      (json_int_t)order->incarnation, "model", order->model, "version",
-      order->version, "members", member_ports (daemon, order->members));
+      "{s:s,s:s,s:I,s:I,s:s,s:I,s:s,s:s,s:o}", "action", "load", "instance",
+      order->instance, "fence_term", (json_int_t)order->fence_term,
+      "fence_sequence", (json_int_t)order->fence_sequence, "group",
+      order->group, "incarnation", (json_int_t)order->incarnation, "model",
+      order->model, "version", order->version, "members",
+      member_ports (daemon, order->members));
   char *text = json_dumps (body, JSON_COMPACT);
   char *url = talloc_asprintf (daemon, "http://%s:%u/orders", order->address,
                                order->port);
--- a/src/groups/groups_test.c
+++ b/src/groups/groups_test.c
@@ -576,6 +576,34 @@
   talloc_free (ctx);
 }
 
+/* An order for a lost instance is sent to its address, where another instance
+   is by then, of another pool.  */
+static void
+test_order_to_reused_address (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct sim *sim = talloc (ctx, struct sim);
+  struct sim_controller *controller;
+  struct sim_instance *newcomer;
+  struct bd_report report;
+
+  sim_init (sim, ctx, 1);
+  sim_add_instance (sim, "u0", "A", "p");
+  sim_add_instance (sim, "u1", "A", "p");
+  sim_add_service (sim, "s", "p", 2, 1, 1);
+  controller = sim_add_controller (sim, "k1", &limits, &bd_repair_by_cost);
+  sim_run (sim, 60000);
+  sim_delay_orders (sim, controller);
+  CU_ASSERT_EQUAL (controller->delayed_order_count, 2);
+  newcomer = sim_reuse_address (sim, sim_instance (sim, "u0"), "n0", "q");
+  report = newcomer->report;
+  sim_deliver_delayed_orders (sim, controller);
+  CU_ASSERT_EQUAL (memcmp (&report, &newcomer->report, sizeof report), 0);
+  CU_ASSERT_EQUAL (sim->misdirected_orders_rejected, 1);
+  sim_finish (sim);
+  talloc_free (ctx);
+}
+
 static const struct unit_test tests[] = {
   { "an assignment with a shared instance is invalid",
     test_assignment_rejects_shared_instance },
@@ -588,6 +616,7 @@
   { "an older report hides no restart", test_restart_after_older_report },
   { "a drain counts from its confirmation",
     test_drain_counts_from_confirmation },
+  { "an order for another instance is refused", test_order_to_reused_address },
   { "traces", test_traces },
 };
 
--- a/tests/fakes/engine.c
+++ b/tests/fakes/engine.c
@@ -5,7 +5,8 @@
                  [weights=URL]
 
    GET /state                    load report; the load lags by report_lag_ms
-   POST /orders                  load or unload a model, with a fencing token
+   POST /orders                  load or unload a model, with a fencing token;
+                                 refused if it names another instance
    POST /v1/completions, /v1/chat/completions
                                  accepted by the first member of a replica only
    POST /faults {"dead": b, "freeze": b, "token_ms": n, "load_ms": n,
@@ -378,6 +379,13 @@
 
   snprintf (detail, sizeof detail, "%lld.%lld", (long long)term,
             (long long)sequence);
+  if (strcmp (string_of (order, "instance"), e->name) != 0)
+    {
+      record_event (e, "order-for-another", detail);
+      json_decref (order);
+      fake_respond_json (x, 409, json_object ());
+      return;
+    }
   if (is_stale && e->process->checks_fence)
     {
       record_event (e, "order-refused", detail);
--- a/tests/fakes/sim.c
+++ b/tests/fakes/sim.c
@@ -250,6 +250,11 @@
   inst = instance_at (sim, &target);
   if (inst == NULL)
     return;
+  if (strcmp (inst->info.name, order->instance) != 0)
+    {
+      sim->misdirected_orders_rejected++;
+      return;
+    }
   is_stale = order->fence_term < inst->fence_term
              || (order->fence_term == inst->fence_term
                  && order->fence_sequence < inst->fence_sequence);
--- a/tests/fakes/sim.h
+++ b/tests/fakes/sim.h
@@ -119,8 +119,9 @@
   double stranded_ms; /* Accelerator time in groups that cannot serve.  */
   uint32_t stale_orders_rejected;
   uint32_t stale_orders_executed;
-  uint32_t aborted_calls; /* Calls that an order aborted.  */
-  const char *violation;  /* The last violated invariant, or NULL.  */
+  uint32_t misdirected_orders_rejected; /* Those for another instance.  */
+  uint32_t aborted_calls;               /* Calls that an order aborted.  */
+  const char *violation; /* The last violated invariant, or NULL.  */
 };
 
 /* sim_init(): starts an empty simulation whose random values depend on seed
