--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -16,7 +16,7 @@
   POISON_RETENTION_MS = 120000,
   PREFIX_HINT_TTL_MS = 60000,
   MAX_PREFIX_HINTS = 100000,
-  /* Engines refresh their reports at least this often.  */
+  /* Assumed maximum age of the state in a report.  */
   REPORT_LAG_MS = 500,
   /* Time for peers and callers to notice a stop.  */
   STOP_NOTICE_MS = 300,
