--- a/src/groups/groups_test.c
+++ b/src/groups/groups_test.c
@@ -32,6 +32,7 @@
 
 static struct bd_controller_limits limits = { .dead_after_ms = 3000,
                                               .controller_bound_ms = 5000,
+                                              .report_lag_ms = 500,
                                               .drain_ms = 2000,
                                               .loads_at_once = 8,
                                               .order_retry_ms = 1000,
@@ -196,6 +197,8 @@
       instance->is_listed = false;
       sim_add_instance (sim, word (line, 4), domain, pool);
     }
+  else if (strcmp (event, "reuse-address") == 0)
+    sim_reuse_address (sim, instance, word (line, 4), word (line, 5));
   else
     return false;
   return true;
@@ -257,6 +260,10 @@
     sim->services[number (line, 3)].engines_check_fence = true;
   else if (strcmp (event, "replicas") == 0)
     sim->services[number (line, 3)].replicas = number (line, 4);
+  else if (strcmp (event, "list-lag") == 0)
+    sim->list_lag_ms = number (line, 3);
+  else if (strcmp (event, "report-lag") == 0)
+    sim->report_lag_ms = number (line, 3);
   else if (strcmp (event, "ignore-fences") == 0)
     for (uint32_t i = 0; i < sim->instance_count; i++)
       sim->instances[i].checks_fence = false;
@@ -463,12 +470,153 @@
   talloc_free (ctx);
 }
 
+static void
+test_report_of_another_instance (void)
+{
+  struct bd_received_report received = { 0 };
+  struct bd_report own = { .instance = "u0", .phase = BD_PHASE_READY };
+  struct bd_report other = { .instance = "n0", .phase = BD_PHASE_READY };
+  struct bd_report nameless = { .phase = BD_PHASE_READY };
+
+  CU_ASSERT_FALSE (bd_received_report_update (&received, "u0", &other, 1000));
+  CU_ASSERT_FALSE (received.has_report);
+  CU_ASSERT_TRUE (bd_received_report_update (&received, "u0", &own, 2000));
+  CU_ASSERT_TRUE (received.has_report);
+  /* A probe that was sent earlier says nothing of who is there now.  */
+  CU_ASSERT_FALSE (bd_received_report_update (&received, "u0", &other, 1500));
+  CU_ASSERT_TRUE (received.has_report);
+  CU_ASSERT_FALSE (bd_received_report_update (&received, "u0", &other, 3000));
+  CU_ASSERT_FALSE (received.has_report);
+  /* Nor does another prober's earlier report bring the instance back.  */
+  CU_ASSERT_FALSE (bd_received_report_update (&received, "u0", &own, 2500));
+  CU_ASSERT_FALSE (received.has_report);
+  CU_ASSERT_TRUE (bd_received_report_update (&received, "u0", &own, 4000));
+  CU_ASSERT_FALSE (
+      bd_received_report_update (&received, "u0", &nameless, 5000));
+  CU_ASSERT_FALSE (received.has_report);
+}
+
+static void
+test_report_parse (void)
+{
+  static const char body[]
+      = "{\"instance\": \"u0\", \"phase\": \"ready\", \"group\": \"g\", "
+        "\"incarnation\": 5}";
+  struct bd_report report;
+
+  CU_ASSERT_TRUE_FATAL (bd_report_parse (body, sizeof body - 1, &report));
+  CU_ASSERT_TRUE (bd_report_is_from (&report, "u0"));
+  CU_ASSERT_FALSE (bd_report_is_from (&report, "u1"));
+  CU_ASSERT_TRUE (bd_report_is_member (&report, "g", 5));
+}
+
+/* A report of an earlier incarnation comes in after the member has joined a
+   later one; then the member restarts, and the group does not go on as it is.
+ */
+static void
+test_restart_after_older_report (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct sim *sim = talloc (ctx, struct sim);
+  struct sim_controller *controller;
+  struct sim_instance *member;
+  struct bd_report older;
+  int64_t incarnation;
+
+  sim_init (sim, ctx, 1);
+  member = sim_add_instance (sim, "u0", "A", "p");
+  sim_add_instance (sim, "u1", "A", "p");
+  sim_add_service (sim, "s", "p", 2, 1, 1);
+  controller = sim_add_controller (sim, "k1", &limits, &bd_repair_by_cost);
+  sim_run (sim, 60000);
+  CU_ASSERT_EQUAL_FATAL (sim_count_open_groups (sim, "s"), 1);
+  incarnation = sim->stored->groups[0].incarnation;
+  older = member->report;
+  older.incarnation--;
+  bd_controller_add_report (&controller->controller, "u0", &older, sim->now_ms,
+                            sim->now_ms);
+  sim_kill_instance (member);
+  sim_revive_instance (member);
+  sim_run (sim, limits.dead_after_ms);
+  CU_ASSERT_TRUE (sim->stored->count == 0
+                  || sim->stored->groups[0].incarnation > incarnation);
+  CU_ASSERT_PTR_NULL (sim->violation);
+  sim_finish (sim);
+  talloc_free (ctx);
+}
+
+/* The write of a drain takes effect, but its reply is lost and the platform is
+   down when the controller reads back.  No daemon can learn of the drain
+   before the controller does, so the drain counts from then.  */
+static void
+test_drain_counts_from_confirmation (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct sim *sim = talloc (ctx, struct sim);
+
+  sim_init (sim, ctx, 1);
+  sim_add_instance (sim, "u0", "A", "p");
+  sim_add_instance (sim, "u1", "A", "p");
+  sim_add_service (sim, "s", "p", 2, 1, 1);
+  sim_add_controller (sim, "k1", &limits, &bd_repair_by_cost);
+  sim_run (sim, 60000);
+  bd_name_copy (sim->services[0].version, "2");
+  sim->replies_to_lose = 1;
+  sim_run (sim, sim->step_ms);
+  CU_ASSERT_EQUAL_FATAL (sim->stored->groups[0].drain, BD_DRAIN_VERSION);
+  sim->is_platform_down = true;
+  sim_run (sim, 2 * limits.drain_ms);
+  sim->is_platform_down = false;
+  sim_run (sim, limits.drain_ms - sim->step_ms);
+  CU_ASSERT_EQUAL (sim->stored->groups[0].drain, BD_DRAIN_VERSION);
+  sim_run (sim, limits.drain_ms);
+  CU_ASSERT_EQUAL (sim->stored->groups[0].drain, BD_DRAIN_NONE);
+  CU_ASSERT_STRING_EQUAL (sim->stored->groups[0].version, "2");
+  sim_finish (sim);
+  talloc_free (ctx);
+}
+
+/* An order for a lost instance is sent to its address, where another instance
+   is by then, of another pool.  */
+static void
+test_order_to_reused_address (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct sim *sim = talloc (ctx, struct sim);
+  struct sim_controller *controller;
+  struct sim_instance *newcomer;
+  struct bd_report report;
+
+  sim_init (sim, ctx, 1);
+  sim_add_instance (sim, "u0", "A", "p");
+  sim_add_instance (sim, "u1", "A", "p");
+  sim_add_service (sim, "s", "p", 2, 1, 1);
+  controller = sim_add_controller (sim, "k1", &limits, &bd_repair_by_cost);
+  sim_run (sim, 60000);
+  sim_delay_orders (sim, controller);
+  CU_ASSERT_EQUAL (controller->delayed_order_count, 2);
+  newcomer = sim_reuse_address (sim, sim_instance (sim, "u0"), "n0", "q");
+  report = newcomer->report;
+  sim_deliver_delayed_orders (sim, controller);
+  CU_ASSERT_EQUAL (memcmp (&report, &newcomer->report, sizeof report), 0);
+  CU_ASSERT_EQUAL (sim->misdirected_orders_rejected, 1);
+  sim_finish (sim);
+  talloc_free (ctx);
+}
+
 static const struct unit_test tests[] = {
   { "an assignment with a shared instance is invalid",
     test_assignment_rejects_shared_instance },
   { "an assignment survives a JSON round trip",
     test_assignment_json_round_trip },
   { "gate states", test_gate },
+  { "a report counts only for the instance that made it",
+    test_report_of_another_instance },
+  { "a report names its instance", test_report_parse },
+  { "an older report hides no restart", test_restart_after_older_report },
+  { "a drain counts from its confirmation",
+    test_drain_counts_from_confirmation },
+  { "an order for another instance is refused", test_order_to_reused_address },
   { "traces", test_traces },
 };
 
--- a/src/store/client.c
+++ b/src/store/client.c
@@ -9,7 +9,10 @@
 {
   DEFAULT_CALL_TIMEOUT_MS = 1000,
   /* Burst that the rate limits allow, in seconds of the rate.  */
-  BURST_S = 1
+  BURST_S = 1,
+  /* Wait of a watch that probes a store which may be down: all other calls
+     wait for its reply.  */
+  PROBE_WAIT_MS = 1
 };
 
 struct bd_store_call
@@ -223,14 +226,29 @@
   dispatch (p);
 }
 
+/* Takes what the call needs to be sent.  The breaker is asked last, since it
+   counts a call that it allows as its probe.  */
 static bool
-take_token (struct bd_store *p, const struct bd_store_call *call,
-            int64_t now_ms)
+take_permission (struct bd_store *p, const struct bd_store_call *call,
+                 int64_t now_ms)
 {
   struct bd_bucket *bucket
       = call->kind == BD_OBJECT_WRITE ? &p->writes : &p->reads;
 
-  return bd_bucket_take (bucket, now_ms);
+  return now_ms >= call->not_before_ms
+         && bd_bucket_wait_ms (bucket, now_ms) == 0
+         && bd_breaker_allows (&p->breaker, now_ms)
+         && bd_bucket_take (bucket, now_ms);
+}
+
+static uint32_t
+attempt_timeout_ms (const struct bd_store_call *call)
+{
+  const struct bd_store *p = call->store;
+
+  if (call->kind != BD_OBJECT_WATCH)
+    return p->call_timeout_ms;
+  return bd_breaker_is_closed (&p->breaker) ? call->wait_ms : PROBE_WAIT_MS;
 }
 
 static void
@@ -243,8 +261,7 @@
           .value = call->value,
           .version
           = call->is_update ? call->update.expected_version : call->since,
-          .timeout_ms
-          = call->kind == BD_OBJECT_WATCH ? call->wait_ms : p->call_timeout_ms,
+          .timeout_ms = attempt_timeout_ms (call),
           .allows_stale = call->allows_stale };
 
   call->sent_ms = now_ms;
@@ -302,9 +319,7 @@
           /* The callback can change the queue, so stop the iteration.  */
           return true;
         }
-      if (now_ms >= call->not_before_ms
-          && bd_breaker_allows (&p->breaker, now_ms)
-          && take_token (p, call, now_ms))
+      if (take_permission (p, call, now_ms))
         start_call (unlink_call (p, priority, previous, call), now_ms);
       else
         previous = call;
--- a/tests/fakes/engine.c
+++ b/tests/fakes/engine.c
@@ -5,12 +5,13 @@
                  [weights=URL]
 
    GET /state                    load report; the load lags by report_lag_ms
-   POST /orders                  load or unload a model, with a fencing token
+   POST /orders                  load or unload a model, with a fencing token;
+                                 refused if it names another instance
    POST /v1/completions, /v1/chat/completions
                                  accepted by the first member of a replica only
    POST /faults {"dead": b, "freeze": b, "token_ms": n, "load_ms": n,
                  "crash_on": "text", "break_after": n, "wrong_id": n,
-                 "wrong_incarnation": n, "cut_whole": n}
+                 "wrong_incarnation": n, "cut_whole": n, "name": "text"}
    GET /record                   events of this process, in order
 
    "crash_on" crashes the engine on a request whose body contains the text.
@@ -19,6 +20,8 @@
    "wrong_incarnation" and "cut_whole" apply to the next n responses: another
    attempt id, the previous incarnation, half of a complete body.
 
+   "name" puts another instance in place of the engine, at its address.
+
    A replica that loses a member aborts its streams and responses.  A
    completion that arrives while a member is missing is refused, and recorded
    as "asked-while-incomplete".  */
@@ -376,6 +379,13 @@
 
   snprintf (detail, sizeof detail, "%lld.%lld", (long long)term,
             (long long)sequence);
+  if (strcmp (string_of (order, "instance"), e->name) != 0)
+    {
+      record_event (e, "order-for-another", detail);
+      json_decref (order);
+      fake_respond_json (x, 409, json_object ());
+      return;
+    }
   if (is_stale && e->process->checks_fence)
     {
       record_event (e, "order-refused", detail);
@@ -676,6 +686,17 @@
                    finish_completion, g);
 }
 
+/* Replaces the engine by an instance of another name.  */
+static void
+replace_engine (struct engine *e, const char *name)
+{
+  crash (e);
+  bd_name_copy (e->name, name);
+  e->model[0] = '\0';
+  e->version[0] = '\0';
+  e->is_dead = false;
+}
+
 static void
 set_faults (struct engine *e, struct bd_http_exchange *x)
 {
@@ -704,6 +725,8 @@
         e->wrong_incarnations_to_send = (uint32_t)json_integer_value (value);
       else if (strcmp (name, "cut_whole") == 0)
         e->responses_to_truncate = (uint32_t)json_integer_value (value);
+      else if (strcmp (name, "name") == 0)
+        replace_engine (e, json_string_value (value));
       else if (strcmp (name, "crash_on") == 0)
         e->crash_on = talloc_strdup (e->process, json_string_value (value));
     }
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -18,6 +18,7 @@
   EVENT_INTERVAL_MS = 15,
   STREAM_EVENTS = 12,
   STALL_AFTER_EVENTS = 3,
+  MAX_STORE_CONNECTIONS = 256,
   STORE_PORT = SITE_BASE_PORT,
   EDGE_PORT = SITE_BASE_PORT + 1,
   READY_PORT = SITE_BASE_PORT + 2,
@@ -239,10 +240,14 @@
   char kind[BD_NAME_SIZE] = "";
   char name[BD_NAME_SIZE] = "";
   const char *since = bd_http_query (x, "Watch");
+  const char *objects = strstr (x->path, "/objects/");
 
+  if (objects != NULL)
+    sscanf (objects, "/objects/%63[^/]/%63[^/]", kind, name);
+  if (site->on_store_call != NULL && strcmp (x->method, "GET") == 0)
+    site->on_store_call (x->path, kind);
   if (site->store_mode == STORE_UNRESPONSIVE)
     return;
-  sscanf (x->path, "/objects/%63[^/]/%63[^/]", kind, name);
   if (site->store_mode == STORE_DOWN || kind[0] == '\0')
     respond_from_store (site, x, 503, json_object ());
   else if (strcmp (x->method, "GET") != 0)
@@ -589,7 +594,8 @@
   struct site *site = stream->worker->site;
   char text[256];
   bool is_stalled = stream->worker->mode == WORKER_UNRESPONSIVE
-                    || (stream->worker->mode == WORKER_STALLING
+                    || ((stream->worker->mode == WORKER_STALLING
+                         || stream->worker->mode == WORKER_TRICKLING)
                         && stream->next_event > STALL_AFTER_EVENTS);
 
   if (stream->start_count != stream->worker->start_count)
@@ -610,7 +616,12 @@
       stream->next_event++;
       bd_http_stream_write (stream->exchange, text, strlen (text));
     }
-  bd_timer_add (site->events, stream, EVENT_INTERVAL_MS, write_event, stream);
+  else if (stream->worker->mode == WORKER_TRICKLING)
+    bd_http_stream_write (stream->exchange, "i", 1);
+  bd_timer_add (site->events, stream,
+                stream->worker->mode == WORKER_SLOW ? SITE_SLOW_EVENT_MS
+                                                    : EVENT_INTERVAL_MS,
+                write_event, stream);
 }
 
 static void
@@ -897,7 +908,7 @@
     .platform_url = "http://127.0.0.1:25100",
     .is_first_start = true,
     .heartbeat_ms = 300,
-    .max_descriptors = 256,
+    .max_descriptors = 4096,
     .reads_per_s = 200,
     .writes_per_s = 100,
     .bounds = { .config_apply_ms = 2000,
@@ -922,8 +933,8 @@
   site->revision = 1;
   site->era = 1;
   site->daemon_port = EDGE_PORT;
-  bd_http_server_init (&site->store, site->events, "127.0.0.1", STORE_PORT, 64,
-                       &store_ops, site);
+  bd_http_server_init (&site->store, site->events, "127.0.0.1", STORE_PORT,
+                       MAX_STORE_CONNECTIONS, &store_ops, site);
   for (uint32_t i = 0; i < plain; i++)
     add_worker (site, "plain", "");
   for (uint32_t i = 0; i < pool; i++)
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -22,7 +22,8 @@
 {
   SITE_MAX_WORKERS = 12,
   SITE_MAX_SEEN = 256,
-  SITE_BASE_PORT = 25100
+  SITE_BASE_PORT = 25100,
+  SITE_SLOW_EVENT_MS = 190
 };
 
 enum store_mode
@@ -41,7 +42,9 @@
   WORKER_RESETTING,    /* Runs a request, then closes the connection.  */
   WORKER_WRONG_ID,     /* Responds with another request's id.  */
   WORKER_FULL,         /* Responds 503 without running the request.  */
-  WORKER_FAILING       /* Runs the request and responds 500.  */
+  WORKER_FAILING,      /* Runs the request and responds 500.  */
+  WORKER_TRICKLING,    /* Streams send single bytes after three events.  */
+  WORKER_SLOW          /* Streams send an event every SITE_SLOW_EVENT_MS.  */
 };
 
 struct site_worker
@@ -81,6 +84,11 @@
 typedef void site_run_handler (struct site_worker *worker, const char *path,
                                const char *account);
 
+/* Called for each read and watch of the store.  path begins with the path of
+   the caller's platform_url, if that has one, by which several daemons can be
+   told apart; kind is "config" or "servers", for example.  */
+typedef void site_store_handler (const char *path, const char *kind);
+
 struct site
 {
   struct tevent_context *events;
@@ -102,6 +110,7 @@
   uint32_t daemon_port; /* Where site_call() sends requests.  */
   bool echoes_path;     /* Responses and events contain the path.  */
   site_run_handler *on_run;
+  site_store_handler *on_store_call;
   uint32_t partial_runs; /* Runs in groups of which a member was
                             never ready.  */
   uint32_t stolen_joins; /* Joins of members of an open group.  */
