--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -154,6 +154,8 @@
 {
   const struct bd_membership_view *known = &endpoint->entry.member;
   struct bd_confirmed_state *confirmed = &endpoint->confirmed;
+  bool has_higher_epoch
+      = listed->state != BD_MEMBER_NONE && listed->epoch > known->epoch;
 
   if (listed->state == known->state
       && (listed->state == BD_MEMBER_NONE || is_same_member (listed, known)))
@@ -161,20 +163,17 @@
       confirmed->contradicted_ms = 0;
       return;
     }
-  if (listed->state != BD_MEMBER_NONE && listed->epoch > known->epoch)
-    confirmed->is_current = false;
-  else if (confirmed->is_current
-           && !(is_in_same_group (listed, known)
-                && listed->state > known->state))
+  if (!has_higher_epoch && confirmed->is_current
+      && !(is_in_same_group (listed, known) && listed->state > known->state))
     {
       if (confirmed->contradicted_ms == 0)
         confirmed->contradicted_ms = now_ms;
       return;
     }
-  else if (!confirmed->is_current && listed->state != BD_MEMBER_NONE
-           && listed->epoch < known->epoch)
+  if (!confirmed->is_current && listed->state != BD_MEMBER_NONE
+      && listed->epoch < known->epoch)
     return;
-  else if (!is_reached_without_order (endpoint, listed->state))
+  if (has_higher_epoch || !is_reached_without_order (endpoint, listed->state))
     confirmed->is_current = false;
   confirmed->contradicted_ms = 0;
   set_membership (endpoint, listed, now_ms);
