--- a/src/edge/edge_test.c
+++ b/src/edge/edge_test.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/timer.h"
+#include "platform/platform.h"
 #include "tests/fakes/site.h"
 #include "tests/quiet.h"
 #include "tests/unit.h"
@@ -616,13 +617,18 @@
 open_callers (void)
 {
   static const char half_head[] = "POST /safe/x HTTP/1.1\r\nHost: h.exam";
-  static const char half_body[]
-      = "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: half\r\n"
-        "Authorization: Bearer k1\r\nContent-Length: 9999\r\n\r\nabc";
-  static const char request[]
-      = "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: idle\r\n"
-        "Authorization: Bearer no\r\n\r\n";
-
+  const char *id_name = bd_platform_adapter.headers->attempt_id;
+  char half_body[256];
+  char request[256];
+
+  snprintf (half_body, sizeof half_body,
+            "POST /safe/x HTTP/1.1\r\nHost: h.example\r\n%s: half\r\n"
+            "Authorization: Bearer k1\r\nContent-Length: 9999\r\n\r\nabc",
+            id_name);
+  snprintf (request, sizeof request,
+            "GET /safe/x HTTP/1.1\r\nHost: h.example\r\n%s: idle\r\n"
+            "Authorization: Bearer no\r\n\r\n",
+            id_name);
   memset (callers, 0, sizeof callers);
   for (uint32_t i = 0; i < CALLERS; i++)
     {
