--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -20,6 +20,10 @@
   X (ATTEMPTS, "attempts_total", "attempts sent to endpoints")                \
   X (RETRIES, "retries_total", "attempts after the first of a call")          \
   X (RESUMES, "resumes_total", "streams resumed on another replica")          \
+  X (ATTEMPTS_NOT_SENT, "attempts_not_sent_total",                            \
+     "attempts that failed before anything was sent")                         \
+  X (ATTEMPTS_BROKEN, "attempts_broken_total",                                \
+     "attempts that failed after the request was sent")                       \
   X (WRONG_ATTEMPT_ID, "crossed_answers_total",                               \
      "answers with a foreign attempt id")                                     \
   X (WRONG_INCARNATION, "wrong_incarnation_total",                            \
@@ -29,6 +33,10 @@
   X (RATE_LIMITED, "rate_limited_total", "calls over an account's limit")     \
   X (SHED, "shed_total", "calls refused because of backlog")                  \
   X (POISON_REFUSED, "suspects_refused_total", "suspect requests refused")    \
+  X (POISON_CRASHES, "suspect_crashes_total",                                 \
+     "crashes recorded for suspect requests, those that peers saw included")  \
+  X (POISON_CLEARED, "suspects_cleared_total",                                \
+     "suspect requests that have finished, at peers included")                \
   X (CLAIMS, "claims_total", "claims committed")                              \
   X (CLAIM_REPLAYS, "claim_replays_total", "resends answered from a claim")   \
   X (CLAIM_WRITES, "claim_writes_total", "conditional updates for claims")    \
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -175,6 +175,31 @@
   return can_write;
 }
 
+bool
+bd_edge_record_crash (struct bd_edge *edge,
+                      const struct bd_poison_update *update, const char *id)
+{
+  if (!bd_poison_record_crash (&edge->poison_requests, update->fingerprint,
+                               update->target, bd_edge_now_ms (edge)))
+    return false;
+  bd_count (&edge->counters, BD_COUNT_POISON_CRASHES);
+  bd_log ("suspect-crash", "id", id, "request", BD_NUM (update->fingerprint),
+          "target", BD_NUM (update->target), NULL);
+  return true;
+}
+
+bool
+bd_edge_clear_suspect (struct bd_edge *edge,
+                       const struct bd_poison_update *update, const char *id)
+{
+  if (!bd_poison_clear (&edge->poison_requests, update->fingerprint))
+    return false;
+  bd_count (&edge->counters, BD_COUNT_POISON_CLEARED);
+  bd_log ("suspect-cleared", "id", id, "request", BD_NUM (update->fingerprint),
+          NULL);
+  return true;
+}
+
 /* Records, here and in all other daemons, that the request may have crashed
    its endpoint: it was running when the endpoint broke the connection.  */
 static void
@@ -188,9 +213,9 @@
                 ? request->group
                 : bd_hash (request->endpoint, strlen (request->endpoint)) };
 
-  if (bd_poison_record_crash (&edge->poison_requests, update.fingerprint,
-                              update.target, bd_edge_now_ms (edge)))
-    bd_edge_broadcast (edge, BD_MESSAGE_POISON, &update, &update.stage);
+  if (!bd_edge_record_crash (edge, &update, request->attempt_id))
+    return;
+  bd_edge_broadcast (edge, BD_MESSAGE_POISON, &update, &update.stage);
 }
 
 static void
@@ -199,7 +224,7 @@
   struct bd_poison_update update
       = { .fingerprint = request->fingerprint, .is_cleared = true };
 
-  if (bd_poison_clear (&request->edge->poison_requests, request->fingerprint))
+  if (bd_edge_clear_suspect (request->edge, &update, request->attempt_id))
     bd_edge_broadcast (request->edge, BD_MESSAGE_POISON, &update,
                        &update.stage);
 }
@@ -227,6 +252,10 @@
 
   if (failure == BD_FAILURE_MISMATCHED)
     bd_count (&edge->counters, BD_COUNT_WRONG_ATTEMPT_ID);
+  if (failure == BD_FAILURE_NOT_SENT)
+    bd_count (&edge->counters, BD_COUNT_ATTEMPTS_NOT_SENT);
+  if (failure == BD_FAILURE_BROKEN)
+    bd_count (&edge->counters, BD_COUNT_ATTEMPTS_BROKEN);
   if (is_crash)
     record_possible_crash (request);
   if (failure == BD_FAILURE_REFUSED || failure == BD_FAILURE_MISMATCHED
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -368,6 +368,16 @@
 void bd_edge_start_attempt (struct bd_edge_request *request,
                             const struct bd_edge_target *target);
 
+/* bd_edge_record_crash(), bd_edge_clear_suspect(): apply an update on a
+   suspect request.  id is that of the request, empty if a peer sent the
+   update.  Return whether it is new.  */
+bool bd_edge_record_crash (struct bd_edge *edge,
+                           const struct bd_poison_update *update,
+                           const char *id);
+bool bd_edge_clear_suspect (struct bd_edge *edge,
+                            const struct bd_poison_update *update,
+                            const char *id);
+
 /* bd_edge_fail_attempt(): cancels the attempt and handles it as failed.  */
 void bd_edge_fail_attempt (struct bd_edge_request *request,
                            enum bd_failure failure);
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -483,11 +483,8 @@
 receive_poison_update (struct bd_edge *edge,
                        const struct bd_poison_update *update)
 {
-  return update->is_cleared
-             ? bd_poison_clear (&edge->poison_requests, update->fingerprint)
-             : bd_poison_record_crash (&edge->poison_requests,
-                                       update->fingerprint, update->target,
-                                       bd_edge_now_ms (edge));
+  return update->is_cleared ? bd_edge_clear_suspect (edge, update, "")
+                            : bd_edge_record_crash (edge, update, "");
 }
 
 /* Passes a message for all daemons on if it is news here.  */
