--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -1,7 +1,8 @@
 /* Tests on sockets that the server rejects requests with ambiguous framing,
    ends requests that are not completed in time and connections that are idle,
    and shares its port with no other server, and that the client
-   does not resend a request sent with is_sent_once.  */
+   does not resend a request sent with is_sent_once and reports a request as
+   sent when its server ends.  */
 
 #include "base/timer.h"
 #include "http/client.h"
@@ -20,6 +21,7 @@
   SERVER_PORT = 25090,
   RAW_PORT = 25091,
   SECOND_PORT = 25093,
+  CRASHING_PORT = 25094,
   LIMIT_MS = 5000,
   SHORT_MS = 300
 };
@@ -387,6 +389,7 @@
   struct tevent_fd *event;
   int listen_fd;
   uint32_t request_count;
+  bool is_crashing; /* Stops listening with the second request.  */
 };
 
 struct raw_connection
@@ -403,6 +406,13 @@
   return 0;
 }
 
+static void
+stop_listening (struct raw_server *raw)
+{
+  TALLOC_FREE (raw->event);
+  close (raw->listen_fd);
+}
+
 static void
 handle_raw (struct tevent_context *ev, struct tevent_fd *fd, uint16_t flags,
             void *ctx)
@@ -423,7 +433,11 @@
     }
   c->raw->request_count++;
   if (c->requests++ > 0)
-    talloc_free (c);
+    {
+      if (c->raw->is_crashing)
+        stop_listening (c->raw);
+      talloc_free (c);
+    }
   else
     CU_ASSERT_TRUE (send (c->fd, response, sizeof response - 1, MSG_NOSIGNAL)
                     > 0);
@@ -533,6 +547,47 @@
   bd_http_client_finish (&client);
 }
 
+/* libcurl connects again when a kept-alive connection ends without a response;
+   that the server refuses the new one doesn't mean that nothing was sent.  */
+static void
+check_server_crash (bool is_sent_once)
+{
+  struct raw_server raw = { .is_crashing = true };
+  struct bd_http_client client;
+  struct outcome outcome;
+
+  start_listening (&raw, CRASHING_PORT, handle_raw_listen, &raw);
+  bd_http_client_init (&client, events, 4);
+  CU_ASSERT_TRUE (
+      post_to (&client, "http://127.0.0.1:25094/", is_sent_once).is_complete);
+  outcome = post_to (&client, "http://127.0.0.1:25094/", is_sent_once);
+  CU_ASSERT_EQUAL (raw.request_count, 2);
+  CU_ASSERT_FALSE (outcome.is_complete);
+  CU_ASSERT_TRUE (outcome.was_sent);
+  bd_http_client_finish (&client);
+}
+
+static void
+test_server_crashes_on_kept_connection (void)
+{
+  check_server_crash (true);
+  check_server_crash (false);
+}
+
+/* Nothing is sent to a server that refuses the connection.  */
+static void
+test_refused_connection (void)
+{
+  struct bd_http_client client;
+  struct outcome outcome;
+
+  bd_http_client_init (&client, events, 4);
+  outcome = post_to (&client, "http://127.0.0.1:25094/", true);
+  CU_ASSERT_FALSE (outcome.is_complete);
+  CU_ASSERT_FALSE (outcome.was_sent);
+  bd_http_client_finish (&client);
+}
+
 enum
 {
   /* Far more than any bound that the client may have, and so little that the
@@ -662,6 +717,9 @@
           { "port is reused", test_port_is_reused },
           { "stop listening", test_stop_listening },
           { "sent once", test_sent_once },
+          { "server crashes on a kept connection",
+            test_server_crashes_on_kept_connection },
+          { "refused connection", test_refused_connection },
           { "endless responses", test_endless_responses } };
   int code;
 
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -675,7 +675,9 @@
                      : worker->site->echoes_path     ? x->path
                                                      : worker->id;
 
-  if (worker->mode == WORKER_RESETTING)
+  if (worker->mode == WORKER_CRASHING)
+    bd_http_server_stop_listening (&worker->server);
+  if (worker->mode == WORKER_RESETTING || worker->mode == WORKER_CRASHING)
     bd_http_abort (x);
   else
     bd_http_respond (x, worker->mode == WORKER_FAILING ? 500 : 200, headers,
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -40,11 +40,12 @@
   WORKER_UNRESPONSIVE, /* Accepts requests and never replies.  */
   WORKER_STALLING,     /* Streams stall after three events.  */
   WORKER_RESETTING,    /* Runs a request, then closes the connection.  */
-  WORKER_WRONG_ID,     /* Responds with another request's id.  */
-  WORKER_FULL,         /* Responds 503 without running the request.  */
-  WORKER_FAILING,      /* Runs the request and responds 500.  */
-  WORKER_TRICKLING,    /* Streams send single bytes after three events.  */
-  WORKER_SLOW          /* Streams send an event every SITE_SLOW_EVENT_MS.  */
+  WORKER_CRASHING,  /* As before, and accepts no connections from then on. */
+  WORKER_WRONG_ID,  /* Responds with another request's id.  */
+  WORKER_FULL,      /* Responds 503 without running the request.  */
+  WORKER_FAILING,   /* Runs the request and responds 500.  */
+  WORKER_TRICKLING, /* Streams send single bytes after three events.  */
+  WORKER_SLOW       /* Streams send an event every SITE_SLOW_EVENT_MS.  */
 };
 
 struct site_worker
