http: a request is sent once libcurl has begun to send it

What callers saw: repeats of one request that crashes endpoints were sent on; on the users' record a sixth to ninth endpoint crashed and the caller got 502. Cause: when a kept connection ends without a byte of a response, libcurl connects again to send the request anew. The endpoint has crashed and refuses that, and the result has the code of the second connection: couldn't connect. The client then reported that nothing had been sent. So the crash was not recorded, the run was not counted against the route's attempts, and the request went at once to the next endpoint, which it crashed too. In `serve` the caller could be told that a request had not run, too, for the same reason. Change: was_sent is what libcurl's callback before sending says, for all calls.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -33,6 +33,7 @@
   size_t body_capacity;
   size_t head_size;
   bool has_head;
+  bool is_sent_once;
   bool was_started; /* A connection has been assigned to it once.  */
   bool is_paused;
   bool is_cancelled;
@@ -76,18 +77,6 @@
   talloc_free (call);
 }
 
-/* Whether any byte of the request may have been sent.  */
-static bool
-was_request_sent (const struct bd_http_call *call, CURLcode code)
-{
-  long request_bytes = 0;
-
-  if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST)
-    return false;
-  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
-  return request_bytes > 0;
-}
-
 static void
 finish_call (struct bd_http_call *call, CURLcode code)
 {
@@ -96,7 +85,9 @@
 
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
   result.is_complete = code == CURLE_OK;
-  result.was_sent = was_request_sent (call, code);
+  /* The code of the result says nothing of it: it may be that of a second
+     connection.  */
+  result.was_sent = call->was_started;
   result.has_timed_out = code == CURLE_OPERATION_TIMEDOUT;
   result.status = (uint32_t)status;
   result.body = call->body != NULL ? call->body : "";
@@ -435,7 +426,7 @@
   (void)local_ip;
   (void)peer_port;
   (void)local_port;
-  if (call->was_started)
+  if (call->was_started && call->is_sent_once)
     return CURL_PREREQFUNC_ABORT;
   call->was_started = true;
   return CURL_PREREQFUNC_OK;
@@ -473,11 +464,9 @@
     curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
   if (request->target != NULL)
     curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, request->target);
-  if (request->is_sent_once)
-    {
-      curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, handle_prerequest);
-      curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
-    }
+  call->is_sent_once = request->is_sent_once;
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, handle_prerequest);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
   set_method (call, request);
   set_headers (call, request->headers);
 }
