edge: failing tests: other ways in which crashes of one request do not count

Members of the class of the first matter, each with the daemon's present code: a crash within the millisecond of the sending, an endpoint that starts again under its id, another query on the same path, a daemon that starts after the crashes, and requests that were admitted before the crashes were known.

--- a/src/edge/edge_crashes_test.c
+++ b/src/edge/edge_crashes_test.c
@@ -1,10 +1,12 @@
 /* Checks how many workers the edge daemon lets a request crash.  The users'
    platform is faked, in one process with the daemon.  */
 
+#include "platform/platform.h"
 #include "tests/fakes/site.h"
 #include "tests/quiet.h"
 #include "tests/unit.h"
 
+#include <stdio.h>
 #include <talloc.h>
 
 enum
@@ -13,7 +15,12 @@
   /* The users allow three crashes, and three more requests after them.  */
   MAX_CRASHES = 3,
   REPEATS = 8,
-  MAX_WARM_CALLS = 100
+  MAX_WARM_CALLS = 100,
+  /* Until a crash and the endpoint's new start are known.  */
+  SETTLE_MS = 400,
+  CRASH_DELAY_MS = 20,
+  SECOND_PORT = 25180,
+  WAITING = 40
 };
 
 static struct site site;
@@ -79,12 +86,128 @@
   site_finish (&site);
 }
 
+/* Starts plain workers that crash when they run a path with "crash" in it.  */
+static void
+start_crashing_site (uint32_t workers)
+{
+  site_start (&site, workers, 0);
+  CU_ASSERT_TRUE (site_run (&site, site_is_ready, 5000));
+  site.crashing_text = "crash";
+  site.crash_delay_ms = CRASH_DELAY_MS;
+}
+
+static void
+send_crashing (const char *target)
+{
+  talloc_free (site_call (&site, "GET", target, "k1", NULL));
+  site_wait (&site, SETTLE_MS);
+}
+
+static void
+test_request_crashes_workers_at_once (void)
+{
+  start_crashing_site (PLAIN_WORKERS);
+  site.crash_delay_ms = 0;
+  for (uint32_t i = 0; i < REPEATS; i++)
+    send_crashing ("/safe/crash");
+  CU_ASSERT_TRUE (site.crash_count <= MAX_CRASHES);
+  site_finish (&site);
+}
+
+static void
+test_request_crashes_one_worker_again_and_again (void)
+{
+  start_crashing_site (1);
+  for (uint32_t i = 0; i < REPEATS; i++)
+    send_crashing ("/safe/crash");
+  CU_ASSERT_TRUE (site.crash_count <= MAX_CRASHES);
+  site_finish (&site);
+}
+
+static void
+test_request_with_another_query_crashes_workers (void)
+{
+  start_crashing_site (PLAIN_WORKERS);
+  for (uint32_t i = 0; i < REPEATS; i++)
+    {
+      char target[64];
+
+      snprintf (target, sizeof target, "/safe/crash?n=%u", i);
+      send_crashing (target);
+    }
+  CU_ASSERT_TRUE (site.crash_count <= 2 * MAX_CRASHES);
+  /* A query that does not crash workers is served.  */
+  site.crashing_text = "never";
+  CU_ASSERT_TRUE (is_served ());
+  site_finish (&site);
+}
+
+/* A daemon that starts after the crashes.  */
+static void
+test_request_crashes_workers_at_a_new_daemon (void)
+{
+  struct bd_edge_settings settings;
+  struct bd_edge *second;
+  uint32_t before;
+
+  start_crashing_site (PLAIN_WORKERS);
+  for (uint32_t i = 0; i < REPEATS; i++)
+    send_crashing ("/safe/crash");
+  settings = site.settings;
+  bd_name_copy (settings.name, "edge-2");
+  settings.http_port = SECOND_PORT;
+  settings.ready_port = SECOND_PORT + 1;
+  settings.peer_port = SECOND_PORT + 2;
+  settings.metrics_port = SECOND_PORT + 3;
+  second = bd_edge_start (site.events, site.events, &settings,
+                          &bd_platform_adapter);
+  site_wait (&site, 3000);
+  before = site.crash_count;
+  site.daemon_port = SECOND_PORT;
+  CU_ASSERT_TRUE (is_served ());
+  for (uint32_t i = 0; i < REPEATS; i++)
+    send_crashing ("/safe/crash");
+  CU_ASSERT_EQUAL (site.crash_count, before);
+  bd_edge_finish (second);
+  site_finish (&site);
+}
+
+/* Requests that wait for an endpoint are sent a few at a time.  */
+static void
+test_request_crashes_workers_after_waiting (void)
+{
+  struct site_call *calls[WAITING];
+
+  start_crashing_site (1);
+  set_modes (WORKER_FULL);
+  for (uint32_t i = 0; i < WAITING; i++)
+    calls[i] = site_start_call (&site, "GET", "/safe/crash", "k1", NULL);
+  site_wait (&site, CRASH_DELAY_MS);
+  set_modes (WORKER_HEALTHY);
+  for (uint32_t i = 0; i < WAITING; i++)
+    while (!calls[i]->is_done)
+      tevent_loop_once (site.events);
+  CU_ASSERT_TRUE (site.crash_count > 0);
+  CU_ASSERT_TRUE (site.crash_count <= MAX_CRASHES);
+  site_finish (&site);
+}
+
 int
 main (void)
 {
   static const struct unit_test tests[] = {
     { "request crashes workers on kept connections",
       test_request_crashes_workers_on_kept_connections },
+    { "request crashes workers at once",
+      test_request_crashes_workers_at_once },
+    { "request crashes one worker again and again",
+      test_request_crashes_one_worker_again_and_again },
+    { "request with another query crashes workers",
+      test_request_with_another_query_crashes_workers },
+    { "request crashes workers at a new daemon",
+      test_request_crashes_workers_at_a_new_daemon },
+    { "request crashes workers after waiting",
+      test_request_crashes_workers_after_waiting },
   };
 
   unit_silence_log ();
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -695,6 +695,47 @@
   return worker->group != NULL && strcmp (group_state (worker), "open") == 0;
 }
 
+/* Whether the worker crashes when it begins to run the request.  */
+static bool
+is_crashing (const struct site *site, const struct bd_http_exchange *x)
+{
+  const char *parts = bd_http_header (x, "Prompt-Prefix");
+
+  return site->crashing_text != NULL
+         && (strstr (x->path, site->crashing_text) != NULL
+             || (parts != NULL
+                 && strstr (parts, site->crashing_text) != NULL));
+}
+
+/* A run that crashes its worker.  */
+struct crash
+{
+  struct site_worker *worker;
+  struct bd_http_exchange *exchange;
+};
+
+static void
+crash_worker (void *ctx)
+{
+  struct crash *crash = ctx;
+  struct site_worker *worker = crash->worker;
+
+  worker->site->crash_count++;
+  site_restart_worker (worker);
+  bd_http_abort (crash->exchange);
+}
+
+static void
+start_crash (struct site_worker *worker, struct bd_http_exchange *x)
+{
+  struct crash *crash = talloc_zero (x, struct crash);
+
+  crash->worker = worker;
+  crash->exchange = x;
+  bd_timer_add (worker->site->events, crash, worker->site->crash_delay_ms,
+                crash_worker, crash);
+}
+
 static void
 run_request (struct site_worker *worker, struct bd_http_exchange *x)
 {
@@ -709,7 +750,9 @@
   if (site->on_run != NULL)
     site->on_run (worker, x->path, bd_http_header (x, "Tenant"));
   site->partial_runs += is_member && !has_every_member_been_ready (worker);
-  if (is_member)
+  if (is_crashing (site, x))
+    start_crash (worker, x);
+  else if (is_member)
     start_stream (worker, x);
   else
     respond_plain (worker, x);
@@ -1031,7 +1074,7 @@
   static uint32_t serial;
   struct site_call *out = talloc_zero (site->events, struct site_call);
   char *id = talloc_asprintf (out, "%016x", ++serial);
-  struct bd_http_header_field headers[8] = { { "Host", "h.example" },
+  struct bd_http_header_field headers[9] = { { "Host", "h.example" },
                                              { "Attempt-Id", id },
                                              { "Deadline-Ms", "4000" } };
   uint32_t count = 3;
@@ -1052,6 +1095,9 @@
       headers[count++]
           = (struct bd_http_header_field){ "Token-Usage", "100,12" };
     }
+  if (site->prompt_parts != NULL)
+    headers[count++]
+        = (struct bd_http_header_field){ "Prompt-Prefix", site->prompt_parts };
   bd_http_send (&site->client, &request, &client_ops, out);
   return out;
 }
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -110,6 +110,14 @@
   json_t *config;
   uint32_t daemon_port; /* Where site_call() sends requests.  */
   bool echoes_path;     /* Responses and events contain the path.  */
+  /* Value of the prompt's parts in site_call(), or NULL.  */
+  const char *prompt_parts;
+  /* A worker that begins to run a request with this text in its path or its
+     prompt's parts crashes after crash_delay_ms; NULL for none.  It is back at
+     once, under its id.  */
+  const char *crashing_text;
+  uint32_t crash_delay_ms;
+  uint32_t crash_count;
   site_run_handler *on_run;
   site_store_handler *on_store_call;
   uint32_t partial_runs; /* Runs in groups of which a member was
