poison: evidence by subject and target, which merges in any order

Evidence that comes late, twice or in another order gives the same table. Paths and parts have rules of their own, which nothing uses yet.

--- a/bench/scaling.c
+++ b/bench/scaling.c
@@ -424,7 +424,13 @@
       heap_before_bytes = heap_bytes ();
       bd_poison_init (&poison_table, 1000);
       for (uint64_t i = 0; i < sizes[s]; i++)
-        bd_poison_record_crash (&poison_table, i, 1, 0);
+        {
+          struct bd_poison_evidence evidence
+              = { .subject = bd_poison_subject (BD_POISON_REQUEST, i),
+                  .target = 1 };
+
+          bd_poison_add (&poison_table, &evidence, 1, 0);
+        }
       print_row ("suspects-bytes", sizes[s],
                  (double)(heap_bytes () - heap_before_bytes));
       bd_poison_finish (&poison_table);
--- a/src/daemon/daemon_attempts.c
+++ b/src/daemon/daemon_attempts.c
@@ -20,24 +20,32 @@
 mark_poison (struct bd_job *job)
 {
   struct bd_daemon *daemon = job->daemon;
-  struct bd_poison_update message
-      = { .fingerprint = job->fingerprint, .target = job->target.hash };
+  int64_t now_ms = bd_daemon_now_ms (daemon);
+  struct bd_poison_evidence evidence
+      = { .subject = job->subject,
+          .target = job->target.hash,
+          .request = job->subject,
+          .reporter = bd_membership_self (&daemon->membership)->name_hash,
+          .sent_age_ms = (uint32_t)(now_ms - job->attempt_sent_ms) };
+  struct bd_poison_update message = { .items = &evidence, .count = 1 };
 
   if (job->target.group[0] == '\0')
     return;
   bd_daemon_suspect_target (daemon, job->target.hash);
-  if (bd_poison_record_crash (&daemon->poison_requests, job->fingerprint,
-                              job->target.hash, bd_daemon_now_ms (daemon)))
+  if (bd_poison_add (&daemon->poison_requests, &evidence, 1, now_ms))
     bd_daemon_send_to_all (daemon, BD_MESSAGE_POISON, &message);
 }
 
 static void
 clear_poison (struct bd_job *job)
 {
-  struct bd_poison_update message
-      = { .fingerprint = job->fingerprint, .is_cleared = true };
+  struct bd_poison_evidence cleared[BD_POISON_MAX_EVIDENCE];
+  struct bd_poison_update message = { .items = cleared };
 
-  if (bd_poison_clear (&job->daemon->poison_requests, job->fingerprint))
+  message.count = bd_poison_complete (
+      &job->daemon->poison_requests, &job->subject, 1,
+      bd_daemon_now_ms (job->daemon), cleared, BD_POISON_MAX_EVIDENCE);
+  if (message.count > 0)
     bd_daemon_send_to_all (job->daemon, BD_MESSAGE_POISON, &message);
 }
 
@@ -60,7 +68,7 @@
   if (target.group[0] != '\0')
     bd_daemon_probe_group (daemon, target.group);
   job->poison_decision = bd_poison_decide (
-      &daemon->poison_requests, job->fingerprint, bd_daemon_now_ms (daemon));
+      &daemon->poison_requests, &job->subject, 1, bd_daemon_now_ms (daemon));
   if (action == BD_ACTION_DISPATCH && job->poison_decision == BD_POISON_REFUSE)
     action = bd_call_refused (&job->call, BD_ERR_POISON_REQUEST);
   if (action == BD_ACTION_DISPATCH)
--- a/src/daemon/daemon_calls.c
+++ b/src/daemon/daemon_calls.c
@@ -316,7 +316,7 @@
   bd_retry_budget_deposit (&daemon->retries);
   job = bd_job_create (daemon, exchange, &request);
   job->poison_decision = bd_poison_decide (
-      &daemon->poison_requests, job->fingerprint, bd_daemon_now_ms (daemon));
+      &daemon->poison_requests, &job->subject, 1, bd_daemon_now_ms (daemon));
   /* The forwarding daemon suspects this request.  Its BD_MESSAGE_POISON may
      not have arrived here yet.  */
   if (job->must_run_locally && job->poison_decision == BD_POISON_ALLOW)
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -427,6 +427,7 @@
   bool must_run_locally; /* Suspected poison, forwarded here.  */
   bool can_forward;      /* This relay may send it to a remote data centre.  */
   uint64_t fingerprint;
+  uint64_t subject; /* Of crashes: the request.  */
   enum bd_poison_decision poison_decision;
   struct bd_prefix prefix;
   struct bd_queue_item waiting;
--- a/src/daemon/daemon_jobs.c
+++ b/src/daemon/daemon_jobs.c
@@ -146,7 +146,7 @@
   int64_t wait_ms = bd_queue_wait_ms (&service_queue->queue);
 
   if (job->call.error == BD_ERR_POISON_REQUEST)
-    return bd_poison_remaining_ms (&daemon->poison_requests, job->fingerprint,
+    return bd_poison_remaining_ms (&daemon->poison_requests, &job->subject, 1,
                                    bd_daemon_now_ms (daemon));
   return wait_ms > FAILURE_RETRY_AFTER_MS ? wait_ms : FAILURE_RETRY_AFTER_MS;
 }
@@ -256,6 +256,7 @@
   job->fingerprint
       = bd_hash_pair (job->service, job->account)
         ^ bd_hash (job->body != NULL ? job->body : "", job->body_size);
+  job->subject = bd_poison_subject (BD_POISON_REQUEST, job->fingerprint);
   if (request->prompt != NULL)
     bd_prefix_hash (&job->prefix, request->prompt, strlen (request->prompt));
   bd_sse_init (&job->sse, job);
--- a/src/daemon/daemon_peers.c
+++ b/src/daemon/daemon_peers.c
@@ -368,11 +368,8 @@
 static void
 handle_poison (struct bd_daemon *daemon, const struct bd_poison_update *update)
 {
-  if (update->is_cleared)
-    bd_poison_clear (&daemon->poison_requests, update->fingerprint);
-  else
-    bd_poison_record_crash (&daemon->poison_requests, update->fingerprint,
-                            update->target, bd_daemon_now_ms (daemon));
+  bd_poison_add (&daemon->poison_requests, update->items, update->count,
+                 bd_daemon_now_ms (daemon));
 }
 
 static void
--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -136,11 +136,8 @@
   bd_retry_budget_deposit (&service->retries);
   if (request->model[0] != '\0')
     note_work (request);
-  request->decision = bd_poison_decide (
-      &edge->poison_requests, request->fingerprint, bd_edge_now_ms (edge));
-  if (request->decision == BD_POISON_REFUSE)
+  if (bd_edge_is_poison (request))
     {
-      bd_count (&edge->counters, BD_COUNT_POISON_REFUSED);
       refuse (request, BD_ERR_POISON_REQUEST);
       return;
     }
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -175,60 +175,6 @@
   return can_write;
 }
 
-bool
-bd_edge_record_crash (struct bd_edge *edge,
-                      const struct bd_poison_update *update, const char *id)
-{
-  if (!bd_poison_record_crash (&edge->poison_requests, update->fingerprint,
-                               update->target, bd_edge_now_ms (edge)))
-    return false;
-  bd_count (&edge->counters, BD_COUNT_POISON_CRASHES);
-  bd_log ("suspect-crash", "id", id, "request", BD_NUM (update->fingerprint),
-          "target", BD_NUM (update->target), NULL);
-  return true;
-}
-
-bool
-bd_edge_clear_suspect (struct bd_edge *edge,
-                       const struct bd_poison_update *update, const char *id)
-{
-  if (!bd_poison_clear (&edge->poison_requests, update->fingerprint))
-    return false;
-  bd_count (&edge->counters, BD_COUNT_POISON_CLEARED);
-  bd_log ("suspect-cleared", "id", id, "request", BD_NUM (update->fingerprint),
-          NULL);
-  return true;
-}
-
-/* Records, here and in all other daemons, that the request may have crashed
-   its endpoint: it was running when the endpoint broke the connection.  */
-static void
-record_possible_crash (struct bd_edge_request *request)
-{
-  struct bd_edge *edge = request->edge;
-  struct bd_poison_update update
-      = { .fingerprint = request->fingerprint,
-          .target
-          = request->group != 0
-                ? request->group
-                : bd_hash (request->endpoint, strlen (request->endpoint)) };
-
-  if (!bd_edge_record_crash (edge, &update, request->attempt_id))
-    return;
-  bd_edge_broadcast (edge, BD_MESSAGE_POISON, &update, &update.stage);
-}
-
-static void
-clear_poison (struct bd_edge_request *request)
-{
-  struct bd_poison_update update
-      = { .fingerprint = request->fingerprint, .is_cleared = true };
-
-  if (bd_edge_clear_suspect (request->edge, &update, request->attempt_id))
-    bd_edge_broadcast (request->edge, BD_MESSAGE_POISON, &update,
-                       &update.stage);
-}
-
 static const char *
 failure_name (enum bd_failure failure)
 {
@@ -257,7 +203,7 @@
   if (failure == BD_FAILURE_BROKEN)
     bd_count (&edge->counters, BD_COUNT_ATTEMPTS_BROKEN);
   if (is_crash)
-    record_possible_crash (request);
+    bd_edge_record_crash (request);
   if (failure == BD_FAILURE_REFUSED || failure == BD_FAILURE_MISMATCHED
       || failure == BD_FAILURE_ERROR_RESPONSE)
     return;
@@ -289,10 +235,7 @@
   note_failure (request, failure, is_crash);
   action = bd_call_failed (&request->call, failure, &service->retries,
                            bd_edge_now_ms (edge));
-  if (action == BD_ACTION_DISPATCH
-      && bd_poison_decide (&edge->poison_requests, request->fingerprint,
-                           bd_edge_now_ms (edge))
-             == BD_POISON_REFUSE)
+  if (action == BD_ACTION_DISPATCH && bd_edge_is_poison (request))
     action = bd_call_refused (&request->call, BD_ERR_POISON_REQUEST);
   if (action == BD_ACTION_DISPATCH)
     bd_count (&edge->counters,
@@ -314,7 +257,7 @@
 finish_stream (struct bd_edge_request *request)
 {
   bd_call_finished (&request->call);
-  clear_poison (request);
+  bd_edge_note_completed (request);
   bd_edge_end_stream (request);
 }
 
@@ -325,7 +268,7 @@
 {
   bd_call_finished (&request->call);
   if (is_success (result->status))
-    clear_poison (request);
+    bd_edge_note_completed (request);
   bd_edge_forward_response (request, call, result);
 }
 
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -59,11 +59,12 @@
   char model[BD_NAME_SIZE]; /* Empty for services without an engine.  */
   uint32_t prompt_tokens;
   uint32_t output_tokens; /* Expected.  */
-  uint64_t fingerprint;
+  /* To which a crash can be attributed; the first is the whole request.  */
+  uint64_t subjects[BD_POISON_MAX_SUBJECTS];
+  uint32_t subject_count;
   int64_t received_ms;
   int64_t deadline_ms;
   struct bd_call call;
-  enum bd_poison_decision decision;
 
   /* Set while the request waits in a backlog.  */
   struct bd_backlog_item backlog_item;
@@ -368,20 +369,33 @@
 void bd_edge_start_attempt (struct bd_edge_request *request,
                             const struct bd_edge_target *target);
 
-/* bd_edge_record_crash(), bd_edge_clear_suspect(): apply an update on a
-   suspect request.  id is that of the request, empty if a peer sent the
-   update.  Return whether it is new.  */
-bool bd_edge_record_crash (struct bd_edge *edge,
-                           const struct bd_poison_update *update,
-                           const char *id);
-bool bd_edge_clear_suspect (struct bd_edge *edge,
-                            const struct bd_poison_update *update,
-                            const char *id);
-
 /* bd_edge_fail_attempt(): cancels the attempt and handles it as failed.  */
 void bd_edge_fail_attempt (struct bd_edge_request *request,
                            enum bd_failure failure);
 
+/* evidence.c: records and exchanges what crashes endpoints.  */
+
+/* bd_edge_set_subjects(): sets the subjects of a new request.  */
+void bd_edge_set_subjects (struct bd_edge_request *request);
+
+/* bd_edge_record_crash(): records, here and in all other daemons, that the
+   request may have crashed its endpoint: it was running when the endpoint
+   broke the connection.  */
+void bd_edge_record_crash (struct bd_edge_request *request);
+
+/* bd_edge_note_completed(): the request has completed, so that nothing of it
+   crashes endpoints.  */
+void bd_edge_note_completed (struct bd_edge_request *request);
+
+/* bd_edge_receive_poison(): applies evidence from a peer.  Returns whether any
+   is new.  */
+bool bd_edge_receive_poison (struct bd_edge *edge,
+                             const struct bd_poison_update *update);
+
+/* bd_edge_is_poison(): whether the request crashes endpoints and is not to be
+   sent.  Counts and logs it if so.  */
+bool bd_edge_is_poison (const struct bd_edge_request *request);
+
 /* response.c: sends responses to callers.  */
 
 /* bd_edge_send_failure(): responds to an exchange with an error, and with a
--- a/src/edge/edge_relays_test.c
+++ b/src/edge/edge_relays_test.c
@@ -237,13 +237,22 @@
     daemons[index].reads++;
 }
 
+static uint64_t
+subject_of (uint64_t fingerprint)
+{
+  return bd_poison_subject (BD_POISON_REQUEST, fingerprint);
+}
+
 static void
-end_suspicion (struct daemon *daemon, uint64_t fingerprint)
+end_suspicion (struct daemon *daemon, uint64_t subject)
 {
-  struct bd_poison_update update
-      = { .fingerprint = fingerprint, .is_cleared = true };
+  struct bd_poison_evidence cleared[BD_POISON_MAX_EVIDENCE];
+  struct bd_poison_update update = { .items = cleared };
 
-  if (bd_poison_clear (&daemon->edge->poison_requests, fingerprint))
+  update.count = bd_poison_complete (&daemon->edge->poison_requests, &subject,
+                                     1, bd_edge_now_ms (daemon->edge), cleared,
+                                     BD_POISON_MAX_EVIDENCE);
+  if (update.count > 0)
     bd_edge_broadcast (daemon->edge, BD_MESSAGE_POISON, &update,
                        &update.stage);
 }
@@ -251,10 +260,12 @@
 static void
 begin_suspicion (struct daemon *daemon, uint64_t fingerprint)
 {
-  struct bd_poison_update update = { .fingerprint = fingerprint, .target = 1 };
+  struct bd_poison_evidence evidence
+      = { .subject = subject_of (fingerprint), .target = 1 };
+  struct bd_poison_update update = { .items = &evidence, .count = 1 };
 
-  if (bd_poison_record_crash (&daemon->edge->poison_requests, fingerprint,
-                              update.target, bd_edge_now_ms (daemon->edge)))
+  if (bd_poison_add (&daemon->edge->poison_requests, &evidence, 1,
+                     bd_edge_now_ms (daemon->edge)))
     bd_edge_broadcast (daemon->edge, BD_MESSAGE_POISON, &update,
                        &update.stage);
 }
@@ -275,8 +286,8 @@
   daemon->news += type == BD_MESSAGE_POISON;
   daemon->handler (daemon->edge, type, message);
   if (type == BD_MESSAGE_POISON && daemon == contradicting
-      && !update->is_cleared)
-    end_suspicion (daemon, update->fingerprint);
+      && !update->items[0].is_cleared)
+    end_suspicion (daemon, update->items[0].subject);
 }
 
 static void
@@ -571,7 +582,9 @@
 static bool
 suspects (const struct daemon *daemon)
 {
-  return bd_poison_remaining_ms (&daemon->edge->poison_requests, suspect,
+  uint64_t subject = subject_of (suspect);
+
+  return bd_poison_remaining_ms (&daemon->edge->poison_requests, &subject, 1,
                                  bd_edge_now_ms (daemon->edge))
          > 0;
 }
@@ -609,7 +622,7 @@
       begin_observation ();
       begin_suspicion (sources[i], suspect);
       CU_ASSERT_TRUE (run_until (suspects, DEAD_AFTER_MS));
-      end_suspicion (sources[i], suspect);
+      end_suspicion (sources[i], subject_of (suspect));
       CU_ASSERT_TRUE (run_until (suspects_not, DEAD_AFTER_MS));
       run_for (STATUS_PERIOD_MS);
       check_news (2);
--- /dev/null
+++ b/src/edge/evidence.c
@@ -0,0 +1,147 @@
+/* Evidence of what crashes endpoints: records what this daemon sees, refuses
+   requests by it, and exchanges it with the other daemons.  */
+
+#include "edge/edge_internal.h"
+
+#include <string.h>
+
+enum
+{
+  MAX_CLEARED = BD_POISON_MAX_SUBJECTS * BD_POISON_MAX_EVIDENCE
+};
+
+static struct bd_poison_table *
+table_of (const struct bd_edge_request *request)
+{
+  return &request->edge->poison_requests;
+}
+
+static uint64_t
+hash_request (const struct bd_edge_request *request)
+{
+  return bd_hash_pair (request->account, request->request_target)
+         ^ bd_hash_pair (request->method, "")
+         ^ bd_hash (request->body != NULL ? request->body : "",
+                    request->body_size);
+}
+
+static void
+add_subject (struct bd_edge_request *request, enum bd_poison_kind kind,
+             uint64_t hash)
+{
+  if (request->subject_count < BD_POISON_MAX_SUBJECTS)
+    request->subjects[request->subject_count++]
+        = bd_poison_subject (kind, hash);
+}
+
+void
+bd_edge_set_subjects (struct bd_edge_request *request)
+{
+  add_subject (request, BD_POISON_REQUEST, hash_request (request));
+}
+
+/* Identifies the group or endpoint of the current attempt.  */
+static uint64_t
+hash_crashed (const struct bd_edge_request *request)
+{
+  return request->group != 0
+             ? request->group
+             : bd_hash (request->endpoint, strlen (request->endpoint));
+}
+
+static void
+log_crash (const char *id, const struct bd_poison_evidence *evidence)
+{
+  bd_log ("suspect-crash", "id", id, "subject", BD_NUM (evidence->subject),
+          "target", BD_NUM (evidence->target), "crash_age_ms",
+          BD_NUM (evidence->crash_age_ms), "reporter",
+          BD_NUM (evidence->reporter), NULL);
+}
+
+/* Adds evidence to the table; returns whether any is new.  */
+static bool
+add_evidence (struct bd_edge *edge, const struct bd_poison_update *update,
+              const char *id)
+{
+  if (!bd_poison_add (&edge->poison_requests, update->items, update->count,
+                      bd_edge_now_ms (edge)))
+    return false;
+  bd_count (&edge->counters, update->items[0].is_cleared
+                                 ? BD_COUNT_POISON_CLEARED
+                                 : BD_COUNT_POISON_CRASHES);
+  if (!update->items[0].is_cleared)
+    log_crash (id, &update->items[0]);
+  return true;
+}
+
+void
+bd_edge_record_crash (struct bd_edge_request *request)
+{
+  struct bd_edge *edge = request->edge;
+  struct bd_poison_evidence items[BD_POISON_MAX_SUBJECTS];
+  struct bd_poison_update update
+      = { .items = items, .count = request->subject_count };
+
+  for (uint32_t i = 0; i < request->subject_count; i++)
+    items[i] = (struct bd_poison_evidence){
+      .subject = request->subjects[i],
+      .target = hash_crashed (request),
+      .request = request->subjects[0],
+      .reporter = bd_membership_self (&edge->membership)->name_hash,
+      .sent_age_ms = (uint32_t)(bd_edge_now_ms (edge) - request->sent_ms),
+    };
+  if (add_evidence (edge, &update, request->attempt_id))
+    bd_edge_broadcast (edge, BD_MESSAGE_POISON, &update, &update.stage);
+}
+
+void
+bd_edge_note_completed (struct bd_edge_request *request)
+{
+  struct bd_edge *edge = request->edge;
+  struct bd_poison_evidence items[MAX_CLEARED];
+  struct bd_poison_update update = { .items = items };
+
+  update.count = bd_poison_complete (
+      table_of (request), request->subjects, request->subject_count,
+      bd_edge_now_ms (edge), items, MAX_CLEARED);
+  if (update.count == 0)
+    return;
+  bd_count (&edge->counters, BD_COUNT_POISON_CLEARED);
+  bd_log ("suspect-cleared", "id", request->attempt_id, "evidence",
+          BD_NUM (update.count), NULL);
+  bd_edge_broadcast (edge, BD_MESSAGE_POISON, &update, &update.stage);
+}
+
+bool
+bd_edge_receive_poison (struct bd_edge *edge,
+                        const struct bd_poison_update *update)
+{
+  return update->count > 0 && add_evidence (edge, update, "");
+}
+
+static void
+log_refusal (const struct bd_edge_request *request, uint64_t subject)
+{
+  struct bd_poison_summary summary;
+
+  bd_poison_summarize (table_of (request), subject,
+                       bd_edge_now_ms (request->edge), &summary);
+  bd_log ("suspect-refused", "id", request->attempt_id, "subject",
+          BD_NUM (subject), "crashes", BD_NUM (summary.crashes),
+          "last_crash_age_ms", BD_NUM (summary.last_crash_age_ms), "reporter",
+          BD_NUM (summary.last_reporter), NULL);
+}
+
+bool
+bd_edge_is_poison (const struct bd_edge_request *request)
+{
+  uint64_t convicted = bd_poison_convicted (
+      table_of (request), request->subjects, request->subject_count,
+      bd_edge_now_ms (request->edge));
+
+  if (convicted == 0)
+    return false;
+  bd_count (&request->edge->counters, BD_COUNT_POISON_REFUSED);
+  log_refusal (request, convicted);
+  return true;
+}
--- a/src/edge/ingress.c
+++ b/src/edge/ingress.c
@@ -174,15 +174,6 @@
   return request->received_ms + left_ms;
 }
 
-static uint64_t
-fingerprint_of (const struct bd_edge_request *request)
-{
-  return bd_hash_pair (request->account, request->request_target)
-         ^ bd_hash_pair (request->method, "")
-         ^ bd_hash (request->body != NULL ? request->body : "",
-                    request->body_size);
-}
-
 static void
 start_request (struct bd_edge *edge, struct bd_http_exchange *x,
                const struct bd_route *route, const struct bd_account *account)
@@ -205,7 +196,7 @@
       read_token_counts (request, &service->engine);
     }
   bd_http_headers (x, copy_header, request);
-  request->fingerprint = fingerprint_of (request);
+  bd_edge_set_subjects (request);
   bd_call_init (&request->call, request->is_idempotent, false,
                 request->kind == BD_ROUTE_STREAM, request->deadline_ms);
   request->call.max_runs = route->max_attempts;
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -479,14 +479,6 @@
     send_reply (edge, sender, status->live_checksum);
 }
 
-static bool
-receive_poison_update (struct bd_edge *edge,
-                       const struct bd_poison_update *update)
-{
-  return update->is_cleared ? bd_edge_clear_suspect (edge, update, "")
-                            : bd_edge_record_crash (edge, update, "");
-}
-
 /* Passes a message for all daemons on if it is news here.  */
 static void
 forward_news (struct bd_edge *edge, enum bd_message_type type, void *message,
@@ -519,7 +511,7 @@
 static void
 receive_poison (struct bd_edge *edge, struct bd_poison_update update)
 {
-  bool is_news = receive_poison_update (edge, &update);
+  bool is_news = bd_edge_receive_poison (edge, &update);
 
   forward_news (edge, BD_MESSAGE_POISON, &update, &update.stage, is_news);
 }
--- a/src/poison/poison.c
+++ b/src/poison/poison.c
@@ -1,28 +1,73 @@
-/* The table of suspected requests.  */
+/* The table of evidence.  */
 
 #include "poison/poison.h"
 
+#include <assert.h>
 #include <string.h>
 
 enum
 {
-  CRASHES_TO_REFUSE = 2,
-  MAX_ENTRIES = 10000
+  KIND_BITS = 2,
+  KIND_MASK = (1 << KIND_BITS) - 1,
+  KINDS = BD_POISON_PART + 1,
+  MAX_ENTRIES = 10000,
+  MAX_COMPLETED = 4096,
+  /* Crashes after which a subject is convicted even if it has completed
+     lately, or if another one is as likely.  */
+  CRASHES_WITHOUT_DOUBT = 5,
+  REQUESTS_FOR_PART = 2
+};
+
+/* Crashes after which a subject is convicted, by kind.  */
+static const uint32_t crashes_to_convict[KINDS] = {
+  [BD_POISON_REQUEST] = 2,
+  [BD_POISON_PATH] = 3,
+  [BD_POISON_PART] = 3,
+};
+
+struct evidence
+{
+  uint64_t target;
+  uint64_t request;
+  uint64_t reporter;
+  int64_t sent_ms;
+  int64_t crashed_ms;
+  bool is_cleared;
 };
 
 struct poison_entry
 {
-  uint64_t fingerprint;
-  uint64_t endpoints[CRASHES_TO_REFUSE];
-  uint32_t crash_count;
-  int64_t expires_ms;
+  uint64_t subject;
+  bool is_convicted;
+  uint32_t count;
+  struct evidence evidence[BD_POISON_MAX_EVIDENCE]; /* By crashed_ms.  */
 };
 
+static enum bd_poison_kind
+kind_of (uint64_t subject)
+{
+  return (enum bd_poison_kind) (subject & KIND_MASK);
+}
+
+uint64_t
+bd_poison_subject (enum bd_poison_kind kind, uint64_t hash)
+{
+  return hash << KIND_BITS | kind;
+}
+
+static GHashTable *
+make_set (void)
+{
+  return g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+}
+
 void
 bd_poison_init (struct bd_poison_table *table, uint32_t retention_ms)
 {
-  table->entries
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  table->entries = make_set ();
+  table->convicted = g_ptr_array_new ();
+  table->completed[0] = make_set ();
+  table->completed[1] = make_set ();
   table->retention_ms = retention_ms;
 }
 
@@ -30,94 +75,572 @@
 bd_poison_finish (struct bd_poison_table *table)
 {
   g_hash_table_destroy (table->entries);
+  g_ptr_array_free (table->convicted, TRUE);
+  g_hash_table_destroy (table->completed[0]);
+  g_hash_table_destroy (table->completed[1]);
+}
+
+static struct poison_entry *
+find (const struct bd_poison_table *table, uint64_t subject)
+{
+  return g_hash_table_lookup (table->entries, &subject);
+}
+
+static int64_t
+expires_ms (const struct bd_poison_table *table,
+            const struct evidence *evidence)
+{
+  return evidence->crashed_ms + table->retention_ms;
+}
+
+static bool
+is_current (const struct bd_poison_table *table,
+            const struct evidence *evidence, int64_t now_ms)
+{
+  return !evidence->is_cleared && expires_ms (table, evidence) > now_ms;
+}
+
+static struct evidence *
+find_evidence (struct poison_entry *entry, uint64_t target)
+{
+  for (uint32_t i = 0; i < entry->count; i++)
+    if (entry->evidence[i].target == target)
+      return &entry->evidence[i];
+  return NULL;
+}
+
+/* Whether the crash of the target is explained by another subject.  A request
+   that crashed two endpoints does not explain why: another request with the
+   same part may do the same.  */
+static bool
+is_explained (const struct bd_poison_table *table,
+              const struct poison_entry *entry, uint64_t target,
+              int64_t now_ms)
+{
+  for (uint32_t i = 0; i < table->convicted->len; i++)
+    {
+      struct poison_entry *other = g_ptr_array_index (table->convicted, i);
+      const struct evidence *evidence;
+
+      if (other == entry
+          || kind_of (other->subject) < kind_of (entry->subject))
+        continue;
+      evidence = find_evidence (other, target);
+      if (evidence != NULL && is_current (table, evidence, now_ms))
+        return true;
+    }
+  return false;
+}
+
+/* Returns the number of crashes that speak against the subject.  */
+static uint32_t
+count_crashes (const struct bd_poison_table *table,
+               const struct poison_entry *entry, int64_t now_ms)
+{
+  bool is_any = kind_of (entry->subject) == BD_POISON_REQUEST;
+  int64_t last_ms = INT64_MIN;
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < entry->count; i++)
+    {
+      const struct evidence *evidence = &entry->evidence[i];
+
+      if (!is_current (table, evidence, now_ms)
+          || is_explained (table, entry, evidence->target, now_ms)
+          || (!is_any && evidence->sent_ms < last_ms))
+        continue;
+      last_ms = evidence->crashed_ms;
+      count++;
+    }
+  return count;
+}
+
+/* Whether enough different requests crashed with the subject.  */
+static bool
+has_enough_requests (const struct bd_poison_table *table,
+                     const struct poison_entry *entry, int64_t now_ms)
+{
+  uint64_t requests[REQUESTS_FOR_PART];
+  uint32_t count = 0;
+
+  if (kind_of (entry->subject) != BD_POISON_PART)
+    return true;
+  for (uint32_t i = 0; i < entry->count && count < REQUESTS_FOR_PART; i++)
+    if (is_current (table, &entry->evidence[i], now_ms)
+        && (count == 0 || requests[0] != entry->evidence[i].request))
+      requests[count++] = entry->evidence[i].request;
+  return count == REQUESTS_FOR_PART;
+}
+
+static bool
+has_completed_lately (const struct bd_poison_table *table, uint64_t subject)
+{
+  return g_hash_table_contains (table->completed[0], &subject)
+         || g_hash_table_contains (table->completed[1], &subject);
+}
+
+static void
+note_completed (struct bd_poison_table *table, uint64_t subject)
+{
+  uint64_t *key;
+
+  if (g_hash_table_contains (table->completed[0], &subject))
+    return;
+  if (g_hash_table_size (table->completed[0]) >= MAX_COMPLETED)
+    {
+      GHashTable *oldest = table->completed[1];
+
+      g_hash_table_remove_all (oldest);
+      table->completed[1] = table->completed[0];
+      table->completed[0] = oldest;
+    }
+  key = g_new (uint64_t, 1);
+  *key = subject;
+  g_hash_table_insert (table->completed[0], key, key);
+}
+
+/* Whether other has crashed wherever entry has.  */
+static bool
+covers (const struct bd_poison_table *table, struct poison_entry *other,
+        const struct poison_entry *entry, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < entry->count; i++)
+    {
+      const struct evidence *evidence = &entry->evidence[i];
+      const struct evidence *match = find_evidence (other, evidence->target);
+
+      if (is_current (table, evidence, now_ms)
+          && (match == NULL || !is_current (table, match, now_ms)))
+        return false;
+    }
+  return true;
+}
+
+static uint32_t
+threshold_of (const struct bd_poison_table *table,
+              const struct poison_entry *entry)
+{
+  if (kind_of (entry->subject) != BD_POISON_REQUEST
+      && has_completed_lately (table, entry->subject))
+    return CRASHES_WITHOUT_DOUBT;
+  return crashes_to_convict[kind_of (entry->subject)];
+}
+
+static bool
+should_convict (const struct bd_poison_table *table,
+                const struct poison_entry *entry, int64_t now_ms)
+{
+  return count_crashes (table, entry, now_ms) >= threshold_of (table, entry)
+         && has_enough_requests (table, entry, now_ms);
+}
+
+static void
+acquit (struct bd_poison_table *table, struct poison_entry *entry)
+{
+  entry->is_convicted = false;
+  g_ptr_array_remove_fast (table->convicted, entry);
+}
+
+static void
+convict (struct bd_poison_table *table, struct poison_entry *entry)
+{
+  entry->is_convicted = true;
+  if (kind_of (entry->subject) != BD_POISON_REQUEST)
+    g_ptr_array_add (table->convicted, entry);
+}
+
+/* Whether another of the subjects is as likely to be the cause.  */
+static bool
+is_ambiguous (const struct bd_poison_table *table,
+              const struct poison_entry *entry,
+              const struct bd_poison_evidence *items, uint32_t count,
+              int64_t now_ms)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct poison_entry *other = find (table, items[i].subject);
+
+      if (other != NULL && other != entry && !other->is_convicted
+          && kind_of (other->subject) == kind_of (entry->subject)
+          && should_convict (table, other, now_ms)
+          && covers (table, other, entry, now_ms))
+        return true;
+    }
+  return false;
+}
+
+/* Returns the subject with the most crashes among those to convict.  */
+static struct poison_entry *
+find_likeliest (const struct bd_poison_table *table,
+                const struct bd_poison_evidence *items, uint32_t count,
+                int64_t now_ms)
+{
+  struct poison_entry *likeliest = NULL;
+  uint32_t most = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct poison_entry *entry = find (table, items[i].subject);
+      uint32_t crashes;
+
+      if (entry == NULL || entry->is_convicted
+          || !should_convict (table, entry, now_ms))
+        continue;
+      crashes = count_crashes (table, entry, now_ms);
+      if (crashes <= most
+          || (crashes < CRASHES_WITHOUT_DOUBT
+              && kind_of (entry->subject) != BD_POISON_REQUEST
+              && is_ambiguous (table, entry, items, count, now_ms)))
+        continue;
+      likeliest = entry;
+      most = crashes;
+    }
+  return likeliest;
 }
 
+/* Convicts subjects of the items.  Each conviction may explain the crashes of
+   the others.  */
+static void
+convict_likeliest (struct bd_poison_table *table,
+                   const struct bd_poison_evidence *items, uint32_t count,
+                   int64_t now_ms)
+{
+  struct poison_entry *entry;
+
+  while ((entry = find_likeliest (table, items, count, now_ms)) != NULL)
+    convict (table, entry);
+}
+
+/* Removes the evidence that has expired.  Returns whether none is left.  */
+static bool
+expire (struct bd_poison_table *table, struct poison_entry *entry,
+        int64_t now_ms)
+{
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < entry->count; i++)
+    if (expires_ms (table, &entry->evidence[i]) > now_ms)
+      entry->evidence[kept++] = entry->evidence[i];
+  entry->count = kept;
+  if (kept == 0 && entry->is_convicted)
+    acquit (table, entry);
+  return kept == 0;
+}
+
+struct expiry
+{
+  struct bd_poison_table *table;
+  int64_t now_ms;
+};
+
 static gboolean
-has_expired (gpointer key, gpointer value, gpointer now_ms)
+expire_entry (gpointer key, gpointer value, gpointer ctx)
 {
+  struct expiry *expiry = ctx;
+
   (void)key;
-  return ((struct poison_entry *)value)->expires_ms <= *(int64_t *)now_ms;
+  return expire (expiry->table, value, expiry->now_ms);
 }
 
 static struct poison_entry *
-find (struct bd_poison_table *table, uint64_t fingerprint, int64_t now_ms)
+find_or_add (struct bd_poison_table *table, uint64_t subject, int64_t now_ms)
 {
-  struct poison_entry *entry
-      = g_hash_table_lookup (table->entries, &fingerprint);
+  struct poison_entry *entry = find (table, subject);
+  struct expiry expiry = { table, now_ms };
 
-  if (entry == NULL || entry->expires_ms > now_ms)
-    return entry;
-  g_hash_table_remove (table->entries, &fingerprint);
-  return NULL;
+  if (entry != NULL)
+    {
+      expire (table, entry, now_ms);
+      return entry;
+    }
+  if (g_hash_table_size (table->entries) >= MAX_ENTRIES)
+    g_hash_table_foreach_remove (table->entries, expire_entry, &expiry);
+  if (g_hash_table_size (table->entries) >= MAX_ENTRIES)
+    return NULL;
+  entry = g_new0 (struct poison_entry, 1);
+  entry->subject = subject;
+  g_hash_table_insert (table->entries, &entry->subject, entry);
+  return entry;
 }
 
-bool
-bd_poison_record_crash (struct bd_poison_table *table, uint64_t fingerprint,
-                        uint64_t endpoint, int64_t now_ms)
+static void
+remove_evidence (struct poison_entry *entry, struct evidence *evidence)
 {
-  struct poison_entry *entry = find (table, fingerprint, now_ms);
+  size_t index = (size_t)(evidence - entry->evidence);
+
+  entry->count--;
+  memmove (evidence, evidence + 1,
+           (entry->count - index) * sizeof entry->evidence[0]);
+}
 
+/* Makes room for one more piece of evidence.  The oldest that is cleared goes
+   first.  */
+static void
+make_room (struct poison_entry *entry)
+{
+  uint32_t victim = 0;
+
+  if (entry->count < BD_POISON_MAX_EVIDENCE)
+    return;
+  while (victim < entry->count && !entry->evidence[victim].is_cleared)
+    victim++;
+  if (victim == entry->count)
+    victim = 0;
+  remove_evidence (entry, &entry->evidence[victim]);
+}
+
+static void
+insert (struct poison_entry *entry, const struct evidence *evidence)
+{
+  uint32_t i;
+
+  make_room (entry);
+  for (i = entry->count;
+       i > 0 && entry->evidence[i - 1].crashed_ms > evidence->crashed_ms; i--)
+    entry->evidence[i] = entry->evidence[i - 1];
+  entry->evidence[i] = *evidence;
+  entry->count++;
+}
+
+/* Clears one piece of evidence; the subject may then no longer be
+   convicted.  */
+static void
+clear (struct bd_poison_table *table, struct poison_entry *entry,
+       struct evidence *evidence, int64_t now_ms)
+{
+  evidence->is_cleared = true;
+  if (entry->is_convicted && !should_convict (table, entry, now_ms))
+    acquit (table, entry);
+}
+
+static bool
+add_one (struct bd_poison_table *table, const struct bd_poison_evidence *item,
+         int64_t now_ms)
+{
+  struct evidence evidence = { .target = item->target,
+                               .request = item->request,
+                               .reporter = item->reporter,
+                               .sent_ms = now_ms - item->sent_age_ms,
+                               .crashed_ms = now_ms - item->crash_age_ms,
+                               .is_cleared = item->is_cleared };
+  struct poison_entry *entry;
+  struct evidence *known;
+
+  if (item->crash_age_ms >= table->retention_ms)
+    return false;
+  entry = find_or_add (table, item->subject, now_ms);
   if (entry == NULL)
+    return false;
+  known = find_evidence (entry, item->target);
+  if (known == NULL)
     {
-      if (g_hash_table_size (table->entries) >= MAX_ENTRIES)
-        g_hash_table_foreach_remove (table->entries, has_expired, &now_ms);
-      if (g_hash_table_size (table->entries) >= MAX_ENTRIES)
-        return false;
-      entry = g_new0 (struct poison_entry, 1);
-      entry->fingerprint = fingerprint;
-      g_hash_table_insert (table->entries, &entry->fingerprint, entry);
-    }
-  for (uint32_t i = 0; i < entry->crash_count; i++)
-    if (entry->endpoints[i] == endpoint)
-      return false;
-  if (entry->crash_count == CRASHES_TO_REFUSE)
+      insert (entry, &evidence);
+      return true;
+    }
+  if (known->is_cleared || !item->is_cleared)
     return false;
-  entry->endpoints[entry->crash_count++] = endpoint;
-  entry->expires_ms = now_ms + table->retention_ms;
+  clear (table, entry, known, now_ms);
   return true;
 }
 
 bool
-bd_poison_clear (struct bd_poison_table *table, uint64_t fingerprint)
+bd_poison_add (struct bd_poison_table *table,
+               const struct bd_poison_evidence *items, uint32_t count,
+               int64_t now_ms)
 {
-  return g_hash_table_remove (table->entries, &fingerprint);
+  bool is_news = false;
+
+  for (uint32_t i = 0; i < count; i++)
+    is_news = add_one (table, &items[i], now_ms) || is_news;
+  if (is_news)
+    convict_likeliest (table, items, count, now_ms);
+  return is_news;
 }
 
-static gboolean
-withdraw_crash (gpointer key, gpointer value, gpointer endpoint)
+static struct bd_poison_evidence export(const struct poison_entry *entry,
+                                        const struct evidence *evidence,
+                                        int64_t now_ms)
 {
-  struct poison_entry *entry = value;
+  return (struct bd_poison_evidence){
+    .subject = entry->subject,
+    .target = evidence->target,
+    .request = evidence->request,
+    .reporter = evidence->reporter,
+    .sent_age_ms = (uint32_t)(now_ms - evidence->sent_ms),
+    .crash_age_ms = (uint32_t)(now_ms - evidence->crashed_ms),
+    .is_cleared = evidence->is_cleared,
+  };
+}
 
-  (void)key;
-  for (uint32_t i = 0; i < entry->crash_count; i++)
-    if (entry->endpoints[i] == *(uint64_t *)endpoint)
-      entry->endpoints[i--] = entry->endpoints[--entry->crash_count];
-  return entry->crash_count == 0;
+static uint32_t
+clear_all (struct bd_poison_table *table, struct poison_entry *entry,
+           int64_t now_ms, struct bd_poison_evidence *cleared, uint32_t max)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < entry->count; i++)
+    {
+      struct evidence *evidence = &entry->evidence[i];
+
+      if (!is_current (table, evidence, now_ms))
+        continue;
+      clear (table, entry, evidence, now_ms);
+      if (count < max)
+        cleared[count] = export(entry, evidence, now_ms);
+      count++;
+    }
+  return count;
+}
+
+uint32_t
+bd_poison_complete (struct bd_poison_table *table, const uint64_t *subjects,
+                    uint32_t count, int64_t now_ms,
+                    struct bd_poison_evidence *cleared, uint32_t max)
+{
+  uint32_t total = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct poison_entry *entry = find (table, subjects[i]);
+
+      note_completed (table, subjects[i]);
+      if (entry != NULL)
+        total += clear_all (table, entry, now_ms, cleared + total,
+                            total < max ? max - total : 0);
+    }
+  return total < max ? total : max;
 }
 
 void
-bd_poison_withdraw_crash (struct bd_poison_table *table, uint64_t endpoint)
+bd_poison_withdraw_crash (struct bd_poison_table *table, uint64_t target)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, table->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct poison_entry *entry = value;
+      struct evidence *evidence = find_evidence (entry, target);
+
+      if (evidence == NULL)
+        continue;
+      clear (table, entry, evidence, evidence->crashed_ms);
+      remove_evidence (entry, evidence);
+      if (entry->count == 0)
+        g_hash_table_iter_remove (&iter);
+    }
+}
+
+uint64_t
+bd_poison_convicted (const struct bd_poison_table *table,
+                     const uint64_t *subjects, uint32_t count, int64_t now_ms)
 {
-  g_hash_table_foreach_remove (table->entries, withdraw_crash, &endpoint);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const struct poison_entry *entry = find (table, subjects[i]);
+
+      if (entry != NULL && entry->is_convicted
+          && bd_poison_remaining_ms (table, &subjects[i], 1, now_ms) > 0)
+        return subjects[i];
+    }
+  return 0;
 }
 
 enum bd_poison_decision
-bd_poison_decide (struct bd_poison_table *table, uint64_t fingerprint,
-                  int64_t now_ms)
+bd_poison_decide (const struct bd_poison_table *table,
+                  const uint64_t *subjects, uint32_t count, int64_t now_ms)
 {
-  const struct poison_entry *entry = find (table, fingerprint, now_ms);
+  if (bd_poison_convicted (table, subjects, count, now_ms) != 0)
+    return BD_POISON_REFUSE;
+  return bd_poison_remaining_ms (table, subjects, count, now_ms) > 0
+             ? BD_POISON_ISOLATE
+             : BD_POISON_ALLOW;
+}
 
-  if (entry == NULL)
-    return BD_POISON_ALLOW;
-  return entry->crash_count >= CRASHES_TO_REFUSE ? BD_POISON_REFUSE
-                                                 : BD_POISON_ISOLATE;
+void
+bd_poison_summarize (const struct bd_poison_table *table, uint64_t subject,
+                     int64_t now_ms, struct bd_poison_summary *summary)
+{
+  const struct poison_entry *entry = find (table, subject);
+
+  memset (summary, 0, sizeof *summary);
+  for (uint32_t i = 0; entry != NULL && i < entry->count; i++)
+    {
+      const struct evidence *evidence = &entry->evidence[i];
+
+      if (!is_current (table, evidence, now_ms))
+        continue;
+      summary->crashes++;
+      summary->last_crash_age_ms = now_ms - evidence->crashed_ms;
+      summary->last_reporter = evidence->reporter;
+    }
 }
 
 int64_t
-bd_poison_remaining_ms (struct bd_poison_table *table, uint64_t fingerprint,
+bd_poison_remaining_ms (const struct bd_poison_table *table,
+                        const uint64_t *subjects, uint32_t count,
                         int64_t now_ms)
 {
-  const struct poison_entry *entry = find (table, fingerprint, now_ms);
+  int64_t last_ms = now_ms;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const struct poison_entry *entry = find (table, subjects[i]);
+
+      for (uint32_t k = 0; entry != NULL && k < entry->count; k++)
+        if (is_current (table, &entry->evidence[k], now_ms)
+            && expires_ms (table, &entry->evidence[k]) > last_ms)
+          last_ms = expires_ms (table, &entry->evidence[k]);
+    }
+  return last_ms - now_ms;
+}
+
+uint32_t
+bd_poison_list (const struct bd_poison_table *table, int64_t now_ms,
+                struct bd_poison_evidence *items, uint32_t max)
+{
+  uint32_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, table->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct poison_entry *entry = value;
+
+      for (uint32_t i = 0; i < entry->count && count < max; i++)
+        if (expires_ms (table, &entry->evidence[i]) > now_ms)
+          items[count++] = export(entry, &entry->evidence[i], now_ms);
+    }
+  return count;
+}
+
+/* Mixes the bits, so that the sum over a table depends on each of them.  */
+static uint64_t
+mix (uint64_t value)
+{
+  value ^= value >> 31;
+  value *= 0x9e3779b97f4a7c15;
+  return value ^ value >> 29;
+}
 
-  return entry != NULL ? entry->expires_ms - now_ms : 0;
+uint64_t
+bd_poison_checksum (const struct bd_poison_table *table, int64_t now_ms)
+{
+  uint64_t sum = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, table->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct poison_entry *entry = value;
+
+      for (uint32_t i = 0; i < entry->count; i++)
+        if (expires_ms (table, &entry->evidence[i]) > now_ms)
+          sum += mix (mix (entry->subject) ^ entry->evidence[i].target
+                      ^ entry->evidence[i].is_cleared);
+    }
+  return sum;
 }
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -125,10 +125,19 @@
 static const struct field group_reports_fields[]
     = { LIST_FIELD (bd_group_reports, items, count, &group_report_layout) };
 
+static const struct field evidence_fields[]
+    = { FIELD (bd_poison_evidence, U64, subject),
+        FIELD (bd_poison_evidence, U64, target),
+        FIELD (bd_poison_evidence, U64, request),
+        FIELD (bd_poison_evidence, U64, reporter),
+        FIELD (bd_poison_evidence, U32, sent_age_ms),
+        FIELD (bd_poison_evidence, U32, crash_age_ms),
+        FIELD (bd_poison_evidence, BOOL, is_cleared) };
+static const struct layout evidence_layout
+    = LAYOUT (bd_poison_evidence, evidence_fields);
+
 static const struct field poison_fields[]
-    = { FIELD (bd_poison_update, U64, fingerprint),
-        FIELD (bd_poison_update, U64, target),
-        FIELD (bd_poison_update, BOOL, is_cleared),
+    = { LIST_FIELD (bd_poison_update, items, count, &evidence_layout),
         FIELD (bd_poison_update, U32, stage) };
 
 static const struct field claim_fields[]
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -12,6 +12,7 @@
 
 #include "base/ids.h"
 #include "directory/directory.h"
+#include "poison/poison.h"
 #include "traffic/traffic.h"
 
 #include <msgpack.h>
@@ -142,15 +143,11 @@
   uint32_t count;
 };
 
-/* A request that was running on a replica when the replica died: possibly a
-   poison request.  With is_cleared, a suspected request that turned out to be
-   harmless.  */
+/* Evidence of what crashed endpoints.  */
 struct bd_poison_update
 {
-  uint64_t fingerprint;
-  uint64_t target; /* Hash of the group that died, with its incarnation
-                      or epoch, or of the endpoint.  */
-  bool is_cleared;
+  struct bd_poison_evidence *items;
+  uint32_t count;
   uint32_t stage; /* enum bd_news_stage */
 };
 
