edge: crashes of an endpoint that starts again under its id count each

What callers saw: a request that crashes the only endpoint of a service crashes it again after each start: 8 of 8 repeats. Cause: a crash was known by the endpoint's id alone, and counted once for ever. Change: by the id and the start of its incarnation, as the list has it when the request is sent. A crash before the list shows the new incarnation still counts as the one before it.

--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -72,7 +72,8 @@
   /* The current attempt.  */
   struct bd_http_call *attempt;
   char endpoint[BD_NAME_SIZE];
-  uint64_t group; /* Hash; 0 for endpoints without a group.  */
+  int64_t endpoint_started_ms; /* Of its incarnation.  */
+  uint64_t group;              /* Hash; 0 for endpoints without a group.  */
   int64_t sent_ms;
   double expected_ms; /* From sending to the first event.  */
   double prefill_ms;
--- a/src/edge/evidence.c
+++ b/src/edge/evidence.c
@@ -40,13 +40,16 @@
   add_subject (request, BD_POISON_REQUEST, hash_request (request));
 }
 
-/* Identifies the group or endpoint of the current attempt.  */
+/* Identifies the group of the current attempt, or the incarnation of its
+   endpoint: one that starts again keeps its id.  */
 static uint64_t
 hash_crashed (const struct bd_edge_request *request)
 {
   return request->group != 0
              ? request->group
-             : bd_hash (request->endpoint, strlen (request->endpoint));
+             : bd_hash (request->endpoint, strlen (request->endpoint))
+                   ^ bd_hash (&request->endpoint_started_ms,
+                              sizeof request->endpoint_started_ms);
 }
 
 static void
--- a/src/edge/target.c
+++ b/src/edge/target.c
@@ -311,6 +311,8 @@
   request->last_event_ms = request->sent_ms;
   request->expected_ms = target->expected_ms;
   request->is_prefilling = true;
+  request->endpoint_started_ms
+      = endpoint != NULL ? endpoint->entry.started_ms : 0;
   if (endpoint != NULL)
     {
       endpoint->in_flight++;
