edge: daemons compare and exchange their evidence of crashes

What callers saw: a daemon that starts, was cut off or lost a connection sends on a request that the others refuse, and learns at the cost of two more endpoints. Cause: a crash is told once, over connections that drop what can't be sent. Change: a status carries a checksum of the sender's evidence; a daemon that holds other evidence sends its own, at most ten times a second, and so does the sender when it hears the other's status. Cleared evidence travels too, so that what was cleared stays so.

--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -218,6 +218,7 @@
   uint32_t work_count;
   int64_t first_model_request_ms; /* First request for any model.  */
   struct bd_poison_table poison_requests;
+  int64_t poison_sent_ms; /* When it was last sent to a peer as a whole.  */
   bool has_traffic;
   struct bd_edge_request *requests;
   uint32_t request_count;
@@ -393,6 +394,11 @@
 bool bd_edge_receive_poison (struct bd_edge *edge,
                              const struct bd_poison_update *update);
 
+/* bd_edge_compare_poison(): sends this daemon's evidence to a peer that does
+   not hold the same.  */
+void bd_edge_compare_poison (struct bd_edge *edge,
+                             const struct bd_member *peer, uint64_t checksum);
+
 /* bd_edge_is_poison(): whether the request crashes endpoints and is not to be
    sent.  Counts and logs it if so.  */
 bool bd_edge_is_poison (const struct bd_edge_request *request);
--- a/src/edge/edge_relays_test.c
+++ b/src/edge/edge_relays_test.c
@@ -80,6 +80,7 @@
   char url[64];
   struct bd_edge *edge; /* NULL when it has stopped.  */
   bool is_silent;       /* It does nothing any more.  */
+  bool loses_evidence;  /* Messages with evidence of crashes are lost.  */
   bd_peers_handler *handler;
   uint32_t reads;       /* Of the configuration and the instance list.  */
   uint32_t whole_lists; /* Transfers of all entries that it has received.  */
@@ -278,7 +279,8 @@
   const struct bd_freshness_reply *reply = message;
   const struct bd_poison_update *update = message;
 
-  if (daemon->is_silent)
+  if (daemon->is_silent
+      || (daemon->loses_evidence && type == BD_MESSAGE_POISON))
     return;
   if (type == BD_MESSAGE_FRESHNESS_REPLY && reply->has_frame
       && reply->frame.is_whole && reply->frame.from == 0)
@@ -629,6 +631,31 @@
     }
 }
 
+/* A daemon that was cut off learns of a crash, and of its end, later.  */
+static void
+test_lost_news (void)
+{
+  struct daemon *const losers[]
+      = { find_follower ("a"), find_relay ("a"), find_follower ("b") };
+
+  for (uint32_t i = 0; i < sizeof losers / sizeof losers[0]; i++)
+    {
+      suspect = 50 + i;
+      losers[i]->loses_evidence = true;
+      begin_suspicion (find_relay ("b"), suspect);
+      run_for (STATUS_PERIOD_MS);
+      CU_ASSERT_FALSE (suspects (losers[i]));
+      losers[i]->loses_evidence = false;
+      CU_ASSERT_TRUE (run_until (suspects, DEAD_AFTER_MS));
+      losers[i]->loses_evidence = true;
+      end_suspicion (find_relay ("b"), subject_of (suspect));
+      run_for (STATUS_PERIOD_MS);
+      CU_ASSERT_TRUE (suspects (losers[i]));
+      losers[i]->loses_evidence = false;
+      CU_ASSERT_TRUE (run_until (suspects_not, DEAD_AFTER_MS));
+    }
+}
+
 /* Suspicions that end while they are still on their way do not go round.  */
 static void
 test_crossed_news (void)
@@ -764,6 +791,7 @@
     { "only relays read the store, long bounds", test_readers_of_long_bounds },
     { "changes reach all", test_changes },
     { "news reach all and stop", test_news },
+    { "lost news", test_lost_news },
     { "crossed news stop", test_crossed_news },
     { "leaving endpoint", test_leaving_endpoint },
     { "store restored from a copy", test_store_restored },
--- a/src/edge/evidence.c
+++ b/src/edge/evidence.c
@@ -2,13 +2,17 @@
    requests by it, and exchanges it with the other daemons.  */
 
 #include "edge/edge_internal.h"
+#include "membership/news.h"
 
 #include <string.h>
 #include <talloc.h>
 
 enum
 {
-  MAX_CLEARED = BD_POISON_MAX_SUBJECTS * BD_POISON_MAX_EVIDENCE
+  MAX_CLEARED = BD_POISON_MAX_SUBJECTS * BD_POISON_MAX_EVIDENCE,
+  MAX_TABLE_ITEMS = 1000,
+  /* Shortest time between two messages with the whole table.  */
+  TABLE_PERIOD_MS = 100
 };
 
 static struct bd_poison_table *
@@ -129,6 +133,26 @@
   return update->count > 0 && add_evidence (edge, update, "");
 }
 
+void
+bd_edge_compare_poison (struct bd_edge *edge, const struct bd_member *peer,
+                        uint64_t checksum)
+{
+  static struct bd_poison_evidence items[MAX_TABLE_ITEMS];
+  int64_t now_ms = bd_edge_now_ms (edge);
+  struct bd_poison_update update
+      = { .items = items, .stage = BD_NEWS_TO_MEMBERS };
+
+  if (checksum == bd_poison_checksum (&edge->poison_requests, now_ms)
+      || now_ms - edge->poison_sent_ms < TABLE_PERIOD_MS)
+    return;
+  update.count = bd_poison_list (&edge->poison_requests, now_ms, items,
+                                 MAX_TABLE_ITEMS);
+  if (update.count == 0)
+    return;
+  edge->poison_sent_ms = now_ms;
+  bd_edge_send_to_peer (edge, peer, BD_MESSAGE_POISON, &update);
+}
+
 static void
 log_refusal (const struct bd_edge_request *request, uint64_t subject)
 {
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -377,6 +377,8 @@
           : edge->highest_config_version,
     .is_stopping = edge->is_stopping,
     .has_traffic = edge->has_traffic,
+    .poison_checksum
+    = bd_poison_checksum (&edge->poison_requests, bd_edge_now_ms (edge)),
   };
   bd_name_copy (status->name, settings->name);
   bd_name_copy (status->data_centre, settings->data_centre);
@@ -471,6 +473,7 @@
   if (status->config_version > edge->highest_config_version)
     edge->highest_config_version = status->config_version;
   edge->has_traffic = edge->has_traffic || status->has_traffic;
+  bd_edge_compare_poison (edge, sender, status->poison_checksum);
   if (status->scope != BD_STATUS_MEMBERS)
     store_traffic (edge, status, sender->name_hash);
   if (status->scope != BD_STATUS_DAEMON)
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -192,6 +192,7 @@
         FIELD (bd_edge_status, BOOL, has_traffic),
         FIELD (bd_edge_status, BOOL, wants_reply),
         FIELD (bd_edge_status, U64, live_checksum),
+        FIELD (bd_edge_status, U64, poison_checksum),
         FIELD (bd_edge_status, U32, traffic.daemon_count),
         FIELD (bd_edge_status, U32, traffic.reporting_count),
         LIST_FIELD (bd_edge_status, traffic.targets, traffic.target_count,
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -204,8 +204,9 @@
   int64_t config_version; /* The highest one in the scope.  */
   bool is_stopping;
   bool has_traffic;
-  bool wants_reply;       /* The receiver, a relay, sends the fleet's.  */
-  uint64_t live_checksum; /* Of the live daemons that the sender knows.  */
+  bool wants_reply;         /* The receiver, a relay, sends the fleet's.  */
+  uint64_t live_checksum;   /* Of the live daemons that the sender knows.  */
+  uint64_t poison_checksum; /* Of its evidence of crashes.  */
   struct bd_traffic_report traffic;
   /* Live daemons in the scope; empty when the receiver knows them.  */
   struct bd_live_daemon *live;
