edge: a waiting request is checked against new evidence before it is sent

What callers saw: requests that wait for an endpoint after three crashes go out as soon as one is back, and crash it. Cause: a request was checked on arrival and before a retry, not when it had waited. Change: each pass over the backlog checks it and refuses at once. Before: sent, and one crash; after: 503, none.

--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -199,6 +199,11 @@
 
   if (should_give_up (request, bd_edge_now_ms (pass->edge)))
     give_up (request);
+  else if (bd_edge_is_poison (request))
+    {
+      bd_backlog_remove (item);
+      refuse (request, BD_ERR_POISON_REQUEST);
+    }
   else if (is_model_full (pass, request->model))
     return true;
   else if (bd_edge_choose_target (request, &target))
