--- a/src/edge/edge_crashes_test.c
+++ b/src/edge/edge_crashes_test.c
@@ -20,7 +20,11 @@
   /* Until a crash and the endpoint's new start are known.  */
   SETTLE_MS = 400,
   CRASH_DELAY_MS = 20,
-  SECOND_PORT = 25180
+  SECOND_PORT = 25180,
+  POOL_WORKERS = 12,
+  PROMPTS = 16,
+  /* The users allow five crashes, and three more requests after them.  */
+  MAX_PART_CRASHES = 8
 };
 
 static struct site site;
@@ -223,6 +227,52 @@
   site_finish (&site);
 }
 
+/* Sends a stream whose prompt consists of a part that all share, a part, and a
+   part of its own.  Returns whether it was served.  */
+static bool
+send_prompt (const char *part)
+{
+  static uint32_t serial;
+  char target[64];
+  char parts[128];
+  struct site_call *call;
+  bool is_success;
+
+  snprintf (target, sizeof target, "/stream/%u", ++serial);
+  snprintf (parts, sizeof parts, "a0:40,%s:100,c%u:50", part, serial);
+  site.prompt_parts = parts;
+  call = site_call (&site, "POST", target, "k1", "m");
+  is_success = call->status == 200 && call->is_complete;
+  talloc_free (call);
+  site.prompt_parts = NULL;
+  return is_success;
+}
+
+/* Requests with a part crash workers, no two alike; sound ones share their
+   account, route and first part.  */
+static void
+test_part_of_prompts_crashes_workers (void)
+{
+  uint32_t served = 0;
+
+  site_start (&site, 0, POOL_WORKERS);
+  CU_ASSERT_TRUE (site_run (&site, site_has_groups, 10000));
+  site.crashing_text = "bad";
+  site.crash_delay_ms = CRASH_DELAY_MS;
+  for (uint32_t i = 0; i < PROMPTS; i++)
+    {
+      char part[16];
+
+      snprintf (part, sizeof part, "b%u", i);
+      send_prompt ("bad");
+      site_wait (&site, SETTLE_MS);
+      served += send_prompt (part);
+    }
+  CU_ASSERT_TRUE (site.crash_count <= MAX_PART_CRASHES);
+  CU_ASSERT_TRUE (served >= PROMPTS / 2);
+  site_finish (&site);
+}
+
 int
 main (void)
 {
@@ -239,6 +289,8 @@
       test_request_crashes_workers_at_a_new_daemon },
     { "request crashes workers after waiting",
       test_request_crashes_workers_after_waiting },
+    { "part of prompts crashes workers",
+      test_part_of_prompts_crashes_workers },
   };
 
   unit_silence_log ();
