edge: crashes count for the parts of prompts

Cause: evidence was of whole requests, and no two of these were alike; what they share, a part of their prompts, was not looked at (hypothesis 1). Ruled out: news that do not arrive (hypothesis 3): no daemon was away. Bystanders as suspects (hypothesis 2) are a second fault of the class: a conviction of a part explains their crashes. Change: each part of a prompt but the last is a subject.

--- a/src/edge/adapter.h
+++ b/src/edge/adapter.h
@@ -28,7 +28,8 @@
   const char *not_run; /* Set when the endpoint has not run the request.  */
   const char *load;    /* Running and waiting requests, and slots.  */
   const char *model;
-  const char *token_counts;       /* Prompt tokens, maximum output tokens.  */
+  const char *token_counts; /* Prompt tokens, maximum output tokens.  */
+  const char *prompt_parts; /* ID:TOKENS of each part, separated by commas.  */
   const char *output_length_hint; /* Expected output tokens.  */
   const char *last_event_id;
   const char *priority_class; /* 0 is served first; 5 when absent.  */
--- a/src/edge/evidence.c
+++ b/src/edge/evidence.c
@@ -40,6 +40,20 @@
         = bd_poison_subject (kind, hash);
 }
 
+/* Adds the parts of the prompt, without the last, which is the request's own.
+ */
+static void
+add_parts (struct bd_edge_request *request)
+{
+  const char *part = bd_http_header (
+      request->exchange, request->edge->adapter->headers->prompt_parts);
+  const char *end;
+
+  for (; part != NULL && (end = strchr (part, ',')) != NULL; part = end + 1)
+    add_subject (request, BD_POISON_PART,
+                 bd_hash (part, strcspn (part, ":,")));
+}
+
 void
 bd_edge_set_subjects (struct bd_edge_request *request)
 {
@@ -49,6 +63,7 @@
   add_subject (request, BD_POISON_REQUEST, hash_request (request, target));
   add_subject (request, BD_POISON_PATH, hash_request (request, path));
   talloc_free (path);
+  add_parts (request);
 }
 
 /* Identifies the group of the current attempt, or the incarnation of its
