poison: what a full entry holds no longer depends on the order of messages

An entry holds eight pieces of evidence. With more, each exchange of tables put some of a peer's in the place of others, so that two daemons could send each other their tables ten times a second until the evidence expired.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -11,7 +11,7 @@
   SYNC_PERIOD_MS = 100,
   CONTROLLER_PERIOD_MS = 50,
   WATCHDOG_PERIOD_MS = 25,
-  POISON_RECORD_MS = 60000,
+  POISON_RETENTION_MS = 60000,
   /* Limits of the connections that the HTTP clients keep open.  */
   MAX_IDLE_CONNECTIONS = 256,
   MAX_STORE_CONNECTIONS = 8,
@@ -192,7 +192,9 @@
 {
   bd_fleet_init (&edge->fleet);
   bd_edge_start_directory (edge);
-  bd_poison_init (&edge->poison_requests, POISON_RECORD_MS);
+  bd_poison_init (&edge->poison_requests, POISON_RETENTION_MS);
+  edge->poison_transfers
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   edge->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
 }
@@ -357,6 +359,7 @@
   bd_http_client_finish (&edge->client);
   bd_http_client_finish (&edge->store_client);
   bd_poison_finish (&edge->poison_requests);
+  g_hash_table_destroy (edge->poison_transfers);
   bd_traffic_finish (&edge->traffic);
   bd_traffic_finish (&edge->remote_traffic);
   g_hash_table_destroy (edge->services);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -219,6 +219,7 @@
   int64_t first_model_request_ms; /* First request for any model.  */
   struct bd_poison_table poison_requests;
   int64_t poison_sent_ms; /* When it was last sent to a peer as a whole.  */
+  GHashTable *poison_transfers; /* Hash of a peer's name -> the last one.  */
   bool has_traffic;
   struct bd_edge_request *requests;
   uint32_t request_count;
--- a/src/poison/poison.c
+++ b/src/poison/poison.c
@@ -373,33 +373,47 @@
            (entry->count - index) * sizeof entry->evidence[0]);
 }
 
-/* Makes room for one more piece of evidence.  The oldest that is cleared goes
-   first.  */
-static void
-make_room (struct poison_entry *entry)
+/* Finds a place that evidence can take in a full entry: of a crash that was
+   cleared, or of one that doesn't count beside the others.  */
+static struct evidence *
+find_victim (const struct bd_poison_table *table, struct poison_entry *entry,
+             const struct evidence *evidence, int64_t now_ms)
 {
-  uint32_t victim = 0;
+  struct evidence *last = &entry->evidence[entry->count - 1];
+  uint32_t crashes = count_crashes (table, entry, now_ms);
 
-  if (entry->count < BD_POISON_MAX_EVIDENCE)
-    return;
-  while (victim < entry->count && !entry->evidence[victim].is_cleared)
-    victim++;
-  if (victim == entry->count)
-    victim = 0;
-  remove_evidence (entry, &entry->evidence[victim]);
+  if (evidence->is_cleared || entry->is_convicted)
+    return NULL;
+  for (uint32_t i = 0; i < entry->count; i++)
+    if (entry->evidence[i].is_cleared)
+      return &entry->evidence[i];
+  if (evidence->sent_ms < last->crashed_ms)
+    return NULL;
+  return crashes < entry->count ? &entry->evidence[1] : NULL;
 }
 
-static void
-insert (struct poison_entry *entry, const struct evidence *evidence)
+/* Returns false if the entry is full of evidence that is as good: what it
+   holds then no longer changes, whatever peers send.  */
+static bool
+insert (const struct bd_poison_table *table, struct poison_entry *entry,
+        const struct evidence *evidence, int64_t now_ms)
 {
+  struct evidence *victim = NULL;
   uint32_t i;
 
-  make_room (entry);
+  if (entry->count == BD_POISON_MAX_EVIDENCE)
+    {
+      victim = find_victim (table, entry, evidence, now_ms);
+      if (victim == NULL)
+        return false;
+      remove_evidence (entry, victim);
+    }
   for (i = entry->count;
        i > 0 && entry->evidence[i - 1].crashed_ms > evidence->crashed_ms; i--)
     entry->evidence[i] = entry->evidence[i - 1];
   entry->evidence[i] = *evidence;
   entry->count++;
+  return true;
 }
 
 /* Clears one piece of evidence; the subject may then no longer be
@@ -433,10 +447,7 @@
     return false;
   known = find_evidence (entry, item->target);
   if (known == NULL)
-    {
-      insert (entry, &evidence);
-      return true;
-    }
+    return insert (table, entry, &evidence, now_ms);
   if (known->is_cleared || !item->is_cleared)
     return false;
   clear (table, entry, known, now_ms);
