poison: a subject that is not the likeliest cause is not convicted

In a storm of crashes, sessions whose requests are often beside the bad part's reached three crashes before the part did, since that had few independent ones; its place in the table was full of crashes that came together. Change: a path or part waits while another one, not known to complete, has crashed wherever it has; at five crashes those that are as likely are convicted together; a conviction that ends has what it explained judged again; a subject holds up to 32 crashes.

--- a/src/edge/evidence.c
+++ b/src/edge/evidence.c
@@ -9,7 +9,7 @@
 
 enum
 {
-  MAX_CLEARED = BD_POISON_MAX_SUBJECTS * BD_POISON_MAX_EVIDENCE,
+  MAX_CLEARED = 64,
   MAX_TABLE_ITEMS = 1000,
   MAX_TRANSFERS = 4096,
   /* Shortest time between two messages with the whole table, and between two
--- a/src/poison/poison.c
+++ b/src/poison/poison.c
@@ -15,7 +15,9 @@
   /* Crashes after which a subject is convicted even if it has completed
      lately, or if another one is as likely.  */
   CRASHES_WITHOUT_DOUBT = 5,
-  REQUESTS_FOR_PART = 2
+  REQUESTS_FOR_PART = 2,
+  MAX_UNEXPLAINED = 64,
+  MAX_TIES = 8
 };
 
 /* Crashes after which a subject is convicted, by kind.  */
@@ -40,7 +42,8 @@
   uint64_t subject;
   bool is_convicted;
   uint32_t count;
-  struct evidence evidence[BD_POISON_MAX_EVIDENCE]; /* By crashed_ms.  */
+  uint32_t capacity;
+  struct evidence *evidence; /* By crashed_ms.  */
 };
 
 static enum bd_poison_kind
@@ -56,18 +59,27 @@
 }
 
 static GHashTable *
-make_set (void)
+make_set (GDestroyNotify free_value)
 {
-  return g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  return g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_value);
+}
+
+static void
+free_entry (gpointer value)
+{
+  struct poison_entry *entry = value;
+
+  g_free (entry->evidence);
+  g_free (entry);
 }
 
 void
 bd_poison_init (struct bd_poison_table *table, uint32_t retention_ms)
 {
-  table->entries = make_set ();
+  table->entries = make_set (free_entry);
   table->convicted = g_ptr_array_new ();
-  table->completed[0] = make_set ();
-  table->completed[1] = make_set ();
+  table->completed[0] = make_set (g_free);
+  table->completed[1] = make_set (g_free);
   table->retention_ms = retention_ms;
 }
 
@@ -249,24 +261,55 @@
     g_ptr_array_add (table->convicted, entry);
 }
 
-/* Whether another of the subjects is as likely to be the cause.  */
+static uint32_t
+count_evidence (const struct bd_poison_table *table,
+                const struct poison_entry *entry, int64_t now_ms)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < entry->count; i++)
+    count += is_current (table, &entry->evidence[i], now_ms);
+  return count;
+}
+
+/* Whether other is as likely to be the cause as entry: it has crashed wherever
+   entry has, and has not completed lately unless entry has, too.  */
+static bool
+is_as_likely (const struct bd_poison_table *table, struct poison_entry *other,
+              const struct poison_entry *entry, int64_t now_ms)
+{
+  return other != entry && !other->is_convicted
+         && kind_of (other->subject) >= kind_of (entry->subject)
+         && threshold_of (table, other) <= threshold_of (table, entry)
+         && count_evidence (table, other, now_ms)
+                >= count_evidence (table, entry, now_ms)
+         && covers (table, other, entry, now_ms);
+}
+
+/* Stores up to max other subjects that are as likely to be the cause.  */
+static uint32_t
+find_as_likely (const struct bd_poison_table *table,
+                const struct poison_entry *entry, int64_t now_ms,
+                struct poison_entry **found, uint32_t max)
+{
+  uint32_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, table->entries);
+  while (count < max && g_hash_table_iter_next (&iter, NULL, &value))
+    if (is_as_likely (table, value, entry, now_ms))
+      found[count++] = value;
+  return count;
+}
+
 static bool
 is_ambiguous (const struct bd_poison_table *table,
-              const struct poison_entry *entry,
-              const struct bd_poison_evidence *items, uint32_t count,
-              int64_t now_ms)
+              const struct poison_entry *entry, int64_t now_ms)
 {
-  for (uint32_t i = 0; i < count; i++)
-    {
-      struct poison_entry *other = find (table, items[i].subject);
+  struct poison_entry *other;
 
-      if (other != NULL && other != entry && !other->is_convicted
-          && kind_of (other->subject) == kind_of (entry->subject)
-          && should_convict (table, other, now_ms)
-          && covers (table, other, entry, now_ms))
-        return true;
-    }
-  return false;
+  return find_as_likely (table, entry, now_ms, &other, 1) > 0;
 }
 
 /* Returns the subject with the most crashes among those to convict.  */
@@ -290,7 +333,7 @@
       if (crashes <= most
           || (crashes < CRASHES_WITHOUT_DOUBT
               && kind_of (entry->subject) != BD_POISON_REQUEST
-              && is_ambiguous (table, entry, items, count, now_ms)))
+              && is_ambiguous (table, entry, now_ms)))
         continue;
       likeliest = entry;
       most = crashes;
@@ -298,8 +341,22 @@
   return likeliest;
 }
 
-/* Convicts subjects of the items.  Each conviction may explain the crashes of
-   the others.  */
+/* Convicts the subject, and those that are as likely.  Each conviction may
+   explain the crashes of others.  */
+static void
+convict_with_ties (struct bd_poison_table *table, struct poison_entry *entry,
+                   int64_t now_ms)
+{
+  struct poison_entry *ties[MAX_TIES];
+  uint32_t count = 0;
+
+  if (kind_of (entry->subject) != BD_POISON_REQUEST)
+    count = find_as_likely (table, entry, now_ms, ties, MAX_TIES);
+  convict (table, entry);
+  for (uint32_t i = 0; i < count; i++)
+    convict (table, ties[i]);
+}
+
 static void
 convict_likeliest (struct bd_poison_table *table,
                    const struct bd_poison_evidence *items, uint32_t count,
@@ -308,7 +365,7 @@
   struct poison_entry *entry;
 
   while ((entry = find_likeliest (table, items, count, now_ms)) != NULL)
-    convict (table, entry);
+    convict_with_ties (table, entry, now_ms);
 }
 
 /* Removes the evidence that has expired.  Returns whether none is left.  */
@@ -408,6 +465,12 @@
         return false;
       remove_evidence (entry, victim);
     }
+  if (entry->count == entry->capacity)
+    {
+      entry->capacity = entry->capacity > 0 ? 2 * entry->capacity : 1;
+      entry->evidence
+          = g_renew (struct evidence, entry->evidence, entry->capacity);
+    }
   for (i = entry->count;
        i > 0 && entry->evidence[i - 1].crashed_ms > evidence->crashed_ms; i--)
     entry->evidence[i] = entry->evidence[i - 1];
@@ -416,6 +479,27 @@
   return true;
 }
 
+/* Convicts what the conviction of another subject no longer explains.  */
+static void
+convict_unexplained (struct bd_poison_table *table, int64_t now_ms)
+{
+  struct bd_poison_evidence items[MAX_UNEXPLAINED] = { { 0 } };
+  uint32_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, table->entries);
+  while (count < MAX_UNEXPLAINED
+         && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct poison_entry *entry = value;
+
+      if (!entry->is_convicted && should_convict (table, entry, now_ms))
+        items[count++].subject = entry->subject;
+    }
+  convict_likeliest (table, items, count, now_ms);
+}
+
 /* Clears one piece of evidence; the subject may then no longer be
    convicted.  */
 static void
@@ -423,8 +507,11 @@
        struct evidence *evidence, int64_t now_ms)
 {
   evidence->is_cleared = true;
-  if (entry->is_convicted && !should_convict (table, entry, now_ms))
-    acquit (table, entry);
+  if (!entry->is_convicted || should_convict (table, entry, now_ms))
+    return;
+  acquit (table, entry);
+  if (kind_of (entry->subject) != BD_POISON_REQUEST)
+    convict_unexplained (table, now_ms);
 }
 
 static bool
--- a/src/poison/poison.h
+++ b/src/poison/poison.h
@@ -31,7 +31,7 @@
   /* Subjects of one request.  */
   BD_POISON_MAX_SUBJECTS = 16,
   /* Evidence that is kept for one subject.  */
-  BD_POISON_MAX_EVIDENCE = 8
+  BD_POISON_MAX_EVIDENCE = 32
 };
 
 enum bd_poison_kind
--- a/src/poison/poison_test.c
+++ b/src/poison/poison_test.c
@@ -108,7 +108,142 @@
   bd_poison_finish (&table);
 }
 
+/* A crash of the target while a request with these parts ran on it for 10 ms.
+ */
+static void
+record_parts (struct bd_poison_table *table, uint64_t request,
+              const uint64_t *parts, uint32_t count, uint64_t target,
+              int64_t now_ms)
+{
+  struct bd_poison_evidence items[BD_POISON_MAX_SUBJECTS];
+
+  for (uint32_t i = 0; i < count; i++)
+    items[i] = (struct bd_poison_evidence){
+      .subject = bd_poison_subject (BD_POISON_PART, parts[i]),
+      .target = target,
+      .request = bd_poison_subject (BD_POISON_REQUEST, request),
+      .sent_age_ms = 10,
+    };
+  bd_poison_add (table, items, count, now_ms);
+}
+
+static bool
+is_part_refused (const struct bd_poison_table *table, uint64_t part,
+                 int64_t now_ms)
+{
+  uint64_t subject = bd_poison_subject (BD_POISON_PART, part);
+
+  return bd_poison_convicted (table, &subject, 1, now_ms) != 0;
+}
+
+static void
+complete_part (struct bd_poison_table *table, uint64_t part, int64_t now_ms)
+{
+  uint64_t subject = bd_poison_subject (BD_POISON_PART, part);
+
+  bd_poison_complete (table, &subject, 1, now_ms, NULL, 0);
+}
+
+/* The bystander, with its own part, runs beside each request with the bad
+   one.  */
+static void
+test_part_explains_bystander (void)
+{
+  static const uint64_t bad[] = { 1, 2 };
+  static const uint64_t bystander[] = { 1, 3 };
+  struct bd_poison_table table;
+
+  bd_poison_init (&table, 10000);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      record_parts (&table, 100 + i, bad, 2, i, 100 * i);
+      complete_part (&table, 1, 100 * i + 1);
+    }
+  CU_ASSERT_TRUE (is_part_refused (&table, 2, 300));
+  for (uint32_t i = 0; i < 3; i++)
+    record_parts (&table, 200, bystander, 2, i, 300);
+  CU_ASSERT_FALSE (is_part_refused (&table, 1, 300));
+  CU_ASSERT_FALSE (is_part_refused (&table, 3, 300));
+  bd_poison_finish (&table);
+}
+
+/* A request that crashes endpoints itself convicts none of its parts.  */
+static void
+test_one_request_convicts_no_part (void)
+{
+  static const uint64_t parts[] = { 1, 2 };
+  struct bd_poison_table table;
+
+  bd_poison_init (&table, 10000);
+  for (uint32_t i = 0; i < 10; i++)
+    record_parts (&table, 100, parts, 2, i, 100 * i);
+  CU_ASSERT_FALSE (is_part_refused (&table, 1, 1000));
+  CU_ASSERT_FALSE (is_part_refused (&table, 2, 1000));
+  bd_poison_finish (&table);
+}
+
+/* Two parts are in each crashed request.  */
+static void
+test_ties_are_convicted_together (void)
+{
+  static const uint64_t parts[] = { 1, 2 };
+  struct bd_poison_table table;
+
+  bd_poison_init (&table, 10000);
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      CU_ASSERT_FALSE (is_part_refused (&table, 1, 100 * i));
+      CU_ASSERT_FALSE (is_part_refused (&table, 2, 100 * i));
+      record_parts (&table, 100 + i, parts, 2, i, 100 * i);
+    }
+  CU_ASSERT_TRUE (is_part_refused (&table, 1, 500));
+  CU_ASSERT_TRUE (is_part_refused (&table, 2, 500));
+  bd_poison_finish (&table);
+}
+
+/* Of two parts that are in each crashed request, only the one that has not
+   completed lately is convicted.  */
+static void
+test_part_in_use_is_not_convicted (void)
+{
+  static const uint64_t parts[] = { 1, 2 };
+  struct bd_poison_table table;
+
+  bd_poison_init (&table, 10000);
+  complete_part (&table, 1, 0);
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      CU_ASSERT_FALSE (is_part_refused (&table, 1, 100 * i));
+      record_parts (&table, 100 + i, parts, 2, i, 100 * i);
+    }
+  CU_ASSERT_FALSE (is_part_refused (&table, 1, 500));
+  CU_ASSERT_TRUE (is_part_refused (&table, 2, 500));
+  bd_poison_finish (&table);
+}
+
+static void
+test_completion_ends_conviction (void)
+{
+  static const uint64_t parts[] = { 1 };
+  struct bd_poison_table table;
+
+  bd_poison_init (&table, 10000);
+  for (uint32_t i = 0; i < 3; i++)
+    record_parts (&table, 100 + i, parts, 1, i, 100 * i);
+  CU_ASSERT_TRUE (is_part_refused (&table, 1, 300));
+  complete_part (&table, 1, 300);
+  CU_ASSERT_FALSE (is_part_refused (&table, 1, 300));
+  bd_poison_finish (&table);
+}
+
 static const struct unit_test tests[] = {
+  { "a part explains the crashes of a bystander",
+    test_part_explains_bystander },
+  { "one request convicts none of its parts",
+    test_one_request_convicts_no_part },
+  { "ties are convicted together", test_ties_are_convicted_together },
+  { "a part in use is not convicted", test_part_in_use_is_not_convicted },
+  { "a completion ends a conviction", test_completion_ends_conviction },
   { "two crashes refuse a request", test_two_crashes_refuse },
   { "a finished request is cleared", test_finished_request_is_cleared },
   { "a withdrawn crash clears requests",
