edge: evidence of crashes is kept for five minutes

A request that crashes endpoints and still comes was let through again a minute after its last crash, at the cost of two more each time. What completes is cleared at once, so the longer time is for what has not completed since.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -11,7 +11,7 @@
   SYNC_PERIOD_MS = 100,
   CONTROLLER_PERIOD_MS = 50,
   WATCHDOG_PERIOD_MS = 25,
-  POISON_RETENTION_MS = 60000,
+  POISON_RETENTION_MS = 300000,
   /* Limits of the connections that the HTTP clients keep open.  */
   MAX_IDLE_CONNECTIONS = 256,
   MAX_STORE_CONNECTIONS = 8,
