edge: a stream that ends inside an event is a crash

What callers saw: an endpoint that crashes under a stream without length or chunks ends it like any other; the request goes to the next endpoint each time. Cause: only a broken connection counted as a crash.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -354,7 +354,7 @@
                                                     : BD_FAILURE_NOT_SENT,
           result->was_sent && !result->has_timed_out, "connection");
   else if (is_stream (call) && is_partial)
-    fail (request, BD_FAILURE_BROKEN, false, "gap");
+    fail (request, BD_FAILURE_BROKEN, true, "ended inside an event");
   else if (!is_stream (call))
     handle_complete_response (request, call, result);
   else if (!has_response_seal (request, call))
--- a/src/edge/edge_crashes_test.c
+++ b/src/edge/edge_crashes_test.c
@@ -7,8 +7,12 @@
 #include "tests/quiet.h"
 #include "tests/unit.h"
 
+#include <arpa/inet.h>
 #include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
 #include <talloc.h>
+#include <unistd.h>
 
 enum
 {
@@ -21,6 +25,8 @@
   SETTLE_MS = 400,
   CRASH_DELAY_MS = 20,
   SECOND_PORT = 25180,
+  RAW_PORT = 25190,
+  RAW_WORKERS = 4,
   POOL_WORKERS = 12,
   PROMPTS = 16,
   /* The users allow five crashes, and three more requests after them.  */
@@ -227,6 +233,116 @@
   site_finish (&site);
 }
 
+/* A worker whose streams have neither a length nor chunks, and end with their
+   connection inside an event.  */
+struct raw_worker
+{
+  struct tevent_fd *event;
+  int listen_fd;
+  uint32_t request_count;
+};
+
+struct raw_connection
+{
+  struct raw_worker *worker;
+  int fd;
+};
+
+static void
+break_off_stream (struct tevent_context *events, struct tevent_fd *event,
+                  uint16_t flags, void *ctx)
+{
+  struct raw_connection *connection = ctx;
+  char request[4096];
+  char response[512];
+  char id[64] = "";
+  ssize_t received
+      = recv (connection->fd, request, sizeof request - 1, MSG_DONTWAIT);
+  const char *header;
+
+  (void)events;
+  (void)event;
+  (void)flags;
+  if (received > 0)
+    {
+      request[received] = '\0';
+      header = strstr (request, "Attempt-Id: ");
+      if (header != NULL)
+        sscanf (header, "Attempt-Id: %63s", id);
+      snprintf (response, sizeof response,
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                "Attempt-Id: %s\r\nResponse-Seal: raw\r\n\r\n"
+                "id: 1\ndata: e1\n\nid: 2\nda",
+                id);
+      connection->worker->request_count++;
+      send (connection->fd, response, strlen (response), MSG_NOSIGNAL);
+    }
+  close (connection->fd);
+  talloc_free (connection);
+}
+
+static void
+accept_raw (struct tevent_context *events, struct tevent_fd *event,
+            uint16_t flags, void *ctx)
+{
+  struct raw_worker *worker = ctx;
+  struct raw_connection *connection
+      = talloc_zero (events, struct raw_connection);
+
+  (void)event;
+  (void)flags;
+  connection->worker = worker;
+  connection->fd = accept (worker->listen_fd, NULL, NULL);
+  tevent_add_fd (events, connection, connection->fd, TEVENT_FD_READ,
+                 break_off_stream, connection);
+}
+
+static void
+start_raw_worker (struct raw_worker *worker, uint32_t port)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
+  int on = 1;
+
+  worker->listen_fd = socket (AF_INET, SOCK_STREAM, 0);
+  setsockopt (worker->listen_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  CU_ASSERT_EQUAL (
+      bind (worker->listen_fd, (struct sockaddr *)&address, sizeof address),
+      0);
+  CU_ASSERT_EQUAL (listen (worker->listen_fd, 8), 0);
+  worker->event = tevent_add_fd (site.events, site.events, worker->listen_fd,
+                                 TEVENT_FD_READ, accept_raw, worker);
+}
+
+static void
+test_request_breaks_off_streams_inside_events (void)
+{
+  struct raw_worker raw[RAW_WORKERS] = { { 0 } };
+  uint32_t requests = 0;
+
+  site_start (&site, RAW_WORKERS, 0);
+  for (uint32_t i = 0; i < RAW_WORKERS; i++)
+    {
+      start_raw_worker (&raw[i], RAW_PORT + i);
+      site.workers[i].port = RAW_PORT + i;
+      site_list_worker (&site.workers[i]);
+    }
+  CU_ASSERT_TRUE (site_run (&site, site_is_ready, 5000));
+  site_wait (&site, SETTLE_MS);
+  for (uint32_t i = 0; i < REPEATS; i++)
+    talloc_free (site_call (&site, "GET", "/safe/crash", "k1", NULL));
+  for (uint32_t i = 0; i < RAW_WORKERS; i++)
+    {
+      requests += raw[i].request_count;
+      talloc_free (raw[i].event);
+      close (raw[i].listen_fd);
+    }
+  CU_ASSERT_TRUE (requests > 0);
+  CU_ASSERT_TRUE (requests <= MAX_CRASHES);
+  site_finish (&site);
+}
+
 /* Sends a stream whose prompt consists of a part that all share, a part, and a
    part of its own.  Returns whether it was served.  */
 static bool
@@ -289,6 +405,8 @@
       test_request_crashes_workers_at_a_new_daemon },
     { "request crashes workers after waiting",
       test_request_crashes_workers_after_waiting },
+    { "request breaks off streams inside events",
+      test_request_breaks_off_streams_inside_events },
     { "part of prompts crashes workers",
       test_part_of_prompts_crashes_workers },
   };
--- a/src/edge/evidence.c
+++ b/src/edge/evidence.c
@@ -4,6 +4,7 @@
 #include "edge/edge_internal.h"
 #include "membership/news.h"
 
+#include <assert.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -114,6 +115,7 @@
   struct bd_poison_update update
       = { .items = items, .count = request->subject_count };
 
+  assert (request->subject_count > 0);
   for (uint32_t i = 0; i < request->subject_count; i++)
     items[i] = (struct bd_poison_evidence){
       .subject = request->subjects[i],
