--- a/src/edge/edge_crashes_test.c
+++ b/src/edge/edge_crashes_test.c
@@ -9,6 +9,7 @@
 
 #include <arpa/inet.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <talloc.h>
@@ -25,6 +26,7 @@
   SETTLE_MS = 400,
   CRASH_DELAY_MS = 20,
   SECOND_PORT = 25180,
+  MIN_RETENTION_S = 60,
   RAW_PORT = 25190,
   RAW_WORKERS = 4,
   POOL_WORKERS = 12,
@@ -230,6 +232,9 @@
     tevent_loop_once (site.events);
   CU_ASSERT_EQUAL (site.crash_count, 0);
   CU_ASSERT_EQUAL (call->status, 503);
+  /* The caller is told when the evidence expires.  */
+  CU_ASSERT_PTR_NOT_NULL_FATAL (call->retry_after);
+  CU_ASSERT_TRUE (atof (call->retry_after) > MIN_RETENTION_S);
   site_finish (&site);
 }
 
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -404,6 +404,10 @@
    sent.  Counts and logs it if so.  */
 bool bd_edge_is_poison (const struct bd_edge_request *request);
 
+/* bd_edge_poison_remaining_ms(): the time until the evidence against a refused
+   request expires.  */
+int64_t bd_edge_poison_remaining_ms (const struct bd_edge_request *request);
+
 /* response.c: sends responses to callers.  */
 
 /* bd_edge_send_failure(): responds to an exchange with an error, and with a
--- a/src/edge/evidence.c
+++ b/src/edge/evidence.c
@@ -235,3 +235,11 @@
   log_refusal (request, convicted);
   return true;
 }
+
+int64_t
+bd_edge_poison_remaining_ms (const struct bd_edge_request *request)
+{
+  return bd_poison_remaining_ms (table_of (request), request->subjects,
+                                 request->subject_count,
+                                 bd_edge_now_ms (request->edge));
+}
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -205,8 +205,10 @@
       bd_http_stream_end (request->exchange, false);
     }
   else if (request->exchange != NULL)
-    bd_edge_send_failure (edge, request->exchange, request->attempt_id, error,
-                          run, bd_edge_retry_after_ms (request));
+    bd_edge_send_failure (
+        edge, request->exchange, request->attempt_id, error, run,
+        error == BD_ERR_POISON_REQUEST ? bd_edge_poison_remaining_ms (request)
+                                       : bd_edge_retry_after_ms (request));
   bd_edge_request_end (request);
 }
 
