--- a/src/poison/poison.c
+++ b/src/poison/poison.c
@@ -2,7 +2,6 @@
 
 #include "poison/poison.h"
 
-#include <assert.h>
 #include <string.h>
 
 enum
@@ -431,36 +430,37 @@
 }
 
 /* Finds a place that evidence can take in a full entry: of a crash that was
-   cleared, or of one that doesn't count beside the others.  */
+   cleared or, if the evidence is independent of the others, of one that is
+   not.  */
 static struct evidence *
-find_victim (const struct bd_poison_table *table, struct poison_entry *entry,
-             const struct evidence *evidence, int64_t now_ms)
+find_victim (struct poison_entry *entry, const struct evidence *evidence)
 {
-  struct evidence *last = &entry->evidence[entry->count - 1];
-  uint32_t crashes = count_crashes (table, entry, now_ms);
+  struct evidence *items = entry->evidence;
 
   if (evidence->is_cleared || entry->is_convicted)
     return NULL;
   for (uint32_t i = 0; i < entry->count; i++)
-    if (entry->evidence[i].is_cleared)
-      return &entry->evidence[i];
-  if (evidence->sent_ms < last->crashed_ms)
+    if (items[i].is_cleared)
+      return &items[i];
+  if (evidence->sent_ms < items[entry->count - 1].crashed_ms)
     return NULL;
-  return crashes < entry->count ? &entry->evidence[1] : NULL;
+  for (uint32_t i = 1; i < entry->count; i++)
+    if (items[i].sent_ms < items[i - 1].crashed_ms)
+      return &items[i];
+  return NULL;
 }
 
 /* Returns false if the entry is full of evidence that is as good: what it
    holds then no longer changes, whatever peers send.  */
 static bool
-insert (const struct bd_poison_table *table, struct poison_entry *entry,
-        const struct evidence *evidence, int64_t now_ms)
+insert (struct poison_entry *entry, const struct evidence *evidence)
 {
   struct evidence *victim = NULL;
   uint32_t i;
 
   if (entry->count == BD_POISON_MAX_EVIDENCE)
     {
-      victim = find_victim (table, entry, evidence, now_ms);
+      victim = find_victim (entry, evidence);
       if (victim == NULL)
         return false;
       remove_evidence (entry, victim);
@@ -534,7 +534,7 @@
     return false;
   known = find_evidence (entry, item->target);
   if (known == NULL)
-    return insert (table, entry, &evidence, now_ms);
+    return insert (entry, &evidence);
   if (known->is_cleared || !item->is_cleared)
     return false;
   clear (table, entry, known, now_ms);
@@ -555,9 +555,9 @@
   return is_news;
 }
 
-static struct bd_poison_evidence export(const struct poison_entry *entry,
-                                        const struct evidence *evidence,
-                                        int64_t now_ms)
+static struct bd_poison_evidence
+make_item (const struct poison_entry *entry, const struct evidence *evidence,
+           int64_t now_ms)
 {
   return (struct bd_poison_evidence){
     .subject = entry->subject,
@@ -584,7 +584,7 @@
         continue;
       clear (table, entry, evidence, now_ms);
       if (count < max)
-        cleared[count] = export(entry, evidence, now_ms);
+        cleared[count] = make_item (entry, evidence, now_ms);
       count++;
     }
   return count;
@@ -709,7 +709,7 @@
 
       for (uint32_t i = 0; i < entry->count && count < max; i++)
         if (expires_ms (table, &entry->evidence[i]) > now_ms)
-          items[count++] = export(entry, &entry->evidence[i], now_ms);
+          items[count++] = make_item (entry, &entry->evidence[i], now_ms);
     }
   return count;
 }
