--- a/src/edge/evidence.c
+++ b/src/edge/evidence.c
@@ -225,14 +225,14 @@
 bool
 bd_edge_is_poison (const struct bd_edge_request *request)
 {
-  uint64_t convicted = bd_poison_convicted (
-      table_of (request), request->subjects, request->subject_count,
-      bd_edge_now_ms (request->edge));
+  uint64_t blocked = bd_poison_blocked (table_of (request), request->subjects,
+                                        request->subject_count,
+                                        bd_edge_now_ms (request->edge));
 
-  if (convicted == 0)
+  if (blocked == 0)
     return false;
   bd_count (&request->edge->counters, BD_COUNT_POISON_REFUSED);
-  log_refusal (request, convicted);
+  log_refusal (request, blocked);
   return true;
 }
 
--- a/src/poison/poison.c
+++ b/src/poison/poison.c
@@ -11,7 +11,7 @@
   KINDS = BD_POISON_PART + 1,
   MAX_ENTRIES = 10000,
   MAX_COMPLETED = 4096,
-  /* Crashes after which a subject is convicted even if it has completed
+  /* Crashes after which a subject is blocked even if it has completed
      lately, or if another one is as likely.  */
   CRASHES_WITHOUT_DOUBT = 5,
   REQUESTS_FOR_PART = 2,
@@ -19,8 +19,8 @@
   MAX_TIES = 8
 };
 
-/* Crashes after which a subject is convicted, by kind.  */
-static const uint32_t crashes_to_convict[KINDS] = {
+/* Crashes after which a subject is blocked, by kind.  */
+static const uint32_t crashes_to_block[KINDS] = {
   [BD_POISON_REQUEST] = 2,
   [BD_POISON_PATH] = 3,
   [BD_POISON_PART] = 3,
@@ -39,7 +39,7 @@
 struct poison_entry
 {
   uint64_t subject;
-  bool is_convicted;
+  bool is_blocked;
   uint32_t count;
   uint32_t capacity;
   struct evidence *evidence; /* By crashed_ms.  */
@@ -76,7 +76,7 @@
 bd_poison_init (struct bd_poison_table *table, uint32_t retention_ms)
 {
   table->entries = make_set (free_entry);
-  table->convicted = g_ptr_array_new ();
+  table->blocked = g_ptr_array_new ();
   table->completed[0] = make_set (g_free);
   table->completed[1] = make_set (g_free);
   table->retention_ms = retention_ms;
@@ -86,7 +86,7 @@
 bd_poison_finish (struct bd_poison_table *table)
 {
   g_hash_table_destroy (table->entries);
-  g_ptr_array_free (table->convicted, TRUE);
+  g_ptr_array_free (table->blocked, TRUE);
   g_hash_table_destroy (table->completed[0]);
   g_hash_table_destroy (table->completed[1]);
 }
@@ -128,9 +128,9 @@
               const struct poison_entry *entry, uint64_t target,
               int64_t now_ms)
 {
-  for (uint32_t i = 0; i < table->convicted->len; i++)
+  for (uint32_t i = 0; i < table->blocked->len; i++)
     {
-      struct poison_entry *other = g_ptr_array_index (table->convicted, i);
+      struct poison_entry *other = g_ptr_array_index (table->blocked, i);
       const struct evidence *evidence;
 
       if (other == entry
@@ -234,30 +234,30 @@
   if (kind_of (entry->subject) != BD_POISON_REQUEST
       && has_completed_lately (table, entry->subject))
     return CRASHES_WITHOUT_DOUBT;
-  return crashes_to_convict[kind_of (entry->subject)];
+  return crashes_to_block[kind_of (entry->subject)];
 }
 
 static bool
-should_convict (const struct bd_poison_table *table,
-                const struct poison_entry *entry, int64_t now_ms)
+should_block (const struct bd_poison_table *table,
+              const struct poison_entry *entry, int64_t now_ms)
 {
   return count_crashes (table, entry, now_ms) >= threshold_of (table, entry)
          && has_enough_requests (table, entry, now_ms);
 }
 
 static void
-acquit (struct bd_poison_table *table, struct poison_entry *entry)
+unblock (struct bd_poison_table *table, struct poison_entry *entry)
 {
-  entry->is_convicted = false;
-  g_ptr_array_remove_fast (table->convicted, entry);
+  entry->is_blocked = false;
+  g_ptr_array_remove_fast (table->blocked, entry);
 }
 
 static void
-convict (struct bd_poison_table *table, struct poison_entry *entry)
+block (struct bd_poison_table *table, struct poison_entry *entry)
 {
-  entry->is_convicted = true;
+  entry->is_blocked = true;
   if (kind_of (entry->subject) != BD_POISON_REQUEST)
-    g_ptr_array_add (table->convicted, entry);
+    g_ptr_array_add (table->blocked, entry);
 }
 
 static uint32_t
@@ -277,7 +277,7 @@
 is_as_likely (const struct bd_poison_table *table, struct poison_entry *other,
               const struct poison_entry *entry, int64_t now_ms)
 {
-  return other != entry && !other->is_convicted
+  return other != entry && !other->is_blocked
          && kind_of (other->subject) >= kind_of (entry->subject)
          && threshold_of (table, other) <= threshold_of (table, entry)
          && count_evidence (table, other, now_ms)
@@ -311,7 +311,7 @@
   return find_as_likely (table, entry, now_ms, &other, 1) > 0;
 }
 
-/* Returns the subject with the most crashes among those to convict.  */
+/* Returns the subject with the most crashes among those to block.  */
 static struct poison_entry *
 find_likeliest (const struct bd_poison_table *table,
                 const struct bd_poison_evidence *items, uint32_t count,
@@ -325,8 +325,8 @@
       struct poison_entry *entry = find (table, items[i].subject);
       uint32_t crashes;
 
-      if (entry == NULL || entry->is_convicted
-          || !should_convict (table, entry, now_ms))
+      if (entry == NULL || entry->is_blocked
+          || !should_block (table, entry, now_ms))
         continue;
       crashes = count_crashes (table, entry, now_ms);
       if (crashes <= most
@@ -340,31 +340,31 @@
   return likeliest;
 }
 
-/* Convicts the subject, and those that are as likely.  Each conviction may
+/* Blocks the subject, and those that are as likely.  Each block may
    explain the crashes of others.  */
 static void
-convict_with_ties (struct bd_poison_table *table, struct poison_entry *entry,
-                   int64_t now_ms)
+block_with_ties (struct bd_poison_table *table, struct poison_entry *entry,
+                 int64_t now_ms)
 {
   struct poison_entry *ties[MAX_TIES];
   uint32_t count = 0;
 
   if (kind_of (entry->subject) != BD_POISON_REQUEST)
     count = find_as_likely (table, entry, now_ms, ties, MAX_TIES);
-  convict (table, entry);
+  block (table, entry);
   for (uint32_t i = 0; i < count; i++)
-    convict (table, ties[i]);
+    block (table, ties[i]);
 }
 
 static void
-convict_likeliest (struct bd_poison_table *table,
-                   const struct bd_poison_evidence *items, uint32_t count,
-                   int64_t now_ms)
+block_likeliest (struct bd_poison_table *table,
+                 const struct bd_poison_evidence *items, uint32_t count,
+                 int64_t now_ms)
 {
   struct poison_entry *entry;
 
   while ((entry = find_likeliest (table, items, count, now_ms)) != NULL)
-    convict_with_ties (table, entry, now_ms);
+    block_with_ties (table, entry, now_ms);
 }
 
 /* Removes the evidence that has expired.  Returns whether none is left.  */
@@ -378,8 +378,8 @@
     if (expires_ms (table, &entry->evidence[i]) > now_ms)
       entry->evidence[kept++] = entry->evidence[i];
   entry->count = kept;
-  if (kept == 0 && entry->is_convicted)
-    acquit (table, entry);
+  if (kept == 0 && entry->is_blocked)
+    unblock (table, entry);
   return kept == 0;
 }
 
@@ -437,7 +437,7 @@
 {
   struct evidence *items = entry->evidence;
 
-  if (evidence->is_cleared || entry->is_convicted)
+  if (evidence->is_cleared || entry->is_blocked)
     return NULL;
   for (uint32_t i = 0; i < entry->count; i++)
     if (items[i].is_cleared)
@@ -479,9 +479,9 @@
   return true;
 }
 
-/* Convicts what the conviction of another subject no longer explains.  */
+/* Blocks what the block of another subject no longer explains.  */
 static void
-convict_unexplained (struct bd_poison_table *table, int64_t now_ms)
+block_unexplained (struct bd_poison_table *table, int64_t now_ms)
 {
   struct bd_poison_evidence items[MAX_UNEXPLAINED] = { { 0 } };
   uint32_t count = 0;
@@ -494,24 +494,24 @@
     {
       const struct poison_entry *entry = value;
 
-      if (!entry->is_convicted && should_convict (table, entry, now_ms))
+      if (!entry->is_blocked && should_block (table, entry, now_ms))
         items[count++].subject = entry->subject;
     }
-  convict_likeliest (table, items, count, now_ms);
+  block_likeliest (table, items, count, now_ms);
 }
 
 /* Clears one piece of evidence; the subject may then no longer be
-   convicted.  */
+   blocked.  */
 static void
 clear (struct bd_poison_table *table, struct poison_entry *entry,
        struct evidence *evidence, int64_t now_ms)
 {
   evidence->is_cleared = true;
-  if (!entry->is_convicted || should_convict (table, entry, now_ms))
+  if (!entry->is_blocked || should_block (table, entry, now_ms))
     return;
-  acquit (table, entry);
+  unblock (table, entry);
   if (kind_of (entry->subject) != BD_POISON_REQUEST)
-    convict_unexplained (table, now_ms);
+    block_unexplained (table, now_ms);
 }
 
 static bool
@@ -551,7 +551,7 @@
   for (uint32_t i = 0; i < count; i++)
     is_news = add_one (table, &items[i], now_ms) || is_news;
   if (is_news)
-    convict_likeliest (table, items, count, now_ms);
+    block_likeliest (table, items, count, now_ms);
   return is_news;
 }
 
@@ -631,14 +631,14 @@
 }
 
 uint64_t
-bd_poison_convicted (const struct bd_poison_table *table,
-                     const uint64_t *subjects, uint32_t count, int64_t now_ms)
+bd_poison_blocked (const struct bd_poison_table *table,
+                   const uint64_t *subjects, uint32_t count, int64_t now_ms)
 {
   for (uint32_t i = 0; i < count; i++)
     {
       const struct poison_entry *entry = find (table, subjects[i]);
 
-      if (entry != NULL && entry->is_convicted
+      if (entry != NULL && entry->is_blocked
           && bd_poison_remaining_ms (table, &subjects[i], 1, now_ms) > 0)
         return subjects[i];
     }
@@ -649,7 +649,7 @@
 bd_poison_decide (const struct bd_poison_table *table,
                   const uint64_t *subjects, uint32_t count, int64_t now_ms)
 {
-  if (bd_poison_convicted (table, subjects, count, now_ms) != 0)
+  if (bd_poison_blocked (table, subjects, count, now_ms) != 0)
     return BD_POISON_REFUSE;
   return bd_poison_remaining_ms (table, subjects, count, now_ms) > 0
              ? BD_POISON_ISOLATE
--- a/src/poison/poison.h
+++ b/src/poison/poison.h
@@ -5,13 +5,13 @@
    or a part of its prompt.  When an endpoint crashes, each subject of each
    request that was running on it is a suspect; that is one piece of evidence
    for each.  A request that completes clears its subjects of the crashes that
-   were known by then.  A subject is convicted and its requests are refused
+   were known by then.  A subject is blocked and its requests are refused
 
    - when enough crashes remain, and, for paths and parts, these are
    independent: each run began after the crash before it, so that endpoints
    that fail together, or that run many requests with a shared part, count
    once;
-   - if the crashes are not explained by the conviction of another path or part
+   - if the crashes are not explained by the block of another path or part
      that ran there;
    - for a part, if more than one request crashed with it.
 
@@ -45,7 +45,7 @@
 {
   BD_POISON_ALLOW,   /* No subject is suspected.  */
   BD_POISON_ISOLATE, /* Run it where no other suspected request runs.  */
-  BD_POISON_REFUSE   /* A subject is convicted.  */
+  BD_POISON_REFUSE   /* A subject is blocked.  */
 };
 
 /* A crash during a run of a request with this subject.  */
@@ -63,8 +63,8 @@
 /* Bounded: while it is full, evidence of further subjects is not kept.  */
 struct bd_poison_table
 {
-  GHashTable *entries;  /* Subject -> struct poison_entry.  */
-  GPtrArray *convicted; /* The entries of convicted paths and parts.  */
+  GHashTable *entries; /* Subject -> struct poison_entry.  */
+  GPtrArray *blocked;  /* The entries of blocked paths and parts.  */
   /* Subjects that have completed lately, in two generations.  */
   GHashTable *completed[2];
   uint32_t retention_ms; /* Time from a crash until its evidence expires.  */
@@ -100,11 +100,11 @@
                                           const uint64_t *subjects,
                                           uint32_t count, int64_t now_ms);
 
-/* bd_poison_convicted(): the first of these subjects that is convicted, or
+/* bd_poison_blocked(): the first of these subjects that is blocked, or
    0.  */
-uint64_t bd_poison_convicted (const struct bd_poison_table *table,
-                              const uint64_t *subjects, uint32_t count,
-                              int64_t now_ms);
+uint64_t bd_poison_blocked (const struct bd_poison_table *table,
+                            const uint64_t *subjects, uint32_t count,
+                            int64_t now_ms);
 
 /* The evidence against a subject.  */
 struct bd_poison_summary
--- a/src/poison/poison_properties.cc
+++ b/src/poison/poison_properties.cc
@@ -180,9 +180,9 @@
   void
   send (Request request)
   {
-    bool is_refused = bd_poison_convicted (&tables[request.daemon].table,
-                                           request.subjects.data (),
-                                           request.subjects.size (), now_ms)
+    bool is_refused = bd_poison_blocked (&tables[request.daemon].table,
+                                         request.subjects.data (),
+                                         request.subjects.size (), now_ms)
                       != 0;
 
     sound_refused += is_refused && !request.is_bad;
@@ -366,7 +366,7 @@
       }
   });
 
-  is_ok &= rc::check ("endpoints that fail together convict no part", [] () {
+  is_ok &= rc::check ("endpoints that fail together block no part", [] () {
     auto targets = *rc::gen::inRange (1U, 30U);
     uint64_t shared = part (1);
     Table table;
@@ -380,7 +380,7 @@
 
         bd_poison_add (&table.table, &item, 1, 10000 + i);
       }
-    RC_ASSERT (bd_poison_convicted (&table.table, &shared, 1, 10100) == 0);
+    RC_ASSERT (bd_poison_blocked (&table.table, &shared, 1, 10100) == 0);
   });
 
   is_ok &= rc::check ("a part that crashes endpoints is refused, and sound "
--- a/src/poison/poison_test.c
+++ b/src/poison/poison_test.c
@@ -133,7 +133,7 @@
 {
   uint64_t subject = bd_poison_subject (BD_POISON_PART, part);
 
-  return bd_poison_convicted (table, &subject, 1, now_ms) != 0;
+  return bd_poison_blocked (table, &subject, 1, now_ms) != 0;
 }
 
 static void
@@ -167,9 +167,9 @@
   bd_poison_finish (&table);
 }
 
-/* A request that crashes endpoints itself convicts none of its parts.  */
+/* A request that crashes endpoints itself blocks none of its parts.  */
 static void
-test_one_request_convicts_no_part (void)
+test_one_request_blocks_no_part (void)
 {
   static const uint64_t parts[] = { 1, 2 };
   struct bd_poison_table table;
@@ -184,7 +184,7 @@
 
 /* Two parts are in each crashed request.  */
 static void
-test_ties_are_convicted_together (void)
+test_ties_are_blocked_together (void)
 {
   static const uint64_t parts[] = { 1, 2 };
   struct bd_poison_table table;
@@ -202,9 +202,9 @@
 }
 
 /* Of two parts that are in each crashed request, only the one that has not
-   completed lately is convicted.  */
+   completed lately is blocked.  */
 static void
-test_part_in_use_is_not_convicted (void)
+test_part_in_use_is_not_blocked (void)
 {
   static const uint64_t parts[] = { 1, 2 };
   struct bd_poison_table table;
@@ -222,7 +222,7 @@
 }
 
 static void
-test_completion_ends_conviction (void)
+test_completion_ends_block (void)
 {
   static const uint64_t parts[] = { 1 };
   struct bd_poison_table table;
@@ -239,11 +239,10 @@
 static const struct unit_test tests[] = {
   { "a part explains the crashes of a bystander",
     test_part_explains_bystander },
-  { "one request convicts none of its parts",
-    test_one_request_convicts_no_part },
-  { "ties are convicted together", test_ties_are_convicted_together },
-  { "a part in use is not convicted", test_part_in_use_is_not_convicted },
-  { "a completion ends a conviction", test_completion_ends_conviction },
+  { "one request blocks none of its parts", test_one_request_blocks_no_part },
+  { "ties are blocked together", test_ties_are_blocked_together },
+  { "a part in use is not blocked", test_part_in_use_is_not_blocked },
+  { "a completion ends a block", test_completion_ends_block },
   { "two crashes refuse a request", test_two_crashes_refuse },
   { "a finished request is cleared", test_finished_request_is_cleared },
   { "a withdrawn crash clears requests",
