--- a/src/edge/edge_crashes_test.c
+++ b/src/edge/edge_crashes_test.c
@@ -258,6 +258,7 @@
                   uint16_t flags, void *ctx)
 {
   struct raw_connection *connection = ctx;
+  const struct bd_header_names *names = bd_platform_adapter.headers;
   char request[4096];
   char response[512];
   char id[64] = "";
@@ -271,14 +272,14 @@
   if (received > 0)
     {
       request[received] = '\0';
-      header = strstr (request, "Attempt-Id: ");
+      header = strstr (request, names->attempt_id);
       if (header != NULL)
-        sscanf (header, "Attempt-Id: %63s", id);
+        sscanf (header + strlen (names->attempt_id), ": %63s", id);
       snprintf (response, sizeof response,
                 "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                "Attempt-Id: %s\r\nResponse-Seal: raw\r\n\r\n"
+                "%s: %s\r\n%s: raw\r\n\r\n"
                 "id: 1\ndata: e1\n\nid: 2\nda",
-                id);
+                names->attempt_id, id, names->response_seal);
       connection->worker->request_count++;
       send (connection->fd, response, strlen (response), MSG_NOSIGNAL);
     }
