--- a/src/edge/adapter.h
+++ b/src/edge/adapter.h
@@ -35,6 +35,8 @@
   const char *priority_class; /* 0 is served first; 5 when absent.  */
   const char *retry_after;    /* Seconds, with fractions.  */
   const char *is_leaving; /* "1" in the responses of a leaving endpoint.  */
+  /* Requests a second that the endpoint accepts from all daemons together.  */
+  const char *request_limit;
 };
 
 struct bd_adapter
--- a/src/edge/target.c
+++ b/src/edge/target.c
@@ -4,6 +4,7 @@
 #include "edge/edge_internal.h"
 #include "placement/subset.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -27,7 +28,8 @@
   MAX_CLOSED_S = 60,
   /* Shortest time over which the daemons return to an endpoint.  */
   MIN_RETURN_SPREAD_MS = 100,
-  MS_PER_S = 1000
+  MS_PER_S = 1000,
+  RATE_SIZE = 32 /* Of a rate as text.  */
 };
 
 /* Time added to targets in other data centres: the round trip, and a
@@ -394,12 +396,32 @@
           NULL);
 }
 
+/* Reads the limit on the rate of requests that a response names.  */
+static void
+note_limit (struct bd_edge *edge, struct bd_fleet_endpoint *endpoint,
+            const struct bd_http_call *call)
+{
+  const char *text
+      = bd_http_call_header (call, edge->adapter->headers->request_limit);
+  double limit_per_s = text != NULL ? strtod (text, NULL) : 0;
+  char per_s[RATE_SIZE];
+  char before_per_s[RATE_SIZE];
+
+  if (limit_per_s == endpoint->request_limit_per_s)
+    return;
+  snprintf (per_s, sizeof per_s, "%.3f", limit_per_s);
+  snprintf (before_per_s, sizeof before_per_s, "%.3f",
+            endpoint->request_limit_per_s);
+  bd_log ("endpoint-limit", "endpoint", endpoint->entry.id, "per_s", per_s,
+          "before_per_s", before_per_s, "source", "response", NULL);
+  endpoint->request_limit_per_s = limit_per_s;
+}
+
 void
 bd_edge_note_head (struct bd_edge *edge, const char *id,
                    const struct bd_http_call *call, uint32_t status)
 {
-  const struct bd_fleet_endpoint *endpoint
-      = bd_fleet_endpoint (&edge->fleet, id);
+  struct bd_fleet_endpoint *endpoint = bd_fleet_endpoint (&edge->fleet, id);
   const char *leaving
       = bd_http_call_header (call, edge->adapter->headers->is_leaving);
   struct bd_leaving_update update = { .endpoint = "" };
@@ -409,6 +431,7 @@
     return;
   if (status == 503 && wait_of (edge, call) > 0)
     close_endpoint (edge, id, wait_of (edge, call));
+  note_limit (edge, endpoint, call);
   if (leaving == NULL || strcmp (leaving, "1") != 0
       || !bd_fleet_mark_leaving (&edge->fleet, id, 0, bd_edge_now_ms (edge)))
     return;
