--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -625,6 +625,21 @@
                 write_event, stream);
 }
 
+/* Adds what the worker says of itself.  There is room for it in front of the
+   terminator.  */
+static void
+add_condition (const struct site_worker *worker,
+               struct bd_http_header_field *headers)
+{
+  while (headers->name != NULL)
+    headers++;
+  if (worker->is_leaving)
+    *headers++ = (struct bd_http_header_field){ "Server-Leaving", "1" };
+  if (worker->request_limit != NULL)
+    *headers++ = (struct bd_http_header_field){ "Server-Limit",
+                                                worker->request_limit };
+}
+
 static void
 start_stream (struct site_worker *worker, struct bd_http_exchange *x)
 {
@@ -634,9 +649,11 @@
       = { { "Content-Type", "text/event-stream" },
           { "Attempt-Id", bd_http_header (x, "Attempt-Id") },
           { "Response-Seal", worker->id },
-          { worker->is_leaving ? "Server-Leaving" : NULL, "1" },
+          { NULL, NULL },
+          { NULL, NULL },
           { NULL, NULL } };
 
+  add_condition (worker, headers);
   stream->worker = worker;
   stream->exchange = x;
   stream->start_count = worker->start_count;
@@ -667,15 +684,16 @@
   const char *id = worker->mode == WORKER_WRONG_ID
                        ? "another"
                        : bd_http_header (x, "Attempt-Id");
-  struct bd_http_header_field headers[]
-      = { { "Attempt-Id", id },
-          { "Response-Seal", worker->id },
-          { worker->is_leaving ? "Server-Leaving" : NULL, "1" },
-          { NULL, NULL } };
+  struct bd_http_header_field headers[] = { { "Attempt-Id", id },
+                                            { "Response-Seal", worker->id },
+                                            { NULL, NULL },
+                                            { NULL, NULL },
+                                            { NULL, NULL } };
   const char *body = worker->mode == WORKER_WRONG_ID ? "another"
                      : worker->site->echoes_path     ? x->path
                                                      : worker->id;
 
+  add_condition (worker, headers);
   if (worker->mode == WORKER_CRASHING)
     bd_http_server_stop_listening (&worker->server);
   if (worker->mode == WORKER_RESETTING || worker->mode == WORKER_CRASHING)
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -63,6 +63,8 @@
   bool is_draining;
   bool is_leaving;         /* Says so in its responses.  */
   const char *retry_after; /* Of its refusals; NULL for none.  */
+  /* Requests a second that its responses allow; NULL for no limit.  */
+  const char *request_limit;
   uint32_t order_delay_ms; /* Until it responds to an order.  */
   uint32_t report_lag_ms;  /* Age that its reports can have.  */
   json_t *report;          /* The last one, or NULL.  */
