--- /dev/null
+++ b/src/edge/edge_links_test.c
@@ -0,0 +1,229 @@
+/* Checks what callers get from a daemon that loses its links to all endpoints
+   while the other daemons keep theirs.  The users' platform is faked, in one
+   process with the daemons.
+
+   A lost link is one to a port that nobody serves: the daemon's copy of the
+   instance list names it in place of the endpoint's own.  */
+
+#include "base/timer.h"
+#include "edge/edge_internal.h"
+#include "platform/platform.h"
+#include "tests/fakes/site.h"
+#include "tests/quiet.h"
+#include "tests/unit.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+enum
+{
+  DAEMONS = 3,
+  FIRST_PORT = 25180,
+  PORTS_PER_DAEMON = 5,
+  LOST_PORT = 25230,
+  PLAIN_WORKERS = 3,
+  POOL_WORKERS = 8,
+  CALLS = 60,
+  CALL_INTERVAL_MS = 20,
+  CUT_CHECK_MS = 5,
+  SETTLE_MS = 1500,
+  RETURN_MS = 4000
+};
+
+static struct site site;
+static struct bd_edge_settings settings[DAEMONS];
+static struct bd_edge *daemons[DAEMONS];
+static uint32_t ports[SITE_MAX_WORKERS];
+static bool is_cut[DAEMONS];
+static struct site_call *calls[CALLS];
+static int lost_listener = -1;
+static int lost_callers[4];
+
+/* Points the links of the daemons that are cut to the lost port.  */
+static void
+update_links (void *ctx)
+{
+  (void)ctx;
+  for (uint32_t d = 0; d < DAEMONS; d++)
+    for (uint32_t i = 0; i < site.worker_count && daemons[d] != NULL; i++)
+      {
+        struct bd_fleet_endpoint *endpoint
+            = bd_fleet_endpoint (&daemons[d]->fleet, site.workers[i].id);
+
+        if (endpoint != NULL)
+          endpoint->entry.port = is_cut[d] ? LOST_PORT : ports[i];
+      }
+  bd_timer_add (site.events, site.events, CUT_CHECK_MS, update_links, NULL);
+}
+
+/* Makes connections to the lost port hang: its queue is full.  */
+static void
+silence_lost_port (void)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (LOST_PORT) };
+  int on = 1;
+
+  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  lost_listener = socket (AF_INET, SOCK_STREAM, 0);
+  setsockopt (lost_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  CU_ASSERT_EQUAL_FATAL (
+      bind (lost_listener, (struct sockaddr *)&address, sizeof address), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (lost_listener, 0), 0);
+  for (size_t i = 0; i < sizeof lost_callers / sizeof lost_callers[0]; i++)
+    {
+      lost_callers[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect (lost_callers[i], (struct sockaddr *)&address, sizeof address);
+    }
+}
+
+static void
+refuse_at_lost_port (void)
+{
+  if (lost_listener < 0)
+    return;
+  close (lost_listener);
+  for (size_t i = 0; i < sizeof lost_callers / sizeof lost_callers[0]; i++)
+    close (lost_callers[i]);
+  lost_listener = -1;
+}
+
+static void
+start_site (uint32_t plain, uint32_t pool)
+{
+  memset (is_cut, 0, sizeof is_cut);
+  memset (daemons, 0, sizeof daemons);
+  site_start (&site, plain, pool);
+  settings[0] = site.settings;
+  daemons[0] = site.edge;
+  for (uint32_t i = 1; i < DAEMONS; i++)
+    {
+      uint32_t port = FIRST_PORT + i * PORTS_PER_DAEMON;
+
+      settings[i] = site.settings;
+      snprintf (settings[i].name, sizeof settings[i].name, "edge-%u", i + 1);
+      settings[i].http_port = port;
+      settings[i].ready_port = port + 1;
+      settings[i].peer_port = port + 2;
+      settings[i].metrics_port = port + 3;
+      daemons[i] = bd_edge_start (site.events, site.events, &settings[i],
+                                  &bd_platform_adapter);
+    }
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    ports[i] = site.workers[i].port;
+  CU_ASSERT_TRUE_FATAL (
+      site_run (&site, pool > 0 ? site_has_groups : site_is_ready, 10000));
+  site_wait (&site, SETTLE_MS);
+  update_links (NULL);
+}
+
+static void
+finish_site (void)
+{
+  refuse_at_lost_port ();
+  for (uint32_t i = 1; i < DAEMONS; i++)
+    bd_edge_finish (daemons[i]);
+  site_finish (&site);
+}
+
+/* Sends calls to the first daemon and returns how many were served.  */
+static uint32_t
+count_served (const char *method, const char *target, const char *model)
+{
+  uint32_t served = 0;
+
+  site.daemon_port = settings[0].http_port;
+  for (uint32_t i = 0; i < CALLS; i++)
+    {
+      calls[i] = site_start_call (&site, method, target, "k1", model);
+      site_wait (&site, CALL_INTERVAL_MS);
+    }
+  for (uint32_t i = 0; i < CALLS; i++)
+    {
+      while (!calls[i]->is_done)
+        tevent_loop_once (site.events);
+      served += calls[i]->status == 200 && calls[i]->is_complete;
+    }
+  return served;
+}
+
+static uint32_t
+request_count (void)
+{
+  uint32_t sum = 0;
+
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    sum += site.workers[i].request_count;
+  return sum;
+}
+
+/* The users allow two thirds of what the other daemons serve, which is all,
+   and in any case one in 50 and 10 failures.  */
+static bool
+is_enough (uint32_t served)
+{
+  return 3 * served >= 2 * CALLS || CALLS - served <= 10 + CALLS / 50;
+}
+
+static void
+check_plain (void)
+{
+  uint32_t before;
+
+  CU_ASSERT_TRUE (is_enough (count_served ("GET", "/safe/x", NULL)));
+  before = request_count ();
+  CU_ASSERT_TRUE (is_enough (count_served ("POST", "/unsafe/x", NULL)));
+  CU_ASSERT_TRUE (request_count () - before <= CALLS);
+}
+
+static void
+test_daemon_whose_links_are_refused_fails_its_callers (void)
+{
+  start_site (PLAIN_WORKERS, 0);
+  is_cut[0] = true;
+  site_wait (&site, 2 * CUT_CHECK_MS);
+  check_plain ();
+  finish_site ();
+}
+
+static void
+test_daemon_whose_links_hang_fails_its_callers (void)
+{
+  start_site (PLAIN_WORKERS, 0);
+  silence_lost_port ();
+  is_cut[0] = true;
+  site_wait (&site, 2 * CUT_CHECK_MS);
+  check_plain ();
+  finish_site ();
+}
+
+static void
+test_daemon_without_groups_fails_its_streams (void)
+{
+  start_site (0, POOL_WORKERS);
+  silence_lost_port ();
+  is_cut[0] = true;
+  site_wait (&site, 2 * CUT_CHECK_MS);
+  CU_ASSERT_TRUE (is_enough (count_served ("POST", "/stream/x", "m")));
+  CU_ASSERT_EQUAL (site.stolen_joins + site.partial_runs, 0);
+  finish_site ();
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[] = {
+    { "daemon whose links are refused fails its callers",
+      test_daemon_whose_links_are_refused_fails_its_callers },
+    { "daemon whose links hang fails its callers",
+      test_daemon_whose_links_hang_fails_its_callers },
+    { "daemon without groups fails its streams",
+      test_daemon_without_groups_fails_its_streams },
+  };
+
+  unit_silence_log ();
+  return UNIT_RUN ("edge_links", tests);
+}
