edge: a daemon without links to endpoints hands its requests over

Callers of a daemon that was partitioned from all endpoints got 503 after one or two attempts that reached nobody: 0 of 140 first tries served where the other daemons served 762 of 768.

Cause: that a request could not be delivered is true of a pair, this daemon and that endpoint, and was booked as the endpoint's.

Change: per service, three endpoints in a row that are silent without a response in between are the daemon's own loss (src/links/). Its requests then go as they came to a port of another daemon, in the own data centre first, which checks and serves them like its own and hands none on; one with an older configuration refuses. What such a daemon refuses has reached no endpoint, as has a request that could not be sent: neither takes from the budget. Before the loss is found, the second attempt of a request that reached nobody goes to a daemon. Probes on new connections find the links back. Meanwhile the daemon says in its status that it is isolated: it controls no groups, has no share of limits, doubts nobody, and what it holds against endpoints is dropped. A request that crashes endpoints is no evidence against the links, and evidence of crashes stays as it was.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -75,6 +75,11 @@
      "times that an endpoint asked for no requests for some time")            \
   X (ENDPOINTS_LEAVING, "endpoints_leaving_total",                            \
      "endpoints that said in a response that they leave")                     \
+  X (HANDED_OVER, "handed_over_total",                                        \
+     "attempts that were handed over to another daemon")                      \
+  X (TAKEN_OVER, "taken_over_total", "requests taken over from others")       \
+  X (LINKS_LOST, "links_lost_total",                                          \
+     "times that the links to all endpoints were lost")                       \
   X (ENDPOINT_LIMITS, "endpoint_limits_total",                                \
      "times that an endpoint named another request limit, or none again")     \
   X (PEER_DROPPED, "peer_messages_dropped_total",                             \
--- a/src/calls/call.c
+++ b/src/calls/call.c
@@ -153,7 +153,10 @@
     }
   if (now_ms >= call->deadline_ms)
     return fail (call, BD_ERR_DEADLINE_PASSED);
-  if (!can_retry (call, failure) || !bd_retry_budget_take (budget))
+  if (!can_retry (call, failure))
+    return fail (call, error_of (call, failure));
+  /* An attempt that has reached no endpoint adds no load to any.  */
+  if (failure != BD_FAILURE_NOT_SENT && !bd_retry_budget_take (budget))
     return fail (call, error_of (call, failure));
   return BD_ACTION_DISPATCH;
 }
--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -126,7 +126,7 @@
 
   if (bd_edge_choose_target (request, &target))
     bd_edge_start_attempt (request, &target);
-  else if (is_over_limits (request))
+  else if (request->is_taken_over || is_over_limits (request))
     give_up (request);
   else
     enqueue (request);
@@ -192,9 +192,13 @@
                  "account", request->account, "config",
                  BD_NUM (edge->routes->version), "left_ms",
                  BD_NUM (request->deadline_ms - request->received_ms), NULL);
-  bd_retry_budget_deposit (&service->retries);
-  if (request->model[0] != '\0')
-    note_work (request);
+  /* The daemon that has handed it over has counted it.  */
+  if (!request->is_taken_over)
+    {
+      bd_retry_budget_deposit (&service->retries);
+      if (request->model[0] != '\0')
+        note_work (request);
+    }
   if (bd_edge_is_poison (request))
     {
       refuse (request, BD_ERR_POISON_REQUEST);
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -21,6 +21,7 @@
      ends the attempt before.  */
   TIMEOUT_MARGIN_MS = 300,
   MAX_RESPONSE_BYTES = 4 << 20,
+  MAX_HANDOVER_HEADERS = 4,
   /* Backoff for an address where another endpoint responded (status 421); by
      then the instance list shows where the endpoint has moved.  */
   MISDIRECTED_BACKOFF_MS = 2000
@@ -49,6 +50,9 @@
 is_refused (const struct bd_edge_request *request,
             const struct bd_http_call *call, uint32_t status)
 {
+  /* A daemon refuses with any status, for example for lack of the route.  */
+  if (request->is_handed_over)
+    return header_of (call, names_of (request)->not_run) != NULL;
   return status == 421
          || ((status == 503 || status == 429 || status == 400)
              && header_of (call, names_of (request)->not_run) != NULL);
@@ -67,7 +71,10 @@
                            : is_refused (request, call, status)
                                  || request->attempt_id[0] == '\0';
 
-  if (is_own)
+  request->has_head = true;
+  if (!request->is_handed_over)
+    bd_edge_note_contact (request->edge, request->service);
+  if (is_own && !request->is_handed_over)
     {
       bd_edge_note_head (request->edge, request->endpoint, call, status);
       bd_edge_note_limit (request, call, id != NULL);
@@ -205,6 +212,13 @@
     bd_count (&edge->counters, BD_COUNT_ATTEMPTS_NOT_SENT);
   if (failure == BD_FAILURE_BROKEN)
     bd_count (&edge->counters, BD_COUNT_ATTEMPTS_BROKEN);
+  /* The other daemon has recorded what its endpoints did.  */
+  if (request->is_handed_over)
+    return;
+  /* A request that crashes endpoints silences them too.  */
+  if (!request->has_head && !is_crash)
+    bd_edge_note_silence (edge, request->service, request->endpoint,
+                          request->sent_ms);
   if (is_crash)
     bd_edge_record_crash (request);
   if (failure == BD_FAILURE_REFUSED || failure == BD_FAILURE_MISMATCHED
@@ -236,8 +250,17 @@
           BD_NUM (bd_edge_now_ms (edge) - request->last_event_ms), NULL);
   bd_edge_release_slot (request);
   note_failure (request, failure, is_crash);
+  request->prefers_handover
+      = !request->has_head && !is_crash
+        && (failure == BD_FAILURE_NOT_SENT || failure == BD_FAILURE_BROKEN)
+        && bd_links_is_doubtful (&service->links);
   action = bd_call_failed (&request->call, failure, &service->retries,
                            bd_edge_now_ms (edge));
+  if (action == BD_ACTION_DISPATCH && request->is_taken_over
+      && request->prefers_handover)
+    action = bd_call_refused (&request->call, request->call.may_have_run
+                                                  ? BD_ERR_ENDPOINT_FAILED
+                                                  : BD_ERR_OVERLOADED);
   if (action == BD_ACTION_DISPATCH && bd_edge_is_poison (request))
     action = bd_call_refused (&request->call, BD_ERR_POISON_REQUEST);
   if (action == BD_ACTION_DISPATCH)
@@ -312,8 +335,10 @@
                                                   : FULL_BACKOFF_MS);
       if (result->status == 421 && group != NULL)
         bd_edge_suspend_group (edge, group);
-      fail (request, BD_FAILURE_REFUSED, false,
-            BD_NUM ((int64_t)result->status));
+      /* What another daemon refuses has reached no endpoint.  */
+      fail (request,
+            request->is_handed_over ? BD_FAILURE_NOT_SENT : BD_FAILURE_REFUSED,
+            false, BD_NUM ((int64_t)result->status));
       return;
     }
   bd_edge_note_response (request, load, is_failed);
@@ -378,7 +403,8 @@
 /* The headers of one attempt: the caller's and those that this daemon sets. */
 struct attempt_headers
 {
-  struct bd_http_header_field pairs[BD_EDGE_MAX_HEADERS + 8];
+  struct bd_http_header_field
+      pairs[BD_EDGE_MAX_HEADERS + MAX_HANDOVER_HEADERS + 8];
   uint32_t count;
 };
 
@@ -417,8 +443,12 @@
     add (headers, request->headers[i].name, request->headers[i].value);
   add (headers, names->deadline_ms,
        talloc_asprintf (mem, "%lld", (long long)(left_ms > 1 ? left_ms : 1)));
-  add (headers, names->target_endpoint, request->endpoint);
-  if (request->account[0] != '\0')
+  if (!request->is_handed_over)
+    add (headers, names->target_endpoint, request->endpoint);
+  if (request->is_handed_over)
+    headers->count += bd_edge_handover_headers (
+        mem, request, headers->pairs + headers->count, MAX_HANDOVER_HEADERS);
+  else if (request->account[0] != '\0')
     add (headers, names->account, request->account);
   if (request->call.last_event_id >= 0)
     add (
@@ -472,7 +502,8 @@
   update_account (request);
   bd_edge_acquire_slot (request, target);
   bd_call_sent (&request->call, hash_target (target));
-  bd_count (&edge->counters, BD_COUNT_ATTEMPTS);
+  bd_count (&edge->counters,
+            target->is_daemon ? BD_COUNT_HANDED_OVER : BD_COUNT_ATTEMPTS);
   if (request->call.attempts == 1)
     bd_observe (&edge->histograms, BD_HISTOGRAM_QUEUE_WAIT,
                 bd_edge_now_ms (edge) - request->received_ms);
@@ -481,6 +512,7 @@
   bd_sse_reset (&request->sse);
   request->is_mismatched = false;
   request->is_incomplete = false;
+  request->has_head = false;
   request->events = 0;
   request->response_size = 0;
   bd_log_detail (
--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -191,6 +191,23 @@
   drop_term (controller, "refused");
 }
 
+/* Records what the result of an order or a probe says of the links.  */
+static void
+note_link (struct bd_edge *edge, const struct pending_call *pending,
+           const struct bd_http_result *result)
+{
+  const struct bd_fleet_endpoint *endpoint
+      = bd_fleet_endpoint (&edge->fleet, pending->order.endpoint);
+
+  if (endpoint == NULL)
+    return;
+  if (result->status != 0)
+    bd_edge_note_contact (edge, endpoint->entry.service);
+  else
+    bd_edge_note_silence (edge, endpoint->entry.service, endpoint->entry.id,
+                          pending->sent_ms);
+}
+
 static void
 handle_order_done (void *ctx, struct bd_http_call *call,
                    const struct bd_http_result *result)
@@ -200,6 +217,7 @@
   enum bd_order_result outcome = order_result (result);
   int64_t now_ms = bd_edge_now_ms (edge);
 
+  note_link (edge, pending, result);
   bd_edge_note_head (edge, pending->order.endpoint, call, result->status);
   bd_log ("order-answered", "kind", bd_order_name (pending->order.kind),
           "endpoint", pending->order.endpoint, "group", pending->order.group,
@@ -348,6 +366,7 @@
       talloc_free (pending);
       return;
     }
+  note_link (edge, pending, result);
   before = endpoint->liveness;
   member_before = endpoint->entry.member;
   endpoint->has_pending_probe = false;
@@ -356,8 +375,9 @@
              : NULL;
   if (body != NULL && edge->adapter->read_report (body, &report))
     apply_report (edge, endpoint, call, &report, pending->sent_ms);
-  else if (bd_edge_now_ms (edge) - pending->sent_ms
-           < PROBE_TIMEOUT_MS + MAX_OWN_LAG_MS)
+  else if (!bd_edge_is_isolated (edge)
+           && bd_edge_now_ms (edge) - pending->sent_ms
+                  < PROBE_TIMEOUT_MS + MAX_OWN_LAG_MS)
     bd_fleet_record_missed_probe (endpoint, MISSES_UNTIL_DEAD,
                                   !result->is_complete && !result->was_sent
                                       && !result->has_timed_out,
@@ -577,7 +597,9 @@
 
       if (has_stalled)
         drop_term (controller, "stalled for too long");
-      if (!is_chosen || edge->is_stopping)
+      if (bd_edge_is_isolated (edge))
+        drop_term (controller, "links to endpoints are lost");
+      else if (!is_chosen || edge->is_stopping)
         drop_term (controller, "another daemon takes over");
       else if (!controller->is_active)
         acquire_term (controller);
@@ -630,7 +652,7 @@
   struct bd_suspicion_update suspicion = { .group = group->hash };
   int64_t now_ms = bd_edge_now_ms (edge);
 
-  if (now_ms < group->suspected_until_ms)
+  if (now_ms < group->suspected_until_ms || bd_edge_is_isolated (edge))
     return;
   group->suspected_until_ms = now_ms + SUSPECTED_GROUP_MS;
   bd_log ("group-doubted", "group", group->name, "epoch",
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -233,6 +233,9 @@
                                  settings->max_descriptors
                                      / CALLER_DESCRIPTORS_DIVISOR,
                                  &caller_ops, edge)
+         && bd_edge_start_handover (edge, &caller_ops,
+                                    settings->max_descriptors
+                                        / CALLER_DESCRIPTORS_DIVISOR)
          && bd_http_server_init (&edge->metrics_server, edge->events,
                                  settings->address, settings->metrics_port,
                                  MAX_PAGE_CONNECTIONS, &metrics_ops, edge);
@@ -339,7 +342,8 @@
   if (elapsed_ms >= (int64_t)edge->settings->bounds.grace_ms - GRACE_MARGIN_MS)
     return true;
   return elapsed_ms >= BALANCER_DELAY_MS && edge->request_count == 0
-         && edge->server.open_exchanges == 0;
+         && edge->server.open_exchanges == 0
+         && edge->handover_server.open_exchanges == 0;
 }
 
 void
@@ -352,6 +356,7 @@
   while (edge->requests != NULL)
     bd_edge_request_end (edge->requests);
   bd_http_server_finish (&edge->server);
+  bd_http_server_finish (&edge->handover_server);
   bd_http_server_finish (&edge->ready_server);
   bd_http_server_finish (&edge->metrics_server);
   bd_peers_finish (&edge->peers);
--- a/src/edge/edge_crashes_test.c
+++ b/src/edge/edge_crashes_test.c
@@ -169,6 +169,7 @@
   settings.ready_port = SECOND_PORT + 1;
   settings.peer_port = SECOND_PORT + 2;
   settings.metrics_port = SECOND_PORT + 3;
+  settings.handover_port = SECOND_PORT + 4;
   second = bd_edge_start (site.events, site.events, &settings,
                           &bd_platform_adapter);
   site_wait (&site, 3000);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -16,6 +16,7 @@
 #include "fleet/fleet.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "links/links.h"
 #include "membership/membership.h"
 #include "placement/placement.h"
 #include "poison/poison.h"
@@ -66,11 +67,18 @@
   int64_t deadline_ms;
   struct bd_call call;
 
+  /* Another daemon has handed it over to this one.  */
+  bool is_taken_over;
+  /* Its last attempt has reached no endpoint, which may be this daemon's
+     fault: the next one goes to another daemon if one can take it.  */
+  bool prefers_handover;
+
   /* Set while the request waits in a backlog.  */
   struct bd_backlog_item backlog_item;
 
   /* The current attempt.  */
   struct bd_http_call *attempt;
+  bool is_handed_over; /* To the daemon that endpoint names.  */
   char endpoint[BD_NAME_SIZE];
   int64_t endpoint_started_ms; /* Of its incarnation.  */
   uint64_t group;              /* Hash; 0 for endpoints without a group.  */
@@ -80,6 +88,7 @@
   bool is_prefilling;    /* No event or response yet.  */
   bool is_mismatched;    /* The response belongs to another request.  */
   bool is_incomplete;    /* Events are missing or the body is too large.  */
+  bool has_head;         /* The head of the attempt's response was received. */
   int64_t last_event_ms; /* Last data of the attempt, or its sending.  */
   int64_t last_forwarded_ms; /* Last event sent to the caller.  */
   uint32_t events;
@@ -109,6 +118,7 @@
   char name[BD_NAME_SIZE];
   struct bd_retry_budget retries;
   struct bd_backlog backlog;
+  struct bd_links links; /* To its endpoints.  */
 };
 
 /* Load that callers of this daemon offer for one model, smoothed.  */
@@ -159,6 +169,7 @@
   struct bd_http_client client;       /* To endpoints.  */
   struct bd_http_client store_client; /* To the store.  */
   struct bd_http_server server;
+  struct bd_http_server handover_server;
   struct bd_http_server ready_server;
   struct bd_http_server metrics_server;
   struct bd_store store;
@@ -321,6 +332,7 @@
   char endpoint[BD_NAME_SIZE];
   char address[BD_NAME_SIZE];
   uint32_t port;
+  bool is_daemon;      /* Another daemon, which takes the request over.  */
   uint64_t group;      /* Hash; 0 for endpoints without a group.  */
   double expected_ms;  /* From sending to the first event; groups only.  */
   uint32_t candidates; /* Number of targets compared.  */
@@ -382,6 +394,58 @@
 int64_t bd_edge_permit_wait_ms (struct bd_edge *edge, const char *service,
                                 const char *model, uint32_t ahead);
 
+/* handover.c: hands requests over to other daemons while this one has no links
+   to endpoints.  */
+
+/* bd_edge_start_handover(): listens for requests of other daemons.  */
+bool bd_edge_start_handover (struct bd_edge *edge,
+                             const struct bd_http_server_ops *ops,
+                             uint32_t max_connections);
+
+/* bd_edge_find_daemon(): chooses a daemon that can take the request over.
+   Returns false when there is none.  */
+bool bd_edge_find_daemon (const struct bd_edge_request *request,
+                          struct bd_edge_target *target);
+
+/* bd_edge_handover_headers(): the headers, allocated on ctx, that a request
+   has in addition when it is handed over; up to max.  Returns their number. */
+uint32_t bd_edge_handover_headers (void *ctx,
+                                   const struct bd_edge_request *request,
+                                   struct bd_http_header_field *headers,
+                                   uint32_t max);
+
+/* bd_edge_is_handover_header(): whether only daemons use the header.  */
+bool bd_edge_is_handover_header (const char *name);
+
+/* bd_edge_is_taken_over(): whether an exchange is with another daemon.  */
+bool bd_edge_is_taken_over (const struct bd_edge *edge,
+                            const struct bd_http_exchange *exchange);
+
+/* bd_edge_can_take_over(): whether this daemon may handle the request of an
+   exchange with another one: its configuration is not older.  */
+bool bd_edge_can_take_over (const struct bd_edge *edge,
+                            const struct bd_http_exchange *exchange);
+
+/* bd_edge_max_runs(): runs that the daemon that hands the request over still
+   allows, at most max_runs.  */
+uint32_t bd_edge_max_runs (const struct bd_http_exchange *exchange,
+                           uint32_t max_runs);
+
+/* bd_edge_note_contact(): an endpoint of the service has responded.  */
+void bd_edge_note_contact (struct bd_edge *edge, const char *service);
+
+/* bd_edge_note_silence(): an endpoint of the service did not respond to a
+   request or probe sent at sent_ms.  */
+void bd_edge_note_silence (struct bd_edge *edge, const char *service,
+                           const char *endpoint, int64_t sent_ms);
+
+/* bd_edge_is_isolated(): whether this daemon has lost its links to the
+   endpoints that form groups.  */
+bool bd_edge_is_isolated (const struct bd_edge *edge);
+
+/* bd_edge_probe_links(): sends the probes that are due over lost links.  */
+void bd_edge_probe_links (struct bd_edge *edge);
+
 /* pacing.c: keeps to the request limits of endpoints.  */
 
 /* bd_edge_note_limit(): reads the limit that a response to the request's
--- a/src/edge/edge_limits_test.c
+++ b/src/edge/edge_limits_test.c
@@ -16,7 +16,7 @@
 {
   DAEMONS = 3,
   FIRST_PORT = 25180,
-  PORTS_PER_DAEMON = 4,
+  PORTS_PER_DAEMON = 5,
   PLAIN_WORKERS = 3,
   POOL_WORKERS = 8,
   /* Of all daemons together.  */
@@ -79,6 +79,7 @@
   settings[index].ready_port = port + 1;
   settings[index].peer_port = port + 2;
   settings[index].metrics_port = port + 3;
+  settings[index].handover_port = port + 4;
   daemons[index] = bd_edge_start (site.events, site.events, &settings[index],
                                   &bd_platform_adapter);
 }
--- a/src/edge/edge_links_test.c
+++ b/src/edge/edge_links_test.c
@@ -109,6 +109,7 @@
       settings[i].ready_port = port + 1;
       settings[i].peer_port = port + 2;
       settings[i].metrics_port = port + 3;
+      settings[i].handover_port = port + 4;
       daemons[i] = bd_edge_start (site.events, site.events, &settings[i],
                                   &bd_platform_adapter);
     }
@@ -212,6 +213,78 @@
   finish_site ();
 }
 
+static bool
+is_first_isolated (struct site *s)
+{
+  (void)s;
+  return bd_edge_is_isolated (daemons[0]);
+}
+
+static bool
+is_first_back (struct site *s)
+{
+  return !is_first_isolated (s);
+}
+
+static bool
+has_other_controller (struct site *s)
+{
+  (void)s;
+  return !bd_edge_is_controller_of (daemons[0], "a")
+         && (bd_edge_is_controller_of (daemons[1], "a")
+             || bd_edge_is_controller_of (daemons[2], "a"));
+}
+
+static uint32_t
+count_dead (const struct bd_edge *edge)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    count += bd_fleet_endpoint (&edge->fleet, site.workers[i].id)->liveness
+             == BD_LIVENESS_DEAD;
+  return count;
+}
+
+/* Endpoints that only this daemon cannot reach count as dead nowhere, and a
+   daemon that reaches them controls the groups.  */
+static void
+test_isolated_daemon_controls_groups (void)
+{
+  start_site (0, POOL_WORKERS);
+  CU_ASSERT_TRUE (bd_edge_is_controller_of (daemons[0], "a"));
+  is_cut[0] = true;
+  count_served ("POST", "/stream/x", "m");
+  CU_ASSERT_TRUE (site_run (&site, is_first_isolated, SETTLE_MS));
+  CU_ASSERT_TRUE (site_run (&site, has_other_controller, RETURN_MS));
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    CU_ASSERT_EQUAL (count_dead (daemons[i]), 0);
+  CU_ASSERT_EQUAL (daemons[0]->counters.value[BD_COUNT_POISON_CRASHES], 0);
+  is_cut[0] = false;
+  CU_ASSERT_TRUE (site_run (&site, is_first_back, RETURN_MS));
+  CU_ASSERT_EQUAL (count_served ("POST", "/stream/x", "m"), CALLS);
+  CU_ASSERT_EQUAL (site.stolen_joins + site.partial_runs, 0);
+  finish_site ();
+}
+
+/* All daemons are cut: nobody can take a request over, and each says so at
+   once.  */
+static void
+test_isolated_daemons_hand_over_in_a_circle (void)
+{
+  start_site (PLAIN_WORKERS, 0);
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    is_cut[i] = true;
+  site_wait (&site, 2 * CUT_CHECK_MS);
+  CU_ASSERT_EQUAL (count_served ("GET", "/safe/x", NULL), 0);
+  for (uint32_t i = 0; i < CALLS; i++)
+    CU_ASSERT_EQUAL (calls[i]->status, 503);
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    CU_ASSERT_TRUE (daemons[i]->counters.value[BD_COUNT_TAKEN_OVER]
+                    <= 3 * CALLS);
+  finish_site ();
+}
+
 int
 main (void)
 {
@@ -222,6 +295,10 @@
       test_daemon_whose_links_hang_fails_its_callers },
     { "daemon without groups fails its streams",
       test_daemon_without_groups_fails_its_streams },
+    { "isolated daemon controls groups",
+      test_isolated_daemon_controls_groups },
+    { "isolated daemons hand over in a circle",
+      test_isolated_daemons_hand_over_in_a_circle },
   };
 
   unit_silence_log ();
--- a/src/edge/edge_relays_test.c
+++ b/src/edge/edge_relays_test.c
@@ -25,7 +25,7 @@
   REMOTE_DAEMONS = 5,
   DAEMONS = LOCAL_DAEMONS + REMOTE_DAEMONS,
   FIRST_PORT = SITE_BASE_PORT - 200,
-  PORTS_PER_DAEMON = 4,
+  PORTS_PER_DAEMON = 5,
   PLAIN_WORKERS = 3,
   /* The worker that the tests list and remove, and the one that leaves.  */
   CHANGING_WORKER = 1,
@@ -318,6 +318,7 @@
   daemon->settings.ready_port = port + 1;
   daemon->settings.peer_port = port + 2;
   daemon->settings.metrics_port = port + 3;
+  daemon->settings.handover_port = port + 4;
   daemon->edge = bd_edge_start (site.events, site.events, &daemon->settings,
                                 &bd_platform_adapter);
 }
--- a/src/edge/ingress.c
+++ b/src/edge/ingress.c
@@ -57,7 +57,8 @@
   for (uint32_t i = 0; i < DROPPED_COUNT; i++)
     if (strcasecmp (name, dropped_headers[i]) == 0)
       return true;
-  return strcasecmp (name, names->authorization) == 0
+  return bd_edge_is_handover_header (name)
+         || strcasecmp (name, names->authorization) == 0
          || strcasecmp (name, names->account) == 0
          || strcasecmp (name, names->deadline_ms) == 0
          || strcasecmp (name, names->target_endpoint) == 0
@@ -200,6 +201,9 @@
   bd_call_init (&request->call, request->is_idempotent, false,
                 request->kind == BD_ROUTE_STREAM, request->deadline_ms);
   request->call.max_runs = route->max_attempts;
+  request->is_taken_over = bd_edge_is_taken_over (edge, x);
+  if (request->is_taken_over)
+    request->call.max_runs = bd_edge_max_runs (x, route->max_attempts);
   read_resumption (request);
   bd_edge_admit (request);
 }
@@ -210,8 +214,16 @@
   const struct bd_route *route;
   const struct bd_account *account = NULL;
 
-  bd_count (&edge->counters, BD_COUNT_REQUESTS);
+  bool is_taken_over = bd_edge_is_taken_over (edge, x);
+
+  bd_count (&edge->counters,
+            is_taken_over ? BD_COUNT_TAKEN_OVER : BD_COUNT_REQUESTS);
   edge->has_traffic = true;
+  if (is_taken_over && !bd_edge_can_take_over (edge, x))
+    {
+      refuse (edge, x, BD_ERR_NOT_READY, "", NOT_READY_RETRY_MS);
+      return;
+    }
   if (edge->is_closed)
     {
       refuse (edge, x, BD_ERR_STOPPING, "", STOPPING_RETRY_MS);
--- a/src/edge/pacing.c
+++ b/src/edge/pacing.c
@@ -33,6 +33,8 @@
     {
       const struct bd_member *member = &edge->membership.members[i];
 
+      if (member->is_isolated)
+        continue;
       if (i == 0 ? !edge->is_stopping
                  : member->is_live && !member->is_stopping)
         daemons[count++] = member->name_hash;
@@ -45,7 +47,7 @@
              const uint64_t *daemons, uint32_t count)
 {
   double share_per_s
-      = edge->is_stopping
+      = edge->is_stopping || bd_edge_is_isolated (edge)
             ? 0
             : bd_pacing_share (
                 endpoint->pacing.limit_per_s, hash_endpoint (endpoint),
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -352,7 +352,8 @@
     }
   for (uint32_t i = 0; i < status->live_count; i++)
     bd_membership_report (membership, sender, status->live[i].name_hash,
-                          status->live[i].is_stopping, now_ms);
+                          status->live[i].is_stopping,
+                          status->live[i].is_isolated, now_ms);
   /* Two relays differ: a report of no change no longer tells which daemons it
      means.  */
   if (is_whole && bd_membership_end_report (membership, sender))
@@ -375,7 +376,9 @@
     = scope == BD_STATUS_DAEMON || own_version > edge->highest_config_version
           ? own_version
           : edge->highest_config_version,
+    .handover_port = settings->handover_port,
     .is_stopping = edge->is_stopping,
+    .is_isolated = bd_edge_is_isolated (edge),
     .has_traffic = edge->has_traffic,
     .poison_checksum
     = bd_poison_checksum (&edge->poison_requests, bd_edge_now_ms (edge)),
@@ -409,6 +412,7 @@
       live[status->live_count++] = (struct bd_live_daemon){
         .name_hash = member->name_hash,
         .is_stopping = i == 0 ? edge->is_stopping : member->is_stopping,
+        .is_isolated = member->is_isolated,
       };
     }
 }
@@ -458,7 +462,9 @@
   int64_t now_ms = bd_edge_now_ms (edge);
   struct bd_member heartbeat = { .peer_port = status->peer_port,
                                  .incarnation = status->incarnation,
+                                 .http_port = status->handover_port,
                                  .is_stopping = status->is_stopping,
+                                 .is_isolated = status->is_isolated,
                                  .config_revision = status->config_version };
   const struct bd_member *sender;
 
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -107,6 +107,8 @@
                 (double)retry_after_ms / MS_PER_S);
       add (&headers, edge->adapter->headers->retry_after, seconds);
     }
+  if (run == BD_NOT_RUN && bd_edge_is_taken_over (edge, x))
+    add (&headers, edge->adapter->headers->not_run, "1");
   add_close (edge, &headers);
   bd_count (&edge->counters, BD_COUNT_RESPONSES);
   bd_count (&edge->counters, BD_COUNT_FAILURE_RESPONSES);
--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -42,6 +42,7 @@
     true },
   { "peer_port", BD_FIELD_U32, AT (peer_port), 1, MAX_PORT, true },
   { "metrics_port", BD_FIELD_U32, AT (metrics_port), 1, MAX_PORT, true },
+  { "handover_port", BD_FIELD_U32, AT (handover_port), 1, MAX_PORT, false },
   { "platform_url", BD_FIELD_TEXT, AT (platform_url), 0, 0, true },
   { "first_start", BD_FIELD_BOOL, AT (is_first_start), 0, 0, false },
   { "heartbeat_ms", BD_FIELD_CLAMPED_U32, AT (heartbeat_ms), 1, MAX_MS,
--- a/src/edge/settings.h
+++ b/src/edge/settings.h
@@ -36,6 +36,8 @@
   uint32_t ready_port; /* For the load balancer's health checks.  */
   uint32_t peer_port;  /* For messages of other daemons.  */
   uint32_t metrics_port;
+  /* For requests that other daemons hand over; 0: none are.  */
+  uint32_t handover_port;
   const char *platform_url;
   bool is_first_start;   /* First start of the whole system.  */
   uint32_t heartbeat_ms; /* Of endpoints in the instance list.  */
--- a/src/edge/target.c
+++ b/src/edge/target.c
@@ -267,15 +267,32 @@
   return true;
 }
 
+/* Chooses a group or an endpoint.  */
+static bool
+find_own_target (struct bd_edge_request *request,
+                 struct bd_edge_target *target)
+{
+  return request->model[0] != '\0' ? find_group (request, target)
+                                   : find_endpoint (request, target);
+}
+
 bool
 bd_edge_choose_target (struct bd_edge_request *request,
                        struct bd_edge_target *target)
 {
+  const struct bd_links *links
+      = &bd_edge_service (request->edge, request->service)->links;
+
   memset (target, 0, sizeof *target);
   if (request->edge->routes == NULL)
     return false;
-  return request->model[0] != '\0' ? find_group (request, target)
-                                   : find_endpoint (request, target);
+  if (links->is_lost)
+    return bd_edge_find_daemon (request, target);
+  if (request->prefers_handover && bd_edge_find_daemon (request, target))
+    return true;
+  return find_own_target (request, target)
+         || (bd_links_is_doubtful (links)
+             && bd_edge_find_daemon (request, target));
 }
 
 int64_t
@@ -308,6 +325,7 @@
       = bd_routes_service (edge->routes, request->service);
 
   bd_name_copy (request->endpoint, target->endpoint);
+  request->is_handed_over = target->is_daemon;
   request->group = target->group;
   request->sent_ms = bd_edge_now_ms (edge);
   request->last_event_ms = request->sent_ms;
--- a/src/edge/watchdog.c
+++ b/src/edge/watchdog.c
@@ -146,6 +146,7 @@
       watch_request (request, now_ms);
     }
   edge->is_dispatching = false;
+  bd_edge_probe_links (edge);
   bd_edge_dispatch_backlogs (edge);
   bd_log_flush ();
 }
--- /dev/null
+++ b/src/links/links.h
@@ -0,0 +1,61 @@
+/* Tells whether this daemon has lost its links to the endpoints of a service.
+   Pure.
+
+   A request that cannot be delivered says something about one pair, this
+   daemon and that endpoint.  That several endpoints in a row do not respond,
+   and none does, says that the fault is on this side.  Then the requests of
+   callers go to other daemons, and nothing that is observed here counts
+   against an endpoint or a request, until probes on new connections are
+   answered again.
+
+   Usage: note each contact with an endpoint and each attempt that has found
+   none; while the links are lost, send a probe when one is due and note its
+   result.  Times are in ms of one monotonic clock.  */
+
+#ifndef BD_LINKS_LINKS_H
+#define BD_LINKS_LINKS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum
+{
+  /* Different endpoints without a response until the links count as lost.  */
+  BD_LINKS_MAX_SILENT = 3
+};
+
+struct bd_links
+{
+  bool is_lost;
+  int64_t contact_ms; /* The last response of an endpoint.  */
+  int64_t lost_ms;    /* When the links were last found lost.  */
+  /* Hashes of the endpoints that were silent since the last contact.  */
+  uint64_t silent[BD_LINKS_MAX_SILENT];
+  uint32_t silent_count;
+  int64_t probe_ms;         /* When the last probe was sent.  */
+  uint32_t probes_answered; /* In a row.  */
+};
+
+/* bd_links_note_contact(): an endpoint has responded.  */
+void bd_links_note_contact (struct bd_links *links, int64_t now_ms);
+
+/* bd_links_note_silence(): an endpoint could not be reached, or has broken off
+   or not responded, for a request sent at sent_ms.  Returns whether the links
+   are found lost by that.  */
+bool bd_links_note_silence (struct bd_links *links, uint64_t endpoint,
+                            int64_t sent_ms, int64_t now_ms);
+
+/* bd_links_is_doubtful(): whether any endpoint was silent since the last
+   contact, or the links are lost.  */
+bool bd_links_is_doubtful (const struct bd_links *links);
+
+/* bd_links_start_probe(): whether to send a probe on a new connection now; to
+   be called while the links are lost.  */
+bool bd_links_start_probe (struct bd_links *links, int64_t now_ms);
+
+/* bd_links_note_probe(): the result of a probe.  Returns whether the links are
+   found to be back.  */
+bool bd_links_note_probe (struct bd_links *links, bool is_answered,
+                          int64_t now_ms);
+
+#endif
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -147,7 +147,7 @@
 void
 bd_membership_report (struct bd_membership *membership,
                       const struct bd_member *reporter, uint64_t name_hash,
-                      bool is_stopping, int64_t now_ms)
+                      bool is_stopping, bool is_isolated, int64_t now_ms)
 {
   for (uint32_t i = 1; i < membership->count; i++)
     {
@@ -158,7 +158,10 @@
       member->is_confirmed = true;
       refresh_reported (membership, reporter, member, now_ms);
       if (member->is_reported)
-        member->is_stopping = is_stopping;
+        {
+          member->is_stopping = is_stopping;
+          member->is_isolated = is_isolated;
+        }
       return;
     }
 }
@@ -217,7 +220,8 @@
   enum
   {
     LIVE_FACTOR = 1,
-    STOPPING_FACTOR = 3
+    STOPPING_FACTOR = 3,
+    ISOLATED_FACTOR = 5
   };
   uint64_t sum = 0;
 
@@ -226,6 +230,8 @@
                                     now_ms))
       sum += membership->members[i].name_hash
              * (membership->members[i].is_stopping ? STOPPING_FACTOR
+                                                   : LIVE_FACTOR)
+             * (membership->members[i].is_isolated ? ISOLATED_FACTOR
                                                    : LIVE_FACTOR);
   return sum;
 }
@@ -370,9 +376,9 @@
                                       : strcmp (a->name, b->name) < 0;
 }
 
-const struct bd_member *
-bd_membership_controller (const struct bd_membership *membership,
-                          const char *data_centre)
+static const struct bd_member *
+best_controller (const struct bd_membership *membership,
+                 const char *data_centre, bool may_be_isolated)
 {
   const struct bd_member *lowest = NULL;
 
@@ -380,12 +386,26 @@
     {
       const struct bd_member *member = &membership->members[i];
       if (is_candidate (member, data_centre)
+          && (may_be_isolated || !member->is_isolated)
           && (lowest == NULL || is_better_controller (member, lowest)))
         lowest = member;
     }
   return lowest;
 }
 
+const struct bd_member *
+bd_membership_controller (const struct bd_membership *membership,
+                          const char *data_centre)
+{
+  const struct bd_member *best
+      = best_controller (membership, data_centre, false);
+
+  /* All daemons of the fleet are isolated.  */
+  if (best == NULL && data_centre == NULL)
+    best = best_controller (membership, NULL, true);
+  return best;
+}
+
 bool
 bd_membership_is_controller (const struct bd_membership *membership,
                              const char *data_centre)
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -38,6 +38,7 @@
   int64_t last_received_ms;
   bool is_live;
   bool is_stopping;
+  bool is_isolated; /* It has lost its links to endpoints.  */
   /* Known to be live by the report of a relay, not by its own heartbeats.  */
   bool is_reported;
   bool is_confirmed;    /* In the last report of a relay.  */
@@ -114,7 +115,7 @@
 void bd_membership_report (struct bd_membership *membership,
                            const struct bd_member *reporter,
                            uint64_t name_hash, bool is_stopping,
-                           int64_t now_ms);
+                           bool is_isolated, int64_t now_ms);
 
 /* bd_membership_end_report(): marks the members as dead that the reporter was
    the last one to report, and that this report lacks.  Returns whether it
--- a/src/membership/membership_test.c
+++ b/src/membership/membership_test.c
@@ -188,8 +188,8 @@
   bd_membership_add (&m, "c", "x", "10.0.0.3", 1);
   relay = bd_membership_find (&m, "relay");
   bd_membership_begin_report (&m);
-  bd_membership_report (&m, relay, bd_hash ("c", 1), false, 0);
-  bd_membership_report (&m, relay, bd_hash ("relay", 5), false, 0);
+  bd_membership_report (&m, relay, bd_hash ("c", 1), false, false, 0);
+  bd_membership_report (&m, relay, bd_hash ("relay", 5), false, false, 0);
   reported = bd_membership_find (&m, "c");
   CU_ASSERT_TRUE (reported->is_live);
   CU_ASSERT_TRUE (bd_membership_tick (&m, 1001));
@@ -200,7 +200,7 @@
   CU_ASSERT_TRUE (reported->is_live);
   /* The next report lacks it.  */
   bd_membership_begin_report (&m);
-  bd_membership_report (&m, relay, bd_hash ("relay", 5), false, 5900);
+  bd_membership_report (&m, relay, bd_hash ("relay", 5), false, false, 5900);
   bd_membership_confirm_reported (&m, relay, 5900);
   CU_ASSERT_TRUE (bd_membership_tick (&m, 5901));
   CU_ASSERT_FALSE (reported->is_live);
@@ -220,7 +220,8 @@
   for (uint32_t i = 0; i < from->count; i++)
     if (bd_membership_is_witnessed (from, &from->members[i], now_ms))
       bd_membership_report (to, reporter, from->members[i].name_hash,
-                            from->members[i].is_stopping, now_ms);
+                            from->members[i].is_stopping,
+                            from->members[i].is_isolated, now_ms);
   bd_membership_end_report (to, reporter);
 }
 
@@ -292,7 +293,7 @@
   r1 = bd_membership_find (&m, "r1");
   r2 = bd_membership_find (&m, "r2");
   bd_membership_begin_report (&m);
-  bd_membership_report (&m, r1, bd_hash ("d", 1), false, 100);
+  bd_membership_report (&m, r1, bd_hash ("d", 1), false, false, 100);
   CU_ASSERT_FALSE (bd_membership_end_report (&m, r1));
   bd_membership_begin_report (&m);
   CU_ASSERT_TRUE (bd_membership_end_report (&m, r2));
@@ -301,7 +302,7 @@
   CU_ASSERT_TRUE (bd_membership_end_report (&m, r1));
   CU_ASSERT_FALSE (bd_membership_find (&m, "d")->is_live);
   bd_membership_begin_report (&m);
-  bd_membership_report (&m, r2, bd_hash ("d", 1), false, 300);
+  bd_membership_report (&m, r2, bd_hash ("d", 1), false, false, 300);
   CU_ASSERT_FALSE (bd_membership_end_report (&m, r2));
   CU_ASSERT_TRUE (bd_membership_find (&m, "d")->is_live);
   talloc_free (ctx);
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -177,7 +177,8 @@
 
 static const struct field live_fields[]
     = { FIELD (bd_live_daemon, U64, name_hash),
-        FIELD (bd_live_daemon, BOOL, is_stopping) };
+        FIELD (bd_live_daemon, BOOL, is_stopping),
+        FIELD (bd_live_daemon, BOOL, is_isolated) };
 static const struct layout live_layout = LAYOUT (bd_live_daemon, live_fields);
 
 static const struct field edge_status_fields[]
@@ -188,7 +189,9 @@
         FIELD (bd_edge_status, U32, peer_port),
         FIELD (bd_edge_status, I64, incarnation),
         FIELD (bd_edge_status, I64, config_version),
+        FIELD (bd_edge_status, U32, handover_port),
         FIELD (bd_edge_status, BOOL, is_stopping),
+        FIELD (bd_edge_status, BOOL, is_isolated),
         FIELD (bd_edge_status, BOOL, has_traffic),
         FIELD (bd_edge_status, BOOL, wants_reply),
         FIELD (bd_edge_status, U64, live_checksum),
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -191,6 +191,7 @@
 {
   uint64_t name_hash;
   bool is_stopping;
+  bool is_isolated;
 };
 
 /* Periodic status of an edge daemon: liveness, traffic and demand.  */
@@ -203,7 +204,9 @@
   uint32_t peer_port;
   int64_t incarnation;
   int64_t config_version; /* The highest one in the scope.  */
+  uint32_t handover_port; /* 0: requests cannot be handed over to it.  */
   bool is_stopping;
+  bool is_isolated; /* It has lost its links to endpoints.  */
   bool has_traffic;
   bool wants_reply;         /* The receiver, a relay, sends the fleet's.  */
   uint64_t live_checksum;   /* Of the live daemons that the sender knows.  */
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -24,6 +24,7 @@
   READY_PORT = SITE_BASE_PORT + 2,
   PEER_PORT = SITE_BASE_PORT + 3,
   METRICS_PORT = SITE_BASE_PORT + 4,
+  HANDOVER_PORT = SITE_BASE_PORT + 5,
   WORKER_PORT = SITE_BASE_PORT + 10
 };
 
@@ -989,6 +990,7 @@
     .ready_port = READY_PORT,
     .peer_port = PEER_PORT,
     .metrics_port = METRICS_PORT,
+    .handover_port = HANDOVER_PORT,
     .platform_url = "http://127.0.0.1:25100",
     .is_first_start = true,
     .heartbeat_ms = 300,
