--- a/src/burdockdale.h
+++ b/src/burdockdale.h
@@ -29,6 +29,8 @@
      routing/prefix.h          hints about prefix caches
      claims/shard.h            claims for at-most-once execution
      poison/poison.h           detection of poison requests
+     pacing/pacing.h           shares of an endpoint's request limit
+     links/links.h             loss of the links to endpoints
    Replica groups
      endpoints/report.h        status reports of instances
      groups/gate.h             blocking of calls to incomplete groups
@@ -59,7 +61,9 @@
 #include "groups/assignment.h"
 #include "groups/controller.h"
 #include "groups/gate.h"
+#include "links/links.h"
 #include "membership/membership.h"
+#include "pacing/pacing.h"
 #include "poison/poison.h"
 #include "routing/prefix.h"
 #include "routing/routing.h"
--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -102,6 +102,16 @@
          && permit_ms >= max_wait_ms (request, bd_edge_now_ms (edge));
 }
 
+/* Whether a request that has no target now is refused at once: another daemon
+   can serve it sooner, nobody can, or not in time.  */
+static bool
+is_hopeless (const struct bd_edge_request *request)
+{
+  return request->is_taken_over
+         || bd_edge_service (request->edge, request->service)->links.is_lost
+         || is_over_limits (request);
+}
+
 static void
 enqueue (struct bd_edge_request *request)
 {
@@ -126,7 +136,7 @@
 
   if (bd_edge_choose_target (request, &target))
     bd_edge_start_attempt (request, &target);
-  else if (request->is_taken_over || is_over_limits (request))
+  else if (is_hopeless (request))
     give_up (request);
   else
     enqueue (request);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -8,7 +8,9 @@
    The other files process input from the platform, the endpoints and the
    peers: sync.c (configuration and instance list), controller.c (replica
    groups), watchdog.c (stalled groups and deadlines), peers.c (messages
-   between daemons) and pages.c (readiness and metrics).
+   between daemons), evidence.c (crashes), pacing.c (request limits of
+   endpoints), handover.c (requests that other daemons serve) and pages.c
+   (readiness and metrics).
 
    Use: bd_edge_start(), then run the event loop; bd_edge_stop(), then run the
    event loop until bd_edge_is_done(); bd_edge_finish().  */
--- a/src/edge/edge_crashes_test.c
+++ b/src/edge/edge_crashes_test.c
@@ -44,16 +44,6 @@
     site.workers[i].mode = mode;
 }
 
-static uint32_t
-request_count (void)
-{
-  uint32_t sum = 0;
-
-  for (uint32_t i = 0; i < site.worker_count; i++)
-    sum += site.workers[i].request_count;
-  return sum;
-}
-
 static bool
 is_served (void)
 {
@@ -90,11 +80,11 @@
   site_start (&site, PLAIN_WORKERS, 0);
   CU_ASSERT_TRUE (site_run (&site, site_is_ready, 5000));
   use_every_worker ();
-  before = request_count ();
+  before = site_request_count (&site);
   set_modes (WORKER_CRASHING);
   for (uint32_t i = 0; i < REPEATS; i++)
     talloc_free (site_call (&site, "GET", "/safe/crash", "k1", NULL));
-  CU_ASSERT_TRUE (request_count () - before <= MAX_CRASHES);
+  CU_ASSERT_TRUE (site_request_count (&site) - before <= MAX_CRASHES);
   site_finish (&site);
 }
 
@@ -163,13 +153,7 @@
   start_crashing_site (PLAIN_WORKERS);
   for (uint32_t i = 0; i < REPEATS; i++)
     send_crashing ("/safe/crash");
-  settings = site.settings;
-  bd_name_copy (settings.name, "edge-2");
-  settings.http_port = SECOND_PORT;
-  settings.ready_port = SECOND_PORT + 1;
-  settings.peer_port = SECOND_PORT + 2;
-  settings.metrics_port = SECOND_PORT + 3;
-  settings.handover_port = SECOND_PORT + 4;
+  settings = site_settings (&site, "edge-2", SECOND_PORT);
   second = bd_edge_start (site.events, site.events, &settings,
                           &bd_platform_adapter);
   site_wait (&site, 3000);
--- a/src/edge/edge_limits_test.c
+++ b/src/edge/edge_limits_test.c
@@ -70,16 +70,11 @@
 static void
 start_daemon (uint32_t index)
 {
-  uint32_t port = FIRST_PORT + index * PORTS_PER_DAEMON;
-
-  settings[index] = site.settings;
-  snprintf (settings[index].name, sizeof settings[index].name, "edge-%u",
-            index + 1);
-  settings[index].http_port = port;
-  settings[index].ready_port = port + 1;
-  settings[index].peer_port = port + 2;
-  settings[index].metrics_port = port + 3;
-  settings[index].handover_port = port + 4;
+  char name[BD_NAME_SIZE];
+
+  snprintf (name, sizeof name, "edge-%u", index + 1);
+  settings[index]
+      = site_settings (&site, name, FIRST_PORT + index * PORTS_PER_DAEMON);
   daemons[index] = bd_edge_start (site.events, site.events, &settings[index],
                                   &bd_platform_adapter);
 }
--- a/src/edge/edge_links_test.c
+++ b/src/edge/edge_links_test.c
@@ -30,7 +30,8 @@
   CALL_INTERVAL_MS = 20,
   CUT_CHECK_MS = 5,
   SETTLE_MS = 1500,
-  RETURN_MS = 4000
+  RETURN_MS = 4000,
+  AT_ONCE_MS = 100
 };
 
 static struct site site;
@@ -101,15 +102,11 @@
   daemons[0] = site.edge;
   for (uint32_t i = 1; i < DAEMONS; i++)
     {
-      uint32_t port = FIRST_PORT + i * PORTS_PER_DAEMON;
+      char name[BD_NAME_SIZE];
 
-      settings[i] = site.settings;
-      snprintf (settings[i].name, sizeof settings[i].name, "edge-%u", i + 1);
-      settings[i].http_port = port;
-      settings[i].ready_port = port + 1;
-      settings[i].peer_port = port + 2;
-      settings[i].metrics_port = port + 3;
-      settings[i].handover_port = port + 4;
+      snprintf (name, sizeof name, "edge-%u", i + 1);
+      settings[i]
+          = site_settings (&site, name, FIRST_PORT + i * PORTS_PER_DAEMON);
       daemons[i] = bd_edge_start (site.events, site.events, &settings[i],
                                   &bd_platform_adapter);
     }
@@ -151,16 +148,6 @@
   return served;
 }
 
-static uint32_t
-request_count (void)
-{
-  uint32_t sum = 0;
-
-  for (uint32_t i = 0; i < site.worker_count; i++)
-    sum += site.workers[i].request_count;
-  return sum;
-}
-
 /* The users allow two thirds of what the other daemons serve, which is all,
    and in any case one in 50 and 10 failures.  */
 static bool
@@ -175,9 +162,9 @@
   uint32_t before;
 
   CU_ASSERT_TRUE (is_enough (count_served ("GET", "/safe/x", NULL)));
-  before = request_count ();
+  before = site_request_count (&site);
   CU_ASSERT_TRUE (is_enough (count_served ("POST", "/unsafe/x", NULL)));
-  CU_ASSERT_TRUE (request_count () - before <= CALLS);
+  CU_ASSERT_TRUE (site_request_count (&site) - before <= CALLS);
 }
 
 static void
@@ -279,6 +266,8 @@
   CU_ASSERT_EQUAL (count_served ("GET", "/safe/x", NULL), 0);
   for (uint32_t i = 0; i < CALLS; i++)
     CU_ASSERT_EQUAL (calls[i]->status, 503);
+  for (uint32_t i = CALLS / 2; i < CALLS; i++)
+    CU_ASSERT_TRUE (calls[i]->took_ms <= AT_ONCE_MS);
   for (uint32_t i = 0; i < DAEMONS; i++)
     CU_ASSERT_TRUE (daemons[i]->counters.value[BD_COUNT_TAKEN_OVER]
                     <= 3 * CALLS);
--- a/src/edge/edge_test.c
+++ b/src/edge/edge_test.c
@@ -19,16 +19,6 @@
 
 static struct site site;
 
-static uint32_t
-request_count (void)
-{
-  uint32_t sum = 0;
-
-  for (uint32_t i = 0; i < site.worker_count; i++)
-    sum += site.workers[i].request_count;
-  return sum;
-}
-
 static void
 set_modes (enum worker_mode mode)
 {
@@ -55,7 +45,7 @@
                    401);
   CU_ASSERT_EQUAL (site_call (&site, "GET", "/none/x", "k1", NULL)->status,
                    404);
-  CU_ASSERT_EQUAL (request_count (), 1);
+  CU_ASSERT_EQUAL (site_request_count (&site), 1);
   site_finish (&site);
 }
 
@@ -72,11 +62,11 @@
   set_modes (WORKER_RESETTING);
   call = site_call (&site, "POST", "/unsafe/x", "k1", NULL);
   CU_ASSERT_EQUAL (call->status, 502);
-  CU_ASSERT_EQUAL (request_count (), 1);
+  CU_ASSERT_EQUAL (site_request_count (&site), 1);
   set_modes (WORKER_WRONG_ID);
   call = site_call (&site, "POST", "/unsafe/x", "k1", NULL);
   CU_ASSERT_EQUAL (call->status, 502);
-  CU_ASSERT_EQUAL (request_count (), 2);
+  CU_ASSERT_EQUAL (site_request_count (&site), 2);
   set_modes (WORKER_FULL);
   call = site_call (&site, "POST", "/unsafe/x", "k1", NULL);
   CU_ASSERT_EQUAL (call->status, 503);
@@ -215,7 +205,7 @@
   CU_ASSERT_TRUE (site_run (&site, is_not_ready, 8000));
   call = site_call (&site, "GET", "/safe/x", "k1", NULL);
   CU_ASSERT_EQUAL (call->status, 503);
-  CU_ASSERT_EQUAL (request_count (), 0);
+  CU_ASSERT_EQUAL (site_request_count (&site), 0);
   site.store_mode = STORE_HEALTHY;
   CU_ASSERT_TRUE (site_run (&site, site_is_ready, 8000));
   CU_ASSERT_EQUAL (site_call (&site, "GET", "/safe/x", "k1", NULL)->status,
@@ -288,7 +278,7 @@
   while (!call->is_done)
     tevent_loop_once (site.events);
   CU_ASSERT_TRUE (is_stream_complete (call->body));
-  CU_ASSERT_EQUAL (request_count (), 2);
+  CU_ASSERT_EQUAL (site_request_count (&site), 2);
   for (uint32_t i = 0; i < site.worker_count; i++)
     if (site.workers[i].mode == WORKER_HEALTHY
         && site.workers[i].request_count > 0)
@@ -348,7 +338,7 @@
     tevent_loop_once (site.events);
   CU_ASSERT_TRUE (call->is_complete);
   CU_ASSERT_TRUE (is_stream_complete (call->body));
-  CU_ASSERT_EQUAL (request_count (), 2);
+  CU_ASSERT_EQUAL (site_request_count (&site), 2);
   site_finish (&site);
 }
 
@@ -366,7 +356,7 @@
   CU_ASSERT_EQUAL (call->status, 200);
   CU_ASSERT_TRUE (call->is_complete);
   CU_ASSERT_TRUE (is_stream_complete (call->body));
-  CU_ASSERT_EQUAL (request_count (), 1);
+  CU_ASSERT_EQUAL (site_request_count (&site), 1);
   site_finish (&site);
 }
 
@@ -739,7 +729,7 @@
   alone_ms = now_ms () - begin_ms;
   for (uint32_t i = 0; i < WAVES; i++)
     {
-      uint32_t before = request_count ();
+      uint32_t before = site_request_count (&site);
 
       open_callers ();
       begin_ms = now_ms ();
@@ -751,7 +741,7 @@
           site_run (&site, are_all_closed,
                     IDLE_TIMEOUT_MS - HEADER_TIMEOUT_MS + SLACK_MS));
       check_callers ();
-      CU_ASSERT_EQUAL (request_count (), before + USUAL_CALLS);
+      CU_ASSERT_EQUAL (site_request_count (&site), before + USUAL_CALLS);
       site_wait (&site, 300);
       used_bytes[i] = mallinfo2 ().uordblks + mallinfo2 ().hblkhd;
     }
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -1057,6 +1057,30 @@
   talloc_free (site->events);
 }
 
+uint32_t
+site_request_count (const struct site *site)
+{
+  uint32_t sum = 0;
+
+  for (uint32_t i = 0; i < site->worker_count; i++)
+    sum += site->workers[i].request_count;
+  return sum;
+}
+
+struct bd_edge_settings
+site_settings (const struct site *site, const char *name, uint32_t port)
+{
+  struct bd_edge_settings settings = site->settings;
+
+  bd_name_copy (settings.name, name);
+  settings.http_port = port;
+  settings.ready_port = port + 1;
+  settings.peer_port = port + 2;
+  settings.metrics_port = port + 3;
+  settings.handover_port = port + 4;
+  return settings;
+}
+
 static void
 handle_limit (void *ctx)
 {
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -166,6 +166,14 @@
                                    const char *target, const char *key,
                                    const char *model);
 
+/* site_request_count(): the requests of callers that have reached workers.  */
+uint32_t site_request_count (const struct site *site);
+
+/* site_settings(): settings of a further daemon, which listens on port and the
+   following ones.  */
+struct bd_edge_settings site_settings (const struct site *site,
+                                       const char *name, uint32_t port);
+
 /* site_publish(): writes the configuration with a higher version.  */
 void site_publish (struct site *site);
 
