--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -94,7 +94,6 @@
   struct bd_edge *edge = request->edge;
   const struct bd_backlog *backlog
       = &bd_edge_service (edge, request->service)->backlog;
-
   int64_t permit_ms = bd_edge_permit_wait_ms (
       edge, request->service, request->model, bd_backlog_count (backlog));
 
@@ -102,8 +101,9 @@
          && permit_ms >= max_wait_ms (request, bd_edge_now_ms (edge));
 }
 
-/* Whether a request that has no target now is refused at once: another daemon
-   can serve it sooner, nobody can, or not in time.  */
+/* Whether a request that has no target now is refused at once: the daemon that
+   has handed it over can try another one, only probes can bring a target, or
+   the limits allow it too late.  */
 static bool
 is_hopeless (const struct bd_edge_request *request)
 {
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -215,7 +215,7 @@
   /* The other daemon has recorded what its endpoints did.  */
   if (request->is_handed_over)
     return;
-  /* A request that crashes endpoints silences them too.  */
+  /* A request that crashes endpoints makes them silent too.  */
   if (!request->has_head && !is_crash)
     bd_edge_note_silence (edge, request->service, request->endpoint,
                           request->sent_ms);
@@ -256,6 +256,7 @@
         && bd_links_is_doubtful (&service->links);
   action = bd_call_failed (&request->call, failure, &service->retries,
                            bd_edge_now_ms (edge));
+  /* The daemon that has handed it over tries another one.  */
   if (action == BD_ACTION_DISPATCH && request->is_taken_over
       && request->prefers_handover)
     action = bd_call_refused (&request->call, request->call.may_have_run
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -326,7 +326,8 @@
 
 /* target.c: chooses targets and tracks their load.  */
 
-/* The endpoint, or the leader of a group, that a request is sent to.  */
+/* The endpoint, the leader of a group, or the daemon that a request is sent
+   to.  */
 struct bd_edge_target
 {
   char endpoint[BD_NAME_SIZE];
@@ -339,8 +340,9 @@
   uint32_t load;       /* Requests running on the chosen target.  */
 };
 
-/* bd_edge_choose_target(): returns false when no target has capacity for the
-   request.  */
+/* bd_edge_choose_target(): chooses a group or an endpoint, or another daemon
+   while this one has lost its links or may have.  Returns false when no target
+   has capacity for the request.  */
 bool bd_edge_choose_target (struct bd_edge_request *request,
                             struct bd_edge_target *target);
 
--- a/src/edge/handover.c
+++ b/src/edge/handover.c
@@ -20,7 +20,8 @@
   MAX_DAEMONS = 64
 };
 
-/* Version of the sender's configuration, and the runs that it allows.  */
+/* Version of the sender's configuration, and the runs that the route still
+   allows.  */
 static const char config_header[] = "Burdockdale-Config";
 static const char runs_header[] = "Burdockdale-Runs";
 
--- a/src/edge/ingress.c
+++ b/src/edge/ingress.c
@@ -213,7 +213,6 @@
 {
   const struct bd_route *route;
   const struct bd_account *account = NULL;
-
   bool is_taken_over = bd_edge_is_taken_over (edge, x);
 
   bd_count (&edge->counters,
