--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -404,6 +404,7 @@
       slot->settings.ready_port = port + 1;
       slot->settings.peer_port = port + 2;
       slot->settings.metrics_port = port + 3;
+      slot->settings.handover_port = port + 4;
       start_daemon (i);
     }
   if (!site_run (&site, are_daemons_ready, START_LIMIT_MS)
