tests: each test process has a loopback address of its own

Two runs on one machine used the same ports and disturbed each other: the known-red case of edge_crashes_test came while a soak ran beside it, and http_test, edge_test and the soak could not run twice at a time.

Cause: fixed ports at 127.0.0.1. Ruled out: ports drawn at random, which can collide with ephemeral ones.

Change: a test program listens at an address of 127.0.0.0/8 that follows from its process id (tests/loopback.h), the failure paths at one that follows from the script's; the demo and the benchmarks keep 127.0.0.1.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -3,17 +3,19 @@
 # process id.
 #
 # The sourcing script sets BUILD (directory of the binaries) and BASE_PORT
-# (first of 200 free ports).  Optional: DAEMON_SETTINGS (lines for every
-# settings file), PEERS_VIA_PIPE (route the traffic between daemons through the
-# pipe fake), LOG_LINES (lines of each log that a failure prints, default 6).
+# (first of 200 free ports).  Optional: HOST (loopback address of all
+# processes), DAEMON_SETTINGS (lines for every settings file), PEERS_VIA_PIPE
+# (route the traffic between daemons through the pipe fake), LOG_LINES (lines of
+# each log that a failure prints, default 6).
 
 set -euo pipefail
 
+HOST=${HOST:-127.0.0.1}
 BIN="$BUILD/burdockdale"
 FAKES="$BUILD/fakes"
 WORK=$(mktemp -d)
 PLATFORM_PORT=$BASE_PORT
-PLATFORM="http://127.0.0.1:$PLATFORM_PORT"
+PLATFORM="http://$HOST:$PLATFORM_PORT"
 declare -A PIDS=()
 INSTANCES='[]'
 DAEMONS=()
@@ -66,7 +68,7 @@
 set_faults () { post -d "$2" "$1/faults" >/dev/null; }
 
 start_platform () {
-  start_process platform "$FAKES" platform "port=$PLATFORM_PORT" "$@"
+  start_process platform "$FAKES" platform "address=$HOST" "port=$PLATFORM_PORT" "$@"
   wait_until 5 get "$PLATFORM/record" || fail "the platform did not start"
 }
 
@@ -74,8 +76,8 @@
 # list that put_instances uploads.
 add_instances () {
   INSTANCES=$(jq -c --arg n "$1" --argjson c "$2" --argjson p "$3" \
-    --arg d "$4" --arg f "$5" --arg o "$6" \
-    '. + [range($c) | {name: "\($n)-\(.)", address: "127.0.0.1",
+    --arg d "$4" --arg f "$5" --arg o "$6" --arg h "$HOST" \
+    '. + [range($c) | {name: "\($n)-\(.)", address: $h,
       port: ($p + .), data_centre: $d, fabric_domain: $f, pool: $o,
       state: "live", accelerators: 8}]' <<<"$INSTANCES")
 }
@@ -96,16 +98,16 @@
 # fake process with COUNT engines on consecutive ports.
 start_engines () {
   local name=$1 count=$2 port=$3
-  start_process "$name" "$FAKES" engines "name=$name" "count=$count" "port=$port" \
+  start_process "$name" "$FAKES" engines "address=$HOST" "name=$name" "count=$count" "port=$port" \
     "weights=$PLATFORM" "${@:7}"
-  wait_until 5 get "http://127.0.0.1:$port/state" || fail "$name did not start"
+  wait_until 5 get "http://$HOST:$port/state" || fail "$name did not start"
   add_instances "$name" "$count" "$port" "$4" "$5" "$6"
 }
 
 # start_service NAME PORT DATA_CENTRE POOL: starts the fake of a plain service.
 start_service () {
-  start_process "$1" "$FAKES" service "name=$1-0" "port=$2"
-  wait_until 5 get "http://127.0.0.1:$2/state" || fail "$1 did not start"
+  start_process "$1" "$FAKES" service "address=$HOST" "name=$1-0" "port=$2"
+  wait_until 5 get "http://$HOST:$2/state" || fail "$1 did not start"
   add_instances "$1" 1 "$2" "$3" plain "$4"
 }
 
@@ -120,7 +122,7 @@
 write_settings () {
   local name=$1 data_centre=$2 port=$3 other
   {
-    printf 'name = "%s"\ndata_centre = "%s"\naddress = "127.0.0.1"\n' "$name" "$data_centre"
+    printf 'name = "%s"\ndata_centre = "%s"\naddress = "%s"\n' "$name" "$data_centre" "$HOST"
     printf 'http_port = %d\npeer_port = %d\n' "$port" $((port + 100))
     # The peers connect to the pipe, which forwards to the peer port.
     [ -n "${PEERS_VIA_PIPE:-}" ] && printf 'advertised_peer_port = %d\n' $((port + 150))
@@ -133,8 +135,8 @@
     for other in "${DAEMONS[@]}"; do
       set -- $other
       [ "$1" = "$name" ] && continue
-      printf '[[peer]]\nname = "%s"\ndata_centre = "%s"\naddress = "127.0.0.1"\nport = %d\n' \
-        "$1" "$2" $(($3 + ${PEERS_VIA_PIPE:+50} + 100))
+      printf '[[peer]]\nname = "%s"\ndata_centre = "%s"\naddress = "%s"\nport = %d\n' \
+        "$1" "$2" "$HOST" $(($3 + ${PEERS_VIA_PIPE:+50} + 100))
     done
   } >"$WORK/$name.toml"
 }
@@ -147,7 +149,7 @@
     [ "$1" = "$2" ] || continue
     write_settings "$2" "$3" "$4"
     start_process "$2" "$BIN" serve --settings "$WORK/$2.toml"
-    wait_until 5 get "http://127.0.0.1:$4/healthz" || fail "$2 did not start"
+    wait_until 5 get "http://$HOST:$4/healthz" || fail "$2 did not start"
   done
 }
 
--- a/src/edge/edge_crashes_test.c
+++ b/src/edge/edge_crashes_test.c
@@ -4,6 +4,7 @@
 #include "edge/edge_internal.h"
 #include "platform/platform.h"
 #include "tests/fakes/site.h"
+#include "tests/loopback.h"
 #include "tests/quiet.h"
 #include "tests/unit.h"
 
@@ -297,7 +298,7 @@
 
   worker->listen_fd = socket (AF_INET, SOCK_STREAM, 0);
   setsockopt (worker->listen_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  inet_pton (AF_INET, loopback_address (), &address.sin_addr);
   CU_ASSERT_EQUAL (
       bind (worker->listen_fd, (struct sockaddr *)&address, sizeof address),
       0);
--- a/src/edge/edge_links_test.c
+++ b/src/edge/edge_links_test.c
@@ -9,6 +9,7 @@
 #include "edge/edge_internal.h"
 #include "platform/platform.h"
 #include "tests/fakes/site.h"
+#include "tests/loopback.h"
 #include "tests/quiet.h"
 #include "tests/unit.h"
 
@@ -68,7 +69,7 @@
       = { .sin_family = AF_INET, .sin_port = htons (LOST_PORT) };
   int on = 1;
 
-  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  inet_pton (AF_INET, loopback_address (), &address.sin_addr);
   lost_listener = socket (AF_INET, SOCK_STREAM, 0);
   setsockopt (lost_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   CU_ASSERT_EQUAL_FATAL (
--- a/src/edge/edge_test.c
+++ b/src/edge/edge_test.c
@@ -6,6 +6,7 @@
 #include "base/timer.h"
 #include "platform/platform.h"
 #include "tests/fakes/site.h"
+#include "tests/loopback.h"
 #include "tests/quiet.h"
 #include "tests/unit.h"
 
@@ -585,7 +586,7 @@
 
   caller->opened_ms = now_ms ();
   caller->fd = socket (AF_INET, SOCK_STREAM, 0);
-  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  inet_pton (AF_INET, loopback_address (), &address.sin_addr);
   if (connect (caller->fd, (struct sockaddr *)&address, sizeof address) != 0)
     CU_FAIL ("connect");
   send (caller->fd, text, strlen (text), MSG_NOSIGNAL);
--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -7,6 +7,7 @@
 #include "base/timer.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "tests/loopback.h"
 #include "tests/unit.h"
 
 #include <arpa/inet.h>
@@ -63,7 +64,7 @@
       = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
   int fd = socket (AF_INET, SOCK_STREAM, 0);
 
-  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  inet_pton (AF_INET, loopback_address (), &address.sin_addr);
   CU_ASSERT_EQUAL (connect (fd, (struct sockaddr *)&address, sizeof address),
                    0);
   return fd;
@@ -313,7 +314,7 @@
 {
   struct bd_http_server other;
 
-  CU_ASSERT_FALSE (bd_http_server_init (&other, events, "127.0.0.1",
+  CU_ASSERT_FALSE (bd_http_server_init (&other, events, loopback_address (),
                                         SERVER_PORT, 64, &ops, NULL));
   bd_http_server_finish (&other);
 }
@@ -330,7 +331,7 @@
     {
       char byte;
 
-      CU_ASSERT_TRUE (bd_http_server_init (&other, events, "127.0.0.1",
+      CU_ASSERT_TRUE (bd_http_server_init (&other, events, loopback_address (),
                                            SECOND_PORT, 64, &ops, NULL));
       fd = connect_to (SECOND_PORT);
       tevent_loop_once (events);
@@ -357,7 +358,7 @@
   bool is_over = false;
   int fds[CALLERS];
 
-  CU_ASSERT_TRUE (bd_http_server_init (&other, events, "127.0.0.1",
+  CU_ASSERT_TRUE (bd_http_server_init (&other, events, loopback_address (),
                                        SECOND_PORT, 64, &ops, NULL));
   for (uint32_t i = 0; i < CALLERS; i++)
     {
@@ -468,7 +469,7 @@
 
   raw->listen_fd = socket (AF_INET, SOCK_STREAM, 0);
   setsockopt (raw->listen_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  inet_pton (AF_INET, loopback_address (), &address.sin_addr);
   CU_ASSERT_EQUAL (
       bind (raw->listen_fd, (struct sockaddr *)&address, sizeof address), 0);
   CU_ASSERT_EQUAL (listen (raw->listen_fd, 8), 0);
@@ -504,9 +505,11 @@
 static const struct bd_http_call_ops call_ops = { .done = handle_done };
 
 static struct outcome
-post_to (struct bd_http_client *client, const char *url, bool is_sent_once)
+post_to (struct bd_http_client *client, uint32_t port, bool is_sent_once)
 {
   struct outcome outcome = { .is_done = false };
+  char *url
+      = talloc_asprintf (NULL, "http://%s:%u/", loopback_address (), port);
   struct bd_http_request request = { .method = "POST",
                                      .url = url,
                                      .body = "abc",
@@ -515,6 +518,7 @@
                                      .is_sent_once = is_sent_once };
 
   bd_http_send (client, &request, &call_ops, &outcome);
+  talloc_free (url);
   while (!outcome.is_done)
     tevent_loop_once (events);
   return outcome;
@@ -523,7 +527,7 @@
 static struct outcome
 post (struct bd_http_client *client, bool is_sent_once)
 {
-  return post_to (client, "http://127.0.0.1:25091/", is_sent_once);
+  return post_to (client, RAW_PORT, is_sent_once);
 }
 
 /* By default, libcurl resends a request when a kept-alive connection turns out
@@ -558,9 +562,8 @@
 
   start_listening (&raw, CRASHING_PORT, handle_raw_listen, &raw);
   bd_http_client_init (&client, events, 4);
-  CU_ASSERT_TRUE (
-      post_to (&client, "http://127.0.0.1:25094/", is_sent_once).is_complete);
-  outcome = post_to (&client, "http://127.0.0.1:25094/", is_sent_once);
+  CU_ASSERT_TRUE (post_to (&client, CRASHING_PORT, is_sent_once).is_complete);
+  outcome = post_to (&client, CRASHING_PORT, is_sent_once);
   CU_ASSERT_EQUAL (raw.request_count, 2);
   CU_ASSERT_FALSE (outcome.is_complete);
   CU_ASSERT_TRUE (outcome.was_sent);
@@ -582,7 +585,7 @@
   struct outcome outcome;
 
   bd_http_client_init (&client, events, 4);
-  outcome = post_to (&client, "http://127.0.0.1:25094/", true);
+  outcome = post_to (&client, CRASHING_PORT, true);
   CU_ASSERT_FALSE (outcome.is_complete);
   CU_ASSERT_FALSE (outcome.was_sent);
   bd_http_client_finish (&client);
@@ -674,7 +677,7 @@
   start_listening (&raw, RAW_PORT + 1, handle_endless_listen, &endless);
   endless.listen_fd = raw.listen_fd;
   bd_http_client_init (&client, events, 4);
-  outcome = post_to (&client, "http://127.0.0.1:25092/", true);
+  outcome = post_to (&client, RAW_PORT + 1, true);
   CU_ASSERT_FALSE (outcome.is_complete);
   CU_ASSERT_TRUE (outcome.was_sent);
   CU_ASSERT_TRUE (endless.sent < max_bytes);
@@ -725,8 +728,8 @@
 
   events = tevent_context_init (NULL);
   keep_loop_awake (NULL);
-  if (!bd_http_server_init (&server, events, "127.0.0.1", SERVER_PORT, 64,
-                            &ops, NULL))
+  if (!bd_http_server_init (&server, events, loopback_address (), SERVER_PORT,
+                            64, &ops, NULL))
     {
       printf ("port %d is in use\n", SERVER_PORT);
       return 1;
--- a/tests/fakes/pipe.c
+++ b/tests/fakes/pipe.c
@@ -1,7 +1,7 @@
 /* Fake network between two daemons: a TCP proxy that can be cut.
 
    fakes pipe port=CONTROL pipes=LISTEN:TARGET,LISTEN:TARGET...
-   LISTEN and TARGET are ports on 127.0.0.1.
+   LISTEN and TARGET are ports at the option address.
 
    POST /faults {"cut": b}     while set, closes all connections, and new ones
                                at once  */
@@ -43,6 +43,7 @@
 {
   struct tevent_context *events;
   struct bd_http_server server;
+  const char *address;
   struct listener listeners[MAX_PIPES];
   uint32_t count;
   struct connection *connections;
@@ -86,13 +87,13 @@
 }
 
 static int
-connect_to (uint32_t port)
+connect_to (const struct pipes *p, uint32_t port)
 {
   struct sockaddr_in address = { .sin_family = AF_INET };
   int fd = socket (AF_INET, SOCK_STREAM, 0);
 
   address.sin_port = htons ((uint16_t)port);
-  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  inet_pton (AF_INET, p->address, &address.sin_addr);
   if (connect (fd, (struct sockaddr *)&address, sizeof address) == 0)
     return fd;
   close (fd);
@@ -106,7 +107,7 @@
   struct listener *listener = private_data;
   struct pipes *p = listener->owner;
   int client_fd = accept (listener->listen_fd, NULL, NULL);
-  int target_fd = p->is_cut ? -1 : connect_to (listener->target_port);
+  int target_fd = p->is_cut ? -1 : connect_to (p, listener->target_port);
   struct connection *connection;
 
   (void)event;
@@ -183,7 +184,7 @@
   listener->listen_fd = socket (AF_INET, SOCK_STREAM, 0);
   setsockopt (listener->listen_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   address.sin_port = htons ((uint16_t)port);
-  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  inet_pton (AF_INET, p->address, &address.sin_addr);
   if (bind (listener->listen_fd, (struct sockaddr *)&address, sizeof address)
           != 0
       || listen (listener->listen_fd, 64) != 0)
@@ -201,6 +202,7 @@
   const char *rest = fake_option (options, "pipes", "");
 
   p->events = events;
+  p->address = fake_option (options, "address", "127.0.0.1");
   while (*rest != '\0' && p->count < MAX_PIPES)
     {
       char *end;
@@ -210,7 +212,7 @@
         return false;
       rest = *end == ',' ? end + 1 : end;
     }
-  return bd_http_server_init (&p->server, events, "127.0.0.1",
+  return bd_http_server_init (&p->server, events, p->address,
                               (uint32_t)fake_option_int (options, "port", 0),
                               64, &ops, p);
 }
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/timer.h"
 #include "platform/platform.h"
+#include "tests/loopback.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -350,7 +351,8 @@
       delete_object (worker->site, "servers", worker->id);
       return;
     }
-  snprintf (address, sizeof address, "127.0.0.1:%u", worker->port);
+  snprintf (address, sizeof address, "%s:%u", loopback_address (),
+            worker->port);
   json_object_set_new (entry, "Service", json_string (worker->service));
   json_object_set_new (entry, "Address", json_string (address));
   json_object_set_new (entry, "Sequence", json_integer (++worker->heartbeats));
@@ -917,7 +919,7 @@
   worker->start_count = 1;
   worker->is_listed = true;
   snprintf (worker->id, sizeof worker->id, "w-%u", index);
-  bd_http_server_init (&worker->server, site->events, "127.0.0.1",
+  bd_http_server_init (&worker->server, site->events, loopback_address (),
                        worker->port, 64, &worker_ops, worker);
   site_list_worker (worker);
 }
@@ -981,17 +983,21 @@
 static void
 make_settings (struct bd_edge_settings *settings)
 {
+  static char store_url[32];
+
+  snprintf (store_url, sizeof store_url, "http://%s:%u", loopback_address (),
+            STORE_PORT);
   *settings = (struct bd_edge_settings){
     .name = "edge-1",
     .data_centre = "a",
     .adapter = "platform",
-    .address = "127.0.0.1",
+    .address = loopback_address (),
     .http_port = EDGE_PORT,
     .ready_port = READY_PORT,
     .peer_port = PEER_PORT,
     .metrics_port = METRICS_PORT,
     .handover_port = HANDOVER_PORT,
-    .platform_url = "http://127.0.0.1:25100",
+    .platform_url = store_url,
     .is_first_start = true,
     .heartbeat_ms = 300,
     .max_descriptors = 4096,
@@ -1019,8 +1025,8 @@
   site->revision = 1;
   site->era = 1;
   site->daemon_port = EDGE_PORT;
-  bd_http_server_init (&site->store, site->events, "127.0.0.1", STORE_PORT,
-                       MAX_STORE_CONNECTIONS, &store_ops, site);
+  bd_http_server_init (&site->store, site->events, loopback_address (),
+                       STORE_PORT, MAX_STORE_CONNECTIONS, &store_ops, site);
   for (uint32_t i = 0; i < plain; i++)
     add_worker (site, "plain", "");
   for (uint32_t i = 0; i < pool; i++)
@@ -1146,7 +1152,7 @@
   uint32_t count = 3;
   struct bd_http_request request
       = { .method = method,
-          .url = talloc_asprintf (out, "http://127.0.0.1:%u%s",
+          .url = talloc_asprintf (out, "http://%s:%u%s", loopback_address (),
                                   site->daemon_port, target),
           .headers = headers,
           .timeout_ms = 8000 };
--- a/tests/paths/bad_input.sh
+++ b/tests/paths/bad_input.sh
@@ -6,7 +6,7 @@
 start_system
 
 http_status () { get -o /dev/null -w '%{http_code}' "$@" || true; }
-send_raw () { exec 9<>"/dev/tcp/127.0.0.1/$((BASE_PORT + 1))"; printf "$1" >&9; timeout 1 head -c 200 <&9 || true; exec 9>&-; }
+send_raw () { exec 9<>"/dev/tcp/$HOST/$((BASE_PORT + 1))"; printf "$1" >&9; timeout 1 head -c 200 <&9 || true; exec 9>&-; }
 
 check "bad JSON" is_equal "$(http_status -d '{' "$A/v1/completions")" 400
 check "no model" is_equal "$(http_status -d '{}' "$A/v1/completions")" 400
@@ -35,7 +35,7 @@
 # connection.
 leave='{"model":"drafter","max_tokens":3000,"stream":true,"prompt":"reset"}'
 for i in 1 2 3; do
-  exec 9<>"/dev/tcp/127.0.0.1/$((BASE_PORT + 1))"
+  exec 9<>"/dev/tcp/$HOST/$((BASE_PORT + 1))"
   printf 'POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s' "${#leave}" "$leave" >&9
   sleep 0.3
   for e in $(seq 0 9); do set_faults "$(engine_url "$e")" '{"freeze":true}'; done
@@ -45,7 +45,7 @@
   wait_until 5 has_open_groups "$A" drafts 2 || fail "no open groups"
 done
 check "no call is open" wait_until 5 bash -c "[ \$(curl -s $A/burdockdale/state | jq .calls) = 0 ]"
-check "random bytes on the peer port" bash -c "head -c 3000 /dev/urandom >/dev/tcp/127.0.0.1/$((BASE_PORT + 101)) || true"
+check "random bytes on the peer port" bash -c "head -c 3000 /dev/urandom >/dev/tcp/$HOST/$((BASE_PORT + 101)) || true"
 sleep 0.3
 check "still up" is_equal "$(http_status "$A/healthz")" 200
 kill -TERM "${PIDS[a]}"
--- a/tests/paths/common.sh
+++ b/tests/paths/common.sh
@@ -3,15 +3,18 @@
 # and one plain service.
 BUILD=${BUILD:-build}
 cd "$(dirname "$0")/../.."
+# Each run has a loopback address of its own, so that several can use the same
+# ports.
+HOST=127.$((64 + ($$ >> 16 & 63))).$(($$ >> 8 & 255)).$(($$ & 255))
 . scripts/lib.sh
 
-A=http://127.0.0.1:$((BASE_PORT + 1))
-B=http://127.0.0.1:$((BASE_PORT + 2))
-C=http://127.0.0.1:$((BASE_PORT + 3))
-LEAGUE=http://127.0.0.1:$((BASE_PORT + 60))
+A=http://$HOST:$((BASE_PORT + 1))
+B=http://$HOST:$((BASE_PORT + 2))
+C=http://$HOST:$((BASE_PORT + 3))
+LEAGUE=http://$HOST:$((BASE_PORT + 60))
 ENGINE_PORT=$((BASE_PORT + 20))
 
-engine_url () { echo "http://127.0.0.1:$((ENGINE_PORT + $1))"; }
+engine_url () { echo "http://$HOST:$((ENGINE_PORT + $1))"; }
 
 # write_services [VERSION [REPLICAS]]: writes the service files.
 write_services () {
--- a/tests/paths/daemons_partitioned.sh
+++ b/tests/paths/daemons_partitioned.sh
@@ -6,8 +6,8 @@
 BASE_PORT=25800
 PEERS_VIA_PIPE=yes
 . "$(dirname "$0")/common.sh"
-CONTROL=http://127.0.0.1:$((BASE_PORT + 9))
-start_process pipe "$FAKES" pipe "port=$((BASE_PORT + 9))" \
+CONTROL=http://$HOST:$((BASE_PORT + 9))
+start_process pipe "$FAKES" pipe "address=$HOST" "port=$((BASE_PORT + 9))" \
   "pipes=$((BASE_PORT + 151)):$((BASE_PORT + 101)),$((BASE_PORT + 152)):$((BASE_PORT + 102))"
 start_system
 
--- a/tests/paths/domain_outage.sh
+++ b/tests/paths/domain_outage.sh
@@ -27,9 +27,9 @@
 done
 are_groups_in_second_domain () { [ "$(get "$A/burdockdale/state" | jq '[.groups[] | select(.domain == "fabric-2" and .gate == "open")] | length')" = 2 ]; }
 check "both groups are in the other domain" wait_until 15 are_groups_in_second_domain
-start_process first "$FAKES" engines name=first count=9 "port=$ENGINE_PORT" "weights=$PLATFORM"
-is_first_engine_ready () { [ "$(get "http://127.0.0.1:$ENGINE_PORT/state" | jq -r .phase)" = ready ]; }
+start_process first "$FAKES" engines "address=$HOST" name=first count=9 "port=$ENGINE_PORT" "weights=$PLATFORM"
+is_first_engine_ready () { [ "$(get "http://$HOST:$ENGINE_PORT/state" | jq -r .phase)" = ready ]; }
 check "the engines of the failed domain load weights" wait_until 15 is_first_engine_ready
-check "they are in no group" is_equal "$(get "http://127.0.0.1:$ENGINE_PORT/state" | jq -r .group)" ""
+check "they are in no group" is_equal "$(get "http://$HOST:$ENGINE_PORT/state" | jq -r .group)" ""
 check "no group moves back without need" are_groups_in_second_domain
 print_check_count
--- a/tests/paths/incomplete_requests.sh
+++ b/tests/paths/incomplete_requests.sh
@@ -22,7 +22,7 @@
   local i fd text
   FDS=()
   for ((i = 0; i < 3 * PER_KIND; i++)); do
-    exec {fd}<>"/dev/tcp/127.0.0.1/$((BASE_PORT + 1))"
+    exec {fd}<>"/dev/tcp/$HOST/$((BASE_PORT + 1))"
     FDS+=("$fd")
     case $((i % 3)) in
       0) text='POST /league/bookings HTTP/1.1\r\nHost: x\r\nX-Pa';;
--- a/tests/paths/remote_serving.sh
+++ b/tests/paths/remote_serving.sh
@@ -13,11 +13,11 @@
 start_daemons
 write_services
 publish >"$WORK/publish.log" 2>&1 || fail "publish"
-N=http://127.0.0.1:$((BASE_PORT + 9))
+N=http://$HOST:$((BASE_PORT + 9))
 wait_until 15 has_open_groups "$N" drafts 2 || fail "no open groups in north"
 check "south has no group" is_equal "$(open_group_count "$A" drafts)" 0
 for d in 1 2 3; do
-  url=http://127.0.0.1:$((BASE_PORT + d))
+  url=http://$HOST:$((BASE_PORT + d))
   is_served () { [ "$(post_completion "$url" "from south $d" 6 | jq -r .usage.completion_tokens)" = 6 ]; }
   check "daemon $d in south is served by north" wait_until 12 is_served
   post_stream "$url" "stream $d" 30 >"$WORK/stream-$d"
