edge: a line and a counter for each response that is cut

What callers saw: LOST, a connection that ends in the middle of a response or without one. The logs had a line for a caller that left, and none that told a daemon that stops, a stream that can't go on and the server's own time-outs apart from it.

Change: the line "cut" with the request's id, who ended the connection, in which phase, the versions of the configuration at arrival and then; a counter for each cause; "response-cut" where the request was already done. No decision changes.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -17,6 +17,14 @@
      "final answers that were failures")                                      \
   X (CALLERS_DISCONNECTED, "callers_gone_total",                              \
      "callers that left before the end")                                      \
+  X (CUT_BY_SWEEP, "cut_unread_total",                                        \
+     "responses ended because the caller took nothing of them")               \
+  X (CUT_BY_STOP, "cut_at_stop_total",                                        \
+     "requests ended with the daemon, without a whole response")              \
+  X (CUT_BY_FAILURE, "cut_broken_total",                                      \
+     "streams ended before their end, for lack of another attempt")           \
+  X (CUT_RESPONSES, "cut_answers_total",                                      \
+     "connections that ended before a response was sent")                     \
   X (ATTEMPTS, "attempts_total", "attempts sent to endpoints")                \
   X (RETRIES, "retries_total", "attempts after the first of a call")          \
   X (RESUMES, "resumes_total", "streams resumed on another replica")          \
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -354,7 +354,10 @@
   bd_ticker_finish (&edge->controller_ticker);
   bd_ticker_finish (&edge->watchdog_ticker);
   while (edge->requests != NULL)
-    bd_edge_request_end (edge->requests);
+    {
+      bd_edge_note_cut (edge->requests, BD_EDGE_CUT_BY_STOP);
+      bd_edge_request_end (edge->requests);
+    }
   bd_http_server_finish (&edge->server);
   bd_http_server_finish (&edge->handover_server);
   bd_http_server_finish (&edge->ready_server);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -33,6 +33,15 @@
   BD_EDGE_MAX_RELAY_REPORTS = 4
 };
 
+/* What ended a caller's connection before the whole response was sent.  */
+enum bd_edge_cut
+{
+  BD_EDGE_CUT_BY_CALLER,
+  BD_EDGE_CUT_BY_SWEEP, /* The caller took nothing of the response.  */
+  BD_EDGE_CUT_BY_STOP,
+  BD_EDGE_CUT_BY_FAILURE /* A stream that cannot be resumed.  */
+};
+
 /* One request of a caller, from its arrival to its final response.  */
 struct bd_edge_request
 {
@@ -65,6 +74,7 @@
   uint32_t subject_count;
   int64_t received_ms;
   int64_t deadline_ms;
+  int64_t config_version; /* In force when it was received.  */
   struct bd_call call;
 
   /* Another daemon has handed it over to this one.  */
@@ -290,6 +300,11 @@
 struct bd_edge_request *bd_edge_request_make (struct bd_edge *edge,
                                               struct bd_http_exchange *x);
 
+/* bd_edge_note_cut(): counts and logs a request whose caller gets no whole
+   response.  */
+void bd_edge_note_cut (const struct bd_edge_request *request,
+                       enum bd_edge_cut cut);
+
 /* bd_edge_request_end(): cancels the attempt, if any, and frees the request;
    sends nothing to the caller.  */
 void bd_edge_request_end (struct bd_edge_request *request);
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -21,6 +21,7 @@
   request->edge = edge;
   request->exchange = x;
   request->received_ms = bd_edge_now_ms (edge);
+  request->config_version = edge->routes->version;
   request->method = talloc_strdup (request, x->method);
   request->request_target = talloc_strdup (request, x->uri);
   request->body = talloc_steal (request, x->body);
@@ -60,6 +61,41 @@
   talloc_free (request);
 }
 
+static const char *
+phase_of (const struct bd_edge_request *request)
+{
+  if (request->has_stream_begun)
+    return "stream";
+  return request->attempt != NULL ? "attempt" : "waiting";
+}
+
+void
+bd_edge_note_cut (const struct bd_edge_request *request, enum bd_edge_cut cut)
+{
+  static const struct
+  {
+    const char *name;
+    enum bd_counter counter;
+  } cuts[]
+      = { [BD_EDGE_CUT_BY_CALLER]
+          = { "caller", BD_COUNT_CALLERS_DISCONNECTED },
+          [BD_EDGE_CUT_BY_SWEEP] = { "sweep", BD_COUNT_CUT_BY_SWEEP },
+          [BD_EDGE_CUT_BY_STOP] = { "stop", BD_COUNT_CUT_BY_STOP },
+          [BD_EDGE_CUT_BY_FAILURE] = { "failure", BD_COUNT_CUT_BY_FAILURE } };
+  struct bd_edge *edge = request->edge;
+  int64_t now_ms = bd_edge_now_ms (edge);
+
+  bd_count (&edge->counters, cuts[cut].counter);
+  (cut == BD_EDGE_CUT_BY_CALLER ? bd_log_detail : bd_log) (
+      "cut", "id", request->attempt_id, "by", cuts[cut].name, "phase",
+      phase_of (request), "route", request->route, "endpoint",
+      request->attempt != NULL ? request->endpoint : "", "after_ms",
+      BD_NUM (now_ms - request->received_ms), "left_ms",
+      BD_NUM (request->deadline_ms - now_ms), "config_at_arrival",
+      BD_NUM (request->config_version), "config",
+      BD_NUM (edge->routes->version), NULL);
+}
+
 void
 bd_edge_handle_disconnect (struct bd_edge *edge,
                            struct bd_http_exchange *exchange)
@@ -67,12 +103,15 @@
   struct bd_edge_request *request = exchange->user;
 
   if (request == NULL)
-    return;
-  bd_count (&edge->counters, BD_COUNT_CALLERS_DISCONNECTED);
-  bd_log_detail (
-      "caller-gone", "id", request->attempt_id, "route", request->route,
-      "after_ms", BD_NUM (bd_edge_now_ms (edge) - request->received_ms),
-      "endpoint", request->attempt != NULL ? request->endpoint : "", NULL);
+    {
+      bd_count (&edge->counters, BD_COUNT_CUT_RESPONSES);
+      bd_log ("response-cut", "path", exchange->path, "by",
+              bd_http_is_swept (exchange) ? "sweep" : "caller", NULL);
+      return;
+    }
+  bd_edge_note_cut (request, bd_http_is_swept (exchange)
+                                 ? BD_EDGE_CUT_BY_SWEEP
+                                 : BD_EDGE_CUT_BY_CALLER);
   request->exchange = NULL;
   exchange->user = NULL;
   bd_edge_request_end (request);
--- a/src/http/connection.c
+++ b/src/http/connection.c
@@ -182,6 +182,8 @@
       send_timeout_response (c, now_ms);
       return;
     }
+  if (c->exchange != NULL)
+    c->exchange->is_swept = true;
   /* libmicrohttpd sees the end of the connection and closes it.  */
   shutdown (c->fd, SHUT_RDWR);
 }
--- a/src/http/http_internal.h
+++ b/src/http/http_internal.h
@@ -29,7 +29,7 @@
   int64_t deadline_ms;
   uint64_t body_bytes;  /* Received in this phase.  */
   uint64_t acked_bytes; /* Acknowledged by the caller at the last look.  */
-  const struct bd_http_exchange *exchange; /* NULL outside of requests.  */
+  struct bd_http_exchange *exchange; /* NULL outside of requests.  */
   struct bd_http_connection *prev;
   struct bd_http_connection *next;
 };
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -488,6 +488,12 @@
   return MHD_lookup_connection_value (x->connection, MHD_HEADER_KIND, name);
 }
 
+bool
+bd_http_is_swept (const struct bd_http_exchange *x)
+{
+  return x->is_swept;
+}
+
 struct header_visitor
 {
   void (*visit) (void *ctx, const char *name, const char *value);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -35,6 +35,7 @@
   /* Internal to the server.  */
   uint32_t state;
   bool is_suspended;
+  bool is_swept; /* The caller has taken nothing for too long.  */
   bool is_too_large;
   bool is_closed;
   bool has_ended;
@@ -132,6 +133,10 @@
   const char *value;
 };
 
+/* bd_http_is_swept(): whether the server has ended the connection because the
+   caller took nothing of the response.  */
+bool bd_http_is_swept (const struct bd_http_exchange *exchange);
+
 /* bd_http_respond(): sends a complete response.  body is copied.  headers ends
    with a NULL name, or is NULL for no headers.  Must be called only once.  */
 void bd_http_respond (struct bd_http_exchange *exchange, uint32_t status,
