edge: a daemon that stops takes only what it can complete

What callers saw (LOST): requests that a stopping daemon had taken were cut at the end of its grace; others got no response at all.

Cause: for 3.2 s after SIGTERM a daemon took whatever came, on new and on kept connections, without a look at the time that it had left, and closed all connections 250 ms before the end of the grace period. Idle connections were not told. Handing over doesn't help: the response would still pass through the daemon that ends.

Change (src/edge/stop.c): while it stops, an attempt begins only if it can be completed before the end, by the deadline or by the engine's formulas for a full batch and a silence of a second; otherwise the caller gets 503, not run, and "Connection: close". Once the load balancer has moved on, idle connections are closed; a request that crosses that is not handled, neither is one that crosses the end of the idle time. At the end of the grace period what still runs gets its final response before the sockets close.

--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -72,7 +72,8 @@
 {
   int64_t since_ms = request->backlog_item.since_ms;
 
-  return now_ms - since_ms >= max_wait_ms (request, since_ms);
+  return now_ms - since_ms >= max_wait_ms (request, since_ms)
+         || !bd_edge_can_complete (request);
 }
 
 static void
@@ -134,7 +135,9 @@
 {
   struct bd_edge_target target;
 
-  if (bd_edge_choose_target (request, &target))
+  if (!bd_edge_can_complete (request))
+    give_up (request);
+  else if (bd_edge_choose_target (request, &target))
     bd_edge_start_attempt (request, &target);
   else if (is_hopeless (request))
     give_up (request);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -1,4 +1,4 @@
-/* Starts and stops the edge daemon and its timers.  */
+/* Starts and frees the edge daemon and its timers.  */
 
 #include "edge/edge_internal.h"
 
@@ -21,13 +21,7 @@
      all others use the rest.  */
   CALLER_DESCRIPTORS_DIVISOR = 2,
   STORE_TIMEOUT_MS = 600,
-  STORE_BACKOFF_MS = 400,
-  /* The load balancer checks once a second and removes a daemon after two
-     misses.  Until then, a daemon that stops accepts new connections.  */
-  BALANCER_DELAY_MS = 3200,
-  /* Time before the end of the grace period at which the daemon ends the
-     requests that still run.  */
-  GRACE_MARGIN_MS = 250
+  STORE_BACKOFF_MS = 400
 };
 
 /* Part of revoke_ms up to which the age of the configuration is accepted.  */
@@ -286,32 +280,6 @@
   return edge;
 }
 
-/* The load balancer has removed this daemon.  From now on, requests are
-   refused with a retry at another daemon, so that none is cut off at the end
-   of the grace period.  */
-static void
-close_to_new_requests (void *ctx)
-{
-  struct bd_edge *edge = ctx;
-
-  edge->is_closed = true;
-  bd_http_server_stop_listening (&edge->server);
-}
-
-void
-bd_edge_stop (struct bd_edge *edge)
-{
-  if (edge->is_stopping)
-    return;
-  edge->is_stopping = true;
-  edge->stopping_since_ms = bd_edge_now_ms (edge);
-  bd_log ("stopping", "open", BD_NUM (edge->request_count), NULL);
-  bd_timer_add (edge->events, edge, BALANCER_DELAY_MS, close_to_new_requests,
-                edge);
-  /* Peers that receive this status take over this daemon's duties.  */
-  bd_edge_send_status (edge);
-}
-
 void
 bd_edge_share_retries (struct bd_edge *edge)
 {
@@ -331,21 +299,6 @@
   bd_log ("reloaded", NULL);
 }
 
-bool
-bd_edge_is_done (const struct bd_edge *edge)
-{
-  int64_t elapsed_ms;
-
-  if (!edge->is_stopping)
-    return false;
-  elapsed_ms = bd_edge_now_ms (edge) - edge->stopping_since_ms;
-  if (elapsed_ms >= (int64_t)edge->settings->bounds.grace_ms - GRACE_MARGIN_MS)
-    return true;
-  return elapsed_ms >= BALANCER_DELAY_MS && edge->request_count == 0
-         && edge->server.open_exchanges == 0
-         && edge->handover_server.open_exchanges == 0;
-}
-
 void
 bd_edge_finish (struct bd_edge *edge)
 {
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -9,8 +9,8 @@
    peers: sync.c (configuration and instance list), controller.c (replica
    groups), watchdog.c (stalled groups and deadlines), peers.c (messages
    between daemons), evidence.c (crashes), pacing.c (request limits of
-   endpoints), handover.c (requests that other daemons serve) and pages.c
-   (readiness and metrics).
+   endpoints), handover.c (requests that other daemons serve), stop.c (graceful
+   stops) and pages.c (readiness and metrics).
 
    Use: bd_edge_start(), then run the event loop; bd_edge_stop(), then run the
    event loop until bd_edge_is_done(); bd_edge_finish().  */
@@ -33,8 +33,9 @@
                                struct bd_edge_settings *settings,
                                const struct bd_adapter *adapter);
 
-/* bd_edge_stop(): starts a graceful stop: requests in flight are completed
-   within grace_ms of the settings.  */
+/* bd_edge_stop(): starts a graceful stop within grace_ms of the settings.
+   Requests in flight are completed, new ones are served as long as they can be
+   completed and are refused then.  */
 void bd_edge_stop (struct bd_edge *edge);
 
 /* bd_edge_reload(): applies the bounds of changed settings.  All other
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -69,6 +69,7 @@
   char model[BD_NAME_SIZE]; /* Empty for services without an engine.  */
   uint32_t prompt_tokens;
   uint32_t output_tokens; /* Expected.  */
+  uint32_t max_output_tokens;
   /* To which a crash can be attributed; the first is the whole request.  */
   uint64_t subjects[BD_POISON_MAX_SUBJECTS];
   uint32_t subject_count;
@@ -260,6 +261,7 @@
   int64_t started_ms;
   bool is_stopping;
   bool is_closed; /* Accepts no more requests.  */
+  bool is_grace_over;
   int64_t stopping_since_ms;
   bool was_ready;
 };
@@ -300,6 +302,14 @@
 struct bd_edge_request *bd_edge_request_make (struct bd_edge *edge,
                                               struct bd_http_exchange *x);
 
+/* bd_edge_expire(): sends the final failure of a request for which no time is
+   left, and frees it.  */
+void bd_edge_expire (struct bd_edge_request *request);
+
+/* bd_edge_can_complete(): whether a new attempt can be completed before this
+   daemon ends; true unless it stops.  */
+bool bd_edge_can_complete (const struct bd_edge_request *request);
+
 /* bd_edge_note_cut(): counts and logs a request whose caller gets no whole
    response.  */
 void bd_edge_note_cut (const struct bd_edge_request *request,
--- a/src/edge/ingress.c
+++ b/src/edge/ingress.c
@@ -117,7 +117,6 @@
   const char *counts = bd_http_header (request->exchange, names->token_counts);
   const char *hint
       = bd_http_header (request->exchange, names->output_length_hint);
-  uint32_t max_output_tokens = 0;
   char *end;
 
   request->output_tokens = (uint32_t)engine->typical_response_tokens;
@@ -126,12 +125,14 @@
     {
       request->prompt_tokens = (uint32_t)strtoul (counts, &end, 10);
       if (*end == ',')
-        max_output_tokens = (uint32_t)strtoul (end + 1, NULL, 10);
+        request->max_output_tokens = (uint32_t)strtoul (end + 1, NULL, 10);
     }
   if (hint != NULL && strtoul (hint, NULL, 10) > 0)
     request->output_tokens = (uint32_t)strtoul (hint, NULL, 10);
-  if (max_output_tokens > 0 && request->output_tokens > max_output_tokens)
-    request->output_tokens = max_output_tokens;
+  if (request->max_output_tokens == 0)
+    request->max_output_tokens = request->output_tokens;
+  if (request->output_tokens > request->max_output_tokens)
+    request->output_tokens = request->max_output_tokens;
 }
 
 /* Reads the id of the last event that the caller has, when it resumes a
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -204,7 +204,8 @@
   if (request->exchange != NULL && request->has_stream_begun)
     {
       bd_count (&edge->counters, BD_COUNT_FAILURE_RESPONSES);
-      bd_edge_note_cut (request, BD_EDGE_CUT_BY_FAILURE);
+      bd_edge_note_cut (request, edge->is_grace_over ? BD_EDGE_CUT_BY_STOP
+                                                     : BD_EDGE_CUT_BY_FAILURE);
       bd_http_stream_end (request->exchange, false);
     }
   else if (request->exchange != NULL)
--- a/src/edge/watchdog.c
+++ b/src/edge/watchdog.c
@@ -93,9 +93,8 @@
     bd_edge_fail_attempt (request, BD_FAILURE_BROKEN);
 }
 
-/* Ends a request whose deadline has passed.  */
-static void
-expire (struct bd_edge_request *request)
+void
+bd_edge_expire (struct bd_edge_request *request)
 {
   bool has_not_run = request->attempt == NULL && !request->call.may_have_run;
 
@@ -112,7 +111,7 @@
 
   if (now_ms >= request->deadline_ms)
     {
-      expire (request);
+      bd_edge_expire (request);
       return;
     }
   if (request->attempt == NULL)
--- a/src/engine/engine.c
+++ b/src/engine/engine.c
@@ -53,6 +53,19 @@
   return engine->stride * bd_engine_step_ms (engine, model, running, context);
 }
 
+double
+bd_engine_response_ms (const struct bd_engine *engine,
+                       const struct bd_engine_model *model,
+                       uint32_t prompt_tokens, uint32_t response_tokens)
+{
+  double context = engine->slots * (prompt_tokens + response_tokens / 2.0);
+  double step_ms = bd_engine_step_ms (engine, model, engine->slots, context);
+
+  return (1 + engine->slots)
+             * bd_engine_prefill_ms (engine, model, prompt_tokens)
+         + response_tokens * step_ms;
+}
+
 double
 bd_engine_work_ms (const struct bd_engine *engine,
                    const struct bd_engine_model *model, uint32_t prompt_tokens,
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -75,6 +75,14 @@
                           const struct bd_engine_model *model,
                           uint32_t running);
 
+/* bd_engine_response_ms(): returns the time in ms from the start of a request
+   to its last token in a full batch of requests like it, each of which is
+   prefilled meanwhile.  */
+double bd_engine_response_ms (const struct bd_engine *engine,
+                              const struct bd_engine_model *model,
+                              uint32_t prompt_tokens,
+                              uint32_t response_tokens);
+
 /* bd_engine_work_ms(): returns the replica time in ms that a request takes
    up: its prefill, and its share of the decode steps in a batch of typical
    size.  */
--- a/src/http/connection.c
+++ b/src/http/connection.c
@@ -169,6 +169,27 @@
   return is_stuck;
 }
 
+/* libmicrohttpd sees the end of the connection and closes it.  */
+static void
+end_connection (struct bd_http_connection *c)
+{
+  if (c->exchange != NULL)
+    c->exchange->is_swept = true;
+  /* A request that crosses the end could not be answered.  */
+  c->phase = BD_HTTP_ENDING;
+  shutdown (c->fd, SHUT_RDWR);
+}
+
+void
+bd_http_connection_close_idle (struct bd_http_connection *c)
+{
+  char byte;
+
+  if (c->phase == BD_HTTP_IDLE
+      && recv (c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0)
+    end_connection (c);
+}
+
 void
 bd_http_connection_check (struct bd_http_connection *c, int64_t now_ms)
 {
@@ -182,8 +203,5 @@
       send_timeout_response (c, now_ms);
       return;
     }
-  if (c->exchange != NULL)
-    c->exchange->is_swept = true;
-  /* libmicrohttpd sees the end of the connection and closes it.  */
-  shutdown (c->fd, SHUT_RDWR);
+  end_connection (c);
 }
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -464,6 +464,14 @@
   schedule_immediate_run (server);
 }
 
+void
+bd_http_server_close_idle (struct bd_http_server *server)
+{
+  for (struct bd_http_connection *c = server->connections; c != NULL;
+       c = c->next)
+    bd_http_connection_close_idle (c);
+}
+
 void
 bd_http_server_finish (struct bd_http_server *server)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -108,6 +108,10 @@
    no more.  May call the request handler.  */
 void bd_http_server_stop_listening (struct bd_http_server *server);
 
+/* bd_http_server_close_idle(): closes the connections on which no request has
+   begun.  A request that arrives on one of them afterwards is not handled.  */
+void bd_http_server_close_idle (struct bd_http_server *server);
+
 /* bd_http_server_finish(): closes all connections and stops the server.  */
 void bd_http_server_finish (struct bd_http_server *server);
 
