edge: a request refused at a stop counts as no work, and returns at once

Cause: a request that a stopping daemon refuses had been counted as work offered for its model, and was counted once more at the daemon to which its caller returned; so the controllers moved instances to the model with the longest requests. The refusal also named a Retry-After for a full service.

Change: the check comes before the counting; the refusal is "stopping", with the short Retry-After of one.

--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -81,7 +81,8 @@
 {
   enum bd_error error = request->has_stream_begun    ? BD_ERR_STREAM_BROKEN
                         : request->call.may_have_run ? BD_ERR_ENDPOINT_FAILED
-                                                     : BD_ERR_OVERLOADED;
+                        : bd_edge_can_complete (request) ? BD_ERR_OVERLOADED
+                                                         : BD_ERR_STOPPING;
 
   bd_backlog_remove (&request->backlog_item);
   refuse (request, error);
@@ -205,6 +206,12 @@
                  "account", request->account, "config",
                  BD_NUM (edge->routes->version), "left_ms",
                  BD_NUM (request->deadline_ms - request->received_ms), NULL);
+  /* Its caller comes back at another daemon, which counts it.  */
+  if (!bd_edge_can_complete (request))
+    {
+      refuse (request, BD_ERR_STOPPING);
+      return;
+    }
   /* The daemon that has handed it over has counted it.  */
   if (!request->is_taken_over)
     {
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -30,7 +30,9 @@
   BD_EDGE_MAX_DATA_CENTRES = 64,
   /* Headers of a request that are forwarded.  */
   BD_EDGE_MAX_HEADERS = 48,
-  BD_EDGE_MAX_RELAY_REPORTS = 4
+  BD_EDGE_MAX_RELAY_REPORTS = 4,
+  /* Retry-After while this daemon stops: another one can serve at once.  */
+  BD_EDGE_STOPPING_RETRY_MS = 50
 };
 
 /* What ended a caller's connection before the whole response was sent.  */
--- a/src/edge/ingress.c
+++ b/src/edge/ingress.c
@@ -26,9 +26,7 @@
 {
   DROPPED_COUNT = sizeof dropped_headers / sizeof dropped_headers[0],
   /* Retry-After while there is no configuration or keys cannot be checked.  */
-  NOT_READY_RETRY_MS = 500,
-  /* Retry-After while this daemon stops: another one can serve at once.  */
-  STOPPING_RETRY_MS = 50
+  NOT_READY_RETRY_MS = 500
 };
 
 /* Whether a list of names, such as the value of Connection, contains name.  */
@@ -226,7 +224,7 @@
     }
   if (edge->is_closed)
     {
-      refuse (edge, x, BD_ERR_STOPPING, "", STOPPING_RETRY_MS);
+      refuse (edge, x, BD_ERR_STOPPING, "", BD_EDGE_STOPPING_RETRY_MS);
       return;
     }
   if (edge->routes == NULL)
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -182,6 +182,15 @@
            request->fallback_size);
 }
 
+static int64_t
+retry_after_ms (struct bd_edge_request *request, enum bd_error error)
+{
+  if (error == BD_ERR_STOPPING)
+    return BD_EDGE_STOPPING_RETRY_MS;
+  return error == BD_ERR_POISON_REQUEST ? bd_edge_poison_remaining_ms (request)
+                                        : bd_edge_retry_after_ms (request);
+}
+
 void
 bd_edge_send_final_failure (struct bd_edge_request *request)
 {
@@ -195,7 +204,8 @@
       return;
     }
   /* Not run: the caller can retry.  */
-  if (run == BD_NOT_RUN && error != BD_ERR_POISON_REQUEST)
+  if (run == BD_NOT_RUN && error != BD_ERR_POISON_REQUEST
+      && error != BD_ERR_STOPPING)
     error = BD_ERR_OVERLOADED;
   /* Status 503 would state that the request has not run.  */
   if (run != BD_NOT_RUN && bd_error_http_status (error) == 503)
@@ -209,10 +219,8 @@
       bd_http_stream_end (request->exchange, false);
     }
   else if (request->exchange != NULL)
-    bd_edge_send_failure (
-        edge, request->exchange, request->attempt_id, error, run,
-        error == BD_ERR_POISON_REQUEST ? bd_edge_poison_remaining_ms (request)
-                                       : bd_edge_retry_after_ms (request));
+    bd_edge_send_failure (edge, request->exchange, request->attempt_id, error,
+                          run, retry_after_ms (request, error));
   bd_edge_request_end (request);
 }
 
