edge: one condition for what ends before it can be served

The check of the time that is left stood in a branch of its own with the same body as the next one (clang-tidy, bugprone-branch-clone). Behaviour unchanged: edge_stop_test 17 of 17.

--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -104,12 +104,12 @@
 }
 
 /* Whether a request that has no target now is refused at once: the daemon that
-   has handed it over can try another one, only probes can bring a target, or
-   the limits allow it too late.  */
+   has handed it over can try another one, this one ends, only probes can bring
+   a target, or the limits allow it too late.  */
 static bool
 is_hopeless (const struct bd_edge_request *request)
 {
-  return request->is_taken_over
+  return request->is_taken_over || !bd_edge_can_complete (request)
          || bd_edge_service (request->edge, request->service)->links.is_lost
          || is_over_limits (request);
 }
@@ -136,9 +136,8 @@
 {
   struct bd_edge_target target;
 
-  if (!bd_edge_can_complete (request))
-    give_up (request);
-  else if (bd_edge_choose_target (request, &target))
+  if (bd_edge_can_complete (request)
+      && bd_edge_choose_target (request, &target))
     bd_edge_start_attempt (request, &target);
   else if (is_hopeless (request))
     give_up (request);
