Undone: work taken while stopping is not counted

Belief: the daemon that stops refuses the long requests first, so that the shares of the models shift.

--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -215,10 +215,7 @@
   if (!request->is_taken_over)
     {
       bd_retry_budget_deposit (&service->retries);
-      /* The load of a daemon that stops moves to others, that of requests
-         which it refuses first; counting the rest would shift the shares of
-         the models.  */
-      if (request->model[0] != '\0' && !edge->is_stopping)
+      if (request->model[0] != '\0')
         note_work (request);
     }
   if (bd_edge_is_poison (request))
