edge: failing test: a second of silence ends responses

What callers saw (LOST): an endpoint that fell silent for a second and would have gone on was left after 0.7 s in the middle of a stream, 0.9 s before its first event, or after a fraction of the time left for a plain safe request, also where no run, no retry budget or no other target was left; the caller's connection was closed without the rest of the response.

--- /dev/null
+++ b/src/edge/edge_silence_test.c
@@ -0,0 +1,432 @@
+/* Checks that a sound endpoint that falls silent for a while costs no caller
+   its response, and that the request goes on elsewhere where it can.  */
+
+#include "edge/edge_internal.h"
+#include "platform/platform.h"
+#include "tests/fakes/site.h"
+#include "tests/quiet.h"
+#include "tests/unit.h"
+
+#include <string.h>
+#include <talloc.h>
+
+enum
+{
+  READY_MS = 10000,
+  STREAM_EVENTS = 12,
+  /* Until a stream has begun, and before it falls silent for long.  */
+  BEGUN_MS = 150,
+  /* A stream whose endpoint does not recover goes on elsewhere within this
+     time.  */
+  MOVED_MS = 1500,
+  /* Until the group of a stalled stream gets no more requests.  */
+  SUSPECTED_MS = 450,
+  WAITING_CALLS = 40,
+  PLAIN_TIMEOUT_MS = 2000,
+  SAFE_ROUTE = 0,
+  UNSAFE_ROUTE = 1,
+  STREAM_ROUTE = 2
+};
+
+static struct site site;
+
+static bool
+has_group (struct site *s)
+{
+  uint32_t size;
+
+  bd_fleet_groups_of (&s->edge->fleet, "pool", "m", NULL, &size);
+  return size > 0 && site_is_ready (s)
+         && bd_fleet_is_usable (
+             bd_fleet_groups_of (&s->edge->fleet, "pool", "m", NULL, &size)[0],
+             2, bd_edge_now_ms (s->edge));
+}
+
+static void
+set_modes (enum worker_mode mode)
+{
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    site.workers[i].mode = mode;
+}
+
+static void
+start_pool (uint32_t workers, enum worker_mode mode)
+{
+  site_start (&site, 0, workers);
+  CU_ASSERT_TRUE_FATAL (
+      site_run (&site, workers > 2 ? site_has_groups : has_group, READY_MS));
+  set_modes (mode);
+}
+
+static void
+start_plain (uint32_t workers, enum worker_mode mode)
+{
+  site_start (&site, workers, 0);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, READY_MS));
+  set_modes (mode);
+}
+
+static void
+set_route (size_t index, const char *name, json_t *value)
+{
+  json_t *routes = json_object_get (site.config, "Routes");
+
+  json_object_set_new (json_array_get (routes, index), name, value);
+}
+
+static bool
+has_version (struct site *s)
+{
+  return s->edge->routes->version == s->version;
+}
+
+static void
+publish (void)
+{
+  site_publish (&site);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, has_version, READY_MS));
+}
+
+static void
+empty_budget (const char *service)
+{
+  struct bd_retry_budget *budget
+      = &bd_edge_service (site.edge, service)->retries;
+
+  budget->tokens = 0;
+  budget->ratio = 0;
+}
+
+static struct site_call *
+start_stream (void)
+{
+  return site_start_call (&site, "POST", "/stream/x", "k1", "m");
+}
+
+static void
+wait_for (struct site_call *call)
+{
+  while (!call->is_done)
+    tevent_loop_once (site.events);
+}
+
+/* Whether the call has every event of the stream once, in order.  */
+static bool
+is_stream_complete (const struct site_call *call)
+{
+  char expected[512] = "";
+
+  for (int i = 1; i <= STREAM_EVENTS; i++)
+    snprintf (expected + strlen (expected),
+              sizeof expected - strlen (expected), "id: %d\ndata: e%d\n\n", i,
+              i);
+  return call->status == 200 && call->is_complete
+         && strcmp (call->body, expected) == 0;
+}
+
+static void
+check_stream (uint32_t runs)
+{
+  struct site_call *call = start_stream ();
+
+  wait_for (call);
+  CU_ASSERT_TRUE (is_stream_complete (call));
+  CU_ASSERT_EQUAL (site_request_count (&site), runs);
+  site_finish (&site);
+}
+
+static void
+test_silence_midway_without_another_group_ends_stream (void)
+{
+  start_pool (2, WORKER_PAUSING);
+  check_stream (1);
+}
+
+static void
+test_silence_before_first_event_without_another_group_ends_stream (void)
+{
+  start_pool (2, WORKER_LATE);
+  check_stream (1);
+}
+
+static void
+test_silence_midway_ends_stream_that_may_run_once (void)
+{
+  start_pool (4, WORKER_PAUSING);
+  set_route (STREAM_ROUTE, "MaxAttempts", json_integer (1));
+  publish ();
+  check_stream (1);
+}
+
+static void
+test_silence_before_first_event_ends_stream_that_may_run_once (void)
+{
+  start_pool (4, WORKER_LATE);
+  set_route (STREAM_ROUTE, "MaxAttempts", json_integer (1));
+  publish ();
+  check_stream (1);
+}
+
+static void
+test_silence_ends_stream_that_cannot_resume (void)
+{
+  start_pool (4, WORKER_PAUSING);
+  set_route (STREAM_ROUTE, "StreamResume", json_false ());
+  publish ();
+  check_stream (1);
+}
+
+static void
+test_silence_with_empty_retry_budget_ends_stream (void)
+{
+  start_pool (4, WORKER_PAUSING);
+  empty_budget ("pool");
+  check_stream (1);
+}
+
+static void
+test_silence_of_second_group_ends_stream (void)
+{
+  start_pool (4, WORKER_LATE);
+  check_stream (2);
+}
+
+static void
+test_silence_of_second_group_with_runs_left_ends_stream (void)
+{
+  start_pool (4, WORKER_LATE);
+  set_route (STREAM_ROUTE, "MaxAttempts", json_integer (4));
+  publish ();
+  check_stream (2);
+}
+
+/* Publishes a configuration while a stream is silent.  */
+static void
+check_stream_beside_config (void (*change) (void))
+{
+  struct site_call *call;
+
+  start_pool (4, WORKER_PAUSING);
+  call = start_stream ();
+  site_wait (&site, BEGUN_MS);
+  change ();
+  publish ();
+  wait_for (call);
+  CU_ASSERT_TRUE (is_stream_complete (call));
+  site_finish (&site);
+}
+
+static void
+lower_max_attempts (void)
+{
+  set_route (STREAM_ROUTE, "MaxAttempts", json_integer (1));
+}
+
+static void
+move_route (void)
+{
+  set_route (STREAM_ROUTE, "Service", json_string ("plain"));
+}
+
+static void
+drop_engine (void)
+{
+  json_t *services = json_object_get (site.config, "Services");
+
+  json_object_del (json_array_get (services, 1), "Engine");
+}
+
+static void
+drop_service (void)
+{
+  move_route ();
+  json_array_remove (json_object_get (site.config, "Services"), 1);
+}
+
+static void
+test_config_that_lowers_max_attempts_ends_silent_stream (void)
+{
+  check_stream_beside_config (lower_max_attempts);
+}
+
+static void
+test_config_that_moves_route_ends_silent_stream (void)
+{
+  check_stream_beside_config (move_route);
+}
+
+static void
+test_config_that_drops_service_ends_silent_stream (void)
+{
+  check_stream_beside_config (drop_service);
+}
+
+static void
+test_config_that_drops_engine_ends_silent_stream (void)
+{
+  check_stream_beside_config (drop_engine);
+}
+
+/* A shorter time limit makes plain endpoints count as silent sooner.  */
+static void
+start_plain_with_short_limit (uint32_t workers)
+{
+  start_plain (workers, WORKER_PAUSING);
+  set_route (SAFE_ROUTE, "TimeoutMs", json_integer (PLAIN_TIMEOUT_MS));
+  set_route (UNSAFE_ROUTE, "TimeoutMs", json_integer (PLAIN_TIMEOUT_MS));
+  publish ();
+}
+
+static void
+check_plain (const char *method, const char *target, uint32_t runs)
+{
+  struct site_call *call = site_call (&site, method, target, "k1", NULL);
+
+  CU_ASSERT_EQUAL (call->status, 200);
+  CU_ASSERT_TRUE (call->is_complete);
+  CU_ASSERT_EQUAL (site_request_count (&site), runs);
+  site_finish (&site);
+}
+
+static void
+test_silence_without_another_endpoint_ends_safe_request (void)
+{
+  start_plain_with_short_limit (1);
+  check_plain ("GET", "/safe/x", 1);
+}
+
+static void
+test_silence_of_second_endpoint_ends_safe_request (void)
+{
+  start_plain_with_short_limit (2);
+  check_plain ("GET", "/safe/x", 2);
+}
+
+static void
+test_silence_with_empty_retry_budget_ends_safe_request (void)
+{
+  start_plain_with_short_limit (2);
+  empty_budget ("plain");
+  check_plain ("GET", "/safe/x", 1);
+}
+
+static void
+test_silence_ends_safe_request_that_may_run_once (void)
+{
+  start_plain_with_short_limit (2);
+  set_route (SAFE_ROUTE, "MaxAttempts", json_integer (1));
+  publish ();
+  check_plain ("GET", "/safe/x", 1);
+}
+
+static void
+test_silence_ends_unsafe_request (void)
+{
+  start_plain_with_short_limit (2);
+  check_plain ("POST", "/unsafe/x", 1);
+}
+
+static struct site_worker *
+find_busy_worker (void)
+{
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    if (site.workers[i].request_count > 0)
+      return &site.workers[i];
+  return NULL;
+}
+
+static void
+set_other_modes (const struct site_worker *worker, enum worker_mode mode)
+{
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    if (&site.workers[i] != worker)
+      site.workers[i].mode = mode;
+}
+
+static void
+test_waiting_requests_delay_a_stalled_stream (void)
+{
+  struct site_call *stalled;
+  struct site_call *calls[WAITING_CALLS];
+  uint32_t done = 0;
+
+  start_pool (4, WORKER_STALLING);
+  stalled = start_stream ();
+  site_wait (&site, BEGUN_MS);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (find_busy_worker ());
+  set_other_modes (find_busy_worker (), WORKER_HEALTHY);
+  site_wait (&site, SUSPECTED_MS);
+  for (uint32_t i = 0; i < WAITING_CALLS; i++)
+    calls[i] = start_stream ();
+  wait_for (stalled);
+  CU_ASSERT_TRUE (is_stream_complete (stalled));
+  CU_ASSERT_TRUE (stalled->took_ms < MOVED_MS);
+  for (uint32_t i = 0; i < WAITING_CALLS; i++)
+    done += calls[i]->is_done;
+  CU_ASSERT_TRUE (done < WAITING_CALLS / 2);
+  for (uint32_t i = 0; i < WAITING_CALLS; i++)
+    wait_for (calls[i]);
+  site_finish (&site);
+}
+
+static void
+test_stalled_stream_is_moved_late (void)
+{
+  struct site_call *call;
+
+  start_pool (4, WORKER_STALLING);
+  call = start_stream ();
+  site_wait (&site, BEGUN_MS);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (find_busy_worker ());
+  set_other_modes (find_busy_worker (), WORKER_HEALTHY);
+  wait_for (call);
+  CU_ASSERT_TRUE (is_stream_complete (call));
+  CU_ASSERT_TRUE (call->took_ms < MOVED_MS);
+  site_finish (&site);
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[] = {
+    { "silence midway without another group ends stream",
+      test_silence_midway_without_another_group_ends_stream },
+    { "silence before first event without another group ends stream",
+      test_silence_before_first_event_without_another_group_ends_stream },
+    { "silence midway ends stream that may run once",
+      test_silence_midway_ends_stream_that_may_run_once },
+    { "silence before first event ends stream that may run once",
+      test_silence_before_first_event_ends_stream_that_may_run_once },
+    { "silence ends stream that cannot resume",
+      test_silence_ends_stream_that_cannot_resume },
+    { "silence with empty retry budget ends stream",
+      test_silence_with_empty_retry_budget_ends_stream },
+    { "silence of second group ends stream",
+      test_silence_of_second_group_ends_stream },
+    { "silence of second group with runs left ends stream",
+      test_silence_of_second_group_with_runs_left_ends_stream },
+    { "config that lowers max attempts ends silent stream",
+      test_config_that_lowers_max_attempts_ends_silent_stream },
+    { "config that moves route ends silent stream",
+      test_config_that_moves_route_ends_silent_stream },
+    { "config that drops service ends silent stream",
+      test_config_that_drops_service_ends_silent_stream },
+    { "config that drops engine ends silent stream",
+      test_config_that_drops_engine_ends_silent_stream },
+    { "silence without another endpoint ends safe request",
+      test_silence_without_another_endpoint_ends_safe_request },
+    { "silence of second endpoint ends safe request",
+      test_silence_of_second_endpoint_ends_safe_request },
+    { "silence with empty retry budget ends safe request",
+      test_silence_with_empty_retry_budget_ends_safe_request },
+    { "silence ends safe request that may run once",
+      test_silence_ends_safe_request_that_may_run_once },
+    { "silence ends unsafe request", test_silence_ends_unsafe_request },
+    { "waiting requests delay a stalled stream",
+      test_waiting_requests_delay_a_stalled_stream },
+    { "stalled stream is moved late", test_stalled_stream_is_moved_late },
+  };
+
+  unit_silence_log ();
+  return UNIT_RUN ("edge_silence", tests);
+}
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -590,6 +590,24 @@
   int64_t start_count; /* Of the worker when the stream started.  */
 };
 
+/* Time until the stream's next event.  */
+static int64_t
+next_event_delay_ms (const struct stream *stream)
+{
+  switch (stream->worker->mode)
+    {
+    case WORKER_SLOW:
+      return SITE_SLOW_EVENT_MS;
+    case WORKER_PAUSING:
+      return stream->next_event == STALL_AFTER_EVENTS + 1 ? SITE_PAUSE_MS
+                                                          : EVENT_INTERVAL_MS;
+    case WORKER_LATE:
+      return stream->next_event == 1 ? SITE_PAUSE_MS : EVENT_INTERVAL_MS;
+    default:
+      return EVENT_INTERVAL_MS;
+    }
+}
+
 static void
 write_event (void *ctx)
 {
@@ -622,9 +640,7 @@
     }
   else if (stream->worker->mode == WORKER_TRICKLING)
     bd_http_stream_write (stream->exchange, "i", 1);
-  bd_timer_add (site->events, stream,
-                stream->worker->mode == WORKER_SLOW ? SITE_SLOW_EVENT_MS
-                                                    : EVENT_INTERVAL_MS,
+  bd_timer_add (site->events, stream, next_event_delay_ms (stream),
                 write_event, stream);
 }
 
@@ -663,8 +679,10 @@
   stream->next_event = (last != NULL ? (uint32_t)atoi (last) : 0) + 1;
   x->user = stream;
   bd_http_stream_begin (x, 200, headers);
-  bd_timer_add (worker->site->events, stream, EVENT_INTERVAL_MS, write_event,
-                stream);
+  bd_timer_add (worker->site->events, stream,
+                worker->mode == WORKER_LATE ? next_event_delay_ms (stream)
+                                            : EVENT_INTERVAL_MS,
+                write_event, stream);
 }
 
 static void
@@ -706,6 +724,32 @@
                      body, strlen (body));
 }
 
+/* A run of a plain request.  */
+struct run
+{
+  struct site_worker *worker;
+  struct bd_http_exchange *exchange;
+};
+
+static void
+end_run (void *ctx)
+{
+  struct run *run = ctx;
+
+  respond_plain (run->worker, run->exchange);
+}
+
+static void
+start_run (struct site_worker *worker, struct bd_http_exchange *x)
+{
+  struct run *run = talloc_zero (x, struct run);
+
+  run->worker = worker;
+  run->exchange = x;
+  x->user = run;
+  bd_timer_add (worker->site->events, run, SITE_PAUSE_MS, end_run, run);
+}
+
 /* Whether the worker runs a request that arrives now.  */
 static bool
 can_run (const struct site_worker *worker)
@@ -791,6 +835,8 @@
     start_crash (worker, x);
   else if (is_member)
     start_stream (worker, x);
+  else if (worker->mode == WORKER_PAUSING)
+    start_run (worker, x);
   else
     respond_plain (worker, x);
 }
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -24,6 +24,7 @@
   SITE_MAX_SEEN = 256,
   SITE_BASE_PORT = 25100,
   SITE_SLOW_EVENT_MS = 190,
+  SITE_PAUSE_MS = 1100,
   SITE_RESTART_MS = 200
 };
 
@@ -46,7 +47,11 @@
   WORKER_FULL,      /* Responds 503 without running the request.  */
   WORKER_FAILING,   /* Runs the request and responds 500.  */
   WORKER_TRICKLING, /* Streams send single bytes after three events.  */
-  WORKER_SLOW       /* Streams send an event every SITE_SLOW_EVENT_MS.  */
+  WORKER_SLOW,      /* Streams send an event every SITE_SLOW_EVENT_MS.  */
+  /* Responds after SITE_PAUSE_MS; streams pause for that time after three
+     events.  */
+  WORKER_PAUSING,
+  WORKER_LATE /* Streams send their first event after SITE_PAUSE_MS.  */
 };
 
 struct site_worker
