edge: an attempt that stalls ends only when another one takes its place

What callers saw (LOST): a response was cut short though its endpoint, silent for a second, would have gone on with it.

Cause: the watchdog ended an attempt as soon as its endpoint was overdue, and only then looked whether the request may run once more, whether the retry budget has a token and whether a target exists; if not, the failure was final, or the request waited without any endpoint and was given up. Ruled out: a configuration that lowers MaxAttempts or moves the route while a stream is silent (both tests held before); unsafe requests of plain endpoints, which the watchdog left alone.

Change: when an attempt is overdue, what that says about its target is recorded as before (links, suspicion of the group, rating), but the attempt goes on. The request moves if bd_call_can_retry() holds, of which bd_call_failed() is made now, and a target has been chosen; without a target it waits in the backlog, in its usual place, while its attempt goes on, and leaves the backlog when that brings data. Otherwise the attempt stays until the deadline.

A daemon that has taken a request over moves it between its own targets only; the sender's watchdog tries another daemon. It used to give the request up.

--- a/src/calls/call.c
+++ b/src/calls/call.c
@@ -33,10 +33,16 @@
   budget->tokens = fmin (budget->burst, budget->tokens + budget->ratio);
 }
 
+static bool
+has_retry (const struct bd_retry_budget *budget)
+{
+  return budget->tokens >= 1.0;
+}
+
 bool
 bd_retry_budget_take (struct bd_retry_budget *budget)
 {
-  if (budget->tokens < 1.0)
+  if (!has_retry (budget))
     return false;
   budget->tokens -= 1.0;
   return true;
@@ -116,18 +122,23 @@
   return !has_id || id > call->last_event_id;
 }
 
-/* Whether the attempts so far allow another one.  */
 static bool
-can_retry (const struct bd_call *call, enum bd_failure failure)
+is_unstarted (enum bd_failure failure)
 {
-  bool is_unstarted
-      = failure == BD_FAILURE_NOT_SENT || failure == BD_FAILURE_REFUSED;
+  return failure == BD_FAILURE_NOT_SENT || failure == BD_FAILURE_REFUSED;
+}
+
+/* Whether the attempts, of which the last one fails now, allow another one. */
+static bool
+allows_attempt (const struct bd_call *call, enum bd_failure failure)
+{
+  uint32_t runs = call->runs + !is_unstarted (failure);
 
   if (call->attempts >= BD_CALL_MAX_ATTEMPTS
-      || (call->max_runs > 0 && call->runs >= call->max_runs))
+      || (call->max_runs > 0 && runs >= call->max_runs))
     return false;
   if (!call->is_idempotent)
-    return is_unstarted && !call->may_have_run;
+    return is_unstarted (failure) && !call->may_have_run;
   /* A stream whose response has begun is only retried when it can resume after
      the last event.  */
   return !call->has_head || call->can_resume;
@@ -141,23 +152,40 @@
   return call->has_head ? BD_ERR_STREAM_BROKEN : BD_ERR_ENDPOINT_FAILED;
 }
 
+/* Whether a retry counts against the budget: an attempt that has reached no
+   endpoint adds no load to any.  */
+static bool
+uses_budget (enum bd_failure failure)
+{
+  return failure != BD_FAILURE_NOT_SENT;
+}
+
+bool
+bd_call_can_retry (const struct bd_call *call, enum bd_failure failure,
+                   const struct bd_retry_budget *budget, int64_t now_ms)
+{
+  return now_ms < call->deadline_ms && allows_attempt (call, failure)
+         && (!uses_budget (failure) || has_retry (budget));
+}
+
 enum bd_action
 bd_call_failed (struct bd_call *call, enum bd_failure failure,
                 struct bd_retry_budget *budget, int64_t now_ms)
 {
+  bool can_retry = bd_call_can_retry (call, failure, budget, now_ms);
+
   assert (call->state == BD_CALL_RUNNING);
-  if (failure != BD_FAILURE_NOT_SENT && failure != BD_FAILURE_REFUSED)
+  if (!is_unstarted (failure))
     {
       call->may_have_run = true;
       call->runs++;
     }
   if (now_ms >= call->deadline_ms)
     return fail (call, BD_ERR_DEADLINE_PASSED);
-  if (!can_retry (call, failure))
-    return fail (call, error_of (call, failure));
-  /* An attempt that has reached no endpoint adds no load to any.  */
-  if (failure != BD_FAILURE_NOT_SENT && !bd_retry_budget_take (budget))
+  if (!can_retry)
     return fail (call, error_of (call, failure));
+  if (uses_budget (failure))
+    bd_retry_budget_take (budget);
   return BD_ACTION_DISPATCH;
 }
 
--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -123,6 +123,11 @@
 bool bd_call_is_new_event (const struct bd_call *call, bool has_id,
                            int64_t id);
 
+/* bd_call_can_retry(): whether bd_call_failed() with the same arguments would
+   return DISPATCH.  */
+bool bd_call_can_retry (const struct bd_call *call, enum bd_failure failure,
+                        const struct bd_retry_budget *budget, int64_t now_ms);
+
 /* bd_call_failed(): the attempt failed.  Returns DISPATCH to retry (after
    last_event_id when a stream has begun), or FAIL.  */
 enum bd_action bd_call_failed (struct bd_call *call, enum bd_failure failure,
--- a/src/calls/calls_properties.cc
+++ b/src/calls/calls_properties.cc
@@ -65,7 +65,12 @@
     out->runs++;
   if (result == FINISHES)
     return bd_call_finished (call);
-  return bd_call_failed (call, failure_of (result), budget, now_ms);
+  bool can_retry
+      = bd_call_can_retry (call, failure_of (result), budget, now_ms);
+  enum bd_action action
+      = bd_call_failed (call, failure_of (result), budget, now_ms);
+  RC_ASSERT (can_retry == (action == BD_ACTION_DISPATCH));
+  return action;
 }
 
 bool
--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -145,6 +145,29 @@
     enqueue (request);
 }
 
+/* Sends a request whose attempt stalls to another target.  Returns false when
+   it has to stay where it is.  */
+static bool
+try_to_move (struct bd_edge_request *request)
+{
+  struct bd_edge_target target;
+
+  if (!bd_edge_can_move (request) || !bd_edge_choose_target (request, &target))
+    return false;
+  bd_backlog_remove (&request->backlog_item);
+  bd_edge_move_attempt (request, &target);
+  return true;
+}
+
+void
+bd_edge_handle_stall (struct bd_edge_request *request)
+{
+  bd_edge_note_stall (request);
+  if (bd_edge_can_move (request) && !try_to_move (request)
+      && request->backlog_item.backlog == NULL)
+    enqueue (request);
+}
+
 void
 bd_edge_run_action (struct bd_edge_request *request, enum bd_action action)
 {
@@ -244,6 +267,17 @@
   return false;
 }
 
+/* A request whose attempt goes on no longer waits for another target.  */
+static void
+dispatch_stalled (const struct dispatch_pass *pass,
+                  struct bd_edge_request *request)
+{
+  if (!request->is_stalled)
+    bd_backlog_remove (&request->backlog_item);
+  else if (!is_model_full (pass, request->model))
+    try_to_move (request);
+}
+
 static bool
 dispatch_item (void *ctx, struct bd_backlog_item *item)
 {
@@ -251,7 +285,9 @@
   struct bd_edge_request *request = item->owner;
   struct bd_edge_target target;
 
-  if (should_give_up (request, bd_edge_now_ms (pass->edge)))
+  if (request->attempt != NULL)
+    dispatch_stalled (pass, request);
+  else if (should_give_up (request, bd_edge_now_ms (pass->edge)))
     give_up (request);
   else if (bd_edge_is_poison (request))
     {
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -116,6 +116,7 @@
       = bd_fleet_group (&request->edge->fleet, request->group);
 
   request->last_event_ms = bd_edge_now_ms (request->edge);
+  request->is_stalled = false;
   if (group != NULL)
     group->progress_ms = request->last_event_ms;
 }
@@ -200,18 +201,24 @@
 }
 
 static void
-note_failure (struct bd_edge_request *request, enum bd_failure failure,
-              bool is_crash)
+count_failure (struct bd_edge *edge, enum bd_failure failure)
 {
-  struct bd_edge *edge = request->edge;
-  struct bd_fleet_group *group = bd_fleet_group (&edge->fleet, request->group);
-
   if (failure == BD_FAILURE_MISMATCHED)
     bd_count (&edge->counters, BD_COUNT_WRONG_ATTEMPT_ID);
   if (failure == BD_FAILURE_NOT_SENT)
     bd_count (&edge->counters, BD_COUNT_ATTEMPTS_NOT_SENT);
   if (failure == BD_FAILURE_BROKEN)
     bd_count (&edge->counters, BD_COUNT_ATTEMPTS_BROKEN);
+}
+
+/* Records what the failure says about the target.  */
+static void
+note_failure (struct bd_edge_request *request, enum bd_failure failure,
+              bool is_crash)
+{
+  struct bd_edge *edge = request->edge;
+  struct bd_fleet_group *group = bd_fleet_group (&edge->fleet, request->group);
+
   /* The other daemon has recorded what its endpoints did.  */
   if (request->is_handed_over)
     return;
@@ -232,6 +239,36 @@
     bd_edge_note_response (request, NULL, true);
 }
 
+static void
+log_failure (const struct bd_edge_request *request, enum bd_failure failure,
+             const char *detail)
+{
+  int64_t now_ms = bd_edge_now_ms (request->edge);
+
+  bd_log ("attempt-failed", "id", request->attempt_id, "endpoint",
+          request->endpoint, "failure", failure_name (failure), "detail",
+          detail, "after_ms", BD_NUM (now_ms - request->sent_ms), "events",
+          BD_NUM (request->events), "silent_ms",
+          BD_NUM (now_ms - request->last_event_ms), NULL);
+}
+
+static void
+count_next_attempt (const struct bd_edge_request *request)
+{
+  bd_count (&request->edge->counters,
+            request->has_stream_begun ? BD_COUNT_RESUMES : BD_COUNT_RETRIES);
+}
+
+/* Whether the attempt has reached no endpoint, which may be this daemon's
+   fault.  */
+static bool
+is_link_doubtful (const struct bd_edge_request *request)
+{
+  return !request->has_head
+         && bd_links_is_doubtful (
+             &bd_edge_service (request->edge, request->service)->links);
+}
+
 /* Handles the failure of the attempt: starts the next one or sends the final
    failure.  */
 static void
@@ -242,18 +279,15 @@
   struct bd_edge_service *service = bd_edge_service (edge, request->service);
   enum bd_action action;
 
-  bd_log ("attempt-failed", "id", request->attempt_id, "endpoint",
-          request->endpoint, "failure", failure_name (failure), "detail",
-          detail, "after_ms",
-          BD_NUM (bd_edge_now_ms (edge) - request->sent_ms), "events",
-          BD_NUM (request->events), "silent_ms",
-          BD_NUM (bd_edge_now_ms (edge) - request->last_event_ms), NULL);
+  log_failure (request, failure, detail);
+  bd_backlog_remove (&request->backlog_item);
   bd_edge_release_slot (request);
+  count_failure (edge, failure);
   note_failure (request, failure, is_crash);
   request->prefers_handover
-      = !request->has_head && !is_crash
+      = !is_crash
         && (failure == BD_FAILURE_NOT_SENT || failure == BD_FAILURE_BROKEN)
-        && bd_links_is_doubtful (&service->links);
+        && is_link_doubtful (request);
   action = bd_call_failed (&request->call, failure, &service->retries,
                            bd_edge_now_ms (edge));
   /* The daemon that has handed it over tries another one.  */
@@ -265,19 +299,56 @@
   if (action == BD_ACTION_DISPATCH && bd_edge_is_poison (request))
     action = bd_call_refused (&request->call, BD_ERR_POISON_REQUEST);
   if (action == BD_ACTION_DISPATCH)
-    bd_count (&edge->counters,
-              request->has_stream_begun ? BD_COUNT_RESUMES : BD_COUNT_RETRIES);
+    count_next_attempt (request);
   bd_edge_run_action (request, action);
   bd_edge_dispatch_backlogs (edge);
 }
 
 void
-bd_edge_fail_attempt (struct bd_edge_request *request, enum bd_failure failure)
+bd_edge_note_stall (struct bd_edge_request *request)
 {
-  if (request->attempt != NULL)
-    bd_http_call_cancel (request->attempt);
+  if (request->is_stalled)
+    return;
+  request->is_stalled = true;
+  note_failure (request, BD_FAILURE_BROKEN, false);
+  request->prefers_handover = is_link_doubtful (request);
+}
+
+bool
+bd_edge_can_move (const struct bd_edge_request *request)
+{
+  struct bd_edge *edge = request->edge;
+
+  return request->is_stalled && bd_edge_can_complete (request)
+         && !bd_edge_is_suspect (request)
+         && bd_call_can_retry (
+             &request->call, BD_FAILURE_BROKEN,
+             &bd_edge_service (edge, request->service)->retries,
+             bd_edge_now_ms (edge));
+}
+
+void
+bd_edge_move_attempt (struct bd_edge_request *request,
+                      const struct bd_edge_target *target)
+{
+  struct bd_edge *edge = request->edge;
+  struct bd_edge_service *service = bd_edge_service (edge, request->service);
+  enum bd_action action
+      = bd_call_failed (&request->call, BD_FAILURE_BROKEN, &service->retries,
+                        bd_edge_now_ms (edge));
+
+  log_failure (request, BD_FAILURE_BROKEN, "silent");
+  bd_http_call_cancel (request->attempt);
   request->attempt = NULL;
-  fail (request, failure, false, "silent");
+  bd_edge_release_slot (request);
+  count_failure (edge, BD_FAILURE_BROKEN);
+  if (action == BD_ACTION_DISPATCH)
+    {
+      count_next_attempt (request);
+      bd_edge_start_attempt (request, target);
+    }
+  else
+    bd_edge_run_action (request, action);
 }
 
 static void
@@ -514,6 +585,7 @@
   request->is_mismatched = false;
   request->is_incomplete = false;
   request->has_head = false;
+  request->is_stalled = false;
   request->events = 0;
   request->response_size = 0;
   bd_log_detail (
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -86,7 +86,8 @@
      fault: the next one goes to another daemon if one can take it.  */
   bool prefers_handover;
 
-  /* Set while the request waits in a backlog.  */
+  /* Set while the request waits in a backlog, for a first target or, while its
+     attempt stalls, for another one.  */
   struct bd_backlog_item backlog_item;
 
   /* The current attempt.  */
@@ -102,6 +103,7 @@
   bool is_mismatched;    /* The response belongs to another request.  */
   bool is_incomplete;    /* Events are missing or the body is too large.  */
   bool has_head;         /* The head of the attempt's response was received. */
+  bool is_stalled;       /* It is overdue, and no data has come since.  */
   int64_t last_event_ms; /* Last data of the attempt, or its sending.  */
   int64_t last_forwarded_ms; /* Last event sent to the caller.  */
   uint32_t events;
@@ -337,6 +339,11 @@
  */
 void bd_edge_admit (struct bd_edge_request *request);
 
+/* bd_edge_handle_stall(): the attempt is overdue.  Sends the request to
+   another target, or queues it for one while the attempt goes on.  The request
+   may have been freed on return.  */
+void bd_edge_handle_stall (struct bd_edge_request *request);
+
 /* bd_edge_run_action(): starts or queues another attempt, or sends the final
    failure.  Other actions have no effect.  */
 void bd_edge_run_action (struct bd_edge_request *request,
@@ -520,9 +527,18 @@
 void bd_edge_start_attempt (struct bd_edge_request *request,
                             const struct bd_edge_target *target);
 
-/* bd_edge_fail_attempt(): cancels the attempt and handles it as failed.  */
-void bd_edge_fail_attempt (struct bd_edge_request *request,
-                           enum bd_failure failure);
+/* bd_edge_note_stall(): the attempt is overdue.  Records once what that says
+   about its target; the attempt goes on.  */
+void bd_edge_note_stall (struct bd_edge_request *request);
+
+/* bd_edge_can_move(): whether an attempt that stalls may be given up for one
+   at another target, if there is one.  */
+bool bd_edge_can_move (const struct bd_edge_request *request);
+
+/* bd_edge_move_attempt(): cancels an attempt for which bd_edge_can_move() is
+   true, and sends the request to target.  */
+void bd_edge_move_attempt (struct bd_edge_request *request,
+                           const struct bd_edge_target *target);
 
 /* evidence.c: records and exchanges what crashes endpoints.  */
 
@@ -548,6 +564,10 @@
 void bd_edge_compare_poison (struct bd_edge *edge,
                              const struct bd_member *peer, uint64_t checksum);
 
+/* bd_edge_is_suspect(): whether bd_edge_is_poison() would refuse the request.
+   Counts and logs nothing.  */
+bool bd_edge_is_suspect (const struct bd_edge_request *request);
+
 /* bd_edge_is_poison(): whether the request crashes endpoints and is not to be
    sent.  Counts and logs it if so.  */
 bool bd_edge_is_poison (const struct bd_edge_request *request);
--- a/src/edge/evidence.c
+++ b/src/edge/evidence.c
@@ -184,12 +184,25 @@
           BD_NUM (summary.last_reporter), NULL);
 }
 
+/* The subject by which the request is refused, or 0.  */
+static uint64_t
+blocked_subject (const struct bd_edge_request *request)
+{
+  return bd_poison_blocked (table_of (request), request->subjects,
+                            request->subject_count,
+                            bd_edge_now_ms (request->edge));
+}
+
+bool
+bd_edge_is_suspect (const struct bd_edge_request *request)
+{
+  return blocked_subject (request) != 0;
+}
+
 bool
 bd_edge_is_poison (const struct bd_edge_request *request)
 {
-  uint64_t blocked = bd_poison_blocked (table_of (request), request->subjects,
-                                        request->subject_count,
-                                        bd_edge_now_ms (request->edge));
+  uint64_t blocked = blocked_subject (request);
 
   if (blocked == 0)
     return false;
--- a/src/edge/watchdog.c
+++ b/src/edge/watchdog.c
@@ -1,9 +1,11 @@
-/* Watchdog: ends requests at their deadline and attempts that stall, and
+/* Watchdog: ends requests at their deadline, finds attempts that stall, and
    measures how late the event loop is.
 
    A group stalls without a broken connection when one of its members becomes
    unreachable.  A stream that has begun and gets no event for several passes
-   of the engine is resumed at another group.  */
+   of the engine is resumed at another group.  A sound endpoint can be silent
+   for as long, so an attempt that stalls is only ended when another one takes
+   its place.  */
 
 #include "edge/edge_internal.h"
 
@@ -77,7 +79,7 @@
     bd_edge_suspect_group (request->edge, group);
   if (stalled_ms >= resume_after_ms
       && is_group_stalled (group, suspect_after_ms, now_ms))
-    bd_edge_fail_attempt (request, BD_FAILURE_BROKEN);
+    bd_edge_handle_stall (request);
 }
 
 /* Retries an idempotent request at another endpoint when its plain endpoint
@@ -90,7 +92,7 @@
 
   if (request->is_idempotent && stalled_ms >= PLAIN_RETRY_AFTER_MS
       && stalled_ms >= left_ms / PLAIN_RETRY_DIVISOR)
-    bd_edge_fail_attempt (request, BD_FAILURE_BROKEN);
+    bd_edge_handle_stall (request);
 }
 
 void
