edge: failing test: a second of silence dissolves a group

What callers see: the streams of a sound group end, or move and lose its capacity, after its leader has been silent for a second.

The test has the leader of a group, its other member, or both do nothing at all for 1.1 s, reports included, while a stream that may run once runs there.

--- a/src/edge/edge_silence_test.c
+++ b/src/edge/edge_silence_test.c
@@ -385,6 +385,70 @@
   site_finish (&site);
 }
 
+static bool
+is_same_group (const struct site_worker *a, const struct site_worker *b)
+{
+  return json_equal (json_object_get (a->group, "Name"),
+                     json_object_get (b->group, "Name"));
+}
+
+/* While a stream runs, the workers of its group that are chosen fall silent:
+   its leader, the other one, or both.  Nobody leaves the group, and the stream
+   goes on.  */
+static void
+check_silent_members (bool is_leader_silent, bool is_other_silent)
+{
+  struct site_call *call;
+  struct site_worker *leader;
+  json_t *groups[SITE_MAX_WORKERS];
+
+  start_pool (4, WORKER_SLOW);
+  set_route (STREAM_ROUTE, "MaxAttempts", json_integer (1));
+  publish ();
+  call = start_stream ();
+  site_wait (&site, BEGUN_MS);
+  leader = find_busy_worker ();
+  CU_ASSERT_PTR_NOT_NULL_FATAL (leader);
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    {
+      struct site_worker *worker = &site.workers[i];
+
+      groups[i] = json_deep_copy (worker->group);
+      if (worker == leader ? is_leader_silent
+                           : is_other_silent && is_same_group (worker, leader))
+        worker->mode = WORKER_SILENT;
+    }
+  site_wait (&site, SITE_PAUSE_MS);
+  set_modes (WORKER_SLOW);
+  wait_for (call);
+  CU_ASSERT_TRUE (is_stream_complete (call));
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    {
+      CU_ASSERT_TRUE (site.workers[i].group != NULL
+                      && json_equal (site.workers[i].group, groups[i]));
+      json_decref (groups[i]);
+    }
+  site_finish (&site);
+}
+
+static void
+test_silent_leader_dissolves_group (void)
+{
+  check_silent_members (true, false);
+}
+
+static void
+test_silent_member_dissolves_group (void)
+{
+  check_silent_members (false, true);
+}
+
+static void
+test_silent_members_dissolve_group (void)
+{
+  check_silent_members (true, true);
+}
+
 int
 main (void)
 {
@@ -425,6 +489,9 @@
     { "waiting requests delay a stalled stream",
       test_waiting_requests_delay_a_stalled_stream },
     { "stalled stream is moved late", test_stalled_stream_is_moved_late },
+    { "silent leader dissolves group", test_silent_leader_dissolves_group },
+    { "silent member dissolves group", test_silent_member_dissolves_group },
+    { "silent members dissolve group", test_silent_members_dissolve_group },
   };
 
   unit_silence_log ();
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -615,6 +615,7 @@
   struct site *site = stream->worker->site;
   char text[256];
   bool is_stalled = stream->worker->mode == WORKER_UNRESPONSIVE
+                    || stream->worker->mode == WORKER_SILENT
                     || ((stream->worker->mode == WORKER_STALLING
                          || stream->worker->mode == WORKER_TRICKLING)
                         && stream->next_event > STALL_AFTER_EVENTS);
@@ -907,6 +908,38 @@
                   send_late_response, response);
 }
 
+static void handle_worker (void *ctx, struct bd_http_exchange *x);
+
+/* A request that has come while its worker is silent.  */
+struct delayed_request
+{
+  struct site_worker *worker;
+  struct bd_http_exchange *exchange;
+};
+
+static void
+handle_delayed (void *ctx)
+{
+  struct delayed_request *delayed = ctx;
+  struct bd_http_exchange *x = delayed->exchange;
+
+  x->user = NULL;
+  handle_worker (delayed->worker, x);
+  talloc_free (delayed);
+}
+
+static void
+delay_request (struct site_worker *worker, struct bd_http_exchange *x)
+{
+  struct delayed_request *delayed = talloc_zero (x, struct delayed_request);
+
+  delayed->worker = worker;
+  delayed->exchange = x;
+  x->user = delayed;
+  bd_timer_add (worker->site->events, delayed, EVENT_INTERVAL_MS,
+                handle_delayed, delayed);
+}
+
 static void
 handle_worker (void *ctx, struct bd_http_exchange *x)
 {
@@ -916,6 +949,11 @@
 
   if (worker->mode == WORKER_UNRESPONSIVE)
     return;
+  if (worker->mode == WORKER_SILENT)
+    {
+      delay_request (worker, x);
+      return;
+    }
   if (worker->is_down)
     {
       bd_http_abort (x);
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -51,7 +51,8 @@
   /* Responds after SITE_PAUSE_MS; streams pause for that time after three
      events.  */
   WORKER_PAUSING,
-  WORKER_LATE /* Streams send their first event after SITE_PAUSE_MS.  */
+  WORKER_LATE,  /* Streams send their first event after SITE_PAUSE_MS.  */
+  WORKER_SILENT /* Does nothing, and handles later what has come.  */
 };
 
 struct site_worker
