edge: a group is dissolved only after its member missed probes for over 1 s

What callers see: as in the failing test, a sound group was dissolved after its leader had been silent for a second.

Cause: two missed probes of 220 ms made an endpoint dead, however it missed them. Ruled out: the suspicion after 350 ms without an event, which only starts the probes; silence of another member than the leader, which starts none.

Change: an endpoint that has no response to probes is dead after six in a row, 1.3 s at least; one that refuses or breaks off the last one still after two. A suspected group stays unused until then: 1.8 s instead of 0.9 s.

edge_silence_test: 2 of 22 tests failed before, now none in three runs.

--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -18,8 +18,11 @@
      missed: this process was stalled or short of processor time, and the
      endpoint may have replied.  */
   MAX_OWN_LAG_MS = 80,
-  /* Missed probes in a row after which an endpoint counts as dead.  */
+  /* Missed probes in a row after which an endpoint counts as dead: the last
+     one was refused or broken off, or all had no response.  A sound endpoint
+     can be silent for a second.  */
   MISSES_UNTIL_DEAD = 2,
+  SILENT_MISSES_UNTIL_DEAD = 6,
   /* Time after the start in which daemons discover each other.  */
   PEER_DISCOVERY_MS = 1000,
   TERM_CALL_TIMEOUT_MS = 1500,
@@ -32,8 +35,8 @@
      open groups as free.  */
   RELISTING_MS = 2200,
   /* Time for which a suspected group is not used, while its members are
-     probed.  */
-  SUSPECTED_GROUP_MS = 900,
+     probed until one counts as dead.  */
+  SUSPECTED_GROUP_MS = 1800,
   /* Time for which a group that is being dissolved is not used; by then the
      instance list shows the change.  */
   DISSOLVED_GROUP_MS = 3000
@@ -378,10 +381,11 @@
   else if (!bd_edge_is_isolated (edge)
            && bd_edge_now_ms (edge) - pending->sent_ms
                   < PROBE_TIMEOUT_MS + MAX_OWN_LAG_MS)
-    bd_fleet_record_missed_probe (endpoint, MISSES_UNTIL_DEAD,
-                                  !result->is_complete && !result->was_sent
-                                      && !result->has_timed_out,
-                                  pending->sent_ms, bd_edge_now_ms (edge));
+    bd_fleet_record_missed_probe (
+        endpoint,
+        result->has_timed_out ? SILENT_MISSES_UNTIL_DEAD : MISSES_UNTIL_DEAD,
+        !result->is_complete && !result->was_sent && !result->has_timed_out,
+        pending->sent_ms, bd_edge_now_ms (edge));
   log_liveness (endpoint, before);
   bd_edge_log_member (edge, endpoint, &member_before, "report");
   json_decref (body);
