--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -1170,6 +1170,7 @@
   if (site->prompt_parts != NULL)
     headers[count++]
         = (struct bd_http_header_field){ "Prompt-Prefix", site->prompt_parts };
+  out->id = id;
   out->took_ms = -g_get_monotonic_time () / 1000;
   bd_http_send (&site->client, &request, &client_ops, out);
   return out;
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -132,6 +132,7 @@
 /* One request of the client, and its response.  */
 struct site_call
 {
+  const char *id; /* Attempt id.  */
   bool is_done;
   bool is_complete;
   int64_t took_ms; /* From its start to its end.  */
