edge: a response is taken as a request's own only if that is certain

What callers saw (REFUSED, TWICE): 503, not run, for a request that an endpoint had run or was running.

Ruled out: the same request on the same connection twice, since a target that was tried is not chosen again (is_tried in placement.c); only a group that is formed again under another name can bring that about. Requests that are not idempotent have a connection of their own, also those handed over.

Change: a refusal without an id counts only on a connection that was opened for its request; otherwise the request may have run. A connection is closed after a refusal, a failure, and a response without an id: what is written once more then reaches nobody, which costs a new connection. A request without an id gets a connection of its own. bd_http_client does not send on a connection on which bytes wait, or that has ended: it opens another one, since nothing was sent. CURLINFO_ACTIVESOCKET names no socket before the request is sent, so the client finds it by its addresses.

The test of a refusal that is written before the request was wrong: it arrives after the request was sent, on a new connection, and is a refusal by all signs. It is replaced by one of refusals that come on an idle connection, with and without an id, of which the next request, safe, unsafe or streamed, has to know nothing: it runs once and gets its response.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -59,17 +59,38 @@
 }
 
 /* Whether a response head belongs to this request: endpoints echo the
-   request's id, except when they refuse it.  */
+   request's id, except when they refuse it.  On a kept connection, a refusal
+   without an id may be that of an earlier request.  */
+static bool
+is_own_response (const struct bd_edge_request *request,
+                 const struct bd_http_call *call, uint32_t status)
+{
+  const char *id = header_of (call, names_of (request)->attempt_id);
+
+  if (id != NULL)
+    return strcmp (id, request->attempt_id) == 0;
+  return request->attempt_id[0] == '\0'
+         || (is_refused (request, call, status)
+             && bd_http_call_is_first (call));
+}
+
+/* Whether a response leaves no doubt about later ones on its connection.  A
+   copy of a refusal or failure could not be told from the response to the same
+   request when that is sent again.  */
+static bool
+can_keep_connection (const struct bd_edge_request *request,
+                     const struct bd_http_call *call, uint32_t status)
+{
+  return header_of (call, names_of (request)->attempt_id) != NULL
+         && status < 500 && !is_refused (request, call, status);
+}
+
 static bool
 handle_accepts (void *ctx, struct bd_http_call *call)
 {
   struct bd_edge_request *request = ctx;
   uint32_t status = bd_http_call_status (call);
-  const char *id = header_of (call, names_of (request)->attempt_id);
-
-  bool is_own = id != NULL ? strcmp (id, request->attempt_id) == 0
-                           : is_refused (request, call, status)
-                                 || request->attempt_id[0] == '\0';
+  bool is_own = is_own_response (request, call, status);
 
   request->has_head = true;
   if (!request->is_handed_over)
@@ -77,8 +98,12 @@
   if (is_own && !request->is_handed_over)
     {
       bd_edge_note_head (request->edge, request->endpoint, call, status);
-      bd_edge_note_limit (request, call, id != NULL);
+      bd_edge_note_limit (request, call,
+                          header_of (call, names_of (request)->attempt_id)
+                              != NULL);
     }
+  if (!can_keep_connection (request, call, status))
+    bd_http_call_close (call);
   request->is_mismatched = !is_own;
   return is_own;
 }
@@ -495,8 +520,10 @@
     .connect_timeout_ms = connect_timeout_ms (left_ms),
     /* A request that is not idempotent uses a connection of its own, which is
        not reused: a kept connection may be dead, and the library would then
-       send the request again.  */
-    .has_dedicated_connection = !request->is_idempotent,
+       send the request again.  So does one without an id, whose response
+       cannot be matched.  */
+    .has_dedicated_connection
+    = !request->is_idempotent || request->attempt_id[0] == '\0',
     .is_sent_once = true,
   };
 
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -8,6 +8,7 @@
 #include <strings.h>
 #include <sys/socket.h>
 #include <talloc.h>
+#include <unistd.h>
 
 enum
 {
@@ -26,6 +27,7 @@
   const struct bd_http_call_ops *ops;
   void *ctx;
   CURL *easy;
+  curl_socket_t socket; /* The last one that was opened for it.  */
   struct curl_slist *headers;
   char *request_body;
   char *body;
@@ -35,6 +37,7 @@
   bool has_head;
   bool is_sent_once;
   bool was_started; /* A connection has been assigned to it once.  */
+  bool is_stale;    /* Its kept connection has ended or brings bytes.  */
   bool is_paused;
   bool is_cancelled;
   bool is_rejected; /* Fails when the current callback returns.  */
@@ -97,6 +100,18 @@
   free_call (call);
 }
 
+/* Sends the request of a call that was assigned a stale connection on a new
+   one.  */
+static void
+restart_call (struct bd_http_call *call)
+{
+  call->is_stale = false;
+  curl_multi_remove_handle (call->client->multi, call->easy);
+  curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 0L);
+  curl_multi_add_handle (call->client->multi, call->easy);
+}
+
 static void
 finish_calls (struct bd_http_client *client)
 {
@@ -111,7 +126,10 @@
       if (message->msg != CURLMSG_DONE)
         continue;
       curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
-      finish_call (call, message->data.result);
+      if (call->is_stale && !call->is_cancelled)
+        restart_call (call);
+      else
+        finish_call (call, message->data.result);
     }
   if (!client->has_cancelled)
     return;
@@ -216,6 +234,8 @@
   client->multi = curl_multi_init ();
   if (client->multi == NULL)
     return false;
+  client->sockets
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   client->idle_size = max_idle;
   client->idle = talloc_array (NULL, CURL *, max_idle);
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, handle_socket);
@@ -239,6 +259,7 @@
   TALLOC_FREE (client->idle);
   curl_multi_cleanup (client->multi);
   client->multi = NULL;
+  g_hash_table_unref (client->sockets);
   TALLOC_FREE (client->timer);
 }
 
@@ -404,15 +425,72 @@
 static int
 handle_socket_created (void *ctx, curl_socket_t socket, curlsocktype purpose)
 {
+  struct bd_http_call *call = ctx;
   unsigned timeout_ms = UNACKNOWLEDGED_TIMEOUT_MS;
 
-  (void)ctx;
   (void)purpose;
+  call->socket = socket;
   setsockopt (socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
               sizeof timeout_ms);
   return CURL_SOCKOPT_OK;
 }
 
+static gboolean
+is_socket (gpointer key, gpointer value, gpointer ctx)
+{
+  (void)key;
+  return GPOINTER_TO_INT (value) == *(const curl_socket_t *)ctx;
+}
+
+static int
+handle_socket_closed (void *ctx, curl_socket_t socket)
+{
+  struct bd_http_client *client = ctx;
+
+  g_hash_table_foreach_remove (client->sockets, is_socket, &socket);
+  return close (socket);
+}
+
+/* The addresses of a connection.  */
+struct connection_name
+{
+  const char *peer_ip;
+  const char *local_ip;
+  int peer_port;
+  int local_port;
+};
+
+/* The socket of the connection that a call was assigned.  libcurl names the
+   connection by its addresses only, until the call has finished.  */
+static curl_socket_t
+find_socket (struct bd_http_call *call, const struct connection_name *name)
+{
+  GHashTable *sockets = call->client->sockets;
+  char *key = g_strdup_printf ("%s:%d %s:%d", name->local_ip, name->local_port,
+                               name->peer_ip, name->peer_port);
+  gpointer value;
+
+  if (bd_http_call_is_first (call))
+    {
+      g_hash_table_replace (sockets, key, GINT_TO_POINTER (call->socket));
+      return call->socket;
+    }
+  value = g_hash_table_lookup (sockets, key);
+  g_free (key);
+  return value != NULL ? GPOINTER_TO_INT (value) : CURL_SOCKET_BAD;
+}
+
+/* Whether the peer has sent something on a connection, or has closed it.
+   libcurl reuses such connections.  */
+static bool
+has_input (curl_socket_t socket)
+{
+  char byte;
+
+  return socket != CURL_SOCKET_BAD
+         && recv (socket, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >= 0;
+}
+
 /* libcurl calls this function before it sends the request.  A second call
    means that a reused connection was dead and that libcurl is about to resend
    the request.  */
@@ -421,13 +499,17 @@
                    int local_port)
 {
   struct bd_http_call *call = ctx;
+  const struct connection_name name
+      = { peer_ip, local_ip, peer_port, local_port };
 
-  (void)peer_ip;
-  (void)local_ip;
-  (void)peer_port;
-  (void)local_port;
   if (call->was_started && call->is_sent_once)
     return CURL_PREREQFUNC_ABORT;
+  if (has_input (find_socket (call, &name)))
+    {
+      call->is_stale = !call->was_started && !bd_http_call_is_first (call);
+      bd_http_call_close (call);
+      return CURL_PREREQFUNC_ABORT;
+    }
   call->was_started = true;
   return CURL_PREREQFUNC_OK;
 }
@@ -448,6 +530,9 @@
                         ? (long)request->connect_timeout_ms
                         : (long)CONNECT_TIMEOUT_MS);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, handle_socket_created);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTDATA, call);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, handle_socket_closed);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, call->client);
   curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
   curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
@@ -524,6 +609,21 @@
   return call->response_headers;
 }
 
+bool
+bd_http_call_is_first (const struct bd_http_call *call)
+{
+  long opened = 0;
+
+  curl_easy_getinfo (call->easy, CURLINFO_NUM_CONNECTS, &opened);
+  return opened > 0;
+}
+
+void
+bd_http_call_close (struct bd_http_call *call)
+{
+  curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
 void
 bd_http_call_reject (struct bd_http_call *call)
 {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -1,7 +1,11 @@
 /* HTTP client on the event loop, built on libcurl's multi interface.
 
    bd_http_send() starts a call; the callbacks in struct bd_http_call_ops
-   report its response and its end.  */
+   report its response and its end.
+
+   No request is sent on a connection on which bytes wait, since they would be
+   taken for its response: a kept connection is closed and another one opened,
+   and a call whose new connection brings bytes at once fails as not sent.  */
 
 #ifndef BD_HTTP_CLIENT_H
 #define BD_HTTP_CLIENT_H
@@ -10,6 +14,7 @@
 #include "http/server.h"
 
 #include <curl/curl.h>
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -84,6 +89,7 @@
   CURL **idle;                /* Easy handles for reuse.  */
   uint32_t idle_count;
   uint32_t idle_size;
+  GHashTable *sockets; /* Addresses of a connection -> socket.  */
   bool is_in_callback; /* A libcurl callback is running.  */
   bool has_cancelled;  /* Calls cancelled in callbacks have to be freed.  */
 };
@@ -117,6 +123,14 @@
 const struct bd_http_header_field *
 bd_http_call_headers (const struct bd_http_call *call, uint32_t *count);
 
+/* bd_http_call_is_first(): whether the connection of the call was opened for
+   it.  Valid from the response head on.  */
+bool bd_http_call_is_first (const struct bd_http_call *call);
+
+/* bd_http_call_close(): closes the connection once the call has finished, so
+   that no other call uses it.  */
+void bd_http_call_close (struct bd_http_call *call);
+
 /* bd_http_call_reject(): the data are no valid response.  Called from the data
    callback; the call then fails and its connection is closed.  */
 void bd_http_call_reject (struct bd_http_call *call);
