edge: bytes that are no event do not enter a stream

What callers saw (ORDER, MIXED): the text of an error, at times with its whole head, in the middle of a stream, or a stream that ends as complete.

Cause: whatever ended with an empty line was an event. An endpoint that fails in a stream without length writes a second response into it, and the end of its connection is the end of the body, so that the stream was complete. An event without an id was forwarded anywhere. The seal was looked for at the end of a stream, when its events had been forwarded. Ruled out: statuses and refusals after a stream has begun, which no caller got to see.

Change: bd_sse_next() says whether an event has other lines than fields and comments; such an event ends the attempt, as does one without an id in a stream whose events have ids, a comment and [DONE] excepted. The head of a stream has to have the seal. A stream that ends with its connection before its first event is broken; it may be one that had nothing left to send, and then its caller sees a broken transfer after the last event.

--- a/src/calls/calls_test.c
+++ b/src/calls/calls_test.c
@@ -96,6 +96,44 @@
   CU_ASSERT_EQUAL (call.run, BD_RAN);
 }
 
+/* An event with other lines than fields is none: its endpoint has written an
+   error into the stream.  */
+static void
+test_malformed_event_is_taken_as_event (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool is_malformed;
+    bool is_comment;
+  } cases[]
+      = { { "id: 1\ndata: x\n\n", false, false },
+          { "id: 1\nweight-versions: 3\ndata\ndata:\n\n", false, false },
+          { ": keep-alive\n\n", false, true },
+          { ":\nid: 1\n\n", false, false },
+          { "HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\n\r\noops\n\n",
+            true, false },
+          { "id: 1\ndata: xHTTP/1.1 500 Error\r\n\r\noops\n\n", true, false },
+          { "oops\nid: 1\ndata: x\n\n", true, false },
+          { "{\"kind\":\"failed\"}\n\n", true, false },
+          { "id: 1\ndatHTTP/1.1 500: x\n\n", true, false } };
+  void *ctx = talloc_new (NULL);
+  struct bd_sse sse;
+  struct bd_sse_event event;
+
+  bd_sse_init (&sse, ctx);
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      CU_ASSERT_TRUE (
+          bd_sse_feed (&sse, cases[i].text, strlen (cases[i].text)));
+      CU_ASSERT_TRUE (bd_sse_next (&sse, &event));
+      CU_ASSERT_EQUAL (event.is_malformed, cases[i].is_malformed);
+      CU_ASSERT_EQUAL (event.is_comment, cases[i].is_comment);
+      CU_ASSERT_FALSE (bd_sse_next (&sse, &event));
+    }
+  talloc_free (ctx);
+}
+
 static void
 test_events (void)
 {
@@ -141,6 +179,8 @@
   { "deadline", test_deadline },
   { "a key that already ran", test_key_already_ran },
   { "events", test_events },
+  { "malformed event is taken as event",
+    test_malformed_event_is_taken_as_event },
   { "an overlong event", test_overlong_event_is_rejected },
 };
 
--- a/src/calls/sse.c
+++ b/src/calls/sse.c
@@ -2,6 +2,7 @@
 
 #include "calls/sse.h"
 
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
@@ -52,9 +53,31 @@
   return size >= length && memcmp (line, prefix, length) == 0;
 }
 
+/* Whether a line is a field or a comment.  Only "data" may stand without a
+   colon.  */
+static bool
+is_field (const char *line, size_t size)
+{
+  const char *colon = memchr (line, ':', size);
+  const char *end = colon != NULL ? colon : line + size;
+
+  if (memchr (line, '\r', size) != NULL)
+    return false;
+  if (colon == NULL)
+    return size == strlen ("data") && has_prefix (line, size, "data");
+  for (const char *c = line; c < end; c++)
+    if (!isalnum ((unsigned char)*c) && *c != '-' && *c != '_')
+      return false;
+  return true;
+}
+
 static void
 parse_line (struct bd_sse_event *event, const char *line, size_t size)
 {
+  if (size == 0)
+    return;
+  event->is_malformed = event->is_malformed || !is_field (line, size);
+  event->is_comment = event->is_comment && line[0] == ':';
   if (has_prefix (line, size, "id: "))
     {
       event->has_id = true;
@@ -70,6 +93,7 @@
   const char *line = event->text;
   const char *end = event->text + event->size;
 
+  event->is_comment = true;
   while (line < end)
     {
       const char *newline = memchr (line, '\n', (size_t)(end - line));
--- a/src/calls/sse.h
+++ b/src/calls/sse.h
@@ -36,7 +36,11 @@
   size_t size;
   bool has_id;
   int64_t id;
-  bool is_end; /* "data: [DONE]".  */
+  bool is_end;     /* "data: [DONE]".  */
+  bool is_comment; /* It has no fields.  */
+  /* It has other lines than fields and comments.  An endpoint that fails may
+     write another response into its stream.  */
+  bool is_malformed;
 };
 
 /* bd_sse_init(): ctx is the talloc parent of the buffer.  */
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -85,12 +85,33 @@
          && status < 500 && !is_refused (request, call, status);
 }
 
+static bool
+is_stream (const struct bd_http_call *call)
+{
+  const char *type = header_of (call, "Content-Type");
+
+  return is_success (bd_http_call_status (call)) && type != NULL
+         && strncasecmp (type, "text/event-stream", 17) == 0;
+}
+
+/* Whether a response has the seal of an endpoint and is not re-encoded.  */
+static bool
+has_response_seal (const struct bd_edge_request *request,
+                   const struct bd_http_call *call)
+{
+  return header_of (call, names_of (request)->response_seal) != NULL
+         && header_of (call, "Content-Encoding") == NULL;
+}
+
+/* A response that is a stream is forwarded before its end is known, so that
+   its head has to have the seal.  */
 static bool
 handle_accepts (void *ctx, struct bd_http_call *call)
 {
   struct bd_edge_request *request = ctx;
   uint32_t status = bd_http_call_status (call);
-  bool is_own = is_own_response (request, call, status);
+  bool is_own = is_own_response (request, call, status)
+                && (!is_stream (call) || has_response_seal (request, call));
 
   request->has_head = true;
   if (!request->is_handed_over)
@@ -108,15 +129,6 @@
   return is_own;
 }
 
-static bool
-is_stream (const struct bd_http_call *call)
-{
-  const char *type = header_of (call, "Content-Type");
-
-  return is_success (bd_http_call_status (call)) && type != NULL
-         && strncasecmp (type, "text/event-stream", 17) == 0;
-}
-
 static bool
 append_body (struct bd_edge_request *request, const char *data, size_t size)
 {
@@ -145,17 +157,32 @@
     group->progress_ms = request->last_event_ms;
 }
 
+/* Whether an event can be placed after the last one that was forwarded.  In a
+   stream whose events have ids, one without an id has no place.  */
+static bool
+has_place (const struct bd_edge_request *request,
+           const struct bd_sse_event *event)
+{
+  int64_t last = request->call.last_event_id;
+
+  if (event->is_malformed)
+    return false;
+  if (!event->has_id)
+    return last < 0 || event->is_end || event->is_comment;
+  return event->id == (last >= 0 ? last : 0) + 1;
+}
+
 /* Forwards an event, or skips it when the caller has it already.  Returns
-   false when events before it are missing.  */
+   false when it is no event that can follow.  */
 static bool
 forward_event (struct bd_edge_request *request, struct bd_http_call *call,
                const struct bd_sse_event *event, bool *can_write)
 {
   int64_t last = request->call.last_event_id;
 
-  if (event->has_id && last >= 0 && event->id <= last)
+  if (event->has_id && last >= 0 && event->id <= last && !event->is_malformed)
     return true;
-  if (event->has_id && event->id != (last >= 0 ? last : 0) + 1)
+  if (!has_place (request, event))
     return false;
   if (!request->has_stream_begun)
     bd_edge_begin_stream (request, call);
@@ -163,7 +190,8 @@
     bd_observe (&request->edge->histograms, BD_HISTOGRAM_TOKEN_GAP,
                 bd_edge_now_ms (request->edge) - request->last_forwarded_ms);
   request->last_forwarded_ms = bd_edge_now_ms (request->edge);
-  bd_call_event (&request->call, event->has_id, event->id);
+  bd_call_event (&request->call, event->has_id || last >= 0,
+                 event->has_id ? event->id : last);
   request->events++;
   *can_write = bd_edge_forward_event (request, event) && *can_write;
   return true;
@@ -324,15 +352,6 @@
   bd_edge_forward_response (request, call, result);
 }
 
-/* Whether a response has the seal of an endpoint and is not re-encoded.  */
-static bool
-has_response_seal (const struct bd_edge_request *request,
-                   const struct bd_http_call *call)
-{
-  return header_of (call, names_of (request)->response_seal) != NULL
-         && header_of (call, "Content-Encoding") == NULL;
-}
-
 /* Whether this daemon uses the status to state that a request has not run.
    Such a status of an endpoint is not forwarded, because the endpoint may have
    run the request.  */
@@ -387,6 +406,14 @@
     }
 }
 
+/* Whether the end of the body shows: otherwise it is the connection's.  */
+static bool
+has_length (const struct bd_http_call *call)
+{
+  return header_of (call, "Content-Length") != NULL
+         || header_of (call, "Transfer-Encoding") != NULL;
+}
+
 static void
 handle_done (void *ctx, struct bd_http_call *call,
              const struct bd_http_result *result)
@@ -398,7 +425,7 @@
   request->attempt = NULL;
   if (request->is_mismatched)
     fail (request, BD_FAILURE_MISMATCHED, false,
-          "response does not have the id of this request");
+          "response does not have the id of this request, or no seal");
   else if (request->is_incomplete)
     fail (request, BD_FAILURE_BROKEN, false, "invalid response");
   else if (!result->is_complete)
@@ -411,8 +438,8 @@
     fail (request, BD_FAILURE_BROKEN, true, "ended inside an event");
   else if (!is_stream (call))
     handle_complete_response (request, call, result);
-  else if (!has_response_seal (request, call))
-    fail (request, BD_FAILURE_MISMATCHED, false, "response has no seal");
+  else if (request->events == 0 && !has_length (call))
+    fail (request, BD_FAILURE_BROKEN, false, "no event and no length");
   else
     {
       if (!request->has_stream_begun)
