edge: failing test: a request that is handed over runs too often

What was seen (BUDGET): safe requests that ran on three endpoints; their route allows two.

A daemon without links hands 20 safe requests over, one after another, while all endpoints return 500. 4 of them run on three endpoints. With endpoints that reset the connection none does, and with one other daemon all run on two endpoints, as they should.

--- a/src/edge/edge_links_test.c
+++ b/src/edge/edge_links_test.c
@@ -124,7 +124,8 @@
 {
   refuse_at_lost_port ();
   for (uint32_t i = 1; i < DAEMONS; i++)
-    bd_edge_finish (daemons[i]);
+    if (daemons[i] != NULL)
+      bd_edge_finish (daemons[i]);
   site_finish (&site);
 }
 
@@ -275,6 +276,97 @@
   finish_site ();
 }
 
+enum
+{
+  MAX_RUNS = 2, /* Allowed by the route.  */
+  MAX_RECORDED = 8
+};
+
+/* Runs of the current call.  */
+static uint32_t run_count;
+static const struct site_worker *runners[MAX_RECORDED];
+
+static void
+record_run (struct site_worker *worker, const char *path, const char *account)
+{
+  (void)path;
+  (void)account;
+  if (run_count < MAX_RECORDED)
+    runners[run_count] = worker;
+  run_count++;
+}
+
+static uint32_t
+count_runners (void)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < run_count && i < MAX_RECORDED; i++)
+    {
+      bool is_new = true;
+
+      for (uint32_t j = 0; j < i; j++)
+        is_new = is_new && runners[j] != runners[i];
+      count += is_new;
+    }
+  return count;
+}
+
+/* Makes calls to the first daemon, which is cut, while all endpoints fail, and
+   returns the most runs of one call.  */
+static uint32_t
+count_most_runs (enum worker_mode mode)
+{
+  uint32_t most = 0;
+
+  site.on_run = record_run;
+  site.daemon_port = settings[0].http_port;
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    site.workers[i].mode = mode;
+  for (uint32_t i = 0; i < CALLS / 3; i++)
+    {
+      struct site_call *call;
+
+      run_count = 0;
+      call = site_call (&site, "GET", "/safe/x", "k1", NULL);
+      CU_ASSERT_TRUE (call->status >= 500);
+      CU_ASSERT_TRUE (run_count == 0 || call->status != 503);
+      CU_ASSERT_TRUE (count_runners () <= MAX_RUNS);
+      most = run_count > most ? run_count : most;
+      site_wait (&site, CALL_INTERVAL_MS);
+    }
+  return most;
+}
+
+/* The runs of a request add up to those of its route, wherever they are.  Two
+   of them happen, so that a failure is still tried elsewhere.  */
+static void
+test_request_that_is_handed_over_runs_too_often (void)
+{
+  start_site (PLAIN_WORKERS, 0);
+  is_cut[0] = true;
+  site_wait (&site, 2 * CUT_CHECK_MS);
+  CU_ASSERT_EQUAL (count_most_runs (WORKER_FAILING), MAX_RUNS);
+  site_wait (&site, SETTLE_MS);
+  CU_ASSERT_TRUE (count_most_runs (WORKER_RESETTING) <= MAX_RUNS);
+  finish_site ();
+}
+
+/* With one daemon that can take requests over, it may use all runs.  */
+static void
+test_only_other_daemon_gets_one_run (void)
+{
+  start_site (PLAIN_WORKERS, 0);
+  is_cut[0] = true;
+  is_cut[2] = true;
+  count_served ("GET", "/safe/x", NULL);
+  bd_edge_finish (daemons[2]);
+  daemons[2] = NULL;
+  site_wait (&site, RETURN_MS);
+  CU_ASSERT_EQUAL (count_most_runs (WORKER_FAILING), MAX_RUNS);
+  finish_site ();
+}
+
 int
 main (void)
 {
@@ -289,6 +381,9 @@
       test_isolated_daemon_controls_groups },
     { "isolated daemons hand over in a circle",
       test_isolated_daemons_hand_over_in_a_circle },
+    { "request that is handed over runs too often",
+      test_request_that_is_handed_over_runs_too_often },
+    { "only other daemon gets one run", test_only_other_daemon_gets_one_run },
   };
 
   unit_silence_log ();
