--- /dev/null
+++ b/src/http/connection_test.c
@@ -0,0 +1,413 @@
+/* Tests on sockets of the time-outs of callers' connections.
+
+   The tests call bd_http_connection_check() with times of their own, so that
+   the moment of a check is certain.  */
+
+#include "base/clock.h"
+#include "base/timer.h"
+#include "http/http_internal.h"
+#include "tests/loopback.h"
+#include "tests/unit.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+enum
+{
+  SERVER_PORT = 25090,
+  MAX_CONNECTIONS = 8,
+  MAX_BODY_BYTES = 1 << 20,
+  LONG_MS = 60000,
+  SHORT_MS = 1000,
+  /* More than the buffers of both sockets hold.  */
+  LARGE_BYTES = 32 << 20,
+  TAKEN_BYTES = 4 << 20,
+  STEP_MS = 100,
+  WAIT_MS = 5000,
+  ROUND_MS = 5
+};
+
+static const char request_text[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/* A server whose handler keeps the requests until the test responds.  */
+struct fixture
+{
+  struct tevent_context *events;
+  struct bd_http_server server;
+  struct bd_http_exchange *exchange; /* The last request.  */
+  uint32_t request_count;
+  uint32_t disconnect_count;
+};
+
+static size_t
+max_body (void *ctx, const char *path)
+{
+  (void)ctx;
+  (void)path;
+  return MAX_BODY_BYTES;
+}
+
+static void
+handle_request (void *ctx, struct bd_http_exchange *x)
+{
+  struct fixture *f = ctx;
+
+  f->exchange = x;
+  f->request_count++;
+}
+
+static void
+handle_disconnect (void *ctx, struct bd_http_exchange *x)
+{
+  struct fixture *f = ctx;
+
+  (void)x;
+  f->exchange = NULL;
+  f->disconnect_count++;
+}
+
+static void
+ignore (void *ctx, struct bd_http_exchange *x)
+{
+  (void)ctx;
+  (void)x;
+}
+
+static const struct bd_http_server_ops ops
+    = { max_body, handle_request, handle_disconnect, ignore };
+
+static void
+keep_loop_awake (void *ctx)
+{
+  bd_timer_add (ctx, ctx, ROUND_MS, keep_loop_awake, ctx);
+}
+
+static void
+start (struct fixture *f, uint32_t idle_timeout_ms)
+{
+  memset (f, 0, sizeof *f);
+  f->events = tevent_context_init (NULL);
+  keep_loop_awake (f->events);
+  CU_ASSERT_TRUE_FATAL (bd_http_server_init (&f->server, f->events,
+                                             loopback_address (), SERVER_PORT,
+                                             MAX_CONNECTIONS, &ops, f));
+  bd_http_server_set_timeouts (&f->server, idle_timeout_ms, idle_timeout_ms);
+}
+
+static void
+finish (struct fixture *f)
+{
+  bd_http_server_finish (&f->server);
+  talloc_free (f->events);
+}
+
+static int64_t
+get_now_ms (void)
+{
+  struct bd_clock clock = bd_clock_system ();
+
+  return bd_clock_now_ms (&clock);
+}
+
+static int
+connect_caller (void)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (SERVER_PORT) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  inet_pton (AF_INET, loopback_address (), &address.sin_addr);
+  CU_ASSERT_EQUAL (connect (fd, (struct sockaddr *)&address, sizeof address),
+                   0);
+  return fd;
+}
+
+static void
+send_text (int fd, const char *text)
+{
+  CU_ASSERT_EQUAL (send (fd, text, strlen (text), MSG_NOSIGNAL),
+                   (ssize_t)strlen (text));
+}
+
+/* Runs the event loop until the handler has been called count times.  */
+static bool
+run_until_requests (struct fixture *f, uint32_t count)
+{
+  int64_t end_ms = get_now_ms () + WAIT_MS;
+
+  while (f->request_count < count && get_now_ms () < end_ms)
+    tevent_loop_once (f->events);
+  return f->request_count >= count;
+}
+
+static bool
+run_until_disconnect (struct fixture *f)
+{
+  int64_t end_ms = get_now_ms () + WAIT_MS;
+
+  while (f->disconnect_count == 0 && get_now_ms () < end_ms)
+    tevent_loop_once (f->events);
+  return f->disconnect_count > 0;
+}
+
+static bool
+run_until_phase (struct fixture *f, enum bd_http_phase phase)
+{
+  int64_t end_ms = get_now_ms () + WAIT_MS;
+
+  while (
+      (f->server.connections == NULL || f->server.connections->phase != phase)
+      && get_now_ms () < end_ms)
+    tevent_loop_once (f->events);
+  return f->server.connections != NULL
+         && f->server.connections->phase == phase;
+}
+
+/* Runs the event loop until text has been received.  */
+static bool
+receive_text (struct fixture *f, int fd, const char *text)
+{
+  char received[4096];
+  size_t used = 0;
+  int64_t end_ms = get_now_ms () + WAIT_MS;
+
+  received[0] = '\0';
+  while (strstr (received, text) == NULL && get_now_ms () < end_ms)
+    {
+      ssize_t count = recv (fd, received + used, sizeof received - used - 1,
+                            MSG_DONTWAIT);
+
+      if (count == 0)
+        return false;
+      used += count > 0 ? (size_t)count : 0;
+      received[used] = '\0';
+      if (count < 0)
+        tevent_loop_once (f->events);
+    }
+  return strstr (received, text) != NULL;
+}
+
+/* A caller whose request the handler holds.  */
+static int
+begin_request (struct fixture *f)
+{
+  int fd = connect_caller ();
+
+  send_text (fd, request_text);
+  CU_ASSERT_TRUE_FATAL (run_until_requests (f, f->request_count + 1));
+  tevent_loop_once (f->events);
+  return fd;
+}
+
+/* The connection is checked between the call of bd_http_respond() and the
+   write.  */
+static void
+test_check_before_response_is_written (void)
+{
+  struct fixture f;
+  struct bd_http_connection *c;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  c = f.server.connections;
+  bd_http_connection_check (c, c->deadline_ms);
+  CU_ASSERT_NOT_EQUAL (c->phase, BD_HTTP_ENDING);
+  bd_http_respond_text (f.exchange, 200, "text/plain", "whole");
+  for (uint32_t i = 0; i <= 2 * LONG_MS / STEP_MS; i++)
+    bd_http_connection_check (c, c->since_ms + (int64_t)i * STEP_MS);
+  CU_ASSERT_NOT_EQUAL (c->phase, BD_HTTP_ENDING);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "whole"));
+  CU_ASSERT_EQUAL (f.disconnect_count, 0);
+  close (fd);
+  finish (&f);
+}
+
+/* The same within a stream that was silent for an idle time-out.  */
+static void
+test_check_before_stream_is_written (void)
+{
+  struct fixture f;
+  struct bd_http_connection *c;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  c = f.server.connections;
+  bd_http_stream_begin (f.exchange, 200, NULL);
+  bd_http_stream_write (f.exchange, "first", 5);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "first"));
+  tevent_loop_once (f.events);
+  bd_http_connection_check (c, c->since_ms + LONG_MS);
+  bd_http_connection_check (c, c->since_ms + 2 * LONG_MS);
+  CU_ASSERT_NOT_EQUAL (c->phase, BD_HTTP_ENDING);
+  bd_http_stream_write (f.exchange, "second", 6);
+  bd_http_connection_check (c, c->since_ms + 3 * LONG_MS);
+  CU_ASSERT_NOT_EQUAL (c->phase, BD_HTTP_ENDING);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "second"));
+  CU_ASSERT_EQUAL (f.disconnect_count, 0);
+  close (fd);
+  finish (&f);
+}
+
+static void
+fill_stream (struct fixture *f)
+{
+  static char block[64 * 1024];
+  int64_t end_ms = get_now_ms () + SHORT_MS;
+
+  for (size_t sent = 0; sent < LARGE_BYTES; sent += sizeof block)
+    bd_http_stream_write (f->exchange, block, sizeof block);
+  while (get_now_ms () < end_ms)
+    tevent_loop_once (f->events);
+}
+
+/* Checks the connection as the sweep does.  Returns the time after which it
+   was ended, or -1 if it lasted until limit_ms.  */
+static int64_t
+end_delay_ms (struct bd_http_connection *c, int64_t start_ms, int64_t limit_ms)
+{
+  for (int64_t after_ms = 0; after_ms <= limit_ms; after_ms += STEP_MS)
+    {
+      bd_http_connection_check (c, start_ms + after_ms);
+      if (c->phase == BD_HTTP_ENDING)
+        return after_ms;
+    }
+  return -1;
+}
+
+/* A caller that takes nothing of its response for an idle time-out loses its
+   connection, and not before.  */
+static void
+test_unread_response_ends (void)
+{
+  struct fixture f;
+  struct bd_http_connection *c;
+  int64_t after_ms;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  c = f.server.connections;
+  bd_http_stream_begin (f.exchange, 200, NULL);
+  fill_stream (&f);
+  after_ms = end_delay_ms (c, get_now_ms (), 2 * LONG_MS);
+  CU_ASSERT_TRUE (after_ms >= LONG_MS && after_ms <= LONG_MS + LONG_MS / 2);
+  CU_ASSERT_TRUE (run_until_disconnect (&f));
+  close (fd);
+  finish (&f);
+}
+
+/* The caller reads a part of the response.  */
+static void
+take_bytes (struct fixture *f, int fd)
+{
+  static char block[64 * 1024];
+  size_t taken = 0;
+
+  while (taken < TAKEN_BYTES)
+    {
+      ssize_t count = recv (fd, block, sizeof block, MSG_DONTWAIT);
+
+      CU_ASSERT_NOT_EQUAL_FATAL (count, 0);
+      taken += count > 0 ? (size_t)count : 0;
+      tevent_loop_once (f->events);
+    }
+}
+
+/* What a caller takes begins a new term.  */
+static void
+test_slowly_read_response_lasts (void)
+{
+  struct fixture f;
+  struct bd_http_connection *c;
+  int64_t start_ms;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  c = f.server.connections;
+  bd_http_stream_begin (f.exchange, 200, NULL);
+  fill_stream (&f);
+  start_ms = get_now_ms ();
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      CU_ASSERT_EQUAL (end_delay_ms (c, start_ms, LONG_MS - STEP_MS), -1);
+      start_ms += LONG_MS - STEP_MS;
+      take_bytes (&f, fd);
+    }
+  CU_ASSERT_EQUAL (f.disconnect_count, 0);
+  close (fd);
+  finish (&f);
+}
+
+/* A configuration with a lower idle time-out comes into force while a caller
+   sends a body.  */
+static void
+test_body_keeps_its_idle_timeout (void)
+{
+  struct fixture f;
+  struct bd_http_connection *c;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = connect_caller ();
+  send_text (fd, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n");
+  CU_ASSERT_TRUE_FATAL (run_until_phase (&f, BD_HTTP_BODY));
+  c = f.server.connections;
+  bd_http_server_set_timeouts (&f.server, SHORT_MS, SHORT_MS);
+  send_text (fd, "a");
+  while (c->body_bytes == 0)
+    tevent_loop_once (f.events);
+  bd_http_connection_check (c, c->since_ms + LONG_MS / 2);
+  CU_ASSERT_EQUAL (c->phase, BD_HTTP_BODY);
+  send_text (fd, "b");
+  CU_ASSERT_TRUE (run_until_requests (&f, 1));
+  close (fd);
+  finish (&f);
+}
+
+/* The same while a caller does not read its response.  */
+static void
+test_response_keeps_its_idle_timeout (void)
+{
+  struct fixture f;
+  struct bd_http_connection *c;
+  int64_t start_ms;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  c = f.server.connections;
+  bd_http_stream_begin (f.exchange, 200, NULL);
+  fill_stream (&f);
+  start_ms = get_now_ms ();
+  bd_http_server_set_timeouts (&f.server, SHORT_MS, SHORT_MS);
+  CU_ASSERT_EQUAL (end_delay_ms (c, start_ms, LONG_MS - STEP_MS), -1);
+  take_bytes (&f, fd);
+  start_ms += LONG_MS - STEP_MS;
+  CU_ASSERT_TRUE (end_delay_ms (c, start_ms, 2 * LONG_MS) >= LONG_MS);
+  close (fd);
+  finish (&f);
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[]
+      = { { "check before a response is written",
+            test_check_before_response_is_written },
+          { "check before a stream is written",
+            test_check_before_stream_is_written },
+          { "an unread response ends", test_unread_response_ends },
+          { "a slowly read response lasts", test_slowly_read_response_lasts },
+          { "a body keeps its idle time-out",
+            test_body_keeps_its_idle_timeout },
+          { "a response keeps its idle time-out",
+            test_response_keeps_its_idle_timeout } };
+
+  return UNIT_RUN ("connection", tests);
+}
