http: a response is unread only if bytes of it wait in the socket

Cause: a response counted as unread if its exchange was not suspended and nothing had been acknowledged since the last check. That is also so if nothing was written since then. The first check compared with 0, so that a caller that read nothing was found after two time-outs. Each new term, and the term of a body, took the idle time-out that was in force at that moment.

Change: a check asks the kernel for bytes that are written and not acknowledged; the response ends when there were such bytes at each check of an idle time-out and none were acknowledged. There are four checks a time-out. A suspended response of which the caller acknowledges nothing for an idle time-out ends as well now.

--- a/src/http/connection.c
+++ b/src/http/connection.c
@@ -13,6 +13,7 @@
 enum
 {
   SWEEP_PERIOD_MS = 100,
+  CHECKS_PER_IDLE_TIMEOUT = 4, /* Of a response.  */
   /* Time for the caller to read a 408 before the connection is reset.  */
   LINGER_MS = 200,
   /* A body may take the idle timeout and the time that its bytes need at this
@@ -78,6 +79,19 @@
   talloc_free (c);
 }
 
+static int64_t
+next_response_check_ms (const struct bd_http_connection *c, int64_t now_ms)
+{
+  return now_ms + c->idle_timeout_ms / CHECKS_PER_IDLE_TIMEOUT;
+}
+
+static void
+begin_response (struct bd_http_connection *c)
+{
+  c->has_unacked = false;
+  c->deadline_ms = next_response_check_ms (c, c->since_ms);
+}
+
 void
 bd_http_connection_enter (struct bd_http_connection *c,
                           enum bd_http_phase phase)
@@ -94,9 +108,15 @@
   if (is_first)
     return;
   c->since_ms = get_now_ms ();
-  c->deadline_ms
-      = c->since_ms
-        + (is_head ? server->header_timeout_ms : server->idle_timeout_ms);
+  /* A request keeps the time-out that was in force when it began.  */
+  if (is_head || phase == BD_HTTP_IDLE)
+    c->idle_timeout_ms = server->idle_timeout_ms;
+  if (phase == BD_HTTP_RESPONSE)
+    begin_response (c);
+  else
+    c->deadline_ms
+        = c->since_ms
+          + (is_head ? server->header_timeout_ms : c->idle_timeout_ms);
 }
 
 void
@@ -105,7 +125,7 @@
   if (c->phase != BD_HTTP_BODY)
     return;
   c->body_bytes += size;
-  c->deadline_ms = c->since_ms + c->server->idle_timeout_ms
+  c->deadline_ms = c->since_ms + c->idle_timeout_ms
                    + (int64_t)(c->body_bytes / BODY_BYTES_PER_MS);
 }
 
@@ -155,18 +175,22 @@
   c->deadline_ms = now_ms + LINGER_MS;
 }
 
-/* Whether a response is not read.  One that waits for its content, and
-   whatever the caller takes, begins a new term.  */
+/* Whether bytes of the response have waited to be sent for an idle time-out
+   and the caller took none of them.  A response that waits for its content,
+   or that has not been written yet, has no such bytes.  */
 static bool
 is_response_stuck (struct bd_http_connection *c, int64_t now_ms)
 {
-  uint64_t acked_bytes = get_tcp_info (c).tcpi_bytes_acked;
-  bool is_waiting = c->exchange == NULL || c->exchange->is_suspended;
-  bool is_stuck = !is_waiting && acked_bytes == c->acked_bytes;
-
-  c->acked_bytes = acked_bytes;
-  c->deadline_ms = now_ms + c->server->idle_timeout_ms;
-  return is_stuck;
+  struct tcp_info info = get_tcp_info (c);
+  bool has_unacked = info.tcpi_notsent_bytes > 0 || info.tcpi_unacked > 0;
+
+  if (!has_unacked || !c->has_unacked
+      || info.tcpi_bytes_acked != c->acked_bytes)
+    c->unchanged_since_ms = now_ms;
+  c->has_unacked = has_unacked;
+  c->acked_bytes = info.tcpi_bytes_acked;
+  c->deadline_ms = next_response_check_ms (c, now_ms);
+  return now_ms - c->unchanged_since_ms >= c->idle_timeout_ms;
 }
 
 /* libmicrohttpd sees the end of the connection and closes it.  */
--- a/src/http/http_internal.h
+++ b/src/http/http_internal.h
@@ -3,7 +3,9 @@
    A connection is in one phase at a time: it sends the head or the body of a
    request, waits for the response and reads it, or is idle.  Each phase has a
    deadline that single bytes do not move.  A caller that does not complete a
-   request in time gets 408, which is true: the request was not passed on.  */
+   request in time gets 408, which is true: the request was not passed on.  A
+   response ends if bytes of it wait in the socket and the caller takes none
+   for an idle time-out; its checks find that up to half of one later.  */
 
 #ifndef BD_HTTP_HTTP_INTERNAL_H
 #define BD_HTTP_HTTP_INTERNAL_H
@@ -25,10 +27,15 @@
   struct bd_http_server *server;
   int fd;
   enum bd_http_phase phase;
-  int64_t since_ms; /* When the phase began.  */
-  int64_t deadline_ms;
-  uint64_t body_bytes;  /* Received in this phase.  */
-  uint64_t acked_bytes; /* Acknowledged by the caller at the last look.  */
+  int64_t since_ms;    /* When the phase began.  */
+  int64_t deadline_ms; /* Of the phase, or of the next check of a response. */
+  uint32_t idle_timeout_ms;
+  uint64_t body_bytes; /* Received in this phase.  */
+  /* At the last check of the response.  */
+  bool has_unacked; /* Bytes had been written and not acknowledged.  */
+  uint64_t acked_bytes;
+  int64_t unchanged_since_ms; /* When unacknowledged bytes were last found to
+                                 be new or fewer.  */
   struct bd_http_exchange *exchange; /* NULL outside of requests.  */
   struct bd_http_connection *prev;
   struct bd_http_connection *next;
