--- a/src/http/connection_test.c
+++ b/src/http/connection_test.c
@@ -10,8 +10,10 @@
 #include "tests/unit.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
 #include <talloc.h>
 #include <unistd.h>
 
@@ -22,6 +24,7 @@
   MAX_BODY_BYTES = 1 << 20,
   LONG_MS = 60000,
   SHORT_MS = 1000,
+  TINY_MS = 10,
   /* More than the buffers of both sockets hold.  */
   LARGE_BYTES = 32 << 20,
   TAKEN_BYTES = 4 << 20,
@@ -153,6 +156,17 @@
   return f->disconnect_count > 0;
 }
 
+/* Runs the event loop until the server has freed all connections.  */
+static bool
+run_until_freed (struct fixture *f)
+{
+  int64_t end_ms = get_now_ms () + WAIT_MS;
+
+  while (f->server.connections != NULL && get_now_ms () < end_ms)
+    tevent_loop_once (f->events);
+  return f->server.connections == NULL;
+}
+
 static bool
 run_until_phase (struct fixture *f, enum bd_http_phase phase)
 {
@@ -394,20 +408,354 @@
   finish (&f);
 }
 
+/* While it is not -1, the caller's socket on which crossing_text is sent at
+   the moment of the server's shutdown().  */
+static int crossing_fd = -1;
+static const char *crossing_text;
+
+int
+shutdown (int fd, int how)
+{
+  int caller_fd = crossing_fd;
+
+  crossing_fd = -1;
+  if (caller_fd >= 0)
+    send_text (caller_fd, crossing_text);
+  return (int)syscall (SYS_shutdown, fd, how);
+}
+
+/* A caller whose first request has been answered.  */
+static int
+keep_connection (struct fixture *f)
+{
+  int fd = begin_request (f);
+
+  bd_http_respond_text (f->exchange, 200, "text/plain", "first");
+  CU_ASSERT_TRUE (receive_text (f, fd, "first"));
+  CU_ASSERT_TRUE_FATAL (run_until_phase (f, BD_HTTP_IDLE));
+  return fd;
+}
+
+/* Runs the event loop until the server has closed the connection.  */
+static bool
+run_until_closed (struct fixture *f, int fd)
+{
+  char byte;
+  int64_t end_ms = get_now_ms () + WAIT_MS;
+
+  while (get_now_ms () < end_ms)
+    {
+      ssize_t count = recv (fd, &byte, 1, MSG_DONTWAIT);
+
+      if (count == 0 || (count < 0 && errno != EAGAIN))
+        return true;
+      tevent_loop_once (f->events);
+    }
+  return false;
+}
+
+/* Lets the connection be idle for an idle time-out.  */
+static void
+pass_idle_time (struct fixture *f, uint32_t idle_timeout_ms)
+{
+  struct bd_http_connection *c = f->server.connections;
+
+  bd_http_server_set_timeouts (&f->server, 0, idle_timeout_ms);
+  bd_http_connection_enter (c, BD_HTTP_IDLE);
+  bd_http_connection_check (c, c->deadline_ms);
+}
+
+static void
+end_by_idle_timeout (struct fixture *f)
+{
+  pass_idle_time (f, TINY_MS);
+}
+
+static void
+end_by_close_idle (struct fixture *f)
+{
+  bd_http_server_close_idle (&f->server);
+}
+
+/* A request arrives at the moment at which its idle connection is shut down:
+   no response can be sent, so it must not run.  */
+static void
+check_crossing_request (void (*end) (struct fixture *f))
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = keep_connection (&f);
+  crossing_fd = fd;
+  crossing_text = request_text;
+  end (&f);
+  CU_ASSERT_EQUAL (crossing_fd, -1);
+  CU_ASSERT_TRUE (run_until_freed (&f));
+  CU_ASSERT_EQUAL (f.request_count, 1);
+  close (fd);
+  finish (&f);
+}
+
+static void
+test_request_crosses_idle_timeout (void)
+{
+  check_crossing_request (end_by_idle_timeout);
+}
+
+static void
+test_request_crosses_close_idle (void)
+{
+  check_crossing_request (end_by_close_idle);
+}
+
+/* The rest of a request arrives after its 408.  */
+static void
+test_request_crosses_408 (void)
+{
+  struct fixture f;
+  struct bd_http_connection *c;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = connect_caller ();
+  send_text (fd, "GET /x HTTP/1.1\r\n");
+  CU_ASSERT_TRUE_FATAL (run_until_phase (&f, BD_HTTP_HEAD));
+  c = f.server.connections;
+  crossing_fd = fd;
+  crossing_text = "Host: h\r\n\r\n";
+  bd_http_connection_check (c, c->deadline_ms);
+  CU_ASSERT_EQUAL (crossing_fd, -1);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "\"status\":408}\n"));
+  CU_ASSERT_TRUE (run_until_freed (&f));
+  CU_ASSERT_EQUAL (f.request_count, 0);
+  close (fd);
+  finish (&f);
+}
+
+/* The event loop was busy: a whole request waits in the socket when the idle
+   time is over.  */
+static void
+check_waiting_request (uint32_t idle_timeout_ms)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = keep_connection (&f);
+  send_text (fd, request_text);
+  pass_idle_time (&f, idle_timeout_ms);
+  CU_ASSERT_TRUE (run_until_requests (&f, 2));
+  if (f.request_count == 2)
+    {
+      bd_http_respond_text (f.exchange, 200, "text/plain", "second");
+      CU_ASSERT_TRUE (receive_text (&f, fd, "second"));
+    }
+  close (fd);
+  finish (&f);
+}
+
+static void
+test_waiting_request_is_served (void)
+{
+  check_waiting_request (LONG_MS);
+  check_waiting_request (TINY_MS);
+}
+
+/* The same at a stop.  */
+static void
+test_waiting_request_outlasts_close_idle (void)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = keep_connection (&f);
+  send_text (fd, request_text);
+  bd_http_server_close_idle (&f.server);
+  CU_ASSERT_TRUE (run_until_requests (&f, 2));
+  bd_http_respond_text (f.exchange, 200, "text/plain", "second");
+  CU_ASSERT_TRUE (receive_text (&f, fd, "second"));
+  close (fd);
+  finish (&f);
+}
+
+/* A response that began before a stop does not tell the caller of it.  */
+static void
+test_connection_idle_after_close_idle (void)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  bd_http_stream_begin (f.exchange, 200, NULL);
+  bd_http_stream_write (f.exchange, "begun", 5);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "begun"));
+  bd_http_server_close_idle (&f.server);
+  bd_http_stream_write (f.exchange, "ended", 5);
+  bd_http_stream_end (f.exchange, true);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "ended"));
+  CU_ASSERT_TRUE (run_until_closed (&f, fd));
+  CU_ASSERT_EQUAL (f.disconnect_count, 0);
+  close (fd);
+  finish (&f);
+}
+
+/* A connection on which nothing was ever sent.  */
+static void
+test_unused_connection_is_closed (void)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = connect_caller ();
+  CU_ASSERT_TRUE_FATAL (run_until_phase (&f, BD_HTTP_FIRST_HEAD));
+  bd_http_server_close_idle (&f.server);
+  CU_ASSERT_TRUE (run_until_closed (&f, fd));
+  close (fd);
+  finish (&f);
+}
+
+static const struct bd_http_header_field close_headers[]
+    = { { "Connection", "close" }, { NULL, NULL } };
+
+/* A second request follows the first one at once, whose response closes the
+   connection.  */
+static void
+test_pipelined_behind_close (void)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = connect_caller ();
+  send_text (fd, request_text);
+  send_text (fd, request_text);
+  CU_ASSERT_TRUE_FATAL (run_until_requests (&f, 1));
+  bd_http_respond (f.exchange, 200, close_headers, "whole", 5);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "whole"));
+  CU_ASSERT_TRUE (run_until_closed (&f, fd));
+  CU_ASSERT_EQUAL (f.request_count, 1);
+  close (fd);
+  finish (&f);
+}
+
+static void
+test_pipelined_behind_stream (void)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  bd_http_stream_begin (f.exchange, 200, NULL);
+  bd_http_stream_write (f.exchange, "begun", 5);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "begun"));
+  send_text (fd, request_text);
+  for (uint32_t i = 0; i < 3; i++)
+    tevent_loop_once (f.events);
+  CU_ASSERT_EQUAL (f.request_count, 1);
+  bd_http_stream_write (f.exchange, "ended", 5);
+  bd_http_stream_end (f.exchange, true);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "ended"));
+  CU_ASSERT_TRUE (run_until_requests (&f, 2));
+  bd_http_respond_text (f.exchange, 200, "text/plain", "second");
+  CU_ASSERT_TRUE (receive_text (&f, fd, "second"));
+  close (fd);
+  finish (&f);
+}
+
+/* A caller above the limit of open connections waits until one is closed.  */
+static void
+test_caller_above_limit (void)
+{
+  struct fixture f;
+  int fds[MAX_CONNECTIONS];
+  int fd;
+
+  start (&f, LONG_MS);
+  for (uint32_t i = 0; i < MAX_CONNECTIONS; i++)
+    fds[i] = keep_connection (&f);
+  fd = connect_caller ();
+  send_text (fd, request_text);
+  for (uint32_t i = 0; i < 10; i++)
+    tevent_loop_once (f.events);
+  CU_ASSERT_EQUAL (f.request_count, MAX_CONNECTIONS);
+  close (fds[0]);
+  CU_ASSERT_TRUE (run_until_requests (&f, MAX_CONNECTIONS + 1));
+  if (f.request_count > MAX_CONNECTIONS)
+    {
+      bd_http_respond_text (f.exchange, 200, "text/plain", "above");
+      CU_ASSERT_TRUE (receive_text (&f, fd, "above"));
+    }
+  for (uint32_t i = 1; i < MAX_CONNECTIONS; i++)
+    close (fds[i]);
+  close (fd);
+  finish (&f);
+}
+
+/* Reads until the end of the connection.  Returns the number of bytes.  */
+static size_t
+count_bytes (int fd, size_t max_bytes)
+{
+  static char block[64 * 1024];
+  size_t received = 0;
+  ssize_t count;
+
+  while (received < max_bytes
+         && (count = recv (fd, block, sizeof block, 0)) > 0)
+    received += (size_t)count;
+  return received;
+}
+
+/* The server ends directly after a response.  */
+static void
+test_finish_sends_responses (void)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  bd_http_respond_text (f.exchange, 200, "text/plain", "whole");
+  finish (&f);
+  CU_ASSERT_TRUE (count_bytes (fd, 4096) > 0);
+  close (fd);
+}
+
 int
 main (void)
 {
-  static const struct unit_test tests[]
-      = { { "check before a response is written",
-            test_check_before_response_is_written },
-          { "check before a stream is written",
-            test_check_before_stream_is_written },
-          { "an unread response ends", test_unread_response_ends },
-          { "a slowly read response lasts", test_slowly_read_response_lasts },
-          { "a body keeps its idle time-out",
-            test_body_keeps_its_idle_timeout },
-          { "a response keeps its idle time-out",
-            test_response_keeps_its_idle_timeout } };
+  static const struct unit_test tests[] = {
+    { "check before a response is written",
+      test_check_before_response_is_written },
+    { "check before a stream is written",
+      test_check_before_stream_is_written },
+    { "an unread response ends", test_unread_response_ends },
+    { "a slowly read response lasts", test_slowly_read_response_lasts },
+    { "a body keeps its idle time-out", test_body_keeps_its_idle_timeout },
+    { "a response keeps its idle time-out",
+      test_response_keeps_its_idle_timeout },
+    { "a request crosses an idle time-out",
+      test_request_crosses_idle_timeout },
+    { "a request crosses a close of idle connections",
+      test_request_crosses_close_idle },
+    { "a request crosses its 408", test_request_crosses_408 },
+    { "a request that waits at the idle time-out is served",
+      test_waiting_request_is_served },
+    { "a request that waits at a close of idle connections is served",
+      test_waiting_request_outlasts_close_idle },
+    { "a connection that becomes idle after a stop is closed",
+      test_connection_idle_after_close_idle },
+    { "an unused connection is closed at a stop",
+      test_unused_connection_is_closed },
+    { "pipelined behind a response that closes", test_pipelined_behind_close },
+    { "pipelined behind a stream", test_pipelined_behind_stream },
+    { "a caller above the limit of connections", test_caller_above_limit },
+    { "the end of a server sends responses", test_finish_sends_responses }
+  };
 
   return UNIT_RUN ("connection", tests);
 }
