http: a request that waits in the socket is read before a time-out counts

What callers saw: 408 for a whole request, or the end of the connection without a response, when the event loop of the daemon was busy or the process was stopped for a while: timers run before sockets are read.

A request that had waited unread for a whole idle time-out did not even count as begun.

--- a/src/http/connection.c
+++ b/src/http/connection.c
@@ -204,13 +204,18 @@
   shutdown (c->fd, SHUT_RDWR);
 }
 
-void
-bd_http_connection_close_idle (struct bd_http_connection *c)
+static bool
+has_unread_bytes (const struct bd_http_connection *c)
 {
   char byte;
 
-  if (c->phase == BD_HTTP_IDLE
-      && recv (c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0)
+  return recv (c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+void
+bd_http_connection_close_idle (struct bd_http_connection *c)
+{
+  if (c->phase == BD_HTTP_IDLE && !has_unread_bytes (c))
     end_connection (c);
 }
 
@@ -219,13 +224,23 @@
 {
   if (now_ms < c->deadline_ms)
     return;
-  if (c->phase == BD_HTTP_RESPONSE && !is_response_stuck (c, now_ms))
-    return;
-  if (c->phase != BD_HTTP_RESPONSE && c->phase != BD_HTTP_ENDING
-      && has_begun_request (c, now_ms))
+  if (c->phase == BD_HTTP_RESPONSE)
+    {
+      if (is_response_stuck (c, now_ms))
+        end_connection (c);
+      return;
+    }
+  if (c->phase == BD_HTTP_ENDING)
     {
-      send_timeout_response (c, now_ms);
+      end_connection (c);
       return;
     }
-  end_connection (c);
+  /* They may complete the request; the next check comes after they have been
+     read.  */
+  if (has_unread_bytes (c))
+    return;
+  if (has_begun_request (c, now_ms))
+    send_timeout_response (c, now_ms);
+  else
+    end_connection (c);
 }
