http: at a stop, unused connections and later idle ones are closed too

What callers saw: a connection that a stopping daemon had not told of its stop: one on which no request had been sent yet, or whose response had begun before the stop. A request on it near the end of the daemon gets no response.

Cause: bd_http_server_close_idle() looked once, at connections that had had a response.

--- a/src/http/connection.c
+++ b/src/http/connection.c
@@ -41,7 +41,11 @@
   server->sweep_timer = NULL;
   for (struct bd_http_connection *c = server->connections; c != NULL;
        c = c->next)
-    bd_http_connection_check (c, now_ms);
+    {
+      bd_http_connection_check (c, now_ms);
+      if (server->closes_idle)
+        bd_http_connection_close_idle (c);
+    }
   if (server->connections != NULL)
     server->sweep_timer = bd_timer_add (server->events, server->events,
                                         SWEEP_PERIOD_MS, sweep, server);
@@ -212,10 +216,18 @@
   return recv (c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+static bool
+is_idle (const struct bd_http_connection *c)
+{
+  return c->phase == BD_HTTP_IDLE
+         || (c->phase == BD_HTTP_FIRST_HEAD
+             && get_tcp_info (c).tcpi_bytes_received == 0);
+}
+
 void
 bd_http_connection_close_idle (struct bd_http_connection *c)
 {
-  if (c->phase == BD_HTTP_IDLE && !has_unread_bytes (c))
+  if (is_idle (c) && !has_unread_bytes (c))
     end_connection (c);
 }
 
--- a/src/http/http_internal.h
+++ b/src/http/http_internal.h
@@ -57,8 +57,8 @@
 void bd_http_connection_received (struct bd_http_connection *connection,
                                   size_t size);
 
-/* bd_http_connection_close_idle(): closes the connection if it is idle and
-   nothing has arrived on it.  */
+/* bd_http_connection_close_idle(): closes the connection if it is idle or
+   new and nothing has arrived on it.  */
 void bd_http_connection_close_idle (struct bd_http_connection *connection);
 
 /* bd_http_connection_check(): sends 408 or closes the connection if its
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -467,6 +467,7 @@
 void
 bd_http_server_close_idle (struct bd_http_server *server)
 {
+  server->closes_idle = true;
   for (struct bd_http_connection *c = server->connections; c != NULL;
        c = c->next)
     bd_http_connection_close_idle (c);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -79,6 +79,7 @@
   bool is_run_due;
   uint32_t header_timeout_ms;
   uint32_t idle_timeout_ms;
+  bool closes_idle;
   uint32_t open_exchanges; /* Requests without a complete response.  */
   struct bd_http_exchange *exchanges; /* All open exchanges.  */
   struct bd_http_connection *connections;
@@ -109,7 +110,8 @@
 void bd_http_server_stop_listening (struct bd_http_server *server);
 
 /* bd_http_server_close_idle(): closes the connections on which no request has
-   begun.  A request that arrives on one of them afterwards is not handled.  */
+   begun, and from now on those whose response is complete.  A request that
+   arrives on one of them afterwards is not handled.  */
 void bd_http_server_close_idle (struct bd_http_server *server);
 
 /* bd_http_server_finish(): closes all connections and stops the server.  */
