http: a server at its limit of connections accepts again after a close

What callers saw: a new connection to a daemon at its limit of connections got no response, also after other connections had closed, until something else happened on the server.

Cause: at the limit, libmicrohttpd takes its listening socket out of its epoll set and puts it back only at the start of a run. Connections are freed at the end of a run, after which nothing called for another one.

Change: a run follows each close of a connection.

--- a/src/http/server.c
+++ b/src/http/server.c
@@ -386,10 +386,14 @@
         ctx,
         MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
             ->connect_fd);
-  else if (*socket_context != NULL)
+  else
     {
-      bd_http_connection_close (*socket_context);
+      if (*socket_context != NULL)
+        bd_http_connection_close (*socket_context);
       *socket_context = NULL;
+      /* At the limit of connections, libmicrohttpd watches its listening
+         socket again only in a run after this one.  */
+      schedule_immediate_run (ctx);
     }
 }
 
@@ -485,8 +489,8 @@
       resume (x);
     }
   TALLOC_FREE (server->fd);
-  TALLOC_FREE (server->timer);
   MHD_stop_daemon (server->daemon);
+  TALLOC_FREE (server->timer);
   TALLOC_FREE (server->sweep_timer);
   server->daemon = NULL;
 }
