http: a server that ends sends the whole responses that it has

What callers saw: the end of the connection instead of a response that had been given in the last turn of the event loop, as at the end of a grace period.

Cause: bd_http_server_finish() marked all exchanges as closed, and libmicrohttpd did not run again before it was stopped.

Change: exchanges whose response is whole are written as far as their sockets take it; the kernel delivers that after the close. Requests that arrive meanwhile are not handled.

--- a/src/http/connection_test.c
+++ b/src/http/connection_test.c
@@ -725,6 +725,43 @@
   close (fd);
 }
 
+/* The same with a response of which a part is in the socket.  */
+static void
+test_finish_keeps_incomplete_responses_incomplete (void)
+{
+  static char body[LARGE_BYTES];
+  struct fixture f;
+  size_t received;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  bd_http_respond (f.exchange, 200, NULL, body, sizeof body);
+  for (uint32_t i = 0; i < 10; i++)
+    tevent_loop_once (f.events);
+  finish (&f);
+  received = count_bytes (fd, 2 * sizeof body);
+  CU_ASSERT_TRUE (received > 0 && received < sizeof body);
+  close (fd);
+}
+
+static void
+test_finish_ends_streams_as_incomplete (void)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  bd_http_stream_begin (f.exchange, 200, NULL);
+  bd_http_stream_write (f.exchange, "begun", 5);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "begun"));
+  finish (&f);
+  /* The last chunk of a complete stream has 5 bytes.  */
+  CU_ASSERT_TRUE (count_bytes (fd, 4096) < 5);
+  close (fd);
+}
+
 int
 main (void)
 {
@@ -754,7 +791,11 @@
     { "pipelined behind a response that closes", test_pipelined_behind_close },
     { "pipelined behind a stream", test_pipelined_behind_stream },
     { "a caller above the limit of connections", test_caller_above_limit },
-    { "the end of a server sends responses", test_finish_sends_responses }
+    { "the end of a server sends responses", test_finish_sends_responses },
+    { "the end of a server leaves partial responses incomplete",
+      test_finish_keeps_incomplete_responses_incomplete },
+    { "the end of a server leaves streams incomplete",
+      test_finish_ends_streams_as_incomplete }
   };
 
   return UNIT_RUN ("connection", tests);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -32,7 +32,8 @@
   CONNECTION_MEMORY_BYTES = 16 * 1024,
   /* libmicrohttpd accepts ten connections in one run.  The queue of waiting
      connections is not longer than ten times this.  */
-  MAX_ACCEPT_RUNS = 500
+  MAX_ACCEPT_RUNS = 500,
+  MAX_FLUSH_RUNS = 4 /* Of the responses at the end of a server.  */
 };
 
 static void schedule_next_run (struct bd_http_server *server);
@@ -98,7 +99,7 @@
 static void
 notify_disconnected (struct bd_http_exchange *x)
 {
-  if (x->is_closed)
+  if (x->is_closed || x->server->is_finishing)
     return;
   x->is_closed = true;
   x->server->ops->disconnected (x->server->ctx, x);
@@ -274,6 +275,8 @@
   /* A request that got 408 must not run.  */
   if (x == NULL || x->peer->phase == BD_HTTP_ENDING)
     return MHD_NO;
+  if (server->is_finishing && x->state == READING)
+    return MHD_NO;
   if (x->connection == NULL)
     {
       x->connection = connection;
@@ -477,17 +480,35 @@
     bd_http_connection_close_idle (c);
 }
 
+/* Whether nothing is missing of the response.  */
+static bool
+has_whole_response (const struct bd_http_exchange *x)
+{
+  return x->state == RESPONDED
+         || (x->state == STREAMING && x->has_ended && x->is_complete);
+}
+
+/* Writes whole responses as far as their sockets take them.  */
+static void
+flush_responses (struct bd_http_server *server)
+{
+  for (uint32_t i = 0; i < MAX_FLUSH_RUNS && server->open_exchanges > 0; i++)
+    MHD_run (server->daemon);
+}
+
 void
 bd_http_server_finish (struct bd_http_server *server)
 {
   if (server->daemon == NULL)
     return;
+  server->is_finishing = true;
   /* libmicrohttpd cannot be stopped while a connection is suspended.  */
   for (struct bd_http_exchange *x = server->exchanges; x != NULL; x = x->next)
     {
-      x->is_closed = true;
+      x->is_closed = x->is_closed || !has_whole_response (x);
       resume (x);
     }
+  flush_responses (server);
   TALLOC_FREE (server->fd);
   MHD_stop_daemon (server->daemon);
   TALLOC_FREE (server->timer);
@@ -595,7 +616,8 @@
   memcpy (out, x->buffer + x->buffer_start, count);
   x->buffer_start += count;
   x->buffer_used -= count;
-  if (x->is_writer_blocked && x->buffer_used < LOW_WATER_BYTES)
+  if (x->is_writer_blocked && !x->has_ended
+      && x->buffer_used < LOW_WATER_BYTES)
     {
       x->is_writer_blocked = false;
       x->server->ops->writable (x->server->ctx, x);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -80,6 +80,7 @@
   uint32_t header_timeout_ms;
   uint32_t idle_timeout_ms;
   bool closes_idle;
+  bool is_finishing;
   uint32_t open_exchanges; /* Requests without a complete response.  */
   struct bd_http_exchange *exchanges; /* All open exchanges.  */
   struct bd_http_connection *connections;
@@ -114,7 +115,9 @@
    arrives on one of them afterwards is not handled.  */
 void bd_http_server_close_idle (struct bd_http_server *server);
 
-/* bd_http_server_finish(): closes all connections and stops the server.  */
+/* bd_http_server_finish(): writes the whole responses as far as their sockets
+   take them, closes all connections and stops the server.  Calls no callback.
+   Must not be called by one.  */
 void bd_http_server_finish (struct bd_http_server *server);
 
 /* bd_http_header(): the value of a request header, or NULL.  */
