http: failing test: a request handler that stops listening

bd_http_server_stop_listening() runs libmicrohttpd to accept the connections that wait. Called by a request handler, as the crashing endpoint of tests/fakes/site.c does, that is a run within a run, in which the connection of the handler is handled a second time. The test aborts: "MHD_stop_daemon() called while we have suspended connections".

--- a/src/http/connection_test.c
+++ b/src/http/connection_test.c
@@ -43,6 +43,7 @@
   struct bd_http_exchange *exchange; /* The last request.  */
   uint32_t request_count;
   uint32_t disconnect_count;
+  int other_fd;
 };
 
 static size_t
@@ -762,6 +763,70 @@
   close (fd);
 }
 
+/* A handler stops the server's listening while it handles a request and
+   another caller connects, and keeps the request.  */
+static void
+stop_listening_and_keep (void *ctx, struct bd_http_exchange *x)
+{
+  struct fixture *f = ctx;
+  bool is_first = f->request_count == 0;
+
+  handle_request (ctx, x);
+  if (!is_first)
+    {
+      bd_http_respond_text (x, 200, "text/plain", "other");
+      return;
+    }
+  f->other_fd = connect_caller ();
+  send_text (f->other_fd, request_text);
+  bd_http_server_stop_listening (x->server);
+}
+
+static void
+stop_listening_and_abort (void *ctx, struct bd_http_exchange *x)
+{
+  bool is_first = ((struct fixture *)ctx)->request_count == 0;
+
+  stop_listening_and_keep (ctx, x);
+  if (is_first)
+    bd_http_abort (x);
+}
+
+static const struct bd_http_server_ops keeping_ops
+    = { max_body, stop_listening_and_keep, handle_disconnect, ignore };
+static const struct bd_http_server_ops aborting_ops
+    = { max_body, stop_listening_and_abort, handle_disconnect, ignore };
+
+static void
+check_stop_in_handler (const struct bd_http_server_ops *handler_ops)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  f.server.ops = handler_ops;
+  fd = connect_caller ();
+  send_text (fd, request_text);
+  CU_ASSERT_TRUE (run_until_requests (&f, 2));
+  CU_ASSERT_TRUE (receive_text (&f, f.other_fd, "other"));
+  close (f.other_fd);
+  close (fd);
+  CU_ASSERT_TRUE (run_until_freed (&f));
+  finish (&f);
+}
+
+static void
+test_handler_stops_listening (void)
+{
+  check_stop_in_handler (&keeping_ops);
+}
+
+static void
+test_handler_stops_listening_and_aborts (void)
+{
+  check_stop_in_handler (&aborting_ops);
+}
+
 int
 main (void)
 {
@@ -795,7 +860,10 @@
     { "the end of a server leaves partial responses incomplete",
       test_finish_keeps_incomplete_responses_incomplete },
     { "the end of a server leaves streams incomplete",
-      test_finish_ends_streams_as_incomplete }
+      test_finish_ends_streams_as_incomplete },
+    { "a handler stops listening", test_handler_stops_listening },
+    { "a handler stops listening and aborts",
+      test_handler_stops_listening_and_aborts }
   };
 
   return UNIT_RUN ("connection", tests);
