--- /dev/null
+++ b/src/http/connection_test.c
@@ -0,0 +1,870 @@
+/* Tests on sockets of the time-outs of callers' connections.
+
+   The tests call bd_http_connection_check() with times of their own, so that
+   the moment of a check is certain.  */
+
+#include "base/clock.h"
+#include "base/timer.h"
+#include "http/http_internal.h"
+#include "tests/loopback.h"
+#include "tests/unit.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/syscall.h>
+#include <talloc.h>
+#include <unistd.h>
+
+enum
+{
+  SERVER_PORT = 25090,
+  MAX_CONNECTIONS = 8,
+  MAX_BODY_BYTES = 1 << 20,
+  LONG_MS = 60000,
+  SHORT_MS = 1000,
+  TINY_MS = 10,
+  /* More than the buffers of both sockets hold.  */
+  LARGE_BYTES = 32 << 20,
+  TAKEN_BYTES = 4 << 20,
+  STEP_MS = 100,
+  WAIT_MS = 5000,
+  ROUND_MS = 5
+};
+
+static const char request_text[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/* A server whose handler keeps the requests until the test responds.  */
+struct fixture
+{
+  struct tevent_context *events;
+  struct bd_http_server server;
+  struct bd_http_exchange *exchange; /* The last request.  */
+  uint32_t request_count;
+  uint32_t disconnect_count;
+  int other_fd;
+};
+
+static size_t
+max_body (void *ctx, const char *path)
+{
+  (void)ctx;
+  (void)path;
+  return MAX_BODY_BYTES;
+}
+
+static void
+handle_request (void *ctx, struct bd_http_exchange *x)
+{
+  struct fixture *f = ctx;
+
+  f->exchange = x;
+  f->request_count++;
+}
+
+static void
+handle_disconnect (void *ctx, struct bd_http_exchange *x)
+{
+  struct fixture *f = ctx;
+
+  (void)x;
+  f->exchange = NULL;
+  f->disconnect_count++;
+}
+
+static void
+ignore (void *ctx, struct bd_http_exchange *x)
+{
+  (void)ctx;
+  (void)x;
+}
+
+static const struct bd_http_server_ops ops
+    = { max_body, handle_request, handle_disconnect, ignore };
+
+static void
+keep_loop_awake (void *ctx)
+{
+  bd_timer_add (ctx, ctx, ROUND_MS, keep_loop_awake, ctx);
+}
+
+static void
+start (struct fixture *f, uint32_t idle_timeout_ms)
+{
+  memset (f, 0, sizeof *f);
+  f->events = tevent_context_init (NULL);
+  keep_loop_awake (f->events);
+  CU_ASSERT_TRUE_FATAL (bd_http_server_init (&f->server, f->events,
+                                             loopback_address (), SERVER_PORT,
+                                             MAX_CONNECTIONS, &ops, f));
+  bd_http_server_set_timeouts (&f->server, idle_timeout_ms, idle_timeout_ms);
+}
+
+static void
+finish (struct fixture *f)
+{
+  bd_http_server_finish (&f->server);
+  talloc_free (f->events);
+}
+
+static int64_t
+get_now_ms (void)
+{
+  struct bd_clock clock = bd_clock_system ();
+
+  return bd_clock_now_ms (&clock);
+}
+
+static int
+connect_caller (void)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (SERVER_PORT) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  inet_pton (AF_INET, loopback_address (), &address.sin_addr);
+  CU_ASSERT_EQUAL (connect (fd, (struct sockaddr *)&address, sizeof address),
+                   0);
+  return fd;
+}
+
+static void
+send_text (int fd, const char *text)
+{
+  CU_ASSERT_EQUAL (send (fd, text, strlen (text), MSG_NOSIGNAL),
+                   (ssize_t)strlen (text));
+}
+
+/* Runs the event loop until the handler has been called count times.  */
+static bool
+run_until_requests (struct fixture *f, uint32_t count)
+{
+  int64_t end_ms = get_now_ms () + WAIT_MS;
+
+  while (f->request_count < count && get_now_ms () < end_ms)
+    tevent_loop_once (f->events);
+  return f->request_count >= count;
+}
+
+static bool
+run_until_disconnect (struct fixture *f)
+{
+  int64_t end_ms = get_now_ms () + WAIT_MS;
+
+  while (f->disconnect_count == 0 && get_now_ms () < end_ms)
+    tevent_loop_once (f->events);
+  return f->disconnect_count > 0;
+}
+
+/* Runs the event loop until the server has freed all connections.  */
+static bool
+run_until_freed (struct fixture *f)
+{
+  int64_t end_ms = get_now_ms () + WAIT_MS;
+
+  while (f->server.connections != NULL && get_now_ms () < end_ms)
+    tevent_loop_once (f->events);
+  return f->server.connections == NULL;
+}
+
+static bool
+run_until_phase (struct fixture *f, enum bd_http_phase phase)
+{
+  int64_t end_ms = get_now_ms () + WAIT_MS;
+
+  while (
+      (f->server.connections == NULL || f->server.connections->phase != phase)
+      && get_now_ms () < end_ms)
+    tevent_loop_once (f->events);
+  return f->server.connections != NULL
+         && f->server.connections->phase == phase;
+}
+
+/* Runs the event loop until text has been received.  */
+static bool
+receive_text (struct fixture *f, int fd, const char *text)
+{
+  char received[4096];
+  size_t used = 0;
+  int64_t end_ms = get_now_ms () + WAIT_MS;
+
+  received[0] = '\0';
+  while (strstr (received, text) == NULL && get_now_ms () < end_ms)
+    {
+      ssize_t count = recv (fd, received + used, sizeof received - used - 1,
+                            MSG_DONTWAIT);
+
+      if (count == 0)
+        return false;
+      used += count > 0 ? (size_t)count : 0;
+      received[used] = '\0';
+      if (count < 0)
+        tevent_loop_once (f->events);
+    }
+  return strstr (received, text) != NULL;
+}
+
+/* A caller whose request the handler holds.  */
+static int
+begin_request (struct fixture *f)
+{
+  int fd = connect_caller ();
+
+  send_text (fd, request_text);
+  CU_ASSERT_TRUE_FATAL (run_until_requests (f, f->request_count + 1));
+  tevent_loop_once (f->events);
+  return fd;
+}
+
+/* The connection is checked between the call of bd_http_respond() and the
+   write.  */
+static void
+test_check_before_response_is_written (void)
+{
+  struct fixture f;
+  struct bd_http_connection *c;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  c = f.server.connections;
+  bd_http_connection_check (c, c->deadline_ms);
+  CU_ASSERT_NOT_EQUAL (c->phase, BD_HTTP_ENDING);
+  bd_http_respond_text (f.exchange, 200, "text/plain", "whole");
+  for (uint32_t i = 0; i <= 2 * LONG_MS / STEP_MS; i++)
+    bd_http_connection_check (c, c->since_ms + (int64_t)i * STEP_MS);
+  CU_ASSERT_NOT_EQUAL (c->phase, BD_HTTP_ENDING);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "whole"));
+  CU_ASSERT_EQUAL (f.disconnect_count, 0);
+  close (fd);
+  finish (&f);
+}
+
+/* The same within a stream that was silent for an idle time-out.  */
+static void
+test_check_before_stream_is_written (void)
+{
+  struct fixture f;
+  struct bd_http_connection *c;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  c = f.server.connections;
+  bd_http_stream_begin (f.exchange, 200, NULL);
+  bd_http_stream_write (f.exchange, "first", 5);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "first"));
+  tevent_loop_once (f.events);
+  bd_http_connection_check (c, c->since_ms + LONG_MS);
+  bd_http_connection_check (c, c->since_ms + 2 * LONG_MS);
+  CU_ASSERT_NOT_EQUAL (c->phase, BD_HTTP_ENDING);
+  bd_http_stream_write (f.exchange, "second", 6);
+  bd_http_connection_check (c, c->since_ms + 3 * LONG_MS);
+  CU_ASSERT_NOT_EQUAL (c->phase, BD_HTTP_ENDING);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "second"));
+  CU_ASSERT_EQUAL (f.disconnect_count, 0);
+  close (fd);
+  finish (&f);
+}
+
+static void
+fill_stream (struct fixture *f)
+{
+  static char block[64 * 1024];
+  int64_t end_ms = get_now_ms () + SHORT_MS;
+
+  for (size_t sent = 0; sent < LARGE_BYTES; sent += sizeof block)
+    bd_http_stream_write (f->exchange, block, sizeof block);
+  while (get_now_ms () < end_ms)
+    tevent_loop_once (f->events);
+}
+
+/* Checks the connection as the sweep does.  Returns the time after which it
+   was ended, or -1 if it lasted until limit_ms.  */
+static int64_t
+end_delay_ms (struct bd_http_connection *c, int64_t start_ms, int64_t limit_ms)
+{
+  for (int64_t after_ms = 0; after_ms <= limit_ms; after_ms += STEP_MS)
+    {
+      bd_http_connection_check (c, start_ms + after_ms);
+      if (c->phase == BD_HTTP_ENDING)
+        return after_ms;
+    }
+  return -1;
+}
+
+/* A caller that takes nothing of its response for an idle time-out loses its
+   connection, and not before.  */
+static void
+test_unread_response_ends (void)
+{
+  struct fixture f;
+  struct bd_http_connection *c;
+  int64_t after_ms;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  c = f.server.connections;
+  bd_http_stream_begin (f.exchange, 200, NULL);
+  fill_stream (&f);
+  after_ms = end_delay_ms (c, get_now_ms (), 2 * LONG_MS);
+  CU_ASSERT_TRUE (after_ms >= LONG_MS && after_ms <= LONG_MS + LONG_MS / 2);
+  CU_ASSERT_TRUE (run_until_disconnect (&f));
+  close (fd);
+  finish (&f);
+}
+
+/* The caller reads a part of the response.  */
+static void
+take_bytes (struct fixture *f, int fd)
+{
+  static char block[64 * 1024];
+  size_t taken = 0;
+
+  while (taken < TAKEN_BYTES)
+    {
+      ssize_t count = recv (fd, block, sizeof block, MSG_DONTWAIT);
+
+      CU_ASSERT_NOT_EQUAL_FATAL (count, 0);
+      taken += count > 0 ? (size_t)count : 0;
+      tevent_loop_once (f->events);
+    }
+}
+
+/* What a caller takes begins a new term.  */
+static void
+test_slowly_read_response_lasts (void)
+{
+  struct fixture f;
+  struct bd_http_connection *c;
+  int64_t start_ms;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  c = f.server.connections;
+  bd_http_stream_begin (f.exchange, 200, NULL);
+  fill_stream (&f);
+  start_ms = get_now_ms ();
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      CU_ASSERT_EQUAL (end_delay_ms (c, start_ms, LONG_MS - STEP_MS), -1);
+      start_ms += LONG_MS - STEP_MS;
+      take_bytes (&f, fd);
+    }
+  CU_ASSERT_EQUAL (f.disconnect_count, 0);
+  close (fd);
+  finish (&f);
+}
+
+/* A configuration with a lower idle time-out comes into force while a caller
+   sends a body.  */
+static void
+test_body_keeps_its_idle_timeout (void)
+{
+  struct fixture f;
+  struct bd_http_connection *c;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = connect_caller ();
+  send_text (fd, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n");
+  CU_ASSERT_TRUE_FATAL (run_until_phase (&f, BD_HTTP_BODY));
+  c = f.server.connections;
+  bd_http_server_set_timeouts (&f.server, SHORT_MS, SHORT_MS);
+  send_text (fd, "a");
+  while (c->body_bytes == 0)
+    tevent_loop_once (f.events);
+  bd_http_connection_check (c, c->since_ms + LONG_MS / 2);
+  CU_ASSERT_EQUAL (c->phase, BD_HTTP_BODY);
+  send_text (fd, "b");
+  CU_ASSERT_TRUE (run_until_requests (&f, 1));
+  close (fd);
+  finish (&f);
+}
+
+/* The same while a caller does not read its response.  */
+static void
+test_response_keeps_its_idle_timeout (void)
+{
+  struct fixture f;
+  struct bd_http_connection *c;
+  int64_t start_ms;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  c = f.server.connections;
+  bd_http_stream_begin (f.exchange, 200, NULL);
+  fill_stream (&f);
+  start_ms = get_now_ms ();
+  bd_http_server_set_timeouts (&f.server, SHORT_MS, SHORT_MS);
+  CU_ASSERT_EQUAL (end_delay_ms (c, start_ms, LONG_MS - STEP_MS), -1);
+  take_bytes (&f, fd);
+  start_ms += LONG_MS - STEP_MS;
+  CU_ASSERT_TRUE (end_delay_ms (c, start_ms, 2 * LONG_MS) >= LONG_MS);
+  close (fd);
+  finish (&f);
+}
+
+/* While it is not -1, the caller's socket on which crossing_text is sent at
+   the moment of the server's shutdown().  */
+static int crossing_fd = -1;
+static const char *crossing_text;
+
+int
+shutdown (int fd, int how)
+{
+  int caller_fd = crossing_fd;
+
+  crossing_fd = -1;
+  if (caller_fd >= 0)
+    send_text (caller_fd, crossing_text);
+  return (int)syscall (SYS_shutdown, fd, how);
+}
+
+/* A caller whose first request has been answered.  */
+static int
+keep_connection (struct fixture *f)
+{
+  int fd = begin_request (f);
+
+  bd_http_respond_text (f->exchange, 200, "text/plain", "first");
+  CU_ASSERT_TRUE (receive_text (f, fd, "first"));
+  CU_ASSERT_TRUE_FATAL (run_until_phase (f, BD_HTTP_IDLE));
+  return fd;
+}
+
+/* Runs the event loop until the server has closed the connection.  */
+static bool
+run_until_closed (struct fixture *f, int fd)
+{
+  char byte;
+  int64_t end_ms = get_now_ms () + WAIT_MS;
+
+  while (get_now_ms () < end_ms)
+    {
+      ssize_t count = recv (fd, &byte, 1, MSG_DONTWAIT);
+
+      if (count == 0 || (count < 0 && errno != EAGAIN))
+        return true;
+      tevent_loop_once (f->events);
+    }
+  return false;
+}
+
+/* Lets the connection be idle for an idle time-out.  */
+static void
+pass_idle_time (struct fixture *f, uint32_t idle_timeout_ms)
+{
+  struct bd_http_connection *c = f->server.connections;
+
+  bd_http_server_set_timeouts (&f->server, 0, idle_timeout_ms);
+  bd_http_connection_enter (c, BD_HTTP_IDLE);
+  bd_http_connection_check (c, c->deadline_ms);
+}
+
+static void
+end_by_idle_timeout (struct fixture *f)
+{
+  pass_idle_time (f, TINY_MS);
+}
+
+static void
+end_by_close_idle (struct fixture *f)
+{
+  bd_http_server_close_idle (&f->server);
+}
+
+/* A request arrives at the moment at which its idle connection is shut down:
+   no response can be sent, so it must not run.  */
+static void
+check_crossing_request (void (*end) (struct fixture *f))
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = keep_connection (&f);
+  crossing_fd = fd;
+  crossing_text = request_text;
+  end (&f);
+  CU_ASSERT_EQUAL (crossing_fd, -1);
+  CU_ASSERT_TRUE (run_until_freed (&f));
+  CU_ASSERT_EQUAL (f.request_count, 1);
+  close (fd);
+  finish (&f);
+}
+
+static void
+test_request_crosses_idle_timeout (void)
+{
+  check_crossing_request (end_by_idle_timeout);
+}
+
+static void
+test_request_crosses_close_idle (void)
+{
+  check_crossing_request (end_by_close_idle);
+}
+
+/* The rest of a request arrives after its 408.  */
+static void
+test_request_crosses_408 (void)
+{
+  struct fixture f;
+  struct bd_http_connection *c;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = connect_caller ();
+  send_text (fd, "GET /x HTTP/1.1\r\n");
+  CU_ASSERT_TRUE_FATAL (run_until_phase (&f, BD_HTTP_HEAD));
+  c = f.server.connections;
+  crossing_fd = fd;
+  crossing_text = "Host: h\r\n\r\n";
+  bd_http_connection_check (c, c->deadline_ms);
+  CU_ASSERT_EQUAL (crossing_fd, -1);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "\"status\":408}\n"));
+  CU_ASSERT_TRUE (run_until_freed (&f));
+  CU_ASSERT_EQUAL (f.request_count, 0);
+  close (fd);
+  finish (&f);
+}
+
+/* The event loop was busy: a whole request waits in the socket when the idle
+   time is over.  */
+static void
+check_waiting_request (uint32_t idle_timeout_ms)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = keep_connection (&f);
+  send_text (fd, request_text);
+  pass_idle_time (&f, idle_timeout_ms);
+  CU_ASSERT_TRUE (run_until_requests (&f, 2));
+  if (f.request_count == 2)
+    {
+      bd_http_respond_text (f.exchange, 200, "text/plain", "second");
+      CU_ASSERT_TRUE (receive_text (&f, fd, "second"));
+    }
+  close (fd);
+  finish (&f);
+}
+
+static void
+test_waiting_request_is_served (void)
+{
+  check_waiting_request (LONG_MS);
+  check_waiting_request (TINY_MS);
+}
+
+/* The same at a stop.  */
+static void
+test_waiting_request_outlasts_close_idle (void)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = keep_connection (&f);
+  send_text (fd, request_text);
+  bd_http_server_close_idle (&f.server);
+  CU_ASSERT_TRUE (run_until_requests (&f, 2));
+  bd_http_respond_text (f.exchange, 200, "text/plain", "second");
+  CU_ASSERT_TRUE (receive_text (&f, fd, "second"));
+  close (fd);
+  finish (&f);
+}
+
+/* A response that began before a stop does not tell the caller of it.  */
+static void
+test_connection_idle_after_close_idle (void)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  bd_http_stream_begin (f.exchange, 200, NULL);
+  bd_http_stream_write (f.exchange, "begun", 5);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "begun"));
+  bd_http_server_close_idle (&f.server);
+  bd_http_stream_write (f.exchange, "ended", 5);
+  bd_http_stream_end (f.exchange, true);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "ended"));
+  CU_ASSERT_TRUE (run_until_closed (&f, fd));
+  CU_ASSERT_EQUAL (f.disconnect_count, 0);
+  close (fd);
+  finish (&f);
+}
+
+/* A connection on which nothing was ever sent.  */
+static void
+test_unused_connection_is_closed (void)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = connect_caller ();
+  CU_ASSERT_TRUE_FATAL (run_until_phase (&f, BD_HTTP_FIRST_HEAD));
+  bd_http_server_close_idle (&f.server);
+  CU_ASSERT_TRUE (run_until_closed (&f, fd));
+  close (fd);
+  finish (&f);
+}
+
+static const struct bd_http_header_field close_headers[]
+    = { { "Connection", "close" }, { NULL, NULL } };
+
+/* A second request follows the first one at once, whose response closes the
+   connection.  */
+static void
+test_pipelined_behind_close (void)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = connect_caller ();
+  send_text (fd, request_text);
+  send_text (fd, request_text);
+  CU_ASSERT_TRUE_FATAL (run_until_requests (&f, 1));
+  bd_http_respond (f.exchange, 200, close_headers, "whole", 5);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "whole"));
+  CU_ASSERT_TRUE (run_until_closed (&f, fd));
+  CU_ASSERT_EQUAL (f.request_count, 1);
+  close (fd);
+  finish (&f);
+}
+
+static void
+test_pipelined_behind_stream (void)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  bd_http_stream_begin (f.exchange, 200, NULL);
+  bd_http_stream_write (f.exchange, "begun", 5);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "begun"));
+  send_text (fd, request_text);
+  for (uint32_t i = 0; i < 3; i++)
+    tevent_loop_once (f.events);
+  CU_ASSERT_EQUAL (f.request_count, 1);
+  bd_http_stream_write (f.exchange, "ended", 5);
+  bd_http_stream_end (f.exchange, true);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "ended"));
+  CU_ASSERT_TRUE (run_until_requests (&f, 2));
+  bd_http_respond_text (f.exchange, 200, "text/plain", "second");
+  CU_ASSERT_TRUE (receive_text (&f, fd, "second"));
+  close (fd);
+  finish (&f);
+}
+
+/* A caller above the limit of open connections waits until one is closed.  */
+static void
+test_caller_above_limit (void)
+{
+  struct fixture f;
+  int fds[MAX_CONNECTIONS];
+  int fd;
+
+  start (&f, LONG_MS);
+  for (uint32_t i = 0; i < MAX_CONNECTIONS; i++)
+    fds[i] = keep_connection (&f);
+  fd = connect_caller ();
+  send_text (fd, request_text);
+  for (uint32_t i = 0; i < 10; i++)
+    tevent_loop_once (f.events);
+  CU_ASSERT_EQUAL (f.request_count, MAX_CONNECTIONS);
+  close (fds[0]);
+  CU_ASSERT_TRUE (run_until_requests (&f, MAX_CONNECTIONS + 1));
+  if (f.request_count > MAX_CONNECTIONS)
+    {
+      bd_http_respond_text (f.exchange, 200, "text/plain", "above");
+      CU_ASSERT_TRUE (receive_text (&f, fd, "above"));
+    }
+  for (uint32_t i = 1; i < MAX_CONNECTIONS; i++)
+    close (fds[i]);
+  close (fd);
+  finish (&f);
+}
+
+/* Reads until the end of the connection.  Returns the number of bytes.  */
+static size_t
+count_bytes (int fd, size_t max_bytes)
+{
+  static char block[64 * 1024];
+  size_t received = 0;
+  ssize_t count;
+
+  while (received < max_bytes
+         && (count = recv (fd, block, sizeof block, 0)) > 0)
+    received += (size_t)count;
+  return received;
+}
+
+/* The server ends directly after a response.  */
+static void
+test_finish_sends_responses (void)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  bd_http_respond_text (f.exchange, 200, "text/plain", "whole");
+  finish (&f);
+  CU_ASSERT_TRUE (count_bytes (fd, 4096) > 0);
+  close (fd);
+}
+
+/* The same with a response of which a part is in the socket.  */
+static void
+test_finish_keeps_incomplete_responses_incomplete (void)
+{
+  static char body[LARGE_BYTES];
+  struct fixture f;
+  size_t received;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  bd_http_respond (f.exchange, 200, NULL, body, sizeof body);
+  for (uint32_t i = 0; i < 10; i++)
+    tevent_loop_once (f.events);
+  finish (&f);
+  received = count_bytes (fd, 2 * sizeof body);
+  CU_ASSERT_TRUE (received > 0 && received < sizeof body);
+  close (fd);
+}
+
+static void
+test_finish_ends_streams_as_incomplete (void)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  bd_http_stream_begin (f.exchange, 200, NULL);
+  bd_http_stream_write (f.exchange, "begun", 5);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "begun"));
+  finish (&f);
+  /* The last chunk of a complete stream has 5 bytes.  */
+  CU_ASSERT_TRUE (count_bytes (fd, 4096) < 5);
+  close (fd);
+}
+
+/* A handler stops the server's listening while it handles a request and
+   another caller connects, and keeps the request.  */
+static void
+stop_listening_and_keep (void *ctx, struct bd_http_exchange *x)
+{
+  struct fixture *f = ctx;
+  bool is_first = f->request_count == 0;
+
+  handle_request (ctx, x);
+  if (!is_first)
+    {
+      bd_http_respond_text (x, 200, "text/plain", "other");
+      return;
+    }
+  f->other_fd = connect_caller ();
+  send_text (f->other_fd, request_text);
+  bd_http_server_stop_listening (x->server);
+}
+
+static void
+stop_listening_and_abort (void *ctx, struct bd_http_exchange *x)
+{
+  bool is_first = ((struct fixture *)ctx)->request_count == 0;
+
+  stop_listening_and_keep (ctx, x);
+  if (is_first)
+    bd_http_abort (x);
+}
+
+static const struct bd_http_server_ops keeping_ops
+    = { max_body, stop_listening_and_keep, handle_disconnect, ignore };
+static const struct bd_http_server_ops aborting_ops
+    = { max_body, stop_listening_and_abort, handle_disconnect, ignore };
+
+static void
+check_stop_in_handler (const struct bd_http_server_ops *handler_ops)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  f.server.ops = handler_ops;
+  fd = connect_caller ();
+  send_text (fd, request_text);
+  CU_ASSERT_TRUE (run_until_requests (&f, 2));
+  CU_ASSERT_TRUE (receive_text (&f, f.other_fd, "other"));
+  close (f.other_fd);
+  close (fd);
+  CU_ASSERT_TRUE (run_until_freed (&f));
+  finish (&f);
+}
+
+static void
+test_handler_stops_listening (void)
+{
+  check_stop_in_handler (&keeping_ops);
+}
+
+static void
+test_handler_stops_listening_and_aborts (void)
+{
+  check_stop_in_handler (&aborting_ops);
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[] = {
+    { "check before a response is written",
+      test_check_before_response_is_written },
+    { "check before a stream is written",
+      test_check_before_stream_is_written },
+    { "an unread response ends", test_unread_response_ends },
+    { "a slowly read response lasts", test_slowly_read_response_lasts },
+    { "a body keeps its idle time-out", test_body_keeps_its_idle_timeout },
+    { "a response keeps its idle time-out",
+      test_response_keeps_its_idle_timeout },
+    { "a request crosses an idle time-out",
+      test_request_crosses_idle_timeout },
+    { "a request crosses a close of idle connections",
+      test_request_crosses_close_idle },
+    { "a request crosses its 408", test_request_crosses_408 },
+    { "a request that waits at the idle time-out is served",
+      test_waiting_request_is_served },
+    { "a request that waits at a close of idle connections is served",
+      test_waiting_request_outlasts_close_idle },
+    { "a connection that becomes idle after a stop is closed",
+      test_connection_idle_after_close_idle },
+    { "an unused connection is closed at a stop",
+      test_unused_connection_is_closed },
+    { "pipelined behind a response that closes", test_pipelined_behind_close },
+    { "pipelined behind a stream", test_pipelined_behind_stream },
+    { "a caller above the limit of connections", test_caller_above_limit },
+    { "the end of a server sends responses", test_finish_sends_responses },
+    { "the end of a server leaves partial responses incomplete",
+      test_finish_keeps_incomplete_responses_incomplete },
+    { "the end of a server leaves streams incomplete",
+      test_finish_ends_streams_as_incomplete },
+    { "a handler stops listening", test_handler_stops_listening },
+    { "a handler stops listening and aborts",
+      test_handler_stops_listening_and_aborts }
+  };
+
+  return UNIT_RUN ("connection", tests);
+}
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -32,10 +32,30 @@
   CONNECTION_MEMORY_BYTES = 16 * 1024,
   /* libmicrohttpd accepts ten connections in one run.  The queue of waiting
      connections is not longer than ten times this.  */
-  MAX_ACCEPT_RUNS = 500
+  MAX_ACCEPT_RUNS = 500,
+  MAX_FLUSH_RUNS = 4 /* Of the responses at the end of a server.  */
 };
 
 static void schedule_next_run (struct bd_http_server *server);
+static void stop_listening (struct bd_http_server *server);
+
+/* Runs libmicrohttpd, which must not be entered again by its callbacks.  */
+static void
+run (struct bd_http_server *server)
+{
+  server->is_running = true;
+  MHD_run (server->daemon);
+  server->is_running = false;
+}
+
+static void
+run_and_schedule (struct bd_http_server *server)
+{
+  run (server);
+  if (server->has_to_stop_listening)
+    stop_listening (server);
+  schedule_next_run (server);
+}
 
 static void
 handle_timer (void *private_data)
@@ -44,8 +64,7 @@
 
   server->timer = NULL;
   server->is_run_due = false;
-  MHD_run (server->daemon);
-  schedule_next_run (server);
+  run_and_schedule (server);
 }
 
 static void
@@ -89,8 +108,7 @@
   (void)events;
   (void)fd;
   (void)flags;
-  MHD_run (server->daemon);
-  schedule_next_run (server);
+  run_and_schedule (server);
 }
 
 static void resume (struct bd_http_exchange *x);
@@ -98,7 +116,7 @@
 static void
 notify_disconnected (struct bd_http_exchange *x)
 {
-  if (x->is_closed)
+  if (x->is_closed || x->server->is_finishing)
     return;
   x->is_closed = true;
   x->server->ops->disconnected (x->server->ctx, x);
@@ -274,6 +292,8 @@
   /* A request that got 408 must not run.  */
   if (x == NULL || x->peer->phase == BD_HTTP_ENDING)
     return MHD_NO;
+  if (server->is_finishing && x->state == READING)
+    return MHD_NO;
   if (x->connection == NULL)
     {
       x->connection = connection;
@@ -386,10 +406,14 @@
         ctx,
         MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
             ->connect_fd);
-  else if (*socket_context != NULL)
+  else
     {
-      bd_http_connection_close (*socket_context);
+      if (*socket_context != NULL)
+        bd_http_connection_close (*socket_context);
       *socket_context = NULL;
+      /* At the limit of connections, libmicrohttpd watches its listening
+         socket again only in a run after this one.  */
+      schedule_immediate_run (ctx);
     }
 }
 
@@ -449,14 +473,15 @@
   struct pollfd listening = { .fd = info->listen_fd, .events = POLLIN };
 
   for (uint32_t i = 0; i < MAX_ACCEPT_RUNS && poll (&listening, 1, 0) > 0; i++)
-    MHD_run (server->daemon);
+    run (server);
 }
 
-void
-bd_http_server_stop_listening (struct bd_http_server *server)
+static void
+stop_listening (struct bd_http_server *server)
 {
   int fd;
 
+  server->has_to_stop_listening = false;
   accept_waiting_connections (server);
   fd = MHD_quiesce_daemon (server->daemon);
   if (fd >= 0)
@@ -464,28 +489,58 @@
   schedule_immediate_run (server);
 }
 
+void
+bd_http_server_stop_listening (struct bd_http_server *server)
+{
+  if (server->daemon == NULL)
+    return;
+  if (server->is_running)
+    server->has_to_stop_listening = true;
+  else
+    stop_listening (server);
+}
+
 void
 bd_http_server_close_idle (struct bd_http_server *server)
 {
+  server->closes_idle = true;
   for (struct bd_http_connection *c = server->connections; c != NULL;
        c = c->next)
     bd_http_connection_close_idle (c);
 }
 
+/* Whether nothing is missing of the response.  */
+static bool
+has_whole_response (const struct bd_http_exchange *x)
+{
+  return x->state == RESPONDED
+         || (x->state == STREAMING && x->has_ended && x->is_complete);
+}
+
+/* Writes whole responses as far as their sockets take them.  */
+static void
+flush_responses (struct bd_http_server *server)
+{
+  for (uint32_t i = 0; i < MAX_FLUSH_RUNS && server->open_exchanges > 0; i++)
+    run (server);
+}
+
 void
 bd_http_server_finish (struct bd_http_server *server)
 {
   if (server->daemon == NULL)
     return;
+  server->is_finishing = true;
   /* libmicrohttpd cannot be stopped while a connection is suspended.  */
   for (struct bd_http_exchange *x = server->exchanges; x != NULL; x = x->next)
     {
-      x->is_closed = true;
+      x->is_closed = x->is_closed || !has_whole_response (x);
       resume (x);
     }
+  flush_responses (server);
   TALLOC_FREE (server->fd);
-  TALLOC_FREE (server->timer);
   MHD_stop_daemon (server->daemon);
+  TALLOC_FREE (server->timer);
   TALLOC_FREE (server->sweep_timer);
   server->daemon = NULL;
 }
@@ -590,7 +645,8 @@
   memcpy (out, x->buffer + x->buffer_start, count);
   x->buffer_start += count;
   x->buffer_used -= count;
-  if (x->is_writer_blocked && x->buffer_used < LOW_WATER_BYTES)
+  if (x->is_writer_blocked && !x->has_ended
+      && x->buffer_used < LOW_WATER_BYTES)
     {
       x->is_writer_blocked = false;
       x->server->ops->writable (x->server->ctx, x);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -79,6 +79,10 @@
   bool is_run_due;
   uint32_t header_timeout_ms;
   uint32_t idle_timeout_ms;
+  bool closes_idle;
+  bool is_finishing;
+  bool is_running; /* libmicrohttpd runs.  */
+  bool has_to_stop_listening;
   uint32_t open_exchanges; /* Requests without a complete response.  */
   struct bd_http_exchange *exchanges; /* All open exchanges.  */
   struct bd_http_connection *connections;
@@ -105,14 +109,18 @@
                                   uint32_t idle_timeout_ms);
 
 /* bd_http_server_stop_listening(): accepts the connections that wait, and then
-   no more.  May call the request handler.  */
+   no more.  May call the request handler.  If it is called by a callback of
+   the server, this happens after libmicrohttpd has returned.  */
 void bd_http_server_stop_listening (struct bd_http_server *server);
 
 /* bd_http_server_close_idle(): closes the connections on which no request has
-   begun.  A request that arrives on one of them afterwards is not handled.  */
+   begun, and from now on those whose response is complete.  A request that
+   arrives on one of them afterwards is not handled.  */
 void bd_http_server_close_idle (struct bd_http_server *server);
 
-/* bd_http_server_finish(): closes all connections and stops the server.  */
+/* bd_http_server_finish(): writes the whole responses as far as their sockets
+   take them, closes all connections and stops the server.  Calls no callback.
+   Must not be called by one.  */
 void bd_http_server_finish (struct bd_http_server *server);
 
 /* bd_http_header(): the value of a request header, or NULL.  */
