--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -48,12 +48,25 @@
   json_decref (body);
 }
 
+/* Puts raw_value in the place of each SITE_RAW.  */
+static GString *
+make_store_body (const struct site *site, const json_t *body)
+{
+  char *text = json_dumps (body, JSON_COMPACT);
+  GString *out = g_string_new (text);
+
+  if (site->raw_value != NULL)
+    g_string_replace (out, "\"" SITE_RAW "\"", site->raw_value, 0);
+  free (text);
+  return out;
+}
+
 /* The store states its era in every response.  */
 static void
 respond_from_store (struct site *site, struct bd_http_exchange *x,
                     uint32_t status, json_t *body)
 {
-  char *text = json_dumps (body, JSON_COMPACT);
+  GString *text = make_store_body (site, body);
   char era[32];
   struct bd_http_header_field headers[]
       = { { "Content-Type", "application/json" },
@@ -61,8 +74,8 @@
           { NULL, NULL } };
 
   snprintf (era, sizeof era, "%lld", (long long)site->era);
-  bd_http_respond (x, status, headers, text, strlen (text));
-  free (text);
+  bd_http_respond (x, status, headers, text->str, text->len);
+  g_string_free (text, TRUE);
   json_decref (body);
 }
 
@@ -158,18 +171,42 @@
   json_decref (object);
 }
 
-static void
-list_kind (struct site *site, struct bd_http_exchange *x, const char *kind)
+static int
+compare_names (const void *a, const void *b)
 {
-  json_t *items = json_array ();
+  return strcmp (*(const char *const *)a, *(const char *const *)b);
+}
+
+/* Names of the kind that follow a name, in order.  */
+static GPtrArray *
+names_after (struct site *site, const char *kind, const char *after)
+{
+  GPtrArray *names = g_ptr_array_new ();
   const char *name;
   json_t *object;
 
   json_object_foreach (objects_of_kind (site, kind), name, object)
-    json_array_append (items, object);
+    if (after == NULL || strcmp (name, after) > 0)
+      g_ptr_array_add (names, (void *)name);
+  g_ptr_array_sort (names, compare_names);
+  return names;
+}
+
+static void
+list_kind (struct site *site, struct bd_http_exchange *x, const char *kind)
+{
+  json_t *items = json_array ();
+  GPtrArray *names = names_after (site, kind, bd_http_query (x, "After"));
+  bool has_more = site->page_items > 0 && names->len > site->page_items;
+  guint count = has_more ? site->page_items : names->len;
+
+  for (guint i = 0; i < count; i++)
+    json_array_append (items, json_object_get (objects_of_kind (site, kind),
+                                               g_ptr_array_index (names, i)));
+  g_ptr_array_free (names, TRUE);
   respond_from_store (site, x, 200,
-                      json_pack ("{s:o,s:b,s:I}", "Items", items, "HasMore", 0,
-                                 "At", (json_int_t)site->revision));
+                      json_pack ("{s:o,s:b,s:I}", "Items", items, "HasMore",
+                                 has_more, "At", (json_int_t)site->revision));
 }
 
 static void
@@ -953,6 +990,12 @@
       1, "usual", "prompt", 100, "answer", 12);
 }
 
+void
+site_put (struct site *site, const char *kind, const char *name, json_t *spec)
+{
+  put_object (site, kind, name, spec);
+}
+
 void
 site_publish (struct site *site)
 {
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -27,6 +27,9 @@
   SITE_RESTART_MS = 200
 };
 
+/* A value of an object for which the store responds with other bytes.  */
+#define SITE_RAW "(raw)"
+
 enum store_mode
 {
   STORE_HEALTHY,
@@ -104,6 +107,10 @@
   int64_t revision;
   int64_t era;                /* Rises with each site_restore_store().  */
   int64_t compacted_revision; /* Watches from before it get 410.  */
+  /* Bytes that take the place of each string SITE_RAW in the store's
+     responses; NULL for none.  */
+  const char *raw_value;
+  uint32_t page_items; /* Of the store's lists; 0 for no limit.  */
   GPtrArray *watches;
   struct site_worker workers[SITE_MAX_WORKERS];
   uint32_t worker_count;
@@ -174,6 +181,11 @@
 struct bd_edge_settings site_settings (const struct site *site,
                                        const char *name, uint32_t port);
 
+/* site_put(): writes an object to the store, as another writer does.  The
+   reference to spec is taken over.  */
+void site_put (struct site *site, const char *kind, const char *name,
+               json_t *spec);
+
 /* site_publish(): writes the configuration with a higher version.  */
 void site_publish (struct site *site);
 
