edge: an odd value in the store costs its object alone

What callers saw: beside an entry of another writer with a value that JSON decoders refuse, daemons followed neither the list nor the configuration; 4 s after it was written none of 20 requests was served, and it stayed so as long as the entry was there.

Cause: load_body() decoded the whole reply at once, and jansson refuses a text for one value. The reply then counted as no reply: the call was sent again, the circuit breaker opened, and all other calls to the store waited for it. In pages, an odd last object also ended the list early or repeated a page. Ruled out, for the code with the change: a crash; the sanitizers find none in edge_odd_entries_test and base_test.

Change: bd_json_load() splits what the library refuses into its members and elements, down to 12 levels, and decodes them one by one; what can't be decoded becomes null and marks what is around it. Considered: a pass that replaces refused values in the text, which has to know the grammar of numbers and strings again; skipping elements, which loses their names, so that deletions and pages go wrong. An entry with such a value names no endpoint; in a configuration only the field is missing. Entries that name no endpoint are logged once for each set and counted. A reply that can't be decoded at all is an error of its own (BD_ERR_UNREADABLE), logged and counted, and leaves the breaker closed. An entry that becomes invalid takes the endpoint out when the watch reports it, not only with the next list.

Of its new tests, "entry became invalid" fails without that part of the change. The comparison of the revision became a range between the call and the reply, since the daemon under test writes to the store meanwhile.

--- a/src/base/base_test.c
+++ b/src/base/base_test.c
@@ -6,6 +6,7 @@
 #include "base/counters.h"
 #include "base/error.h"
 #include "base/ids.h"
+#include "base/json.h"
 
 #include <string.h>
 #include <talloc.h>
@@ -83,11 +84,126 @@
   CU_ASSERT_EQUAL (bd_clock_calendar_ms (&clock), 7005);
 }
 
+static json_t *
+load (const char *text, size_t size, bool *is_first_damaged)
+{
+  struct bd_json json;
+  json_t *value = NULL;
+
+  *is_first_damaged = false;
+  if (bd_json_load (&json, text, size))
+    {
+      *is_first_damaged
+          = bd_json_is_damaged (&json, json_array_get (json.value, 0));
+      value = json_incref (json.value);
+    }
+  bd_json_finish (&json);
+  return value;
+}
+
+static void
+test_json_keeps_what_is_beside_a_refused_value (void)
+{
+  static const struct
+  {
+    const char *text;
+    const char *loaded; /* NULL for none.  */
+    bool is_first_damaged;
+  } cases[] = {
+    { "[{\"a\":1},{\"b\":2}]", "[{\"a\":1},{\"b\":2}]", false },
+    { "[{\"a\":1e999},{\"b\":2}]", "[{\"a\":null},{\"b\":2}]", true },
+    { " [ {\"a\" : NaN , \"c\":[1]} ,2] ", "[{\"a\":null,\"c\":[1]},2]",
+      true },
+    { "[1,{\"b\":[1,,2]}]", "[1,{\"b\":[1,null,2]}]", false },
+    { "[{\"a\":\"}]\\\"\",\"b\":x},2]", "[{\"a\":\"}]\\\"\",\"b\":null},2]",
+      true },
+    { "[{\"a\":1,},2]", "[{\"a\":1},2]", true },
+    { "[{\"a\":{\"b\" 1},\"c\":3}]", "[{\"a\":{},\"c\":3}]", true },
+    { "[{\"a\":NaN,\"a\":1},2]", "[{\"a\":1},2]", true },
+    { "[\"\xff\",2]", "[\"\xef\xbf\xbd\",2]", true },
+    { "[[[[[[[[[[[[[[x,1]]]]]]]]]]]]],2]", "[[[[[[[[[[[[null]]]]]]]]]]],2]",
+      true },
+    { "[1,[}]", "[1,null]", false },
+    { "[1,2", NULL, false },
+    { "[1,{]", NULL, false },
+    { "[1e999] 2", NULL, false },
+    { "", NULL, false },
+    { " ", NULL, false },
+    { "\"", NULL, false },
+    { "\"\\", NULL, false },
+    { "[\"", NULL, false },
+    { "}", NULL, false },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      bool is_first_damaged;
+      json_t *value
+          = load (cases[i].text, strlen (cases[i].text), &is_first_damaged);
+      json_t *expected = cases[i].loaded != NULL
+                             ? json_loads (cases[i].loaded, 0, NULL)
+                             : NULL;
+
+      CU_ASSERT_EQUAL (value != NULL, cases[i].loaded != NULL);
+      CU_ASSERT_TRUE (value == NULL || json_equal (value, expected));
+      CU_ASSERT_EQUAL (is_first_damaged, cases[i].is_first_damaged);
+      json_decref (value);
+      json_decref (expected);
+    }
+}
+
+/* Any bytes in one element, as long as brackets and quotes match, leave the
+   others as they are; any bytes at all are taken or refused.  */
+static void
+test_json_takes_any_bytes (void)
+{
+  enum
+  {
+    ROUNDS = 20000,
+    MAX_BYTES = 40
+  };
+  static const char others[] = "{\"a\":[1,\"x\"]}";
+  static const char structure[] = "[]{}\",:\\ 1e";
+  gsl_rng *rng = gsl_rng_alloc (gsl_rng_mt19937);
+  json_t *other = json_loads (others, 0, NULL);
+
+  gsl_rng_set (rng, 33);
+  for (uint32_t round = 0; round < ROUNDS; round++)
+    {
+      bool is_plain = round % 2 == 0;
+      bool is_first_damaged;
+      GString *text = g_string_new ("[");
+      json_t *value;
+
+      for (unsigned long n = gsl_rng_uniform_int (rng, MAX_BYTES); n > 0; n--)
+        {
+          char c = (char)gsl_rng_uniform_int (rng, 256);
+
+          if (is_plain && strchr (structure, c) != NULL)
+            continue;
+          if (!is_plain && n % 2 == 0)
+            c = structure[gsl_rng_uniform_int (rng, sizeof structure - 1)];
+          g_string_append_c (text, c);
+        }
+      g_string_append_printf (text, ",%s]", others);
+      value = load (text->str, text->len, &is_first_damaged);
+      if (is_plain)
+        CU_ASSERT_TRUE (json_equal (json_array_get (value, 1), other));
+      json_decref (value);
+      g_string_free (text, TRUE);
+    }
+  json_decref (other);
+  gsl_rng_free (rng);
+}
+
 static const struct unit_test tests[] = {
   { "every error has a response", test_every_error_has_a_response },
   { "counters", test_counters_are_rendered },
   { "ids", test_ids },
   { "clock", test_clock_uses_its_ops },
+  { "JSON keeps what is beside a refused value",
+    test_json_keeps_what_is_beside_a_refused_value },
+  { "JSON takes any bytes", test_json_takes_any_bytes },
 };
 
 int
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -56,6 +56,11 @@
      "times that the store came back from an older copy")                     \
   X (PLATFORM_FAILURES, "platform_failures_total",                            \
      "object API calls without a usable answer")                              \
+  X (PLATFORM_UNREADABLE, "platform_unreadable_total",                        \
+     "object API answers that could not be decoded")                          \
+  X (OBJECTS_DAMAGED, "objects_damaged_total",                                \
+     "objects found with values that could not be decoded, or with none that" \
+     " are valid")                                                            \
   X (LOST_REPLIES_RESOLVED, "platform_lost_answers_settled_total",            \
      "writes without an answer that a read-back settled")                     \
   X (CONFIG_LOWER_REVISION, "config_lower_revision_total",                    \
--- a/src/base/error.c
+++ b/src/base/error.c
@@ -59,6 +59,8 @@
   [BD_ERR_HISTORY_GONE]
   = { "history-gone", "the changes since that revision are forgotten", 410,
       true },
+  [BD_ERR_UNREADABLE]
+  = { "unreadable", "the reply cannot be decoded", 502, true },
   [BD_ERR_STOPPING]
   = { "stopping", "this daemon is stopping; another one serves", 503, true },
   [BD_ERR_NOT_READY]
--- /dev/null
+++ b/src/base/json.c
@@ -0,0 +1,237 @@
+/* Decoding of JSON from other programs.
+
+   What the library refuses as a whole is split into its members or elements,
+   which are then decoded one by one, down to MAX_LEVELS.  The time is bounded
+   by the size of the text times MAX_LEVELS.  */
+
+#include "base/json.h"
+
+#include <stdint.h>
+#include <string.h>
+
+enum
+{
+  /* Nesting to which a text is split.  */
+  MAX_LEVELS = 12
+};
+
+struct cursor
+{
+  const char *text;
+  size_t size;
+  size_t at;
+};
+
+static json_t *load_part (struct bd_json *json, const char *text, size_t size,
+                          uint32_t levels);
+
+static bool
+is_blank (char c)
+{
+  return c == ' ' || c == '\t' || c == '\n' || c == '\r';
+}
+
+static void
+skip_blanks (struct cursor *cursor)
+{
+  while (cursor->at < cursor->size && is_blank (cursor->text[cursor->at]))
+    cursor->at++;
+}
+
+/* Skips a string, of which the opening quote is the current character.  */
+static void
+skip_string (struct cursor *cursor)
+{
+  for (cursor->at++; cursor->at < cursor->size; cursor->at++)
+    {
+      char c = cursor->text[cursor->at];
+
+      if (c == '\\')
+        cursor->at++;
+      else if (c == '"')
+        {
+          cursor->at++;
+          return;
+        }
+    }
+  cursor->at = cursor->size;
+}
+
+/* Skips a member or an element, up to the comma or the bracket after it.
+   Returns false when the text ends first.  */
+static bool
+skip_part (struct cursor *cursor)
+{
+  size_t depth = 0;
+
+  while (cursor->at < cursor->size)
+    {
+      char c = cursor->text[cursor->at];
+
+      if (c == '"')
+        {
+          skip_string (cursor);
+          continue;
+        }
+      if (depth == 0 && (c == ',' || c == '}' || c == ']'))
+        return true;
+      if (c == '{' || c == '[')
+        depth++;
+      else if (c == '}' || c == ']')
+        depth--;
+      cursor->at++;
+    }
+  return false;
+}
+
+static void
+release (gpointer value)
+{
+  json_decref (value);
+}
+
+static void
+mark_damaged (struct bd_json *json, json_t *value)
+{
+  /* The set holds references: the address of a value that is not part of the
+     result must not be given out again.  */
+  if (json->damaged == NULL)
+    json->damaged = g_hash_table_new_full (NULL, NULL, release, NULL);
+  g_hash_table_add (json->damaged, json_incref (value));
+}
+
+/* Decodes a member's or an element's value.  Returns null, and marks the
+   container, if that fails.  */
+static json_t *
+load_child (struct bd_json *json, json_t *container, const char *text,
+            size_t size, uint32_t levels)
+{
+  json_t *value = load_part (json, text, size, levels - 1);
+
+  if (value == NULL || bd_json_is_damaged (json, value))
+    mark_damaged (json, container);
+  return value != NULL ? value : json_null ();
+}
+
+static void
+add_member (struct bd_json *json, json_t *object, const char *text,
+            size_t size, uint32_t levels)
+{
+  struct cursor cursor = { .text = text, .size = size };
+  json_t *key = NULL;
+
+  skip_blanks (&cursor);
+  if (cursor.at < size && text[cursor.at] == '"')
+    {
+      skip_string (&cursor);
+      key = load_part (json, text, cursor.at, 0);
+    }
+  skip_blanks (&cursor);
+  if (key == NULL || cursor.at >= size || text[cursor.at] != ':')
+    mark_damaged (json, object);
+  else
+    json_object_set_new (object, json_string_value (key),
+                         load_child (json, object, text + cursor.at + 1,
+                                     size - cursor.at - 1, levels));
+  json_decref (key);
+}
+
+static void
+add_part (struct bd_json *json, json_t *container, const char *text,
+          size_t size, uint32_t levels)
+{
+  if (json_is_object (container))
+    add_member (json, container, text, size, levels);
+  else
+    json_array_append_new (container,
+                           load_child (json, container, text, size, levels));
+}
+
+/* Decodes the parts of an object or array one by one.  The cursor is at its
+   opening bracket.  */
+static json_t *
+load_parts (struct bd_json *json, struct cursor *cursor, uint32_t levels)
+{
+  char closing = cursor->text[cursor->at] == '{' ? '}' : ']';
+  json_t *container = closing == '}' ? json_object () : json_array ();
+
+  do
+    {
+      size_t start = ++cursor->at;
+
+      if (!skip_part (cursor))
+        break;
+      add_part (json, container, cursor->text + start, cursor->at - start,
+                levels);
+    }
+  while (cursor->text[cursor->at] == ',');
+  if (cursor->at < cursor->size && cursor->text[cursor->at] == closing)
+    {
+      cursor->at++;
+      skip_blanks (cursor);
+      if (cursor->at == cursor->size)
+        return container;
+    }
+  json_decref (container);
+  return NULL;
+}
+
+/* Decodes a string after invalid UTF-8 in it is replaced.  */
+static json_t *
+load_valid_string (struct bd_json *json, const char *text, size_t size)
+{
+  char *valid = g_utf8_make_valid (text, (gssize)size);
+  json_t *value = json_loads (valid, JSON_DECODE_ANY, NULL);
+
+  g_free (valid);
+  if (value != NULL)
+    mark_damaged (json, value);
+  return value;
+}
+
+static json_t *
+load_part (struct bd_json *json, const char *text, size_t size,
+           uint32_t levels)
+{
+  struct cursor cursor = { .text = text, .size = size };
+  json_t *value;
+
+  skip_blanks (&cursor);
+  if (cursor.at == size)
+    return NULL;
+  value = json_loadb (text, size, JSON_DECODE_ANY, NULL);
+  if (value != NULL)
+    return value;
+  switch (text[cursor.at])
+    {
+    case '"':
+      return load_valid_string (json, text, size);
+    case '{':
+    case '[':
+      return levels > 0 ? load_parts (json, &cursor, levels) : NULL;
+    default:
+      return NULL;
+    }
+}
+
+bool
+bd_json_load (struct bd_json *json, const char *text, size_t size)
+{
+  memset (json, 0, sizeof *json);
+  json->value = load_part (json, text, size, MAX_LEVELS);
+  return json->value != NULL;
+}
+
+bool
+bd_json_is_damaged (const struct bd_json *json, const json_t *value)
+{
+  return json->damaged != NULL && g_hash_table_contains (json->damaged, value);
+}
+
+void
+bd_json_finish (struct bd_json *json)
+{
+  json_decref (json->value);
+  if (json->damaged != NULL)
+    g_hash_table_destroy (json->damaged);
+}
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -223,6 +223,10 @@
   bool is_listing;
   bool is_watching_instances;
   bool is_store_unreachable;
+  bool is_config_unreadable; /* The last list of configurations was.  */
+  bool is_list_unreadable;   /* The last list of instances was.  */
+  /* Hash of the ids of the damaged entries in the last list; 0 for none.  */
+  uint64_t damaged_entries;
   /* The list has to be applied again once the fleet no longer keeps entries
      that may have expired during an outage of the store.  */
   bool is_reapply_pending;
--- a/src/edge/edge_odd_entries_test.c
+++ b/src/edge/edge_odd_entries_test.c
@@ -92,6 +92,7 @@
 {
   bool is_done;
   enum bd_error error;
+  int64_t called_revision; /* Of the store, at the call.  */
   int64_t version;
   int64_t revision;
   json_t *value;
@@ -114,7 +115,7 @@
 static struct result
 run_op (const struct bd_object_op *op)
 {
-  struct result result = { .is_done = false };
+  struct result result = { .called_revision = site.revision };
   void *api = bd_platform_make_api (site.events, &site.client,
                                     site.settings.platform_url);
 
@@ -133,6 +134,14 @@
   json_decref (result->items);
 }
 
+/* The daemon beside the test writes too.  */
+static bool
+is_revision_current (const struct result *result)
+{
+  return result->revision >= result->called_revision
+         && result->revision <= site.revision;
+}
+
 static const json_t *
 find_item (const struct result *result, const char *name)
 {
@@ -180,7 +189,7 @@
       site.raw_value = values[i];
       result = list_servers ();
       CU_ASSERT_EQUAL (result.error, BD_OK);
-      CU_ASSERT_EQUAL (result.revision, site.revision);
+      CU_ASSERT_TRUE (is_revision_current (&result));
       CU_ASSERT_TRUE (has_worker (&result, 0) && has_worker (&result, 1));
       finish_result (&result);
     }
@@ -231,7 +240,7 @@
       site.raw_value = values[i];
       result = run_op (&op);
       CU_ASSERT_EQUAL (result.error, BD_OK);
-      CU_ASSERT_EQUAL (result.revision, site.revision);
+      CU_ASSERT_TRUE (is_revision_current (&result));
       CU_ASSERT_TRUE (has_worker (&result, 0));
       CU_ASSERT_TRUE (json_is_true (json_object_get (
           find_item (&result, site.workers[1].id), "is_deleted")));
@@ -354,6 +363,72 @@
   check_callers_beside (values[value_count - 1]);
 }
 
+static uint64_t
+counted (enum bd_counter counter)
+{
+  return site.edge->counters.value[counter];
+}
+
+/* An entry that stays as it is, is one finding.  */
+static void
+test_each_read_counts_the_same_odd_entry (void)
+{
+  site_start (&site, 1, 0);
+  site.raw_value = "1e999";
+  site_put (&site, "servers", "odd", odd_entry ());
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, READY_MS));
+  site_wait (&site, APPLY_MS);
+  CU_ASSERT_EQUAL (counted (BD_COUNT_OBJECTS_DAMAGED), 1);
+  CU_ASSERT_EQUAL (counted (BD_COUNT_PLATFORM_UNREADABLE), 0);
+  CU_ASSERT_EQUAL (counted (BD_COUNT_PLATFORM_FAILURES), 0);
+  site_finish (&site);
+}
+
+/* A bracket without its counterpart leaves nothing of the list.  */
+static void
+test_unreadable_list_counts_as_store_down (void)
+{
+  site_start (&site, 2, 0);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, READY_MS));
+  site.raw_value = "[";
+  site_put (&site, "servers", "odd", odd_entry ());
+  site_wait (&site, APPLY_MS);
+  CU_ASSERT_TRUE (counted (BD_COUNT_PLATFORM_UNREADABLE) > 0);
+  CU_ASSERT_EQUAL (counted (BD_COUNT_PLATFORM_FAILURES), 0);
+  CU_ASSERT_TRUE (site.edge->is_list_unreadable);
+  CU_ASSERT_FALSE (site.edge->is_store_unreachable);
+  CU_ASSERT_EQUAL (count_served (), CALLS);
+  site.raw_value = "0";
+  site.workers[0].is_listed = false;
+  site_list_worker (&site.workers[0]);
+  site_wait (&site, APPLY_MS);
+  site.workers[0].request_count = 0;
+  CU_ASSERT_FALSE (site.edge->is_list_unreadable);
+  CU_ASSERT_EQUAL (count_served (), CALLS);
+  CU_ASSERT_EQUAL (site.workers[0].request_count, 0);
+  site_finish (&site);
+}
+
+/* Its entry is replaced by one that names no endpoint; the next list comes
+   too late to tell it.  */
+static void
+test_callers_reach_an_endpoint_whose_entry_became_invalid (void)
+{
+  json_t *entry = odd_entry ();
+
+  site_start (&site, 2, 0);
+  site.settings.bounds.config_apply_ms = READY_MS;
+  site.settings.bounds.drain_ms = READY_MS;
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, READY_MS));
+  json_object_set_new (entry, "State", json_string ("elsewhere"));
+  site_put (&site, "servers", site.workers[0].id, entry);
+  site_wait (&site, APPLY_MS / 4);
+  site.workers[0].request_count = 0;
+  CU_ASSERT_EQUAL (count_served (), CALLS);
+  CU_ASSERT_EQUAL (site.workers[0].request_count, 0);
+  site_finish (&site);
+}
+
 int
 main (void)
 {
@@ -369,6 +444,12 @@
     { "refused value hides a conflict", test_refused_value_hides_a_conflict },
     { "callers reach an endpoint that left beside an odd entry",
       test_callers_reach_an_endpoint_that_left_beside_an_odd_entry },
+    { "each read counts the same odd entry",
+      test_each_read_counts_the_same_odd_entry },
+    { "unreadable list counts as store down",
+      test_unreadable_list_counts_as_store_down },
+    { "callers reach an endpoint whose entry became invalid",
+      test_callers_reach_an_endpoint_whose_entry_became_invalid },
   };
 
   unit_silence_log ();
--- a/src/edge/sync.c
+++ b/src/edge/sync.c
@@ -94,6 +94,24 @@
           BD_NUM (now_ms - edge->instances_verified_ms), NULL);
 }
 
+/* Records whether the last list could be decoded as a whole.  */
+static void
+note_readable (bool *is_unreadable, enum bd_error error, const char *prefix)
+{
+  if (*is_unreadable == (error == BD_ERR_UNREADABLE))
+    return;
+  *is_unreadable = !*is_unreadable;
+  bd_log (*is_unreadable ? "list-unreadable" : "list-readable", "prefix",
+          prefix, NULL);
+}
+
+/* Whether the reply shows that the store does not respond.  */
+static bool
+is_unreachable (const struct bd_store_reply *reply)
+{
+  return reply->error != BD_OK && reply->error != BD_ERR_UNREADABLE;
+}
+
 void
 bd_edge_apply_config (struct bd_edge *edge, json_t *value, int64_t verified_ms)
 {
@@ -133,6 +151,22 @@
                                routes->limits.idle_timeout_ms);
 }
 
+static void
+apply_config_item (struct bd_edge *edge, const json_t *item, int64_t sent_ms)
+{
+  json_t *value = json_object_get (item, "value");
+  const json_t *version = json_object_get (item, "version");
+
+  if (json_is_true (json_object_get (item, "is_damaged"))
+      && (edge->config == NULL || !json_equal (edge->config, value)))
+    {
+      bd_count (&edge->counters, BD_COUNT_OBJECTS_DAMAGED);
+      bd_log ("config-damaged", "revision",
+              BD_NUM (json_integer_value (version)), NULL);
+    }
+  bd_edge_apply_config (edge, value, sent_ms);
+}
+
 static void
 handle_config (void *ctx, const struct bd_store_reply *reply)
 {
@@ -141,7 +175,9 @@
   size_t i;
 
   edge->is_reading_config = false;
-  set_store_unreachable (edge, reply->error != BD_OK);
+  set_store_unreachable (edge, is_unreachable (reply));
+  note_readable (&edge->is_config_unreadable, reply->error,
+                 edge->adapter->configuration_prefix);
   if (reply->error != BD_OK)
     return;
   json_array_foreach (reply->items, i, item)
@@ -149,8 +185,7 @@
       const char *key = json_string_value (json_object_get (item, "key"));
 
       if (key != NULL && strcmp (key, edge->adapter->configuration_key) == 0)
-        bd_edge_apply_config (edge, json_object_get (item, "value"),
-                              reply->sent_ms);
+        apply_config_item (edge, item, reply->sent_ms);
     }
   if (!edge->is_watching_config)
     edge->config_watch_revision = reply->revision;
@@ -279,36 +314,78 @@
   bd_edge_note_list (edge, 0);
 }
 
-static void
+/* Decodes an item of the list; false when it describes no endpoint.  */
+static bool
+read_item (const struct bd_edge *edge, const json_t *item,
+           struct bd_endpoint_entry *entry)
+{
+  return !json_is_true (json_object_get (item, "is_damaged"))
+         && edge->adapter->read_entry (
+             json_string_value (json_object_get (item, "name")),
+             json_object_get (item, "value"), entry);
+}
+
+/* Returns whether the item is valid.  An invalid one names no endpoint, so
+   that the one that had its id counts as removed, as in a list.  */
+static bool
 put_item (struct bd_edge *edge, const json_t *item, int64_t era)
 {
   const char *name = json_string_value (json_object_get (item, "name"));
   int64_t revision = json_integer_value (json_object_get (item, "version"));
+  bool is_deleted = json_is_true (json_object_get (item, "is_deleted"));
   struct bd_endpoint_entry entry;
 
   if (name == NULL)
+    return false;
+  if (!is_deleted && read_item (edge, item, &entry))
+    {
+      bd_directory_put (&edge->directory, &entry, era, revision);
+      return true;
+    }
+  bd_directory_remove (&edge->directory, name, era, revision);
+  return is_deleted;
+}
+
+/* Puts the items of a complete list.  Invalid ones are logged when they are
+   not those of the last list.  */
+static void
+put_items (struct bd_edge *edge, const struct bd_store_reply *reply)
+{
+  const char *first = "";
+  uint64_t hash = 0;
+  uint32_t count = 0;
+  const json_t *item;
+  size_t i;
+
+  json_array_foreach (reply->items, i, item)
+    {
+      const char *name = json_string_value (json_object_get (item, "name"));
+
+      if (put_item (edge, item, reply->era) || name == NULL)
+        continue;
+      first = count++ == 0 ? name : first;
+      hash += bd_hash (name, strlen (name));
+    }
+  if (hash == edge->damaged_entries)
     return;
-  if (json_is_true (json_object_get (item, "is_deleted")))
-    bd_directory_remove (&edge->directory, name, era, revision);
-  else if (edge->adapter->read_entry (name, json_object_get (item, "value"),
-                                      &entry))
-    bd_directory_put (&edge->directory, &entry, era, revision);
+  edge->damaged_entries = hash;
+  bd_count_add (&edge->counters, BD_COUNT_OBJECTS_DAMAGED, count);
+  bd_log ("entries-damaged", "count", BD_NUM (count), "first", first, NULL);
 }
 
 static void
 handle_list (void *ctx, const struct bd_store_reply *reply)
 {
   struct bd_edge *edge = ctx;
-  const json_t *item;
-  size_t i;
 
   edge->is_listing = false;
-  set_store_unreachable (edge, reply->error != BD_OK);
+  set_store_unreachable (edge, is_unreachable (reply));
+  note_readable (&edge->is_list_unreadable, reply->error,
+                 edge->adapter->instances_prefix);
   if (reply->error != BD_OK)
     return;
   bd_directory_begin_list (&edge->directory, reply->era, reply->revision);
-  json_array_foreach (reply->items, i, item)
-    put_item (edge, item, reply->era);
+  put_items (edge, reply);
   bd_directory_end_list (&edge->directory);
   edge->has_list_changed
       = bd_fleet_expire (&edge->fleet, bd_edge_now_ms (edge))
--- a/src/store/client.c
+++ b/src/store/client.c
@@ -138,9 +138,11 @@
       bd_count (p->counters, BD_COUNT_PLATFORM_FAILURES);
       bd_breaker_record_failure (&p->breaker, now_ms, p->max_backoff_ms,
                                  p->rng);
+      return;
     }
-  else
-    bd_breaker_record_success (&p->breaker);
+  if (error == BD_ERR_UNREADABLE)
+    bd_count (p->counters, BD_COUNT_PLATFORM_UNREADABLE);
+  bd_breaker_record_success (&p->breaker);
 }
 
 void
--- a/src/store/object_api.h
+++ b/src/store/object_api.h
@@ -45,7 +45,8 @@
 {
   /* BD_OK, BD_ERR_NOT_FOUND, BD_ERR_CONFLICT, BD_ERR_HISTORY_GONE (a watch
      starts before the retained history: list again), BD_ERR_RATE_LIMITED (not
-     executed) or BD_ERR_PLATFORM_DOWN (unknown whether executed).  */
+     executed), BD_ERR_UNREADABLE (executed, but the reply can't be decoded) or
+     BD_ERR_PLATFORM_DOWN (unknown whether executed).  */
   enum bd_error error;
   int64_t version;  /* Of the object read or written.  */
   int64_t revision; /* Of the store, for lists and watches.  */
@@ -54,7 +55,9 @@
   int64_t era;
   json_t *value; /* Borrowed.  */
   json_t *items; /* Borrowed; array of {key, version, value}, plus
-                    is_deleted where the platform reports deletions.  */
+                    is_deleted where the platform reports deletions, and
+                    is_damaged where parts of the value could not be decoded
+                    and are null.  */
 };
 
 typedef void bd_object_done (void *ctx, const struct bd_object_reply *reply);
