store: failing test: another writer's object ends the process

What callers saw: processes that ended by themselves, again and again, as long as the object was in the store.

The tests read back an object whose envelope has a write id, or earlier ids, that are no strings: signal 11 in strcmp().

--- a/src/store/store_test.c
+++ b/src/store/store_test.c
@@ -6,6 +6,7 @@
 #include "base/timer.h"
 #include "store/client.h"
 #include "store/instances.h"
+#include "store/term.h"
 
 #include <string.h>
 #include <talloc.h>
@@ -103,6 +104,37 @@
   json_decref (envelope);
 }
 
+static void
+test_update_reads_envelope_of_another_writer (void)
+{
+  static const char *const texts[]
+      = { "null",
+          "7",
+          "{}",
+          "{\"write_id\":7,\"recent\":[]}",
+          "{\"write_id\":null,\"recent\":{\"a\":1}}",
+          "{\"write_id\":\"other\",\"recent\":[null,7,[],{}]}",
+          "{\"write_id\":[[]],\"recent\":[[[[]]]]}" };
+
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      struct bd_update update;
+      json_t *envelope = json_loads (texts[i], JSON_DECODE_ANY, NULL);
+      json_t *next = bd_envelope_make (id, envelope, json_integer (1));
+      const json_t *entry;
+      size_t k;
+
+      json_array_foreach (json_object_get (next, "recent"), k, entry)
+        CU_ASSERT_TRUE (json_is_string (entry));
+      json_decref (next);
+      bd_update_init (&update, id, 7);
+      bd_update_handle_write (&update, BD_ERR_PLATFORM_DOWN, 0);
+      bd_update_handle_read (&update, BD_OK, 9, envelope);
+      CU_ASSERT_EQUAL (update.error, BD_ERR_CONFLICT);
+      json_decref (envelope);
+    }
+}
+
 static void
 test_update_conflict (void)
 {
@@ -286,6 +318,58 @@
   json_decref (other);
 }
 
+static void
+handle_term (void *ctx, enum bd_error error)
+{
+  struct client_result *result = ctx;
+
+  result->error = error;
+  result->is_done = true;
+}
+
+static void
+test_term_follows_a_number_that_no_daemon_wrote (void)
+{
+  static const char *const numbers[] = { "9223372036854775807",
+                                         "-9223372036854775807",
+                                         "-5",
+                                         "16777216",
+                                         "1.5",
+                                         "\"8\"",
+                                         "[]" };
+
+  for (size_t i = 0; i < sizeof numbers / sizeof numbers[0]; i++)
+    {
+      struct tevent_context *events = tevent_context_init (NULL);
+      char *text
+          = talloc_asprintf (events, "{\"data\":{\"term\":%s}}", numbers[i]);
+      json_t *envelope = json_loads (text, 0, NULL);
+      struct script script
+          = { .events = events,
+              .replies = { { .error = BD_OK, .version = 3, .value = envelope },
+                           { .error = BD_OK, .version = 4, .era = 1 } } };
+      struct bd_clock clock = bd_clock_system ();
+      struct bd_counters counters = { 0 };
+      struct client_result result = { 0 };
+      struct bd_store store;
+      struct bd_term term;
+
+      bd_store_init (&store, &script_ops, &script, events, &clock, &counters,
+                     rng, 1000, 1000);
+      bd_term_init (&term, &store, "k", "holder", handle_term, &result);
+      term.number = 4;
+      bd_term_acquire (&term, 1000);
+      while (!result.is_done)
+        tevent_loop_once (events);
+      CU_ASSERT_EQUAL (result.error, BD_OK);
+      CU_ASSERT_EQUAL (term.number, 5);
+      CU_ASSERT_TRUE (term.token < bd_term_token (2, 0));
+      bd_store_finish (&store);
+      json_decref (envelope);
+      talloc_free (events);
+    }
+}
+
 static uint32_t era_changes;
 
 static void
@@ -500,10 +584,14 @@
     test_update_finds_write_after_lost_reply },
   { "a write that took no effect is sent again",
     test_update_retries_write_without_effect },
+  { "update reads envelope of another writer",
+    test_update_reads_envelope_of_another_writer },
   { "conflict", test_update_conflict },
   { "recent write ids", test_envelope_keeps_recent_ids },
   { "instance list", test_instances },
   { "the client retries an update", test_client_retries_update },
+  { "a term follows a number that no daemon wrote",
+    test_term_follows_a_number_that_no_daemon_wrote },
   { "the client reports a conflict", test_client_reports_conflict },
   { "a reply of an earlier era", test_reply_of_an_earlier_era },
   { "an update across eras", test_update_across_eras },
