store: objects of other writers in place of a daemon's own

What callers saw: a process ended each time it read back one of its own objects (a registration, a term, a claim) that another writer had replaced.

Cause: contains_write() passed json_string_value() of whatever stood in the envelope to strcmp(), which gets NULL for anything but a string. The earlier ids were also copied into the next envelope whatever they were. The same class in bd_term: the number of the last term was taken unchecked, which overflows at the largest integer and gives out tokens of later eras above 2^24.

Change: only strings count as write ids and are copied; a term number out of range, or of another type, is passed over in favour of the daemon's own last one.

--- a/src/store/term.c
+++ b/src/store/term.c
@@ -24,6 +24,21 @@
   finish (term, reply->error);
 }
 
+/* The number of the last term.  One that no daemon can have written is passed
+   over, in favour of the last term of this daemon.  */
+static int64_t
+last_number (const struct bd_term *term, const json_t *data)
+{
+  const json_t *number = json_object_get (data, "term");
+  json_int_t value = json_integer_value (number);
+
+  if (number == NULL)
+    return 0;
+  return json_is_integer (number) && value >= 0 && value < BD_TERMS_PER_ERA - 1
+             ? value
+             : term->number;
+}
+
 static void
 handle_read (void *ctx, const struct bd_store_reply *reply)
 {
@@ -34,8 +49,7 @@
       finish (term, reply->error);
       return;
     }
-  term->number
-      = json_integer_value (json_object_get (reply->data, "term")) + 1;
+  term->number = last_number (term, reply->data) + 1;
   bd_store_update (term->store, BD_PRIORITY_GROUPS, term->key, reply->version,
                    reply->envelope,
                    json_pack ("{s:I,s:s}", "term", (json_int_t)term->number,
--- a/src/store/update.c
+++ b/src/store/update.c
@@ -54,6 +54,16 @@
     }
 }
 
+/* Whether value is this write id.  An object of another writer can have
+   anything in its place.  */
+static bool
+is_write_id (const json_t *value, const char *write_id)
+{
+  const char *text = json_string_value (value);
+
+  return text != NULL && strcmp (text, write_id) == 0;
+}
+
 static bool
 contains_write (const json_t *envelope, const char *write_id, bool *is_last)
 {
@@ -62,11 +72,11 @@
   const json_t *entry;
   size_t i;
 
-  *is_last = last != NULL && strcmp (json_string_value (last), write_id) == 0;
+  *is_last = is_write_id (last, write_id);
   if (*is_last)
     return true;
   json_array_foreach (recent, i, entry)
-    if (strcmp (json_string_value (entry), write_id) == 0)
+    if (is_write_id (entry, write_id))
       return true;
   return false;
 }
@@ -102,13 +112,14 @@
   json_t *entry;
   size_t i;
 
-  if (last != NULL)
+  if (json_is_string (last))
     json_array_append (recent, last);
   json_array_foreach (earlier, i, entry)
     {
       if (json_array_size (recent) >= RECENT_WRITES)
         break;
-      json_array_append (recent, entry);
+      if (json_is_string (entry))
+        json_array_append (recent, entry);
     }
   return json_pack ("{s:s,s:o,s:o}", "write_id", write_id, "recent", recent,
                     "data", data);
