--- a/src/edge/target.c
+++ b/src/edge/target.c
@@ -550,7 +550,7 @@
 {
   int64_t now_ms;
   uint32_t unlimited;
-  uint32_t unlimited_slots;
+  uint64_t unlimited_slots;
   double limit_per_s; /* Of all limited ones.  */
   double share_per_s; /* Of that, this daemon's.  */
   double permits;
@@ -579,7 +579,8 @@
   struct target_sums sums = { .now_ms = bd_edge_now_ms (edge) };
 
   visit_targets (edge, service, model, add_target, &sums);
-  return sums.unlimited_slots + sums.limit_per_s * (double)use_ms / MS_PER_S;
+  return (double)sums.unlimited_slots
+         + sums.limit_per_s * (double)use_ms / MS_PER_S;
 }
 
 int64_t
