store: failing test: odd values in reports and in the lists of `serve`

What callers saw: with one odd value in the list of instances, `serve` takes the list for an empty one and drops all its instances; in a list of the Object API it counts as a store that is down; in a report, the endpoint counts as dead.

The filter of the list of instances moves from the daemon to bd_instances_filter(), unchanged, so that it can be tested.

--- a/src/daemon/daemon_instances.c
+++ b/src/daemon/daemon_instances.c
@@ -80,33 +80,6 @@
   talloc_free (ctx);
 }
 
-/* The entries that the daemons of this data centre need: its instances, and
-   all daemons.  */
-static json_t *
-filter_instances (const struct bd_daemon *daemon, const char *text,
-                  size_t size)
-{
-  json_t *root = json_loadb (text, size, 0, NULL);
-  json_t *kept = json_array ();
-  json_t *entry;
-  size_t i;
-
-  json_array_foreach (json_object_get (root, "instances"), i, entry)
-    {
-      const char *data_centre
-          = json_string_value (json_object_get (entry, "data_centre"));
-      const char *pool = json_string_value (json_object_get (entry, "pool"));
-      bool is_daemon = pool != NULL && strcmp (pool, BD_POOL_DAEMONS) == 0;
-      bool is_own
-          = data_centre != NULL
-            && strcmp (data_centre, daemon->settings->data_centre) == 0;
-      if (is_own || is_daemon)
-        json_array_append (kept, entry);
-    }
-  json_decref (root);
-  return json_pack ("{s:o}", "instances", kept);
-}
-
 void
 bd_daemon_send_instances (struct bd_daemon *daemon,
                           const struct bd_member *member)
@@ -155,7 +128,8 @@
   daemon->is_fetching_instances = false;
   if (!result->is_complete || result->status != 200)
     return;
-  filtered = filter_instances (daemon, result->body, result->body_size);
+  filtered = bd_instances_filter (result->body, result->body_size,
+                                  daemon->settings->data_centre);
   if (!json_equal (filtered, daemon->instances_json))
     {
       text = json_dumps (filtered, JSON_COMPACT);
--- a/src/edge/edge_odd_entries_test.c
+++ b/src/edge/edge_odd_entries_test.c
@@ -429,6 +429,19 @@
   site_finish (&site);
 }
 
+static void
+test_endpoint_with_an_odd_report_counts_as_dead (void)
+{
+  site_start (&site, 0, 4);
+  site.raw_value = "1e999";
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    site.workers[i].has_odd_report = true;
+  CU_ASSERT_TRUE (site_run (&site, site_has_groups, READY_MS));
+  CU_ASSERT_EQUAL (site_call (&site, "POST", "/stream/x", "k1", "m")->status,
+                   200);
+  site_finish (&site);
+}
+
 int
 main (void)
 {
@@ -450,6 +463,8 @@
       test_unreadable_list_counts_as_store_down },
     { "callers reach an endpoint whose entry became invalid",
       test_callers_reach_an_endpoint_whose_entry_became_invalid },
+    { "endpoint with an odd report counts as dead",
+      test_endpoint_with_an_odd_report_counts_as_dead },
   };
 
   unit_silence_log ();
--- a/src/groups/groups_test.c
+++ b/src/groups/groups_test.c
@@ -510,6 +510,30 @@
   CU_ASSERT_TRUE (bd_report_is_member (&report, "g", 5));
 }
 
+static void
+test_report_with_an_odd_field_counts_as_none (void)
+{
+  static const char body[]
+      = "{\"instance\": \"u0\", \"phase\": \"ready\", \"group\": \"g\", "
+        "\"incarnation\": 5, \"running\": 1e999, \"note\": NaN}";
+  struct bd_report report;
+
+  CU_ASSERT_TRUE_FATAL (bd_report_parse (body, sizeof body - 1, &report));
+  CU_ASSERT_TRUE (bd_report_is_from (&report, "u0"));
+  CU_ASSERT_TRUE (bd_report_is_member (&report, "g", 5));
+  CU_ASSERT_EQUAL (report.running, 0);
+}
+
+static void
+test_report_count_above_32_bits_is_cut (void)
+{
+  static const char body[] = "{\"instance\": \"u0\", \"running\": 4294967296}";
+  struct bd_report report;
+
+  CU_ASSERT_TRUE_FATAL (bd_report_parse (body, sizeof body - 1, &report));
+  CU_ASSERT_EQUAL (report.running, UINT32_MAX);
+}
+
 /* A report of an earlier incarnation comes in after the member has joined a
    later one; then the member restarts, and the group does not go on as it is.
  */
@@ -613,6 +637,10 @@
   { "a report counts only for the instance that made it",
     test_report_of_another_instance },
   { "a report names its instance", test_report_parse },
+  { "a report with an odd field counts as none",
+    test_report_with_an_odd_field_counts_as_none },
+  { "a report's count above 32 bits is cut",
+    test_report_count_above_32_bits_is_cut },
   { "an older report hides no restart", test_restart_after_older_report },
   { "a drain counts from its confirmation",
     test_drain_counts_from_confirmation },
--- a/src/store/instances.c
+++ b/src/store/instances.c
@@ -62,6 +62,29 @@
   return true;
 }
 
+json_t *
+bd_instances_filter (const char *body, size_t size, const char *data_centre)
+{
+  json_t *root = json_loadb (body, size, 0, NULL);
+  json_t *kept = json_array ();
+  json_t *entry;
+  size_t i;
+
+  json_array_foreach (json_object_get (root, "instances"), i, entry)
+    {
+      const char *at
+          = json_string_value (json_object_get (entry, "data_centre"));
+      const char *pool = json_string_value (json_object_get (entry, "pool"));
+      bool is_daemon = pool != NULL && strcmp (pool, BD_POOL_DAEMONS) == 0;
+      bool is_own = at != NULL && strcmp (at, data_centre) == 0;
+
+      if (is_own || is_daemon)
+        json_array_append (kept, entry);
+    }
+  json_decref (root);
+  return json_pack ("{s:o}", "instances", kept);
+}
+
 const struct bd_instance *
 bd_instance_find (const struct bd_instance_list *list, const char *name)
 {
--- a/src/store/instances.h
+++ b/src/store/instances.h
@@ -40,6 +40,11 @@
 bool bd_instances_parse (void *ctx, const char *body, size_t size,
                          struct bd_instance_list *list);
 
+/* bd_instances_filter(): the entries of such a list that the daemons of a data
+   centre need, in the same format: its instances, and all daemons.  */
+json_t *bd_instances_filter (const char *body, size_t size,
+                             const char *data_centre);
+
 /* bd_instance_find(): the instance of that name, or NULL.  */
 const struct bd_instance *
 bd_instance_find (const struct bd_instance_list *list, const char *name);
--- a/src/store/store_test.c
+++ b/src/store/store_test.c
@@ -1,9 +1,11 @@
 /* Tests of the store client: rate limits, circuit breaker, updates with lost
    replies, instance list, and the client against a scripted Object API.  */
 
+#include "tests/loopback.h"
 #include "tests/unit.h"
 
 #include "base/timer.h"
+#include "http/server.h"
 #include "store/client.h"
 #include "store/instances.h"
 #include "store/term.h"
@@ -194,6 +196,144 @@
   talloc_free (ctx);
 }
 
+static void
+test_odd_entry_hides_the_other_instances (void)
+{
+  void *ctx = talloc_new (NULL);
+  const char text[]
+      = "{\"instances\":[{\"name\":\"a\",\"address\":\"127.0.0.1\","
+        "\"port\":80,\"data_centre\":\"d\"},{\"name\":\"odd\",\"address\":"
+        "\"127.0.0.1\",\"port\":81,\"data_centre\":\"d\",\"note\":1e999},"
+        "{\"name\":\"b\",\"address\":\"127.0.0.1\",\"port\":82,"
+        "\"data_centre\":\"d\"}]}";
+  json_t *kept = bd_instances_filter (text, strlen (text), "d");
+  struct bd_instance_list list;
+
+  CU_ASSERT_TRUE (bd_instances_parse (ctx, text, strlen (text), &list));
+  CU_ASSERT_EQUAL (list.count, 2);
+  CU_ASSERT_PTR_NOT_NULL (bd_instance_find (&list, "a"));
+  CU_ASSERT_PTR_NOT_NULL (bd_instance_find (&list, "b"));
+  CU_ASSERT_EQUAL (json_array_size (json_object_get (kept, "instances")), 2);
+  json_decref (kept);
+  talloc_free (ctx);
+}
+
+/* What is no list must not pass for an empty one.  */
+static void
+test_unreadable_list_removes_all_instances (void)
+{
+  static const char *const texts[]
+      = { "", "{", "[]", "{}", "{\"instances\":7}", "{\"instances\":[{]}" };
+
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      json_t *kept = bd_instances_filter (texts[i], strlen (texts[i]), "d");
+
+      CU_ASSERT_PTR_NULL (kept);
+      json_decref (kept);
+    }
+}
+
+/* An Object API over HTTP that responds with a text.  */
+static size_t
+max_body (void *ctx, const char *path)
+{
+  (void)ctx;
+  (void)path;
+  return 1 << 20;
+}
+
+static void
+respond_text (void *ctx, struct bd_http_exchange *exchange)
+{
+  bd_http_respond_text (exchange, 200, "application/json", ctx);
+}
+
+static void
+ignore (void *ctx, struct bd_http_exchange *exchange)
+{
+  (void)ctx;
+  (void)exchange;
+}
+
+static const struct bd_http_server_ops text_ops
+    = { max_body, respond_text, ignore, ignore };
+
+struct list_result
+{
+  bool is_done;
+  enum bd_error error;
+  int64_t revision;
+  json_t *items;
+};
+
+static void
+handle_list_result (void *ctx, const struct bd_object_reply *reply)
+{
+  struct list_result *result = ctx;
+
+  result->is_done = true;
+  result->error = reply->error;
+  result->revision = reply->revision;
+  result->items = json_deep_copy (reply->items);
+}
+
+static struct list_result
+list_over_http (const char *text)
+{
+  enum
+  {
+    PORT = 25090,
+    MAX_CONNECTIONS = 8
+  };
+  struct tevent_context *events = tevent_context_init (NULL);
+  struct bd_http_server server;
+  struct bd_http_client client;
+  struct bd_object_api_http api
+      = { .client = &client,
+          .url = talloc_asprintf (events, "http://%s:%u", loopback_address (),
+                                  (unsigned)PORT) };
+  struct bd_object_op op
+      = { .kind = BD_OBJECT_LIST, .key = "claims/", .timeout_ms = 1000 };
+  struct list_result result = { .is_done = false };
+
+  CU_ASSERT_TRUE_FATAL (
+      bd_http_server_init (&server, events, loopback_address (), PORT,
+                           MAX_CONNECTIONS, &text_ops, (void *)text));
+  bd_http_client_init (&client, events, MAX_CONNECTIONS);
+  CU_ASSERT_TRUE_FATAL (
+      bd_object_api_http_ops.start (&api, &op, handle_list_result, &result));
+  while (!result.is_done)
+    tevent_loop_once (events);
+  bd_http_client_finish (&client);
+  bd_http_server_finish (&server);
+  talloc_free (events);
+  return result;
+}
+
+static void
+test_odd_object_hides_the_others_over_http (void)
+{
+  struct list_result result = list_over_http (
+      "{\"revision\":7,\"items\":[{\"key\":\"claims/0/0\",\"version\":3,"
+      "\"value\":{\"data\":1}},{\"key\":\"claims/0/"
+      "1\",\"version\":4,\"value\":"
+      "{\"data\":1e999}},{\"key\":\"claims/0/2\",\"version\":5,\"value\":{"
+      "\"data\":2}}]}");
+
+  CU_ASSERT_EQUAL (result.error, BD_OK);
+  CU_ASSERT_EQUAL (result.revision, 7);
+  CU_ASSERT_EQUAL (json_array_size (result.items), 3);
+  CU_ASSERT_FALSE (json_is_true (
+      json_object_get (json_array_get (result.items, 0), "is_damaged")));
+  CU_ASSERT_TRUE (json_is_true (
+      json_object_get (json_array_get (result.items, 1), "is_damaged")));
+  json_decref (result.items);
+  result = list_over_http ("{\"items\":[");
+  CU_ASSERT_EQUAL (result.error, BD_ERR_UNREADABLE);
+  json_decref (result.items);
+}
+
 /* A scripted Object API: returns the next reply for each operation.  */
 struct script
 {
@@ -589,6 +729,12 @@
   { "conflict", test_update_conflict },
   { "recent write ids", test_envelope_keeps_recent_ids },
   { "instance list", test_instances },
+  { "odd entry hides the other instances",
+    test_odd_entry_hides_the_other_instances },
+  { "unreadable list removes all instances",
+    test_unreadable_list_removes_all_instances },
+  { "odd object hides the others over HTTP",
+    test_odd_object_hides_the_others_over_http },
   { "the client retries an update", test_client_retries_update },
   { "a term follows a number that no daemon wrote",
     test_term_follows_a_number_that_no_daemon_wrote },
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -48,9 +48,9 @@
   json_decref (body);
 }
 
-/* Puts raw_value in the place of each SITE_RAW.  */
+/* The text of body, with raw_value in the place of each SITE_RAW.  */
 static GString *
-make_store_body (const struct site *site, const json_t *body)
+make_raw_body (const struct site *site, const json_t *body)
 {
   char *text = json_dumps (body, JSON_COMPACT);
   GString *out = g_string_new (text);
@@ -66,7 +66,7 @@
 respond_from_store (struct site *site, struct bd_http_exchange *x,
                     uint32_t status, json_t *body)
 {
-  GString *text = make_store_body (site, body);
+  GString *text = make_raw_body (site, body);
   char era[32];
   struct bd_http_header_field headers[]
       = { { "Content-Type", "application/json" },
@@ -868,6 +868,20 @@
   return json_incref (worker->report);
 }
 
+static void
+respond_report (struct site_worker *worker, struct bd_http_exchange *x)
+{
+  json_t *report = lagging_report (worker);
+  GString *text;
+
+  if (worker->has_odd_report)
+    json_object_set_new (report, "note", json_string (SITE_RAW));
+  text = make_raw_body (worker->site, report);
+  bd_http_respond_text (x, 200, "application/json", text->str);
+  g_string_free (text, TRUE);
+  json_decref (report);
+}
+
 /* The response to an order that was carried out at once.  */
 struct late_response
 {
@@ -915,7 +929,7 @@
   if (target != NULL && strcmp (target, worker->id) != 0)
     respond (x, 421, json_object ());
   else if (strcmp (x->path, "/report") == 0)
-    respond (x, 200, lagging_report (worker));
+    respond_report (worker, x);
   else if (is_order)
     {
       json_t *order = json_loadb (x->body, x->body_size, 0, NULL);
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -70,6 +70,7 @@
   const char *request_limit;
   uint32_t order_delay_ms; /* Until it responds to an order.  */
   uint32_t report_lag_ms;  /* Age that its reports can have.  */
+  bool has_odd_report;     /* Its reports contain the site's raw_value.  */
   json_t *report;          /* The last one, or NULL.  */
   int64_t report_ms;       /* When it was made.  */
   json_t *group;           /* Or NULL.  */
