edge: failing test: a handover is refused beside a change

A daemon without links to endpoints that has just read a configuration hands requests over to daemons that have the older one. They refuse, and the caller gets 503, although a peer would have the configuration some hundred milliseconds later.

--- a/src/edge/edge_links_test.c
+++ b/src/edge/edge_links_test.c
@@ -32,6 +32,8 @@
   CUT_CHECK_MS = 5,
   SETTLE_MS = 1500,
   RETURN_MS = 4000,
+  CHANGES = 2,
+  CHANGE_LAG_MS = 800,
   AT_ONCE_MS = 100
 };
 
@@ -275,6 +277,55 @@
   finish_site ();
 }
 
+static void
+publish (void *ctx)
+{
+  (void)ctx;
+  site_publish (&site);
+}
+
+/* The first daemon reads a configuration, and the others a while later.  */
+static void
+change_config (void *ctx)
+{
+  json_t *next = json_deep_copy (site.config);
+
+  (void)ctx;
+  json_object_set_new (next, "Version", json_integer (site.version + 3));
+  bd_edge_apply_config (daemons[0], next, bd_edge_now_ms (daemons[0]));
+  json_decref (next);
+  bd_timer_add (site.events, site.events, CHANGE_LAG_MS, publish, NULL);
+}
+
+static void
+check_change (const char *method, const char *target, const char *model)
+{
+  uint32_t served = 0;
+
+  CU_ASSERT_TRUE (is_enough (count_served (method, target, model)));
+  for (uint32_t i = 0; i < CHANGES; i++)
+    {
+      change_config (NULL);
+      served += count_served (method, target, model);
+    }
+  CU_ASSERT_EQUAL (served, CHANGES * CALLS);
+}
+
+static void
+test_handover_fails_beside_a_change_of_the_configuration (void)
+{
+  start_site (PLAIN_WORKERS, 0);
+  is_cut[0] = true;
+  site_wait (&site, 2 * CUT_CHECK_MS);
+  check_change ("POST", "/unsafe/x", NULL);
+  finish_site ();
+  start_site (0, POOL_WORKERS);
+  is_cut[0] = true;
+  site_wait (&site, 2 * CUT_CHECK_MS);
+  check_change ("POST", "/stream/x", "m");
+  finish_site ();
+}
+
 int
 main (void)
 {
@@ -289,6 +340,8 @@
       test_isolated_daemon_controls_groups },
     { "isolated daemons hand over in a circle",
       test_isolated_daemons_hand_over_in_a_circle },
+    { "handover fails beside a change of the configuration",
+      test_handover_fails_beside_a_change_of_the_configuration },
   };
 
   unit_silence_log ();
