edge: a handover waits for a daemon that has the configuration

A daemon without links to endpoints hands requests over to other daemons, which refuse those of a newer configuration than their own. Beside a change, when it was the first to read it, all peers refused, the tries ran out, and callers got 503 for up to the time until a peer had read it.

A peer that states an older one is no longer tried. While only such ones are left, within config_apply_ms of the change, the request waits in the backlog, as one that finds all endpoints full; then it is refused as before. Peers that only a relay has reported have no known version and are tried as before.

Ruled out: lost requests. Before the change the callers got 503, and no request of them had run.

--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -104,13 +104,14 @@
 }
 
 /* Whether a request that has no target now is refused at once: the daemon that
-   has handed it over can try another one, this one ends, only probes can bring
-   a target, or the limits allow it too late.  */
+   has handed it over can try another one, this one ends, its links are lost
+   and no other daemon is about to take it, or the limits allow it too late. */
 static bool
 is_hopeless (const struct bd_edge_request *request)
 {
   return request->is_taken_over || !bd_edge_can_complete (request)
-         || bd_edge_service (request->edge, request->service)->links.is_lost
+         || (bd_edge_service (request->edge, request->service)->links.is_lost
+             && !bd_edge_awaits_daemon (request))
          || is_over_limits (request);
 }
 
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -204,6 +204,7 @@
   /* Configuration.  */
   struct bd_routes *routes; /* NULL before the first one.  */
   json_t *config;
+  int64_t config_applied_ms; /* When this version came into force.  */
   /* When the configuration was last known to be the newest: the time at which
      this daemon or a peer sent the read that returned it.  */
   int64_t config_verified_ms;
@@ -436,6 +437,10 @@
 bool bd_edge_find_daemon (const struct bd_edge_request *request,
                           struct bd_edge_target *target);
 
+/* bd_edge_awaits_daemon(): whether a daemon can take the request over as soon
+   as it has read the configuration of this one.  */
+bool bd_edge_awaits_daemon (const struct bd_edge_request *request);
+
 /* bd_edge_handover_headers(): the headers, allocated on ctx, that a request
    has in addition when it is handed over; up to max.  Returns their number. */
 uint32_t bd_edge_handover_headers (void *ctx,
--- a/src/edge/handover.c
+++ b/src/edge/handover.c
@@ -5,7 +5,8 @@
    the other daemons.  It goes on checking its callers' requests, and sends
    them as they came to the handover port of another daemon, which handles them
    like its own, once: it hands none on.  What it cannot serve it refuses as
-   not run, and the sender tries another one.  */
+   not run, and the sender tries another one.  While all of them have an older
+   configuration than the sender, the request waits until one has read it.  */
 
 #include "edge/edge_internal.h"
 
@@ -47,9 +48,20 @@
                                 : edge->settings->handover_port;
 }
 
+/* Whether the member's own status says that its configuration is older than
+   this daemon's, so that it would refuse.  */
 static bool
-can_take_over (const struct bd_edge_request *request,
-               const struct bd_member *member)
+is_behind (const struct bd_edge *edge, const struct bd_member *member)
+{
+  return member->incarnation != 0 && !member->is_reported
+         && member->config_revision < edge->routes->version;
+}
+
+/* Whether the member can take the request over with the configuration of this
+   daemon.  */
+static bool
+is_candidate (const struct bd_edge_request *request,
+              const struct bd_member *member)
 {
   return member->is_live && !member->is_stopping && !member->is_isolated
          && port_of (request->edge, member) != 0
@@ -57,6 +69,13 @@
                                 bd_hash (member->name, strlen (member->name)));
 }
 
+static bool
+can_take_over (const struct bd_edge_request *request,
+               const struct bd_member *member)
+{
+  return is_candidate (request, member) && !is_behind (request->edge, member);
+}
+
 /* Fills in the daemons that can take the request over: those of this data
    centre, or of the others.  */
 static uint32_t
@@ -104,6 +123,21 @@
   return true;
 }
 
+bool
+bd_edge_awaits_daemon (const struct bd_edge_request *request)
+{
+  const struct bd_edge *edge = request->edge;
+
+  if (request->is_taken_over || edge->settings->handover_port == 0
+      || bd_edge_now_ms (edge) - edge->config_applied_ms
+             > edge->settings->bounds.config_apply_ms)
+    return false;
+  for (uint32_t i = 1; i < edge->membership.count; i++)
+    if (is_candidate (request, &edge->membership.members[i]))
+      return true;
+  return false;
+}
+
 uint32_t
 bd_edge_handover_headers (void *ctx, const struct bd_edge_request *request,
                           struct bd_http_header_field *headers, uint32_t max)
--- a/src/edge/sync.c
+++ b/src/edge/sync.c
@@ -125,6 +125,7 @@
           BD_NUM (current_version), NULL);
   talloc_free (edge->routes);
   edge->routes = routes;
+  edge->config_applied_ms = bd_edge_now_ms (edge);
   json_decref (edge->config);
   edge->config = json_incref (value);
   /* The pool may be another one.  */
