wire: failing test: messages with an appended field are dropped

A daemon drops each message with more fields than it knows, so that a build which adds a field to the status makes the daemons of this build take its own for dead: two fleets that share neither duties nor budgets nor handovers.

--- a/src/wire/wire_test.c
+++ b/src/wire/wire_test.c
@@ -5,6 +5,7 @@
 
 #include "wire/messages.h"
 
+#include <glib.h>
 #include <gsl/gsl_rng.h>
 #include <string.h>
 #include <talloc.h>
@@ -120,10 +121,96 @@
   talloc_free (ctx);
 }
 
+/* The frames are those of b94131c, which rejects a kind that has more fields.
+ */
+static void
+test_older_builds_cannot_read_messages (void)
+{
+  static struct bd_target_traffic target;
+  static struct bd_model_demand demand;
+  static struct bd_live_daemon live;
+  static struct bd_directory_record record;
+  static struct bd_poison_evidence evidence;
+  static struct bd_endpoint_limit limit;
+  static const struct bd_edge_status status
+      = { .traffic = { .targets = &target,
+                       .target_count = 1,
+                       .demand = &demand,
+                       .demand_count = 1 },
+          .live = &live,
+          .live_count = 1 };
+  static const struct bd_freshness_request request;
+  static const struct bd_freshness_reply reply
+      = { .frame = { .records = &record, .record_count = 1 } };
+  static const struct bd_poison_update poison = { &evidence, 1, 0 };
+  static const struct bd_limits_update limits = { &limit, 1, 0 };
+  static const struct bd_suspicion_update suspicion;
+  static const struct bd_leaving_update leaving;
+  static const struct
+  {
+    enum bd_message_type type;
+    const void *message;
+    const char *frame;
+  } messages[] = {
+    { BD_MESSAGE_EDGE_STATUS, &status,
+      "dc00150c00a0a0a000000000c2c2c2c20000000000919400000000919200cb000000000"
+      "0000000919300c2c2" },
+    { BD_MESSAGE_FRESHNESS_REQUEST, &request, "980da00000c20000c2" },
+    { BD_MESSAGE_FRESHNESS_REPLY, &reply,
+      "dc00100e000000a00000c2000000c2c2000091dc00170000c2a0a0a000a0a000c200000"
+      "0a0a0a0a0a0000000a0" },
+    { BD_MESSAGE_POISON, &poison, "93099197000000000000c200" },
+    { BD_MESSAGE_LIMITS, &limits, "93119194a000cb00000000000000000000" },
+    { BD_MESSAGE_SUSPICION, &suspicion, "940f00c200" },
+    { BD_MESSAGE_LEAVING, &leaving, "9410a00000" },
+  };
+
+  for (size_t i = 0; i < sizeof messages / sizeof messages[0]; i++)
+    {
+      GString *text = g_string_new (NULL);
+      msgpack_sbuffer buffer;
+
+      msgpack_sbuffer_init (&buffer);
+      bd_message_pack (&buffer, messages[i].type, messages[i].message);
+      for (size_t at = LENGTH_BYTES; at < buffer.size; at++)
+        g_string_append_printf (text, "%02x", (unsigned char)buffer.data[at]);
+      CU_ASSERT_STRING_EQUAL (text->str, messages[i].frame);
+      g_string_free (text, TRUE);
+      msgpack_sbuffer_destroy (&buffer);
+    }
+}
+
+/* The first byte of the frame is the header of a short array.  */
+static void
+test_later_builds_cannot_append_fields (void)
+{
+  struct bd_leaving_update leaving = { .endpoint = "w-1", .started_ms = 7 };
+  struct bd_leaving_update *read;
+  msgpack_sbuffer buffer;
+  enum bd_message_type type;
+
+  msgpack_sbuffer_init (&buffer);
+  bd_message_pack (&buffer, BD_MESSAGE_LEAVING, &leaving);
+  buffer.data[LENGTH_BYTES]++;
+  msgpack_sbuffer_write (&buffer, "\x2a", 1);
+  read = bd_message_unpack (NULL, buffer.data + LENGTH_BYTES,
+                            buffer.size - LENGTH_BYTES, &type);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (read);
+  CU_ASSERT_EQUAL (type, BD_MESSAGE_LEAVING);
+  CU_ASSERT_STRING_EQUAL (read->endpoint, "w-1");
+  CU_ASSERT_EQUAL (read->started_ms, 7);
+  talloc_free (read);
+  msgpack_sbuffer_destroy (&buffer);
+}
+
 static const struct unit_test tests[] = {
   { "round trip", test_round_trip },
   { "truncated and damaged messages", test_truncated_and_damaged_messages },
   { "huge list", test_huge_list },
+  { "older builds cannot read messages",
+    test_older_builds_cannot_read_messages },
+  { "later builds cannot append fields",
+    test_later_builds_cannot_append_fields },
 };
 
 int
