wire: fields that a later build appends are ignored

A message was read only if the number of its fields was the one of this build. Any build that adds a field to the status would split the fleet while the daemons are replaced. Ruled out: unknown types of messages; they are dropped alone, and the connection stays (read, not run).

This helps from this build on.

--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -496,12 +496,13 @@
   return false;
 }
 
+/* A later build may append fields, which are ignored.  */
 static bool
 unpack_fields (void *ctx, const msgpack_object *values,
                const struct layout *layout, void *message)
 {
   if (values->type != MSGPACK_OBJECT_ARRAY
-      || values->via.array.size != layout->count)
+      || values->via.array.size < layout->count)
     return false;
   for (uint32_t i = 0; i < layout->count; i++)
     if (!unpack_field (ctx, &values->via.array.ptr[i], &layout->fields[i],
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -5,7 +5,11 @@
    consists of the payload length in 4 bytes, big-endian, and the payload, an
    array [type, fields...].  The position in enum bd_message_type is the type
    on the wire, and the order of the fields in the tables is their order there.
- */
+
+   Daemons of several builds exchange messages during an upgrade, so a type
+   keeps its fields.  A daemon drops types that it does not know, and ignores
+   fields appended to those that it knows; earlier builds drop a message with
+   such fields, so what they have to understand needs a type of its own.  */
 
 #ifndef BD_WIRE_MESSAGES_H
 #define BD_WIRE_MESSAGES_H
