tests: daemons of an earlier build beside this one

`make upgrade`, in `make check` too, builds from the history, runs six daemons of it in three data centres, and replaces them one after the other by this build, then back and forth, by SIGTERM and by kill. Beside that the configuration changes, a key is revoked and granted, endpoints leave, and one daemon at a time has no links to endpoints and hands its requests over.

It checks that no request ends without a response but by a kill, that refused requests never ran and unsafe ones ran once at most, that no route comes back or vanishes again, that keys and leaving endpoints are obeyed in time, and that every daemon serves at the end.

The fake store can name a port that nobody serves to some of its callers.

--- a/Makefile
+++ b/Makefile
@@ -33,11 +33,12 @@
 PROPS_CC = $(wildcard src/*/*_properties.cc)
 PROPS = $(PROPS_CC:src/%.cc=$(BUILD)/tests/%)
 SOAK = $(BUILD)/tests/soak/soak
+UPGRADE = $(BUILD)/tests/upgrade/upgrade
 BENCH_C = $(wildcard bench/*.c)
 BENCHES = $(BENCH_C:%.c=$(BUILD)/%)
 
-.PHONY: all deps help demo check test properties paths soak lint format bench slopes \
-        sanitize clean build
+.PHONY: all deps help demo check test properties paths soak upgrade lint \
+        format bench slopes sanitize clean build
 
 all: deps
 	@$(MAKE) --no-print-directory -j$$(nproc) build
@@ -48,13 +49,14 @@
 	@echo 'make test        unit tests and traces     make properties  property tests'
 	@echo 'make paths       failure path tests with real processes'
 	@echo 'make soak        random faults from a seed against three daemons'
+	@echo 'make upgrade     daemons of an earlier build and of this one side by side'
 	@echo 'make bench       benchmarks                make slopes      measurements of docs/CAPACITY.md'
 	@echo 'make lint        formatter and linters     make format      apply the formatter'
 
 deps:
 	@scripts/install-deps
 
-build: $(BIN) $(FAKES) $(TESTS) $(PROPS) $(SOAK) $(BENCHES)
+build: $(BIN) $(FAKES) $(TESTS) $(PROPS) $(SOAK) $(UPGRADE) $(BENCHES)
 
 $(LIB): $(LIB_O)
 	@rm -f $@
@@ -91,6 +93,9 @@
 $(SOAK): $(BUILD)/tests/soak/soak.o $(LINKED_FAKES_O) $(LIB)
 	@$(CC) $(SAN) $^ -o $@ $(LIBS)
 
+$(UPGRADE): $(BUILD)/tests/upgrade/upgrade.o $(LINKED_FAKES_O) $(LIB)
+	@$(CC) $(SAN) $^ -o $@ $(LIBS)
+
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(LINKED_FAKES_O) $(LIB)
 	@$(CC) $(SAN) $^ -o $@ $(LIBS)
 
@@ -109,6 +114,9 @@
 soak: all
 	@scripts/run-tests soak $(SOAK)
 
+upgrade: all
+	@scripts/run-tests upgrade tests/upgrade/run-upgrade
+
 sanitize: deps
 	@$(MAKE) --no-print-directory -j$$(nproc) build BUILD=build/sanitize \
 	  OPT='-O1 -g' SAN='-fsanitize=address,undefined -fno-omit-frame-pointer'
@@ -121,7 +129,7 @@
 format: deps
 	@clang-format -i $(wildcard src/*/*.[ch] platform/*.[ch] src/*/*.cc tests/*/*.[ch] bench/*.[ch])
 
-check: all lint test properties soak paths sanitize
+check: all lint test properties soak upgrade paths sanitize
 	@scripts/run-tests total
 
 bench: all
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -93,10 +93,50 @@
   return events;
 }
 
+/* A new reference to an object as the caller sees it.  */
+static json_t *
+view_object (const struct site *site, const struct bd_http_exchange *x,
+             const char *kind, json_t *object)
+{
+  char address[BD_NAME_SIZE];
+  json_t *copy;
+
+  if (strcmp (kind, "servers") != 0 || site->has_lost_links == NULL
+      || !site->has_lost_links (x->path))
+    return json_incref (object);
+  copy = json_deep_copy (object);
+  snprintf (address, sizeof address, "%s:%u", loopback_address (),
+            SITE_LOST_PORT);
+  json_object_set_new (json_object_get (copy, "Spec"), "Address",
+                       json_string (address));
+  return copy;
+}
+
+/* A new reference to changes as the caller sees them.  */
+static json_t *
+view_events (const struct site *site, const struct bd_http_exchange *x,
+             const char *kind, json_t *events)
+{
+  json_t *views = json_array ();
+  json_t *event;
+  size_t i;
+
+  json_array_foreach (events, i, event)
+    json_array_append_new (
+        views, json_pack ("{s:O,s:o}", "Deleted",
+                          json_object_get (event, "Deleted"), "Object",
+                          view_object (site, x, kind,
+                                       json_object_get (event, "Object"))));
+  json_decref (events);
+  return views;
+}
+
 static void
 finish_watch (struct watch *watch)
 {
-  json_t *events = events_since (watch->site, watch->kind, watch->since);
+  json_t *events
+      = view_events (watch->site, watch->exchange, watch->kind,
+                     events_since (watch->site, watch->kind, watch->since));
 
   respond_from_store (watch->site, watch->exchange, 200,
                       json_pack ("{s:o,s:I}", "events", events, "At",
@@ -166,7 +206,7 @@
   json_t *object;
 
   json_object_foreach (objects_of_kind (site, kind), name, object)
-    json_array_append (items, object);
+    json_array_append_new (items, view_object (site, x, kind, object));
   respond_from_store (site, x, 200,
                       json_pack ("{s:o,s:b,s:I}", "Items", items, "HasMore", 0,
                                  "At", (json_int_t)site->revision));
@@ -178,7 +218,8 @@
 {
   struct watch *watch;
   const char *timeout = bd_http_query (x, "WaitMs");
-  json_t *events = events_since (site, kind, since);
+  json_t *events
+      = view_events (site, x, kind, events_since (site, kind, since));
 
   if (since < site->compacted_revision || since > site->revision)
     {
@@ -1015,7 +1056,7 @@
 }
 
 void
-site_start (struct site *site, uint32_t plain, uint32_t pool)
+site_start_platform (struct site *site, uint32_t plain, uint32_t pool)
 {
   memset (site, 0, sizeof *site);
   site->events = tevent_context_init (NULL);
@@ -1034,6 +1075,12 @@
   make_config (site);
   make_settings (&site->settings);
   bd_http_client_init (&site->client, site->events, 16);
+}
+
+void
+site_start (struct site *site, uint32_t plain, uint32_t pool)
+{
+  site_start_platform (site, plain, pool);
   site->edge = bd_edge_start (site->events, site->events, &site->settings,
                               &bd_platform_adapter);
 }
@@ -1041,7 +1088,8 @@
 void
 site_finish (struct site *site)
 {
-  bd_edge_finish (site->edge);
+  if (site->edge != NULL)
+    bd_edge_finish (site->edge);
   bd_http_client_finish (&site->client);
   for (guint i = site->watches->len; i-- > 0;)
     talloc_free (g_ptr_array_index (site->watches, i));
@@ -1255,13 +1303,19 @@
   return bd_edge_is_ready (site->edge, &reason);
 }
 
-bool
-site_has_groups (struct site *site)
+uint32_t
+site_count_open_groups (const struct site *site)
 {
   uint32_t open = 0;
 
   for (uint32_t i = 0; i < site->worker_count; i++)
     open += site->workers[i].group != NULL
             && strcmp (group_state (&site->workers[i]), "open") == 0;
-  return open >= 2 && site_is_ready (site);
+  return open;
+}
+
+bool
+site_has_groups (struct site *site)
+{
+  return site_count_open_groups (site) >= 2 && site_is_ready (site);
 }
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -23,6 +23,7 @@
   SITE_MAX_WORKERS = 12,
   SITE_MAX_SEEN = 256,
   SITE_BASE_PORT = 25100,
+  SITE_LOST_PORT = SITE_BASE_PORT + 130, /* Nobody listens there.  */
   SITE_SLOW_EVENT_MS = 190,
   SITE_RESTART_MS = 200
 };
@@ -94,6 +95,10 @@
    told apart; kind is "config" or "servers", for example.  */
 typedef void site_store_handler (const char *path, const char *kind);
 
+/* Whether the caller of the store with this path has lost its links to the
+   endpoints: the store names SITE_LOST_PORT to it in place of their ports.  */
+typedef bool site_links_filter (const char *path);
+
 struct site
 {
   struct tevent_context *events;
@@ -124,6 +129,7 @@
   uint32_t crash_count;
   site_run_handler *on_run;
   site_store_handler *on_store_call;
+  site_links_filter *has_lost_links;
   uint32_t partial_runs; /* Runs in groups of which a member was
                             never ready.  */
   uint32_t stolen_joins; /* Joins of members of an open group.  */
@@ -143,8 +149,10 @@
 
 /* site_start(): starts the store, a number of plain workers, a number of pool
    workers in one fabric domain, and the edge daemon.  The configuration has
-   one client account, "acc", with the keys "k1" and "k2".  */
+   one client account, "acc", with the keys "k1" and "k2".
+   site_start_platform(): the same without the edge daemon; edge stays NULL. */
 void site_start (struct site *site, uint32_t plain, uint32_t pool);
+void site_start_platform (struct site *site, uint32_t plain, uint32_t pool);
 void site_finish (struct site *site);
 
 /* site_run(): runs the event loop until is_true() or for at most limit_ms.
@@ -200,6 +208,9 @@
 void site_revoke_key (struct site *site);
 void site_grant_key (struct site *site, const char *account);
 
+/* site_count_open_groups(): the groups whose leaders accept requests.  */
+uint32_t site_count_open_groups (const struct site *site);
+
 /* site_is_ready(): whether the edge daemon is ready.  */
 bool site_is_ready (struct site *site);
 
--- /dev/null
+++ b/tests/upgrade/upgrade.c
@@ -0,0 +1,1058 @@
+/* Upgrade test: daemons of two builds side by side.
+
+   The fake platform, its endpoints and callers run in this process, and each
+   daemon is a process of its own.  One after the other, the daemons are
+   stopped or killed and replaced by the other build, while callers use kept
+   and new connections, the configuration changes, a key is revoked and
+   granted, endpoints leave, and daemons lose their links to the endpoints and
+   hand requests over to those that have theirs.
+
+   A first pass over all daemons stops them and starts the new build.  The
+   following passes stop or kill them and start the old build and the new one
+   in turn.
+
+     [UPGRADE_LOG=DIR] upgrade --old PATH --new PATH [--old-omits KEY]
+                               [--seed N] [--seconds N]
+
+   PATH is a program that is run as "PATH edge --settings FILE".  KEY is a key
+   of the settings that the old build does not know.  With UPGRADE_LOG, each
+   daemon writes its log to a file in DIR.  The seed decides the changes and
+   the calls, but not how they interleave with socket events.  Exits 0 if no
+   invariant was violated.  */
+
+#include "base/timer.h"
+#include "tests/fakes/site.h"
+#include "tests/loopback.h"
+#include "tests/quiet.h"
+
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <fcntl.h>
+#include <gsl/gsl_rng.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <talloc.h>
+
+enum
+{
+  DAEMONS = 6,
+  DATA_CENTRES = 3,
+  PLAIN_WORKERS = 3,
+  POOL_WORKERS = 8,
+  SLOW_POOL_WORKERS = 2,
+  FIRST_PORT = SITE_BASE_PORT + 140,
+  PORTS_PER_DAEMON = 10,
+  MAX_CALLS = 100000,
+  CALL_INTERVAL_MS = 12,
+  REPLACE_INTERVAL_MS = 2000,
+  CHANGE_INTERVAL_MS = 700,
+  CUT_INTERVAL_MS = 1500,
+  LEAVE_INTERVAL_MS = 2500,
+  HEARTBEAT_MS = 500,
+  POLL_MS = 20,
+  RESTART_MS = 300,
+  /* The load balancer checks the daemons this often and removes one after
+     BALANCER_MISSES checks without success.  */
+  BALANCER_INTERVAL_MS = 1000,
+  BALANCER_MISSES = 2,
+  DEADLINE_MS = 4000,
+  /* Time after its last byte in which a request may cross the close of its
+     connection.  */
+  LOSS_SLACK_MS = 200,
+  DOWNGRADE_SLACK_MS = 250,
+  /* Time without a disruption after which the bounds hold.  */
+  CONTACT_MS = 3000,
+  STOP_SLACK_MS = 1000,
+  LEAVE_MS = 3500,
+  START_LIMIT_MS = 20000,
+  RECOVERY_LIMIT_MS = 30000,
+  RECOVERY_CALLS = 8,
+  STREAM_EVENTS = 12,
+  /* Numbered routes: each configuration adds one and drops the oldest.  */
+  NUMBERED_ROUTES = 3,
+  FIXED_ROUTES = 3,
+  MAX_CHANGES = 1000,
+  DEFAULT_SEED = 20261205,
+  DEFAULT_SECONDS = 25
+};
+
+enum call_kind
+{
+  CALL_SAFE,
+  CALL_UNSAFE,
+  CALL_STREAM,
+  CALL_NUMBERED,
+  CALL_KINDS
+};
+
+struct daemon_process
+{
+  char name[BD_NAME_SIZE];
+  char data_centre[BD_NAME_SIZE];
+  uint32_t port;
+  pid_t pid; /* 0 while it does not run.  */
+  bool is_new;
+  bool is_stopping;
+  bool is_killed;
+  bool is_cut; /* It has no links to endpoints.  */
+  bool has_started_before;
+  bool is_in_rotation;
+  uint32_t misses;
+  uint32_t incarnation;
+  int64_t disrupted_ms; /* Of the last start, signal or loss of links.  */
+  int64_t stopped_ms;
+  /* The newest configuration of which this incarnation has shown an effect,
+     and when.  */
+  uint32_t shown_change;
+  int64_t shown_ms;
+};
+
+struct upgrade_call
+{
+  enum call_kind kind;
+  uint32_t serial;
+  uint32_t daemon;
+  uint32_t incarnation;
+  uint32_t number; /* Of the route.  */
+  bool has_revocable_key;
+  bool was_key_revoked; /* For more than the bound.  */
+  bool is_done;
+  bool is_complete;
+  bool was_sent;
+  bool was_killed;    /* Its daemon was, while the call was open.  */
+  bool was_disrupted; /* Its daemon was, shortly before or since.  */
+  uint32_t status;
+  uint32_t runs;
+  int64_t sent_ms;
+  int64_t took_ms;
+  char *body;
+};
+
+static struct site site;
+static gsl_rng *rng;
+static const char *programs[2]; /* Old and new.  */
+static const char *old_omits = "";
+static char *directory;
+static struct daemon_process daemons[DAEMONS];
+static struct upgrade_call *calls[MAX_CALLS];
+static uint32_t call_count;
+static bool is_over;
+static int64_t revoked_ms; /* When "k1" was revoked; 0 while it is granted.  */
+static uint32_t change_count;
+static int64_t change_ms[MAX_CHANGES];
+static int64_t left_ms[SITE_MAX_WORKERS]; /* 0 while it has not left.  */
+static uint32_t replaced_count;
+static uint32_t violation_count;
+static uint32_t served[CALL_KINDS];
+static uint32_t refused[CALL_KINDS];
+static uint32_t denied[CALL_KINDS];
+static uint32_t failed[CALL_KINDS];
+static uint32_t unread[CALL_KINDS]; /* The connection was refused or closed. */
+
+static const char *const paths[CALL_KINDS]
+    = { "safe", "unsafe", "stream", "numbered" };
+
+static int64_t
+now_ms (void)
+{
+  return g_get_monotonic_time () / 1000;
+}
+
+static uint32_t
+draw_below (uint32_t limit)
+{
+  return (uint32_t)gsl_rng_uniform_int (rng, limit);
+}
+
+static void
+start_timer (uint32_t ms, void (*handler) (void *ctx), void *ctx)
+{
+  bd_timer_add (site.events, site.events, ms, handler, ctx);
+}
+
+static void
+report_violation (const char *invariant, const struct upgrade_call *call)
+{
+  const struct daemon_process *process = &daemons[call->daemon];
+
+  violation_count++;
+  printf ("VIOLATED %s: call %u, %s %u at %s (%s), status %u, runs %u, "
+          "%lld ms, newest route %u\n",
+          invariant, call->serial, paths[call->kind], call->number,
+          process->name, process->is_new ? "new" : "old", call->status,
+          call->runs, (long long)call->took_ms, change_count);
+}
+
+/* Processes.  */
+
+static bool
+write_settings (const struct daemon_process *process, const char *path)
+{
+  const struct bd_edge_bounds *bounds = &site.settings.bounds;
+  const char *address = loopback_address ();
+  GString *text = g_string_new (NULL);
+  bool is_written;
+
+  g_string_printf (text,
+                   "name = \"%s\"\ndata_centre = \"%s\"\n"
+                   "dialect = \"platform\"\n"
+                   "callers = \"%s:%u\"\nbalancer = \"%s:%u\"\n"
+                   "peer_port = %u\nmetrics_port = %u\n",
+                   process->name, process->data_centre, address, process->port,
+                   address, process->port + 1, process->port + 2,
+                   process->port + 3);
+  if (process->is_new || strcmp (old_omits, "handover_port") != 0)
+    g_string_append_printf (text, "handover_port = %u\n", process->port + 4);
+  g_string_append_printf (
+      text,
+      "platform_url = \"%s/%s\"\nfirst_start = %s\n"
+      "heartbeat_ms = %u\nmax_descriptors = %u\n"
+      "reads_per_s = %u\nwrites_per_s = %u\n"
+      "[bounds]\nconfig_apply_ms = %u\ndrain_ms = %u\ngrace_s = %g\n"
+      "revoke_ms = %u\nrevoke_fail_closed = true\nretry_ratio = %g\n"
+      "retry_slack = %g\nstall_ms = %u\n",
+      site.settings.platform_url, process->name,
+      process->has_started_before ? "false" : "true",
+      site.settings.heartbeat_ms, site.settings.max_descriptors,
+      site.settings.reads_per_s, site.settings.writes_per_s,
+      bounds->config_apply_ms, bounds->drain_ms, bounds->grace_ms / 1000.0,
+      bounds->revoke_ms, bounds->retry_ratio, bounds->retry_slack,
+      bounds->stall_ms);
+  is_written = g_file_set_contents (path, text->str, -1, NULL);
+  g_string_free (text, TRUE);
+  return is_written;
+}
+
+/* Runs in the child process.  */
+static void
+execute (const char *program, const char *settings_path, const char *log_path)
+{
+  int log = open (log_path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+  dup2 (log, STDOUT_FILENO);
+  dup2 (log, STDERR_FILENO);
+  for (int fd = STDERR_FILENO + 1; fd < 1024; fd++)
+    close (fd);
+  execl (program, program, "edge", "--settings", settings_path, NULL);
+  _exit (127);
+}
+
+static void
+start_daemon (struct daemon_process *process)
+{
+  const char *log_directory = g_getenv ("UPGRADE_LOG");
+  char *settings_path
+      = talloc_asprintf (NULL, "%s/%s.toml", directory, process->name);
+  char *log_path = log_directory != NULL
+                       ? talloc_asprintf (settings_path, "%s/%s.log",
+                                          log_directory, process->name)
+                       : talloc_strdup (settings_path, "/dev/null");
+
+  if (!write_settings (process, settings_path))
+    abort ();
+  process->has_started_before = true;
+  process->is_stopping = false;
+  process->is_killed = false;
+  process->is_in_rotation = false;
+  process->incarnation++;
+  process->disrupted_ms = now_ms ();
+  process->shown_change = 0;
+  process->pid = fork ();
+  if (process->pid == 0)
+    execute (programs[process->is_new], settings_path, log_path);
+  talloc_free (settings_path);
+}
+
+static void
+restart_daemon (void *ctx)
+{
+  struct daemon_process *process = ctx;
+
+  process->is_new = !process->is_new;
+  start_daemon (process);
+}
+
+static void
+handle_end (struct daemon_process *process, int status)
+{
+  bool is_clean = WIFEXITED (status) && WEXITSTATUS (status) == 0;
+  int64_t took_ms = now_ms () - process->stopped_ms;
+
+  process->pid = 0;
+  process->is_in_rotation = false;
+  if ((!process->is_stopping || !is_clean) && !process->is_killed)
+    {
+      violation_count++;
+      printf ("VIOLATED processes: %s (%s) has ended by itself, status %x\n",
+              process->name, process->is_new ? "new" : "old",
+              (unsigned)status);
+    }
+  else if (took_ms > site.settings.bounds.grace_ms + STOP_SLACK_MS)
+    {
+      violation_count++;
+      printf ("VIOLATED stop: %s took %lld ms\n", process->name,
+              (long long)took_ms);
+    }
+  start_timer (RESTART_MS, restart_daemon, process);
+}
+
+static void
+poll_processes (void *ctx)
+{
+  (void)ctx;
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    {
+      int status;
+
+      if (daemons[i].pid != 0
+          && waitpid (daemons[i].pid, &status, WNOHANG) == daemons[i].pid)
+        handle_end (&daemons[i], status);
+    }
+  start_timer (POLL_MS, poll_processes, NULL);
+}
+
+static void
+mark_calls (uint32_t daemon, bool is_killed)
+{
+  for (uint32_t i = 0; i < call_count; i++)
+    if (calls[i]->daemon == daemon && !calls[i]->is_done)
+      {
+        calls[i]->was_disrupted = true;
+        calls[i]->was_killed = calls[i]->was_killed || is_killed;
+      }
+}
+
+static void
+end_daemon (struct daemon_process *process, bool is_killed)
+{
+  process->is_killed = is_killed;
+  process->is_stopping = true;
+  process->stopped_ms = now_ms ();
+  process->disrupted_ms = process->stopped_ms;
+  mark_calls ((uint32_t)(process - daemons), is_killed);
+  kill (process->pid, is_killed ? SIGKILL : SIGTERM);
+  replaced_count++;
+}
+
+/* Replaces the daemons in turn.  */
+static void
+replace_next (void *ctx)
+{
+  struct daemon_process *process = &daemons[replaced_count % DAEMONS];
+  bool is_killed = replaced_count >= DAEMONS && draw_below (2) == 0;
+
+  (void)ctx;
+  if (is_over)
+    return;
+  if (process->pid != 0 && !process->is_stopping && process->is_in_rotation)
+    end_daemon (process, is_killed);
+  start_timer (REPLACE_INTERVAL_MS, replace_next, NULL);
+}
+
+/* The load balancer.  */
+
+struct check
+{
+  struct daemon_process *process;
+  uint32_t incarnation;
+};
+
+static void
+handle_check_done (void *ctx, struct bd_http_call *call,
+                   const struct bd_http_result *result)
+{
+  struct check *check = ctx;
+  struct daemon_process *process = check->process;
+  bool is_ready = result->is_complete && result->status == 200;
+
+  (void)call;
+  if (check->incarnation == process->incarnation && process->pid != 0)
+    {
+      process->misses = is_ready ? 0 : process->misses + 1;
+      process->is_in_rotation
+          = is_ready
+            || (process->is_in_rotation && process->misses < BALANCER_MISSES);
+    }
+  talloc_free (check);
+}
+
+static const struct bd_http_call_ops check_ops = { .done = handle_check_done };
+
+static void
+check_daemon (struct daemon_process *process)
+{
+  struct check *check = talloc_zero (site.events, struct check);
+  char *url = talloc_asprintf (check, "http://%s:%u/readyz",
+                               loopback_address (), process->port + 1);
+  struct bd_http_request request = { .method = "GET",
+                                     .url = url,
+                                     .timeout_ms = BALANCER_INTERVAL_MS,
+                                     .has_dedicated_connection = true };
+
+  check->process = process;
+  check->incarnation = process->incarnation;
+  bd_http_send (&site.client, &request, &check_ops, check);
+}
+
+static void
+run_balancer (void *ctx)
+{
+  (void)ctx;
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    if (daemons[i].pid != 0)
+      check_daemon (&daemons[i]);
+  start_timer (BALANCER_INTERVAL_MS, run_balancer, NULL);
+}
+
+static bool
+are_daemons_ready (struct site *s)
+{
+  (void)s;
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    if (daemons[i].pid == 0 || !daemons[i].is_in_rotation)
+      return false;
+  return true;
+}
+
+static bool
+has_started (struct site *s)
+{
+  return are_daemons_ready (s) && site_count_open_groups (s) >= 2;
+}
+
+/* Checks.  */
+
+static char *
+make_path (void *ctx, const struct upgrade_call *call)
+{
+  return call->kind == CALL_NUMBERED
+             ? talloc_asprintf (ctx, "/numbered%u/%u", call->number,
+                                call->serial)
+             : talloc_asprintf (ctx, "/%s/%u", paths[call->kind],
+                                call->serial);
+}
+
+/* Whether a success is the complete response to this call.  */
+static bool
+is_own_response (const struct upgrade_call *call)
+{
+  char *path = make_path (NULL, call);
+  GString *expected = g_string_new (NULL);
+  bool is_own;
+
+  if (call->kind != CALL_STREAM)
+    g_string_append (expected, path);
+  else
+    for (uint32_t i = 1; i <= STREAM_EVENTS; i++)
+      g_string_append_printf (expected, "id: %u\ndata: %se%u\n\n", i, path, i);
+  is_own = strcmp (call->body, expected->str) == 0;
+  g_string_free (expected, TRUE);
+  talloc_free (path);
+  return is_own;
+}
+
+static bool
+is_not_run_status (uint32_t status)
+{
+  return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+static bool
+is_denied_status (uint32_t status)
+{
+  return status == 401 || status == 403 || status == 404;
+}
+
+/* Notes that a call has shown the effect of a change.  */
+static void
+note_shown (const struct upgrade_call *call, uint32_t change)
+{
+  struct daemon_process *process = &daemons[call->daemon];
+
+  if (call->incarnation != process->incarnation
+      || change <= process->shown_change)
+    return;
+  process->shown_change = change;
+  process->shown_ms = call->sent_ms + call->took_ms;
+}
+
+/* Whether the call was sent after its daemon had to follow a change.  */
+static bool
+must_follow (const struct upgrade_call *call, uint32_t change)
+{
+  const struct daemon_process *process = &daemons[call->daemon];
+  bool has_shown = call->incarnation == process->incarnation
+                   && change <= process->shown_change
+                   && call->sent_ms > process->shown_ms + DOWNGRADE_SLACK_MS;
+
+  return has_shown
+         || (!call->was_disrupted
+             && call->sent_ms > change_ms[change]
+                                    + site.settings.bounds.config_apply_ms);
+}
+
+/* Checks a call of a numbered route against the configurations that may be in
+   force.  The route is dropped by change NUMBERED_ROUTES after the one that
+   adds it.  */
+static void
+check_numbered (const struct upgrade_call *call)
+{
+  uint32_t drop = call->number + NUMBERED_ROUTES;
+  bool is_dropped = drop <= change_count;
+  bool was_served = call->status == 200 && call->is_complete;
+  bool was_denied = call->status == 404;
+
+  if (was_served && is_dropped && must_follow (call, drop))
+    report_violation ("a dropped route is served", call);
+  if (was_denied && must_follow (call, call->number)
+      && (!is_dropped || call->sent_ms + call->took_ms < change_ms[drop]))
+    report_violation ("an added route is unknown", call);
+  if (was_served)
+    note_shown (call, call->number);
+}
+
+/* Whether the response is cut.  A request that no endpoint has run may cross
+   the close of its connection.  */
+static bool
+is_cut (const struct upgrade_call *call)
+{
+  return !call->is_complete && !call->was_killed && call->was_sent
+         && call->took_ms < DEADLINE_MS
+         && (call->runs > 0 || call->took_ms > LOSS_SLACK_MS);
+}
+
+static void
+check_call (const struct upgrade_call *call)
+{
+  bool is_success = call->status == 200 && call->is_complete;
+
+  if (is_success)
+    served[call->kind]++;
+  else if (is_not_run_status (call->status))
+    refused[call->kind]++;
+  else if (is_denied_status (call->status))
+    denied[call->kind]++;
+  else if (call->runs == 0 && call->status == 0)
+    unread[call->kind]++;
+  else
+    failed[call->kind]++;
+  if (is_success && !is_own_response (call))
+    report_violation ("a success is not the complete response", call);
+  if (is_success && call->runs == 0)
+    report_violation ("a success without a run", call);
+  if (call->kind == CALL_UNSAFE && call->runs > 0
+      && is_not_run_status (call->status))
+    report_violation ("a status that means 'not run' after a run", call);
+  if (is_cut (call))
+    report_violation ("a request ends without a response", call);
+  if (call->is_complete && call->status >= 500 && call->status != 503
+      && call->took_ms < DEADLINE_MS)
+    report_violation ("a request fails without a fault of its endpoint", call);
+  if (call->kind != CALL_NUMBERED && !call->has_revocable_key
+      && is_denied_status (call->status))
+    report_violation ("a request is denied that all versions allow", call);
+  if (call->kind == CALL_NUMBERED)
+    check_numbered (call);
+}
+
+/* Calls.  */
+
+/* Finds the call by the serial number at the end of the path.  */
+static struct upgrade_call *
+find_call (const char *path)
+{
+  const char *serial_text = strrchr (path, '/');
+  uint32_t serial
+      = serial_text != NULL ? (uint32_t)atoi (serial_text + 1) : MAX_CALLS;
+
+  return serial < call_count ? calls[serial] : NULL;
+}
+
+static void
+handle_run (struct site_worker *worker, const char *path, const char *account)
+{
+  struct upgrade_call *call = find_call (path);
+  int64_t worker_left_ms = left_ms[worker - site.workers];
+
+  if (call == NULL)
+    return;
+  call->runs++;
+  if (call->kind == CALL_UNSAFE && call->runs > 1)
+    report_violation ("a request that is not safe to repeat ran again", call);
+  if (call->kind == CALL_UNSAFE && call->is_done
+      && is_not_run_status (call->status))
+    report_violation ("a request ran that was refused as not run", call);
+  if (call->was_key_revoked)
+    report_violation ("a request with a revoked key ran", call);
+  if (account == NULL
+      || (!call->has_revocable_key && strcmp (account, "acc") != 0))
+    report_violation ("a request ran for another account", call);
+  if (worker_left_ms != 0
+      && now_ms () - worker_left_ms > site.settings.bounds.drain_ms)
+    report_violation ("a request ran at an endpoint that has left", call);
+}
+
+static void
+handle_call_done (void *ctx, struct bd_http_call *http_call,
+                  const struct bd_http_result *result)
+{
+  struct upgrade_call *call = ctx;
+
+  (void)http_call;
+  call->is_done = true;
+  call->took_ms = now_ms () - call->sent_ms;
+  call->is_complete = result->is_complete;
+  call->was_sent = result->was_sent;
+  call->status = result->status;
+  call->body = talloc_strndup (call, result->body, result->body_size);
+  check_call (call);
+}
+
+static const struct bd_http_call_ops call_ops = { .done = handle_call_done };
+
+static void
+send_call (struct upgrade_call *call, bool has_new_connection)
+{
+  struct bd_http_header_field headers[8] = {
+    { "Host", "h.example" },
+    { "Attempt-Id", talloc_asprintf (call, "%016x", call->serial + 1) },
+    { "Deadline-Ms", talloc_asprintf (call, "%u", DEADLINE_MS) },
+    { "Authorization", call->has_revocable_key ? "Bearer k1" : "Bearer k2" },
+  };
+  struct bd_http_request request
+      = { .method = call->kind == CALL_UNSAFE || call->kind == CALL_STREAM
+                        ? "POST"
+                        : "GET",
+          .url = talloc_asprintf (call, "http://%s:%u%s", loopback_address (),
+                                  daemons[call->daemon].port,
+                                  make_path (call, call)),
+          .headers = headers,
+          .timeout_ms = 2 * DEADLINE_MS,
+          .has_new_connection = has_new_connection,
+          .is_sent_once = true };
+
+  if (call->kind == CALL_STREAM)
+    {
+      headers[4] = (struct bd_http_header_field){ "Model", "m" };
+      headers[5] = (struct bd_http_header_field){ "Token-Usage", "100,12" };
+    }
+  call->sent_ms = now_ms ();
+  bd_http_send (&site.client, &request, &call_ops, call);
+}
+
+static bool
+is_in_touch (const struct daemon_process *process)
+{
+  return !process->is_cut && now_ms () - process->disrupted_ms > CONTACT_MS;
+}
+
+static struct upgrade_call *
+start_call (enum call_kind kind, uint32_t daemon, bool has_revocable_key,
+            bool has_new_connection)
+{
+  struct upgrade_call *call = talloc_zero (site.events, struct upgrade_call);
+
+  call->kind = kind;
+  call->serial = call_count;
+  call->daemon = daemon;
+  call->incarnation = daemons[daemon].incarnation;
+  call->was_disrupted = !is_in_touch (&daemons[daemon]);
+  call->has_revocable_key = has_revocable_key;
+  call->was_key_revoked
+      = has_revocable_key && revoked_ms > 0
+        && now_ms () - revoked_ms > site.settings.bounds.revoke_ms;
+  if (kind == CALL_NUMBERED)
+    call->number
+        = change_count
+          - draw_below (change_count > NUMBERED_ROUTES ? NUMBERED_ROUTES + 1
+                                                       : change_count);
+  calls[call_count++] = call;
+  send_call (call, has_new_connection);
+  return call;
+}
+
+/* Kept connections are used until the process is gone, new ones while the
+   load balancer sends them.  Returns DAEMONS if there is no such daemon.  */
+static uint32_t
+pick_daemon (bool has_new_connection)
+{
+  for (uint32_t attempt = 0; attempt < 8 * DAEMONS; attempt++)
+    {
+      uint32_t index = draw_below (DAEMONS);
+
+      if (daemons[index].pid != 0
+          && (!has_new_connection || daemons[index].is_in_rotation))
+        return index;
+    }
+  return DAEMONS;
+}
+
+static void
+start_next_call (void *ctx)
+{
+  bool has_new_connection = draw_below (3) == 0;
+  uint32_t daemon = pick_daemon (has_new_connection);
+
+  (void)ctx;
+  if (is_over || call_count == MAX_CALLS)
+    return;
+  if (daemon < DAEMONS)
+    start_call (draw_below (CALL_KINDS), daemon, draw_below (4) == 0,
+                has_new_connection);
+  start_timer (CALL_INTERVAL_MS, start_next_call, NULL);
+}
+
+/* Changes.  */
+
+static json_t *
+make_numbered_route (uint32_t number)
+{
+  char prefix[BD_NAME_SIZE];
+
+  snprintf (prefix, sizeof prefix, "/numbered%u/", number);
+  return json_pack ("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:b}", "Name",
+                    prefix, "Host", "h.example", "PathPrefix", prefix, "Type",
+                    "safe", "TimeoutMs", DEADLINE_MS, "TargetLatencyMs", 300,
+                    "Priority", 1, "Service", "plain", "MaxAttempts", 2,
+                    "Public", 0);
+}
+
+/* Adds a numbered route and drops the oldest.  */
+static void
+publish_change (void)
+{
+  json_t *routes = json_object_get (site.config, "Routes");
+
+  if (change_count + 1 == MAX_CHANGES)
+    return;
+  json_array_append_new (routes, make_numbered_route (++change_count));
+  if (json_array_size (routes) > FIXED_ROUTES + NUMBERED_ROUTES)
+    json_array_remove (routes, FIXED_ROUTES);
+  site_publish (&site);
+  change_ms[change_count] = now_ms ();
+}
+
+static void
+toggle_key (void)
+{
+  if (revoked_ms == 0)
+    {
+      site_revoke_key (&site);
+      revoked_ms = now_ms ();
+      return;
+    }
+  site_grant_key (&site, "new-owner");
+  revoked_ms = 0;
+}
+
+static void
+change_config (void *ctx)
+{
+  (void)ctx;
+  if (is_over)
+    return;
+  if (draw_below (5) == 0)
+    toggle_key ();
+  else
+    publish_change ();
+  start_timer (CHANGE_INTERVAL_MS, change_config, NULL);
+}
+
+static void
+list_workers (void)
+{
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    if (site.workers[i].is_listed)
+      site_list_worker (&site.workers[i]);
+}
+
+static void
+send_heartbeats (void *ctx)
+{
+  (void)ctx;
+  list_workers ();
+  start_timer (HEARTBEAT_MS, send_heartbeats, NULL);
+}
+
+/* The daemon's name begins the path of its platform_url.  */
+static bool
+has_lost_links (const char *path)
+{
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    {
+      size_t size = strlen (daemons[i].name);
+
+      if (path[0] == '/' && strncmp (path + 1, daemons[i].name, size) == 0
+          && path[size + 1] == '/')
+        return daemons[i].is_cut;
+    }
+  return false;
+}
+
+static void
+set_links (struct daemon_process *process, bool is_cut)
+{
+  process->is_cut = is_cut;
+  process->disrupted_ms = now_ms ();
+  mark_calls ((uint32_t)(process - daemons), false);
+}
+
+/* Restores the links of all daemons, and cuts those of another one.  */
+static void
+move_cut (void *ctx)
+{
+  (void)ctx;
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    if (daemons[i].is_cut)
+      set_links (&daemons[i], false);
+  if (!is_over)
+    {
+      set_links (&daemons[draw_below (DAEMONS)], true);
+      start_timer (CUT_INTERVAL_MS, move_cut, NULL);
+    }
+  list_workers ();
+}
+
+static void
+return_worker (void *ctx)
+{
+  struct site_worker *worker = ctx;
+
+  left_ms[worker - site.workers] = 0;
+  worker->is_draining = false;
+  worker->is_listed = true;
+  site_restart_worker (worker);
+}
+
+static void
+remove_worker (void *ctx)
+{
+  struct site_worker *worker = ctx;
+
+  worker->is_listed = false;
+  site_list_worker (worker);
+  start_timer (HEARTBEAT_MS, return_worker, worker);
+}
+
+static void
+drain_next_worker (void *ctx)
+{
+  uint32_t index = draw_below (site.worker_count);
+  struct site_worker *worker = &site.workers[index];
+
+  (void)ctx;
+  if (is_over)
+    return;
+  if (left_ms[index] == 0)
+    {
+      worker->is_draining = true;
+      site_list_worker (worker);
+      left_ms[index] = now_ms ();
+      start_timer (LEAVE_MS, remove_worker, worker);
+    }
+  start_timer (LEAVE_INTERVAL_MS, drain_next_worker, NULL);
+}
+
+/* The whole test.  */
+
+static void
+start_site (void)
+{
+  site_start_platform (&site, PLAIN_WORKERS, POOL_WORKERS);
+  site.echoes_path = true;
+  site.on_run = handle_run;
+  site.has_lost_links = has_lost_links;
+  for (uint32_t i = 0; i < SLOW_POOL_WORKERS; i++)
+    site.workers[PLAIN_WORKERS + i].mode = WORKER_SLOW;
+  publish_change ();
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    {
+      struct daemon_process *process = &daemons[i];
+
+      snprintf (process->name, sizeof process->name, "edge-%u", i + 1);
+      snprintf (process->data_centre, sizeof process->data_centre, "%c",
+                (char)('a' + i % DATA_CENTRES));
+      process->port = FIRST_PORT + i * PORTS_PER_DAEMON;
+      start_daemon (process);
+    }
+  poll_processes (NULL);
+  run_balancer (NULL);
+  send_heartbeats (NULL);
+  if (!site_run (&site, has_started, START_LIMIT_MS))
+    {
+      violation_count++;
+      printf ("VIOLATED start: not ready without any change\n");
+    }
+}
+
+static bool
+are_calls_done (struct site *s)
+{
+  (void)s;
+  for (uint32_t i = 0; i < call_count; i++)
+    if (!calls[i]->is_done)
+      return false;
+  return true;
+}
+
+/* Sends some calls to a daemon and returns how many are served.  */
+static uint32_t
+count_served (enum call_kind kind, uint32_t daemon)
+{
+  struct upgrade_call *sent[RECOVERY_CALLS];
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < RECOVERY_CALLS; i++)
+    sent[i] = start_call (kind, daemon, false, true);
+  for (uint32_t i = 0; i < RECOVERY_CALLS; i++)
+    {
+      while (!sent[i]->is_done)
+        tevent_loop_once (site.events);
+      count += sent[i]->status == 200 && sent[i]->is_complete;
+    }
+  return count;
+}
+
+/* Checks that every daemon serves more than half of the calls of every kind.
+ */
+static void
+check_recovery (void)
+{
+  if (!site_run (&site, are_daemons_ready, RECOVERY_LIMIT_MS))
+    {
+      violation_count++;
+      printf ("VIOLATED recovery: a daemon is not ready\n");
+      return;
+    }
+  site_wait (&site, CONTACT_MS);
+  for (uint32_t i = 0; i < DAEMONS * CALL_NUMBERED; i++)
+    {
+      uint32_t count = count_served (i % CALL_NUMBERED, i / CALL_NUMBERED);
+
+      if (2 * count > RECOVERY_CALLS)
+        continue;
+      violation_count++;
+      printf ("VIOLATED recovery: %s served %u of %u, %s\n",
+              daemons[i / CALL_NUMBERED].name, count, RECOVERY_CALLS,
+              paths[i % CALL_NUMBERED]);
+    }
+}
+
+static void
+check_end (void)
+{
+  if (!site_run (&site, are_calls_done, START_LIMIT_MS))
+    {
+      violation_count++;
+      printf ("VIOLATED completion: a call has not ended\n");
+    }
+  if (site.partial_runs > 0 || site.stolen_joins > 0)
+    {
+      violation_count++;
+      printf ("VIOLATED groups: %u runs with a member missing, "
+              "%u joins of members of an open group\n",
+              site.partial_runs, site.stolen_joins);
+    }
+}
+
+static void
+upgrade (uint32_t seconds)
+{
+  start_site ();
+  start_next_call (NULL);
+  change_config (NULL);
+  move_cut (NULL);
+  drain_next_worker (NULL);
+  replace_next (NULL);
+  site_wait (&site, (int64_t)seconds * 1000);
+  is_over = true;
+  site_wait (&site, LEAVE_MS + HEARTBEAT_MS);
+  if (revoked_ms != 0)
+    toggle_key ();
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    site.workers[i].mode = WORKER_HEALTHY;
+  check_recovery ();
+  check_end ();
+}
+
+static void
+finish_site (void)
+{
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    {
+      char *path = talloc_asprintf (site.events, "%s/%s.toml", directory,
+                                    daemons[i].name);
+
+      if (daemons[i].pid != 0)
+        {
+          kill (daemons[i].pid, SIGKILL);
+          waitpid (daemons[i].pid, NULL, 0);
+        }
+      remove (path);
+    }
+  remove (directory);
+  site_finish (&site);
+}
+
+static void
+print_totals (uint32_t seed, uint32_t seconds)
+{
+  printf ("seed %u, %u s: %u daemons replaced, %u configurations\n", seed,
+          seconds, replaced_count, change_count);
+  for (uint32_t kind = 0; kind < CALL_KINDS; kind++)
+    printf ("%s: %u served, %u refused, %u denied, %u not read, %u failed\n",
+            paths[kind], served[kind], refused[kind], denied[kind],
+            unread[kind], failed[kind]);
+  printf ("%u checks, %u invariants violated\n", call_count, violation_count);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct arg_file *old = arg_file1 (NULL, "old", "PATH", "the earlier build");
+  struct arg_file *new = arg_file1 (NULL, "new", "PATH", "this build");
+  struct arg_str *omits = arg_str0 (NULL, "old-omits", "KEY",
+                                    "setting that the earlier build lacks");
+  struct arg_int *seed
+      = arg_int0 (NULL, "seed", "N", "seed of the changes and calls");
+  struct arg_int *seconds
+      = arg_int0 (NULL, "seconds", "N", "duration of the changes");
+  struct arg_end *end = arg_end (6);
+  void *table[] = { old, new, omits, seed, seconds, end };
+  uint32_t seed_value = DEFAULT_SEED;
+  uint32_t duration_s = DEFAULT_SECONDS;
+
+  if (arg_parse (argc, argv, table) > 0)
+    {
+      arg_print_errors (stderr, end, argv[0]);
+      return 2;
+    }
+  programs[0] = old->filename[0];
+  programs[1] = new->filename[0];
+  if (omits->count > 0)
+    old_omits = omits->sval[0];
+  if (seed->count > 0)
+    seed_value = (uint32_t)seed->ival[0];
+  if (seconds->count > 0)
+    duration_s = (uint32_t)seconds->ival[0];
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  signal (SIGPIPE, SIG_IGN);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  unit_silence_log ();
+  directory = g_dir_make_tmp ("upgrade-XXXXXX", NULL);
+  rng = gsl_rng_alloc (gsl_rng_mt19937);
+  gsl_rng_set (rng, seed_value);
+  upgrade (duration_s);
+  finish_site ();
+  gsl_rng_free (rng);
+  g_free (directory);
+  curl_global_cleanup ();
+  print_totals (seed_value, duration_s);
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return violation_count > 0;
+}
