edge: failing test: a follower's handover is refused beside a change

In a large fleet a follower knows the versions of its relays only. Beside a change it hands requests to other followers, which have not heard of it yet and refuse; after four tries the caller gets 503.

It fails at times only.

--- a/src/edge/edge_relays_test.c
+++ b/src/edge/edge_relays_test.c
@@ -63,7 +63,10 @@
   /* Copies of one message that a daemon receives: from the sender, from the
      other relay of its data centre, and from the two of the other one.  */
   MAX_COPIES = 4,
-  CROSSED_NEWS = 20
+  CROSSED_NEWS = 20,
+
+  CHANGES = 8,
+  CALLS = 60
 };
 
 /* How old one kind of state has been at most.  */
@@ -80,7 +83,8 @@
   char url[64];
   struct bd_edge *edge; /* NULL when it has stopped.  */
   bool is_silent;       /* It does nothing any more.  */
-  bool loses_evidence;  /* Messages with evidence of crashes are lost.  */
+  bool has_lost_links;
+  bool loses_evidence; /* Messages with evidence of crashes are lost.  */
   bd_peers_handler *handler;
   uint32_t reads;       /* Of the configuration and the instance list.  */
   uint32_t whole_lists; /* Transfers of all entries that it has received.  */
@@ -769,6 +773,75 @@
   kill_daemon (relay);
 }
 
+/* On the machines of a deployment the handover port is the same, so a daemon
+   does not ask for that of one which only a relay reports.  */
+static void
+set_handover_ports (struct daemon *daemon)
+{
+  struct bd_membership *membership = &daemon->edge->membership;
+
+  for (uint32_t m = 1; m < membership->count; m++)
+    for (uint32_t i = 0; i < DAEMONS; i++)
+      if (strcmp (membership->members[m].name, daemons[i].settings.name) == 0)
+        membership->members[m].http_port = daemons[i].settings.handover_port;
+}
+
+/* Keeps the links of a daemon lost.  */
+static void
+lose_links (void *ctx)
+{
+  struct daemon *daemon = ctx;
+
+  set_handover_ports (daemon);
+  bd_edge_service (daemon->edge, "plain")->links.is_lost
+      = daemon->has_lost_links;
+  if (daemon->has_lost_links)
+    bd_timer_add (site.events, site.events, SAMPLE_MS, lose_links, daemon);
+}
+
+/* Sends calls and returns how many are served.  */
+static uint32_t
+count_served (void)
+{
+  struct site_call *calls[CALLS];
+  uint32_t served = 0;
+
+  for (uint32_t i = 0; i < CALLS; i++)
+    {
+      calls[i] = site_start_call (&site, "GET", "/safe/x", "k1", NULL);
+      run_for (SAMPLE_MS);
+    }
+  for (uint32_t i = 0; i < CALLS; i++)
+    {
+      while (!calls[i]->is_done)
+        tevent_loop_once (site.events);
+      served += calls[i]->status == 200;
+    }
+  return served;
+}
+
+static void
+test_follower_without_links_is_refused_beside_changes (void)
+{
+  struct daemon *daemon = find_follower ("a");
+  uint32_t served = 0;
+
+  daemon->has_lost_links = true;
+  lose_links (daemon);
+  site.daemon_port = daemon->settings.http_port;
+  CU_ASSERT_EQUAL (count_served (), CALLS);
+  for (uint32_t i = 0; i < CHANGES; i++)
+    {
+      site_publish (&site);
+      served += count_served ();
+    }
+  CU_ASSERT_EQUAL (served, CHANGES * CALLS);
+  daemon->has_lost_links = false;
+  lose_links (daemon);
+  site.daemon_port = daemons[0].settings.http_port;
+  run_for (DEAD_AFTER_MS);
+}
+
 /* A relay of one data centre is killed, with a follower, and one of the other
    one no longer does anything.  */
 static void
@@ -791,6 +864,8 @@
     { "only relays read the store", test_readers },
     { "only relays read the store, long bounds", test_readers_of_long_bounds },
     { "changes reach all", test_changes },
+    { "follower without links is refused beside changes",
+      test_follower_without_links_is_refused_beside_changes },
     { "news reach all and stop", test_news },
     { "lost news", test_lost_news },
     { "crossed news stop", test_crossed_news },
