edge: a handover prefers daemons known to have the configuration

For BD_EDGE_RELAY_DELAY_MS after a change, a daemon whose version is unknown, since only a relay reports it, is taken to have the older configuration: the relays take the requests over, or they wait. The delay was a constant of sync.c.

--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -32,7 +32,9 @@
   BD_EDGE_MAX_HEADERS = 48,
   BD_EDGE_MAX_RELAY_REPORTS = 4,
   /* Retry-After while this daemon stops: another one can serve at once.  */
-  BD_EDGE_STOPPING_RETRY_MS = 50
+  BD_EDGE_STOPPING_RETRY_MS = 50,
+  /* Time of the way from a relay to the daemons that follow it.  */
+  BD_EDGE_RELAY_DELAY_MS = 1000
 };
 
 /* What ended a caller's connection before the whole response was sent.  */
--- a/src/edge/handover.c
+++ b/src/edge/handover.c
@@ -48,13 +48,16 @@
                                 : edge->settings->handover_port;
 }
 
-/* Whether the member's own status says that its configuration is older than
-   this daemon's, so that it would refuse.  */
+/* Whether the member has an older configuration than this daemon, so that it
+   would refuse.  The version of a member that only a relay reports is not
+   known: it is taken to be older until the relays have passed this one on.  */
 static bool
 is_behind (const struct bd_edge *edge, const struct bd_member *member)
 {
-  return member->incarnation != 0 && !member->is_reported
-         && member->config_revision < edge->routes->version;
+  if (member->incarnation == 0 || member->is_reported)
+    return bd_edge_now_ms (edge) - edge->config_applied_ms
+           < BD_EDGE_RELAY_DELAY_MS;
+  return member->config_revision < edge->routes->version;
 }
 
 /* Whether the member can take the request over with the configuration of this
--- a/src/edge/sync.c
+++ b/src/edge/sync.c
@@ -22,8 +22,6 @@
   MAX_READ_PERIOD_MS = 2000,
   /* Reads within the time after which a key must not be accepted any more.  */
   READS_PER_REVOCATION = 4,
-  /* Time of the way from a relay to the daemons that follow it.  */
-  RELAY_DELAY_MS = 1000,
   /* Up to this number of live daemons in a data centre, each of them reads the
      store.  */
   MAX_READERS = 3,
@@ -56,7 +54,7 @@
   int64_t period_ms;
 
   if (is_large_data_centre (edge))
-    bound_ms -= RELAY_DELAY_MS;
+    bound_ms -= BD_EDGE_RELAY_DELAY_MS;
   period_ms = min_ms (bound_ms / 2, bounds->revoke_ms / READS_PER_REVOCATION);
   if (period_ms < MIN_READ_PERIOD_MS)
     return MIN_READ_PERIOD_MS;
@@ -66,7 +64,7 @@
 static int64_t
 own_read_after_ms (const struct bd_edge *edge)
 {
-  int64_t follower_age_ms = read_period_ms (edge) + RELAY_DELAY_MS;
+  int64_t follower_age_ms = read_period_ms (edge) + BD_EDGE_RELAY_DELAY_MS;
 
   return follower_age_ms > OWN_READ_AFTER_MS ? follower_age_ms
                                              : OWN_READ_AFTER_MS;
