--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -591,6 +591,21 @@
   bd_http_client_finish (&client);
 }
 
+static void
+test_refusal_is_noticed_late (void)
+{
+  struct bd_http_client client;
+  bool is_late = false;
+  struct bd_timer *timer;
+
+  bd_http_client_init (&client, events, 4);
+  timer = bd_timer_add (events, events, SHORT_MS / 3, set_flag, &is_late);
+  post_to (&client, CRASHING_PORT, true);
+  CU_ASSERT_FALSE_FATAL (is_late);
+  talloc_free (timer);
+  bd_http_client_finish (&client);
+}
+
 enum
 {
   /* Far more than any bound that the client may have, and so little that the
@@ -723,6 +738,7 @@
           { "server crashes on a kept connection",
             test_server_crashes_on_kept_connection },
           { "refused connection", test_refused_connection },
+          { "refusal is noticed late", test_refusal_is_noticed_late },
           { "endless responses", test_endless_responses } };
   int code;
 
