http: a refused connection is noticed at once

Callers of a daemon whose endpoint, or peer, was gone from an address of the same machine waited 200 ms for each try, longer than most objectives. libcurl looks at a connection that the kernel refuses within connect() only when its timer for a second address fires. Ruled out: our connect timeout, the time is the same with 250 ms and with the default.

The timer is set to 1 ms; the addresses here are numeric, so there is no second one. 200.2 to 200.3 ms before, 1.1 to 1.2 ms after, six calls each. Refusals that come over a network were not measured.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -447,6 +447,9 @@
                     request->connect_timeout_ms > 0
                         ? (long)request->connect_timeout_ms
                         : (long)CONNECT_TIMEOUT_MS);
+  /* With one address this is only the time until libcurl notices a connection
+     that the kernel has refused at once.  */
+  curl_easy_setopt (easy, CURLOPT_HAPPY_EYEBALLS_TIMEOUT_MS, 1L);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, handle_socket_created);
   curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
