--- a/src/edge/edge_silence_test.c
+++ b/src/edge/edge_silence_test.c
@@ -22,6 +22,7 @@
   /* Until the group of a stalled stream gets no more requests.  */
   SUSPECTED_MS = 450,
   WAITING_CALLS = 40,
+  PLAIN_WORKERS = 3,
   PLAIN_TIMEOUT_MS = 2000,
   SAFE_ROUTE = 0,
   UNSAFE_ROUTE = 1,
@@ -422,6 +423,7 @@
   set_modes (WORKER_SLOW);
   wait_for (call);
   CU_ASSERT_TRUE (is_stream_complete (call));
+  CU_ASSERT_EQUAL (site.edge->counters.value[BD_COUNT_POISON_CRASHES], 0);
   for (uint32_t i = 0; i < site.worker_count; i++)
     {
       CU_ASSERT_TRUE (site.workers[i].group != NULL
@@ -449,6 +451,30 @@
   check_silent_members (true, true);
 }
 
+/* All endpoints of a service are silent at the same time, as if the daemon had
+   lost its links to them.  */
+static void
+test_silence_of_all_endpoints_ends_requests (void)
+{
+  struct site_call *calls[2 * PLAIN_WORKERS];
+
+  start_plain (PLAIN_WORKERS, WORKER_SILENT);
+  set_route (SAFE_ROUTE, "TimeoutMs", json_integer (PLAIN_TIMEOUT_MS));
+  publish ();
+  for (uint32_t i = 0; i < 2 * PLAIN_WORKERS; i++)
+    calls[i]
+        = site_start_call (&site, i % 2 == 0 ? "GET" : "POST",
+                           i % 2 == 0 ? "/safe/x" : "/unsafe/x", "k1", NULL);
+  site_wait (&site, SITE_PAUSE_MS);
+  set_modes (WORKER_HEALTHY);
+  for (uint32_t i = 0; i < 2 * PLAIN_WORKERS; i++)
+    {
+      wait_for (calls[i]);
+      CU_ASSERT_EQUAL (calls[i]->status, 200);
+    }
+  site_finish (&site);
+}
+
 int
 main (void)
 {
@@ -492,6 +518,8 @@
     { "silent leader dissolves group", test_silent_leader_dissolves_group },
     { "silent member dissolves group", test_silent_member_dissolves_group },
     { "silent members dissolve group", test_silent_members_dissolve_group },
+    { "silence of all endpoints ends requests",
+      test_silence_of_all_endpoints_ends_requests },
   };
 
   unit_silence_log ();
