http: libmicrohttpd is not entered by its own callbacks

Among the daemons only timers stop the listening, so callers of a daemon were not concerned. The crashing endpoints of the tests and of the soak are.

Change: a stop that a callback asks for is done when libmicrohttpd has returned.

--- a/src/http/server.c
+++ b/src/http/server.c
@@ -37,6 +37,25 @@
 };
 
 static void schedule_next_run (struct bd_http_server *server);
+static void stop_listening (struct bd_http_server *server);
+
+/* Runs libmicrohttpd, which must not be entered again by its callbacks.  */
+static void
+run (struct bd_http_server *server)
+{
+  server->is_running = true;
+  MHD_run (server->daemon);
+  server->is_running = false;
+}
+
+static void
+run_and_schedule (struct bd_http_server *server)
+{
+  run (server);
+  if (server->has_to_stop_listening)
+    stop_listening (server);
+  schedule_next_run (server);
+}
 
 static void
 handle_timer (void *private_data)
@@ -45,8 +64,7 @@
 
   server->timer = NULL;
   server->is_run_due = false;
-  MHD_run (server->daemon);
-  schedule_next_run (server);
+  run_and_schedule (server);
 }
 
 static void
@@ -90,8 +108,7 @@
   (void)events;
   (void)fd;
   (void)flags;
-  MHD_run (server->daemon);
-  schedule_next_run (server);
+  run_and_schedule (server);
 }
 
 static void resume (struct bd_http_exchange *x);
@@ -456,14 +473,15 @@
   struct pollfd listening = { .fd = info->listen_fd, .events = POLLIN };
 
   for (uint32_t i = 0; i < MAX_ACCEPT_RUNS && poll (&listening, 1, 0) > 0; i++)
-    MHD_run (server->daemon);
+    run (server);
 }
 
-void
-bd_http_server_stop_listening (struct bd_http_server *server)
+static void
+stop_listening (struct bd_http_server *server)
 {
   int fd;
 
+  server->has_to_stop_listening = false;
   accept_waiting_connections (server);
   fd = MHD_quiesce_daemon (server->daemon);
   if (fd >= 0)
@@ -471,6 +489,17 @@
   schedule_immediate_run (server);
 }
 
+void
+bd_http_server_stop_listening (struct bd_http_server *server)
+{
+  if (server->daemon == NULL)
+    return;
+  if (server->is_running)
+    server->has_to_stop_listening = true;
+  else
+    stop_listening (server);
+}
+
 void
 bd_http_server_close_idle (struct bd_http_server *server)
 {
@@ -493,7 +522,7 @@
 flush_responses (struct bd_http_server *server)
 {
   for (uint32_t i = 0; i < MAX_FLUSH_RUNS && server->open_exchanges > 0; i++)
-    MHD_run (server->daemon);
+    run (server);
 }
 
 void
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -81,6 +81,8 @@
   uint32_t idle_timeout_ms;
   bool closes_idle;
   bool is_finishing;
+  bool is_running; /* libmicrohttpd runs.  */
+  bool has_to_stop_listening;
   uint32_t open_exchanges; /* Requests without a complete response.  */
   struct bd_http_exchange *exchanges; /* All open exchanges.  */
   struct bd_http_connection *connections;
@@ -107,7 +109,8 @@
                                   uint32_t idle_timeout_ms);
 
 /* bd_http_server_stop_listening(): accepts the connections that wait, and then
-   no more.  May call the request handler.  */
+   no more.  May call the request handler.  If it is called by a callback of
+   the server, this happens after libmicrohttpd has returned.  */
 void bd_http_server_stop_listening (struct bd_http_server *server);
 
 /* bd_http_server_close_idle(): closes the connections on which no request has
