serve: failing test: kept connections are not told of a stop

Responses of `burdockdale serve` to calls and to checks during a stop let their callers keep the connection. planned_stops fails at "a response on a kept connection announces its close".

--- a/tests/paths/planned_stops.sh
+++ b/tests/paths/planned_stops.sh
@@ -7,12 +7,20 @@
 
 set_faults "$LEAGUE" '{"slow_ms":700}'
 for i in 1 2 3; do post_stream "$A" "stop $i" 250 >"$WORK/stop-$i" & done
-post_booking "$A" slow >"$WORK/slow" &
+post -D "$WORK/slow-head" -H 'Idempotency-Key: slow' -d '{}' "$A/league/bookings" >"$WORK/slow" &
+exec {kept}<>"/dev/tcp/$HOST/$((BASE_PORT + 1))"
+printf 'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n' >&"$kept"
+read -r -t 2 -u "$kept" line
+check "a kept connection works" is_equal "${line%$'\r'}" "HTTP/1.1 200 OK"
 sleep 0.3
 kill -TERM "${PIDS[a]}"
 sleep 0.15
 check "daemon a reports not ready at once" is_equal "$(get -o /dev/null -w '%{http_code}' "$A/readyz")" 503
 check "daemon a rejects new requests" is_equal "$(get -o /dev/null -w '%{http_code}' -d '{"model":"drafter","prompt":"x"}' "$A/v1/completions")" 503
+printf 'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n' >&"$kept"
+timeout 0.5 cat <&"$kept" >"$WORK/kept" || true
+exec {kept}>&-
+check "a response on a kept connection announces its close" grep -qi '^Connection: close' "$WORK/kept"
 wait "${PIDS[a]}" && code=0 || code=$?
 unset "PIDS[a]"
 check "exit code 0" is_equal "$code" 0
@@ -21,6 +29,7 @@
   check "stream $i has the [DONE] event" grep -q DONE "$WORK/stop-$i"
 done
 check "the booking gets its response" is_equal "$(jq -r .key "$WORK/slow")" slow
+check "the response of the booking announces the close" grep -qi '^Connection: close' "$WORK/slow-head"
 set_faults "$LEAGUE" '{"slow_ms":0}'
 check "a retry through daemon b gets the recorded response" wait_until 5 bash -c "curl -s -X POST -H 'Idempotency-Key: slow' -d '{}' $B/league/bookings | grep -q '\"key\":\"slow\"'"
 check "the booking runs once" is_equal "$(run_count slow)" 1
