serve: a stop tells kept connections, and refuses what still arrives

What callers saw: responses of a stopping `serve` let them keep the connection; a request on it after the last call had ended met the end of the process, and got no response. So did requests in connections that waited to be accepted.

Cause: only refusals had Connection: close; when no call was open any more, the process closed its sockets, whatever had arrived on them.

Ruled out: calls taken though they can't end within a grace period. `serve` takes none once it stops, and waits for those that run until their deadlines; it has no grace period of its own and cuts nothing.

Change: from the start of a stop, all responses announce the close. When the calls have ended, the server accepts what waits, stops listening and closes idle connections; it is done when what had arrived is refused. Until then it answers checks of its health as before.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -20,6 +20,7 @@
   REPORT_LAG_MS = 500,
   /* Time for peers and callers to notice a stop.  */
   STOP_NOTICE_MS = 300,
+  DRAIN_CHECK_MS = 20,
   /* Largest body of a request on a path that belongs to no service.  The
      service of a model request is only known from its body.  */
   MAX_MODEL_BODY_BYTES = 4 << 20
@@ -194,6 +195,44 @@
   return NULL;
 }
 
+static bool
+has_pending_claims (const struct bd_daemon *daemon)
+{
+  if (daemon->forwarded_claims != NULL)
+    return true;
+  for (uint32_t i = 0; i < BD_CLAIM_SHARDS; i++)
+    if (daemon->shards[i].first != NULL || daemon->shards[i].is_committing)
+      return true;
+  return false;
+}
+
+static bool
+is_drained (const struct bd_daemon *daemon)
+{
+  return daemon->job_count == 0 && bd_http_server_is_idle (&daemon->server)
+         && !has_pending_claims (daemon)
+         && bd_daemon_now_ms (daemon) - daemon->stopping_since_ms
+                >= STOP_NOTICE_MS;
+}
+
+/* Until the calls have ended, the daemon answers checks of its health and
+   refuses calls.  What has arrived by then is still refused.  */
+static void
+close_when_drained (void *ctx)
+{
+  struct bd_daemon *daemon = ctx;
+
+  if (!is_drained (daemon))
+    {
+      bd_timer_add (daemon->events, daemon, DRAIN_CHECK_MS, close_when_drained,
+                    daemon);
+      return;
+    }
+  daemon->is_closed = true;
+  bd_http_server_stop_listening (&daemon->server);
+  bd_http_server_close_idle (&daemon->server);
+}
+
 void
 bd_daemon_stop (struct bd_daemon *daemon)
 {
@@ -203,29 +242,17 @@
   daemon->stopping_since_ms = bd_daemon_now_ms (daemon);
   bd_membership_self (&daemon->membership)->is_stopping = true;
   bd_log ("stopping", NULL);
+  bd_http_server_announce_close (&daemon->server);
+  close_when_drained (daemon);
   /* The heartbeat reports the stop, so that peers take over the duties of this
      daemon at once.  */
   bd_daemon_send_heartbeats (daemon);
 }
 
-static bool
-has_pending_claims (const struct bd_daemon *daemon)
-{
-  if (daemon->forwarded_claims != NULL)
-    return true;
-  for (uint32_t i = 0; i < BD_CLAIM_SHARDS; i++)
-    if (daemon->shards[i].first != NULL || daemon->shards[i].is_committing)
-      return true;
-  return false;
-}
-
 bool
 bd_daemon_is_done (const struct bd_daemon *daemon)
 {
-  return daemon->is_stopping && daemon->job_count == 0
-         && daemon->server.open_exchanges == 0 && !has_pending_claims (daemon)
-         && bd_daemon_now_ms (daemon) - daemon->stopping_since_ms
-                >= STOP_NOTICE_MS;
+  return daemon->is_closed && is_drained (daemon);
 }
 
 static void
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -179,6 +179,7 @@
   struct bd_ticker dispatch_ticker;
   int64_t started_ms;
   bool is_stopping;
+  bool is_closed; /* The calls have ended; no connections are accepted.  */
   int64_t stopping_since_ms;
   bool was_ready;
 };
--- a/src/http/connection_test.c
+++ b/src/http/connection_test.c
@@ -827,6 +827,66 @@
   check_stop_in_handler (&aborting_ops);
 }
 
+static void
+respond (void *ctx, struct bd_http_exchange *x)
+{
+  handle_request (ctx, x);
+  bd_http_respond_text (x, 200, "text/plain", "whole");
+}
+
+static const struct bd_http_server_ops responding_ops
+    = { max_body, respond, handle_disconnect, ignore };
+
+/* Responses of a server that stops tell their callers to use another
+   connection.  */
+static void
+test_responses_announce_the_close (void)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  bd_http_server_announce_close (&f.server);
+  bd_http_respond_text (f.exchange, 200, "text/plain", "whole");
+  CU_ASSERT_TRUE (receive_text (&f, fd, "Connection: close\r\n"));
+  CU_ASSERT_TRUE (run_until_freed (&f));
+  close (fd);
+  fd = begin_request (&f);
+  bd_http_stream_begin (f.exchange, 200, close_headers);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "Connection: close\r\n"));
+  bd_http_stream_end (f.exchange, true);
+  CU_ASSERT_TRUE (run_until_freed (&f));
+  close (fd);
+  finish (&f);
+}
+
+/* A server that is stopped and finished as soon as it is idle handles the
+   requests that wait in its sockets by then.  */
+static void
+test_stopped_server_reads_waiting_requests (void)
+{
+  struct fixture f;
+  int kept_fd;
+  int new_fd;
+
+  start (&f, LONG_MS);
+  kept_fd = keep_connection (&f);
+  send_text (kept_fd, request_text);
+  new_fd = connect_caller ();
+  send_text (new_fd, request_text);
+  f.server.ops = &responding_ops;
+  bd_http_server_stop_listening (&f.server);
+  bd_http_server_close_idle (&f.server);
+  while (!bd_http_server_is_idle (&f.server))
+    tevent_loop_once (f.events);
+  finish (&f);
+  CU_ASSERT_TRUE (count_bytes (kept_fd, 4096) > 0);
+  CU_ASSERT_TRUE (count_bytes (new_fd, 4096) > 0);
+  close (kept_fd);
+  close (new_fd);
+}
+
 int
 main (void)
 {
@@ -863,7 +923,10 @@
       test_finish_ends_streams_as_incomplete },
     { "a handler stops listening", test_handler_stops_listening },
     { "a handler stops listening and aborts",
-      test_handler_stops_listening_and_aborts }
+      test_handler_stops_listening_and_aborts },
+    { "responses announce the close", test_responses_announce_the_close },
+    { "a stopped server reads waiting requests",
+      test_stopped_server_reads_waiting_requests }
   };
 
   return UNIT_RUN ("connection", tests);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -509,6 +509,18 @@
     bd_http_connection_close_idle (c);
 }
 
+void
+bd_http_server_announce_close (struct bd_http_server *server)
+{
+  server->announces_close = true;
+}
+
+bool
+bd_http_server_is_idle (const struct bd_http_server *server)
+{
+  return server->open_exchanges == 0 && !server->is_run_due;
+}
+
 /* Whether nothing is missing of the response.  */
 static bool
 has_whole_response (const struct bd_http_exchange *x)
@@ -594,11 +606,19 @@
 }
 
 static void
-add_headers (struct MHD_Response *response,
+add_headers (struct bd_http_exchange *x,
              const struct bd_http_header_field *headers)
 {
+  bool has_connection = false;
+
   for (; headers != NULL && headers->name != NULL; headers++)
-    MHD_add_response_header (response, headers->name, headers->value);
+    {
+      has_connection
+          = has_connection || strcasecmp (headers->name, "Connection") == 0;
+      MHD_add_response_header (x->response, headers->name, headers->value);
+    }
+  if (x->server->announces_close && !has_connection)
+    MHD_add_response_header (x->response, "Connection", "close");
 }
 
 void
@@ -609,7 +629,7 @@
   assert (x->response == NULL);
   x->response = MHD_create_response_from_buffer (size, (void *)body,
                                                  MHD_RESPMEM_MUST_COPY);
-  add_headers (x->response, headers);
+  add_headers (x, headers);
   x->status = status;
   x->state = RESPONDED;
   resume (x);
@@ -661,7 +681,7 @@
   assert (x->response == NULL);
   x->response = MHD_create_response_from_callback (
       MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, read_stream, x, NULL);
-  add_headers (x->response, headers);
+  add_headers (x, headers);
   x->status = status;
   x->state = STREAMING;
   resume (x);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -80,6 +80,7 @@
   uint32_t header_timeout_ms;
   uint32_t idle_timeout_ms;
   bool closes_idle;
+  bool announces_close;
   bool is_finishing;
   bool is_running; /* libmicrohttpd runs.  */
   bool has_to_stop_listening;
@@ -118,6 +119,14 @@
    arrives on one of them afterwards is not handled.  */
 void bd_http_server_close_idle (struct bd_http_server *server);
 
+/* bd_http_server_announce_close(): from now on, each response tells its caller
+   that the connection is closed after it.  */
+void bd_http_server_announce_close (struct bd_http_server *server);
+
+/* bd_http_server_is_idle(): whether no request is open, and the requests that
+   had arrived when the server stopped listening have been read.  */
+bool bd_http_server_is_idle (const struct bd_http_server *server);
+
 /* bd_http_server_finish(): writes the whole responses as far as their sockets
    take them, closes all connections and stops the server.  Calls no callback.
    Must not be called by one.  */
