edge: a stop also closes the connections of other daemons

A stopping daemon listened for handed-over requests until its process ended, and kept idle connections of other daemons open, so that a request that crossed the end counted as sent. Its end did not wait for requests that had arrived on connections accepted by the stop.

The daemon is done when both servers have read what had arrived.

--- a/src/edge/stop.c
+++ b/src/edge/stop.c
@@ -69,6 +69,10 @@
   edge->is_closed = true;
   bd_http_server_stop_listening (&edge->server);
   bd_http_server_close_idle (&edge->server);
+  if (edge->settings->handover_port == 0)
+    return;
+  bd_http_server_stop_listening (&edge->handover_server);
+  bd_http_server_close_idle (&edge->handover_server);
 }
 
 static void
@@ -111,8 +115,7 @@
     return false;
   if (now_ms >= end_ms (edge) + FLUSH_MS)
     return true;
-  return (now_ms - edge->stopping_since_ms >= BALANCER_DELAY_MS
-          || now_ms >= end_ms (edge))
-         && edge->request_count == 0 && edge->server.open_exchanges == 0
-         && edge->handover_server.open_exchanges == 0;
+  return edge->is_closed && edge->request_count == 0
+         && bd_http_server_is_idle (&edge->server)
+         && bd_http_server_is_idle (&edge->handover_server);
 }
