http: failing test: a second stop closes another socket

MHD_quiesce_daemon() returns the number of the listening socket at each call, and bd_http_server_stop_listening() closes it. At a second call the number may belong to another socket of the process.

--- a/src/http/connection_test.c
+++ b/src/http/connection_test.c
@@ -11,6 +11,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/syscall.h>
@@ -827,6 +828,30 @@
   check_stop_in_handler (&aborting_ops);
 }
 
+/* The number of the closed listening socket is used again.  */
+static void
+test_second_stop_closes_no_other_socket (void)
+{
+  struct fixture f;
+  const union MHD_DaemonInfo *info;
+  int listen_fd;
+  int fd;
+
+  start (&f, LONG_MS);
+  info = MHD_get_daemon_info (f.server.daemon, MHD_DAEMON_INFO_LISTEN_FD);
+  listen_fd = info->listen_fd;
+  bd_http_server_stop_listening (&f.server);
+  fd = socket (AF_INET, SOCK_STREAM, 0);
+  CU_ASSERT_EQUAL (dup2 (fd, listen_fd), listen_fd);
+  bd_http_server_stop_listening (&f.server);
+  CU_ASSERT_TRUE (fcntl (listen_fd, F_GETFD) >= 0);
+  if (fd != listen_fd)
+    close (fd);
+  finish (&f);
+  CU_ASSERT_TRUE (fcntl (listen_fd, F_GETFD) >= 0);
+  close (listen_fd);
+}
+
 static void
 respond (void *ctx, struct bd_http_exchange *x)
 {
@@ -924,6 +949,8 @@
     { "a handler stops listening", test_handler_stops_listening },
     { "a handler stops listening and aborts",
       test_handler_stops_listening_and_aborts },
+    { "a second stop closes no other socket",
+      test_second_stop_closes_no_other_socket },
     { "responses announce the close", test_responses_announce_the_close },
     { "a stopped server reads waiting requests",
       test_stopped_server_reads_waiting_requests }
