http: a second stop of listening does nothing

Cause: its crashing endpoints stop listening with each request that they "crash" at. MHD_quiesce_daemon() returns the number of the closed socket at each call, so that the second call closed whatever had got that number since: sockets of the HTTP clients and of other servers. Their owners then closed a third one, and so on.

Ruled out: libcurl. A connection of its own that is given up while it connects is closed before its watch, which tevent bears (a trial). The daemons stop listening once (by reading), so that this is no cause of requests that callers lost.

--- a/src/http/server.c
+++ b/src/http/server.c
@@ -482,6 +482,7 @@
   int fd;
 
   server->has_to_stop_listening = false;
+  server->has_stopped_listening = true;
   accept_waiting_connections (server);
   fd = MHD_quiesce_daemon (server->daemon);
   if (fd >= 0)
@@ -492,7 +493,8 @@
 void
 bd_http_server_stop_listening (struct bd_http_server *server)
 {
-  if (server->daemon == NULL)
+  /* libmicrohttpd would return the number of the closed socket again.  */
+  if (server->daemon == NULL || server->has_stopped_listening)
     return;
   if (server->is_running)
     server->has_to_stop_listening = true;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -84,6 +84,7 @@
   bool is_finishing;
   bool is_running; /* libmicrohttpd runs.  */
   bool has_to_stop_listening;
+  bool has_stopped_listening;
   uint32_t open_exchanges; /* Requests without a complete response.  */
   struct bd_http_exchange *exchanges; /* All open exchanges.  */
   struct bd_http_connection *connections;
