--- a/src/edge/edge_stop_test.c
+++ b/src/edge/edge_stop_test.c
@@ -3,10 +3,14 @@
 
 #include "platform/platform.h"
 #include "tests/fakes/site.h"
+#include "tests/loopback.h"
 #include "tests/quiet.h"
 #include "tests/unit.h"
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
 #include <talloc.h>
+#include <unistd.h>
 
 enum
 {
@@ -14,6 +18,7 @@
   CALLS = 10,
   CALL_INTERVAL_MS = 330,
   GRACE_MS = 4500,
+  CLOSED_MS = 3600, /* No new requests are accepted by then.  */
   READY_MS = 10000
 };
 
@@ -122,6 +127,50 @@
   site_finish (&site);
 }
 
+static int
+connect_to_handover_port (bool *is_connected)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET,
+          .sin_port = htons ((uint16_t)site.settings.handover_port) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  inet_pton (AF_INET, loopback_address (), &address.sin_addr);
+  *is_connected
+      = connect (fd, (struct sockaddr *)&address, sizeof address) == 0;
+  return fd;
+}
+
+/* A request still runs when the load balancer has removed the daemon.  */
+static void
+test_other_daemons_reach_a_daemon_that_ends (void)
+{
+  struct site_call *call;
+  bool is_connected;
+  int kept_fd;
+  char byte;
+
+  site_start (&site, 2, 0);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, READY_MS));
+  site.settings.bounds.grace_ms = GRACE_MS;
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    site.workers[i].mode = WORKER_UNRESPONSIVE;
+  kept_fd = connect_to_handover_port (&is_connected);
+  CU_ASSERT_TRUE (is_connected);
+  bd_edge_stop (site.edge);
+  site_wait (&site, 700);
+  call = site_start_call (&site, "POST", "/unsafe/x", "k1", NULL);
+  site_wait (&site, CLOSED_MS - 700);
+  CU_ASSERT_FALSE (is_done (&site));
+  CU_ASSERT_EQUAL (recv (kept_fd, &byte, 1, MSG_DONTWAIT), 0);
+  close (kept_fd);
+  close (connect_to_handover_port (&is_connected));
+  CU_ASSERT_FALSE (is_connected);
+  end_daemon ();
+  wait_for (call);
+  site_finish (&site);
+}
+
 int
 main (void)
 {
@@ -130,6 +179,8 @@
       test_kept_connection_brings_request_that_outlasts_the_grace },
     { "request that runs at the end gets no response",
       test_request_that_runs_at_the_end_gets_no_response },
+    { "other daemons reach a daemon that ends",
+      test_other_daemons_reach_a_daemon_that_ends },
   };
 
   unit_silence_log ();
