http: comments of connections that end

The phase BD_HTTP_ENDING also stands for connections that were shut down, and idle ones are closed after the listening.

--- a/src/http/connection_test.c
+++ b/src/http/connection_test.c
@@ -1,4 +1,5 @@
-/* Tests on sockets of the time-outs of callers' connections.
+/* Tests on sockets of how callers' connections end: by time-outs, at a stop,
+   and with the server.
 
    The tests call bd_http_connection_check() with times of their own, so that
    the moment of a check is certain.  */
--- a/src/http/http_internal.h
+++ b/src/http/http_internal.h
@@ -19,7 +19,7 @@
   BD_HTTP_HEAD,       /* A request line has been received.  */
   BD_HTTP_BODY,
   BD_HTTP_RESPONSE,
-  BD_HTTP_ENDING /* 408 has been sent.  */
+  BD_HTTP_ENDING /* Shut down, or 408 has been sent: no request is handled. */
 };
 
 struct bd_http_connection
@@ -49,7 +49,7 @@
 void bd_http_connection_close (struct bd_http_connection *connection);
 
 /* bd_http_connection_enter(): the connection is in another phase.  A
-   connection that has got 408 stays in its phase.  */
+   connection that ends stays in its phase.  */
 void bd_http_connection_enter (struct bd_http_connection *connection,
                                enum bd_http_phase phase);
 
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -289,7 +289,7 @@
   struct bd_http_server *server = ctx;
 
   (void)version;
-  /* A request that got 408 must not run.  */
+  /* No response can be sent, or 408 was: the request must not run.  */
   if (x == NULL || x->peer->phase == BD_HTTP_ENDING)
     return MHD_NO;
   if (server->is_finishing && x->state == READING)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -117,7 +117,8 @@
 
 /* bd_http_server_close_idle(): closes the connections on which no request has
    begun, and from now on those whose response is complete.  A request that
-   arrives on one of them afterwards is not handled.  */
+   arrives on one of them afterwards is not handled.  To be called after
+   bd_http_server_stop_listening().  */
 void bd_http_server_close_idle (struct bd_http_server *server);
 
 /* bd_http_server_announce_close(): from now on, each response tells its caller
