--- a/src/http/connection_test.c
+++ b/src/http/connection_test.c
@@ -1,4 +1,5 @@
-/* Tests on sockets of the time-outs of callers' connections.
+/* Tests on sockets of how callers' connections end: by time-outs, at a stop,
+   and with the server.
 
    The tests call bd_http_connection_check() with times of their own, so that
    the moment of a check is certain.  */
@@ -11,6 +12,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/syscall.h>
@@ -827,6 +829,90 @@
   check_stop_in_handler (&aborting_ops);
 }
 
+/* The number of the closed listening socket is used again.  */
+static void
+test_second_stop_closes_no_other_socket (void)
+{
+  struct fixture f;
+  const union MHD_DaemonInfo *info;
+  int listen_fd;
+  int fd;
+
+  start (&f, LONG_MS);
+  info = MHD_get_daemon_info (f.server.daemon, MHD_DAEMON_INFO_LISTEN_FD);
+  listen_fd = info->listen_fd;
+  bd_http_server_stop_listening (&f.server);
+  fd = socket (AF_INET, SOCK_STREAM, 0);
+  CU_ASSERT_EQUAL (dup2 (fd, listen_fd), listen_fd);
+  bd_http_server_stop_listening (&f.server);
+  CU_ASSERT_TRUE (fcntl (listen_fd, F_GETFD) >= 0);
+  if (fd != listen_fd)
+    close (fd);
+  finish (&f);
+  CU_ASSERT_TRUE (fcntl (listen_fd, F_GETFD) >= 0);
+  close (listen_fd);
+}
+
+static void
+respond (void *ctx, struct bd_http_exchange *x)
+{
+  handle_request (ctx, x);
+  bd_http_respond_text (x, 200, "text/plain", "whole");
+}
+
+static const struct bd_http_server_ops responding_ops
+    = { max_body, respond, handle_disconnect, ignore };
+
+/* Responses of a server that stops tell their callers to use another
+   connection.  */
+static void
+test_responses_announce_the_close (void)
+{
+  struct fixture f;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_request (&f);
+  bd_http_server_announce_close (&f.server);
+  bd_http_respond_text (f.exchange, 200, "text/plain", "whole");
+  CU_ASSERT_TRUE (receive_text (&f, fd, "Connection: close\r\n"));
+  CU_ASSERT_TRUE (run_until_freed (&f));
+  close (fd);
+  fd = begin_request (&f);
+  bd_http_stream_begin (f.exchange, 200, close_headers);
+  CU_ASSERT_TRUE (receive_text (&f, fd, "Connection: close\r\n"));
+  bd_http_stream_end (f.exchange, true);
+  CU_ASSERT_TRUE (run_until_freed (&f));
+  close (fd);
+  finish (&f);
+}
+
+/* A server that is stopped and finished as soon as it is idle handles the
+   requests that wait in its sockets by then.  */
+static void
+test_stopped_server_reads_waiting_requests (void)
+{
+  struct fixture f;
+  int kept_fd;
+  int new_fd;
+
+  start (&f, LONG_MS);
+  kept_fd = keep_connection (&f);
+  send_text (kept_fd, request_text);
+  new_fd = connect_caller ();
+  send_text (new_fd, request_text);
+  f.server.ops = &responding_ops;
+  bd_http_server_stop_listening (&f.server);
+  bd_http_server_close_idle (&f.server);
+  while (!bd_http_server_is_idle (&f.server))
+    tevent_loop_once (f.events);
+  finish (&f);
+  CU_ASSERT_TRUE (count_bytes (kept_fd, 4096) > 0);
+  CU_ASSERT_TRUE (count_bytes (new_fd, 4096) > 0);
+  close (kept_fd);
+  close (new_fd);
+}
+
 int
 main (void)
 {
@@ -863,7 +949,12 @@
       test_finish_ends_streams_as_incomplete },
     { "a handler stops listening", test_handler_stops_listening },
     { "a handler stops listening and aborts",
-      test_handler_stops_listening_and_aborts }
+      test_handler_stops_listening_and_aborts },
+    { "a second stop closes no other socket",
+      test_second_stop_closes_no_other_socket },
+    { "responses announce the close", test_responses_announce_the_close },
+    { "a stopped server reads waiting requests",
+      test_stopped_server_reads_waiting_requests }
   };
 
   return UNIT_RUN ("connection", tests);
