edge: the daemon that hands a request over counts its runs

Cause: a daemon without links told the next one how many runs were left, and counted one when that failed, however many it had used; then it handed the request to a third one with the rest.

Change: a daemon that takes a request over may use one run, so that a failure, a stream that breaks off, or no response at all stands for one run, and the next run is another daemon's. Only the last daemon that can take it may use all that are left, and if it fails, all count. Weighed against it: the response of the daemon that took over says how many runs were used. A stream says so before it has used them all, and a response that is lost says nothing, so that all would have to count and a daemon that dies would cost its requests every retry; and a daemon of an older build says nothing, while it heeds the header of the request.

--- a/src/calls/call.c
+++ b/src/calls/call.c
@@ -99,6 +99,14 @@
   assert (call->state == BD_CALL_RUNNING);
   assert (call->attempts < BD_CALL_MAX_ATTEMPTS);
   call->tried_targets[call->attempts++] = target;
+  call->attempt_runs = 1;
+}
+
+void
+bd_call_grant_runs (struct bd_call *call, uint32_t runs)
+{
+  assert (runs > 0);
+  call->attempt_runs = runs;
 }
 
 void
@@ -149,7 +157,7 @@
   if (failure != BD_FAILURE_NOT_SENT && failure != BD_FAILURE_REFUSED)
     {
       call->may_have_run = true;
-      call->runs++;
+      call->runs += call->attempt_runs;
     }
   if (now_ms >= call->deadline_ms)
     return fail (call, BD_ERR_DEADLINE_PASSED);
--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -62,7 +62,10 @@
   int64_t deadline_ms;
   uint32_t attempts;
   uint32_t max_runs; /* Maximum of runs; 0 for no limit.  */
-  uint32_t runs;     /* Attempts that may have run.  */
+  uint32_t runs;     /* That may have happened.  */
+  /* Runs that the current attempt may use; more than one only at another
+     daemon.  */
+  uint32_t attempt_runs;
   /* Whether any endpoint may have started the work.  */
   bool may_have_run;
   bool has_head;         /* The caller has received the response head.  */
@@ -115,6 +118,11 @@
    or endpoint.  */
 void bd_call_sent (struct bd_call *call, uint64_t target);
 
+/* bd_call_grant_runs(): the attempt that was just sent went to another daemon,
+   which may run the call so often.  If the attempt fails, all of these may
+   have happened.  */
+void bd_call_grant_runs (struct bd_call *call, uint32_t runs);
+
 /* bd_call_event(): a complete event of the stream was sent to the caller.  */
 void bd_call_event (struct bd_call *call, bool has_id, int64_t id);
 
--- a/src/calls/calls_test.c
+++ b/src/calls/calls_test.c
@@ -50,6 +50,31 @@
   CU_ASSERT_EQUAL (call.error, BD_ERR_STREAM_BROKEN);
 }
 
+static void
+test_runs_at_other_daemons_exceed_the_maximum (void)
+{
+  struct bd_retry_budget budget = full_budget;
+  struct bd_call call;
+
+  start (&call, true, false);
+  call.max_runs = 3;
+  bd_call_sent (&call, 1);
+  bd_call_grant_runs (&call, 2);
+  CU_ASSERT_EQUAL (bd_call_failed (&call, BD_FAILURE_REFUSED, &budget, 0),
+                   BD_ACTION_DISPATCH);
+  CU_ASSERT_EQUAL (call.runs, 0);
+  bd_call_sent (&call, 2);
+  bd_call_grant_runs (&call, 2);
+  CU_ASSERT_EQUAL (
+      bd_call_failed (&call, BD_FAILURE_ERROR_RESPONSE, &budget, 0),
+      BD_ACTION_DISPATCH);
+  CU_ASSERT_EQUAL (call.runs, 2);
+  bd_call_sent (&call, 3);
+  CU_ASSERT_EQUAL (bd_call_failed (&call, BD_FAILURE_BROKEN, &budget, 0),
+                   BD_ACTION_FAIL);
+  CU_ASSERT_EQUAL (call.runs, 3);
+}
+
 static void
 test_retry_budget (void)
 {
@@ -175,6 +200,8 @@
   { "an unsent call is retried", test_unsent_call_is_retried },
   { "a stream without ids is not resumed",
     test_stream_without_ids_is_not_resumed },
+  { "runs at other daemons exceed the maximum",
+    test_runs_at_other_daemons_exceed_the_maximum },
   { "retry budget", test_retry_budget },
   { "deadline", test_deadline },
   { "a key that already ran", test_key_already_ran },
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -557,6 +557,8 @@
   update_account (request);
   bd_edge_acquire_slot (request, target);
   bd_call_sent (&request->call, hash_target (target));
+  if (target->is_daemon)
+    bd_call_grant_runs (&request->call, bd_edge_handover_runs (request));
   bd_count (&edge->counters,
             target->is_daemon ? BD_COUNT_HANDED_OVER : BD_COUNT_ATTEMPTS);
   if (request->call.attempts == 1)
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -436,6 +436,10 @@
 bool bd_edge_find_daemon (const struct bd_edge_request *request,
                           struct bd_edge_target *target);
 
+/* bd_edge_handover_runs(): the runs that the daemon may use to which the
+   request is handed over; those that it does not get are for the others.  */
+uint32_t bd_edge_handover_runs (const struct bd_edge_request *request);
+
 /* bd_edge_handover_headers(): the headers, allocated on ctx, that a request
    has in addition when it is handed over; up to max.  Returns their number. */
 uint32_t bd_edge_handover_headers (void *ctx,
--- a/src/edge/handover.c
+++ b/src/edge/handover.c
@@ -5,7 +5,11 @@
    the other daemons.  It goes on checking its callers' requests, and sends
    them as they came to the handover port of another daemon, which handles them
    like its own, once: it hands none on.  What it cannot serve it refuses as
-   not run, and the sender tries another one.  */
+   not run, and the sender tries another one.
+
+   The sender counts the runs.  Each daemon may use one, so that a failure, or
+   no response at all, stands for one run, and the next daemon gets the next;
+   only the last one that is left may use all the others.  */
 
 #include "edge/edge_internal.h"
 
@@ -20,8 +24,8 @@
   MAX_DAEMONS = 64
 };
 
-/* Version of the sender's configuration, and the runs that the route still
-   allows.  */
+/* Version of the sender's configuration, and the runs that the daemon may
+   use.  */
 static const char config_header[] = "Burdockdale-Config";
 static const char runs_header[] = "Burdockdale-Runs";
 
@@ -104,19 +108,28 @@
   return true;
 }
 
+uint32_t
+bd_edge_handover_runs (const struct bd_edge_request *request)
+{
+  const struct bd_call *call = &request->call;
+  const struct bd_member *found[MAX_DAEMONS];
+
+  if (call->max_runs <= call->runs || find_daemons (request, true, found) > 0
+      || find_daemons (request, false, found) > 0)
+    return 1;
+  return call->max_runs - call->runs;
+}
+
 uint32_t
 bd_edge_handover_headers (void *ctx, const struct bd_edge_request *request,
                           struct bd_http_header_field *headers, uint32_t max)
 {
   const struct bd_header_names *names = request->edge->adapter->headers;
-  uint32_t runs_left = request->call.max_runs > request->call.runs
-                           ? request->call.max_runs - request->call.runs
-                           : 1;
   struct bd_http_header_field all[] = {
     { config_header,
       talloc_asprintf (ctx, "%lld",
                        (long long)request->edge->routes->version) },
-    { runs_header, talloc_asprintf (ctx, "%u", runs_left) },
+    { runs_header, talloc_asprintf (ctx, "%u", request->call.attempt_runs) },
     { names->authorization,
       talloc_asprintf (ctx, "%s%s", names->key_scheme,
                        request->key != NULL ? request->key : "") },
