serve: failing tests: an earlier refusal, and an error in a stream

Engines that answer a call that has started with the refusal of another attempt (crossed_responses.sh): the caller is told that it was not run. An engine that writes a response of status 500 into its stream (stream_resumes.sh): its head is in the caller's stream.

--- a/tests/fakes/engine.c
+++ b/tests/fakes/engine.c
@@ -11,7 +11,8 @@
                                  accepted by the first member of a replica only
    POST /faults {"dead": b, "freeze": b, "token_ms": n, "load_ms": n,
                  "crash_on": "text", "break_after": n, "wrong_id": n,
-                 "wrong_incarnation": n, "cut_whole": n, "name": "text"}
+                 "wrong_incarnation": n, "cut_whole": n, "name": "text",
+                 "old_refusal": n, "error_after": n}
    GET /record                   events of this process, in order
 
    "crash_on" crashes the engine on a request whose body contains the text.
@@ -20,6 +21,11 @@
    "wrong_incarnation" and "cut_whole" apply to the next n responses: another
    attempt id, the previous incarnation, half of a complete body.
 
+   "old_refusal" answers the next n completions, which have started, with the
+   refusal of another attempt.  "error_after" writes a response of status 500
+   into the next stream after n tokens and ends it, unless it is a resumed
+   one.
+
    "name" puts another instance in place of the engine, at its address.
 
    A replica that loses a member aborts its streams and responses.  A
@@ -69,6 +75,8 @@
   uint32_t wrong_ids_to_send;          /* Responses.  */
   uint32_t wrong_incarnations_to_send; /* Responses.  */
   uint32_t responses_to_truncate;      /* Responses.  */
+  uint32_t old_refusals_to_send;       /* Responses.  */
+  uint32_t error_after_tokens;
   char *crash_on;
   uint32_t running;
   struct generation *generations;
@@ -537,6 +545,19 @@
                  continue_stream, g);
 }
 
+/* Ends the stream with a second response.  */
+static void
+write_error (struct generation *g)
+{
+  static const char text[] = "HTTP/1.1 500 Error\r\n"
+                             "Content-Type: text/plain\r\n\r\noops\n\n";
+  struct bd_http_exchange *x = g->exchange;
+
+  bd_http_stream_write (x, text, sizeof text - 1);
+  drop_generation (g);
+  bd_http_stream_end (x, true);
+}
+
 /* Writes the stream's next token, or all remaining ones if token_ms is 0.  */
 static void
 continue_stream (struct tevent_context *events, struct tevent_timer *timer,
@@ -564,6 +585,13 @@
           bd_http_stream_end (x, false);
           return;
         }
+      if (e->error_after_tokens > 0 && g->next_token >= e->error_after_tokens
+          && g->first_token == 0)
+        {
+          e->error_after_tokens = 0;
+          write_error (g);
+          return;
+        }
       if (g->next_token == g->max_tokens)
         {
           struct bd_http_exchange *x = g->exchange;
@@ -644,6 +672,21 @@
   continue_stream (NULL, NULL, (struct timeval){ 0 }, g);
 }
 
+static void
+send_old_refusal (struct generation *g)
+{
+  static const struct bd_http_header_field headers[]
+      = { { "Content-Type", "application/json" },
+          { "X-Attempt-Id", "ffffffffffffffffffffffffffffffff" },
+          { NULL, NULL } };
+  static const char body[] = "{\"started\":false}";
+  struct bd_http_exchange *x = g->exchange;
+
+  g->engine->old_refusals_to_send--;
+  drop_generation (g);
+  bd_http_respond (x, 503, headers, body, sizeof body - 1);
+}
+
 static void
 handle_completion (struct engine *e, struct bd_http_exchange *x)
 {
@@ -677,7 +720,9 @@
                 bd_http_header (x, "X-Attempt-Id") != NULL
                     ? bd_http_header (x, "X-Attempt-Id")
                     : "");
-  if (g->is_stream)
+  if (e->old_refusals_to_send > 0)
+    send_old_refusal (g);
+  else if (g->is_stream)
     start_stream (g);
   else if (e->token_ms == 0)
     respond_complete (g);
@@ -725,6 +770,10 @@
         e->wrong_incarnations_to_send = (uint32_t)json_integer_value (value);
       else if (strcmp (name, "cut_whole") == 0)
         e->responses_to_truncate = (uint32_t)json_integer_value (value);
+      else if (strcmp (name, "old_refusal") == 0)
+        e->old_refusals_to_send = (uint32_t)json_integer_value (value);
+      else if (strcmp (name, "error_after") == 0)
+        e->error_after_tokens = (uint32_t)json_integer_value (value);
       else if (strcmp (name, "name") == 0)
         replace_engine (e, json_string_value (value));
       else if (strcmp (name, "crash_on") == 0)
--- a/tests/paths/crossed_responses.sh
+++ b/tests/paths/crossed_responses.sh
@@ -36,4 +36,9 @@
 # If every engine responds with a wrong id, the caller gets an error.
 for i in $(seq 0 9); do set_faults "$(engine_url "$i")" '{"wrong_id":9}'; done
 check "the caller gets an error, not the response to another attempt" is_equal "$(post_completion "$B" "mine" 12 | jq -r .kind)" endpoint-failed
+for i in $(seq 0 9); do set_faults "$(engine_url "$i")" '{"wrong_id":0,"old_refusal":9}'; done
+# The refusal of another attempt is no refusal of one that has started.
+check "a call that has started isn't reported as not run" is_equal "$(post_completion "$A" "mine" 12 | jq -r .run)" unknown
+post_stream "$A" "mine" 12 >"$WORK/refused"
+check "nor is a stream" bash -c "! grep -q 'not-run' '$WORK/refused'"
 print_check_count
--- a/tests/paths/stream_resumes.sh
+++ b/tests/paths/stream_resumes.sh
@@ -14,6 +14,13 @@
 check "it has the [DONE] event" grep -q '^data: \[DONE\]' "$WORK/broken"
 check "daemon b counts the resume" test "$(metric_value "$B" resumes_total)" -ge 1
 
+# An engine writes a response of status 500 into its stream.
+for i in $(seq 0 9); do set_faults "$(engine_url "$i")" '{"error_after":25}'; done
+post_stream "$B" "whole" 60 >"$WORK/error"
+for i in $(seq 0 9); do set_faults "$(engine_url "$i")" '{"error_after":0}'; done
+check "an error of an engine doesn't enter the stream" bash -c "! grep -q 'HTTP/1.1\|oops' '$WORK/error'"
+check "the stream is resumed without lost or repeated tokens" is_equal "$(stream_tokens "$WORK/error")" "$(stream_tokens "$WORK/whole")"
+
 # All engines die during the stream: the caller gets an explicit error, never
 # an end of the stream without one.
 post_stream "$A" "lost" 300 >"$WORK/lost" &
