serve: responses and events are matched as in the edge daemon

What callers saw: "not-run" for a call that had started; the head of a second response in the middle of a stream.

Cause: a refusal, and an error in response to a stream, were taken without a look at their attempt id; whatever ended with an empty line was an event.

Change: a response with the id of another attempt is refused at its head; the connection is closed after a refusal or a failure, so that a refusal without an id follows only responses that had the id of theirs. An event that has other lines than fields, or no id in a stream whose events have ids, ends the attempt; [DONE] and comments are excepted.

--- a/src/daemon/daemon_attempts.c
+++ b/src/daemon/daemon_attempts.c
@@ -107,6 +107,22 @@
   return false;
 }
 
+/* Refuses a response with the id of another attempt, whatever its status.  The
+   connection is closed after a failure or a refusal: a copy of it that comes
+   late cannot be told from the response to the next request.  */
+static bool
+handle_accepts (void *ctx, struct bd_http_call *call)
+{
+  struct bd_job *job = ctx;
+  const char *id = bd_http_call_header (call, "X-Attempt-Id");
+
+  job->has_mismatched_response
+      = id != NULL && strcmp (id, job->attempt_id) != 0;
+  if (bd_http_call_status (call) >= 300)
+    bd_http_call_close (call);
+  return !job->has_mismatched_response;
+}
+
 /* Whether the response states that the endpoint has not started the call.  */
 static bool
 is_refusal (const struct bd_job *job, struct bd_http_call *call,
@@ -159,7 +175,9 @@
   struct bd_job *job = ctx;
 
   job->attempt = NULL;
-  if (!result->is_complete)
+  if (job->has_mismatched_response)
+    handle_attempt_failure (job, BD_FAILURE_MISMATCHED);
+  else if (!result->is_complete)
     handle_attempt_failure (job, failure_of_result (result));
   else if (is_refusal (job, call, result->status, result->body))
     handle_attempt_failure (job, BD_FAILURE_REFUSED);
@@ -171,7 +189,7 @@
 }
 
 static const struct bd_http_call_ops response_ops
-    = { .done = handle_response_done };
+    = { .accepts = handle_accepts, .done = handle_response_done };
 
 static void
 begin_stream (struct bd_job *job)
@@ -204,6 +222,16 @@
       = job->is_streaming && !is_response_of_attempt (job, call);
 }
 
+/* Whether an event belongs to the stream: in one whose events have ids, an
+   event without an id has no place.  */
+static bool
+has_place (const struct bd_job *job, const struct bd_sse_event *event)
+{
+  return !event->is_malformed
+         && (event->has_id || event->is_end || event->is_comment
+             || job->call.last_event_id < 0);
+}
+
 /* Forwards one event to the caller.  Returns false when the caller reads
    slowly.  */
 static bool
@@ -212,9 +240,11 @@
   if (!bd_call_is_new_event (&job->call, event->has_id, event->id))
     return true;
   begin_stream (job);
-  bd_call_event (&job->call,
-                 event->has_id || (event->is_end && job->call.can_resume),
-                 event->has_id ? event->id : job->call.last_event_id);
+  bd_call_event (
+      &job->call,
+      event->has_id
+          || ((event->is_end || event->is_comment) && job->call.can_resume),
+      event->has_id ? event->id : job->call.last_event_id);
   job->tokens++;
   return bd_http_stream_write (job->exchange, event->text, event->size);
 }
@@ -227,7 +257,6 @@
   struct bd_sse_event event;
   bool can_continue = true;
 
-  (void)call;
   if (!job->is_streaming)
     {
       size_t used = job->error_body != NULL ? strlen (job->error_body) : 0;
@@ -246,6 +275,12 @@
     }
   while (!job->has_ended_stream && bd_sse_next (&job->sse, &event))
     {
+      if (!has_place (job, &event))
+        {
+          job->has_mismatched_response = true;
+          bd_http_call_reject (call);
+          return true;
+        }
       can_continue = forward_event (job, &event) && can_continue;
       job->has_ended_stream = event.is_end;
     }
@@ -296,7 +331,8 @@
 }
 
 static const struct bd_http_call_ops stream_ops
-    = { .head = handle_stream_head,
+    = { .accepts = handle_accepts,
+        .head = handle_stream_head,
         .data = handle_stream_data,
         .done = handle_stream_done };
 
