--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -1,12 +1,13 @@
 /* Tests on sockets that the server rejects requests with ambiguous framing,
    ends requests that are not completed in time and connections that are idle,
    and shares its port with no other server, and that the client
-   does not resend a request sent with is_sent_once and reports a request as
-   sent when its server ends.  */
+   does not resend a request sent with is_sent_once, reports a request as sent
+   when its server ends, and sends none on a stale connection.  */
 
 #include "base/timer.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "tests/fakes/raw.h"
 #include "tests/loopback.h"
 #include "tests/unit.h"
 
@@ -393,7 +394,7 @@
   bool is_crashing; /* Stops listening with the second request.  */
 };
 
-struct raw_connection
+struct dying_connection
 {
   struct raw_server *raw;
   int fd;
@@ -401,7 +402,7 @@
 };
 
 static int
-close_raw (struct raw_connection *c)
+close_raw (struct dying_connection *c)
 {
   close (c->fd);
   return 0;
@@ -420,7 +421,7 @@
 {
   static const char response[]
       = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-  struct raw_connection *c = ctx;
+  struct dying_connection *c = ctx;
   char buffer[4096];
   ssize_t received = recv (c->fd, buffer, sizeof buffer, MSG_DONTWAIT);
 
@@ -448,7 +449,7 @@
 handle_raw_listen (struct tevent_context *ev, struct tevent_fd *fd,
                    uint16_t flags, void *ctx)
 {
-  struct raw_connection *c = talloc_zero (events, struct raw_connection);
+  struct dying_connection *c = talloc_zero (events, struct dying_connection);
 
   (void)ev;
   (void)fd;
@@ -488,6 +489,7 @@
   bool is_done;
   bool is_complete;
   bool was_sent;
+  uint32_t status;
 };
 
 static void
@@ -500,6 +502,7 @@
   outcome->is_done = true;
   outcome->is_complete = result->is_complete;
   outcome->was_sent = result->was_sent;
+  outcome->status = result->status;
 }
 
 static const struct bd_http_call_ops call_ops = { .done = handle_done };
@@ -591,6 +594,93 @@
   bd_http_client_finish (&client);
 }
 
+enum
+{
+  REUSED_PORT = 25095,
+  IDLE_MS = 20
+};
+
+static const char whole_response[]
+    = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/* Sends a response, and something later on the idle connection.  */
+static void
+respond_and_send (struct raw_connection *c, const struct raw_request *request)
+{
+  (void)request;
+  raw_send (c, whole_response, 0);
+  raw_send (c, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", IDLE_MS);
+}
+
+static void
+respond_and_close (struct raw_connection *c, const struct raw_request *request)
+{
+  (void)request;
+  raw_send (c, whole_response, 0);
+  raw_close (c, false, IDLE_MS);
+}
+
+static void
+respond_only (struct raw_connection *c, const struct raw_request *request)
+{
+  (void)request;
+  raw_send (c, whole_response, 0);
+}
+
+static struct outcome
+get_reused (struct bd_http_client *client)
+{
+  struct outcome outcome = { .is_done = false };
+  char *url = talloc_asprintf (NULL, "http://%s:%u/", loopback_address (),
+                               REUSED_PORT);
+  struct bd_http_request request = {
+    .method = "GET", .url = url, .timeout_ms = LIMIT_MS, .is_sent_once = true
+  };
+  bool is_over = false;
+
+  bd_http_send (client, &request, &call_ops, &outcome);
+  talloc_free (url);
+  while (!outcome.is_done)
+    tevent_loop_once (events);
+  bd_timer_add (events, events, 2 * IDLE_MS, set_flag, &is_over);
+  while (!is_over)
+    tevent_loop_once (events);
+  return outcome;
+}
+
+/* No request is sent on a kept connection on which something waits: it would
+   be read as the response, or the request would be lost.  */
+static void
+test_request_is_sent_on_stale_connection (void)
+{
+  static const struct
+  {
+    raw_handler *handle;
+    uint32_t connections;
+  } cases[] = { { respond_and_send, 3 },
+                { respond_and_close, 3 },
+                { respond_only, 1 } };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct raw_endpoint raw;
+      struct bd_http_client client;
+
+      raw_start (&raw, events, REUSED_PORT, cases[i].handle, NULL);
+      bd_http_client_init (&client, events, 4);
+      for (uint32_t j = 0; j < 3; j++)
+        {
+          struct outcome outcome = get_reused (&client);
+
+          CU_ASSERT_TRUE (outcome.is_complete);
+          CU_ASSERT_EQUAL (outcome.status, 200);
+        }
+      CU_ASSERT_EQUAL (raw.connections, cases[i].connections);
+      bd_http_client_finish (&client);
+      raw_finish (&raw);
+    }
+}
+
 enum
 {
   /* Far more than any bound that the client may have, and so little that the
@@ -723,6 +813,8 @@
           { "server crashes on a kept connection",
             test_server_crashes_on_kept_connection },
           { "refused connection", test_refused_connection },
+          { "request is sent on stale connection",
+            test_request_is_sent_on_stale_connection },
           { "endless responses", test_endless_responses } };
   int code;
 
