--- a/src/daemon/daemon_attempts.c
+++ b/src/daemon/daemon_attempts.c
@@ -173,16 +173,18 @@
                       const struct bd_http_result *result)
 {
   struct bd_job *job = ctx;
+  bool is_refused = result->is_complete
+                    && is_refusal (job, call, result->status, result->body);
 
   job->attempt = NULL;
-  if (job->has_mismatched_response)
+  if (job->has_mismatched_response
+      || (result->is_complete && !is_refused
+          && !is_response_of_attempt (job, call)))
     handle_attempt_failure (job, BD_FAILURE_MISMATCHED);
   else if (!result->is_complete)
     handle_attempt_failure (job, failure_of_result (result));
-  else if (is_refusal (job, call, result->status, result->body))
+  else if (is_refused)
     handle_attempt_failure (job, BD_FAILURE_REFUSED);
-  else if (!is_response_of_attempt (job, call))
-    handle_attempt_failure (job, BD_FAILURE_MISMATCHED);
   else
     finish_response (job, call, result->status, result->body,
                      result->body_size);
