edge: the copy in the same segment is whole

The test appended a text to itself (AddressSanitizer, heap-use-after-free), so that the copy in the same segment could be damaged.

--- a/src/edge/edge_responses_test.c
+++ b/src/edge/edge_responses_test.c
@@ -65,7 +65,7 @@
   char *text = make_refusal (c, request);
 
   if (script.copy_ms == 0)
-    text = talloc_asprintf_append (text, "%s", text);
+    text = talloc_asprintf (c, "%s%s", text, text);
   raw_send (c, text, 0);
   if (script.copy_ms > 0)
     raw_send (c, text, script.copy_ms);
