--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -454,6 +454,10 @@
    as it has read the configuration of this one.  */
 bool bd_edge_awaits_daemon (const struct bd_edge_request *request);
 
+/* bd_edge_handover_runs(): the runs that the daemon may use to which the
+   request is handed over; those that it does not get are for the others.  */
+uint32_t bd_edge_handover_runs (const struct bd_edge_request *request);
+
 /* bd_edge_handover_headers(): the headers, allocated on ctx, that a request
    has in addition when it is handed over; up to max.  Returns their number. */
 uint32_t bd_edge_handover_headers (void *ctx,
