store: odd values in reports and in the lists of `serve` cost themselves alone

What callers saw: `serve` dropped all instances for one odd value in their list, and took the store for down for one odd object in a list; an endpoint whose report had an odd field counted as dead.

The filter of the list of instances also returned an empty list for whatever is no list.

Change: these bodies go through bd_json_load(). What is no list is no empty list: the last one stays in force, with one log line. Instances with values that can't be decoded are left out. In lists of the Object API such an object has no value and is marked; a head of the configuration that is marked is passed over, and a shard of claims with one is not loaded, since the keys that it has taken are unknown: its callers are refused at once, as not run. A count of running calls above 32 bits is clamped.

--- a/src/claims/claims_test.c
+++ b/src/claims/claims_test.c
@@ -46,6 +46,21 @@
   json_decref (items);
 }
 
+/* A segment that can't be decoded may have taken any key.  */
+static void
+test_damaged_segment_forgets_its_keys (void)
+{
+  struct bd_shard shard;
+  json_t *items = json_pack ("[{s:s,s:i,s:n,s:b}]", "key", "claims/3/0",
+                             "version", 5, "value", "is_damaged", 1);
+
+  bd_shard_init (&shard, 3);
+  CU_ASSERT_FALSE (bd_shard_load (&shard, items, 0));
+  CU_ASSERT_FALSE (shard.is_loaded);
+  bd_shard_finish (&shard);
+  json_decref (items);
+}
+
 static enum bd_claim_result
 resolve (struct bd_shard *shard, const char *key, const char *id,
          uint64_t fingerprint, int64_t now_ms)
@@ -163,6 +178,8 @@
 }
 
 static const struct unit_test tests[] = {
+  { "a damaged segment forgets its keys",
+    test_damaged_segment_forgets_its_keys },
   { "a repeated call is answered", test_repeated_call_gets_outcome },
   { "a released key is free", test_released_key_is_free },
   { "segments roll", test_segments_roll_and_stay_small },
--- a/src/claims/shard.c
+++ b/src/claims/shard.c
@@ -258,13 +258,28 @@
   free (text);
 }
 
-void
+static bool
+is_any_damaged (const json_t *items)
+{
+  const json_t *item;
+  size_t i;
+
+  json_array_foreach (items, i, item)
+    if (json_is_true (json_object_get (item, "is_damaged")))
+      return true;
+  return false;
+}
+
+bool
 bd_shard_load (struct bd_shard *shard, const json_t *items, int64_t now_ms)
 {
   size_t count = json_array_size (items);
-  struct segment *segments = g_new0 (struct segment, count + 1);
+  struct segment *segments;
   uint32_t segment_count = 0;
 
+  if (is_any_damaged (items))
+    return false;
+  segments = g_new0 (struct segment, count + 1);
   g_hash_table_remove_all (shard->entries);
   memset (shard->slot_versions, 0, sizeof shard->slot_versions);
   memset (shard->slot_newest_ms, 0, sizeof shard->slot_newest_ms);
@@ -289,6 +304,7 @@
     }
   shard->is_loaded = true;
   g_free (segments);
+  return true;
 }
 
 static void
--- a/src/claims/shard.h
+++ b/src/claims/shard.h
@@ -128,8 +128,10 @@
 void bd_shard_object (uint32_t shard, uint32_t slot, char out[BD_NAME_SIZE]);
 
 /* bd_shard_load(): replaces the contents of the shard by items, the list
-   result for its prefix.  Entries past the retention time are skipped.  */
-void bd_shard_load (struct bd_shard *shard, const json_t *items,
+   result for its prefix.  Entries past the retention time are skipped.
+   Returns false, and changes nothing, when an item is damaged: the keys that
+   it has taken are unknown.  */
+bool bd_shard_load (struct bd_shard *shard, const json_t *items,
                     int64_t now_ms);
 
 /* bd_shard_resolve(): whether the entries in memory decide a claim; sets its
--- a/src/daemon/daemon_claims.c
+++ b/src/daemon/daemon_claims.c
@@ -8,6 +8,8 @@
 
 #include "daemon/daemon_internal.h"
 
+#include "base/log.h"
+
 #include <stdio.h>
 #include <string.h>
 #include <talloc.h>
@@ -108,15 +110,35 @@
                                  delay_ms, handle_shard_timer, shard);
 }
 
+/* The claims of the shard can't be decoded, so that no key can be granted.  */
+static void
+fail_unreadable (struct bd_shard_queue *shard)
+{
+  struct bd_pending_claim *waiting = shard->first;
+
+  bd_log ("claims-damaged", "shard", BD_NUM (shard->shard.number), NULL);
+  shard->first = NULL;
+  shard->last = NULL;
+  while (waiting != NULL)
+    {
+      struct bd_pending_claim *next = waiting->next;
+
+      finish_claim (waiting, BD_CLAIM_UNAVAILABLE);
+      waiting = next;
+    }
+}
+
 static void
 handle_shard_loaded (void *ctx, const struct bd_store_reply *reply)
 {
   struct bd_shard_queue *shard = ctx;
 
   shard->is_loading = false;
-  if (reply->error == BD_OK)
-    bd_shard_load (&shard->shard, reply->items,
-                   bd_clock_calendar_ms (&shard->daemon->clock));
+  if (reply->error == BD_ERR_UNREADABLE
+      || (reply->error == BD_OK
+          && !bd_shard_load (&shard->shard, reply->items,
+                             bd_clock_calendar_ms (&shard->daemon->clock))))
+    fail_unreadable (shard);
   expire_waiting (shard, bd_daemon_now_ms (shard->daemon));
   process_shard (shard);
 }
--- a/src/daemon/daemon_config.c
+++ b/src/daemon/daemon_config.c
@@ -189,6 +189,11 @@
     {
       json_t *head = bd_envelope_data (json_object_get (item, "value"));
 
+      if (json_is_true (json_object_get (item, "is_damaged")))
+        {
+          bd_log ("config-damaged", "key", BD_KEY_HEAD, NULL);
+          continue;
+        }
       daemon->store_revision = bd_head_revision (head);
       bd_daemon_adopt_config_head (daemon, head);
     }
--- a/src/daemon/daemon_instances.c
+++ b/src/daemon/daemon_instances.c
@@ -130,6 +130,15 @@
     return;
   filtered = bd_instances_filter (result->body, result->body_size,
                                   daemon->settings->data_centre);
+  if (daemon->is_list_unreadable != (filtered == NULL))
+    {
+      daemon->is_list_unreadable = filtered == NULL;
+      bd_log (filtered == NULL ? "list-unreadable" : "list-readable", "prefix",
+              "instances", NULL);
+    }
+  /* The last list stays in force.  */
+  if (filtered == NULL)
+    return;
   if (!json_equal (filtered, daemon->instances_json))
     {
       text = json_dumps (filtered, JSON_COMPACT);
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -140,6 +140,7 @@
   json_t *instances_json;
   struct bd_instance_list instances;
   bool is_fetching_instances;
+  bool is_list_unreadable;       /* The last list of instances was.  */
   GHashTable *endpoints;         /* Name -> struct bd_endpoint.  */
   GHashTable *group_statuses;    /* Id hash -> struct bd_group_status.  */
   GHashTable *traffic;           /* Group id -> struct bd_group_traffic.  */
--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -359,7 +359,7 @@
   struct bd_membership_view member_before;
   struct bd_endpoint_entry report;
   enum bd_liveness before;
-  json_t *body;
+  struct bd_json body;
 
   if (endpoint == NULL)
     {
@@ -370,10 +370,9 @@
   before = endpoint->liveness;
   member_before = endpoint->entry.member;
   endpoint->has_pending_probe = false;
-  body = result->is_complete && result->status == 200
-             ? json_loadb (result->body, result->body_size, 0, NULL)
-             : NULL;
-  if (body != NULL && edge->adapter->read_report (body, &report))
+  bd_json_load (&body, result->body, result->body_size);
+  if (result->is_complete && result->status == 200
+      && edge->adapter->read_report (body.value, &report))
     apply_report (edge, endpoint, call, &report, pending->sent_ms);
   else if (!bd_edge_is_isolated (edge)
            && bd_edge_now_ms (edge) - pending->sent_ms
@@ -384,7 +383,7 @@
                                   pending->sent_ms, bd_edge_now_ms (edge));
   log_liveness (endpoint, before);
   bd_edge_log_member (edge, endpoint, &member_before, "report");
-  json_decref (body);
+  bd_json_finish (&body);
   talloc_free (pending);
 }
 
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/histograms.h"
+#include "base/json.h"
 #include "base/log.h"
 #include "base/ticker.h"
 #include "calls/call.h"
--- a/src/endpoints/report.c
+++ b/src/endpoints/report.c
@@ -2,6 +2,8 @@
 
 #include "endpoints/report.h"
 
+#include "base/json.h"
+
 #include <string.h>
 
 static enum bd_phase
@@ -23,14 +25,14 @@
 bool
 bd_report_parse (const char *body, size_t size, struct bd_report *report)
 {
-  json_t *root = json_loadb (body, size, 0, NULL);
+  struct bd_json json;
+  const json_t *root;
   json_int_t running;
+  bool is_report;
 
-  if (!json_is_object (root))
-    {
-      json_decref (root);
-      return false;
-    }
+  bd_json_load (&json, body, size);
+  root = json.value;
+  is_report = json_is_object (root);
   memset (report, 0, sizeof *report);
   bd_name_copy (report->instance, text_of (root, "instance"));
   report->phase = phase_of (text_of (root, "phase"));
@@ -40,9 +42,11 @@
   report->incarnation
       = json_integer_value (json_object_get (root, "incarnation"));
   running = json_integer_value (json_object_get (root, "running"));
+  if (running > UINT32_MAX)
+    running = UINT32_MAX;
   report->running = running > 0 ? (uint32_t)running : 0;
-  json_decref (root);
-  return true;
+  bd_json_finish (&json);
+  return is_report;
 }
 
 bool
--- a/src/store/instances.c
+++ b/src/store/instances.c
@@ -2,6 +2,8 @@
 
 #include "store/instances.h"
 
+#include "base/json.h"
+
 #include <string.h>
 #include <talloc.h>
 
@@ -41,36 +43,40 @@
 bd_instances_parse (void *ctx, const char *body, size_t size,
                     struct bd_instance_list *list)
 {
-  json_t *root = json_loadb (body, size, 0, NULL);
-  json_t *entries = json_object_get (root, "instances");
-  json_t *entry;
+  struct bd_json root;
+  const json_t *entries;
+  const json_t *entry;
+  bool is_list;
   size_t i;
 
-  list->items = NULL;
+  bd_json_load (&root, body, size);
+  entries = json_object_get (root.value, "instances");
+  is_list = json_is_array (entries);
   list->count = 0;
-  if (!json_is_array (entries))
-    {
-      json_decref (root);
-      return false;
-    }
   list->items
       = talloc_array (ctx, struct bd_instance, json_array_size (entries) + 1);
   json_array_foreach (entries, i, entry)
-    if (read_instance (entry, &list->items[list->count]))
+    if (!bd_json_is_damaged (&root, entry)
+        && read_instance (entry, &list->items[list->count]))
       list->count++;
-  json_decref (root);
-  return true;
+  bd_json_finish (&root);
+  return is_list;
 }
 
 json_t *
 bd_instances_filter (const char *body, size_t size, const char *data_centre)
 {
-  json_t *root = json_loadb (body, size, 0, NULL);
-  json_t *kept = json_array ();
+  struct bd_json root;
+  json_t *entries;
+  json_t *kept = NULL;
   json_t *entry;
   size_t i;
 
-  json_array_foreach (json_object_get (root, "instances"), i, entry)
+  bd_json_load (&root, body, size);
+  entries = json_object_get (root.value, "instances");
+  if (json_is_array (entries))
+    kept = json_array ();
+  json_array_foreach (entries, i, entry)
     {
       const char *at
           = json_string_value (json_object_get (entry, "data_centre"));
@@ -78,11 +84,11 @@
       bool is_daemon = pool != NULL && strcmp (pool, BD_POOL_DAEMONS) == 0;
       bool is_own = at != NULL && strcmp (at, data_centre) == 0;
 
-      if (is_own || is_daemon)
+      if ((is_own || is_daemon) && !bd_json_is_damaged (&root, entry))
         json_array_append (kept, entry);
     }
-  json_decref (root);
-  return json_pack ("{s:o}", "instances", kept);
+  bd_json_finish (&root);
+  return kept != NULL ? json_pack ("{s:o}", "instances", kept) : NULL;
 }
 
 const struct bd_instance *
--- a/src/store/instances.h
+++ b/src/store/instances.h
@@ -35,13 +35,15 @@
 #define BD_POOL_DAEMONS "burdockdale"
 
 /* bd_instances_parse(): parses {"instances": [...]} of size bytes into a list
-   on ctx.  Skips entries without a name, address or port.  Returns false when
-   body has another format.  */
+   on ctx.  Skips entries without a name, address or port, and those with
+   values that can't be decoded.  Returns false when body has another
+   format.  */
 bool bd_instances_parse (void *ctx, const char *body, size_t size,
                          struct bd_instance_list *list);
 
 /* bd_instances_filter(): the entries of such a list that the daemons of a data
-   centre need, in the same format: its instances, and all daemons.  */
+   centre need, in the same format: its instances, and all daemons.  NULL when
+   body has another format.  */
 json_t *bd_instances_filter (const char *body, size_t size,
                              const char *data_centre);
 
--- a/src/store/object_api_http.c
+++ b/src/store/object_api_http.c
@@ -2,12 +2,15 @@
 
 #include "store/object_api.h"
 
+#include "base/json.h"
+
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
 struct pending
 {
+  enum bd_object_kind kind;
   bd_object_done *done;
   void *ctx;
 };
@@ -33,6 +36,38 @@
     }
 }
 
+/* Takes the values out that can't be decoded as a whole.  */
+static void
+mark_damaged_items (const struct bd_json *body, json_t *items)
+{
+  json_t *item;
+  size_t i;
+
+  json_array_foreach (items, i, item)
+    if (json_is_object (item) && bd_json_is_damaged (body, item))
+      {
+        json_object_set_new (item, "value", json_null ());
+        json_object_set_new (item, "is_damaged", json_true ());
+      }
+}
+
+/* Whether the part of the body on which the reply depends was decoded: of a
+   single object all, of a list everything but the items.  */
+static bool
+is_readable (const struct pending *pending, const struct bd_json *body)
+{
+  switch (pending->kind)
+    {
+    case BD_OBJECT_LIST:
+    case BD_OBJECT_WATCH:
+      return json_is_object (body->value);
+    case BD_OBJECT_READ:
+    case BD_OBJECT_WRITE:
+      break;
+    }
+  return body->value != NULL && !bd_json_is_damaged (body, body->value);
+}
+
 static void
 handle_done (void *ctx, struct bd_http_call *call,
              const struct bd_http_result *result)
@@ -41,19 +76,20 @@
   struct bd_object_reply reply = { .error = error_of_status (result) };
   const char *etag = bd_http_call_header (call, "ETag");
   const char *era = bd_http_call_header (call, "Store-Generation");
-  json_t *body = NULL;
+  struct bd_json body;
 
-  if (reply.error == BD_OK)
-    body = json_loadb (result->body, result->body_size, JSON_DECODE_ANY, NULL);
-  if (reply.error == BD_OK && body == NULL)
-    reply.error = BD_ERR_PLATFORM_DOWN;
+  bd_json_load (&body, result->body, result->body_size);
+  if (reply.error == BD_OK && !is_readable (pending, &body))
+    reply.error = BD_ERR_UNREADABLE;
   reply.era = era != NULL ? strtoll (era, NULL, 10) : 0;
   reply.version = etag != NULL ? strtoll (etag, NULL, 10) : 0;
-  reply.revision = json_integer_value (json_object_get (body, "revision"));
-  reply.items = json_object_get (body, "items");
-  reply.value = body;
+  reply.revision
+      = json_integer_value (json_object_get (body.value, "revision"));
+  reply.items = json_object_get (body.value, "items");
+  reply.value = body.value;
+  mark_damaged_items (&body, reply.items);
   pending->done (pending->ctx, &reply);
-  json_decref (body);
+  bd_json_finish (&body);
   talloc_free (pending);
 }
 
@@ -97,6 +133,7 @@
       = { .method = "GET", .timeout_ms = op->timeout_ms };
   struct bd_http_call *call;
 
+  pending->kind = op->kind;
   pending->done = done;
   pending->ctx = ctx;
   request.url = make_url (pending, api, op);
