--- a/src/wire/wire_test.c
+++ b/src/wire/wire_test.c
@@ -6,6 +6,7 @@
 #include "wire/messages.h"
 
 #include <gsl/gsl_rng.h>
+#include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -120,10 +121,82 @@
   talloc_free (ctx);
 }
 
+/* Largest size of the process's address space so far.  */
+static size_t
+peak_kb (void)
+{
+  FILE *file = fopen ("/proc/self/status", "r");
+  char line[256];
+  size_t kb = 0;
+
+  while (file != NULL && fgets (line, sizeof line, file) != NULL)
+    if (sscanf (line, "VmPeak: %zu", &kb) == 1)
+      break;
+  if (file != NULL)
+    fclose (file);
+  return kb;
+}
+
+/* Each of the nested arrays claims all bytes that follow as its elements, and
+   the library allocates them before it reads them.  */
+static void
+test_nested_arrays_claim_more_elements_than_bytes (void)
+{
+  enum
+  {
+    PAYLOAD_BYTES = 4 << 20,
+    LEVELS = 30,
+    HEADER_BYTES = 5,
+    MAX_GROWTH_KB = 256 << 10
+  };
+  unsigned char *payload = talloc_zero_size (NULL, PAYLOAD_BYTES);
+  enum bd_message_type type;
+  size_t before_kb = peak_kb ();
+  size_t at = 0;
+
+  for (uint32_t i = 0; i < LEVELS; i++)
+    {
+      uint32_t count = PAYLOAD_BYTES - (uint32_t)at - HEADER_BYTES;
+
+      payload[at] = 0xdd;
+      for (uint32_t k = 1; k < HEADER_BYTES; k++)
+        payload[at + k] = (unsigned char)(count >> 8 * (HEADER_BYTES - 1 - k));
+      at += HEADER_BYTES;
+    }
+  CU_ASSERT_PTR_NULL (
+      bd_message_unpack (NULL, (const char *)payload, PAYLOAD_BYTES, &type));
+  CU_ASSERT_TRUE (peak_kb () - before_kb < MAX_GROWTH_KB);
+  talloc_free (payload);
+}
+
+static void
+test_deeply_nested_message_ends_the_process (void)
+{
+  enum
+  {
+    PAYLOAD_BYTES = 4 << 20
+  };
+  static const char headers[] = { (char)0x91, (char)0x9f, (char)0x81 };
+  char *payload = talloc_size (NULL, PAYLOAD_BYTES);
+  enum bd_message_type type;
+
+  for (size_t i = 0; i < sizeof headers; i++)
+    {
+      memset (payload, headers[i], PAYLOAD_BYTES);
+      CU_ASSERT_PTR_NULL (
+          bd_message_unpack (NULL, payload, PAYLOAD_BYTES, &type));
+    }
+  talloc_free (payload);
+}
+
 static const struct unit_test tests[] = {
   { "round trip", test_round_trip },
   { "truncated and damaged messages", test_truncated_and_damaged_messages },
   { "huge list", test_huge_list },
+  { "nested arrays claim more elements than bytes",
+    test_nested_arrays_claim_more_elements_than_bytes },
+  { "deeply nested message ends the process",
+    test_deeply_nested_message_ends_the_process },
 };
 
 int
