wire: the elements of a message have a byte each, all together

What callers saw: nothing on record; a damaged or foreign message of 4 MB could take a process above its memory limit.

Cause: the check before decoding compared the count of each array with what is left of the payload, so that nested arrays could each claim all of it.

Change: the counts of all arrays together are limited by the size.

--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -593,21 +593,24 @@
   return true;
 }
 
-/* Checks that the counts in a payload do not exceed its size.  The library
-   allocates memory for as many elements as a header announces.  Without this
-   check, one damaged byte can request more memory than the machine has.  */
+/* Checks that the counts in a payload together do not exceed its size: each
+   element has a byte of its own.  The library allocates memory for as many
+   elements as a header announces.  Without this check, one damaged byte can
+   request more memory than the machine has.  */
 static bool
 are_counts_plausible (const char *data, size_t size)
 {
   size_t at = 0;
+  uint64_t items = 0;
 
   while (at < size)
     {
       struct token token;
       if (!read_token ((const unsigned char *)data + at, size - at, &token)
-          || token.skip > size - at || token.items > size - at)
+          || token.skip > size - at || token.items > size - items)
         return false;
       at += token.skip;
+      items += token.items;
     }
   return true;
 }
