--- a/src/edge/edge_odd_entries_test.c
+++ b/src/edge/edge_odd_entries_test.c
@@ -442,6 +442,53 @@
   site_finish (&site);
 }
 
+static json_t *
+daemon_entry (const char *data)
+{
+  json_t *value = json_loads (data, 0, NULL);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (value);
+  return json_pack ("{s:s,s:[],s:o}", "write_id", "w", "recent", "data",
+                    value);
+}
+
+static void
+test_odd_entry_of_a_daemon_counts_as_a_daemon (void)
+{
+  static const char *const entries[] = {
+    "{\"address\":\"127.0.0.9\",\"data_centre\":\"a\",\"peer_port\":0}",
+    "{\"address\":\"127.0.0.9\",\"data_centre\":\"a\",\"peer_port\":65536}",
+    "{\"address\":\"127.0.0.9\",\"data_centre\":\"a\",\"peer_port\":1.5}",
+    "{\"address\":\"127.0.0.9\",\"data_centre\":7,\"peer_port\":9}",
+    "{\"address\":\"nowhere\",\"data_centre\":\"a\",\"peer_port\":9}",
+    "{\"address\":\"127.0.0.9\",\"data_centre\":\"a\",\"peer_port\":9,"
+    "\"note\":\"" SITE_RAW "\"}",
+    "{}"
+  };
+  static const char valid[] = "{\"address\":\"127.0.0.9\",\"data_centre\":"
+                              "\"a\",\"peer_port\":9,\"cpu_share\":-1}";
+  char *name = repeat ('x', 100);
+
+  site_start (&site, 1, 0);
+  site.raw_value = "1e999";
+  for (size_t i = 0; i < sizeof entries / sizeof entries[0]; i++)
+    {
+      char id[BD_NAME_SIZE];
+
+      snprintf (id, sizeof id, "d-%zu", i);
+      site_put (&site, "bd-daemons", id, daemon_entry (entries[i]));
+    }
+  site_put (&site, "bd-daemons", name, daemon_entry (valid));
+  site_put (&site, "bd-daemons", "valid", daemon_entry (valid));
+  /* Enough for several reads of the list.  */
+  site_wait (&site, 2 * APPLY_MS);
+  CU_ASSERT_EQUAL (site.edge->membership.count, 2);
+  CU_ASSERT_PTR_NOT_NULL (
+      bd_membership_find (&site.edge->membership, "valid"));
+  talloc_free (name);
+  site_finish (&site);
+}
+
 int
 main (void)
 {
@@ -465,6 +512,8 @@
       test_callers_reach_an_endpoint_whose_entry_became_invalid },
     { "endpoint with an odd report counts as dead",
       test_endpoint_with_an_odd_report_counts_as_dead },
+    { "odd entry of a daemon counts as a daemon",
+      test_odd_entry_of_a_daemon_counts_as_a_daemon },
   };
 
   unit_silence_log ();
