edge: an odd entry in the list of daemons adds none

What callers saw: nothing on record. Such an entry counted as a live daemon, so that shares and duties went to it.

Cause: a name was cut when a daemon was added and compared whole when it was looked up, so that each read of the list added one more; an address that is none, and an entry with values that can't be decoded, were taken. Ruled out: ports, which were checked.

Change: an entry needs a name and a data centre of valid length and an IPv4 address, and all its values must be decodable.

--- a/src/edge/register.c
+++ b/src/edge/register.c
@@ -5,6 +5,7 @@
 
 #include "edge/edge_internal.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -33,12 +34,29 @@
   return address != NULL && strcmp (address, edge->settings->address) == 0;
 }
 
+/* Whether the text can be a member's name or data centre as a whole.  */
+static bool
+is_name (const char *text)
+{
+  return text != NULL && text[0] != '\0' && strlen (text) < BD_NAME_SIZE;
+}
+
+static bool
+is_address (const char *text)
+{
+  struct in_addr address;
+
+  return is_name (text) && inet_pton (AF_INET, text, &address) == 1;
+}
+
 /* Adds a daemon of the list to the members.  One that is new counts as live
    until it has missed its status messages, so that daemons that start together
    agree on their duties from the beginning.  */
 static void
-add_daemon (struct bd_edge *edge, const char *name, const json_t *data)
+add_daemon (struct bd_edge *edge, const json_t *item)
 {
+  const char *name = json_string_value (json_object_get (item, "name"));
+  const json_t *data = bd_envelope_data (json_object_get (item, "value"));
   const char *address = json_string_value (json_object_get (data, "address"));
   const char *data_centre
       = json_string_value (json_object_get (data, "data_centre"));
@@ -46,7 +64,8 @@
   struct bd_member *member;
   bool is_new;
 
-  if (name == NULL || address == NULL || data_centre == NULL || port <= 0
+  if (json_is_true (json_object_get (item, "is_damaged")) || !is_name (name)
+      || !is_name (data_centre) || !is_address (address) || port <= 0
       || port > UINT16_MAX)
     return;
   is_new = bd_membership_find (&edge->membership, name) == NULL;
@@ -116,7 +135,7 @@
           own_data = data;
         }
       else
-        add_daemon (edge, name, data);
+        add_daemon (edge, item);
     }
   if (own != NULL && is_own_entry (edge, own_data))
     edge->is_registered = true;
