json: what contains a refused value is not decoded again as a whole

Nested arrays of 800 KB with a refused value at the end of the innermost kept the event loop for 1.2 s, since each of 12 levels was decoded up to that value before it was split. The position of the library's error tells which parts to split at once.

--- a/src/base/json.c
+++ b/src/base/json.c
@@ -1,8 +1,8 @@
 /* Decoding of JSON from other programs.
 
    What the library refuses as a whole is split into its members or elements,
-   which are then decoded one by one, down to MAX_LEVELS.  The time is bounded
-   by the size of the text times MAX_LEVELS.  */
+   which are then decoded one by one, down to MAX_LEVELS, which also bounds
+   how often a byte is decoded.  */
 
 #include "base/json.h"
 
@@ -22,8 +22,17 @@
   size_t at;
 };
 
-static json_t *load_part (struct bd_json *json, const char *text, size_t size,
-                          uint32_t levels);
+/* A text that is being decoded.  */
+struct decoder
+{
+  struct bd_json *json;
+  /* Where the library has last refused a part.  What contains this position
+     need not be tried again as a whole.  */
+  const char *failed_at;
+};
+
+static json_t *load_part (struct decoder *decoder, const char *text,
+                          size_t size, uint32_t levels);
 
 static bool
 is_blank (char c)
@@ -91,30 +100,30 @@
 }
 
 static void
-mark_damaged (struct bd_json *json, json_t *value)
+mark_damaged (struct decoder *decoder, json_t *value)
 {
   /* The set holds references: the address of a value that is not part of the
      result must not be given out again.  */
-  if (json->damaged == NULL)
-    json->damaged = g_hash_table_new_full (NULL, NULL, release, NULL);
-  g_hash_table_add (json->damaged, json_incref (value));
+  if (decoder->json->damaged == NULL)
+    decoder->json->damaged = g_hash_table_new_full (NULL, NULL, release, NULL);
+  g_hash_table_add (decoder->json->damaged, json_incref (value));
 }
 
 /* Decodes a member's or an element's value.  Returns null, and marks the
    container, if that fails.  */
 static json_t *
-load_child (struct bd_json *json, json_t *container, const char *text,
+load_child (struct decoder *decoder, json_t *container, const char *text,
             size_t size, uint32_t levels)
 {
-  json_t *value = load_part (json, text, size, levels - 1);
+  json_t *value = load_part (decoder, text, size, levels - 1);
 
-  if (value == NULL || bd_json_is_damaged (json, value))
-    mark_damaged (json, container);
+  if (value == NULL || bd_json_is_damaged (decoder->json, value))
+    mark_damaged (decoder, container);
   return value != NULL ? value : json_null ();
 }
 
 static void
-add_member (struct bd_json *json, json_t *object, const char *text,
+add_member (struct decoder *decoder, json_t *object, const char *text,
             size_t size, uint32_t levels)
 {
   struct cursor cursor = { .text = text, .size = size };
@@ -124,33 +133,33 @@
   if (cursor.at < size && text[cursor.at] == '"')
     {
       skip_string (&cursor);
-      key = load_part (json, text, cursor.at, 0);
+      key = load_part (decoder, text, cursor.at, 0);
     }
   skip_blanks (&cursor);
   if (key == NULL || cursor.at >= size || text[cursor.at] != ':')
-    mark_damaged (json, object);
+    mark_damaged (decoder, object);
   else
     json_object_set_new (object, json_string_value (key),
-                         load_child (json, object, text + cursor.at + 1,
+                         load_child (decoder, object, text + cursor.at + 1,
                                      size - cursor.at - 1, levels));
   json_decref (key);
 }
 
 static void
-add_part (struct bd_json *json, json_t *container, const char *text,
+add_part (struct decoder *decoder, json_t *container, const char *text,
           size_t size, uint32_t levels)
 {
   if (json_is_object (container))
-    add_member (json, container, text, size, levels);
+    add_member (decoder, container, text, size, levels);
   else
-    json_array_append_new (container,
-                           load_child (json, container, text, size, levels));
+    json_array_append_new (
+        container, load_child (decoder, container, text, size, levels));
 }
 
 /* Decodes the parts of an object or array one by one.  The cursor is at its
    opening bracket.  */
 static json_t *
-load_parts (struct bd_json *json, struct cursor *cursor, uint32_t levels)
+load_parts (struct decoder *decoder, struct cursor *cursor, uint32_t levels)
 {
   char closing = cursor->text[cursor->at] == '{' ? '}' : ']';
   json_t *container = closing == '}' ? json_object () : json_array ();
@@ -161,7 +170,7 @@
 
       if (!skip_part (cursor))
         break;
-      add_part (json, container, cursor->text + start, cursor->at - start,
+      add_part (decoder, container, cursor->text + start, cursor->at - start,
                 levels);
     }
   while (cursor->text[cursor->at] == ',');
@@ -178,47 +187,50 @@
 
 /* Decodes a string after invalid UTF-8 in it is replaced.  */
 static json_t *
-load_valid_string (struct bd_json *json, const char *text, size_t size)
+load_valid_string (struct decoder *decoder, const char *text, size_t size)
 {
   char *valid = g_utf8_make_valid (text, (gssize)size);
   json_t *value = json_loads (valid, JSON_DECODE_ANY, NULL);
 
   g_free (valid);
   if (value != NULL)
-    mark_damaged (json, value);
+    mark_damaged (decoder, value);
   return value;
 }
 
 static json_t *
-load_part (struct bd_json *json, const char *text, size_t size,
+load_part (struct decoder *decoder, const char *text, size_t size,
            uint32_t levels)
 {
   struct cursor cursor = { .text = text, .size = size };
+  json_error_t error;
   json_t *value;
+  bool can_split;
 
   skip_blanks (&cursor);
   if (cursor.at == size)
     return NULL;
-  value = json_loadb (text, size, JSON_DECODE_ANY, NULL);
+  can_split = levels > 0 && (text[cursor.at] == '{' || text[cursor.at] == '[');
+  if (can_split && decoder->failed_at >= text
+      && decoder->failed_at < text + size)
+    return load_parts (decoder, &cursor, levels);
+  value = json_loadb (text, size, JSON_DECODE_ANY, &error);
   if (value != NULL)
     return value;
-  switch (text[cursor.at])
-    {
-    case '"':
-      return load_valid_string (json, text, size);
-    case '{':
-    case '[':
-      return levels > 0 ? load_parts (json, &cursor, levels) : NULL;
-    default:
-      return NULL;
-    }
+  decoder->failed_at = text + error.position;
+  if (can_split)
+    return load_parts (decoder, &cursor, levels);
+  return text[cursor.at] == '"' ? load_valid_string (decoder, text, size)
+                                : NULL;
 }
 
 bool
 bd_json_load (struct bd_json *json, const char *text, size_t size)
 {
+  struct decoder decoder = { .json = json };
+
   memset (json, 0, sizeof *json);
-  json->value = load_part (json, text, size, MAX_LEVELS);
+  json->value = load_part (&decoder, text, size, MAX_LEVELS);
   return json->value != NULL;
 }
 
