--- a/src/http/client.c
+++ b/src/http/client.c
@@ -234,8 +234,8 @@
   client->multi = curl_multi_init ();
   if (client->multi == NULL)
     return false;
-  client->sockets
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  client->sockets = g_hash_table_new (g_str_hash, g_str_equal);
+  client->names = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   client->idle_size = max_idle;
   client->idle = talloc_array (NULL, CURL *, max_idle);
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, handle_socket);
@@ -260,6 +260,7 @@
   curl_multi_cleanup (client->multi);
   client->multi = NULL;
   g_hash_table_unref (client->sockets);
+  g_hash_table_unref (client->names);
   TALLOC_FREE (client->timer);
 }
 
@@ -435,11 +436,16 @@
   return CURL_SOCKOPT_OK;
 }
 
-static gboolean
-is_socket (gpointer key, gpointer value, gpointer ctx)
+static void
+forget_socket (struct bd_http_client *client, curl_socket_t socket)
 {
-  (void)key;
-  return GPOINTER_TO_INT (value) == *(const curl_socket_t *)ctx;
+  const char *name
+      = g_hash_table_lookup (client->names, GINT_TO_POINTER (socket));
+
+  if (name == NULL)
+    return;
+  g_hash_table_remove (client->sockets, name);
+  g_hash_table_remove (client->names, GINT_TO_POINTER (socket));
 }
 
 static int
@@ -447,7 +453,7 @@
 {
   struct bd_http_client *client = ctx;
 
-  g_hash_table_foreach_remove (client->sockets, is_socket, &socket);
+  forget_socket (client, socket);
   return close (socket);
 }
 
@@ -465,17 +471,20 @@
 static curl_socket_t
 find_socket (struct bd_http_call *call, const struct connection_name *name)
 {
-  GHashTable *sockets = call->client->sockets;
+  struct bd_http_client *client = call->client;
   char *key = g_strdup_printf ("%s:%d %s:%d", name->local_ip, name->local_port,
                                name->peer_ip, name->peer_port);
   gpointer value;
 
   if (bd_http_call_is_first (call))
     {
-      g_hash_table_replace (sockets, key, GINT_TO_POINTER (call->socket));
+      forget_socket (client, call->socket);
+      g_hash_table_insert (client->names, GINT_TO_POINTER (call->socket), key);
+      g_hash_table_replace (client->sockets, key,
+                            GINT_TO_POINTER (call->socket));
       return call->socket;
     }
-  value = g_hash_table_lookup (sockets, key);
+  value = g_hash_table_lookup (client->sockets, key);
   g_free (key);
   return value != NULL ? GPOINTER_TO_INT (value) : CURL_SOCKET_BAD;
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -90,6 +90,7 @@
   uint32_t idle_count;
   uint32_t idle_size;
   GHashTable *sockets; /* Addresses of a connection -> socket.  */
+  GHashTable *names;   /* The reverse; holds the keys of sockets.  */
   bool is_in_callback; /* A libcurl callback is running.  */
   bool has_cancelled;  /* Calls cancelled in callbacks have to be freed.  */
 };
