edge: the last daemon that can take a request over lets it wait

What callers saw: 503 beside a change of the configuration, for requests that a daemon without links hands over.

Cause (trace of a scratch copy): requests wait for a daemon that has the configuration and go to it all at once; its slots are full, it refuses what it can't send at once, the next one as well, and none is left. Ruled out: older configurations, the refusals are "overloaded" after 1 to 2 ms.

Change: the sender marks a request for which it knows of no further daemon, and the one that takes it lets it wait like its own. Older builds ignore the header and refuse as before. A daemon without links refuses at once as before ("isolated daemons hand over in a circle").

--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -109,7 +109,8 @@
 static bool
 is_hopeless (const struct bd_edge_request *request)
 {
-  return request->is_taken_over || !bd_edge_can_complete (request)
+  return (request->is_taken_over && !request->is_last_resort)
+         || !bd_edge_can_complete (request)
          || (bd_edge_service (request->edge, request->service)->links.is_lost
              && !bd_edge_awaits_daemon (request))
          || is_over_limits (request);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -85,6 +85,7 @@
 
   /* Another daemon has handed it over to this one.  */
   bool is_taken_over;
+  bool is_last_resort; /* The other daemon knows of no further one.  */
   /* Its last attempt has reached no endpoint, which may be this daemon's
      fault: the next one goes to another daemon if one can take it.  */
   bool prefers_handover;
@@ -469,6 +470,10 @@
 /* bd_edge_is_handover_header(): whether only daemons use the header.  */
 bool bd_edge_is_handover_header (const char *name);
 
+/* bd_edge_is_last_resort(): whether the sender of a request knows of no other
+   daemon that can take it over.  */
+bool bd_edge_is_last_resort (const struct bd_http_exchange *exchange);
+
 /* bd_edge_is_taken_over(): whether an exchange is with another daemon.  */
 bool bd_edge_is_taken_over (const struct bd_edge *edge,
                             const struct bd_http_exchange *exchange);
--- a/src/edge/handover.c
+++ b/src/edge/handover.c
@@ -5,7 +5,8 @@
    the other daemons.  It goes on checking its callers' requests, and sends
    them as they came to the handover port of another daemon, which handles them
    like its own, once: it hands none on.  What it cannot serve it refuses as
-   not run, and the sender tries another one.  While all of them have an older
+   not run, and the sender tries another one; the last one that is left lets it
+   wait like its own.  While all of them have an older
    configuration than the sender, the request waits until one has read it.
 
    The sender counts the runs.  Each daemon may use one, so that a failure, or
@@ -29,6 +30,8 @@
    use.  */
 static const char config_header[] = "Burdockdale-Config";
 static const char runs_header[] = "Burdockdale-Runs";
+/* Sent to the last daemon that can take the request over.  */
+static const char last_header[] = "Burdockdale-Last";
 
 bool
 bd_edge_start_handover (struct bd_edge *edge,
@@ -145,14 +148,22 @@
   return false;
 }
 
+/* Whether a daemon is left to which the request can go next.  */
+static bool
+has_next_daemon (const struct bd_edge_request *request)
+{
+  const struct bd_member *found[MAX_DAEMONS];
+
+  return find_daemons (request, true, found) > 0
+         || find_daemons (request, false, found) > 0;
+}
+
 uint32_t
 bd_edge_handover_runs (const struct bd_edge_request *request)
 {
   const struct bd_call *call = &request->call;
-  const struct bd_member *found[MAX_DAEMONS];
 
-  if (call->max_runs <= call->runs || find_daemons (request, true, found) > 0
-      || find_daemons (request, false, found) > 0)
+  if (call->max_runs <= call->runs || has_next_daemon (request))
     return 1;
   return call->max_runs - call->runs;
 }
@@ -162,17 +173,21 @@
                           struct bd_http_header_field *headers, uint32_t max)
 {
   const struct bd_header_names *names = request->edge->adapter->headers;
-  struct bd_http_header_field all[] = {
+  struct bd_http_header_field all[4] = {
     { config_header,
       talloc_asprintf (ctx, "%lld",
                        (long long)request->edge->routes->version) },
     { runs_header, talloc_asprintf (ctx, "%u", request->call.attempt_runs) },
-    { names->authorization,
-      talloc_asprintf (ctx, "%s%s", names->key_scheme,
-                       request->key != NULL ? request->key : "") },
   };
-  uint32_t count = request->key != NULL ? 3 : 2;
-
+  uint32_t count = 2;
+
+  if (request->key != NULL)
+    all[count++] = (struct bd_http_header_field){
+      names->authorization,
+      talloc_asprintf (ctx, "%s%s", names->key_scheme, request->key)
+    };
+  if (!has_next_daemon (request))
+    all[count++] = (struct bd_http_header_field){ last_header, "1" };
   if (count > max)
     count = max;
   memcpy (headers, all, count * sizeof all[0]);
@@ -183,7 +198,8 @@
 bd_edge_is_handover_header (const char *name)
 {
   return strcasecmp (name, config_header) == 0
-         || strcasecmp (name, runs_header) == 0;
+         || strcasecmp (name, runs_header) == 0
+         || strcasecmp (name, last_header) == 0;
 }
 
 bool
@@ -193,6 +209,12 @@
   return x->server == &edge->handover_server;
 }
 
+bool
+bd_edge_is_last_resort (const struct bd_http_exchange *x)
+{
+  return bd_http_header (x, last_header) != NULL;
+}
+
 bool
 bd_edge_can_take_over (const struct bd_edge *edge,
                        const struct bd_http_exchange *x)
--- a/src/edge/ingress.c
+++ b/src/edge/ingress.c
@@ -201,6 +201,8 @@
                 request->kind == BD_ROUTE_STREAM, request->deadline_ms);
   request->call.max_runs = route->max_attempts;
   request->is_taken_over = bd_edge_is_taken_over (edge, x);
+  request->is_last_resort
+      = request->is_taken_over && bd_edge_is_last_resort (x);
   if (request->is_taken_over)
     request->call.max_runs = bd_edge_max_runs (x, route->max_attempts);
   read_resumption (request);
