edge: the end of a stop stays where it was set

A reload with a shorter grace during a stop made the daemon done at once, and its requests got no response. With a grace under 3.2 s the end of the stop left the listening socket open. A stream of unknown length (no maximum of its tokens, or a service without an engine) was judged by the time to its first event or by a mean.

Change: the end is kept when the stop begins, and is_done waits for the final responses; the end of the grace also stops listening and closes idle connections; a stream of unknown length is taken only if its deadline lies before the end; what waits at the end is refused as "stopping".

--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -73,8 +73,8 @@
   uint32_t header_count;
   char model[BD_NAME_SIZE]; /* Empty for services without an engine.  */
   uint32_t prompt_tokens;
-  uint32_t output_tokens; /* Expected.  */
-  uint32_t max_output_tokens;
+  uint32_t output_tokens;     /* Expected.  */
+  uint32_t max_output_tokens; /* 0 if unknown.  */
   /* To which a crash can be attributed; the first is the whole request.  */
   uint64_t subjects[BD_POISON_MAX_SUBJECTS];
   uint32_t subject_count;
@@ -275,7 +275,7 @@
   bool is_stopping;
   bool is_closed; /* Accepts no more requests.  */
   bool is_grace_over;
-  int64_t stopping_since_ms;
+  int64_t end_ms; /* Of a stop; a reload does not change it.  */
   bool was_ready;
 };
 
--- a/src/edge/edge_stop_test.c
+++ b/src/edge/edge_stop_test.c
@@ -18,6 +18,7 @@
   CALLS = 10,
   CALL_INTERVAL_MS = 330,
   GRACE_MS = 4500,
+  SHORT_GRACE_MS = 800,
   CLOSED_MS = 3600, /* No new requests are accepted by then.  */
   READY_MS = 10000
 };
@@ -171,6 +172,48 @@
   site_finish (&site);
 }
 
+static void
+test_reload_during_a_stop_cuts_requests (void)
+{
+  struct bd_edge_settings changed;
+  struct site_call *call;
+
+  site_start (&site, 2, 0);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, READY_MS));
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    site.workers[i].mode = WORKER_UNRESPONSIVE;
+  call = site_start_call (&site, "POST", "/unsafe/x", "k1", NULL);
+  site_wait (&site, 100);
+  bd_edge_stop (site.edge);
+  site_wait (&site, 1000);
+  changed = site.settings;
+  changed.bounds.grace_ms = 1000;
+  bd_edge_reload (site.edge, &changed);
+  end_daemon ();
+  wait_for (call);
+  CU_ASSERT_TRUE (call->status == 502 || call->status == 504);
+  site_finish (&site);
+}
+
+static void
+test_grace_shorter_than_the_balancer_delay (void)
+{
+  struct site_call *call;
+
+  site_start (&site, 2, 0);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, READY_MS));
+  site.settings.bounds.grace_ms = SHORT_GRACE_MS;
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    site.workers[i].mode = WORKER_UNRESPONSIVE;
+  call = site_start_call (&site, "POST", "/unsafe/x", "k1", NULL);
+  site_wait (&site, 100);
+  bd_edge_stop (site.edge);
+  end_daemon ();
+  wait_for (call);
+  CU_ASSERT_TRUE (call->status == 502 || call->status == 504);
+  site_finish (&site);
+}
+
 int
 main (void)
 {
@@ -179,6 +222,10 @@
       test_kept_connection_brings_request_that_outlasts_the_grace },
     { "request that runs at the end gets no response",
       test_request_that_runs_at_the_end_gets_no_response },
+    { "reload during a stop cuts requests",
+      test_reload_during_a_stop_cuts_requests },
+    { "grace shorter than the balancer delay",
+      test_grace_shorter_than_the_balancer_delay },
     { "other daemons reach a daemon that ends",
       test_other_daemons_reach_a_daemon_that_ends },
   };
--- a/src/edge/ingress.c
+++ b/src/edge/ingress.c
@@ -127,9 +127,8 @@
     }
   if (hint != NULL && strtoul (hint, NULL, 10) > 0)
     request->output_tokens = (uint32_t)strtoul (hint, NULL, 10);
-  if (request->max_output_tokens == 0)
-    request->max_output_tokens = request->output_tokens;
-  if (request->output_tokens > request->max_output_tokens)
+  if (request->max_output_tokens > 0
+      && request->output_tokens > request->max_output_tokens)
     request->output_tokens = request->max_output_tokens;
 }
 
--- a/src/edge/stop.c
+++ b/src/edge/stop.c
@@ -9,6 +9,8 @@
 
 #include "edge/edge_internal.h"
 
+#include <math.h>
+
 enum
 {
   /* The load balancer checks once a second and removes a daemon after two
@@ -23,16 +25,10 @@
   MAX_SILENCE_MS = 1000
 };
 
-static int64_t
-end_ms (const struct bd_edge *edge)
-{
-  return edge->stopping_since_ms + (int64_t)edge->settings->bounds.grace_ms
-         - GRACE_MARGIN_MS;
-}
-
-/* Time that a request takes at most at a sound endpoint.  */
+/* Estimated time of a request at a sound endpoint in a full batch.  Infinite
+   for a stream of unknown length.  */
 static double
-duration_ms (const struct bd_edge_request *request)
+estimate_ms (const struct bd_edge_request *request)
 {
   const struct bd_route_service *service
       = bd_routes_service (request->edge->routes, request->service);
@@ -41,6 +37,9 @@
             ? bd_engine_model (&service->engine, request->model)
             : NULL;
 
+  if (request->kind == BD_ROUTE_STREAM
+      && (model == NULL || request->max_output_tokens == 0))
+    return INFINITY;
   if (model == NULL)
     return request->objective_ms + MAX_SILENCE_MS;
   return bd_engine_response_ms (&service->engine, model,
@@ -55,9 +54,9 @@
   const struct bd_edge *edge = request->edge;
 
   return !edge->is_stopping || request->has_stream_begun
-         || request->deadline_ms <= end_ms (edge)
-         || (double)bd_edge_now_ms (edge) + duration_ms (request)
-                <= (double)end_ms (edge);
+         || request->deadline_ms <= edge->end_ms
+         || (double)bd_edge_now_ms (edge) + estimate_ms (request)
+                <= (double)edge->end_ms;
 }
 
 /* The load balancer has removed this daemon.  */
@@ -80,7 +79,7 @@
 {
   struct bd_edge *edge = ctx;
 
-  edge->is_closed = true;
+  close_to_new_requests (edge);
   edge->is_grace_over = true;
   while (edge->requests != NULL)
     bd_edge_expire (edge->requests);
@@ -89,19 +88,18 @@
 void
 bd_edge_stop (struct bd_edge *edge)
 {
-  int64_t now_ms = bd_edge_now_ms (edge);
-  int64_t left_ms;
+  int64_t left_ms = (int64_t)edge->settings->bounds.grace_ms - GRACE_MARGIN_MS;
 
   if (edge->is_stopping)
     return;
+  if (left_ms < 0)
+    left_ms = 0;
   edge->is_stopping = true;
-  edge->stopping_since_ms = now_ms;
-  left_ms = end_ms (edge) - now_ms;
+  edge->end_ms = bd_edge_now_ms (edge) + left_ms;
   bd_log ("stopping", "open", BD_NUM (edge->request_count), NULL);
   bd_timer_add (edge->events, edge, BALANCER_DELAY_MS, close_to_new_requests,
                 edge);
-  bd_timer_add (edge->events, edge, left_ms > 0 ? left_ms : 0, end_requests,
-                edge);
+  bd_timer_add (edge->events, edge, left_ms, end_requests, edge);
   /* Peers that receive this status take over this daemon's duties.  */
   bd_edge_send_status (edge);
 }
@@ -109,11 +107,9 @@
 bool
 bd_edge_is_done (const struct bd_edge *edge)
 {
-  int64_t now_ms = bd_edge_now_ms (edge);
-
   if (!edge->is_stopping)
     return false;
-  if (now_ms >= end_ms (edge) + FLUSH_MS)
+  if (edge->is_grace_over && bd_edge_now_ms (edge) >= edge->end_ms + FLUSH_MS)
     return true;
   return edge->is_closed && edge->request_count == 0
          && bd_http_server_is_idle (&edge->server)
--- a/src/edge/watchdog.c
+++ b/src/edge/watchdog.c
@@ -99,11 +99,13 @@
 bd_edge_expire (struct bd_edge_request *request)
 {
   bool has_not_run = request->attempt == NULL && !request->call.may_have_run;
+  enum bd_error error
+      = request->edge->is_grace_over ? BD_ERR_STOPPING : BD_ERR_OVERLOADED;
 
   bd_backlog_remove (&request->backlog_item);
-  bd_edge_run_action (request, has_not_run ? bd_call_refused (
-                                   &request->call, BD_ERR_OVERLOADED)
-                                           : bd_call_expired (&request->call));
+  bd_edge_run_action (request, has_not_run
+                                   ? bd_call_refused (&request->call, error)
+                                   : bd_call_expired (&request->call));
 }
 
 static void
