--- a/src/edge/ingress.c
+++ b/src/edge/ingress.c
@@ -127,9 +127,8 @@
     }
   if (hint != NULL && strtoul (hint, NULL, 10) > 0)
     request->output_tokens = (uint32_t)strtoul (hint, NULL, 10);
-  if (request->max_output_tokens == 0)
-    request->max_output_tokens = request->output_tokens;
-  if (request->output_tokens > request->max_output_tokens)
+  if (request->max_output_tokens > 0
+      && request->output_tokens > request->max_output_tokens)
     request->output_tokens = request->max_output_tokens;
 }
 
@@ -201,6 +200,8 @@
                 request->kind == BD_ROUTE_STREAM, request->deadline_ms);
   request->call.max_runs = route->max_attempts;
   request->is_taken_over = bd_edge_is_taken_over (edge, x);
+  request->is_last_resort
+      = request->is_taken_over && bd_edge_is_last_resort (x);
   if (request->is_taken_over)
     request->call.max_runs = bd_edge_max_runs (x, route->max_attempts);
   read_resumption (request);
