soak: a crashed endpoint is restarted when its fault ends

Cause: put WORKER_CRASHING in the middle of the modes of the fake endpoint, from which the soak draws by number. An endpoint in that mode accepts no connections from its first run on, and nothing started its server again. Once all three endpoints of the service had drawn it, there was nothing left to recover: the fault, which the test says it has ended, went on.

All daemons found their links lost and refused at once, which is what they should do where nothing accepts a connection.

Ruled out: a descriptor closed twice by the daemon (its descriptors had taken the numbers, but the fake itself had closed them); links that are never found back.

Change: restarting an endpoint of the fake starts its server if it has crashed, and the end of a fault restarts one. The soak checks that every endpoint listens once the faults have ended, and says with which status a daemon fails. No check was relaxed.

--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -1083,6 +1083,14 @@
 static const struct bd_http_server_ops worker_ops
     = { max_body, handle_worker, handle_worker_disconnect, ignore };
 
+static void
+start_worker_server (struct site_worker *worker)
+{
+  bd_http_server_init (&worker->server, worker->site->events,
+                       loopback_address (), worker->port, 64, &worker_ops,
+                       worker);
+}
+
 static void
 add_worker (struct site *site, const char *service, const char *domain)
 {
@@ -1099,8 +1107,7 @@
   worker->start_count = 1;
   worker->is_listed = true;
   snprintf (worker->id, sizeof worker->id, "w-%u", index);
-  bd_http_server_init (&worker->server, site->events, loopback_address (),
-                       worker->port, 64, &worker_ops, worker);
+  start_worker_server (worker);
   site_list_worker (worker);
 }
 
@@ -1380,9 +1387,20 @@
   return call;
 }
 
+bool
+site_is_listening (const struct site_worker *worker)
+{
+  return !worker->server.has_stopped_listening;
+}
+
 void
 site_restart_worker (struct site_worker *worker)
 {
+  if (!site_is_listening (worker))
+    {
+      bd_http_server_finish (&worker->server);
+      start_worker_server (worker);
+    }
   worker->start_count++;
   json_decref (worker->group);
   worker->group = NULL;
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -209,6 +209,10 @@
    is_listed is unset.  */
 void site_list_worker (struct site_worker *worker);
 
+/* site_is_listening(): whether the worker accepts connections; a crashed one
+   does not until it is restarted.  */
+bool site_is_listening (const struct site_worker *worker);
+
 /* site_restart_worker(): restarts the worker without its group, model and
    staged weights.  Its streams are aborted.  */
 void site_restart_worker (struct site_worker *worker);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -271,12 +271,14 @@
   bd_timer_add (site.events, site.events, duration_ms, restore_store, NULL);
 }
 
-/* Ends the worker's fault, and restarts it if it was draining or removed.  */
+/* Ends the worker's fault, and restarts it if it was draining, was removed or
+   has crashed.  */
 static void
 restore_worker (void *ctx)
 {
   struct site_worker *worker = ctx;
-  bool needs_restart = !worker->is_listed || worker->is_draining;
+  bool needs_restart = !worker->is_listed || worker->is_draining
+                       || !site_is_listening (worker);
 
   log_fault (needs_restart ? "endpoint-returns" : "endpoint-recovers",
              worker->id);
@@ -421,7 +423,15 @@
   faults_end_ms = now_ms ();
   site.store_mode = STORE_HEALTHY;
   for (uint32_t i = 0; i < site.worker_count; i++)
-    restore_worker (&site.workers[i]);
+    {
+      restore_worker (&site.workers[i]);
+      if (!site_is_listening (&site.workers[i]))
+        {
+          violation_count++;
+          printf ("VIOLATED faults: %s does not listen after them\n",
+                  site.workers[i].id);
+        }
+    }
   if (revoked_ms != 0)
     toggle_key ();
 }
@@ -452,16 +462,22 @@
   return call;
 }
 
-/* Whether a daemon serves a kind of call before limit_ms.  */
+/* Checks that a daemon serves a kind of call before limit_ms.  */
 static bool
-has_recovered (enum call_kind kind, uint32_t daemon, int64_t limit_ms)
+check_first_success (enum call_kind kind, uint32_t daemon, int64_t limit_ms)
 {
+  uint32_t status = 0;
+
   while (now_ms () < limit_ms && call_count < MAX_CALLS)
     {
-      if (run_call (kind, daemon)->call->status == 200)
+      status = run_call (kind, daemon)->call->status;
+      if (status == 200)
         return true;
       site_wait (&site, CALL_INTERVAL_MS);
     }
+  violation_count++;
+  printf ("VIOLATED recovery: daemon %u does not serve, %s, last failure %u\n",
+          daemon, paths[kind], status);
   return false;
 }
 
@@ -508,13 +524,8 @@
       return;
     }
   for (uint32_t i = 0; i < DAEMONS * CALL_KINDS; i++)
-    if (!has_recovered (i % CALL_KINDS, i / CALL_KINDS, limit_ms))
-      {
-        violation_count++;
-        printf ("VIOLATED recovery: daemon %u does not serve, %s\n",
-                i / CALL_KINDS, paths[i % CALL_KINDS]);
-        return;
-      }
+    if (!check_first_success (i % CALL_KINDS, i / CALL_KINDS, limit_ms))
+      return;
   for (uint32_t i = 0; i < DAEMONS * CALL_KINDS; i++)
     check_success_share (i % CALL_KINDS, i / CALL_KINDS);
 }
