explain: a command that tells what happened to a request

On-call engineers had only a search for the id in the logs of all daemons, and had to find by hand what each daemon believed at that time.

burdockdale explain ID [FILE...] orders the records of the request, words them, and puts between them what its daemons believed: changes of configuration, store, links and peers of the daemons that handled it, and changes of the endpoints at which it was tried, orders included. An event without a text of its own is shown with its fields, so that `serve` and later events are told too.

No change to the daemons.

--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -21,6 +21,7 @@
   { "publish", bd_cli_publish, "publish service files" },
   { "status", bd_cli_status, "show services, daemons and replica groups" },
   { "audit", bd_cli_audit, "show the log of accepted changes" },
+  { "explain", bd_cli_explain, "show what happened to a request" },
 };
 
 enum
