calls: runs that another daemon was granted count when its attempt fails

Callers: a request could run on more endpoints than its route allows (BUDGET). A daemon that has lost its links grants the last daemon it can ask all the runs that are left. When that attempt broke off, the sender counted the granted runs but decided on the retry as if one had been used, so that it sent the request once more if its own links were back or another daemon had come up.

Cause: allows_attempt() added one run for the attempt that fails; bd_call_failed() adds the granted ones.

Evidence: the property of the state machine now draws the maximum of runs and the runs that each attempt is granted and uses, asserts that no attempt follows the last run, and counts the final responses, which it had a field for and never read.

Not shown in a run of daemons. `serve` grants no runs and is not affected.

--- a/src/calls/call.c
+++ b/src/calls/call.c
@@ -140,7 +140,8 @@
 static bool
 allows_attempt (const struct bd_call *call, enum bd_failure failure)
 {
-  uint32_t runs = call->runs + !is_unstarted (failure);
+  uint32_t runs
+      = call->runs + (is_unstarted (failure) ? 0 : call->attempt_runs);
 
   if (call->attempts >= BD_CALL_MAX_ATTEMPTS
       || (call->max_runs > 0 && runs >= call->max_runs))
--- a/src/calls/calls_properties.cc
+++ b/src/calls/calls_properties.cc
@@ -1,6 +1,7 @@
 /* Properties of the call state machine: one final response, an accurate run
-   state, at most one run of a call that is not idempotent, and resumed streams
-   without lost or repeated events.  */
+   state, at most one run of a call that is not idempotent and at most its
+   maximum of any other, and resumed streams without lost or repeated events.
+ */
 
 extern "C"
 {
@@ -8,6 +9,7 @@
 #include "calls/sse.h"
 }
 
+#include <algorithm>
 #include <cstring>
 #include <rapidcheck.h>
 #include <string>
@@ -31,11 +33,40 @@
 
 struct Outcome
 {
-  int finals = 0;
-  unsigned runs = 0; /* Attempts that an endpoint may have started.  */
+  unsigned finals = 0; /* Final responses.  */
+  unsigned runs = 0;   /* Runs that endpoints may have started.  */
   unsigned attempts = 0;
 };
 
+/* What the daemons make of one attempt.  */
+struct Step
+{
+  int result;
+  unsigned granted_runs; /* More than one at another daemon.  */
+  unsigned started_runs; /* Of these, unless the attempt has not started.  */
+};
+
+rc::Gen<Step>
+anyStep ()
+{
+  return rc::gen::apply (
+      [] (int result, unsigned granted, unsigned started) {
+        return Step{ result, granted, std::min (started, granted) };
+      },
+      rc::gen::inRange<int> (0, RESULT_COUNT), rc::gen::inRange (1u, 4u),
+      rc::gen::inRange (1u, 4u));
+}
+
+/* Runs that a daemon may grant to another one for the next attempt.  */
+unsigned
+grantable (const struct bd_call *call, unsigned wanted)
+{
+  if (!call->is_idempotent)
+    return 1;
+  return call->max_runs > 0 ? std::min (wanted, call->max_runs - call->runs)
+                            : wanted;
+}
+
 enum bd_failure
 failure_of (int result)
 {
@@ -55,14 +86,18 @@
 }
 
 enum bd_action
-attempt (struct bd_call *call, int result, struct bd_retry_budget *budget,
-         int64_t now_ms, Outcome *out)
+attempt (struct bd_call *call, const Step &step,
+         struct bd_retry_budget *budget, int64_t now_ms, Outcome *out)
 {
+  int result = step.result;
+  unsigned granted = grantable (call, step.granted_runs);
+
   if (result == NO_TARGET)
     return bd_call_no_target (call, BD_ERR_NO_ENDPOINT);
   bd_call_sent (call, out->attempts++);
+  bd_call_grant_runs (call, granted);
   if (result != NOT_SENT && result != REFUSED)
-    out->runs++;
+    out->runs += std::min (step.started_runs, granted);
   if (result == FINISHES)
     return bd_call_finished (call);
   bool can_retry
@@ -80,14 +115,15 @@
     bool is_idempotent = *rc::gen::arbitrary<bool> ();
     bool has_key = *rc::gen::arbitrary<bool> ();
     double tokens = *rc::gen::inRange (0, 6);
-    auto results = *rc::gen::container<std::vector<int> > (
-        8, rc::gen::inRange<int> (0, RESULT_COUNT));
+    unsigned max_runs = *rc::gen::inRange (0u, 5u);
+    auto steps = *rc::gen::container<std::vector<Step> > (8, anyStep ());
     struct bd_call call;
     struct bd_retry_budget budget = { tokens, 0.2, 100 };
     Outcome out;
     enum bd_action action;
 
     bd_call_init (&call, is_idempotent, has_key, false, 1000);
+    call.max_runs = max_runs;
     action = bd_call_admitted (&call);
     if (action == BD_ACTION_CLAIM)
       {
@@ -98,12 +134,17 @@
     for (int i = 0; action == BD_ACTION_DISPATCH; i++)
       {
         RC_ASSERT (i < 8);
-        action = attempt (&call, results[i], &budget, i * 100, &out);
+        RC_ASSERT (max_runs == 0u || call.runs < max_runs);
+        action = attempt (&call, steps[i], &budget, i * 100, &out);
+        out.finals += action == BD_ACTION_FAIL || action == BD_ACTION_FINISH;
       }
+    RC_ASSERT (out.finals == 1u);
     RC_ASSERT (call.state == BD_CALL_DONE);
     RC_ASSERT (out.attempts <= (unsigned)BD_CALL_MAX_ATTEMPTS);
     if (!is_idempotent)
       RC_ASSERT (out.runs <= 1u);
+    if (max_runs > 0)
+      RC_ASSERT (out.runs <= max_runs);
     if (action == BD_ACTION_FAIL)
       {
         RC_ASSERT (call.error != BD_OK);
