edge: a request whose attempt stalls is not counted as waiting

What callers would see: with endpoints that limit their requests, new requests are refused with 503 as soon as some earlier ones stall, although the limit allows them next; and a Retry-After that is too long, since it grows with the backlog. Found by a review, shown by the new tests.

Cause: a stalled request stands in the backlog to go elsewhere when it can. is_over_limits() and bd_edge_retry_after_ms() take each item for a request that has to be sent before a new one. A stalled one has been sent: it has its slot and its permit.

Change: an item of the backlog says whether its request has a target, and bd_backlog_count() counts those without. The order of the backlog, and what is dispatched from it, stay.

--- a/src/admission/backlog.c
+++ b/src/admission/backlog.c
@@ -24,6 +24,7 @@
 bd_backlog_init (struct bd_backlog *backlog)
 {
   backlog->items = g_sequence_new (NULL);
+  backlog->waiting = 0;
 }
 
 void
@@ -40,6 +41,7 @@
   item->since_ms = now_ms;
   item->position
       = g_sequence_insert_sorted (backlog->items, item, compare, NULL);
+  backlog->waiting += !item->has_target;
 }
 
 void
@@ -48,6 +50,7 @@
   if (item->backlog == NULL)
     return;
   g_sequence_remove (item->position);
+  item->backlog->waiting -= !item->has_target;
   item->backlog = NULL;
   item->position = NULL;
 }
@@ -55,7 +58,13 @@
 uint32_t
 bd_backlog_count (const struct bd_backlog *backlog)
 {
-  return (uint32_t)g_sequence_get_length (backlog->items);
+  return backlog->waiting;
+}
+
+bool
+bd_backlog_is_empty (const struct bd_backlog *backlog)
+{
+  return g_sequence_is_empty (backlog->items);
 }
 
 void
--- a/src/admission/backlog.h
+++ b/src/admission/backlog.h
@@ -6,6 +6,9 @@
    backlog does not make all requests late.  Within each class, the lower
    priority number goes first, then the earlier objective.
 
+   A request that runs at a target that stalls can be in the backlog too: it
+   goes to another one when its turn comes, and is not counted as waiting.
+
    Embed a struct bd_backlog_item in the request, fill its fields from
    objective_ms on and add it.  Before each dispatch call
    bd_backlog_mark_late(), then walk the backlog with bd_backlog_foreach().
@@ -33,11 +36,13 @@
   uint32_t priority; /* 0 is the most urgent.  */
   bool is_late;
   bool is_resumed; /* Has run in part; goes before all others.  */
+  bool has_target; /* Its attempt goes on meanwhile.  */
 };
 
 struct bd_backlog
 {
   GSequence *items;
+  uint32_t waiting; /* Items without a target.  */
 };
 
 /* bd_backlog_init(), bd_backlog_finish(): create and free an empty backlog;
@@ -53,9 +58,13 @@
 /* bd_backlog_remove(): removes item; does nothing when it is not queued.  */
 void bd_backlog_remove (struct bd_backlog_item *item);
 
-/* bd_backlog_count(): number of waiting requests.  */
+/* bd_backlog_count(): number of waiting requests, without those that have a
+   target.  */
 uint32_t bd_backlog_count (const struct bd_backlog *backlog);
 
+/* bd_backlog_is_empty(): whether no item is queued.  */
+bool bd_backlog_is_empty (const struct bd_backlog *backlog);
+
 /* bd_backlog_mark_late(): moves items to the late class when they would miss
    their objective even if dispatched at now_ms.  */
 void bd_backlog_mark_late (struct bd_backlog *backlog, int64_t now_ms);
--- a/src/admission/backlog_test.c
+++ b/src/admission/backlog_test.c
@@ -43,6 +43,25 @@
   return item;
 }
 
+static void
+test_request_with_a_target_counts_as_waiting (void)
+{
+  static struct bd_backlog_item stalled = { .has_target = true };
+
+  bd_backlog_init (&backlog);
+  bd_backlog_add (&backlog, &stalled, 0);
+  CU_ASSERT_EQUAL (bd_backlog_count (&backlog), 0);
+  CU_ASSERT_FALSE (bd_backlog_is_empty (&backlog));
+  add (0, 1000, 1, 0);
+  CU_ASSERT_EQUAL (bd_backlog_count (&backlog), 1);
+  bd_backlog_remove (&stalled);
+  CU_ASSERT_EQUAL (bd_backlog_count (&backlog), 1);
+  bd_backlog_remove (&items[0]);
+  CU_ASSERT_EQUAL (bd_backlog_count (&backlog), 0);
+  CU_ASSERT_TRUE (bd_backlog_is_empty (&backlog));
+  bd_backlog_finish (&backlog);
+}
+
 static void
 test_order (void)
 {
@@ -120,6 +139,8 @@
 {
   static const struct unit_test tests[]
       = { { "order", test_order },
+          { "request with a target counts as waiting",
+            test_request_with_a_target_counts_as_waiting },
           { "resumed goes first", test_resumed_goes_first },
           { "overload", test_overload } };
 
--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -129,6 +129,7 @@
   item->deadline_ms = request->deadline_ms;
   item->priority = request->priority;
   item->is_resumed = request->has_stream_begun;
+  item->has_target = request->attempt != NULL;
   item->is_late = false;
   bd_backlog_add (&service->backlog, item, bd_edge_now_ms (edge));
 }
@@ -325,7 +326,7 @@
       struct bd_edge_service *service = value;
       struct dispatch_pass pass = { .edge = edge };
 
-      if (bd_backlog_count (&service->backlog) == 0)
+      if (bd_backlog_is_empty (&service->backlog))
         continue;
       bd_backlog_mark_late (&service->backlog, bd_edge_now_ms (edge));
       bd_backlog_foreach (&service->backlog, dispatch_item, &pass);
--- a/src/edge/edge_silence_test.c
+++ b/src/edge/edge_silence_test.c
@@ -7,6 +7,7 @@
 #include "tests/quiet.h"
 #include "tests/unit.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -24,11 +25,25 @@
   WAITING_CALLS = 40,
   PLAIN_WORKERS = 3,
   PLAIN_TIMEOUT_MS = 2000,
+  /* Requests that a plain worker gets at most: its slots and its queue.  */
+  PLAIN_CAPACITY = 6,
+  STALLED_CALLS = 3,
+  NEW_CALLS = 2,
+  LIMITED_TIMEOUT_MS = 3000,
+  /* Time between two requests that LIMIT allows, a little more.  */
+  LIMIT_INTERVAL_MS = 540,
+  /* The new requests are sent by then.  */
+  PERMIT_MS = 200,
+  MAX_RETRY_AFTER_MS = 300,
+  MS_PER_S = 1000,
   SAFE_ROUTE = 0,
   UNSAFE_ROUTE = 1,
   STREAM_ROUTE = 2
 };
 
+/* Requests a second.  */
+#define LIMIT "2.0"
+
 static struct site site;
 
 static bool
@@ -475,6 +490,64 @@
   site_finish (&site);
 }
 
+/* Requests whose attempts stall have been sent: they are not ahead of new
+   ones.  */
+static void
+test_stalled_requests_use_up_the_limit (void)
+{
+  struct site_call *calls[STALLED_CALLS + NEW_CALLS];
+  uint32_t count = 0;
+
+  start_plain (1, WORKER_HEALTHY);
+  set_route (SAFE_ROUTE, "TimeoutMs", json_integer (LIMITED_TIMEOUT_MS));
+  publish ();
+  site.workers[0].request_limit = LIMIT;
+  site_call (&site, "GET", "/safe/x", "k1", NULL);
+  site_wait (&site, LIMIT_INTERVAL_MS);
+  site.workers[0].mode = WORKER_SILENT;
+  for (; count < STALLED_CALLS; count++)
+    {
+      calls[count] = site_start_call (&site, "GET", "/safe/x", "k1", NULL);
+      site_wait (&site, LIMIT_INTERVAL_MS);
+    }
+  /* All of them stall once a third of their time is over.  */
+  site_wait (&site, LIMITED_TIMEOUT_MS / 3);
+  for (; count < STALLED_CALLS + NEW_CALLS; count++)
+    calls[count] = site_start_call (&site, "GET", "/safe/x", "k1", NULL);
+  site_wait (&site, PERMIT_MS);
+  set_modes (WORKER_HEALTHY);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      wait_for (calls[i]);
+      CU_ASSERT_EQUAL (calls[i]->status, 200);
+    }
+  site_finish (&site);
+}
+
+static void
+test_stalled_requests_delay_callers_that_retry (void)
+{
+  struct site_call *calls[PLAIN_CAPACITY];
+  struct site_call *refused;
+
+  start_plain (1, WORKER_SILENT);
+  for (uint32_t i = 0; i < PLAIN_CAPACITY; i++)
+    calls[i] = site_start_call (&site, "GET", "/safe/x", "k1", NULL);
+  site_wait (&site, SITE_PAUSE_MS);
+  refused = site_call (&site, "GET", "/safe/x", "k1", NULL);
+  CU_ASSERT_EQUAL (refused->status, 503);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (refused->retry_after);
+  CU_ASSERT_TRUE (strtod (refused->retry_after, NULL) * MS_PER_S
+                  <= MAX_RETRY_AFTER_MS);
+  set_modes (WORKER_HEALTHY);
+  for (uint32_t i = 0; i < PLAIN_CAPACITY; i++)
+    {
+      wait_for (calls[i]);
+      CU_ASSERT_EQUAL (calls[i]->status, 200);
+    }
+  site_finish (&site);
+}
+
 int
 main (void)
 {
@@ -520,6 +593,10 @@
     { "silent members dissolve group", test_silent_members_dissolve_group },
     { "silence of all endpoints ends requests",
       test_silence_of_all_endpoints_ends_requests },
+    { "stalled requests use up the limit",
+      test_stalled_requests_use_up_the_limit },
+    { "stalled requests delay callers that retry",
+      test_stalled_requests_delay_callers_that_retry },
   };
 
   unit_silence_log ();
