edge: a stream cut at its own deadline says so

What operators saw: a stream that still runs at its deadline is logged as `cut` by failure and counted in cut_broken_total, as if another attempt had been missing. Found by a review, shown by the new test.

Cause: bd_edge_send_final_failure() knew the end of the daemon and, for all else, a failure.

Change: the line `cut` has `by` deadline, and cut_at_deadline_total counts it. cut_broken_total no longer contains these.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -23,6 +23,8 @@
      "requests ended with the daemon, without a whole response")              \
   X (CUT_BY_FAILURE, "cut_broken_total",                                      \
      "streams ended before their end, for lack of another attempt")           \
+  X (CUT_BY_DEADLINE, "cut_at_deadline_total",                                \
+     "streams ended before their end, because their deadline passed")         \
   X (CUT_RESPONSES, "cut_answers_total",                                      \
      "connections that ended before a response was sent")                     \
   X (ATTEMPTS, "attempts_total", "attempts sent to endpoints")                \
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -44,7 +44,8 @@
   BD_EDGE_CUT_BY_CALLER,
   BD_EDGE_CUT_BY_SWEEP, /* The caller took nothing of the response.  */
   BD_EDGE_CUT_BY_STOP,
-  BD_EDGE_CUT_BY_FAILURE /* A stream that cannot be resumed.  */
+  BD_EDGE_CUT_BY_DEADLINE, /* A stream that still ran then.  */
+  BD_EDGE_CUT_BY_FAILURE   /* A stream that cannot be resumed.  */
 };
 
 /* One request of a caller, from its arrival to its final response.  */
--- a/src/edge/edge_silence_test.c
+++ b/src/edge/edge_silence_test.c
@@ -548,6 +548,25 @@
   site_finish (&site);
 }
 
+static void
+test_deadline_of_a_stream_counts_as_failure (void)
+{
+  const uint64_t *counts = NULL;
+  struct site_call *call;
+
+  start_pool (2, WORKER_STALLING);
+  set_route (STREAM_ROUTE, "TimeoutMs", json_integer (PLAIN_TIMEOUT_MS));
+  publish ();
+  call = start_stream ();
+  wait_for (call);
+  counts = site.edge->counters.value;
+  CU_ASSERT_EQUAL (call->status, 200);
+  CU_ASSERT_FALSE (call->is_complete);
+  CU_ASSERT_EQUAL (counts[BD_COUNT_CUT_BY_FAILURE], 0);
+  CU_ASSERT_EQUAL (counts[BD_COUNT_CUT_BY_DEADLINE], 1);
+  site_finish (&site);
+}
+
 int
 main (void)
 {
@@ -597,6 +616,8 @@
       test_stalled_requests_use_up_the_limit },
     { "stalled requests delay callers that retry",
       test_stalled_requests_delay_callers_that_retry },
+    { "deadline of a stream counts as failure",
+      test_deadline_of_a_stream_counts_as_failure },
   };
 
   unit_silence_log ();
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -81,6 +81,7 @@
           = { "caller", BD_COUNT_CALLERS_DISCONNECTED },
           [BD_EDGE_CUT_BY_SWEEP] = { "sweep", BD_COUNT_CUT_BY_SWEEP },
           [BD_EDGE_CUT_BY_STOP] = { "stop", BD_COUNT_CUT_BY_STOP },
+          [BD_EDGE_CUT_BY_DEADLINE] = { "deadline", BD_COUNT_CUT_BY_DEADLINE },
           [BD_EDGE_CUT_BY_FAILURE] = { "failure", BD_COUNT_CUT_BY_FAILURE } };
   struct bd_edge *edge = request->edge;
   int64_t now_ms = bd_edge_now_ms (edge);
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -191,6 +191,17 @@
                                         : bd_edge_retry_after_ms (request);
 }
 
+/* What ends a stream that has failed for good.  */
+static enum bd_edge_cut
+cut_of (const struct bd_edge_request *request)
+{
+  if (request->edge->is_grace_over)
+    return BD_EDGE_CUT_BY_STOP;
+  return request->call.error == BD_ERR_DEADLINE_PASSED
+             ? BD_EDGE_CUT_BY_DEADLINE
+             : BD_EDGE_CUT_BY_FAILURE;
+}
+
 void
 bd_edge_send_final_failure (struct bd_edge_request *request)
 {
@@ -214,8 +225,7 @@
   if (request->exchange != NULL && request->has_stream_begun)
     {
       bd_count (&edge->counters, BD_COUNT_FAILURE_RESPONSES);
-      bd_edge_note_cut (request, edge->is_grace_over ? BD_EDGE_CUT_BY_STOP
-                                                     : BD_EDGE_CUT_BY_FAILURE);
+      bd_edge_note_cut (request, cut_of (request));
       bd_http_stream_end (request->exchange, false);
     }
   else if (request->exchange != NULL)
