edge: refusals of a stopping daemon have a counter of their own

What operators saw: each planned stop raises shed_total, as if places were missing. Suspect requests are counted there too, besides their own counter. Found by a review, shown by the new test.

Change: stopping_refused_total counts each response that says "stopping", also those of a daemon that has closed; shed_total is what its help says, calls refused because of backlog.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -42,6 +42,8 @@
      "load reports of another instance than the probed one")                  \
   X (RATE_LIMITED, "rate_limited_total", "calls over an account's limit")     \
   X (SHED, "shed_total", "calls refused because of backlog")                  \
+  X (REFUSED_STOPPING, "stopping_refused_total",                              \
+     "requests refused because the daemon stops; another one serves them")    \
   X (POISON_REFUSED, "suspects_refused_total", "suspect requests refused")    \
   X (POISON_CRASHES, "suspect_crashes_total",                                 \
      "crashes recorded for suspect requests, those that peers saw included")  \
--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -47,7 +47,8 @@
 static void
 refuse (struct bd_edge_request *request, enum bd_error error)
 {
-  bd_count (&request->edge->counters, BD_COUNT_SHED);
+  if (error != BD_ERR_STOPPING && error != BD_ERR_POISON_REQUEST)
+    bd_count (&request->edge->counters, BD_COUNT_SHED);
   bd_edge_run_action (request, bd_call_refused (&request->call, error));
 }
 
--- a/src/edge/edge_stop_test.c
+++ b/src/edge/edge_stop_test.c
@@ -1,6 +1,7 @@
 /* Checks what callers get from a daemon that stops: each request that it takes
    gets a whole response, and the others are refused or not read.  */
 
+#include "edge/edge_internal.h"
 #include "platform/platform.h"
 #include "tests/fakes/site.h"
 #include "tests/loopback.h"
@@ -19,6 +20,7 @@
   CALL_INTERVAL_MS = 330,
   GRACE_MS = 4500,
   SHORT_GRACE_MS = 800,
+  LATE_MS = 2000,   /* No stream that begins now ends before the grace.  */
   CLOSED_MS = 3600, /* No new requests are accepted by then.  */
   READY_MS = 10000
 };
@@ -128,6 +130,24 @@
   site_finish (&site);
 }
 
+static void
+test_refusals_of_a_stopping_daemon_count_as_shed (void)
+{
+  const uint64_t *counts = NULL;
+  struct site_call *call;
+
+  start_slow_pool ();
+  bd_edge_stop (site.edge);
+  site_wait (&site, LATE_MS);
+  call = site_call (&site, "POST", "/stream/x", "k1", "m");
+  counts = site.edge->counters.value;
+  CU_ASSERT_EQUAL (call->status, 503);
+  CU_ASSERT_EQUAL (counts[BD_COUNT_REFUSED_STOPPING], 1);
+  CU_ASSERT_EQUAL (counts[BD_COUNT_SHED], 0);
+  end_daemon ();
+  site_finish (&site);
+}
+
 static int
 connect_to_handover_port (bool *is_connected)
 {
@@ -226,6 +246,8 @@
       test_reload_during_a_stop_cuts_requests },
     { "grace shorter than the balancer delay",
       test_grace_shorter_than_the_balancer_delay },
+    { "refusals of a stopping daemon count as shed",
+      test_refusals_of_a_stopping_daemon_count_as_shed },
     { "other daemons reach a daemon that ends",
       test_other_daemons_reach_a_daemon_that_ends },
   };
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -112,6 +112,8 @@
   add_close (edge, &headers);
   bd_count (&edge->counters, BD_COUNT_RESPONSES);
   bd_count (&edge->counters, BD_COUNT_FAILURE_RESPONSES);
+  if (error == BD_ERR_STOPPING)
+    bd_count (&edge->counters, BD_COUNT_REFUSED_STOPPING);
   bd_http_respond (x, bd_error_http_status (error), headers.pairs, text,
                    strlen (text));
 }
