--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -196,10 +196,9 @@
 note_work (struct bd_edge_request *request)
 {
   struct bd_edge *edge = request->edge;
-  const struct bd_route_service *service
-      = bd_routes_service (edge->routes, request->service);
+  const struct bd_engine *engine;
   const struct bd_engine_model *model
-      = bd_engine_model (&service->engine, request->model);
+      = bd_edge_request_model (request, &engine);
   struct bd_edge_work *work = NULL;
 
   if (model == NULL)
@@ -216,9 +215,8 @@
       work->window_start_ms = edge->first_model_request_ms;
     }
   if (work != NULL)
-    work->window_work_ms
-        += bd_engine_work_ms (&service->engine, model, request->prompt_tokens,
-                              request->output_tokens);
+    work->window_work_ms += bd_engine_work_ms (
+        engine, model, request->prompt_tokens, request->output_tokens);
 }
 
 void
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -373,7 +373,7 @@
   struct bd_edge *edge = request->edge;
 
   return request->is_stalled && bd_edge_can_complete (request)
-         && !bd_edge_is_suspect (request)
+         && !bd_edge_is_blocked (request)
          && bd_call_can_retry (
              &request->call, BD_FAILURE_BROKEN,
              &bd_edge_service (edge, request->service)->retries,
@@ -628,6 +628,8 @@
   update_account (request);
   bd_edge_acquire_slot (request, target);
   bd_call_sent (&request->call, hash_target (target));
+  request->has_next_daemon
+      = target->is_daemon && bd_edge_has_next_daemon (request);
   if (target->is_daemon)
     bd_call_grant_runs (&request->call, bd_edge_handover_runs (request));
   bd_count (&edge->counters,
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -97,7 +97,8 @@
 
   /* The current attempt.  */
   struct bd_http_call *attempt;
-  bool is_handed_over; /* To the daemon that endpoint names.  */
+  bool is_handed_over;  /* To the daemon that endpoint names.  */
+  bool has_next_daemon; /* Handed over, and another daemon is left.  */
   char endpoint[BD_NAME_SIZE];
   int64_t endpoint_started_ms; /* Of its incarnation.  */
   uint64_t group;              /* Hash; 0 for endpoints without a group.  */
@@ -316,6 +317,12 @@
 struct bd_edge_request *bd_edge_request_make (struct bd_edge *edge,
                                               struct bd_http_exchange *x);
 
+/* bd_edge_request_model(): the model that the request names, or NULL if its
+   service has no such one; sets *engine to that of the service.  */
+const struct bd_engine_model *
+bd_edge_request_model (const struct bd_edge_request *request,
+                       const struct bd_engine **engine);
+
 /* bd_edge_expire(): sends the final failure of a request for which no time is
    left, and frees it.  */
 void bd_edge_expire (struct bd_edge_request *request);
@@ -457,6 +464,10 @@
    as it has read the configuration of this one.  */
 bool bd_edge_awaits_daemon (const struct bd_edge_request *request);
 
+/* bd_edge_has_next_daemon(): whether a daemon is left to which the request can
+   go next.  */
+bool bd_edge_has_next_daemon (const struct bd_edge_request *request);
+
 /* bd_edge_handover_runs(): the runs that the daemon may use to which the
    request is handed over; those that it does not get are for the others.  */
 uint32_t bd_edge_handover_runs (const struct bd_edge_request *request);
@@ -586,9 +597,9 @@
 void bd_edge_compare_poison (struct bd_edge *edge,
                              const struct bd_member *peer, uint64_t checksum);
 
-/* bd_edge_is_suspect(): whether bd_edge_is_poison() would refuse the request.
+/* bd_edge_is_blocked(): whether bd_edge_is_poison() would refuse the request.
    Counts and logs nothing.  */
-bool bd_edge_is_suspect (const struct bd_edge_request *request);
+bool bd_edge_is_blocked (const struct bd_edge_request *request);
 
 /* bd_edge_is_poison(): whether the request crashes endpoints and is not to be
    sent.  Counts and logs it if so.  */
--- a/src/edge/evidence.c
+++ b/src/edge/evidence.c
@@ -194,7 +194,7 @@
 }
 
 bool
-bd_edge_is_suspect (const struct bd_edge_request *request)
+bd_edge_is_blocked (const struct bd_edge_request *request)
 {
   return blocked_subject (request) != 0;
 }
--- a/src/edge/handover.c
+++ b/src/edge/handover.c
@@ -148,9 +148,8 @@
   return false;
 }
 
-/* Whether a daemon is left to which the request can go next.  */
-static bool
-has_next_daemon (const struct bd_edge_request *request)
+bool
+bd_edge_has_next_daemon (const struct bd_edge_request *request)
 {
   const struct bd_member *found[MAX_DAEMONS];
 
@@ -163,7 +162,7 @@
 {
   const struct bd_call *call = &request->call;
 
-  if (call->max_runs <= call->runs || has_next_daemon (request))
+  if (call->max_runs <= call->runs || request->has_next_daemon)
     return 1;
   return call->max_runs - call->runs;
 }
@@ -186,7 +185,7 @@
       names->authorization,
       talloc_asprintf (ctx, "%s%s", names->key_scheme, request->key)
     };
-  if (!has_next_daemon (request))
+  if (!request->has_next_daemon)
     all[count++] = (struct bd_http_header_field){ last_header, "1" };
   if (count > max)
     count = max;
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -38,6 +38,17 @@
   return request;
 }
 
+const struct bd_engine_model *
+bd_edge_request_model (const struct bd_edge_request *request,
+                       const struct bd_engine **engine)
+{
+  const struct bd_route_service *service
+      = bd_routes_service (request->edge->routes, request->service);
+
+  *engine = service != NULL && service->has_engine ? &service->engine : NULL;
+  return *engine != NULL ? bd_engine_model (*engine, request->model) : NULL;
+}
+
 void
 bd_edge_request_end (struct bd_edge_request *request)
 {
--- a/src/edge/stop.c
+++ b/src/edge/stop.c
@@ -30,20 +30,16 @@
 static double
 estimate_ms (const struct bd_edge_request *request)
 {
-  const struct bd_route_service *service
-      = bd_routes_service (request->edge->routes, request->service);
+  const struct bd_engine *engine;
   const struct bd_engine_model *model
-      = service != NULL && service->has_engine
-            ? bd_engine_model (&service->engine, request->model)
-            : NULL;
+      = bd_edge_request_model (request, &engine);
 
   if (request->kind == BD_ROUTE_STREAM
       && (model == NULL || request->max_output_tokens == 0))
     return INFINITY;
   if (model == NULL)
     return request->objective_ms + MAX_SILENCE_MS;
-  return bd_engine_response_ms (&service->engine, model,
-                                request->prompt_tokens,
+  return bd_engine_response_ms (engine, model, request->prompt_tokens,
                                 request->max_output_tokens)
          + MAX_SILENCE_MS;
 }
--- a/src/edge/target.c
+++ b/src/edge/target.c
@@ -155,13 +155,9 @@
 {
   static struct candidates preferred;
   static struct candidates others;
-  struct bd_edge *edge = request->edge;
-  const struct bd_route_service *service
-      = bd_routes_service (edge->routes, request->service);
+  const struct bd_engine *engine;
   const struct bd_engine_model *model
-      = service != NULL && service->has_engine
-            ? bd_engine_model (&service->engine, request->model)
-            : NULL;
+      = bd_edge_request_model (request, &engine);
   const struct candidates *from = &preferred;
   double other_ms;
   int32_t chosen;
@@ -169,11 +165,11 @@
 
   if (model == NULL)
     return false;
-  chosen = choose_preferred (request, &service->engine, model, &preferred,
+  chosen = choose_preferred (request, engine, model, &preferred,
                              &target->expected_ms);
   /* A few others show whether the preferred ones are overloaded.  Only when
      all of those are full, all are compared.  */
-  other = choose_any (request, &service->engine, model,
+  other = choose_any (request, engine, model,
                       chosen >= 0 ? SAMPLED_OTHERS : MAX_CANDIDATES, &others,
                       &other_ms);
   if (other >= 0
@@ -298,18 +294,15 @@
 int64_t
 bd_edge_estimate_response_ms (const struct bd_edge_request *request)
 {
-  const struct bd_route_service *service
-      = bd_routes_service (request->edge->routes, request->service);
+  const struct bd_engine *engine;
   const struct bd_engine_model *model
-      = service != NULL && service->has_engine
-            ? bd_engine_model (&service->engine, request->model)
-            : NULL;
+      = bd_edge_request_model (request, &engine);
   struct bd_group_load load = { .pace = 1.0 };
 
   if (model == NULL)
     return PLAIN_RESPONSE_MS;
-  load.running = service->engine.slots;
-  return (int64_t)bd_first_event_ms (&service->engine, model, &load,
+  load.running = engine->slots;
+  return (int64_t)bd_first_event_ms (engine, model, &load,
                                      request->prompt_tokens);
 }
 
@@ -321,8 +314,9 @@
   struct bd_fleet_endpoint *endpoint
       = bd_fleet_endpoint (&edge->fleet, target->endpoint);
   struct bd_fleet_group *group = bd_fleet_group (&edge->fleet, target->group);
-  const struct bd_route_service *service
-      = bd_routes_service (edge->routes, request->service);
+  const struct bd_engine *engine;
+  const struct bd_engine_model *model
+      = bd_edge_request_model (request, &engine);
 
   bd_name_copy (request->endpoint, target->endpoint);
   request->is_handed_over = target->is_daemon;
@@ -339,11 +333,10 @@
       endpoint->sent_since_load++;
       bd_pacing_take (&endpoint->pacing, request->sent_ms);
     }
-  if (group == NULL)
+  if (group == NULL || model == NULL)
     return;
-  request->prefill_ms = bd_engine_prefill_ms (
-      &service->engine, bd_engine_model (&service->engine, request->model),
-      request->prompt_tokens);
+  request->prefill_ms
+      = bd_engine_prefill_ms (engine, model, request->prompt_tokens);
   group->in_flight++;
   group->prefill_count++;
   group->prefill_ms += request->prefill_ms;
--- a/src/edge/watchdog.c
+++ b/src/edge/watchdog.c
@@ -46,15 +46,13 @@
 pass_ms (const struct bd_edge_request *request,
          const struct bd_fleet_group *group)
 {
-  const struct bd_route_service *service
-      = bd_routes_service (request->edge->routes, request->service);
+  const struct bd_engine *engine;
   const struct bd_engine_model *model
-      = service != NULL ? bd_engine_model (&service->engine, request->model)
-                        : NULL;
+      = bd_edge_request_model (request, &engine);
 
   return model == NULL
              ? 0
-             : bd_engine_pass_ms (&service->engine, model,
+             : bd_engine_pass_ms (engine, model,
                                   group->in_flight + group->peers_in_flight);
 }
 
