--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -47,7 +47,8 @@
 static void
 refuse (struct bd_edge_request *request, enum bd_error error)
 {
-  bd_count (&request->edge->counters, BD_COUNT_SHED);
+  if (error != BD_ERR_STOPPING && error != BD_ERR_POISON_REQUEST)
+    bd_count (&request->edge->counters, BD_COUNT_SHED);
   bd_edge_run_action (request, bd_call_refused (&request->call, error));
 }
 
@@ -129,6 +130,7 @@
   item->deadline_ms = request->deadline_ms;
   item->priority = request->priority;
   item->is_resumed = request->has_stream_begun;
+  item->has_target = request->attempt != NULL;
   item->is_late = false;
   bd_backlog_add (&service->backlog, item, bd_edge_now_ms (edge));
 }
@@ -194,10 +196,9 @@
 note_work (struct bd_edge_request *request)
 {
   struct bd_edge *edge = request->edge;
-  const struct bd_route_service *service
-      = bd_routes_service (edge->routes, request->service);
+  const struct bd_engine *engine;
   const struct bd_engine_model *model
-      = bd_engine_model (&service->engine, request->model);
+      = bd_edge_request_model (request, &engine);
   struct bd_edge_work *work = NULL;
 
   if (model == NULL)
@@ -214,9 +215,8 @@
       work->window_start_ms = edge->first_model_request_ms;
     }
   if (work != NULL)
-    work->window_work_ms
-        += bd_engine_work_ms (&service->engine, model, request->prompt_tokens,
-                              request->output_tokens);
+    work->window_work_ms += bd_engine_work_ms (
+        engine, model, request->prompt_tokens, request->output_tokens);
 }
 
 void
@@ -325,7 +325,7 @@
       struct bd_edge_service *service = value;
       struct dispatch_pass pass = { .edge = edge };
 
-      if (bd_backlog_count (&service->backlog) == 0)
+      if (bd_backlog_is_empty (&service->backlog))
         continue;
       bd_backlog_mark_late (&service->backlog, bd_edge_now_ms (edge));
       bd_backlog_foreach (&service->backlog, dispatch_item, &pass);
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -38,6 +38,17 @@
   return request;
 }
 
+const struct bd_engine_model *
+bd_edge_request_model (const struct bd_edge_request *request,
+                       const struct bd_engine **engine)
+{
+  const struct bd_route_service *service
+      = bd_routes_service (request->edge->routes, request->service);
+
+  *engine = service != NULL && service->has_engine ? &service->engine : NULL;
+  return *engine != NULL ? bd_engine_model (*engine, request->model) : NULL;
+}
+
 void
 bd_edge_request_end (struct bd_edge_request *request)
 {
@@ -81,6 +92,7 @@
           = { "caller", BD_COUNT_CALLERS_DISCONNECTED },
           [BD_EDGE_CUT_BY_SWEEP] = { "sweep", BD_COUNT_CUT_BY_SWEEP },
           [BD_EDGE_CUT_BY_STOP] = { "stop", BD_COUNT_CUT_BY_STOP },
+          [BD_EDGE_CUT_BY_DEADLINE] = { "deadline", BD_COUNT_CUT_BY_DEADLINE },
           [BD_EDGE_CUT_BY_FAILURE] = { "failure", BD_COUNT_CUT_BY_FAILURE } };
   struct bd_edge *edge = request->edge;
   int64_t now_ms = bd_edge_now_ms (edge);
