http: a connection that is closed after a response lingers

Callers lost the end of a large response with `Connection: close` if they sent more meanwhile (a pipelined request, the rest of a body), and the 413 of a body that is too large.

Cause: libmicrohttpd closes the socket as soon as the response is in it. The kernel resets a connection that is closed with unread bytes, or that gets bytes afterwards, and drops what it has not sent yet.

Incomplete responses and connections that a time-out ends are not concerned: they must look broken.

A server is idle only when none lingers, so that a stop waits for it within its grace period; at its finish only what has arrived is read.

--- a/src/http/connection.c
+++ b/src/http/connection.c
@@ -46,7 +46,8 @@
       if (server->closes_idle)
         bd_http_connection_close_idle (c);
     }
-  if (server->connections != NULL)
+  bd_http_linger_check (server, now_ms);
+  if (server->connections != NULL || server->lingering != NULL)
     server->sweep_timer = bd_timer_add (server->events, server->events,
                                         SWEEP_PERIOD_MS, sweep, server);
 }
@@ -74,6 +75,8 @@
 void
 bd_http_connection_close (struct bd_http_connection *c)
 {
+  if (c->has_responded)
+    bd_http_linger_begin (c->server, c->fd, get_now_ms ());
   if (c->prev != NULL)
     c->prev->next = c->next;
   else
@@ -133,14 +136,21 @@
                    + (int64_t)(c->body_bytes / BODY_BYTES_PER_MS);
 }
 
+void
+bd_http_get_tcp_info (int fd, struct tcp_info *info)
+{
+  socklen_t size = sizeof *info;
+
+  memset (info, 0, sizeof *info);
+  getsockopt (fd, IPPROTO_TCP, TCP_INFO, info, &size);
+}
+
 static struct tcp_info
 get_tcp_info (const struct bd_http_connection *c)
 {
   struct tcp_info info;
-  socklen_t size = sizeof info;
 
-  memset (&info, 0, sizeof info);
-  getsockopt (c->fd, IPPROTO_TCP, TCP_INFO, &info, &size);
+  bd_http_get_tcp_info (c->fd, &info);
   return info;
 }
 
--- a/src/http/connection_test.c
+++ b/src/http/connection_test.c
@@ -30,6 +30,8 @@
   /* More than the buffers of both sockets hold.  */
   LARGE_BYTES = 32 << 20,
   TAKEN_BYTES = 4 << 20,
+  /* As much as the buffers of both sockets hold, and a little more.  */
+  CLOSING_BYTES = 3 << 20,
   STEP_MS = 100,
   WAIT_MS = 5000,
   ROUND_MS = 5
@@ -913,6 +915,177 @@
   close (new_fd);
 }
 
+/* Takes the response in small parts, and stops at the end of the connection,
+   or when the server has freed it if until_freed.  Adds the bytes to *taken.
+   Returns whether the connection ended in order.  */
+static bool
+take_response (struct fixture *f, int fd, bool until_freed, size_t *taken)
+{
+  static char part[16 * 1024];
+  int64_t end_ms = get_now_ms () + WAIT_MS;
+
+  while (get_now_ms () < end_ms
+         && (!until_freed || f->server.connections != NULL))
+    {
+      ssize_t count = recv (fd, part, sizeof part, MSG_DONTWAIT);
+
+      if (count == 0 || (count < 0 && errno != EAGAIN))
+        return count == 0;
+      *taken += count > 0 ? (size_t)count : 0;
+      tevent_loop_once (f->events);
+    }
+  return false;
+}
+
+/* A caller with a response that closes its connection, of which it has taken
+   nothing yet.  */
+static int
+begin_closing_response (struct fixture *f)
+{
+  static char body[CLOSING_BYTES];
+  int64_t end_ms = get_now_ms () + WAIT_MS;
+  char byte;
+  int fd = begin_request (f);
+
+  bd_http_respond (f->exchange, 200, close_headers, body, sizeof body);
+  while (recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+         && get_now_ms () < end_ms)
+    tevent_loop_once (f->events);
+  return fd;
+}
+
+/* The end of a connection resets it if something that the caller has sent was
+   not read, and the rest of the response is lost.  */
+static void
+test_caller_sends_during_closing_response (void)
+{
+  struct fixture f;
+  size_t taken = 0;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_closing_response (&f);
+  send_text (fd, request_text);
+  CU_ASSERT_TRUE (take_response (&f, fd, false, &taken));
+  CU_ASSERT_TRUE (taken > CLOSING_BYTES);
+  CU_ASSERT_EQUAL (f.request_count, 1);
+  close (fd);
+  finish (&f);
+}
+
+/* The same with what it sends once all of the response is in the socket.  */
+static void
+test_caller_sends_after_closing_response (void)
+{
+  struct fixture f;
+  size_t taken = 0;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = begin_closing_response (&f);
+  take_response (&f, fd, true, &taken);
+  CU_ASSERT_PTR_NULL (f.server.connections);
+  CU_ASSERT_TRUE (taken < CLOSING_BYTES);
+  CU_ASSERT_FALSE (bd_http_server_is_idle (&f.server));
+  send_text (fd, request_text);
+  CU_ASSERT_TRUE (take_response (&f, fd, false, &taken));
+  CU_ASSERT_TRUE (taken > CLOSING_BYTES);
+  CU_ASSERT_EQUAL (f.request_count, 1);
+  close (fd);
+  finish (&f);
+}
+
+/* A caller that has been answered, and whose connection the server has closed.
+ */
+static int
+linger (struct fixture *f)
+{
+  int fd = begin_request (f);
+
+  bd_http_respond (f->exchange, 200, close_headers, "whole", 5);
+  CU_ASSERT_TRUE (receive_text (f, fd, "whole"));
+  CU_ASSERT_TRUE (run_until_freed (f));
+  CU_ASSERT_EQUAL (f->server.lingering_count, 1);
+  return fd;
+}
+
+/* A caller keeps its end open for good.  */
+static void
+test_lingering_ends (void)
+{
+  struct fixture f;
+  int64_t now_ms;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = linger (&f);
+  now_ms = get_now_ms ();
+  bd_http_linger_check (&f.server, now_ms);
+  CU_ASSERT_EQUAL (f.server.lingering_count, 1);
+  bd_http_linger_check (&f.server, now_ms + LONG_MS);
+  CU_ASSERT_EQUAL (f.server.lingering_count, 0);
+  close (fd);
+  fd = linger (&f);
+  finish (&f);
+  CU_ASSERT_EQUAL (f.server.lingering_count, 0);
+  close (fd);
+}
+
+/* A caller sends without end.  */
+static void
+test_lingering_reads_are_bounded (void)
+{
+  static char part[64 * 1024];
+  struct fixture f;
+  size_t sent = 0;
+  ssize_t count = 0;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = linger (&f);
+  while (sent < 2 * LARGE_BYTES && (count >= 0 || errno == EAGAIN))
+    {
+      count = send (fd, part, sizeof part, MSG_NOSIGNAL | MSG_DONTWAIT);
+      sent += count > 0 ? (size_t)count : 0;
+      tevent_loop_once (f.events);
+    }
+  CU_ASSERT_TRUE (sent < LARGE_BYTES);
+  CU_ASSERT_EQUAL (f.server.lingering_count, 0);
+  close (fd);
+  finish (&f);
+}
+
+/* A body that is too large is refused before it has been sent.  */
+static void
+test_caller_sends_on_after_413 (void)
+{
+  static char part[64 * 1024];
+  struct fixture f;
+  char response[16];
+  int64_t end_ms;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = connect_caller ();
+  send_text (fd, "POST /x HTTP/1.1\r\nHost: h\r\n"
+                 "Content-Length: 2097152\r\n\r\n");
+  end_ms = get_now_ms () + WAIT_MS;
+  for (size_t sent = 0; sent < 2 * MAX_BODY_BYTES && get_now_ms () < end_ms;)
+    {
+      ssize_t count
+          = send (fd, part, sizeof part, MSG_NOSIGNAL | MSG_DONTWAIT);
+
+      CU_ASSERT_TRUE_FATAL (count > 0 || errno == EAGAIN);
+      sent += count > 0 ? (size_t)count : 0;
+      tevent_loop_once (f.events);
+    }
+  CU_ASSERT_TRUE (recv (fd, response, sizeof response, MSG_DONTWAIT) > 12);
+  CU_ASSERT_EQUAL (strncmp (response, "HTTP/1.1 413", 12), 0);
+  CU_ASSERT_EQUAL (f.request_count, 0);
+  close (fd);
+  finish (&f);
+}
+
 int
 main (void)
 {
@@ -954,7 +1127,15 @@
       test_second_stop_closes_no_other_socket },
     { "responses announce the close", test_responses_announce_the_close },
     { "a stopped server reads waiting requests",
-      test_stopped_server_reads_waiting_requests }
+      test_stopped_server_reads_waiting_requests },
+    { "a caller sends during a response that closes",
+      test_caller_sends_during_closing_response },
+    { "a caller sends after a response that closes",
+      test_caller_sends_after_closing_response },
+    { "a caller sends on after a 413", test_caller_sends_on_after_413 },
+    { "a closed connection lingers for a bounded time", test_lingering_ends },
+    { "a closed connection reads a bounded number of bytes",
+      test_lingering_reads_are_bounded }
   };
 
   return UNIT_RUN ("connection", tests);
--- a/src/http/http_internal.h
+++ b/src/http/http_internal.h
@@ -36,6 +36,7 @@
   uint64_t acked_bytes;
   int64_t unchanged_since_ms; /* When unacknowledged bytes were last found to
                                  be new or fewer.  */
+  bool has_responded;         /* The last request has its whole response.  */
   struct bd_http_exchange *exchange; /* NULL outside of requests.  */
   struct bd_http_connection *prev;
   struct bd_http_connection *next;
@@ -45,7 +46,8 @@
 struct bd_http_connection *
 bd_http_connection_open (struct bd_http_server *server, int fd);
 
-/* bd_http_connection_close(): ends the watch, and frees connection.  */
+/* bd_http_connection_close(): ends the watch, and frees connection.  Its
+   socket lingers if the last request has been answered.  */
 void bd_http_connection_close (struct bd_http_connection *connection);
 
 /* bd_http_connection_enter(): the connection is in another phase.  A
@@ -66,4 +68,26 @@
 void bd_http_connection_check (struct bd_http_connection *connection,
                                int64_t now_ms);
 
+struct tcp_info;
+
+/* bd_http_get_tcp_info(): what the kernel knows of a socket; zeros if that
+   cannot be found out.  */
+void bd_http_get_tcp_info (int fd, struct tcp_info *info);
+
+/* bd_http_linger_begin(): the server is about to close fd after a whole
+   response.  The kernel resets a connection that is closed before all that the
+   caller has sent was read, and then the caller can lose what it has not read
+   of the response.  So the socket is only shut down for writing, and what
+   comes is dropped, until the caller closes its end, takes nothing more for a
+   second, or has sent or taken too much; then it is closed.  A server that
+   finishes drops only what has arrived by then.  */
+void bd_http_linger_begin (struct bd_http_server *server, int fd,
+                           int64_t now_ms);
+
+/* bd_http_linger_check(): closes the sockets whose time is over.  */
+void bd_http_linger_check (struct bd_http_server *server, int64_t now_ms);
+
+/* bd_http_linger_finish(): closes all of them.  */
+void bd_http_linger_finish (struct bd_http_server *server);
+
 #endif
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -382,6 +382,7 @@
       && x->state != READING)
     notify_disconnected (x);
   x->peer->exchange = NULL;
+  x->peer->has_responded = code == MHD_REQUEST_TERMINATED_COMPLETED_OK;
   bd_http_connection_enter (x->peer, BD_HTTP_IDLE);
   if (x->response != NULL)
     MHD_destroy_response (x->response);
@@ -520,7 +521,8 @@
 bool
 bd_http_server_is_idle (const struct bd_http_server *server)
 {
-  return server->open_exchanges == 0 && !server->is_run_due;
+  return server->open_exchanges == 0 && !server->is_run_due
+         && server->lingering == NULL;
 }
 
 /* Whether nothing is missing of the response.  */
@@ -554,6 +556,7 @@
   flush_responses (server);
   TALLOC_FREE (server->fd);
   MHD_stop_daemon (server->daemon);
+  bd_http_linger_finish (server);
   TALLOC_FREE (server->timer);
   TALLOC_FREE (server->sweep_timer);
   server->daemon = NULL;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -88,7 +88,9 @@
   uint32_t open_exchanges; /* Requests without a complete response.  */
   struct bd_http_exchange *exchanges; /* All open exchanges.  */
   struct bd_http_connection *connections;
-  struct bd_timer *sweep_timer; /* Runs while there are connections.  */
+  struct bd_http_linger *lingering; /* Closed; their callers may still send. */
+  uint32_t lingering_count;
+  struct bd_timer *sweep_timer; /* Runs while there is one of either.  */
 };
 
 /* bd_http_server_init(): listens on an IPv4 address and port.
@@ -125,8 +127,9 @@
    that the connection is closed after it.  */
 void bd_http_server_announce_close (struct bd_http_server *server);
 
-/* bd_http_server_is_idle(): whether no request is open, and the requests that
-   had arrived when the server stopped listening have been read.  */
+/* bd_http_server_is_idle(): whether no request is open, the requests that had
+   arrived when the server stopped listening have been read, and no caller can
+   lose a whole response by the server's end.  */
 bool bd_http_server_is_idle (const struct bd_http_server *server);
 
 /* bd_http_server_finish(): writes the whole responses as far as their sockets
