replicas: an accepted load does not tell the endpoint's version

Callers of the large model of a site whose groups break often saw refusals long after enough endpoints were free.

12.65 s the controller of nbo-a orders i-7c2106e3ea, which is new, to load the model that lacks capacity; 202, the load takes 16 s 18.50 the daemon has been stopped, another one controls 20.00 it knows of no load and orders it again, at version 1: 202. Believed version 2 22.67 a group of that model loses a member; its three others leave 28.65 the load ends: with the three others it makes a whole group 28.74 four joins; i-7c2106e3ea refuses (409, version 2 expected), the three others are ordered to leave again to 34 the zone is cut. Until then i-7c2106e3ea has responded to its probes all the time, but is confirmed at no version: its reports state version 1, and what is lower than believed is taken for old. The model has no group in the data centre from 22.7 s on.

An endpoint accepts the order for a load that is under way, and does not count it, since it begins nothing.

Ruled out for these seconds: the limits of loads (two at once for each data centre, two were running), the reservation of the domain, and releases (all four were released and listed).

After an accepted load the version is now doubtful until a report tells it; the report is asked for once it can show the load. The membership stays confirmed, because a load does not change it, so an older entry of the list cannot replace it, and a leave, which depends on the membership only, does not wait.

The simulated pool counted a repeated load and began it anew; it now does neither, like the platform's endpoints.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -343,6 +343,7 @@
   if (confirmed->is_current && report->version == confirmed->version)
     {
       confirmed->contradicted_ms = 0;
+      bd_fleet_set_confirmed (endpoint, report->version);
       if (is_in_same_group (reported, known) && !is_behind)
         set_membership (endpoint, reported, probe_sent_ms);
       return;
@@ -391,6 +392,7 @@
 {
   endpoint->confirmed.version = version;
   endpoint->confirmed.is_current = true;
+  endpoint->confirmed.is_version_doubtful = false;
   endpoint->confirmed.is_report_needed = false;
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -101,6 +101,9 @@
   /* Whether this is the last known state: no unanswered or refused order, and
      no entry of the list, shows a later one.  */
   bool is_current;
+  /* The last order was accepted, and may not have been counted: a report has
+     to tell the version.  The membership does not depend on it.  */
+  bool is_version_doubtful;
   /* A report is needed before the next order to it.  */
   bool is_report_needed;
   /* Since when the list has shown another state; 0 if it does not.  */
--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -104,6 +104,13 @@
   return (int64_t)(early_load_factor * (double)model->load_ms);
 }
 
+static bool
+is_version_confirmed (const struct bd_fleet_endpoint *endpoint)
+{
+  return endpoint->confirmed.is_current
+         && !endpoint->confirmed.is_version_doubtful;
+}
+
 struct bd_order *
 bd_replicas_add_order (struct bd_replicas_step *step, enum bd_order_kind kind,
                        const struct bd_fleet_endpoint *to, const char *reason)
@@ -117,7 +124,7 @@
   order->kind = kind;
   order->reason = reason;
   order->expected_version
-      = to->confirmed.is_current ? to->confirmed.version : -1;
+      = is_version_confirmed (to) ? to->confirmed.version : -1;
   bd_name_copy (order->endpoint, to->entry.id);
   return order;
 }
@@ -125,8 +132,8 @@
 bool
 bd_is_confirmed (struct bd_fleet_endpoint *endpoint)
 {
-  endpoint->confirmed.is_report_needed = !endpoint->confirmed.is_current;
-  return endpoint->confirmed.is_current;
+  endpoint->confirmed.is_report_needed = !is_version_confirmed (endpoint);
+  return is_version_confirmed (endpoint);
 }
 
 struct bd_forming *
@@ -256,7 +263,8 @@
   order->epoch = group->epoch;
 }
 
-/* Does nothing, too, while the leader's state is not confirmed.  */
+/* Does nothing, too, while the leader's state is not confirmed; a leave does
+   not depend on the version.  */
 static void
 order_leader (struct bd_replicas_step *step,
               const struct bd_fleet_group *group, enum bd_order_kind kind,
@@ -264,7 +272,9 @@
 {
   struct bd_fleet_endpoint *leader = bd_group_leader (step->input, group);
 
-  if (leader != NULL && bd_is_confirmed (leader))
+  if (leader != NULL
+      && (bd_is_confirmed (leader)
+          || (kind == BD_ORDER_LEAVE && leader->confirmed.is_current)))
     order_member (step, group, leader, kind, reason);
 }
 
@@ -648,6 +658,21 @@
     member->state = BD_MEMBER_NONE;
 }
 
+/* An earlier controller can have ordered the same load.  While that is under
+   way the order is accepted and not counted.  */
+static void
+apply_stage (struct bd_fleet_endpoint *endpoint, const struct bd_order *order,
+             enum bd_order_result result)
+{
+  bool is_accepted = result == BD_ORDER_ACCEPTED;
+
+  confirm_order (endpoint, order, false);
+  endpoint->confirmed.is_version_doubtful = is_accepted;
+  endpoint->confirmed.is_report_needed = is_accepted;
+  endpoint->is_staging = is_accepted;
+  bd_name_copy (endpoint->staging_model, order->model);
+}
+
 /* Applies the effect of an accepted order to the endpoint's entry, until the
    endpoint reports its state.  */
 static void
@@ -669,9 +694,7 @@
       apply_leave (endpoint, order);
       break;
     case BD_ORDER_STAGE:
-      confirm_order (endpoint, order, result == BD_ORDER_ACCEPTED);
-      endpoint->is_staging = result == BD_ORDER_ACCEPTED;
-      bd_name_copy (endpoint->staging_model, order->model);
+      apply_stage (endpoint, order, result);
       break;
     case BD_ORDER_NONE:
     case BD_ORDER_CLOSE:
@@ -811,6 +834,19 @@
   return input->now_ms - since_ms >= CONTRADICTION_MS;
 }
 
+/* Whether a report is needed and will show the effect of the last order.  */
+static bool
+is_report_due (const struct bd_replicas_input *input,
+               const struct bd_fleet_endpoint *endpoint)
+{
+  const struct bd_confirmed_state *confirmed = &endpoint->confirmed;
+
+  return confirmed->is_report_needed
+         && (!confirmed->is_version_doubtful
+             || input->now_ms - endpoint->order.accepted_ms
+                    > input->engine->report_lag_ms);
+}
+
 static bool
 is_probe_due (const struct bd_replicas_input *input,
               const struct bd_fleet_endpoint *endpoint)
@@ -836,8 +872,7 @@
   if (is_contradicted (input, endpoint))
     return true;
   return elapsed_ms >= PROBE_INTERVAL_MS
-         && (endpoint->confirmed.is_report_needed
-             || is_ready_due (input, endpoint)
+         && (is_report_due (input, endpoint) || is_ready_due (input, endpoint)
              || is_open_due (input, endpoint));
 }
 
--- a/src/replicas/replicas_test.c
+++ b/src/replicas/replicas_test.c
@@ -501,6 +501,31 @@
   CU_ASSERT_TRUE (mean >= 0.75);
 }
 
+/* An endpoint accepts the order for a load that is under way without counting
+   it, and can be ordered into a group afterwards.  */
+static void
+test_load_ordered_again_by_next_controller (void)
+{
+  for (int64_t report_lag_ms = 0; report_lag_ms <= 400; report_lag_ms += 200)
+    {
+      pool_init (&pool, 1, 4, 21);
+      pool.report_lag_ms = pool.engine.report_lag_ms = report_lag_ms;
+      pool.demand[0] = 1.0;
+      pool.demand[1] = 1.0;
+      pool_run (&pool, 8000);
+      pool.has_traffic = true;
+      for (uint32_t i = 0; i < 4; i++)
+        pool_add_instance (&pool, "d1");
+      pool_run (&pool, 5000);
+      CU_ASSERT_TRUE (pool.loads >= 2);
+      pool_restart_controller (&pool);
+      pool_run (&pool, 35000);
+      CU_ASSERT_EQUAL (capacity (), 8);
+      check_invariants ();
+      pool_finish (&pool);
+    }
+}
+
 /* Orders are executed seconds after they were sent.  */
 static void
 test_delayed_orders (void)
@@ -547,6 +572,8 @@
       test_new_controller_and_unlisted_leaders },
     { "two partitioned controllers", test_two_partitioned_controllers },
     { "both models keep capacity", test_both_models_keep_capacity },
+    { "load ordered again by next controller",
+      test_load_ordered_again_by_next_controller },
     { "delayed orders", test_delayed_orders },
   };
 
--- a/tests/fakes/pool.c
+++ b/tests/fakes/pool.c
@@ -242,6 +242,14 @@
     }
 }
 
+static bool
+is_load_under_way (const struct pool_member *member,
+                   const struct bd_order *order)
+{
+  return order->kind == BD_ORDER_STAGE && member->staged_ms != 0
+         && strcmp (member->staging, order->model) == 0;
+}
+
 static enum bd_order_result
 execute_order (struct pool *pool, struct pool_member *member,
                const struct bd_order *order)
@@ -273,6 +281,8 @@
     case BD_ORDER_STAGE:
       if (has_staged (member, order->model))
         return BD_ORDER_DONE;
+      if (is_load_under_way (member, order))
+        return BD_ORDER_ACCEPTED;
       if (pool->has_traffic)
         pool->loads++;
       member->staged_ms
@@ -293,6 +303,7 @@
 handle_order (struct pool *pool, struct pool_member *member,
               const struct bd_order *order, int64_t token)
 {
+  bool is_under_way = is_load_under_way (member, order);
   enum bd_order_result result;
 
   if (pool->has_fences && token < member->token)
@@ -303,7 +314,7 @@
       && order->expected_version != member->entry.version)
     return BD_ORDER_REFUSED;
   result = execute_order (pool, member, order);
-  if (result == BD_ORDER_ACCEPTED)
+  if (result == BD_ORDER_ACCEPTED && !is_under_way)
     member->entry.version++;
   return result;
 }
