--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -872,8 +872,7 @@
   if (is_contradicted (input, endpoint))
     return true;
   return elapsed_ms >= PROBE_INTERVAL_MS
-         && (is_report_due (input, endpoint)
-             || is_ready_due (input, endpoint)
+         && (is_report_due (input, endpoint) || is_ready_due (input, endpoint)
              || is_open_due (input, endpoint));
 }
 
