http: a request is not sent on a connection that has been reset

Callers saw a request that may run once fail as "may have run" (502) though nothing of it had been sent, when its kept connection was reset between libcurl's check of the connection and the sending.

Cause: has_input() peeks at the socket before the request is sent, and took an error (ECONNRESET) for no input.

Change: any error but EAGAIN counts as the end of the connection. A kept connection is then closed and another one opened, a new one fails as not sent.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -2,6 +2,7 @@
 
 #include "http/client.h"
 
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -489,15 +490,16 @@
   return value != NULL ? GPOINTER_TO_INT (value) : CURL_SOCKET_BAD;
 }
 
-/* Whether the peer has sent something on a connection, or has closed it.
-   libcurl reuses such connections.  */
+/* Whether the peer has sent something on a connection, or has closed or reset
+   it.  libcurl reuses such connections.  */
 static bool
 has_input (curl_socket_t socket)
 {
   char byte;
 
   return socket != CURL_SOCKET_BAD
-         && recv (socket, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >= 0;
+         && (recv (socket, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >= 0
+             || errno != EAGAIN);
 }
 
 /* libcurl calls this function before it sends the request.  A second call
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -4,8 +4,9 @@
    report its response and its end.
 
    No request is sent on a connection on which bytes wait, since they would be
-   taken for its response: a kept connection is closed and another one opened,
-   and a call whose new connection brings bytes at once fails as not sent.  */
+   taken for its response, or which its peer has ended: a kept connection is
+   closed and another one opened, and a call whose new connection is such a one
+   fails as not sent.  */
 
 #ifndef BD_HTTP_CLIENT_H
 #define BD_HTTP_CLIENT_H
--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -13,8 +13,10 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
 #include <talloc.h>
 #include <unistd.h>
 
@@ -635,6 +637,14 @@
   raw_close (c, false, IDLE_MS);
 }
 
+static void
+respond_and_reset (struct raw_connection *c, const struct raw_request *request)
+{
+  (void)request;
+  raw_send (c, whole_response, 0);
+  raw_close (c, true, IDLE_MS);
+}
+
 static void
 respond_only (struct raw_connection *c, const struct raw_request *request)
 {
@@ -642,6 +652,49 @@
   raw_send (c, whole_response, 0);
 }
 
+/* While it is not NULL, the connection that is reset as soon as libcurl has
+   found it to be alive.  */
+static struct raw_connection *crossing;
+
+static void
+reset_crossing (void)
+{
+  struct linger linger = { .l_onoff = 1 };
+  struct raw_connection *c = crossing;
+
+  crossing = NULL;
+  if (c == NULL)
+    return;
+  setsockopt (c->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  talloc_free (c);
+}
+
+int
+poll (struct pollfd *fds, nfds_t count, int timeout_ms)
+{
+  int ready = (int)syscall (
+      SYS_ppoll, fds, count,
+      timeout_ms < 0 ? NULL
+                     : &(struct timespec){ timeout_ms / 1000,
+                                           timeout_ms % 1000 * 1000000L },
+      NULL, 0);
+
+  reset_crossing ();
+  return ready;
+}
+
+static void
+respond_and_cross (struct raw_connection *c, const struct raw_request *request)
+{
+  bool *has_responded = c->endpoint->ctx;
+
+  (void)request;
+  raw_send (c, whole_response, 0);
+  if (!*has_responded)
+    crossing = c;
+  *has_responded = true;
+}
+
 static struct outcome
 get_reused (struct bd_http_client *client)
 {
@@ -674,6 +727,7 @@
     uint32_t connections;
   } cases[] = { { respond_and_send, 3 },
                 { respond_and_close, 3 },
+                { respond_and_reset, 3 },
                 { respond_only, 1 } };
 
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
@@ -696,6 +750,26 @@
     }
 }
 
+/* A reset comes at the moment at which a request is to be sent: nothing has
+   been, so that the request may be sent on another connection.  */
+static void
+test_reset_crosses_request (void)
+{
+  struct raw_endpoint raw;
+  struct bd_http_client client;
+  bool has_responded = false;
+
+  raw_start (&raw, events, REUSED_PORT, respond_and_cross, &has_responded);
+  bd_http_client_init (&client, events, 4);
+  CU_ASSERT_TRUE (get_reused (&client).is_complete);
+  CU_ASSERT_PTR_NOT_NULL (crossing);
+  CU_ASSERT_TRUE (get_reused (&client).is_complete);
+  CU_ASSERT_PTR_NULL (crossing);
+  CU_ASSERT_EQUAL (raw.connections, 2);
+  bd_http_client_finish (&client);
+  raw_finish (&raw);
+}
+
 enum
 {
   /* Far more than any bound that the client may have, and so little that the
@@ -831,6 +905,7 @@
           { "refusal is noticed late", test_refusal_is_noticed_late },
           { "request is sent on stale connection",
             test_request_is_sent_on_stale_connection },
+          { "reset crosses request", test_reset_crosses_request },
           { "endless responses", test_endless_responses } };
   int code;
 
