serve: a planned stop ends within its grace period

With an endpoint that hangs, a planned stop of `serve` lasted until the deadlines of its calls; a supervisor kills the daemon before, and the callers get no response.

Cause: bd_daemon_is_done() waited for all calls, claims and connections without a bound, and no setting named the grace period.

Change: `grace_ms` in the settings (from SIGTERM to SIGKILL, 30 s by default). 250 ms before its end the calls that still run get their final response, as in `edge`: 503 with "not-run" if nothing was sent, 504 otherwise, an error event in a stream; the daemon ends 150 ms later at the latest. A call that nothing was sent for is refused and not reported as expired, so that its caller knows that it can be sent again.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -21,6 +21,11 @@
   /* Time for peers and callers to notice a stop.  */
   STOP_NOTICE_MS = 300,
   DRAIN_CHECK_MS = 20,
+  /* Time before the end of the grace period at which the calls that still run
+     are ended, and for which the daemon then waits at most until their
+     responses are sent.  */
+  GRACE_MARGIN_MS = 250,
+  FLUSH_MS = 150,
   /* Largest body of a request on a path that belongs to no service.  The
      service of a model request is only known from its body.  */
   MAX_MODEL_BODY_BYTES = 4 << 20
@@ -233,13 +238,28 @@
   bd_http_server_close_idle (&daemon->server);
 }
 
+static void
+end_calls (void *ctx)
+{
+  struct bd_daemon *daemon = ctx;
+
+  daemon->is_grace_over = true;
+  if (daemon->job_count > 0)
+    bd_log ("grace-over", "open", BD_NUM (daemon->job_count), NULL);
+  bd_daemon_end_calls (daemon);
+}
+
 void
 bd_daemon_stop (struct bd_daemon *daemon)
 {
+  int64_t left_ms = (int64_t)daemon->settings->grace_ms - GRACE_MARGIN_MS;
+
   if (daemon->is_stopping)
     return;
   daemon->is_stopping = true;
   daemon->stopping_since_ms = bd_daemon_now_ms (daemon);
+  daemon->end_ms = daemon->stopping_since_ms + left_ms;
+  bd_timer_add (daemon->events, daemon, left_ms, end_calls, daemon);
   bd_membership_self (&daemon->membership)->is_stopping = true;
   bd_log ("stopping", NULL);
   bd_http_server_announce_close (&daemon->server);
@@ -252,6 +272,9 @@
 bool
 bd_daemon_is_done (const struct bd_daemon *daemon)
 {
+  if (daemon->is_grace_over
+      && bd_daemon_now_ms (daemon) >= daemon->end_ms + FLUSH_MS)
+    return true;
   return daemon->is_closed && is_drained (daemon);
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -22,10 +22,13 @@
                                    const struct bd_settings *settings);
 
 /* bd_daemon_stop(): starts a graceful stop: the daemon is not ready from now
-   on and takes no new calls; calls in flight finish.  */
+   on and takes no new calls; calls in flight finish.  Shortly before the end
+   of the grace period of its settings those that still run get their final
+   response: 503 if they have not run, 504 or a broken stream otherwise.  */
 void bd_daemon_stop (struct bd_daemon *daemon);
 
-/* bd_daemon_is_done(): whether a stop is complete.  */
+/* bd_daemon_is_done(): whether a stop is complete, or its grace period is
+   over.  */
 bool bd_daemon_is_done (const struct bd_daemon *daemon);
 
 /* bd_daemon_finish(): closes all connections and frees the daemon.  */
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -182,6 +182,8 @@
   bool is_stopping;
   bool is_closed; /* The calls have ended; no connections are accepted.  */
   int64_t stopping_since_ms;
+  bool is_grace_over; /* All calls have got their final response.  */
+  int64_t end_ms;     /* When that is to be.  */
   bool was_ready;
 };
 
@@ -470,6 +472,9 @@
 void bd_daemon_handle_caller_writable (struct bd_daemon *daemon,
                                        struct bd_http_exchange *exchange);
 
+/* bd_daemon_end_calls(): gives all calls their final response.  */
+void bd_daemon_end_calls (struct bd_daemon *daemon);
+
 /* bd_daemon_dispatch_queues(): admits queued calls while there is capacity. */
 void bd_daemon_dispatch_queues (struct bd_daemon *daemon);
 
--- a/src/daemon/daemon_jobs.c
+++ b/src/daemon/daemon_jobs.c
@@ -189,19 +189,38 @@
     bd_job_fail (job);
 }
 
+/* Closing the connection makes the endpoint stop.  */
+static void
+cancel_attempt (struct bd_job *job)
+{
+  if (job->attempt != NULL)
+    bd_http_call_cancel (job->attempt);
+  job->attempt = NULL;
+}
+
 static void
 handle_deadline (void *private_data)
 {
   struct bd_job *job = private_data;
 
   job->deadline_timer = NULL;
-  if (job->attempt != NULL)
+  cancel_attempt (job);
+  bd_job_apply_action (job, bd_call_expired (&job->call));
+}
+
+void
+bd_daemon_end_calls (struct bd_daemon *daemon)
+{
+  while (daemon->jobs != NULL)
     {
-      /* Closing the connection makes the endpoint stop.  */
-      bd_http_call_cancel (job->attempt);
-      job->attempt = NULL;
+      struct bd_job *job = daemon->jobs;
+      bool may_have_run = job->call.may_have_run || job->attempt != NULL;
+
+      cancel_attempt (job);
+      bd_job_apply_action (
+          job, may_have_run ? bd_call_expired (&job->call)
+                            : bd_call_refused (&job->call, BD_ERR_STOPPING));
     }
-  bd_job_apply_action (job, bd_call_expired (&job->call));
 }
 
 static int64_t
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -9,7 +9,8 @@
 enum
 {
   MAX_PORT = 65535,
-  MAX_PERIOD_MS = 600000
+  MAX_PERIOD_MS = 600000,
+  MAX_GRACE_MS = 24 * 3600 * 1000
 };
 
 struct raw_settings
@@ -44,6 +45,7 @@
     MAX_PERIOD_MS, false },
   { "idle_timeout_ms", BD_FIELD_U32, AT (idle_timeout_ms), 100, MAX_PERIOD_MS,
     false },
+  { "grace_ms", BD_FIELD_U32, AT (grace_ms), 500, MAX_GRACE_MS, false },
   { "max_queued", BD_FIELD_U32, AT (max_queued), 0, 1000000, false },
   { "reads_per_s", BD_FIELD_U32, AT (reads_per_s), 1, 100000, false },
   { "writes_per_s", BD_FIELD_U32, AT (writes_per_s), 1, 100000, false },
@@ -74,6 +76,7 @@
   .max_connections = 4096,
   .header_timeout_ms = 10000,
   .idle_timeout_ms = 75000,
+  .grace_ms = 30000,
   .max_queued = 1024,
   .reads_per_s = 200,
   .writes_per_s = 40,
--- a/src/settings/settings_test.c
+++ b/src/settings/settings_test.c
@@ -42,6 +42,9 @@
   CU_ASSERT_EQUAL (s.peer_port, 81);
   CU_ASSERT_EQUAL (s.peer_count, 1);
   CU_ASSERT_EQUAL (s.heartbeat_ms, 500);
+  CU_ASSERT_EQUAL (s.grace_ms, 30000);
+  CU_ASSERT_TRUE (parse (VALID "grace_ms = 600\n", &s, NULL));
+  CU_ASSERT_EQUAL (s.grace_ms, 600);
 }
 
 static void
