edge: the pace of a group is measured

What callers would see: a group that is known to be slow, with an event every half second where the formula says 15 ms, is suspected between two events and gets no requests, although nothing is wrong with it but its speed.

Cause: the limit of silence is four passes at the group's pace, and bd_fleet_group.pace was set to 1 when the group was made and never again.

Change: each event after the first of an attempt updates the pace: the time since the event before against a pass by the formula, smoothed as latencies are, a sample counting as 20 at most. The limit of silence uses it between 1 and 4, so that a stream still goes on elsewhere before its caller leaves. Placement does not use it, as before in effect: it was always 1, and what another choice of targets does to loaded groups, whose passes contain the prompts of others, has not been measured.

The stand-in's pauses and intervals can be set (tests/fakes/site.h).

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -229,6 +229,9 @@
     {
       /* Only whole events are progress: an endpoint that sends a byte now and
          then has stalled.  */
+      if (!request->is_prefilling)
+        bd_edge_note_gap (request, bd_edge_now_ms (request->edge)
+                                       - request->last_event_ms);
       note_progress (request);
       bd_edge_note_prefill_done (request);
       request->is_incomplete
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -422,6 +422,15 @@
 void bd_edge_note_refusal (struct bd_edge_request *request, const char *load,
                            int64_t backoff_ms);
 
+/* bd_edge_pass_ms(): the time of a pass of the request's model at the group,
+   by the engine's formulas; 0 without such a model.  */
+double bd_edge_pass_ms (const struct bd_edge_request *request,
+                        const struct bd_fleet_group *group);
+
+/* bd_edge_note_gap(): an event of the attempt has come so long after the one
+   before.  Updates the pace of its group.  */
+void bd_edge_note_gap (struct bd_edge_request *request, int64_t gap_ms);
+
 /* bd_edge_note_head(): reads what the head of an endpoint's response says
    about the endpoint itself: that it leaves, or that it wants no requests for
    some time.  */
--- a/src/edge/edge_silence_test.c
+++ b/src/edge/edge_silence_test.c
@@ -24,6 +24,11 @@
   SUSPECTED_MS = 450,
   WAITING_CALLS = 40,
   PLAIN_WORKERS = 3,
+  WARM_STREAMS = 8, /* Reach both groups.  */
+  /* Between the events of a group that is slower than the configuration says,
+     and until several of them are due.  */
+  VERY_SLOW_MS = 500,
+  SLOW_STREAM_MS = 1800,
   PLAIN_TIMEOUT_MS = 2000,
   /* Requests that a plain worker gets at most: its slots and its queue.  */
   PLAIN_CAPACITY = 6,
@@ -548,6 +553,43 @@
   site_finish (&site);
 }
 
+static bool
+is_any_group_suspected (void)
+{
+  uint32_t size;
+  struct bd_fleet_group **groups
+      = bd_fleet_groups_of (&site.edge->fleet, "pool", "m", NULL, &size);
+
+  CU_ASSERT_EQUAL (size, 2);
+  for (uint32_t i = 0; i < size; i++)
+    if (groups[i]->suspected_until_ms > 0)
+      return true;
+  return false;
+}
+
+/* A group that is known to be slow.  */
+static void
+test_slow_group_is_suspected (void)
+{
+  struct site_call *calls[WARM_STREAMS];
+  struct site_call *call;
+
+  start_pool (4, WORKER_SLOW);
+  for (uint32_t i = 0; i < WARM_STREAMS; i++)
+    calls[i] = start_stream ();
+  for (uint32_t i = 0; i < WARM_STREAMS; i++)
+    wait_for (calls[i]);
+  CU_ASSERT_FALSE (is_any_group_suspected ());
+  site.slow_event_ms = VERY_SLOW_MS;
+  call = start_stream ();
+  site_wait (&site, SLOW_STREAM_MS);
+  CU_ASSERT_FALSE (is_any_group_suspected ());
+  set_modes (WORKER_HEALTHY);
+  wait_for (call);
+  CU_ASSERT_TRUE (is_stream_complete (call));
+  site_finish (&site);
+}
+
 static void
 test_deadline_of_a_stream_counts_as_failure (void)
 {
@@ -616,6 +658,7 @@
       test_stalled_requests_use_up_the_limit },
     { "stalled requests delay callers that retry",
       test_stalled_requests_delay_callers_that_retry },
+    { "slow group is suspected", test_slow_group_is_suspected },
     { "deadline of a stream counts as failure",
       test_deadline_of_a_stream_counts_as_failure },
   };
--- a/src/edge/target.c
+++ b/src/edge/target.c
@@ -36,8 +36,11 @@
 /* A group that is not preferred is used when the preferred ones take this many
    times as long.  */
 static const double widen_factor = 1.3;
-/* Weight of a new sample of latency or failures in the moving average.  */
+/* Weight of a new sample of latency, failures or pace in the moving average.
+ */
 static const double smoothing = 0.2;
+/* Upper limit of one sample of a group's pace.  */
+static const double max_pace = 20.0;
 
 static bool
 was_tried (const struct bd_edge_request *request, uint64_t target)
@@ -62,7 +65,6 @@
 
   load->running = group->in_flight + group->peers_in_flight;
   load->prefill_ms = group->prefill_ms + group->peers_prefill_ms;
-  load->pace = group->pace;
   load->distance_ms = distance_ms (edge, group->data_centre);
   load->is_tried = was_tried (request, group->hash);
 }
@@ -378,6 +380,38 @@
     group->prefill_ms = 0;
 }
 
+double
+bd_edge_pass_ms (const struct bd_edge_request *request,
+                 const struct bd_fleet_group *group)
+{
+  const struct bd_engine *engine;
+  const struct bd_engine_model *model
+      = bd_edge_request_model (request, &engine);
+
+  return model == NULL
+             ? 0
+             : bd_engine_pass_ms (engine, model,
+                                  group->in_flight + group->peers_in_flight);
+}
+
+void
+bd_edge_note_gap (struct bd_edge_request *request, int64_t gap_ms)
+{
+  struct bd_fleet_group *group
+      = bd_fleet_group (&request->edge->fleet, request->group);
+  double pass_ms;
+  double sample;
+
+  if (group == NULL)
+    return;
+  pass_ms = bd_edge_pass_ms (request, group);
+  if (!(pass_ms > 0))
+    return;
+  sample = (double)gap_ms / pass_ms;
+  group->pace
+      += smoothing * ((sample < max_pace ? sample : max_pace) - group->pace);
+}
+
 /* The time that a response asks to wait, in ms; 0 for none.  */
 static int64_t
 wait_of (const struct bd_edge *edge, const struct bd_http_call *call)
--- a/src/edge/watchdog.c
+++ b/src/edge/watchdog.c
@@ -9,6 +9,8 @@
 
 #include "edge/edge_internal.h"
 
+#include <math.h>
+
 enum
 {
   /* Time without an event of a stream that has begun, in addition to
@@ -31,6 +33,10 @@
   RESUME_FIRST_EVENT_MS = 900
 };
 
+/* Upper limit of the pace by which a slow group may be silent for longer: a
+   stream has to go on elsewhere before its caller leaves.  */
+static const double max_stall_pace = 4.0;
+
 static bool
 is_group_stalled (const struct bd_fleet_group *group, int64_t limit_ms,
                   int64_t now_ms)
@@ -42,18 +48,14 @@
   return now_ms - last_progress_ms >= limit_ms;
 }
 
-static double
-pass_ms (const struct bd_edge_request *request,
-         const struct bd_fleet_group *group)
+/* Time that the passes take which a sound stream can be silent for.  */
+static int64_t
+stall_passes_ms (const struct bd_edge_request *request,
+                 const struct bd_fleet_group *group)
 {
-  const struct bd_engine *engine;
-  const struct bd_engine_model *model
-      = bd_edge_request_model (request, &engine);
-
-  return model == NULL
-             ? 0
-             : bd_engine_pass_ms (engine, model,
-                                  group->in_flight + group->peers_in_flight);
+  double pace = fmin (fmax (group->pace, 1.0), max_stall_pace);
+
+  return (int64_t)(STALL_PASSES * pace * bd_edge_pass_ms (request, group));
 }
 
 static void
@@ -61,16 +63,15 @@
              int64_t now_ms)
 {
   int64_t stalled_ms = now_ms - request->last_event_ms;
-  int64_t stall_passes_ms
-      = (int64_t)(STALL_PASSES * group->pace * pass_ms (request, group));
+  int64_t passes_ms = stall_passes_ms (request, group);
   int64_t suspect_after_ms
       = request->is_prefilling
             ? (int64_t)request->expected_ms + SUSPECT_FIRST_EVENT_MS
-            : SUSPECT_AFTER_MS + stall_passes_ms;
+            : SUSPECT_AFTER_MS + passes_ms;
   int64_t resume_after_ms
       = request->is_prefilling
             ? (int64_t)request->expected_ms + RESUME_FIRST_EVENT_MS
-            : RESUME_AFTER_MS + stall_passes_ms;
+            : RESUME_AFTER_MS + passes_ms;
 
   if (stalled_ms >= suspect_after_ms
       && is_group_stalled (group, suspect_after_ms, now_ms))
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -181,8 +181,8 @@
   uint32_t server_load;   /* Running and waiting, by its last response.  */
   int64_t server_load_ms;
   int64_t suspected_until_ms; /* Not used before this time.  */
-  double pace; /* Ratio of the measured to the expected token gap; not measured
-                  yet, so always 1.0.  */
+  double pace; /* Ratio of the measured to the expected time between two events
+                  of its streams, smoothed; 1 before any was measured.  */
 
   /* Traffic of the other daemons, summed from their last updates.  */
   uint32_t peers_in_flight;
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -679,12 +679,14 @@
   switch (stream->worker->mode)
     {
     case WORKER_SLOW:
-      return SITE_SLOW_EVENT_MS;
+      return stream->worker->site->slow_event_ms;
     case WORKER_PAUSING:
-      return stream->next_event == STALL_AFTER_EVENTS + 1 ? SITE_PAUSE_MS
-                                                          : EVENT_INTERVAL_MS;
+      return stream->next_event == STALL_AFTER_EVENTS + 1
+                 ? stream->worker->site->pause_ms
+                 : EVENT_INTERVAL_MS;
     case WORKER_LATE:
-      return stream->next_event == 1 ? SITE_PAUSE_MS : EVENT_INTERVAL_MS;
+      return stream->next_event == 1 ? stream->worker->site->pause_ms
+                                     : EVENT_INTERVAL_MS;
     default:
       return EVENT_INTERVAL_MS;
     }
@@ -830,7 +832,8 @@
   run->worker = worker;
   run->exchange = x;
   x->user = run;
-  bd_timer_add (worker->site->events, run, SITE_PAUSE_MS, end_run, run);
+  bd_timer_add (worker->site->events, run, worker->site->pause_ms, end_run,
+                run);
 }
 
 /* Whether the worker runs a request that arrives now.  */
@@ -1218,6 +1221,8 @@
   site->revision = 1;
   site->era = 1;
   site->daemon_port = EDGE_PORT;
+  site->slow_event_ms = SITE_SLOW_EVENT_MS;
+  site->pause_ms = SITE_PAUSE_MS;
   bd_http_server_init (&site->store, site->events, loopback_address (),
                        STORE_PORT, MAX_STORE_CONNECTIONS, &store_ops, site);
   for (uint32_t i = 0; i < plain; i++)
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -51,11 +51,11 @@
   WORKER_FULL,      /* Responds 503 without running the request.  */
   WORKER_FAILING,   /* Runs the request and responds 500.  */
   WORKER_TRICKLING, /* Streams send single bytes after three events.  */
-  WORKER_SLOW,      /* Streams send an event every SITE_SLOW_EVENT_MS.  */
-  /* Responds after SITE_PAUSE_MS; streams pause for that time after three
+  WORKER_SLOW,      /* Streams send an event every slow_event_ms.  */
+  /* Responds after pause_ms; streams pause for that time after three
      events.  */
   WORKER_PAUSING,
-  WORKER_LATE,  /* Streams send their first event after SITE_PAUSE_MS.  */
+  WORKER_LATE,  /* Streams send their first event after pause_ms.  */
   WORKER_SILENT /* Does nothing, and handles later what has come.  */
 };
 
@@ -131,8 +131,10 @@
   struct bd_http_client client;
   json_int_t version; /* Of the configuration.  */
   json_t *config;
-  uint32_t daemon_port; /* Where site_call() sends requests.  */
-  bool echoes_path;     /* Responses and events contain the path.  */
+  uint32_t daemon_port;   /* Where site_call() sends requests.  */
+  uint32_t slow_event_ms; /* SITE_SLOW_EVENT_MS, unless it is changed.  */
+  uint32_t pause_ms;      /* SITE_PAUSE_MS, unless it is changed.  */
+  bool echoes_path;       /* Responses and events contain the path.  */
   /* Value of the prompt's parts in site_call(), or NULL.  */
   const char *prompt_parts;
   /* A worker that begins to run a request with this text in its path or its
