edge: a stopping daemon counts what it knows of the target

What callers would see: a daemon that stops accepts a request at a slow group or endpoint and cuts it at its end: LOST by the users' rules for streams, 502 or 504 for others. Found by a review, shown by the new tests.

Cause: the estimate takes each endpoint for a sound one in a full batch, or for one that keeps the objective, before a target is chosen.

Change: the estimate stays as a first check. Once a target is chosen, its own is made: for a group the expected time to the first event (what runs there, the distance) and the rest of a full batch at the measured pace; for a plain endpoint its measured latency, for each turn of its slots that is ahead. A request that does not fit is refused as "stopping" at once, so that it is served elsewhere; a stalled attempt is not moved there.

Not known, and taken for sound as before: a group that this daemon has sent no stream to, and what another daemon does with a request that is handed over. The time between data centres is the constant of the choice of targets, or part of the latency.

--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -77,18 +77,39 @@
          || !bd_edge_can_complete (request);
 }
 
+/* Ends a request without another attempt; error is for one that has not
+   run.  */
 static void
-give_up (struct bd_edge_request *request)
+give_up (struct bd_edge_request *request, enum bd_error error)
 {
-  enum bd_error error = request->has_stream_begun    ? BD_ERR_STREAM_BROKEN
-                        : request->call.may_have_run ? BD_ERR_ENDPOINT_FAILED
-                        : bd_edge_can_complete (request) ? BD_ERR_OVERLOADED
-                                                         : BD_ERR_STOPPING;
-
+  if (request->has_stream_begun)
+    error = BD_ERR_STREAM_BROKEN;
+  else if (request->call.may_have_run)
+    error = BD_ERR_ENDPOINT_FAILED;
   bd_backlog_remove (&request->backlog_item);
   refuse (request, error);
 }
 
+/* Why a request without a target is refused.  */
+static enum bd_error
+error_of (const struct bd_edge_request *request)
+{
+  return bd_edge_can_complete (request) ? BD_ERR_OVERLOADED : BD_ERR_STOPPING;
+}
+
+/* Starts an attempt at target, unless it would outlast this daemon.  */
+static void
+send_to (struct bd_edge_request *request, const struct bd_edge_target *target)
+{
+  if (!bd_edge_can_complete_at (request, target))
+    {
+      give_up (request, BD_ERR_STOPPING);
+      return;
+    }
+  bd_backlog_remove (&request->backlog_item);
+  bd_edge_start_attempt (request, target);
+}
+
 /* Whether the limits of the endpoints allow the request later than it can
    wait.  */
 static bool
@@ -142,9 +163,9 @@
 
   if (bd_edge_can_complete (request)
       && bd_edge_choose_target (request, &target))
-    bd_edge_start_attempt (request, &target);
+    send_to (request, &target);
   else if (is_hopeless (request))
-    give_up (request);
+    give_up (request, error_of (request));
   else
     enqueue (request);
 }
@@ -156,7 +177,8 @@
 {
   struct bd_edge_target target;
 
-  if (!bd_edge_can_move (request) || !bd_edge_choose_target (request, &target))
+  if (!bd_edge_can_move (request) || !bd_edge_choose_target (request, &target)
+      || !bd_edge_can_complete_at (request, &target))
     return false;
   bd_backlog_remove (&request->backlog_item);
   bd_edge_move_attempt (request, &target);
@@ -290,7 +312,7 @@
   if (request->attempt != NULL)
     dispatch_stalled (pass, request);
   else if (should_give_up (request, bd_edge_now_ms (pass->edge)))
-    give_up (request);
+    give_up (request, error_of (request));
   else if (bd_edge_is_poison (request))
     {
       bd_backlog_remove (item);
@@ -299,10 +321,7 @@
   else if (is_model_full (pass, request->model))
     return true;
   else if (bd_edge_choose_target (request, &target))
-    {
-      bd_backlog_remove (item);
-      bd_edge_start_attempt (request, &target);
-    }
+    send_to (request, &target);
   else if (request->call.attempts == 0
            && pass->full_model_count < BD_ENGINE_MAX_MODELS)
     bd_name_copy (pass->full_models[pass->full_model_count++], request->model);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -178,6 +178,8 @@
   int64_t sent_ms;  /* When the table was last sent to any peer.  */
 };
 
+struct bd_edge_target;
+
 struct bd_edge
 {
   struct bd_edge_settings *settings;
@@ -327,9 +329,13 @@
    left, and frees it.  */
 void bd_edge_expire (struct bd_edge_request *request);
 
-/* bd_edge_can_complete(): whether a new attempt can be completed before this
-   daemon ends; true unless it stops.  */
+/* bd_edge_can_complete(): whether a new attempt at a sound target can be
+   completed before this daemon ends; true unless it stops.
+   bd_edge_can_complete_at(): the same at this target, by what is known of
+   it.  */
 bool bd_edge_can_complete (const struct bd_edge_request *request);
+bool bd_edge_can_complete_at (const struct bd_edge_request *request,
+                              const struct bd_edge_target *target);
 
 /* bd_edge_note_cut(): counts and logs a request whose caller gets no whole
    response.  */
--- a/src/edge/edge_stop_test.c
+++ b/src/edge/edge_stop_test.c
@@ -16,6 +16,8 @@
 enum
 {
   POOL_WORKERS = 8,
+  GROUP_MEMBERS = 2,
+  WARM_CALLS = 12, /* Reach every group.  */
   CALLS = 10,
   CALL_INTERVAL_MS = 330,
   GRACE_MS = 4500,
@@ -65,6 +67,13 @@
                              &bd_platform_adapter);
 }
 
+static bool
+has_all_groups (struct site *s)
+{
+  return site_is_ready (s)
+         && site_count_open_groups (s) == POOL_WORKERS / GROUP_MEMBERS;
+}
+
 static void
 wait_for (struct site_call *call)
 {
@@ -130,6 +139,63 @@
   site_finish (&site);
 }
 
+/* Sends calls while the daemon stops.  It completes those that it takes, and
+   takes some.  */
+static void
+check_calls_at_stop (const char *target, const char *model)
+{
+  struct site_call *calls[CALLS];
+  uint32_t requests = site_request_count (&site);
+  uint32_t served = 0;
+
+  bd_edge_stop (site.edge);
+  for (uint32_t i = 0; i < CALLS; i++)
+    {
+      calls[i] = site_start_call (&site, "POST", target, "k1", model);
+      site_wait (&site, CALL_INTERVAL_MS);
+    }
+  end_daemon ();
+  for (uint32_t i = 0; i < CALLS; i++)
+    {
+      wait_for (calls[i]);
+      served += calls[i]->status == 200 && calls[i]->is_complete;
+    }
+  CU_ASSERT_TRUE (served > 0);
+  CU_ASSERT_EQUAL (site_request_count (&site), requests + served);
+}
+
+/* Groups take far longer than the configuration says.  */
+static void
+test_slow_groups_outlast_the_grace (void)
+{
+  struct site_call *calls[WARM_CALLS];
+
+  site_start (&site, 0, POOL_WORKERS);
+  for (uint32_t i = 0; i < POOL_WORKERS; i++)
+    site.workers[i].mode = WORKER_SLOW;
+  CU_ASSERT_TRUE_FATAL (site_run (&site, has_all_groups, READY_MS));
+  site.settings.bounds.grace_ms = GRACE_MS;
+  for (uint32_t i = 0; i < WARM_CALLS; i++)
+    calls[i] = site_start_call (&site, "POST", "/stream/x", "k1", "m");
+  for (uint32_t i = 0; i < WARM_CALLS; i++)
+    wait_for (calls[i]);
+  check_calls_at_stop ("/stream/x", "m");
+  site_finish (&site);
+}
+
+static void
+test_slow_endpoint_outlasts_the_grace (void)
+{
+  site_start (&site, 1, 0);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, READY_MS));
+  site.settings.bounds.grace_ms = GRACE_MS;
+  site.workers[0].mode = WORKER_PAUSING;
+  site.pause_ms = LATE_MS;
+  site_call (&site, "POST", "/unsafe/x", "k1", NULL);
+  check_calls_at_stop ("/unsafe/x", NULL);
+  site_finish (&site);
+}
+
 static void
 test_refusals_of_a_stopping_daemon_count_as_shed (void)
 {
@@ -246,6 +312,9 @@
       test_reload_during_a_stop_cuts_requests },
     { "grace shorter than the balancer delay",
       test_grace_shorter_than_the_balancer_delay },
+    { "slow groups outlast the grace", test_slow_groups_outlast_the_grace },
+    { "slow endpoint outlasts the grace",
+      test_slow_endpoint_outlasts_the_grace },
     { "refusals of a stopping daemon count as shed",
       test_refusals_of_a_stopping_daemon_count_as_shed },
     { "other daemons reach a daemon that ends",
--- a/src/edge/stop.c
+++ b/src/edge/stop.c
@@ -44,15 +44,79 @@
          + MAX_SILENCE_MS;
 }
 
-bool
-bd_edge_can_complete (const struct bd_edge_request *request)
+/* Estimated time of a request at a group: until the first event by what runs
+   there, and for the rest in a full batch, at the pace that was measured.  */
+static double
+estimate_at_group_ms (const struct bd_edge_request *request,
+                      const struct bd_edge_target *target)
+{
+  const struct bd_fleet_group *group
+      = bd_fleet_group (&request->edge->fleet, target->group);
+  const struct bd_engine *engine;
+  const struct bd_engine_model *model
+      = bd_edge_request_model (request, &engine);
+
+  if (group == NULL || model == NULL)
+    return 0;
+  return target->expected_ms
+         + fmax (group->pace, 1.0)
+               * bd_engine_response_ms (engine, model, request->prompt_tokens,
+                                        request->max_output_tokens)
+         + MAX_SILENCE_MS;
+}
+
+/* The same at a plain endpoint, by its measured latency, which contains the
+   way there.  The requests beyond its slots wait.  */
+static double
+estimate_at_endpoint_ms (const struct bd_edge_request *request,
+                         const struct bd_edge_target *target)
+{
+  const struct bd_fleet_endpoint *endpoint
+      = bd_fleet_endpoint (&request->edge->fleet, target->endpoint);
+  uint32_t turns = 1;
+
+  if (endpoint == NULL)
+    return 0;
+  if (endpoint->entry.slots > 0)
+    turns += target->load / endpoint->entry.slots;
+  return turns * endpoint->latency_ms + MAX_SILENCE_MS;
+}
+
+/* Whether an attempt that takes this long is worth a start.  */
+static bool
+is_in_time (const struct bd_edge_request *request, double response_ms)
+{
+  const struct bd_edge *edge = request->edge;
+
+  return (double)bd_edge_now_ms (edge) + response_ms <= (double)edge->end_ms;
+}
+
+static bool
+is_any_time_enough (const struct bd_edge_request *request)
 {
   const struct bd_edge *edge = request->edge;
 
   return !edge->is_stopping || request->has_stream_begun
-         || request->deadline_ms <= edge->end_ms
-         || (double)bd_edge_now_ms (edge) + estimate_ms (request)
-                <= (double)edge->end_ms;
+         || request->deadline_ms <= edge->end_ms;
+}
+
+bool
+bd_edge_can_complete (const struct bd_edge_request *request)
+{
+  return is_any_time_enough (request)
+         || is_in_time (request, estimate_ms (request));
+}
+
+bool
+bd_edge_can_complete_at (const struct bd_edge_request *request,
+                         const struct bd_edge_target *target)
+{
+  return is_any_time_enough (request)
+         || is_in_time (
+             request, fmax (estimate_ms (request),
+                            target->group != 0
+                                ? estimate_at_group_ms (request, target)
+                                : estimate_at_endpoint_ms (request, target)));
 }
 
 /* The load balancer has removed this daemon.  */
