calls: attempts that reach nobody do not use up the tries

What callers would see: 503 although an endpoint is free, when four others could not be connected to before, without anything having run. The same holds for a request that four other daemons refuse to take over.

Cause: the four attempts of a call counted those that had not been sent. (The route's maximum of runs never did, nor did the retry budget.)

Change: four attempts may reach an endpoint, as before, whether it runs the call or refuses it; those that reach none are bounded by the targets, each of which is used once and 16 at most, and by the deadline. Where three endpoints in a row are unreachable and none responds in between, the links count as lost, as before, and the request goes to other daemons or is refused.

The property "one final response" now generates more attempts that are not sent, 16 instead of 8 results, and checks both bounds: at most four attempts that reach an endpoint, at most 16 in all. The former check, four in all, contradicts the change.

--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -22,7 +22,10 @@
 
 enum
 {
-  BD_CALL_MAX_ATTEMPTS = 4
+  /* Attempts that reach an endpoint, whether it runs the call or not.  */
+  BD_CALL_MAX_ATTEMPTS = 4,
+  /* All attempts, each at another target.  */
+  BD_CALL_MAX_TARGETS = 16
 };
 
 enum bd_call_state
@@ -60,7 +63,8 @@
   bool has_key;
   bool is_stream;
   int64_t deadline_ms;
-  uint32_t attempts;
+  uint32_t attempts; /* All of them.  */
+  uint32_t unsent;   /* Of these, those that have reached no endpoint.  */
   uint32_t max_runs; /* Maximum of runs; 0 for no limit.  */
   uint32_t runs;     /* That may have happened.  */
   /* Runs that the current attempt may use; more than one only at another
@@ -73,7 +77,7 @@
   int64_t last_event_id; /* Last one sent to the caller; -1 for none.  */
   enum bd_error error;
   enum bd_run_state run;
-  uint64_t tried_targets[BD_CALL_MAX_ATTEMPTS]; /* Targets of the attempts.  */
+  uint64_t tried_targets[BD_CALL_MAX_TARGETS]; /* Targets of the attempts.  */
 };
 
 /* Retry budget: limits the retries to a fraction of the new calls.  */
--- a/src/calls/calls_properties.cc
+++ b/src/calls/calls_properties.cc
@@ -34,6 +34,7 @@
   int finals = 0;
   unsigned runs = 0; /* Attempts that an endpoint may have started.  */
   unsigned attempts = 0;
+  unsigned reached = 0; /* Attempts that have reached an endpoint.  */
 };
 
 enum bd_failure
@@ -61,6 +62,7 @@
   if (result == NO_TARGET)
     return bd_call_no_target (call, BD_ERR_NO_ENDPOINT);
   bd_call_sent (call, out->attempts++);
+  out->reached += result != NOT_SENT;
   if (result != NOT_SENT && result != REFUSED)
     out->runs++;
   if (result == FINISHES)
@@ -81,7 +83,9 @@
     bool has_key = *rc::gen::arbitrary<bool> ();
     double tokens = *rc::gen::inRange (0, 6);
     auto results = *rc::gen::container<std::vector<int> > (
-        8, rc::gen::inRange<int> (0, RESULT_COUNT));
+        BD_CALL_MAX_TARGETS,
+        rc::gen::oneOf (rc::gen::just<int> (NOT_SENT),
+                        rc::gen::inRange<int> (0, RESULT_COUNT)));
     struct bd_call call;
     struct bd_retry_budget budget = { tokens, 0.2, 100 };
     Outcome out;
@@ -97,11 +101,12 @@
       }
     for (int i = 0; action == BD_ACTION_DISPATCH; i++)
       {
-        RC_ASSERT (i < 8);
-        action = attempt (&call, results[i], &budget, i * 100, &out);
+        RC_ASSERT (i < BD_CALL_MAX_TARGETS);
+        action = attempt (&call, results[i], &budget, i * 50, &out);
       }
     RC_ASSERT (call.state == BD_CALL_DONE);
-    RC_ASSERT (out.attempts <= (unsigned)BD_CALL_MAX_ATTEMPTS);
+    RC_ASSERT (out.reached <= (unsigned)BD_CALL_MAX_ATTEMPTS);
+    RC_ASSERT (out.attempts <= (unsigned)BD_CALL_MAX_TARGETS);
     if (!is_idempotent)
       RC_ASSERT (out.runs <= 1u);
     if (action == BD_ACTION_FAIL)
--- a/src/calls/calls_test.c
+++ b/src/calls/calls_test.c
@@ -75,6 +75,48 @@
   CU_ASSERT_EQUAL (call.runs, 3);
 }
 
+/* Only the deadline and the targets bound attempts that reach nobody.  */
+static void
+test_unsent_attempts_use_up_the_tries (void)
+{
+  struct bd_retry_budget empty = { .tokens = 0, .ratio = 0, .burst = 1 };
+  struct bd_call call;
+  uint64_t target = 0;
+
+  start (&call, false, false);
+  call.max_runs = 1;
+  for (; target < BD_CALL_MAX_TARGETS - 1; target++)
+    {
+      bd_call_sent (&call, target);
+      CU_ASSERT_EQUAL (bd_call_failed (&call, BD_FAILURE_NOT_SENT, &empty, 0),
+                       BD_ACTION_DISPATCH);
+      CU_ASSERT_TRUE (bd_call_was_tried (&call, target));
+    }
+  bd_call_sent (&call, target);
+  CU_ASSERT_EQUAL (bd_call_failed (&call, BD_FAILURE_NOT_SENT, &empty, 0),
+                   BD_ACTION_FAIL);
+  CU_ASSERT_EQUAL (call.run, BD_NOT_RUN);
+}
+
+static void
+test_tries_beside_unsent_attempts (void)
+{
+  struct bd_retry_budget budget = full_budget;
+  struct bd_call call;
+
+  start (&call, true, false);
+  for (uint64_t target = 0; target < BD_CALL_MAX_ATTEMPTS; target++)
+    {
+      bd_call_sent (&call, 2 * target);
+      CU_ASSERT_EQUAL (bd_call_failed (&call, BD_FAILURE_NOT_SENT, &budget, 0),
+                       BD_ACTION_DISPATCH);
+      bd_call_sent (&call, 2 * target + 1);
+      CU_ASSERT_EQUAL (bd_call_failed (&call, BD_FAILURE_REFUSED, &budget, 0),
+                       target < BD_CALL_MAX_ATTEMPTS - 1 ? BD_ACTION_DISPATCH
+                                                         : BD_ACTION_FAIL);
+    }
+}
+
 static void
 test_retry_budget (void)
 {
@@ -202,6 +244,9 @@
     test_stream_without_ids_is_not_resumed },
   { "runs at other daemons exceed the maximum",
     test_runs_at_other_daemons_exceed_the_maximum },
+  { "unsent attempts use up the tries",
+    test_unsent_attempts_use_up_the_tries },
+  { "tries beside unsent attempts", test_tries_beside_unsent_attempts },
   { "retry budget", test_retry_budget },
   { "deadline", test_deadline },
   { "a key that already ran", test_key_already_ran },
