edge: a stalled request moves in one place, the dispatch

The watchdog asked twice whether the request may move, tried the move, and the dispatch at the end of the same tick tried again. Now the watchdog queues it and the dispatch moves it, in the order of the backlog. So that nothing else changes, a stalled request that prefers another daemon is tried also where a waiting one has found all groups full.

What differs: within one tick a stalled request that has not begun to answer comes in its turn instead of before all waiting ones.

edge_silence_test 27 tests, 139 asserts, edge_links_test 9 tests, 318 asserts, edge_streams_test, edge_limits_test, edge_responses_test: none failed.

--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -170,27 +170,11 @@
     enqueue (request);
 }
 
-/* Sends a request whose attempt stalls to another target.  Returns false when
-   it has to stay where it is.  */
-static bool
-try_to_move (struct bd_edge_request *request)
-{
-  struct bd_edge_target target;
-
-  if (!bd_edge_can_move (request) || !bd_edge_choose_target (request, &target)
-      || !bd_edge_can_complete_at (request, &target))
-    return false;
-  bd_backlog_remove (&request->backlog_item);
-  bd_edge_move_attempt (request, &target);
-  return true;
-}
-
 void
 bd_edge_handle_stall (struct bd_edge_request *request)
 {
   bd_edge_note_stall (request);
-  if (bd_edge_can_move (request) && !try_to_move (request)
-      && request->backlog_item.backlog == NULL)
+  if (request->backlog_item.backlog == NULL && bd_edge_can_move (request))
     enqueue (request);
 }
 
@@ -291,14 +275,29 @@
   return false;
 }
 
-/* A request whose attempt goes on no longer waits for another target.  */
+/* Sends a request whose attempt stalls to another target, if it can start
+   there.  */
+static void
+try_to_move (struct bd_edge_request *request)
+{
+  struct bd_edge_target target;
+
+  if (!bd_edge_can_move (request) || !bd_edge_choose_target (request, &target)
+      || !bd_edge_can_complete_at (request, &target))
+    return;
+  bd_backlog_remove (&request->backlog_item);
+  bd_edge_move_attempt (request, &target);
+}
+
+/* A request whose attempt goes on no longer waits for another target.  One
+   that goes to another daemon needs no free target here.  */
 static void
 dispatch_stalled (const struct dispatch_pass *pass,
                   struct bd_edge_request *request)
 {
   if (!request->is_stalled)
     bd_backlog_remove (&request->backlog_item);
-  else if (!is_model_full (pass, request->model))
+  else if (request->prefers_handover || !is_model_full (pass, request->model))
     try_to_move (request);
 }
 
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -362,9 +362,8 @@
  */
 void bd_edge_admit (struct bd_edge_request *request);
 
-/* bd_edge_handle_stall(): the attempt is overdue.  Sends the request to
-   another target, or queues it for one while the attempt goes on.  The request
-   may have been freed on return.  */
+/* bd_edge_handle_stall(): the attempt is overdue.  Queues the request for
+   another target while the attempt goes on, if it may move.  */
 void bd_edge_handle_stall (struct bd_edge_request *request);
 
 /* bd_edge_run_action(): starts or queues another attempt, or sends the final
