--- a/src/calls/calls_properties.cc
+++ b/src/calls/calls_properties.cc
@@ -36,6 +36,7 @@
   unsigned finals = 0; /* Final responses.  */
   unsigned runs = 0;   /* Runs that endpoints may have started.  */
   unsigned attempts = 0;
+  unsigned reached = 0; /* Attempts that have reached an endpoint.  */
 };
 
 /* What the daemons make of one attempt.  */
@@ -53,8 +54,9 @@
       [] (int result, unsigned granted, unsigned started) {
         return Step{ result, granted, std::min (started, granted) };
       },
-      rc::gen::inRange<int> (0, RESULT_COUNT), rc::gen::inRange (1u, 4u),
-      rc::gen::inRange (1u, 4u));
+      rc::gen::oneOf (rc::gen::just<int> (NOT_SENT),
+                      rc::gen::inRange<int> (0, RESULT_COUNT)),
+      rc::gen::inRange (1u, 4u), rc::gen::inRange (1u, 4u));
 }
 
 /* Runs that a daemon may grant to another one for the next attempt.  */
@@ -96,6 +98,7 @@
     return bd_call_no_target (call, BD_ERR_NO_ENDPOINT);
   bd_call_sent (call, out->attempts++);
   bd_call_grant_runs (call, granted);
+  out->reached += result != NOT_SENT;
   if (result != NOT_SENT && result != REFUSED)
     out->runs += std::min (step.started_runs, granted);
   if (result == FINISHES)
@@ -116,7 +119,8 @@
     bool has_key = *rc::gen::arbitrary<bool> ();
     double tokens = *rc::gen::inRange (0, 6);
     unsigned max_runs = *rc::gen::inRange (0u, 5u);
-    auto steps = *rc::gen::container<std::vector<Step> > (8, anyStep ());
+    auto steps = *rc::gen::container<std::vector<Step> > (BD_CALL_MAX_TARGETS,
+                                                          anyStep ());
     struct bd_call call;
     struct bd_retry_budget budget = { tokens, 0.2, 100 };
     Outcome out;
@@ -133,14 +137,15 @@
       }
     for (int i = 0; action == BD_ACTION_DISPATCH; i++)
       {
-        RC_ASSERT (i < 8);
+        RC_ASSERT (i < BD_CALL_MAX_TARGETS);
         RC_ASSERT (max_runs == 0u || call.runs < max_runs);
-        action = attempt (&call, steps[i], &budget, i * 100, &out);
+        action = attempt (&call, steps[i], &budget, i * 50, &out);
         out.finals += action == BD_ACTION_FAIL || action == BD_ACTION_FINISH;
       }
     RC_ASSERT (out.finals == 1u);
     RC_ASSERT (call.state == BD_CALL_DONE);
-    RC_ASSERT (out.attempts <= (unsigned)BD_CALL_MAX_ATTEMPTS);
+    RC_ASSERT (out.reached <= (unsigned)BD_CALL_MAX_ATTEMPTS);
+    RC_ASSERT (out.attempts <= (unsigned)BD_CALL_MAX_TARGETS);
     if (!is_idempotent)
       RC_ASSERT (out.runs <= 1u);
     if (max_runs > 0)
