edge: counts of tokens and loads out of range count as absent

What callers would see: while a request with an odd `Token-Usage` (negative, beyond 32 bits, no number) is read, its group counts as busy for hours, so that others avoid it or wait; an endpoint with an odd `Server-Load` gets no requests while the header is fresh.

Change: bd_numbers_read() reads such lists: digits only, up to a maximum. Counts above 2^24 tokens and loads above 2^20 requests are ignored like absent headers; of "100,-1" the first number counts. There is no counter for odd headers, and none is added. The stand-in for endpoints can send a load, its client other counts.

--- a/src/base/base_test.c
+++ b/src/base/base_test.c
@@ -7,7 +7,9 @@
 #include "base/error.h"
 #include "base/ids.h"
 #include "base/json.h"
+#include "base/numbers.h"
 
+#include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -196,6 +198,44 @@
   gsl_rng_free (rng);
 }
 
+static void
+test_numbers_out_of_range_are_taken (void)
+{
+  static const struct
+  {
+    const char *text;
+    uint32_t count;
+    bool is_read;
+  } cases[] = {
+    { "0,7,100", 3, true },    { " 1\t, 2 ,3 ", 3, true },
+    { "007", 1, true },        { "1,2,3", 1, true },
+    { "1,2,3,x", 3, true },    { "1,", 1, true },
+    { NULL, 1, false },        { "", 1, false },
+    { " ", 1, false },         { "1,2", 3, false },
+    { "1,2,", 3, false },      { "101", 1, false },
+    { "-1", 1, false },        { "+1", 1, false },
+    { "1x", 1, false },        { "x", 1, false },
+    { "1 2", 1, false },       { "1;2", 2, false },
+    { "0x1", 1, false },       { "1.0", 1, false },
+    { "1e1", 1, false },       { "4294967297", 1, false },
+    { "1,-1,1", 3, false },    { "18446744073709551617", 1, false },
+    { "1,,2", 3, false },      { "99999999999999999999999", 1, false },
+    { "1,2,3,4,5", 5, false },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      uint32_t out[5] = { 999, 999, 999, 999, 999 };
+      bool is_read = bd_numbers_read (cases[i].text, 100, out, cases[i].count);
+
+      CU_ASSERT_EQUAL (is_read, cases[i].is_read);
+      CU_ASSERT_EQUAL (out[0] == 999, !is_read);
+      CU_ASSERT_EQUAL (out[4], 999);
+      if (is_read != cases[i].is_read)
+        printf ("\n'%s'\n", cases[i].text);
+    }
+}
+
 static const struct unit_test tests[] = {
   { "every error has a response", test_every_error_has_a_response },
   { "counters", test_counters_are_rendered },
@@ -203,6 +243,7 @@
   { "clock", test_clock_uses_its_ops },
   { "JSON keeps what is beside a refused value",
     test_json_keeps_what_is_beside_a_refused_value },
+  { "numbers out of range are taken", test_numbers_out_of_range_are_taken },
   { "JSON takes any bytes", test_json_takes_any_bytes },
 };
 
--- a/src/edge/ingress.c
+++ b/src/edge/ingress.c
@@ -1,6 +1,7 @@
 /* Incoming requests: finds the route and the account, and reads the headers.
  */
 
+#include "base/numbers.h"
 #include "edge/edge_internal.h"
 
 #include <stdlib.h>
@@ -24,6 +25,9 @@
 
 enum
 {
+  /* Of a prompt or a response.  Higher counts are ignored: they would make an
+     endpoint count as busy for hours.  */
+  MAX_TOKENS = 1 << 24,
   DROPPED_COUNT = sizeof dropped_headers / sizeof dropped_headers[0],
   /* Retry-After while there is no configuration or keys cannot be checked.  */
   NOT_READY_RETRY_MS = 500
@@ -112,21 +116,20 @@
                    const struct bd_engine *engine)
 {
   const struct bd_header_names *names = request->edge->adapter->headers;
-  const char *counts = bd_http_header (request->exchange, names->token_counts);
-  const char *hint
+  const char *text = bd_http_header (request->exchange, names->token_counts);
+  const char *hint_text
       = bd_http_header (request->exchange, names->output_length_hint);
-  char *end;
+  uint32_t counts[2]; /* Of the prompt, and the most of the response.  */
+  uint32_t hint;
 
   request->output_tokens = (uint32_t)engine->typical_response_tokens;
   request->prompt_tokens = (uint32_t)engine->typical_prompt_tokens;
-  if (counts != NULL)
-    {
-      request->prompt_tokens = (uint32_t)strtoul (counts, &end, 10);
-      if (*end == ',')
-        request->max_output_tokens = (uint32_t)strtoul (end + 1, NULL, 10);
-    }
-  if (hint != NULL && strtoul (hint, NULL, 10) > 0)
-    request->output_tokens = (uint32_t)strtoul (hint, NULL, 10);
+  if (bd_numbers_read (text, MAX_TOKENS, counts, 1))
+    request->prompt_tokens = counts[0];
+  if (bd_numbers_read (text, MAX_TOKENS, counts, 2))
+    request->max_output_tokens = counts[1];
+  if (bd_numbers_read (hint_text, MAX_TOKENS, &hint, 1) && hint > 0)
+    request->output_tokens = hint;
   if (request->max_output_tokens > 0
       && request->output_tokens > request->max_output_tokens)
     request->output_tokens = request->max_output_tokens;
--- a/src/edge/target.c
+++ b/src/edge/target.c
@@ -1,6 +1,7 @@
 /* Targets: collects the load of the groups and endpoints that can serve a
    request, has placement/ choose one, and tracks the requests on each.  */
 
+#include "base/numbers.h"
 #include "edge/edge_internal.h"
 #include "placement/subset.h"
 
@@ -18,6 +19,8 @@
   SAMPLED_OTHERS = 8,
   /* Requests beyond its slots that may wait at a plain endpoint.  */
   MAX_ENDPOINT_QUEUE = 2,
+  /* Requests that run or wait at an endpoint.  Higher numbers are ignored.  */
+  MAX_LOAD = 1 << 20,
   /* Time for which the load that an endpoint reports is used.  */
   LOAD_FRESH_MS = 200,
   /* Usual response time of a plain endpoint.  */
@@ -456,14 +459,11 @@
 update_load (struct bd_edge *edge, struct bd_fleet_endpoint *endpoint,
              const char *text)
 {
-  unsigned running;
-  unsigned waiting;
-  unsigned slots;
+  uint32_t numbers[3]; /* Running, waiting, slots.  */
 
-  if (text == NULL
-      || sscanf (text, "%u,%u,%u", &running, &waiting, &slots) != 3)
+  if (!bd_numbers_read (text, MAX_LOAD, numbers, 3))
     return;
-  endpoint->load = running + waiting;
+  endpoint->load = numbers[0] + numbers[1];
   endpoint->load_updated_ms = bd_edge_now_ms (edge);
   endpoint->sent_since_load = 0;
 }
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -740,6 +740,8 @@
   if (worker->request_limit != NULL)
     *headers++ = (struct bd_http_header_field){ "Server-Limit",
                                                 worker->request_limit };
+  if (worker->load != NULL)
+    *headers++ = (struct bd_http_header_field){ "Server-Load", worker->load };
 }
 
 static void
@@ -753,6 +755,7 @@
           { "Response-Seal", worker->id },
           { NULL, NULL },
           { NULL, NULL },
+          { NULL, NULL },
           { NULL, NULL } };
 
   add_condition (worker, headers);
@@ -788,11 +791,10 @@
   const char *id = worker->mode == WORKER_WRONG_ID
                        ? "another"
                        : bd_http_header (x, "Attempt-Id");
-  struct bd_http_header_field headers[] = { { "Attempt-Id", id },
-                                            { "Response-Seal", worker->id },
-                                            { NULL, NULL },
-                                            { NULL, NULL },
-                                            { NULL, NULL } };
+  struct bd_http_header_field headers[]
+      = { { "Attempt-Id", id }, { "Response-Seal", worker->id },
+          { NULL, NULL },       { NULL, NULL },
+          { NULL, NULL },       { NULL, NULL } };
   const char *body = worker->mode == WORKER_WRONG_ID ? "another"
                      : worker->site->echoes_path     ? x->path
                                                      : worker->id;
@@ -1364,8 +1366,10 @@
   if (model != NULL)
     {
       headers[count++] = (struct bd_http_header_field){ "Model", model };
-      headers[count++]
-          = (struct bd_http_header_field){ "Token-Usage", "100,12" };
+      headers[count++] = (struct bd_http_header_field){
+        "Token-Usage",
+        site->token_counts != NULL ? site->token_counts : "100,12"
+      };
     }
   if (site->prompt_parts != NULL)
     headers[count++]
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -75,6 +75,7 @@
   const char *retry_after; /* Of its refusals; NULL for none.  */
   /* Requests a second that its responses allow; NULL for no limit.  */
   const char *request_limit;
+  const char *load;        /* In its responses; NULL for none.  */
   uint32_t order_delay_ms; /* Until it responds to an order.  */
   uint32_t report_lag_ms;  /* Age that its reports can have.  */
   bool has_odd_report;     /* Its reports contain the site's raw_value.  */
@@ -135,6 +136,7 @@
   bool echoes_path;     /* Responses and events contain the path.  */
   /* Value of the prompt's parts in site_call(), or NULL.  */
   const char *prompt_parts;
+  const char *token_counts; /* The same of its length; 100,12 if NULL.  */
   /* A worker that begins to run a request with this text in its path or its
      prompt's parts crashes after crash_delay_ms; NULL for none.  It is back
      SITE_RESTART_MS later, under its id.  */
