admission: a call is evicted only for one that fits then

What callers saw: with a queue that is bounded by bytes, a waiting call of another account was refused to make room for a large one that was then refused as well.

Cause: bd_queue_push() removed the last call of the longest flow, and looked afterwards whether the new one fits.

Evidence: admission_test, "a refused call evicts another", fails on the code before (4 asserts of 252).

Change: the eviction is made only if the new call fits in the place of the evicted one. A call larger than that place is refused, as before.

After: admission_test passes (252 asserts).

--- a/src/admission/admission_test.c
+++ b/src/admission/admission_test.c
@@ -64,6 +64,29 @@
   bd_queue_finish (&queue);
 }
 
+/* A call that does not fit even then evicts another one for nothing.  */
+static void
+test_refused_call_evicts_another (void)
+{
+  static struct bd_queue_item large = { .bytes = 90, .deadline_ms = 1000 };
+  struct bd_queue queue;
+  struct bd_queue_item *evicted;
+
+  bd_queue_init (&queue, 100, 100, 0);
+  for (uint32_t i = 0; i < 3; i++)
+    CU_ASSERT_EQUAL (push (&queue, i, "flood", 1, &evicted), BD_OK);
+  CU_ASSERT_EQUAL (bd_queue_push (&queue, &large, "other", 1, 0, &evicted),
+                   BD_ERR_OVERLOADED);
+  CU_ASSERT_PTR_NULL (evicted);
+  CU_ASSERT_EQUAL (queue.count, 3);
+  CU_ASSERT_EQUAL (queue.bytes, 30);
+  large.bytes = 80;
+  CU_ASSERT_EQUAL (bd_queue_push (&queue, &large, "other", 1, 0, &evicted),
+                   BD_OK);
+  CU_ASSERT_PTR_EQUAL (evicted, &calls[2]);
+  bd_queue_finish (&queue);
+}
+
 static void
 test_bytes_are_bounded (void)
 {
@@ -151,6 +174,7 @@
 static const struct unit_test tests[] = {
   { "weighted order", test_weighted_order },
   { "a flood evicts only its own calls", test_flood_evicts_only_own_calls },
+  { "a refused call evicts another", test_refused_call_evicts_another },
   { "bytes are bounded", test_bytes_are_bounded },
   { "an unreachable deadline", test_unreachable_deadline_is_refused },
   { "a limit is shared by demand", test_limit_is_shared_by_demand },
--- a/src/admission/queue.c
+++ b/src/admission/queue.c
@@ -104,8 +104,17 @@
          || queue->bytes + item->bytes > queue->max_bytes;
 }
 
+/* Whether item fits in the place of victim.  */
+static bool
+can_replace (const struct bd_queue *queue, const struct bd_queue_item *victim,
+             const struct bd_queue_item *item)
+{
+  return queue->count <= queue->max_count
+         && queue->bytes - victim->bytes + item->bytes <= queue->max_bytes;
+}
+
 /* Evicts the last call of an account with a longer backlog than flow, relative
-   to the weights.  Returns whether item fits then.  */
+   to the weights, if item fits then.  Returns whether it does.  */
 static bool
 evict (struct bd_queue *queue, const struct bd_queue_item *item,
        const struct bd_flow *flow, struct bd_queue_item **evicted)
@@ -114,11 +123,12 @@
 
   if (victim == NULL || victim->flow == flow
       || victim->flow->count / victim->flow->weight
-             <= (flow->count + 1) / flow->weight)
+             <= (flow->count + 1) / flow->weight
+      || !can_replace (queue, victim, item))
     return false;
   bd_queue_remove (queue, victim);
   *evicted = victim;
-  return !is_full (queue, item);
+  return true;
 }
 
 int64_t
--- a/src/admission/queue.h
+++ b/src/admission/queue.h
@@ -56,8 +56,8 @@
    Returns BD_OK; BD_ERR_OVERLOADED when the queue is full; or
    BD_ERR_DEADLINE_UNREACHABLE when the expected wait and service time exceed
    the time until deadline_ms.  *evicted is a call that was removed to free
-   capacity, which the caller has to refuse, or NULL.  It can be set also when
-   the result is BD_ERR_OVERLOADED.  */
+   capacity, which the caller has to refuse; NULL unless the result is BD_OK.
+ */
 enum bd_error bd_queue_push (struct bd_queue *queue,
                              struct bd_queue_item *item, const char *account,
                              double weight, int64_t now_ms,
