serve: a claim that is settled at once does not write into a freed call

What callers would see: a resend with the key of a call whose outcome the owner of the claims has in memory could damage any later call: the daemon wrote a pointer into memory that it had freed.

Cause: a loaded shard settles such a claim within bd_daemon_submit_claim(), whose `done` answers and frees the call. The function then returned the freed claim, and bd_job_claim() stored it in the freed call.

Evidence: the new path resend_settled under the address sanitizer, on the code before: heap-use-after-free in bd_job_claim. In the ordinary build it passes before and after: the write is silent there. at_most_once, under the sanitizer on the code before, passes: its resends come within the spacing of the commits, where the claim waits.

Change: bd_daemon_submit_claim() stores the pending claim through an argument before it goes on, and does not use it afterwards.

resend_settled joins the programs that `make sanitize` runs.

--- a/Makefile
+++ b/Makefile
@@ -121,7 +121,8 @@
 	@$(MAKE) --no-print-directory -j$$(nproc) build BUILD=build/sanitize \
 	  OPT='-O1 -g' SAN='-fsanitize=address,undefined -fno-omit-frame-pointer'
 	@BUILD=build/sanitize scripts/run-tests sanitize \
-	  $(TESTS_C:src/%.c=build/sanitize/tests/%) $(PLATFORM_TESTS_C:%.c=build/sanitize/tests/%) tests/paths/bad_input.sh
+	  $(TESTS_C:src/%.c=build/sanitize/tests/%) $(PLATFORM_TESTS_C:%.c=build/sanitize/tests/%) tests/paths/bad_input.sh \
+	  tests/paths/resend_settled.sh
 
 lint: deps
 	@scripts/lint
--- a/src/daemon/daemon_calls.c
+++ b/src/daemon/daemon_calls.c
@@ -63,7 +63,7 @@
       /* The job has ended and the call has not run, so the key is free.  */
       release.kind = BD_CLAIM_RELEASE;
       if (pending->claim.result == BD_CLAIM_GRANTED)
-        bd_daemon_submit_claim (pending->daemon, &release, NULL, NULL);
+        bd_daemon_submit_claim (pending->daemon, &release, NULL, NULL, NULL);
       return;
     }
   job->claim = NULL;
@@ -110,7 +110,7 @@
   bd_id_make (daemon->rng, job->call_id);
   memcpy (claim.key, job->claim_key, BD_ID_SIZE);
   memcpy (claim.id, job->call_id, BD_ID_SIZE);
-  job->claim = bd_daemon_submit_claim (daemon, &claim, handle_claim, job);
+  bd_daemon_submit_claim (daemon, &claim, handle_claim, job, &job->claim);
 }
 
 static void
--- a/src/daemon/daemon_claims.c
+++ b/src/daemon/daemon_claims.c
@@ -433,22 +433,22 @@
   finish_claim (private_data, BD_CLAIM_UNAVAILABLE);
 }
 
-struct bd_pending_claim *
+void
 bd_daemon_submit_claim (struct bd_daemon *daemon, const struct bd_claim *claim,
                         void (*done) (void *ctx,
                                       struct bd_pending_claim *pending),
-                        void *ctx)
+                        void *ctx, struct bd_pending_claim **out)
 {
   struct bd_pending_claim *pending
       = create_pending_claim (daemon, claim, done, ctx);
 
+  if (out != NULL)
+    *out = pending;
   if (claim->kind == BD_CLAIM_TAKE && !bd_store_is_up (&daemon->platform))
-    /* Fails at once, but only after the caller has received the pointer.  */
     pending->timer = bd_timer_add (daemon->events, pending, 0,
                                    handle_platform_down, pending);
   else
     route_claim (pending);
-  return pending;
 }
 
 static void
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -515,10 +515,14 @@
 
 /* bd_daemon_submit_claim(): records a claim, here or at the owner of its
    shard.  done, unless NULL, is called once, possibly before this returns; the
-   pending claim is freed after it.  */
-struct bd_pending_claim *bd_daemon_submit_claim (
-    struct bd_daemon *daemon, const struct bd_claim *claim,
-    void (*done) (void *ctx, struct bd_pending_claim *pending), void *ctx);
+   pending claim is freed after it.  Unless out is NULL, *out is the pending
+   claim; it is set before done is called and not used afterwards, so that done
+   may free what contains it.  */
+void bd_daemon_submit_claim (struct bd_daemon *daemon,
+                             const struct bd_claim *claim,
+                             void (*done) (void *ctx,
+                                           struct bd_pending_claim *pending),
+                             void *ctx, struct bd_pending_claim **out);
 
 /* bd_daemon_receive_claim(), bd_daemon_receive_claim_reply(): a claim
    forwarded by another daemon, and the reply to one forwarded to it.  */
--- a/src/daemon/daemon_jobs.c
+++ b/src/daemon/daemon_jobs.c
@@ -119,7 +119,7 @@
     return;
   memcpy (claim.key, job->claim_key, BD_ID_SIZE);
   memcpy (claim.id, job->call_id, BD_ID_SIZE);
-  bd_daemon_submit_claim (job->daemon, &claim, NULL, NULL);
+  bd_daemon_submit_claim (job->daemon, &claim, NULL, NULL, NULL);
 }
 
 void
