calls: events whose lines end with CR LF are found

What callers would see: a stream of an endpoint that ends its lines with CR LF, which the format allows, brought no event and ended as too long after 1 MiB, or as broken before.

Cause: the parser looked for two LF only. Seen by reading; no endpoint of a test did it.

Change: the first line of a stream decides how its lines end. A line with the other end is malformed, so that the head of a response that a failing endpoint writes into its stream of LF lines is still found; in a stream of CR LF lines a head within a line can be taken for the end of its event.

--- a/src/calls/calls_test.c
+++ b/src/calls/calls_test.c
@@ -180,6 +180,67 @@
   talloc_free (ctx);
 }
 
+/* Events whose lines end with CR LF, received byte by byte.  */
+static void
+test_events_with_cr_lf_are_not_found (void)
+{
+  static const char text[] = "id: 4\r\ndata: x\r\n\r\ndata: [DONE]\r\n\r\n";
+  void *ctx = talloc_new (NULL);
+  struct bd_sse sse;
+  struct bd_sse_event event;
+  uint32_t count = 0;
+
+  bd_sse_init (&sse, ctx);
+  for (size_t i = 0; i < sizeof text - 1; i++)
+    {
+      CU_ASSERT_TRUE (bd_sse_feed (&sse, text + i, 1));
+      if (!bd_sse_next (&sse, &event))
+        continue;
+      CU_ASSERT_FALSE (event.is_malformed);
+      CU_ASSERT_FALSE (event.is_comment);
+      CU_ASSERT_EQUAL (event.has_id, count == 0);
+      CU_ASSERT_EQUAL (event.is_end, count == 1);
+      CU_ASSERT_EQUAL (event.size, count == 0 ? 18 : 16);
+      count++;
+    }
+  CU_ASSERT_EQUAL (count, 2);
+  /* The next stream can have other line ends.  */
+  bd_sse_reset (&sse);
+  CU_ASSERT_TRUE (bd_sse_feed (&sse, "id: 5\n\n", 7));
+  CU_ASSERT_TRUE (bd_sse_next (&sse, &event));
+  CU_ASSERT_EQUAL (event.id, 5);
+  CU_ASSERT_FALSE (event.is_malformed);
+  talloc_free (ctx);
+}
+
+/* Line ends change within a stream: something else has been written into it.
+ */
+static void
+test_mixed_line_ends_are_taken_as_event (void)
+{
+  static const char *const texts[]
+      = { "id: 1\n\nid: 2\r\ndata: x\n\n",
+          "id: 1\r\n\r\nid: 2\ndata: x\r\n\r\n",
+          "id: 1\n\ndata: xHTTP/1.1 500 Error\r\n\r\noops\n\n",
+          "id: 1\r\n\r\nid: 2\rdata: x\r\n\r\n" };
+  void *ctx = talloc_new (NULL);
+  struct bd_sse sse;
+  struct bd_sse_event event;
+
+  bd_sse_init (&sse, ctx);
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      bd_sse_reset (&sse);
+      CU_ASSERT_TRUE (bd_sse_feed (&sse, texts[i], strlen (texts[i])));
+      CU_ASSERT_TRUE (bd_sse_next (&sse, &event));
+      CU_ASSERT_FALSE (event.is_malformed);
+      CU_ASSERT_TRUE (bd_sse_next (&sse, &event));
+      CU_ASSERT_TRUE (event.is_malformed);
+      CU_ASSERT_FALSE (bd_sse_next (&sse, &event));
+    }
+  talloc_free (ctx);
+}
+
 static void
 test_overlong_event_is_rejected (void)
 {
@@ -208,6 +269,9 @@
   { "events", test_events },
   { "malformed event is taken as event",
     test_malformed_event_is_taken_as_event },
+  { "events with CR LF are not found", test_events_with_cr_lf_are_not_found },
+  { "mixed line ends are taken as event",
+    test_mixed_line_ends_are_taken_as_event },
   { "an overlong event", test_overlong_event_is_rejected },
 };
 
--- a/src/calls/sse.c
+++ b/src/calls/sse.c
@@ -20,6 +20,7 @@
   sse->used = 0;
   sse->start = 0;
   sse->scanned = 0;
+  sse->has_line = false;
 }
 
 bool
@@ -72,8 +73,13 @@
 }
 
 static void
-parse_line (struct bd_sse_event *event, const char *line, size_t size)
+parse_line (struct bd_sse_event *event, const char *line, size_t size,
+            bool has_cr_lf)
 {
+  bool has_cr = size > 0 && line[size - 1] == '\r';
+
+  event->is_malformed = event->is_malformed || has_cr != has_cr_lf;
+  size -= has_cr && has_cr_lf;
   if (size == 0)
     return;
   event->is_malformed = event->is_malformed || !is_field (line, size);
@@ -88,7 +94,7 @@
 }
 
 static void
-parse_event (struct bd_sse_event *event)
+parse_event (struct bd_sse_event *event, bool has_cr_lf)
 {
   const char *line = event->text;
   const char *end = event->text + event->size;
@@ -99,29 +105,50 @@
       const char *newline = memchr (line, '\n', (size_t)(end - line));
       if (newline == NULL)
         break;
-      parse_line (event, line, (size_t)(newline - line));
+      parse_line (event, line, (size_t)(newline - line), has_cr_lf);
       line = newline + 1;
     }
 }
 
+/* Looks how the first line of the stream ends.  */
+static void
+find_line_end (struct bd_sse *sse)
+{
+  const char *start = sse->buffer + sse->start;
+  const char *newline = sse->used > sse->start
+                            ? memchr (start, '\n', sse->used - sse->start)
+                            : NULL;
+
+  sse->has_line = newline != NULL;
+  sse->has_cr_lf = newline != NULL && newline > start && newline[-1] == '\r';
+}
+
 bool
 bd_sse_next (struct bd_sse *sse, struct bd_sse_event *event)
 {
   size_t from = sse->scanned > sse->start ? sse->scanned : sse->start;
+  const char *end;
+  size_t end_size;
 
-  for (size_t i = from; i + 1 < sse->used; i++)
+  if (!sse->has_line)
+    find_line_end (sse);
+  end = sse->has_cr_lf ? "\r\n\r\n" : "\n\n";
+  end_size = strlen (end);
+  for (size_t i = from; i + end_size <= sse->used; i++)
     {
-      if (sse->buffer[i] != '\n' || sse->buffer[i + 1] != '\n')
+      if (sse->buffer[i] != end[0]
+          || memcmp (sse->buffer + i, end, end_size) != 0)
         continue;
       memset (event, 0, sizeof *event);
       event->text = sse->buffer + sse->start;
-      event->size = i + 2 - sse->start;
-      sse->start = i + 2;
+      event->size = i + end_size - sse->start;
+      sse->start = i + end_size;
       sse->scanned = sse->start;
-      parse_event (event);
+      parse_event (event, sse->has_cr_lf);
       return true;
     }
-  /* The last byte may be the first of the two newlines that end an event.  */
-  sse->scanned = sse->used > sse->start ? sse->used - 1 : sse->start;
+  /* The last bytes may be the first ones of the end of an event.  */
+  sse->scanned = sse->used - sse->start >= end_size ? sse->used - end_size + 1
+                                                    : sse->start;
   return false;
 }
--- a/src/calls/sse.h
+++ b/src/calls/sse.h
@@ -4,7 +4,8 @@
    event can be resumed after the last complete one.
 
    Pass received bytes to bd_sse_feed(), then call bd_sse_next() until it
-   returns false.  Events end with two newlines; CR LF is not supported.  */
+   returns false.  Lines end with LF or CR LF, by the first one of the
+   stream.  */
 
 #ifndef BD_CALLS_SSE_H
 #define BD_CALLS_SSE_H
@@ -27,6 +28,8 @@
   size_t start; /* First byte that was not returned yet.  */
   size_t capacity;
   size_t scanned; /* The end of an event is not before this byte.  */
+  bool has_line;  /* The first line has ended.  */
+  bool has_cr_lf;
 };
 
 /* One complete event.  */
@@ -38,8 +41,9 @@
   int64_t id;
   bool is_end;     /* "data: [DONE]".  */
   bool is_comment; /* It has no fields.  */
-  /* It has other lines than fields and comments.  An endpoint that fails may
-     write another response into its stream.  */
+  /* It has other lines than fields and comments, or other line ends than the
+     first line of the stream.  An endpoint that fails may write another
+     response into its stream.  */
   bool is_malformed;
 };
 
@@ -54,7 +58,8 @@
    none.  event->text is valid until the next call of bd_sse_feed().  */
 bool bd_sse_next (struct bd_sse *sse, struct bd_sse_event *event);
 
-/* bd_sse_reset(): discards the buffered rest of a broken stream.  */
+/* bd_sse_reset(): discards the buffered rest of a broken stream; what is fed
+   next is another stream.  */
 void bd_sse_reset (struct bd_sse *sse);
 
 #endif
