http: a test's time-outs do not depend on when the kernel acknowledges

connection_test, "a response keeps its idle time-out", failed once beside other work (load about 16), and 1 of 160 runs beside 16 busy processes, eight at a time.

Cause, inferred: the test checks time-outs with times that it makes up, in a few microseconds, while the kernel may still send and acknowledge what the caller has just made room for. Each such progress begins the time-out anew, as it should, so that the response outlasts the test's limit. A first change, which waited for the first acknowledgement only, failed 3 of 240 such runs.

Change: after the caller has taken its bytes the test waits until nothing more is acknowledged for 100 ms. Its assertions are as they were. The server is not changed.

--- a/src/http/connection_test.c
+++ b/src/http/connection_test.c
@@ -13,6 +13,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <linux/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/syscall.h>
@@ -33,6 +34,7 @@
   /* As much as the buffers of both sockets hold, and a little more.  */
   CLOSING_BYTES = 3 << 20,
   STEP_MS = 100,
+  SETTLE_MS = 100,
   WAIT_MS = 5000,
   ROUND_MS = 5
 };
@@ -320,6 +322,34 @@
   finish (&f);
 }
 
+/* Bytes of the response of which the server knows that they have arrived.  */
+static uint64_t
+bytes_acked (const struct fixture *f)
+{
+  struct tcp_info info;
+
+  bd_http_get_tcp_info (f->server.connections->fd, &info);
+  return info.tcpi_bytes_acked;
+}
+
+/* Waits until the kernel, which is slow on a busy machine, sends and
+   acknowledges no more.  */
+static void
+settle (struct fixture *f)
+{
+  uint64_t acked;
+
+  do
+    {
+      int64_t end_ms = get_now_ms () + SETTLE_MS;
+
+      acked = bytes_acked (f);
+      while (get_now_ms () < end_ms)
+        tevent_loop_once (f->events);
+    }
+  while (bytes_acked (f) != acked);
+}
+
 /* The caller reads a part of the response.  */
 static void
 take_bytes (struct fixture *f, int fd)
@@ -335,6 +365,7 @@
       taken += count > 0 ? (size_t)count : 0;
       tevent_loop_once (f->events);
     }
+  settle (f);
 }
 
 /* What a caller takes begins a new term.  */
