replicas: a donor is closed and finishes before it leaves

A move of instances between models dissolved its donors at once with the order to leave, which aborts what they run. The daemons then counted the broken attempts as crashes of endpoints. bd_plan_reassign() also set its reservation before it added the orders: with a full order array only some donors got one. And a move did not count as capacity of the model that it was for, so that slower moves would have led to more of them.

A reservation now names its donors. Each step orders what is due for them: close (with the queue) while open, leave once ready again, or after the longest timeout of the routes to the service. An order that finds no room, is refused or gets no answer is due again in a later step. The reservation lasts until then and 2.5 s more, and stages nothing else on the free endpoints. A move counts as capacity of its model. It is given up, and its donors open again, when too few endpoints are left in the domain or the donor's model has less capacity for its need than the other one. A new controller knows no moves; what it finds closed becomes ready and is formed again, as all groups of an earlier controller that are ready. Without a move, a closed group that is ready is opened. All daemons learn of a close by the message that announces dissolved groups, and then by the list.

A closing leader becomes ready without an order, which the view of the fleet took for an older report. A report of the confirmed version may now show that; one of a higher version is newer whatever it shows. Without this a close that was executed late left the group closed for ever (a test).

Ruled out: waiting for the count of requests in flight alone, as for a leaving member; requests that cross the close are not in it. The count only decides when the leader is probed.

The pool and the site play close orders; the site's leave order ends streams.

--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -493,6 +493,39 @@
             BD_NUM (now.cold), NULL);
 }
 
+static bool
+leads_to (const struct bd_route *route, const char *service)
+{
+  for (uint32_t i = 0; i < route->split_count; i++)
+    if (strcmp (route->splits[i].service, service) == 0)
+      return true;
+  return false;
+}
+
+/* Returns the longest time that a request to a service can take.  */
+static int64_t
+longest_request_ms (const struct bd_routes *routes, const char *service)
+{
+  int64_t longest_ms = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, routes->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const GPtrArray *of_host = value;
+
+      for (guint i = 0; i < of_host->len; i++)
+        {
+          const struct bd_route *route = of_host->pdata[i];
+
+          if (leads_to (route, service) && route->timeout_ms > longest_ms)
+            longest_ms = route->timeout_ms;
+        }
+    }
+  return longest_ms;
+}
+
 /* Whether the endpoint has asked this daemon to send nothing for now.  Orders
    and probes that are not sent are due again in the next step.  */
 static bool
@@ -519,6 +552,7 @@
     .is_controlled = is_in_data_centre,
     .ctx = controller,
     .stall_ms = edge->settings->bounds.stall_ms,
+    .close_limit_ms = longest_request_ms (edge->routes, pool->name),
     .now_ms = bd_edge_now_ms (edge),
   };
   uint32_t count;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -326,7 +326,8 @@
 }
 
 /* Applies the membership of a report whose version is not older than the
-   confirmed one.  A report can still be older than the list.  */
+   confirmed one.  A report can still be older than the list, which has no
+   versions.  */
 static void
 apply_reported_member (struct bd_fleet_endpoint *endpoint,
                        const struct bd_endpoint_entry *report,
@@ -335,7 +336,13 @@
   const struct bd_membership_view *reported = &report->member;
   const struct bd_membership_view *known = &endpoint->entry.member;
   struct bd_confirmed_state *confirmed = &endpoint->confirmed;
-  bool is_behind = reported->state != BD_MEMBER_NONE
+  /* A closing leader becomes ready again, without a further order.  */
+  bool has_closed = confirmed->is_current && known->state == BD_MEMBER_CLOSING
+                    && reported->state == BD_MEMBER_READY;
+  bool is_newer
+      = confirmed->is_current && report->version > confirmed->version;
+  bool is_behind = reported->state != BD_MEMBER_NONE && !is_newer
+                   && !has_closed
                    && (reported->epoch < known->epoch
                        || (is_in_same_group (reported, known)
                            && reported->state < known->state));
--- a/src/replicas/plan.c
+++ b/src/replicas/plan.c
@@ -21,8 +21,8 @@
   DEMAND_SETTLE_MS = 30000
 };
 
-static int32_t
-model_index (const struct bd_engine *engine, const char *name)
+int32_t
+bd_plan_model_index (const struct bd_engine *engine, const char *name)
 {
   for (uint32_t i = 0; i < engine->model_count; i++)
     if (strcmp (engine->models[i].name, name) == 0)
@@ -81,15 +81,16 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct bd_fleet_group *group = value;
-      int32_t model = model_index (input->engine, group->model);
+      int32_t model = bd_plan_model_index (input->engine, group->model);
       enum bd_group_phase phase;
 
       if (model < 0 || strcmp (group->service, input->service) != 0
-          || !bd_is_controlled_group (input, group))
+          || !bd_is_controlled_group (input, group)
+          || bd_is_donor (plan->step, group))
         continue;
       phase = bd_group_phase (input, group);
-      if (phase == BD_PHASE_OPEN || phase == BD_PHASE_READY
-          || phase == BD_PHASE_JOINING)
+      if (phase == BD_PHASE_OPEN || phase == BD_PHASE_CLOSING
+          || phase == BD_PHASE_READY || phase == BD_PHASE_JOINING)
         plan->capacity[model]++;
     }
   for (uint32_t i = 0; i < replicas->forming_count; i++)
@@ -97,12 +98,13 @@
       const struct bd_forming *forming = &replicas->forming[i];
       uint64_t hash = bd_fleet_group_hash (forming->name, forming->epoch);
       const struct bd_fleet_group *group = bd_fleet_group (input->fleet, hash);
-      int32_t model = model_index (input->engine, forming->model);
+      int32_t model = bd_plan_model_index (input->engine, forming->model);
 
       if (model >= 0
           && (group == NULL || group->member_count < forming->count))
         plan->capacity[model]++;
     }
+  bd_plan_count_moves (plan);
 }
 
 bool
@@ -323,8 +325,8 @@
         epoch = free->endpoint->entry.member.epoch;
     }
   bd_plan_end_reservation (
-      plan->step, plan->free[candidate->members[0]].endpoint->entry.domain,
-      model->name);
+      plan, plan->free[candidate->members[0]].endpoint->entry.domain,
+      (uint32_t)(model - plan->step->input->engine->models));
   replicas->epoch = epoch + 1;
   forming->epoch = replicas->epoch;
   /* A random name is unique even if another controller is active.  */
--- a/src/replicas/plan_internal.h
+++ b/src/replicas/plan_internal.h
@@ -42,16 +42,32 @@
  */
 bool bd_plan_is_settling (const struct bd_replicas_input *input);
 
-/* reassign.c: dissolves groups of a model with more capacity for its need, so
-   that a group of this model can be formed in their domain.  */
+/* reassign.c: starts to dissolve groups of a model with more capacity for its
+   need, so that a group of this model can be formed in their domain.  */
 void bd_plan_reassign (struct plan *plan, uint32_t model);
 
+/* bd_plan_count_moves(): counts the groups that are being dissolved for
+   another model as its capacity.  Gives up the moves that have too few
+   endpoints left for a group, and those from a model that now has less
+   capacity for its need than the other one.  */
+void bd_plan_count_moves (struct plan *plan);
+
 /* bd_plan_is_reserved(): whether the free endpoints of a domain are reserved
    for a model other than this one.  They are while groups of the domain are
    being dissolved for that model.  */
 bool bd_plan_is_reserved (const struct bd_replicas_step *step,
                           const char *domain, const char *model);
-void bd_plan_end_reservation (const struct bd_replicas_step *step,
-                              const char *domain, const char *model);
+
+/* bd_plan_has_move(): whether the free endpoints of a domain are reserved.  */
+bool bd_plan_has_move (const struct bd_replicas_step *step,
+                       const char *domain);
+
+/* bd_plan_end_reservation(): a group of the model at this index is being
+   formed in the domain.  */
+void bd_plan_end_reservation (struct plan *plan, const char *domain,
+                              uint32_t model);
+
+/* bd_plan_model_index(): returns the index of a model, or -1.  */
+int32_t bd_plan_model_index (const struct bd_engine *engine, const char *name);
 
 #endif
--- a/src/replicas/reassign.c
+++ b/src/replicas/reassign.c
@@ -4,7 +4,8 @@
    Designed for a large replica that loses one of its many members.  The
    remaining members are too few for a group of their model; together with the
    members of a small replica of the same domain they can form a large replica
-   again.  */
+   again.  The small replica, the donor, is closed and finishes its requests
+   before it is dissolved.  */
 
 #include "replicas/plan_internal.h"
 
@@ -12,10 +13,9 @@
 
 enum
 {
-  /* How long the free endpoints of a domain are reserved while the members of
-     the dissolved groups leave their groups.  */
-  RESERVATION_MS = 2500,
-  MAX_DONORS = 8
+  /* How long the free endpoints of a domain are reserved beyond the closing of
+     the donors, while their members leave them.  */
+  RESERVATION_MS = 2500
 };
 
 /* After giving up a group, the donor model's ratio of capacity to need must
@@ -28,18 +28,25 @@
 {
   const char *domain;
   uint32_t free_count; /* Free endpoints that can join without a load.  */
-  struct bd_fleet_group *donors[MAX_DONORS];
+  struct bd_fleet_group *donors[BD_REPLICAS_MAX_DONORS];
   uint32_t donor_count;
   uint32_t in_flight; /* Requests on the donors, of all daemons.  */
 };
 
+static bool
+is_active (const struct bd_replicas_step *step,
+           const struct bd_reservation *entry)
+{
+  return entry->until_ms > step->input->now_ms;
+}
+
 static struct bd_reservation *
 find_reservation (const struct bd_replicas_step *step, const char *domain)
 {
   struct bd_replicas *replicas = step->replicas;
 
   for (uint32_t i = 0; i < BD_REPLICAS_MAX_RESERVED; i++)
-    if (replicas->reserved[i].until_ms > step->input->now_ms
+    if (is_active (step, &replicas->reserved[i])
         && strcmp (replicas->reserved[i].domain, domain) == 0)
       return &replicas->reserved[i];
   return NULL;
@@ -54,18 +61,183 @@
   return found != NULL && strcmp (found->model, model) != 0;
 }
 
+bool
+bd_plan_has_move (const struct bd_replicas_step *step, const char *domain)
+{
+  return find_reservation (step, domain) != NULL;
+}
+
 void
-bd_plan_end_reservation (const struct bd_replicas_step *step,
-                         const char *domain, const char *model)
+bd_plan_end_reservation (struct plan *plan, const char *domain, uint32_t model)
 {
-  struct bd_reservation *found = find_reservation (step, domain);
+  struct bd_reservation *found = find_reservation (plan->step, domain);
+
+  if (found == NULL
+      || strcmp (found->model, plan->step->input->engine->models[model].name)
+             != 0)
+    return;
+  found->until_ms = 0;
+  plan->capacity[model]--;
+}
 
-  if (found != NULL && strcmp (found->model, model) == 0)
-    found->until_ms = 0;
+static bool
+has_donor (const struct bd_reservation *entry, uint64_t hash)
+{
+  for (uint32_t i = 0; i < entry->donor_count; i++)
+    if (entry->donors[i] == hash)
+      return true;
+  return false;
 }
 
+static const struct bd_reservation *
+find_donation (const struct bd_replicas_step *step,
+               const struct bd_fleet_group *group)
+{
+  const struct bd_replicas *replicas = step->replicas;
+
+  for (uint32_t i = 0; i < BD_REPLICAS_MAX_RESERVED; i++)
+    if (is_active (step, &replicas->reserved[i])
+        && has_donor (&replicas->reserved[i], group->hash))
+      return &replicas->reserved[i];
+  return NULL;
+}
+
+bool
+bd_is_donor (const struct bd_replicas_step *step,
+             const struct bd_fleet_group *group)
+{
+  return find_donation (step, group) != NULL;
+}
+
+void
+bd_reconcile_donor (struct bd_replicas_step *step,
+                    const struct bd_fleet_group *group,
+                    enum bd_group_phase phase)
+{
+  const struct bd_reservation *entry = find_donation (step, group);
+  static const char reason[] = "another model needs it";
+
+  if (phase == BD_PHASE_OPEN)
+    bd_order_leader (step, group, BD_ORDER_CLOSE, reason);
+  else if (phase == BD_PHASE_READY
+           || step->input->now_ms >= entry->close_until_ms)
+    bd_order_leader (step, group, BD_ORDER_LEAVE, reason);
+}
+
+/* Whether an endpoint of the domain can become a member of the new group: it
+   is in no group, or in a donor.  */
+static bool
+is_available_to_move (const struct plan *plan,
+                      const struct bd_reservation *entry,
+                      const struct bd_fleet_endpoint *endpoint,
+                      const struct bd_engine_model *model)
+{
+  const struct bd_replicas_input *input = plan->step->input;
+  const struct bd_membership_view *member = &endpoint->entry.member;
+
+  if (!endpoint->is_listed || endpoint->entry.is_draining
+      || endpoint->liveness == BD_LIVENESS_DEAD
+      || !bd_is_controlled (input, endpoint)
+      || strcmp (endpoint->entry.domain, entry->domain) != 0
+      || bd_join_ms (input, endpoint, model) < 0
+      || bd_find_forming (plan->step->replicas, endpoint->entry.id) != NULL)
+    return false;
+  return has_donor (entry, bd_fleet_group_hash (member->group, member->epoch))
+         || bd_is_released (plan->step->replicas, input, endpoint);
+}
+
+static bool
+has_enough_endpoints (const struct plan *plan,
+                      const struct bd_reservation *entry,
+                      const struct bd_engine_model *model)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, plan->step->input->fleet->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += is_available_to_move (plan, entry, value, model);
+  return count >= model->members;
+}
+
+/* Whether the model of a donor now has less capacity for its need than the
+   model at index, which the move does not count for yet.  */
+static bool
+is_needed_again (const struct plan *plan, const struct bd_reservation *entry,
+                 uint32_t index)
+{
+  const struct bd_replicas_input *input = plan->step->input;
+
+  for (uint32_t i = 0; i < entry->donor_count; i++)
+    {
+      const struct bd_fleet_group *donor
+          = bd_fleet_group (input->fleet, entry->donors[i]);
+      int32_t model = donor != NULL
+                          ? bd_plan_model_index (input->engine, donor->model)
+                          : -1;
+
+      if (model >= 0
+          && plan->capacity[model] / plan->need[model]
+                 < plan->capacity[index] / plan->need[index])
+        return true;
+    }
+  return false;
+}
+
+/* Counts the donors that can be opened again as capacity of their models.  */
 static void
-reserve (const struct bd_replicas_step *step, const char *domain,
+count_donors (struct plan *plan, const struct bd_reservation *entry)
+{
+  const struct bd_replicas_input *input = plan->step->input;
+
+  for (uint32_t i = 0; i < entry->donor_count; i++)
+    {
+      const struct bd_fleet_group *donor
+          = bd_fleet_group (input->fleet, entry->donors[i]);
+      enum bd_group_phase phase;
+      int32_t model;
+
+      if (donor == NULL)
+        continue;
+      phase = bd_group_phase (input, donor);
+      model = bd_plan_model_index (input->engine, donor->model);
+      if (model >= 0
+          && (phase == BD_PHASE_OPEN || phase == BD_PHASE_CLOSING
+              || phase == BD_PHASE_READY))
+        plan->capacity[model]++;
+    }
+}
+
+void
+bd_plan_count_moves (struct plan *plan)
+{
+  const struct bd_replicas_input *input = plan->step->input;
+  struct bd_replicas *replicas = plan->step->replicas;
+
+  for (uint32_t i = 0; i < BD_REPLICAS_MAX_RESERVED; i++)
+    {
+      struct bd_reservation *entry = &replicas->reserved[i];
+      int32_t index;
+
+      if (!is_active (plan->step, entry))
+        continue;
+      index = bd_plan_model_index (input->engine, entry->model);
+      if (index < 0
+          || !has_enough_endpoints (plan, entry, &input->engine->models[index])
+          || is_needed_again (plan, entry, (uint32_t)index))
+        {
+          entry->until_ms = 0;
+          count_donors (plan, entry);
+        }
+      else
+        plan->capacity[index]++;
+    }
+}
+
+/* Returns whether there was room for the reservation.  */
+static bool
+reserve (const struct bd_replicas_step *step, const struct move *move,
          const char *model)
 {
   struct bd_replicas *replicas = step->replicas;
@@ -74,13 +246,19 @@
     {
       struct bd_reservation *entry = &replicas->reserved[i];
 
-      if (entry->until_ms > step->input->now_ms)
+      if (is_active (step, entry))
         continue;
-      bd_name_copy (entry->domain, domain);
+      bd_name_copy (entry->domain, move->domain);
       bd_name_copy (entry->model, model);
-      entry->until_ms = step->input->now_ms + RESERVATION_MS;
-      return;
+      entry->donor_count = move->donor_count;
+      for (uint32_t d = 0; d < move->donor_count; d++)
+        entry->donors[d] = move->donors[d]->hash;
+      entry->close_until_ms
+          = step->input->now_ms + step->input->close_limit_ms;
+      entry->until_ms = entry->close_until_ms + RESERVATION_MS;
+      return true;
     }
+  return false;
 }
 
 /* Whether a group is open, serves another model, and has all its members in
@@ -177,7 +355,7 @@
   move->domain = domain;
   count_free (plan, move, model);
   found = move->free_count;
-  while (found < model->members && move->donor_count < MAX_DONORS)
+  while (found < model->members && move->donor_count < BD_REPLICAS_MAX_DONORS)
     {
       struct bd_fleet_group *donor = next_donor (plan, move, index);
 
@@ -237,20 +415,18 @@
   if (!input->has_traffic
       || input->now_ms - step->replicas->last_move_ms
              < BD_REPLICAS_MOVE_INTERVAL_MS
-      || !best_move (plan, model, &move))
+      || !best_move (plan, model, &move)
+      || !reserve (step, &move, input->engine->models[model].name))
     return;
   step->replicas->last_move_ms = input->now_ms;
-  reserve (step, move.domain, input->engine->models[model].name);
+  plan->capacity[model]++;
   for (uint32_t i = 0; i < move.donor_count; i++)
     {
-      const struct bd_fleet_group *donor = move.donors[i];
-      struct bd_order *order = bd_replicas_add_order (
-          step, BD_ORDER_LEAVE, donor->members[0], "another model needs it");
-
-      if (order == NULL)
-        return;
-      bd_name_copy (order->group, donor->name);
-      bd_name_copy (order->model, donor->model);
-      order->epoch = donor->epoch;
+      int32_t donor
+          = bd_plan_model_index (input->engine, move.donors[i]->model);
+
+      if (donor >= 0)
+        plan->capacity[donor]--;
+      bd_reconcile_donor (step, move.donors[i], BD_PHASE_OPEN);
     }
 }
--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -216,8 +216,10 @@
     {
       enum bd_member_state state = group->members[0]->entry.member.state;
 
-      if (state == BD_MEMBER_OPEN || state == BD_MEMBER_CLOSING)
+      if (state == BD_MEMBER_OPEN)
         return BD_PHASE_OPEN;
+      if (state == BD_MEMBER_CLOSING)
+        return BD_PHASE_CLOSING;
       return is_ready ? BD_PHASE_READY : BD_PHASE_JOINING;
     }
   if (!can_leader_serve (input, group))
@@ -256,11 +258,10 @@
   order->epoch = group->epoch;
 }
 
-/* Does nothing, too, while the leader's state is not confirmed.  */
-static void
-order_leader (struct bd_replicas_step *step,
-              const struct bd_fleet_group *group, enum bd_order_kind kind,
-              const char *reason)
+void
+bd_order_leader (struct bd_replicas_step *step,
+                 const struct bd_fleet_group *group, enum bd_order_kind kind,
+                 const char *reason)
 {
   struct bd_fleet_endpoint *leader = bd_group_leader (step->input, group);
 
@@ -401,13 +402,13 @@
   switch (decide_open (step->replicas, group))
     {
     case OPEN_NOW:
-      order_leader (step, group, BD_ORDER_OPEN, "every member is ready");
+      bd_order_leader (step, group, BD_ORDER_OPEN, "every member is ready");
       break;
     case OPEN_LATER:
       break;
     case OPEN_NEVER:
-      order_leader (step, group, BD_ORDER_LEAVE,
-                    "a delayed join can remove a member");
+      bd_order_leader (step, group, BD_ORDER_LEAVE,
+                       "a delayed join can remove a member");
       break;
     }
 }
@@ -423,29 +424,39 @@
   return false;
 }
 
-/* Opens a ready group; dissolves a group that has lost a member.  */
+/* Opens a ready group; dissolves a group that has lost a member, or that
+   another model needs.  */
 static void
 reconcile_group (struct bd_replicas_step *step, struct bd_fleet_group *group)
 {
-  switch (bd_group_phase (step->input, group))
+  enum bd_group_phase phase = bd_group_phase (step->input, group);
+
+  switch (phase)
     {
     case BD_PHASE_READY:
-      reconcile_ready_group (step, group);
+      if (bd_is_donor (step, group))
+        bd_reconcile_donor (step, group, phase);
+      else
+        reconcile_ready_group (step, group);
+      break;
+    case BD_PHASE_OPEN:
+    case BD_PHASE_CLOSING:
+      if (bd_is_donor (step, group))
+        bd_reconcile_donor (step, group, phase);
       break;
     case BD_PHASE_INCOMPLETE:
       if (!is_forming (step->replicas, group)
           && !is_relisting_expected (step->input, group))
-        order_leader (step, group, BD_ORDER_LEAVE, "a member is lost");
+        bd_order_leader (step, group, BD_ORDER_LEAVE, "a member is lost");
       break;
     case BD_PHASE_LEAVING:
       if (group->in_flight + group->peers_in_flight == 0)
-        order_leader (step, group, BD_ORDER_LEAVE, "a member is leaving");
+        bd_order_leader (step, group, BD_ORDER_LEAVE, "a member is leaving");
       break;
     case BD_PHASE_RELEASED:
       release_members (step, group);
       break;
     case BD_PHASE_JOINING:
-    case BD_PHASE_OPEN:
       break;
     }
 }
@@ -648,6 +659,20 @@
     member->state = BD_MEMBER_NONE;
 }
 
+/* A closed leader is closing, or ready again when it had nothing to finish;
+   reports tell.  */
+static void
+apply_close (struct bd_fleet_endpoint *endpoint, const struct bd_order *order,
+             enum bd_order_result result)
+{
+  struct bd_membership_view *member = &endpoint->entry.member;
+
+  confirm_order (endpoint, order, result == BD_ORDER_ACCEPTED);
+  if (member->state == BD_MEMBER_OPEN && member->epoch == order->epoch
+      && strcmp (member->group, order->group) == 0)
+    member->state = BD_MEMBER_CLOSING;
+}
+
 /* Applies the effect of an accepted order to the endpoint's entry, until the
    endpoint reports its state.  */
 static void
@@ -673,8 +698,10 @@
       endpoint->is_staging = result == BD_ORDER_ACCEPTED;
       bd_name_copy (endpoint->staging_model, order->model);
       break;
-    case BD_ORDER_NONE:
     case BD_ORDER_CLOSE:
+      apply_close (endpoint, order, result);
+      break;
+    case BD_ORDER_NONE:
       break;
     }
 }
@@ -770,6 +797,22 @@
                 >= input->engine->form_ms;
 }
 
+/* Whether a closed leader is expected to have finished: no daemon waits for a
+   response of its group.  */
+static bool
+is_close_due (const struct bd_replicas_input *input,
+              const struct bd_fleet_endpoint *endpoint)
+{
+  const struct bd_membership_view *member = &endpoint->entry.member;
+  const struct bd_fleet_group *group;
+
+  if (member->state != BD_MEMBER_CLOSING)
+    return false;
+  group = bd_fleet_group (input->fleet,
+                          bd_fleet_group_hash (member->group, member->epoch));
+  return group != NULL && group->in_flight + group->peers_in_flight == 0;
+}
+
 /* An endpoint that is no longer listed can still lead a group.  */
 static bool
 is_unlisted_member (const struct bd_fleet_endpoint *endpoint)
@@ -837,8 +880,8 @@
     return true;
   return elapsed_ms >= PROBE_INTERVAL_MS
          && (endpoint->confirmed.is_report_needed
-             || is_ready_due (input, endpoint)
-             || is_open_due (input, endpoint));
+             || is_ready_due (input, endpoint) || is_open_due (input, endpoint)
+             || is_close_due (input, endpoint));
 }
 
 uint32_t
@@ -879,6 +922,9 @@
     case BD_PHASE_OPEN:
       summary->open[index]++;
       break;
+    case BD_PHASE_CLOSING:
+      summary->closing[index]++;
+      break;
     case BD_PHASE_READY:
     case BD_PHASE_JOINING:
       summary->forming[index]++;
--- a/src/replicas/replicas.h
+++ b/src/replicas/replicas.h
@@ -10,6 +10,9 @@
    - A group name is used for one list of members only.
    - A leader is ordered to open only after every member has reported that it
      is ready under this name and epoch.
+   - A group that another model needs is closed first.  It leaves when it has
+     finished its requests, or after close_limit_ms.  A move that has become
+     impossible or needless is given up, and its donors are opened again.
    - A member is ordered into another group only when it has left its old one,
      or the leader of that group has confirmed that it has left or is broken,
      and no earlier controller has formed it.
@@ -71,6 +74,7 @@
 {
   BD_REPLICAS_MAX_FORMING = 256,
   BD_REPLICAS_MAX_RESERVED = 32,
+  BD_REPLICAS_MAX_DONORS = 8,
   /* Limit on the groups that one controller forms in its term.  */
   BD_REPLICAS_EPOCHS_PER_TERM = 1 << 20,
   /* Minimum time between two moves of capacity from one model to another: the
@@ -89,11 +93,15 @@
   int64_t started_ms;
 };
 
-/* A domain whose free endpoints are reserved for one model.  */
+/* A move: a domain whose free endpoints are reserved for one model, while
+   groups of other models, the donors, are closed and dissolved for it.  */
 struct bd_reservation
 {
   char domain[BD_NAME_SIZE];
   char model[BD_NAME_SIZE];
+  uint64_t donors[BD_REPLICAS_MAX_DONORS]; /* Hashes of the groups.  */
+  uint32_t donor_count;
+  int64_t close_until_ms; /* Then donors that are not empty leave, too.  */
   int64_t until_ms;
 };
 
@@ -124,6 +132,9 @@
   bool (*is_controlled) (void *ctx, const char *data_centre);
   void *ctx;
   int64_t stall_ms; /* A group without progress for this long is broken.  */
+  /* A group that was closed this long ago is dissolved with the requests
+     that it still runs.  */
+  int64_t close_limit_ms;
   int64_t now_ms;
 };
 
@@ -132,7 +143,8 @@
 {
   uint32_t open[BD_ENGINE_MAX_MODELS];
   uint32_t forming[BD_ENGINE_MAX_MODELS];
-  uint32_t broken[BD_ENGINE_MAX_MODELS]; /* Groups that lack a member.  */
+  uint32_t closing[BD_ENGINE_MAX_MODELS]; /* Take no new requests.  */
+  uint32_t broken[BD_ENGINE_MAX_MODELS];  /* Groups that lack a member.  */
   /* Share of each model in the offered load of the whole pool.  */
   uint32_t wanted_percent[BD_ENGINE_MAX_MODELS];
   uint32_t free; /* Available, in no group, with weights on the host.  */
--- a/src/replicas/replicas_internal.h
+++ b/src/replicas/replicas_internal.h
@@ -20,7 +20,8 @@
 {
   BD_PHASE_JOINING,    /* Complete; at least one member is not ready.  */
   BD_PHASE_READY,      /* Every member is ready; not open.  */
-  BD_PHASE_OPEN,       /* Serves requests, or finishes the current ones.  */
+  BD_PHASE_OPEN,       /* Serves requests.  */
+  BD_PHASE_CLOSING,    /* Takes no new requests; finishes the current ones.  */
   BD_PHASE_LEAVING,    /* Complete; a member is draining and the leader can
                           still serve.  */
   BD_PHASE_INCOMPLETE, /* A member is missing, dead or broken; the leader can
@@ -74,6 +75,23 @@
                                         const struct bd_fleet_endpoint *to,
                                         const char *reason);
 
+/* bd_order_leader(): adds an order to the leader of a group.  Does nothing
+   while the leader's state is not confirmed, it has a pending order, or the
+   same order was sent recently.  */
+void bd_order_leader (struct bd_replicas_step *step,
+                      const struct bd_fleet_group *group,
+                      enum bd_order_kind kind, const char *reason);
+
+/* bd_is_donor(): whether the group is to be dissolved for another model.  */
+bool bd_is_donor (const struct bd_replicas_step *step,
+                  const struct bd_fleet_group *group);
+
+/* bd_reconcile_donor(): adds the order that is due for a donor in a phase in
+   which it has all its members.  */
+void bd_reconcile_donor (struct bd_replicas_step *step,
+                         const struct bd_fleet_group *group,
+                         enum bd_group_phase phase);
+
 /* bd_find_forming(): returns the group being formed that has the endpoint as a
    member, or NULL.  */
 struct bd_forming *bd_find_forming (struct bd_replicas *replicas,
--- a/src/replicas/replicas_properties.cc
+++ b/src/replicas/replicas_properties.cc
@@ -13,6 +13,12 @@
 #include <cstdio>
 #include <cstring>
 
+enum
+{
+  /* The pool's limit on closing, and time to leave or to open again.  */
+  MAX_CLOSED_MS = POOL_CLOSE_LIMIT_MS + 4000
+};
+
 static struct pool pool;
 
 /* Cuts off a part of the pool from the controller; its entries stay.  With a
@@ -83,6 +89,10 @@
     case 9:
       pool.members[index % pool.count].entry.is_draining = true;
       break;
+    case 10:
+      pool.demand[0] = 1;
+      pool.demand[1] = 1 + index % 8;
+      break;
     default:
       pool_run (&pool, 50 * (1 + index % 60));
       break;
@@ -95,7 +105,7 @@
 {
   auto seed = *rc::gen::inRange<uint32_t> (1, 1000000);
   auto steps = *rc::gen::container<std::vector<std::pair<int, uint32_t> > > (
-      rc::gen::pair (rc::gen::inRange (0, 14),
+      rc::gen::pair (rc::gen::inRange (0, 15),
                      rc::gen::inRange<uint32_t> (0, 1000)));
 
   pool_init (&pool, 2, 10, seed);
@@ -103,6 +113,7 @@
   pool.report_lag_ms = report_lag_ms;
   pool_run (&pool, 5000);
   pool.has_traffic = true;
+  pool.work_ms = *rc::gen::inRange<int64_t> (0, 7000);
   for (const auto &step : steps)
     {
       disturb (step.first, step.second);
@@ -110,11 +121,15 @@
     }
   heal ();
   pool.delayed_share = 0;
+  pool.longest_closed_ms = 0;
+  for (uint32_t i = 0; i < pool.count; i++)
+    pool.members[i].closed_since_ms = 0;
   pool_run (&pool, 20000);
   if (pool.stolen_joins + pool.partial_opens > 0)
     RC_LOG () << pool.violation << std::endl;
   RC_ASSERT (pool.stolen_joins == 0);
   RC_ASSERT (pool.partial_opens == 0);
+  RC_ASSERT (pool.longest_closed_ms <= MAX_CLOSED_MS);
   pool_finish (&pool);
 }
 
--- a/src/replicas/replicas_test.c
+++ b/src/replicas/replicas_test.c
@@ -242,6 +242,208 @@
     }
 }
 
+/* Splits the pool, with requests of work_ms on every group, and then changes
+   the demand so that a domain's two small groups are wanted as a large one. */
+static void
+start_move (int64_t work_ms)
+{
+  pool_init (&pool, 2, 10, 9);
+  pool.demand[0] = 1.0;
+  pool.demand[1] = 4.0;
+  pool_run (&pool, 8000);
+  pool.has_traffic = true;
+  pool.work_ms = work_ms;
+  CU_ASSERT_EQUAL (pool_count_open_groups (&pool, "large"), 2);
+  CU_ASSERT_EQUAL (pool_count_open_groups (&pool, "small"), 6);
+  pool.joins = 0;
+  pool.demand[1] = 1.6;
+}
+
+static void
+check_moved (void)
+{
+  CU_ASSERT_EQUAL (pool_count_open_groups (&pool, "large"), 3);
+  CU_ASSERT_EQUAL (pool_count_open_groups (&pool, "small"), 4);
+  CU_ASSERT_EQUAL (pool.joins, 4);
+  check_invariants ();
+}
+
+static void
+test_move_cuts_running_requests (void)
+{
+  start_move (4000);
+  pool_run (&pool, 12000);
+  CU_ASSERT_EQUAL (pool.cut_groups, 0);
+  check_moved ();
+  pool_finish (&pool);
+}
+
+/* The list shows the closed leaders late.  */
+static void
+test_move_cuts_running_requests_with_lag (void)
+{
+  start_move (4000);
+  pool.list_lag_ms = 1500;
+  pool.report_lag_ms = 200;
+  pool_run (&pool, 20000);
+  CU_ASSERT_EQUAL (pool.cut_groups, 0);
+  check_moved ();
+  pool_finish (&pool);
+}
+
+/* Returns the large groups of a pool after its demand has changed.  */
+static uint32_t
+large_groups_after_change (int64_t work_ms)
+{
+  uint32_t count;
+
+  pool_init (&pool, 6, 10, 9);
+  pool.demand[0] = 1.0;
+  pool.demand[1] = 4.0;
+  pool_run (&pool, 8000);
+  pool.has_traffic = true;
+  pool_run (&pool, 12000);
+  pool.work_ms = work_ms;
+  pool.joins = 0;
+  pool.demand[1] = 2.2;
+  pool_run (&pool, 20000);
+  count = pool_count_open_groups (&pool, "large");
+  CU_ASSERT_EQUAL (pool.cut_groups, 0);
+  CU_ASSERT_EQUAL (capacity (), 60);
+  CU_ASSERT_TRUE (pool.joins > 0);
+  pool.joins = 0;
+  pool_run (&pool, 20000);
+  CU_ASSERT_EQUAL (pool.joins, 0);
+  check_invariants ();
+  pool_finish (&pool);
+  return count;
+}
+
+/* While donors finish, no further domain is taken apart for the same need.  */
+static void
+test_long_close_moves_too_much (void)
+{
+  CU_ASSERT_EQUAL (large_groups_after_change (7000),
+                   large_groups_after_change (0));
+}
+
+/* A request that never ends does not hold a move for ever.  */
+static void
+test_endless_request_stops_move (void)
+{
+  start_move (600000);
+  pool_run (&pool, 7000);
+  CU_ASSERT_EQUAL (pool.cut_groups, 0);
+  CU_ASSERT_EQUAL (pool.joins, 0);
+  pool_run (&pool, 5000);
+  CU_ASSERT_EQUAL (pool.cut_groups, 2);
+  check_moved ();
+  pool_finish (&pool);
+}
+
+static void
+test_full_order_array_splits_move (void)
+{
+  start_move (2000);
+  pool.max_orders = 1;
+  pool_run (&pool, 12000);
+  CU_ASSERT_EQUAL (pool.cut_groups, 0);
+  check_moved ();
+  pool_finish (&pool);
+}
+
+/* Runs until donors are closing.  */
+static void
+run_until_closing (void)
+{
+  for (uint32_t i = 0;
+       i < 100 && pool_count_groups (&pool, BD_MEMBER_CLOSING) < 2; i++)
+    pool_run (&pool, 50);
+  CU_ASSERT_EQUAL (pool_count_groups (&pool, BD_MEMBER_CLOSING), 2);
+}
+
+static void
+check_all_serve (void)
+{
+  CU_ASSERT_EQUAL (pool_count_groups (&pool, BD_MEMBER_CLOSING), 0);
+  CU_ASSERT_EQUAL (pool_count_groups (&pool, BD_MEMBER_READY), 0);
+  CU_ASSERT_EQUAL (pool.cut_groups, 0);
+  check_invariants ();
+}
+
+static void
+test_new_controller_leaves_donors_closed (void)
+{
+  start_move (4000);
+  run_until_closing ();
+  pool_restart_controller (&pool);
+  pool_run (&pool, 3000);
+  CU_ASSERT_EQUAL (pool.joins, 0);
+  pool_run (&pool, 15000);
+  CU_ASSERT_EQUAL (capacity (), 20);
+  check_all_serve ();
+  pool_finish (&pool);
+}
+
+/* Without a donor's member the group cannot be formed; the other donor serves
+   again, and the free endpoints are not reserved any more.  */
+static void
+test_lost_donor_keeps_the_others_closed (void)
+{
+  uint32_t lost = 0;
+
+  start_move (4000);
+  run_until_closing ();
+  while (lost + 1 < pool.count
+         && pool.members[lost].entry.member.state != BD_MEMBER_CLOSING)
+    lost++;
+  pool_lose_instance (&pool, lost);
+  pool_run (&pool, 7000);
+  CU_ASSERT_EQUAL (pool_count_open_groups (&pool, "large"), 2);
+  CU_ASSERT_EQUAL (pool_count_open_groups (&pool, "small"), 5);
+  check_all_serve ();
+  pool_finish (&pool);
+}
+
+static void
+test_donors_that_are_needed_again_stay_closed (void)
+{
+  start_move (4000);
+  run_until_closing ();
+  pool.demand[1] = 4.0;
+  pool_run (&pool, 7000);
+  CU_ASSERT_EQUAL (pool_count_open_groups (&pool, "large"), 2);
+  CU_ASSERT_EQUAL (pool_count_open_groups (&pool, "small"), 6);
+  CU_ASSERT_EQUAL (pool.joins, 0);
+  check_all_serve ();
+  pool_finish (&pool);
+}
+
+/* A close order without a reply is executed late, when the group is not to be
+   moved any more; reports show it, and the list skips the short closing.  */
+static void
+test_late_close_leaves_group_closed (void)
+{
+  for (int64_t delay_ms = 100; delay_ms < 3000; delay_ms += 300)
+    {
+      uint32_t leader;
+
+      make_ready (12);
+      pool_run (&pool, 3000);
+      CU_ASSERT_EQUAL (pool_count_open_groups (&pool, "small"), 1);
+      leader = pool.members[0].entry.member.rank == 0 ? 0 : 1;
+      delay_order (BD_ORDER_CLOSE, leader, pool.members[leader].entry.version,
+                   delay_ms);
+      pool_run (&pool, delay_ms + 3000);
+      CU_ASSERT_EQUAL (pool_count_open_groups (&pool, "small"), 1);
+      pool.joins = 0;
+      pool_run (&pool, 5000);
+      CU_ASSERT_EQUAL (pool.joins, 0);
+      check_all_serve ();
+      pool_finish (&pool);
+    }
+}
+
 /* The orders of an earlier controller are unknown, so a ready group that it
    formed is formed again.  */
 static void
@@ -537,6 +739,19 @@
     { "demand is known", test_demand_is_known },
     { "unanswered join", test_unanswered_join },
     { "left group does not reopen", test_left_group_does_not_reopen },
+    { "move cuts running requests", test_move_cuts_running_requests },
+    { "move cuts running requests, with lag",
+      test_move_cuts_running_requests_with_lag },
+    { "long close moves too much", test_long_close_moves_too_much },
+    { "endless request stops move", test_endless_request_stops_move },
+    { "full order array splits move", test_full_order_array_splits_move },
+    { "new controller leaves donors closed",
+      test_new_controller_leaves_donors_closed },
+    { "lost donor keeps the others closed",
+      test_lost_donor_keeps_the_others_closed },
+    { "donors that are needed again stay closed",
+      test_donors_that_are_needed_again_stay_closed },
+    { "late close leaves group closed", test_late_close_leaves_group_closed },
     { "ready group of earlier controller",
       test_ready_group_of_earlier_controller },
     { "repairs groups", test_repairs_groups },
--- a/src/replicas/staging.c
+++ b/src/replicas/staging.c
@@ -75,6 +75,7 @@
   if (endpoint->last_model[0] == '\0' && endpoint->entry.staged_count == 0)
     return HOST_NEW;
   if (endpoint->entry.member.state == BD_MEMBER_NONE
+      && !bd_plan_has_move (plan->step, endpoint->entry.domain)
       && input->now_ms - endpoint->listed_ms >= STUCK_MS
       && input->now_ms - endpoint->member_updated_ms >= STUCK_MS)
     return HOST_STUCK;
--- a/tests/fakes/pool.c
+++ b/tests/fakes/pool.c
@@ -100,6 +100,7 @@
   memset (&member->entry.member, 0, sizeof member->entry.member);
   member->last_model[0] = '\0';
   member->ready_ms = member->open_ms = member->staged_ms = 0;
+  member->closed_ms = 0;
   member->lost_since_ms = member->epoch = member->token = 0;
   member->step_count = 0;
   memset (member->ready_groups, 0, sizeof member->ready_groups);
@@ -196,7 +197,7 @@
   pool->joins++;
   member->epoch = order->epoch;
   member->ready_ms = pool->now_ms + join_ms (pool, member, model);
-  member->open_ms = 0;
+  member->open_ms = member->closed_ms = 0;
   member->count = order->member_count;
   memcpy (member->members, order->members, sizeof order->members);
   bd_name_copy (member->leader, order->members[0]);
@@ -242,6 +243,55 @@
     }
 }
 
+static bool
+has_lost_member (struct pool *pool, const struct pool_member *leader)
+{
+  for (uint32_t i = 0; i < leader->count; i++)
+    {
+      const struct pool_member *member = pool_find (pool, leader->members[i]);
+
+      if (!member->is_alive
+          || !is_in_group (member, leader->entry.member.group,
+                           leader->entry.member.epoch))
+        return true;
+    }
+  return false;
+}
+
+/* Counts a group whose leader leaves before its requests have ended, although
+   it could have ended them.  */
+static void
+check_no_work (struct pool *pool, const struct pool_member *leader)
+{
+  enum bd_member_state state = leader->entry.member.state;
+
+  if (pool->work_ms == 0 || !pool->has_traffic
+      || has_lost_member (pool, leader)
+      || (state != BD_MEMBER_OPEN && state != BD_MEMBER_CLOSING))
+    return;
+  for (uint32_t i = 0; i < leader->count; i++)
+    if (pool_find (pool, leader->members[i])->entry.is_draining)
+      return;
+  pool->cut_groups++;
+}
+
+static enum bd_order_result
+handle_close (struct pool *pool, struct pool_member *member,
+              const struct bd_order *order)
+{
+  struct bd_membership_view *view = &member->entry.member;
+
+  if (!is_in_group (member, order->group, order->epoch) || view->rank != 0)
+    return BD_ORDER_REFUSED;
+  if (view->state == BD_MEMBER_CLOSING || view->state == BD_MEMBER_READY)
+    return BD_ORDER_DONE;
+  if (view->state != BD_MEMBER_OPEN)
+    return BD_ORDER_REFUSED;
+  view->state = BD_MEMBER_CLOSING;
+  member->closed_ms = pool->now_ms + (pool->has_traffic ? pool->work_ms : 0);
+  return BD_ORDER_ACCEPTED;
+}
+
 static enum bd_order_result
 execute_order (struct pool *pool, struct pool_member *member,
                const struct bd_order *order)
@@ -265,8 +315,9 @@
     case BD_ORDER_LEAVE:
       if (is_in_group (member, order->group, order->epoch))
         {
+          check_no_work (pool, member);
           view->state = BD_MEMBER_NONE;
-          member->ready_ms = member->open_ms = 0;
+          member->ready_ms = member->open_ms = member->closed_ms = 0;
           member->entry.version++;
         }
       return BD_ORDER_DONE;
@@ -282,6 +333,7 @@
       bd_name_copy (member->staging, order->model);
       return BD_ORDER_ACCEPTED;
     case BD_ORDER_CLOSE:
+      return handle_close (pool, member, order);
     case BD_ORDER_NONE:
       break;
     }
@@ -308,21 +360,6 @@
   return result;
 }
 
-static bool
-has_lost_member (struct pool *pool, const struct pool_member *leader)
-{
-  for (uint32_t i = 0; i < leader->count; i++)
-    {
-      const struct pool_member *member = pool_find (pool, leader->members[i]);
-
-      if (!member->is_alive
-          || !is_in_group (member, leader->entry.member.group,
-                           leader->entry.member.epoch))
-        return true;
-    }
-  return false;
-}
-
 /* Completes what is due at now_ms.  */
 static void
 advance_member (struct pool *pool, struct pool_member *member)
@@ -347,18 +384,27 @@
       member->open_ms = 0;
       view->state = BD_MEMBER_OPEN;
     }
+  if (member->closed_ms != 0 && pool->now_ms >= member->closed_ms)
+    {
+      member->closed_ms = 0;
+      view->state = BD_MEMBER_READY;
+    }
   if (member->staged_ms != 0 && pool->now_ms >= member->staged_ms)
     {
       member->staged_ms = 0;
       member->entry.staged_count = 1;
       bd_name_copy (member->entry.staged[0], member->staging);
     }
-  if (view->state != BD_MEMBER_OPEN || !has_lost_member (pool, member))
+  if ((view->state != BD_MEMBER_OPEN && view->state != BD_MEMBER_CLOSING)
+      || !has_lost_member (pool, member))
     member->lost_since_ms = member->is_alive ? 0 : member->lost_since_ms;
   else if (member->lost_since_ms == 0)
     member->lost_since_ms = pool->now_ms;
   else if (pool->now_ms - member->lost_since_ms >= STALL_MS)
-    view->state = BD_MEMBER_BROKEN;
+    {
+      view->state = BD_MEMBER_BROKEN;
+      member->closed_ms = 0;
+    }
 }
 
 static void
@@ -392,6 +438,22 @@
       }
 }
 
+/* Notes how long a leader that was closed has neither left nor served.  */
+static void
+note_closed (struct pool *pool, struct pool_member *member)
+{
+  enum bd_member_state state = member->entry.member.state;
+  bool is_closing = state == BD_MEMBER_CLOSING;
+  bool was_closed = member->closed_since_ms != 0 && state == BD_MEMBER_READY;
+
+  if (!member->is_alive || (!is_closing && !was_closed))
+    member->closed_since_ms = 0;
+  else if (member->closed_since_ms == 0)
+    member->closed_since_ms = pool->now_ms;
+  else if (pool->now_ms - member->closed_since_ms > pool->longest_closed_ms)
+    pool->longest_closed_ms = pool->now_ms - member->closed_since_ms;
+}
+
 static void
 record_history (struct pool *pool)
 {
@@ -399,6 +461,7 @@
     {
       struct pool_member *member = &pool->members[i];
 
+      note_closed (pool, member);
       member->history[member->step_count++ % POOL_HISTORY_STEPS]
           = member->entry;
     }
@@ -529,11 +592,14 @@
                                      .has_traffic = pool->has_traffic,
                                      .is_controlled = is_own_data_centre,
                                      .stall_ms = STALL_MS,
+                                     .close_limit_ms = POOL_CLOSE_LIMIT_MS,
                                      .now_ms = pool->now_ms };
   uint32_t count;
 
   memcpy (input.demand, pool->demand, sizeof input.demand);
-  count = bd_replicas_step (&pool->replicas, &input, orders, MAX_ORDERS);
+  count = bd_replicas_step (&pool->replicas, &input, orders,
+                            pool->max_orders > 0 ? pool->max_orders
+                                                 : MAX_ORDERS);
   for (uint32_t i = 0; i < count; i++)
     deliver_order (pool, &orders[i]);
   count = bd_replicas_due_probes (&pool->replicas, &input, ids, MAX_ORDERS);
@@ -644,3 +710,15 @@
     }
   return open;
 }
+
+uint32_t
+pool_count_groups (const struct pool *pool, enum bd_member_state state)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < pool->count; i++)
+    count += pool->members[i].is_alive
+             && pool->members[i].entry.member.rank == 0
+             && pool->members[i].entry.member.state == state;
+  return count;
+}
--- a/tests/fakes/pool.h
+++ b/tests/fakes/pool.h
@@ -24,6 +24,7 @@
     POOL_MAX_DELAYED = 64,
     POOL_READY_GROUPS = 16,
     POOL_STEP_MS = 50,
+    POOL_CLOSE_LIMIT_MS = 8000,
     POOL_MAX_LAG_MS = 3000,
     POOL_HISTORY_STEPS = POOL_MAX_LAG_MS / POOL_STEP_MS + 1
   };
@@ -41,6 +42,8 @@
     char last_model[BD_NAME_SIZE];
     int64_t ready_ms;           /* End of the current join, or 0.  */
     int64_t open_ms;            /* End of the current opening, or 0.  */
+    int64_t closed_ms;          /* End of the current closing, or 0.  */
+    int64_t closed_since_ms;    /* Since it was closed, or 0.  */
     int64_t staged_ms;          /* End of the current staging, or 0.  */
     char staging[BD_NAME_SIZE]; /* The model that is being staged.  */
     int64_t token;              /* Fencing token; the highest received.  */
@@ -85,12 +88,20 @@
     int64_t term; /* Of the controller.  */
     bool has_traffic;
     double demand[BD_ENGINE_MAX_MODELS];
+    /* Under traffic, an open group always runs requests; those that run when
+       it is closed end this much later.  */
+    int64_t work_ms;
+    uint32_t max_orders; /* Of one step of the controller; 0 for MAX_ORDERS. */
     gsl_rng *rng;
     uint32_t joins;
     uint32_t loads;         /* Loads from the weight store under traffic.  */
     uint32_t cold_joins;    /* Joins that loaded weights under traffic.  */
     uint32_t stolen_joins;  /* Joins of members of another open group.  */
     uint32_t partial_opens; /* Openings before every member was ready once.  */
+    /* Complete groups that left with requests running.  */
+    uint32_t cut_groups;
+    /* The longest time after which a closed leader left or served again.  */
+    int64_t longest_closed_ms;
     uint32_t unconditional; /* Joins and openings without a condition.  */
     char violation[256];    /* The last one, as text.  */
   };
@@ -138,6 +149,11 @@
      their members.  */
   uint32_t pool_count_open_groups (const struct pool *pool, const char *model);
 
+  /* pool_count_groups(): returns the groups whose leader is alive and in a
+     state.  */
+  uint32_t pool_count_groups (const struct pool *pool,
+                              enum bd_member_state state);
+
   /* pool_find(): returns the instance with this id, or NULL.  */
   struct pool_member *pool_find (struct pool *pool, const char *id);
 
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -622,12 +622,35 @@
   if (!is_order_for_group (worker, order))
     return 200;
   worker->order_count++;
+  worker->leave_count++;
   json_decref (worker->group);
   worker->group = NULL;
   site_list_worker (worker);
   return 200;
 }
 
+/* A closed leader is ready again once its streams have ended.  */
+static void
+finish_closing (struct site_worker *worker)
+{
+  if (worker->stream_count > 0 || worker->group == NULL
+      || strcmp (group_state (worker), "closing") != 0)
+    return;
+  json_object_set_new (worker->group, "State", json_string ("ready"));
+  site_list_worker (worker);
+}
+
+static uint32_t
+handle_close (struct site_worker *worker)
+{
+  if (strcmp (group_state (worker), "open") != 0)
+    return 409;
+  json_object_set_new (worker->group, "State", json_string ("closing"));
+  site_list_worker (worker);
+  finish_closing (worker);
+  return 202;
+}
+
 static uint32_t
 execute_order (struct site_worker *worker, json_t *order)
 {
@@ -643,6 +666,8 @@
     return handle_leave (worker, order);
   if (!is_order_for_group (worker, order))
     return 409;
+  if (strcmp (kind, "close") == 0)
+    return handle_close (worker);
   if (strcmp (group_state (worker), "ready") != 0)
     return 409;
   bd_timer_add (worker->site->events, worker->site->events, OPEN_MS,
@@ -670,6 +695,7 @@
   struct bd_http_exchange *exchange;
   uint32_t next_event;
   int64_t start_count; /* Of the worker when the stream started.  */
+  int64_t leave_count; /* The same.  */
 };
 
 /* Time until the stream's next event.  */
@@ -703,6 +729,7 @@
                         && stream->next_event > STALL_AFTER_EVENTS);
 
   if (stream->start_count != stream->worker->start_count
+      || stream->leave_count != stream->worker->leave_count
       || stream->worker->is_down)
     {
       bd_http_stream_end (stream->exchange, false);
@@ -742,6 +769,14 @@
                                                 worker->request_limit };
 }
 
+static int
+handle_stream_freed (struct stream *stream)
+{
+  stream->worker->stream_count--;
+  finish_closing (stream->worker);
+  return 0;
+}
+
 static void
 start_stream (struct site_worker *worker, struct bd_http_exchange *x)
 {
@@ -759,6 +794,9 @@
   stream->worker = worker;
   stream->exchange = x;
   stream->start_count = worker->start_count;
+  stream->leave_count = worker->leave_count;
+  worker->stream_count++;
+  talloc_set_destructor (stream, handle_stream_freed);
   stream->next_event = (last != NULL ? (uint32_t)atoi (last) : 0) + 1;
   x->user = stream;
   bd_http_stream_begin (x, 200, headers);
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -87,6 +87,8 @@
   json_t *ready_groups;   /* Set of "GROUP/EPOCH" keys.  */
   int64_t start_count;    /* Reported as "born".  */
   int64_t order_count;    /* Orders begun since the start.  */
+  int64_t leave_count;    /* Orders to leave, which end its streams.  */
+  uint32_t stream_count;  /* Streams that it runs.  */
   int64_t heartbeats;     /* Entries written.  */
   uint32_t request_count; /* Requests of callers.  */
   char last_account[BD_NAME_SIZE];
