http: a response whose head breaks off is not complete

Callers got an endpoint's 200 or 404 with an empty body, framed as whole, when the endpoint stopped within the head of its response and closed the connection in order; the check of the request's id was passed over too.

Cause: libcurl reports CURLE_OK for a connection that ends within a head once it has read the status line, and finish_call() took that for a complete response. The header callback never sees the empty line, so that the accepts callback was not asked. The class is the end of a connection taken for the end of a message.

Change: a call is complete only once the empty line of a final head was read; that of an interim response does not count. All users of the client (attempts, handover, store, configuration, reports, orders, probes, serve) read is_complete.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -35,7 +35,8 @@
   size_t body_size;
   size_t body_capacity;
   size_t head_size;
-  bool has_head;
+  bool has_whole_head; /* Of the final response.  */
+  bool has_head;       /* It was reported.  */
   bool is_sent_once;
   bool was_started; /* A connection has been assigned to it once.  */
   bool is_stale;    /* Its kept connection has ended or brings bytes.  */
@@ -88,7 +89,8 @@
   long status = 0;
 
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
-  result.is_complete = code == CURLE_OK;
+  /* libcurl does not report a connection that ends within a head.  */
+  result.is_complete = code == CURLE_OK && call->has_whole_head;
   /* The code of the result says nothing of it: it may be that of a second
      connection.  */
   result.was_sent = call->was_started;
@@ -293,7 +295,10 @@
   if (call->head_size > MAX_HEAD_BYTES)
     return 0;
   if (is_head_end (data, length))
-    return call->is_cancelled || !is_accepted (call) ? 0 : length;
+    {
+      call->has_whole_head = bd_http_call_status (call) >= 200;
+      return call->is_cancelled || !is_accepted (call) ? 0 : length;
+    }
   if (length >= 5 && strncmp (data, "HTTP/", 5) == 0)
     call->header_count = 0;
   if (call->header_count == BD_HTTP_MAX_HEADERS)
