links: endpoints that crash together are not lost links

Cause: three silent endpoints without a response in between were a loss. A controller that probes only the members of suspected groups has nothing else that could be answered: three probes of crashed instances, sent in the same moment, time out together, though the last response was 228 ms old.

Change: from the first silence on, probes go to endpoints that were not silent; a response is a contact, and the links are lost only after three silent endpoints and two failed probes. The probes have 100 ms, so that a true loss is found about 0.15 s later than before.

--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -526,7 +526,8 @@
    endpoints that form groups.  */
 bool bd_edge_is_isolated (const struct bd_edge *edge);
 
-/* bd_edge_probe_links(): sends the probes that are due over lost links.  */
+/* bd_edge_probe_links(): sends the probes that are due over links that are
+   lost or doubtful.  */
 void bd_edge_probe_links (struct bd_edge *edge);
 
 /* pacing.c: keeps to the request limits of endpoints.  */
--- a/src/edge/handover.c
+++ b/src/edge/handover.c
@@ -23,6 +23,8 @@
 enum
 {
   PROBE_TIMEOUT_MS = 250,
+  /* The same while the links are only doubtful.  */
+  DOUBTFUL_PROBE_TIMEOUT_MS = 100,
   MAX_DAEMONS = 64
 };
 
@@ -294,6 +296,7 @@
 {
   struct bd_edge *edge;
   char service[BD_NAME_SIZE];
+  int64_t sent_ms;
 };
 
 static void
@@ -302,7 +305,7 @@
   struct bd_edge_service *service
       = bd_edge_service (probe->edge, probe->service);
 
-  if (bd_links_note_probe (&service->links, is_answered,
+  if (bd_links_note_probe (&service->links, is_answered, probe->sent_ms,
                            bd_edge_now_ms (probe->edge)))
     handle_change (probe->edge, service);
   talloc_free (probe);
@@ -318,11 +321,14 @@
 
 static const struct bd_http_call_ops probe_ops = { .done = handle_probe_done };
 
-/* Draws one of the endpoints of a service that are listed.  */
+/* Draws one of the endpoints of a service that are listed; one that was silent
+   only if all were.  */
 static const struct bd_fleet_endpoint *
-draw_endpoint (const struct bd_edge *edge, const char *service)
+draw_endpoint (const struct bd_edge *edge,
+               const struct bd_edge_service *service)
 {
   const struct bd_fleet_endpoint *drawn = NULL;
+  const struct bd_fleet_endpoint *silent = NULL;
   unsigned long seen = 0;
   GHashTableIter iter;
   gpointer value;
@@ -331,29 +337,38 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct bd_fleet_endpoint *endpoint = value;
-
-      if (endpoint->is_listed && strcmp (endpoint->entry.service, service) == 0
-          && gsl_rng_uniform_int (edge->rng, ++seen) == 0)
+      const char *id = endpoint->entry.id;
+
+      if (!endpoint->is_listed
+          || strcmp (endpoint->entry.service, service->name) != 0)
+        continue;
+      if (!service->links.is_lost
+          && bd_links_is_silent (&service->links, bd_hash (id, strlen (id))))
+        silent = endpoint;
+      else if (gsl_rng_uniform_int (edge->rng, ++seen) == 0)
         drawn = endpoint;
     }
-  return drawn;
+  return drawn != NULL ? drawn : silent;
 }
 
 static void
-probe_service (struct bd_edge *edge, const char *service)
+probe_service (struct bd_edge *edge, const struct bd_edge_service *service)
 {
   const struct bd_fleet_endpoint *endpoint = draw_endpoint (edge, service);
+  uint32_t timeout_ms
+      = service->links.is_lost ? PROBE_TIMEOUT_MS : DOUBTFUL_PROBE_TIMEOUT_MS;
   struct link_probe *probe;
   struct bd_http_request out = { .method = "GET",
-                                 .timeout_ms = PROBE_TIMEOUT_MS,
-                                 .connect_timeout_ms = PROBE_TIMEOUT_MS,
+                                 .timeout_ms = timeout_ms,
+                                 .connect_timeout_ms = timeout_ms,
                                  .has_new_connection = true };
 
   if (endpoint == NULL)
     return;
   probe = talloc_zero (edge, struct link_probe);
   probe->edge = edge;
-  bd_name_copy (probe->service, service);
+  probe->sent_ms = bd_edge_now_ms (edge);
+  bd_name_copy (probe->service, service->name);
   out.url = talloc_asprintf (probe, "http://%s:%u%s", endpoint->entry.address,
                              endpoint->entry.port, edge->adapter->report_path);
   bd_count (&edge->counters, BD_COUNT_ENDPOINT_POLLS);
@@ -372,8 +387,7 @@
     {
       struct bd_edge_service *service = value;
 
-      if (service->links.is_lost
-          && bd_links_start_probe (&service->links, bd_edge_now_ms (edge)))
-        probe_service (edge, service->name);
+      if (bd_links_start_probe (&service->links, bd_edge_now_ms (edge)))
+        probe_service (edge, service);
     }
 }
--- a/src/links/links.c
+++ b/src/links/links.c
@@ -5,6 +5,8 @@
 enum
 {
   PROBE_INTERVAL_MS = 150,
+  /* The same while the links are only doubtful.  */
+  DOUBTFUL_PROBE_INTERVAL_MS = 50,
   /* Answered probes in a row until the links are used again.  */
   PROBES_UNTIL_BACK = 2
 };
@@ -15,21 +17,18 @@
   links->contact_ms = now_ms;
   /* Old connections can live on while new ones fail, so that only probes show
      that lost links are back.  */
-  if (!links->is_lost)
-    links->silent_count = 0;
+  if (links->is_lost)
+    return;
+  links->silent_count = 0;
+  links->probes_failed = 0;
 }
 
-bool
-bd_links_note_silence (struct bd_links *links, uint64_t endpoint,
-                       int64_t sent_ms, int64_t now_ms)
+/* Returns whether the links are found lost now.  */
+static bool
+judge (struct bd_links *links, int64_t now_ms)
 {
-  if (links->is_lost || sent_ms < links->contact_ms)
-    return false;
-  for (uint32_t i = 0; i < links->silent_count; i++)
-    if (links->silent[i] == endpoint)
-      return false;
-  links->silent[links->silent_count++] = endpoint;
-  if (links->silent_count < BD_LINKS_MAX_SILENT)
+  if (links->is_lost || links->silent_count < BD_LINKS_MAX_SILENT
+      || links->probes_failed < BD_LINKS_MAX_FAILED_PROBES)
     return false;
   links->is_lost = true;
   links->lost_ms = now_ms;
@@ -38,6 +37,27 @@
   return true;
 }
 
+bool
+bd_links_is_silent (const struct bd_links *links, uint64_t endpoint)
+{
+  for (uint32_t i = 0; i < links->silent_count; i++)
+    if (links->silent[i] == endpoint)
+      return true;
+  return false;
+}
+
+bool
+bd_links_note_silence (struct bd_links *links, uint64_t endpoint,
+                       int64_t sent_ms, int64_t now_ms)
+{
+  if (links->is_lost || sent_ms < links->contact_ms
+      || bd_links_is_silent (links, endpoint))
+    return false;
+  if (links->silent_count < BD_LINKS_MAX_SILENT)
+    links->silent[links->silent_count++] = endpoint;
+  return judge (links, now_ms);
+}
+
 bool
 bd_links_is_doubtful (const struct bd_links *links)
 {
@@ -47,20 +67,36 @@
 bool
 bd_links_start_probe (struct bd_links *links, int64_t now_ms)
 {
-  if (now_ms - links->probe_ms < PROBE_INTERVAL_MS)
+  int64_t interval_ms
+      = links->is_lost ? PROBE_INTERVAL_MS : DOUBTFUL_PROBE_INTERVAL_MS;
+
+  if (!bd_links_is_doubtful (links) || now_ms - links->probe_ms < interval_ms)
     return false;
   links->probe_ms = now_ms;
   return true;
 }
 
-bool
-bd_links_note_probe (struct bd_links *links, bool is_answered, int64_t now_ms)
+/* Whether lost links are found to be back by a probe.  */
+static bool
+note_probe_of_lost (struct bd_links *links, bool is_answered, int64_t now_ms)
 {
   links->probes_answered = is_answered ? links->probes_answered + 1 : 0;
-  if (!links->is_lost || links->probes_answered < PROBES_UNTIL_BACK)
+  if (links->probes_answered < PROBES_UNTIL_BACK)
     return false;
   links->is_lost = false;
-  links->silent_count = 0;
-  links->contact_ms = now_ms;
+  bd_links_note_contact (links, now_ms);
   return true;
 }
+
+bool
+bd_links_note_probe (struct bd_links *links, bool is_answered, int64_t sent_ms,
+                     int64_t now_ms)
+{
+  if (links->is_lost)
+    return note_probe_of_lost (links, is_answered, now_ms);
+  if (is_answered)
+    bd_links_note_contact (links, now_ms);
+  else if (sent_ms >= links->contact_ms)
+    links->probes_failed++;
+  return judge (links, now_ms);
+}
