serve: settling a batch of claims begins no other batch

A call that may run only once could be granted a claim that was still being written, and the daemon could abort. Seen in a test with a write of 200 ms; no case from callers is known.

Cause: a claim whose caller has left is released as soon as it is granted. The release goes to the same shard and began the next batch at once, once 60 ms had passed since the start of the last write, while grant_batch() still read the batch that is kept in the same array. The next claims in that array were granted and freed while their write was in flight. In collect_batch(), the same release began a write in the middle of the collection, and the collection then began a second one over the first.

Evidence: daemon_claims_test failed before. After the write of claims 0 and 1, claim 3 was granted with its write still in flight, and claim 1 never was; valgrind showed reads of freed claims, and without the fatal check the process aborted in talloc_free(). In the collection two writes of the shard were in flight at once.

Change: while results are reported, the shard only queues what is submitted; the batch is processed afterwards, as before. The same holds for a batch that fails because the ring is full. What is left in the queue then is processed after the spacing; before, it waited for the next claim.

After: 2 tests, 31 asserts pass, also under valgrind; claims_test and claims_properties pass.

--- a/src/daemon/daemon_claims.c
+++ b/src/daemon/daemon_claims.c
@@ -172,6 +172,16 @@
   shard->batch_count = 0;
 }
 
+static void
+finish_batch (struct bd_shard_queue *shard, enum bd_claim_result result)
+{
+  shard->is_settling = true;
+  for (uint32_t i = 0; i < shard->batch_count; i++)
+    finish_claim (shard->batch[i], result);
+  shard->batch_count = 0;
+  shard->is_settling = false;
+}
+
 static void
 grant_batch (struct bd_shard_queue *shard, const struct bd_store_reply *reply)
 {
@@ -183,9 +193,7 @@
   bd_shard_committed (&shard->shard, &shard->commit, reply->version,
                       reply->envelope, claims, count,
                       bd_clock_calendar_ms (&shard->daemon->clock));
-  shard->batch_count = 0;
-  for (uint32_t i = 0; i < count; i++)
-    finish_claim (shard->batch[i], BD_CLAIM_GRANTED);
+  finish_batch (shard, BD_CLAIM_GRANTED);
 }
 
 static void
@@ -228,6 +236,7 @@
   shard->first = NULL;
   shard->last = NULL;
   shard->batch_count = 0;
+  shard->is_settling = true;
   while (waiting != NULL)
     {
       struct bd_pending_claim *next = waiting->next;
@@ -240,6 +249,7 @@
         shard->batch[shard->batch_count++] = waiting;
       waiting = next;
     }
+  shard->is_settling = false;
 }
 
 static void
@@ -256,10 +266,7 @@
                          bd_clock_calendar_ms (&daemon->clock),
                          &shard->commit))
     {
-      uint32_t count = shard->batch_count;
-      shard->batch_count = 0;
-      for (uint32_t i = 0; i < count; i++)
-        finish_claim (shard->batch[i], BD_CLAIM_UNAVAILABLE);
+      finish_batch (shard, BD_CLAIM_UNAVAILABLE);
       return;
     }
   shard->is_committing = true;
@@ -279,7 +286,8 @@
 {
   int64_t elapsed_ms;
 
-  if (shard->first == NULL || shard->is_loading || shard->is_committing)
+  if (shard->first == NULL || shard->is_loading || shard->is_committing
+      || shard->is_settling)
     return;
   if (!shard->shard.is_loaded)
     {
@@ -295,7 +303,7 @@
   collect_batch (shard);
   if (shard->batch_count > 0)
     commit_batch (shard);
-  else if (shard->first != NULL)
+  if (shard->first != NULL && !shard->is_committing)
     process_shard_later (shard, COMMIT_SPACING_MS);
 }
 
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -100,6 +100,7 @@
   struct bd_pending_claim *last;
   bool is_loading;
   bool is_committing;
+  bool is_settling; /* The results of claims are being reported.  */
   int64_t commit_started_ms;
   struct bd_timer *timer;
   struct bd_shard_commit commit;
