stop: a full batch holds prompts of the usual length, too

Callers saw streams that a stopping daemon had taken late end without their last events at the end of the grace period: cut, with nothing after the events that had come.

Cause: the estimate of a response assumed a full batch of requests like the request itself. A short prompt beside usual, longer ones then counts as fast as if all prompts were short; step times and prefills are those of the others. Not the pace of the group: it is measured against the usual prompt, and is 1 where no stream was sent before. Not the flush: 100 requests that run or wait at the end of the grace period get their final responses (new test, passed before this change as well).

The other requests of the batch now have the larger of the own and the usual size, so that the estimate is a full batch's time by the engine's formulas in both directions.

--- /dev/null
+++ b/src/edge/edge_stop_late_test.c
@@ -0,0 +1,152 @@
+/* Checks that a daemon that stops takes nothing that outlasts it, and that
+   each request gets its final response before the end.  */
+
+#include "edge/edge_internal.h"
+#include "platform/platform.h"
+#include "tests/fakes/site.h"
+#include "tests/quiet.h"
+#include "tests/unit.h"
+
+#include <talloc.h>
+
+enum
+{
+  POOL_WORKERS = 8,
+  GROUP_MEMBERS = 2,
+  PLAIN_WORKERS = 12,
+  CALLS = 10,
+  CALL_INTERVAL_MS = 330,
+  MANY_CALLS = 100,
+  GRACE_MS = 4500,
+  READY_MS = 10000,
+  SLOW_MS = 2000
+};
+
+static struct site site;
+
+static bool
+is_done (struct site *s)
+{
+  return bd_edge_is_done (s->edge);
+}
+
+static bool
+has_all_groups (struct site *s)
+{
+  return site_is_ready (s)
+         && site_count_open_groups (s) == POOL_WORKERS / GROUP_MEMBERS;
+}
+
+/* The daemon's process ends; another one takes its place.  */
+static void
+end_daemon (void)
+{
+  CU_ASSERT_TRUE (site_run (&site, is_done, GRACE_MS));
+  bd_edge_finish (site.edge);
+  site.edge = bd_edge_start (site.events, site.events, &site.settings,
+                             &bd_platform_adapter);
+}
+
+static void
+wait_for (struct site_call *call)
+{
+  while (!call->is_done)
+    tevent_loop_once (site.events);
+}
+
+/* Sends calls while the daemon stops.  Each of them is completed, or refused
+   before it has run.  */
+static void
+check_calls_at_stop (const char *target, const char *model)
+{
+  struct site_call *calls[CALLS];
+  uint32_t requests = site_request_count (&site);
+  uint32_t served = 0;
+  uint32_t refused = 0;
+
+  bd_edge_stop (site.edge);
+  for (uint32_t i = 0; i < CALLS; i++)
+    {
+      calls[i] = site_start_call (&site, "POST", target, "k1", model);
+      site_wait (&site, CALL_INTERVAL_MS);
+    }
+  end_daemon ();
+  for (uint32_t i = 0; i < CALLS; i++)
+    {
+      wait_for (calls[i]);
+      served += calls[i]->status == 200 && calls[i]->is_complete;
+      refused += calls[i]->status == 503 || calls[i]->status == 0;
+    }
+  CU_ASSERT_EQUAL (served + refused, CALLS);
+  CU_ASSERT_TRUE (served > 0);
+  CU_ASSERT_EQUAL (site_request_count (&site), requests + served);
+}
+
+static json_t *
+pool_engine (void)
+{
+  json_t *services = json_object_get (site.config, "Services");
+
+  return json_object_get (json_array_get (services, 1), "Engine");
+}
+
+/* Short prompts in batches whose other prompts have the usual length, which
+   make each step take SITE_SLOW_EVENT_MS.  */
+static void
+test_short_prompts_among_usual_ones_outlast_the_grace (void)
+{
+  site_start (&site, 0, POOL_WORKERS);
+  json_object_set_new (pool_engine (), "context_per_k", json_real (5.45));
+  json_object_set_new (json_object_get (pool_engine (), "usual"), "prompt",
+                       json_integer (8000));
+  site_publish (&site);
+  for (uint32_t i = 0; i < POOL_WORKERS; i++)
+    site.workers[i].mode = WORKER_SLOW;
+  CU_ASSERT_TRUE_FATAL (site_run (&site, has_all_groups, READY_MS));
+  site.settings.bounds.grace_ms = GRACE_MS;
+  check_calls_at_stop ("/stream/x", "m");
+  site_finish (&site);
+}
+
+static void
+test_many_requests_get_final_responses_at_the_end (void)
+{
+  struct site_call *calls[MANY_CALLS];
+  uint32_t run = 0;
+
+  site_start (&site, PLAIN_WORKERS, 0);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, READY_MS));
+  site.settings.bounds.grace_ms = GRACE_MS;
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    site.workers[i].mode = WORKER_PAUSING;
+  site.pause_ms = 2 * GRACE_MS;
+  bd_edge_stop (site.edge);
+  site_wait (&site, 700);
+  for (uint32_t i = 0; i < MANY_CALLS; i++)
+    calls[i] = site_start_call (&site, "POST", "/unsafe/x", "k1", NULL);
+  end_daemon ();
+  for (uint32_t i = 0; i < MANY_CALLS; i++)
+    {
+      wait_for (calls[i]);
+      CU_ASSERT_TRUE (calls[i]->is_complete);
+      CU_ASSERT_TRUE (calls[i]->status >= 502 && calls[i]->status <= 504);
+      run += calls[i]->status != 503;
+    }
+  CU_ASSERT_EQUAL (site_request_count (&site), run);
+  CU_ASSERT_TRUE (run > 0);
+  site_finish (&site);
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[] = {
+    { "short prompts among usual ones outlast the grace",
+      test_short_prompts_among_usual_ones_outlast_the_grace },
+    { "many requests get final responses at the end",
+      test_many_requests_get_final_responses_at_the_end },
+  };
+
+  unit_silence_log ();
+  return UNIT_RUN ("edge_stop_late", tests);
+}
--- a/src/engine/engine.c
+++ b/src/engine/engine.c
@@ -2,6 +2,8 @@
 
 #include "engine/engine.h"
 
+#include <math.h>
+
 #include <string.h>
 
 /* Share of a replica's slots assumed to be in use.  */
@@ -58,11 +60,15 @@
                        const struct bd_engine_model *model,
                        uint32_t prompt_tokens, uint32_t response_tokens)
 {
-  double context = engine->slots * (prompt_tokens + response_tokens / 2.0);
+  double other_prompt = fmax (prompt_tokens, engine->typical_prompt_tokens);
+  double other_response
+      = fmax (response_tokens, engine->typical_response_tokens);
+  double context = engine->slots * (other_prompt + other_response / 2);
   double step_ms = bd_engine_step_ms (engine, model, engine->slots, context);
 
-  return (1 + engine->slots)
-             * bd_engine_prefill_ms (engine, model, prompt_tokens)
+  return bd_engine_prefill_ms (engine, model, prompt_tokens)
+         + engine->slots
+               * bd_engine_prefill_ms (engine, model, (uint32_t)other_prompt)
          + response_tokens * step_ms;
 }
 
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -76,8 +76,8 @@
                           uint32_t running);
 
 /* bd_engine_response_ms(): returns the time in ms from the start of a request
-   to its last token in a full batch of requests like it, each of which is
-   prefilled meanwhile.  */
+   to its last token in a full batch, the other requests of which are like it
+   or of the usual size, whichever is larger, and are prefilled meanwhile.  */
 double bd_engine_response_ms (const struct bd_engine *engine,
                               const struct bd_engine_model *model,
                               uint32_t prompt_tokens,
