http: trailers of a response are not headers of its head

A caller whose request had run got 503, 429 or 400 with the promise that it had not, and a response without the endpoint's seal was forwarded as sealed. An endpoint, or something between, has to send such trailers; none is known to.

Cause: libcurl passes the trailers of a chunked body to the header callback, which stored them beside the headers of the head. The head had been accepted by then (request's id), and the checks after the body (not run, seal, load) found what only the trailers had. Ruled out by reading: a trailer never replaced a header that was in the head, since the first one of a name counts.

Change: after the empty line of the final head, lines are counted against the bound of heads and dropped. They can't be sent on as trailers either, since responses to callers have none.

edge_responses_test, a trailer with "not run" and a seal, failed before: 503, 429 and 400 after one run each were taken as promises, and 200 without a seal was forwarded (4 of 141 asserts); none fails after. http_test and edge_incomplete_heads_test pass unchanged.

--- a/src/edge/edge_responses_test.c
+++ b/src/edge/edge_responses_test.c
@@ -35,6 +35,8 @@
                           while the second request runs.  */
   bool has_idle_extra; /* Each response is followed by a refusal.  */
   bool is_stream;
+  const char *status_line; /* Of a response in a chunk; NULL for none.  */
+  const char *trailer;
 };
 
 static struct site site;
@@ -88,11 +90,32 @@
     raw_send (c, make_refusal (c, request), RUN_MS + IDLE_COPY_MS);
 }
 
+static void
+respond_with_trailer (struct raw_connection *c,
+                      const struct raw_request *request)
+{
+  char *text = talloc_asprintf (c,
+                                "HTTP/1.1 %s\r\nAttempt-Id: %s\r\n"
+                                "Content-Type: text/plain\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n"
+                                "%zx\r\n%s\r\n0\r\n%s\r\n\r\n",
+                                script.status_line, request->attempt_id,
+                                strlen (request->attempt_id),
+                                request->attempt_id, script.trailer);
+
+  raw_send (c, text, 0);
+}
+
 static void
 run (struct raw_connection *c, const struct raw_request *request)
 {
   if (run_count < MAX_RUNS)
     bd_name_copy (run_ids[run_count++], request->attempt_id);
+  if (script.trailer != NULL)
+    {
+      respond_with_trailer (c, request);
+      return;
+    }
   if (script.has_extra && c->requests > 1)
     raw_send (c, make_refusal (c, request), LATE_COPY_MS);
   respond (c, request);
@@ -293,6 +316,31 @@
   site_finish (&site);
 }
 
+/* A trailer can't say that the request was not run, nor seal a response.  */
+static void
+test_trailer_is_taken_for_head (void)
+{
+  static const char *const status_lines[]
+      = { "503 Service Unavailable", "429 Too Many Requests",
+          "400 Bad Request", "200 OK" };
+
+  start_site ();
+  for (size_t i = 0; i < sizeof status_lines / sizeof status_lines[0]; i++)
+    {
+      struct script s = { .status_line = status_lines[i],
+                          .trailer = "Not-Executed: 1\r\nResponse-Seal: s" };
+      struct site_call *call;
+
+      start_endpoint (&s);
+      call = start_call ("POST", "/unsafe/x");
+      check_call (call, 1, false);
+      CU_ASSERT_NOT_EQUAL (call->status, 200);
+      CU_ASSERT_EQUAL (runs_of (call->id), 1);
+      raw_finish (&endpoint);
+    }
+  site_finish (&site);
+}
+
 int
 main (void)
 {
@@ -307,6 +355,7 @@
       test_refusal_without_id_on_kept_connection_is_taken_as_own },
     { "response on idle connection ends the next request",
       test_response_on_idle_connection_ends_the_next_request },
+    { "trailer is taken for head", test_trailer_is_taken_for_head },
   };
 
   unit_silence_log ();
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -18,7 +18,7 @@
      because a network partition causes no reset.  */
   UNACKNOWLEDGED_TIMEOUT_MS = 3000,
   MAX_BODY_BYTES = 16 << 20,
-  /* Of all response heads of a call, interim ones included.  */
+  /* Of all response heads of a call, interim ones and trailers included.  */
   MAX_HEAD_BYTES = 64 << 10
 };
 
@@ -294,6 +294,9 @@
   call->head_size += length;
   if (call->head_size > MAX_HEAD_BYTES)
     return 0;
+  /* libcurl passes the trailers of a chunked body too.  */
+  if (call->has_whole_head)
+    return call->is_cancelled ? 0 : length;
   if (is_head_end (data, length))
     {
       call->has_whole_head = bd_http_call_status (call) >= 200;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -117,7 +117,8 @@
    received.  */
 uint32_t bd_http_call_status (const struct bd_http_call *call);
 
-/* bd_http_call_header(): the value of a response header, or NULL.  */
+/* bd_http_call_header(): the value of a response header, or NULL.  Trailers
+   are dropped.  */
 const char *bd_http_call_header (const struct bd_http_call *call,
                                  const char *name);
 
