http: test that the end of a connection completes no request

Callers see no change; no fault was found. The class "end of a connection taken as the end of a message" was reviewed for the requests of callers too.

http_test now sends four requests (no body, a length, chunks, chunks with a trailer) up to each of their bytes on a connection each, with the end of the connection in the same segment or 100 ms later.

--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -26,6 +26,7 @@
   RAW_PORT = 25091,
   SECOND_PORT = 25093,
   CRASHING_PORT = 25094,
+  CUT_PORT = 25099,
   LIMIT_MS = 5000,
   SHORT_MS = 300
 };
@@ -179,6 +180,78 @@
   CU_ASSERT_EQUAL (handled_count, 2);
 }
 
+static void
+run_loop (int64_t wait_ms)
+{
+  bool is_over = false;
+
+  bd_timer_add (events, events, wait_ms, set_flag, &is_over);
+  while (!is_over)
+    tevent_loop_once (events);
+}
+
+static const char *const requests[]
+    = { "GET /x HTTP/1.1\r\nHost: h\r\n\r\n",
+        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+        "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n0\r\n\r\n",
+        "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n0\r\nX-Trailer: 1\r\n\r\n" };
+
+enum
+{
+  REQUEST_COUNT = sizeof requests / sizeof requests[0],
+  MAX_CUTS = 512,
+  READ_MS = 100
+};
+
+/* Sends the first bytes of each request, from first_size to all but
+   missing_bytes, each on a connection.  Their ends come with the bytes or
+   later.  Returns how many requests were handled.  */
+static uint32_t
+count_handled (size_t first_size, size_t missing_bytes, bool ends_later)
+{
+  struct bd_http_server cut_server;
+  int fds[MAX_CUTS];
+  size_t count = 0;
+  uint32_t before = handled_count;
+
+  CU_ASSERT_TRUE_FATAL (bd_http_server_init (&cut_server, events,
+                                             loopback_address (), CUT_PORT,
+                                             MAX_CUTS, &ops, NULL));
+  for (size_t i = 0; i < REQUEST_COUNT; i++)
+    {
+      size_t last_size = strlen (requests[i]) - missing_bytes;
+
+      for (size_t size = first_size < last_size ? first_size : last_size;
+           size <= last_size; size++)
+        {
+          fds[count] = connect_to (CUT_PORT);
+          send (fds[count], requests[i], size, MSG_NOSIGNAL);
+          if (!ends_later)
+            shutdown (fds[count], SHUT_WR);
+          count++;
+        }
+    }
+  run_loop (READ_MS);
+  for (size_t i = 0; i < count; i++)
+    shutdown (fds[i], SHUT_WR);
+  run_loop (READ_MS);
+  for (size_t i = 0; i < count; i++)
+    close (fds[i]);
+  bd_http_server_finish (&cut_server);
+  return handled_count - before;
+}
+
+/* The end of a connection completes no request.  */
+static void
+test_incomplete_request_is_handled (void)
+{
+  CU_ASSERT_EQUAL (count_handled (1, 1, false), 0);
+  CU_ASSERT_EQUAL (count_handled (1, 1, true), 0);
+  CU_ASSERT_EQUAL (count_handled (SIZE_MAX, 0, false), REQUEST_COUNT);
+}
+
 enum
 {
   HEADER_TIMEOUT_MS = 400,
@@ -894,6 +967,8 @@
   static const struct unit_test tests[]
       = { { "ambiguous framing", test_ambiguous_framing },
           { "plain requests", test_plain_requests },
+          { "incomplete request is handled",
+            test_incomplete_request_is_handled },
           { "timeouts", test_timeouts },
           { "port is not shared", test_port_is_not_shared },
           { "port is reused", test_port_is_reused },
