stop: a plain endpoint's latency counts with its deviation

Callers whose requests may not be repeated got 504 from a stopping daemon, though their requests ran and ended well a moment later: the daemon had taken them late in the grace period.

Cause: the estimate of a plain endpoint was its mean latency. Where most responses are quick and some take long, the mean says nothing of the long ones. Not the final response: each of these callers got one (504), none was cut without an answer.

The fleet keeps the mean deviation beside the mean, both smoothed as in RFC 6298, and the estimate is mean and four deviations. An endpoint whose latency is steady is used until as late as before (test).

A steady 300 ms endpoint serves at the same time, before and after.

--- a/src/edge/edge_stop_late_test.c
+++ b/src/edge/edge_stop_late_test.c
@@ -7,6 +7,7 @@
 #include "tests/quiet.h"
 #include "tests/unit.h"
 
+#include <stdio.h>
 #include <talloc.h>
 
 enum
@@ -19,7 +20,11 @@
   MANY_CALLS = 100,
   GRACE_MS = 4500,
   READY_MS = 10000,
-  SLOW_MS = 2000
+  LATE_MS = 2500,
+  PAUSE_MS = 2000, /* Not over at the end, if it begins at LATE_MS.  */
+  SHORT_MS = 20,
+  STEADY_MS = 300,
+  WARM_CALLS = 10
 };
 
 static struct site site;
@@ -78,6 +83,9 @@
       refused += calls[i]->status == 503 || calls[i]->status == 0;
     }
   CU_ASSERT_EQUAL (served + refused, CALLS);
+  if (served + refused != CALLS)
+    printf ("\n%s: %u served, %u refused, of %d\n", target, served, refused,
+            CALLS);
   CU_ASSERT_TRUE (served > 0);
   CU_ASSERT_EQUAL (site_request_count (&site), requests + served);
 }
@@ -108,6 +116,69 @@
   site_finish (&site);
 }
 
+/* Each fourth request takes long.  */
+static void
+vary_pause (struct site_worker *worker, const char *path, const char *account)
+{
+  (void)path;
+  (void)account;
+  site.pause_ms = worker->request_count % 4 == 0 ? PAUSE_MS : SHORT_MS;
+}
+
+static void
+start_varying_endpoint (void)
+{
+  site_start (&site, 1, 0);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, READY_MS));
+  site.settings.bounds.grace_ms = GRACE_MS;
+  site.workers[0].mode = WORKER_PAUSING;
+  site.on_run = vary_pause;
+}
+
+/* Requests that may not be repeated, to an endpoint that is usually fast.  */
+static void
+test_slow_response_of_usually_fast_endpoint_outlasts_the_grace (void)
+{
+  struct site_call *calls[CALLS];
+
+  start_varying_endpoint ();
+  for (uint32_t i = 0; i < WARM_CALLS; i++)
+    site_call (&site, "POST", "/unsafe/x", "k1", NULL);
+  bd_edge_stop (site.edge);
+  site_wait (&site, LATE_MS);
+  for (uint32_t i = 0; i < CALLS; i++)
+    calls[i] = site_start_call (&site, "POST", "/unsafe/x", "k1", NULL);
+  end_daemon ();
+  for (uint32_t i = 0; i < CALLS; i++)
+    {
+      wait_for (calls[i]);
+      CU_ASSERT_EQUAL (calls[i]->status, 503);
+    }
+  CU_ASSERT_EQUAL (site_request_count (&site), WARM_CALLS);
+  site_finish (&site);
+}
+
+static void
+test_steady_endpoint_is_used_until_late (void)
+{
+  struct site_call *call;
+
+  site_start (&site, 1, 0);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, READY_MS));
+  site.settings.bounds.grace_ms = GRACE_MS;
+  site.workers[0].mode = WORKER_PAUSING;
+  site.pause_ms = STEADY_MS;
+  for (uint32_t i = 0; i < WARM_CALLS; i++)
+    site_call (&site, "POST", "/unsafe/x", "k1", NULL);
+  bd_edge_stop (site.edge);
+  site_wait (&site, LATE_MS);
+  call = site_start_call (&site, "POST", "/unsafe/x", "k1", NULL);
+  end_daemon ();
+  wait_for (call);
+  CU_ASSERT_EQUAL (call->status, 200);
+  site_finish (&site);
+}
+
 static void
 test_many_requests_get_final_responses_at_the_end (void)
 {
@@ -143,6 +214,10 @@
   static const struct unit_test tests[] = {
     { "short prompts among usual ones outlast the grace",
       test_short_prompts_among_usual_ones_outlast_the_grace },
+    { "slow response of usually fast endpoint outlasts the grace",
+      test_slow_response_of_usually_fast_endpoint_outlasts_the_grace },
+    { "steady endpoint is used until late",
+      test_steady_endpoint_is_used_until_late },
     { "many requests get final responses at the end",
       test_many_requests_get_final_responses_at_the_end },
   };
--- a/src/edge/stop.c
+++ b/src/edge/stop.c
@@ -22,7 +22,9 @@
   GRACE_MARGIN_MS = 250,
   FLUSH_MS = 150,
   /* A sound endpoint can be silent for this long.  */
-  MAX_SILENCE_MS = 1000
+  MAX_SILENCE_MS = 1000,
+  /* Of a latency from its mean.  */
+  DEVIATIONS = 4
 };
 
 /* Estimated time of a request at a sound endpoint in a full batch.  Infinite
@@ -65,8 +67,15 @@
          + MAX_SILENCE_MS;
 }
 
-/* The same at a plain endpoint, by its measured latency, which contains the
-   way there.  The requests beyond its slots wait.  */
+/* Upper limit of the latency of a plain endpoint, which contains the way
+   there, as of a retransmission timeout in RFC 6298.  */
+static double
+max_latency_ms (const struct bd_fleet_endpoint *endpoint)
+{
+  return endpoint->latency_ms + DEVIATIONS * endpoint->deviation_ms;
+}
+
+/* The same at a plain endpoint.  The requests beyond its slots wait.  */
 static double
 estimate_at_endpoint_ms (const struct bd_edge_request *request,
                          const struct bd_edge_target *target)
@@ -79,7 +88,7 @@
     return 0;
   if (endpoint->entry.slots > 0)
     turns += target->load / endpoint->entry.slots;
-  return turns * endpoint->latency_ms + MAX_SILENCE_MS;
+  return turns * max_latency_ms (endpoint) + MAX_SILENCE_MS;
 }
 
 /* Whether an attempt that takes this long is worth a start.  */
--- a/src/edge/target.c
+++ b/src/edge/target.c
@@ -5,6 +5,7 @@
 #include "edge/edge_internal.h"
 #include "placement/subset.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -42,6 +43,8 @@
 /* Weight of a new sample of latency, failures or pace in the moving average.
  */
 static const double smoothing = 0.2;
+/* The same of the deviation of latencies.  */
+static const double deviation_smoothing = 0.25;
 /* Upper limit of one sample of a group's pace.  */
 static const double max_pace = 20.0;
 
@@ -495,6 +498,23 @@
   endpoint->sent_since_load = 0;
 }
 
+/* Mean and deviation as of round-trip times in RFC 6298.  */
+static void
+note_latency (struct bd_fleet_endpoint *endpoint, double took_ms)
+{
+  double error_ms = took_ms - endpoint->latency_ms;
+
+  if (endpoint->latency_ms == 0)
+    {
+      endpoint->latency_ms = took_ms;
+      endpoint->deviation_ms = took_ms / 2;
+      return;
+    }
+  endpoint->deviation_ms
+      += deviation_smoothing * (fabs (error_ms) - endpoint->deviation_ms);
+  endpoint->latency_ms += smoothing * error_ms;
+}
+
 void
 bd_edge_note_response (struct bd_edge_request *request, const char *load,
                        bool is_failed)
@@ -511,10 +531,8 @@
       += smoothing * ((is_failed ? 1.0 : 0.0) - endpoint->failure_rate);
   if (is_failed)
     endpoint->failed_ms = bd_edge_now_ms (edge);
-  else if (endpoint->latency_ms == 0)
-    endpoint->latency_ms = took_ms;
   else
-    endpoint->latency_ms += smoothing * (took_ms - endpoint->latency_ms);
+    note_latency (endpoint, took_ms);
 }
 
 void
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -113,6 +113,7 @@
   endpoint->missed_probes = 0;
   endpoint->in_flight = 0;
   endpoint->latency_ms = 0;
+  endpoint->deviation_ms = 0;
   endpoint->failure_rate = 0;
   endpoint->load = 0;
   endpoint->sent_since_load = 0;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -145,6 +145,7 @@
   /* This daemon's traffic with a plain endpoint.  */
   uint32_t in_flight;
   double latency_ms;        /* Smoothed; 0 if unknown.  */
+  double deviation_ms;      /* Of single latencies from that, smoothed.  */
   double failure_rate;      /* Smoothed share of failed requests.  */
   int64_t failed_ms;        /* Last failure.  */
   uint32_t load;            /* Running and waiting, by its last response.  */
