stop: an endpoint without a measurement counts as the slowest of its service

Callers whose requests may not be repeated got 504 from a stopping daemon that had sent them, late in the grace period, to an endpoint which had just been added: nothing of it was measured yet, and the target latency of the route was taken for its time.

Cause: a latency of 0 stands for "unknown", and the estimate added it as 0. Not the deviation: an endpoint without a measurement has none.

Until it is measured, an endpoint counts as slow as the slowest measured one of its service, those that drain included. Where none is measured, the target latency of the route still is all that is known.

Test (responses of 2 s, the measured endpoint drains and a new one takes its place, one unsafe request 2.5 s into a grace period of 4.5 s): before it was sent and got 504; after it gets 503, not run, and is not sent.

--- a/src/edge/edge_stop_late_test.c
+++ b/src/edge/edge_stop_late_test.c
@@ -179,6 +179,47 @@
   site_finish (&site);
 }
 
+static bool
+has_fresh_endpoint (struct site *s)
+{
+  const struct bd_fleet_endpoint *fresh
+      = bd_fleet_endpoint (&s->edge->fleet, s->workers[1].id);
+  const struct bd_fleet_endpoint *measured
+      = bd_fleet_endpoint (&s->edge->fleet, s->workers[0].id);
+
+  return fresh != NULL && fresh->is_listed && measured->entry.is_draining;
+}
+
+/* It has just taken the place of one that was measured.  */
+static void
+test_fresh_endpoint_of_slow_service_outlasts_the_grace (void)
+{
+  struct site_call *call;
+
+  site_start (&site, 2, 0);
+  site.workers[1].is_listed = false;
+  site_list_worker (&site.workers[1]);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, READY_MS));
+  site.settings.bounds.grace_ms = GRACE_MS;
+  site.workers[0].mode = WORKER_PAUSING;
+  site.workers[1].mode = WORKER_PAUSING;
+  site.pause_ms = PAUSE_MS;
+  site_call (&site, "POST", "/unsafe/x", "k1", NULL);
+  site.workers[0].is_draining = true;
+  site_list_worker (&site.workers[0]);
+  site.workers[1].is_listed = true;
+  site_list_worker (&site.workers[1]);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, has_fresh_endpoint, READY_MS));
+  bd_edge_stop (site.edge);
+  site_wait (&site, LATE_MS);
+  call = site_start_call (&site, "POST", "/unsafe/x", "k1", NULL);
+  end_daemon ();
+  wait_for (call);
+  CU_ASSERT_EQUAL (call->status, 503);
+  CU_ASSERT_EQUAL (site.workers[1].request_count, 0);
+  site_finish (&site);
+}
+
 static void
 test_many_requests_get_final_responses_at_the_end (void)
 {
@@ -218,6 +259,8 @@
       test_slow_response_of_usually_fast_endpoint_outlasts_the_grace },
     { "steady endpoint is used until late",
       test_steady_endpoint_is_used_until_late },
+    { "fresh endpoint of slow service outlasts the grace",
+      test_fresh_endpoint_of_slow_service_outlasts_the_grace },
     { "many requests get final responses at the end",
       test_many_requests_get_final_responses_at_the_end },
   };
--- a/src/edge/stop.c
+++ b/src/edge/stop.c
@@ -10,6 +10,7 @@
 #include "edge/edge_internal.h"
 
 #include <math.h>
+#include <string.h>
 
 enum
 {
@@ -67,14 +68,37 @@
          + MAX_SILENCE_MS;
 }
 
-/* Upper limit of the latency of a plain endpoint, which contains the way
-   there, as of a retransmission timeout in RFC 6298.  */
+/* Upper limit of the measured latency of a plain endpoint, which contains the
+   way there, as of a retransmission timeout in RFC 6298.  */
 static double
-max_latency_ms (const struct bd_fleet_endpoint *endpoint)
+measured_limit_ms (const struct bd_fleet_endpoint *endpoint)
 {
   return endpoint->latency_ms + DEVIATIONS * endpoint->deviation_ms;
 }
 
+/* The same where it may not have been measured: that of the slowest endpoint
+   of the service then.  */
+static double
+max_latency_ms (const struct bd_edge *edge,
+                const struct bd_fleet_endpoint *endpoint)
+{
+  double max_ms = measured_limit_ms (endpoint);
+  GHashTableIter iter;
+  gpointer value;
+
+  if (endpoint->latency_ms > 0)
+    return max_ms;
+  g_hash_table_iter_init (&iter, edge->fleet.endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct bd_fleet_endpoint *other = value;
+
+      if (strcmp (other->entry.service, endpoint->entry.service) == 0)
+        max_ms = fmax (max_ms, measured_limit_ms (other));
+    }
+  return max_ms;
+}
+
 /* The same at a plain endpoint.  The requests beyond its slots wait.  */
 static double
 estimate_at_endpoint_ms (const struct bd_edge_request *request,
@@ -88,7 +112,7 @@
     return 0;
   if (endpoint->entry.slots > 0)
     turns += target->load / endpoint->entry.slots;
-  return turns * max_latency_ms (endpoint) + MAX_SILENCE_MS;
+  return turns * max_latency_ms (request->edge, endpoint) + MAX_SILENCE_MS;
 }
 
 /* Whether an attempt that takes this long is worth a start.  */
