stop: a group without a measured pace counts as the slowest of its model

Callers saw streams end without their last events at the end of the grace period, when the stopping daemon had sent them late to groups that had had no stream from it before: cut after the events that had come.

Cause: the pace of such a group is 1, so that its estimate is the formula's time, though the groups that were measured take many times as long. Not the pace that engines report: a daemon reads a report only where it is due, in the tests none, so that it stays at 1 (tried, without effect).

Until it has had an event of its own, a group counts as slow as the slowest one of its model. What other daemons measure is not known here, as before.

Test (steps of 190 ms where the formula says 15, one group measured of four, 10 streams 2.5 s into a grace period of 4.5 s): before 4 were sent and not refused; after all 10 get 503, not run, and none is sent.

--- a/src/edge/edge_stop_late_test.c
+++ b/src/edge/edge_stop_late_test.c
@@ -116,6 +116,32 @@
   site_finish (&site);
 }
 
+/* Only one of the groups has had a stream before.  */
+static void
+test_unmeasured_groups_of_slow_model_outlast_the_grace (void)
+{
+  struct site_call *calls[CALLS];
+
+  site_start (&site, 0, POOL_WORKERS);
+  for (uint32_t i = 0; i < POOL_WORKERS; i++)
+    site.workers[i].mode = WORKER_SLOW;
+  CU_ASSERT_TRUE_FATAL (site_run (&site, has_all_groups, READY_MS));
+  site.settings.bounds.grace_ms = GRACE_MS;
+  site_call (&site, "POST", "/stream/x", "k1", "m");
+  bd_edge_stop (site.edge);
+  site_wait (&site, LATE_MS);
+  for (uint32_t i = 0; i < CALLS; i++)
+    calls[i] = site_start_call (&site, "POST", "/stream/x", "k1", "m");
+  end_daemon ();
+  for (uint32_t i = 0; i < CALLS; i++)
+    {
+      wait_for (calls[i]);
+      CU_ASSERT_EQUAL (calls[i]->status, 503);
+    }
+  CU_ASSERT_EQUAL (site_request_count (&site), 1);
+  site_finish (&site);
+}
+
 /* Each fourth request takes long.  */
 static void
 vary_pause (struct site_worker *worker, const char *path, const char *account)
@@ -255,6 +281,8 @@
   static const struct unit_test tests[] = {
     { "short prompts among usual ones outlast the grace",
       test_short_prompts_among_usual_ones_outlast_the_grace },
+    { "unmeasured groups of slow model outlast the grace",
+      test_unmeasured_groups_of_slow_model_outlast_the_grace },
     { "slow response of usually fast endpoint outlasts the grace",
       test_slow_response_of_usually_fast_endpoint_outlasts_the_grace },
     { "steady endpoint is used until late",
--- a/src/edge/stop.c
+++ b/src/edge/stop.c
@@ -47,8 +47,31 @@
          + MAX_SILENCE_MS;
 }
 
+/* The measured pace of a group; that of the slowest group of its model where
+   none was measured.  */
+static double
+pace_of (const struct bd_edge *edge, const struct bd_fleet_group *group)
+{
+  double pace = fmax (group->pace, 1.0);
+  GHashTableIter iter;
+  gpointer value;
+
+  if (group->progress_ms > 0)
+    return pace;
+  g_hash_table_iter_init (&iter, edge->fleet.groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct bd_fleet_group *other = value;
+
+      if (strcmp (other->service, group->service) == 0
+          && strcmp (other->model, group->model) == 0)
+        pace = fmax (pace, other->pace);
+    }
+  return pace;
+}
+
 /* Estimated time of a request at a group: until the first event by what runs
-   there, and for the rest in a full batch, at the pace that was measured.  */
+   there, and for the rest in a full batch, at the group's pace.  */
 static double
 estimate_at_group_ms (const struct bd_edge_request *request,
                       const struct bd_edge_target *target)
@@ -62,7 +85,7 @@
   if (group == NULL || model == NULL)
     return 0;
   return target->expected_ms
-         + fmax (group->pace, 1.0)
+         + pace_of (request->edge, group)
                * bd_engine_response_ms (engine, model, request->prompt_tokens,
                                         request->max_output_tokens)
          + MAX_SILENCE_MS;
