--- a/src/edge/edge_stop_late_test.c
+++ b/src/edge/edge_stop_late_test.c
@@ -116,6 +116,32 @@
   site_finish (&site);
 }
 
+/* Only one of the groups has had a stream before.  */
+static void
+test_unmeasured_groups_of_slow_model_outlast_the_grace (void)
+{
+  struct site_call *calls[CALLS];
+
+  site_start (&site, 0, POOL_WORKERS);
+  for (uint32_t i = 0; i < POOL_WORKERS; i++)
+    site.workers[i].mode = WORKER_SLOW;
+  CU_ASSERT_TRUE_FATAL (site_run (&site, has_all_groups, READY_MS));
+  site.settings.bounds.grace_ms = GRACE_MS;
+  site_call (&site, "POST", "/stream/x", "k1", "m");
+  bd_edge_stop (site.edge);
+  site_wait (&site, LATE_MS);
+  for (uint32_t i = 0; i < CALLS; i++)
+    calls[i] = site_start_call (&site, "POST", "/stream/x", "k1", "m");
+  end_daemon ();
+  for (uint32_t i = 0; i < CALLS; i++)
+    {
+      wait_for (calls[i]);
+      CU_ASSERT_EQUAL (calls[i]->status, 503);
+    }
+  CU_ASSERT_EQUAL (site_request_count (&site), 1);
+  site_finish (&site);
+}
+
 /* Each fourth request takes long.  */
 static void
 vary_pause (struct site_worker *worker, const char *path, const char *account)
@@ -179,6 +205,47 @@
   site_finish (&site);
 }
 
+static bool
+has_fresh_endpoint (struct site *s)
+{
+  const struct bd_fleet_endpoint *fresh
+      = bd_fleet_endpoint (&s->edge->fleet, s->workers[1].id);
+  const struct bd_fleet_endpoint *measured
+      = bd_fleet_endpoint (&s->edge->fleet, s->workers[0].id);
+
+  return fresh != NULL && fresh->is_listed && measured->entry.is_draining;
+}
+
+/* It has just taken the place of one that was measured.  */
+static void
+test_fresh_endpoint_of_slow_service_outlasts_the_grace (void)
+{
+  struct site_call *call;
+
+  site_start (&site, 2, 0);
+  site.workers[1].is_listed = false;
+  site_list_worker (&site.workers[1]);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, READY_MS));
+  site.settings.bounds.grace_ms = GRACE_MS;
+  site.workers[0].mode = WORKER_PAUSING;
+  site.workers[1].mode = WORKER_PAUSING;
+  site.pause_ms = PAUSE_MS;
+  site_call (&site, "POST", "/unsafe/x", "k1", NULL);
+  site.workers[0].is_draining = true;
+  site_list_worker (&site.workers[0]);
+  site.workers[1].is_listed = true;
+  site_list_worker (&site.workers[1]);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, has_fresh_endpoint, READY_MS));
+  bd_edge_stop (site.edge);
+  site_wait (&site, LATE_MS);
+  call = site_start_call (&site, "POST", "/unsafe/x", "k1", NULL);
+  end_daemon ();
+  wait_for (call);
+  CU_ASSERT_EQUAL (call->status, 503);
+  CU_ASSERT_EQUAL (site.workers[1].request_count, 0);
+  site_finish (&site);
+}
+
 static void
 test_many_requests_get_final_responses_at_the_end (void)
 {
@@ -214,10 +281,14 @@
   static const struct unit_test tests[] = {
     { "short prompts among usual ones outlast the grace",
       test_short_prompts_among_usual_ones_outlast_the_grace },
+    { "unmeasured groups of slow model outlast the grace",
+      test_unmeasured_groups_of_slow_model_outlast_the_grace },
     { "slow response of usually fast endpoint outlasts the grace",
       test_slow_response_of_usually_fast_endpoint_outlasts_the_grace },
     { "steady endpoint is used until late",
       test_steady_endpoint_is_used_until_late },
+    { "fresh endpoint of slow service outlasts the grace",
+      test_fresh_endpoint_of_slow_service_outlasts_the_grace },
     { "many requests get final responses at the end",
       test_many_requests_get_final_responses_at_the_end },
   };
--- a/src/edge/stop.c
+++ b/src/edge/stop.c
@@ -10,6 +10,7 @@
 #include "edge/edge_internal.h"
 
 #include <math.h>
+#include <string.h>
 
 enum
 {
@@ -46,8 +47,31 @@
          + MAX_SILENCE_MS;
 }
 
+/* The measured pace of a group; that of the slowest group of its model where
+   none was measured.  */
+static double
+pace_of (const struct bd_edge *edge, const struct bd_fleet_group *group)
+{
+  double pace = fmax (group->pace, 1.0);
+  GHashTableIter iter;
+  gpointer value;
+
+  if (group->progress_ms > 0)
+    return pace;
+  g_hash_table_iter_init (&iter, edge->fleet.groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct bd_fleet_group *other = value;
+
+      if (strcmp (other->service, group->service) == 0
+          && strcmp (other->model, group->model) == 0)
+        pace = fmax (pace, other->pace);
+    }
+  return pace;
+}
+
 /* Estimated time of a request at a group: until the first event by what runs
-   there, and for the rest in a full batch, at the pace that was measured.  */
+   there, and for the rest in a full batch, at the group's pace.  */
 static double
 estimate_at_group_ms (const struct bd_edge_request *request,
                       const struct bd_edge_target *target)
@@ -61,20 +85,43 @@
   if (group == NULL || model == NULL)
     return 0;
   return target->expected_ms
-         + fmax (group->pace, 1.0)
+         + pace_of (request->edge, group)
                * bd_engine_response_ms (engine, model, request->prompt_tokens,
                                         request->max_output_tokens)
          + MAX_SILENCE_MS;
 }
 
-/* Upper limit of the latency of a plain endpoint, which contains the way
-   there, as of a retransmission timeout in RFC 6298.  */
+/* Upper limit of the measured latency of a plain endpoint, which contains the
+   way there, as of a retransmission timeout in RFC 6298.  */
 static double
-max_latency_ms (const struct bd_fleet_endpoint *endpoint)
+measured_limit_ms (const struct bd_fleet_endpoint *endpoint)
 {
   return endpoint->latency_ms + DEVIATIONS * endpoint->deviation_ms;
 }
 
+/* The same where it may not have been measured: that of the slowest endpoint
+   of the service then.  */
+static double
+max_latency_ms (const struct bd_edge *edge,
+                const struct bd_fleet_endpoint *endpoint)
+{
+  double max_ms = measured_limit_ms (endpoint);
+  GHashTableIter iter;
+  gpointer value;
+
+  if (endpoint->latency_ms > 0)
+    return max_ms;
+  g_hash_table_iter_init (&iter, edge->fleet.endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct bd_fleet_endpoint *other = value;
+
+      if (strcmp (other->entry.service, endpoint->entry.service) == 0)
+        max_ms = fmax (max_ms, measured_limit_ms (other));
+    }
+  return max_ms;
+}
+
 /* The same at a plain endpoint.  The requests beyond its slots wait.  */
 static double
 estimate_at_endpoint_ms (const struct bd_edge_request *request,
@@ -88,7 +135,7 @@
     return 0;
   if (endpoint->entry.slots > 0)
     turns += target->load / endpoint->entry.slots;
-  return turns * max_latency_ms (endpoint) + MAX_SILENCE_MS;
+  return turns * max_latency_ms (request->edge, endpoint) + MAX_SILENCE_MS;
 }
 
 /* Whether an attempt that takes this long is worth a start.  */
