edge_silence_test: a sixth of a long time limit instead of 233 ms

Callers see no change; a test failed once beside lint at a load of about 25 (silence of second endpoint ends safe request: status not 200).

Cause: the test's timing. The first of two silences of 1100 ms ends at a third of the time limit of 2000 ms, so that the response came at 1767 ms at the earliest, and a process that waits 233 ms for a processor missed the deadline. The daemon rightly answers then. Seen again in a run of this test alone on one processor that four busy processes had too: 1 of 5 runs failed at the same line, 5 of 5 passed with the processor to itself or after the busy processes had ended.

Change: the site's own time limit of 4000 ms, and silences of half of it. What is checked is the same (200, complete, two runs), and both silences are still longer than what the watchdog waits: 1333 and 889 ms. Either side has 667 ms of slack now (before, 433 and 233). The limit can't be longer, since the caller of the site states a deadline of 4000 ms.

After: 3337 ms and 200 alone; edge_silence_test passes (27 tests). It was not run beside the same load to an end: at four busy processes the site was not ready after 10 s, before and after the change.

--- a/src/edge/edge_silence_test.c
+++ b/src/edge/edge_silence_test.c
@@ -30,6 +30,9 @@
   VERY_SLOW_MS = 500,
   SLOW_STREAM_MS = 1800,
   PLAIN_TIMEOUT_MS = 2000,
+  /* Half of the time limit of the site's routes: the first silence ends after
+     a third of it, and a sixth is left after the second one.  */
+  LONG_PAUSE_MS = 2000,
   /* Requests that a plain worker gets at most: its slots and its queue.  */
   PLAIN_CAPACITY = 6,
   STALLED_CALLS = 3,
@@ -319,7 +322,8 @@
 static void
 test_silence_of_second_endpoint_ends_safe_request (void)
 {
-  start_plain_with_short_limit (2);
+  start_plain (2, WORKER_PAUSING);
+  site.pause_ms = LONG_PAUSE_MS;
   check_plain ("GET", "/safe/x", 2);
 }
 
