edge: a stalled attempt runs on until another one responds

What callers saw: a sound endpoint fell silent for about a second, the request was moved to another one, and that one refused it or failed: a stream that had begun was cut 2.6 s after its start, though its endpoint would have gone on after 1.1 s; a safe request got 502, 503 or the other endpoint's 500. A stream that is cut is a request without an answer, also beside a change of the configuration, a reload or a stop.

Cause: bd_edge_move_attempt() cancelled the silent attempt when it sent the next one, before that one was accepted. A refusal then left no attempt; the first group was tried already and suspected for 1.8 s, so that the stream waited until MAX_RESUME_WAIT_MS was over and was ended. The class of fault: giving up what one has for what one may get.

Ruled out: the change of the configuration itself, which makes no difference.

Change: the attempt that stalls is kept beside the new one. The first of the two whose data can be forwarded cancels the other one; if the new attempt fails, the request goes back to the one that stalled, and may move again. Runs are counted as before, so that MaxAttempts and the budget hold; requests that are not idempotent are never moved. An error response of the stalled endpoint, or bytes that are no event, do not end the new attempt. The fake's WORKER_FULL, documented as refusing, now does so for members of groups too.

--- a/src/calls/call.c
+++ b/src/calls/call.c
@@ -201,6 +201,17 @@
   return BD_ACTION_DISPATCH;
 }
 
+void
+bd_call_reverted (struct bd_call *call, enum bd_failure failure, uint32_t runs)
+{
+  assert (call->state == BD_CALL_RUNNING && call->runs >= runs);
+  call->unsent += failure == BD_FAILURE_NOT_SENT;
+  if (!is_unstarted (failure))
+    call->runs += call->attempt_runs;
+  call->runs -= runs;
+  call->attempt_runs = runs;
+}
+
 enum bd_action
 bd_call_no_target (struct bd_call *call, enum bd_error error)
 {
--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -145,6 +145,11 @@
 enum bd_action bd_call_failed (struct bd_call *call, enum bd_failure failure,
                                struct bd_retry_budget *budget, int64_t now_ms);
 
+/* bd_call_reverted(): the attempt failed while the one before it, whose
+   failure was reported and which may use runs, goes on.  */
+void bd_call_reverted (struct bd_call *call, enum bd_failure failure,
+                       uint32_t runs);
+
 /* bd_call_no_target(): no endpoint can take the call.  */
 enum bd_action bd_call_no_target (struct bd_call *call, enum bd_error error);
 
--- a/src/calls/calls_test.c
+++ b/src/calls/calls_test.c
@@ -75,6 +75,31 @@
   CU_ASSERT_EQUAL (call.runs, 3);
 }
 
+/* The first attempt, which counts as failed, goes on.  */
+static void
+test_reverted_attempts_use_up_the_runs (void)
+{
+  struct bd_retry_budget budget = full_budget;
+  struct bd_call call;
+
+  start (&call, true, false);
+  call.max_runs = 2;
+  bd_call_sent (&call, 1);
+  CU_ASSERT_EQUAL (bd_call_failed (&call, BD_FAILURE_BROKEN, &budget, 0),
+                   BD_ACTION_DISPATCH);
+  bd_call_sent (&call, 2);
+  bd_call_reverted (&call, BD_FAILURE_REFUSED, 1);
+  CU_ASSERT_EQUAL (call.runs, 0);
+  CU_ASSERT_EQUAL (bd_call_failed (&call, BD_FAILURE_BROKEN, &budget, 0),
+                   BD_ACTION_DISPATCH);
+  bd_call_sent (&call, 3);
+  bd_call_reverted (&call, BD_FAILURE_ERROR_RESPONSE, 1);
+  CU_ASSERT_EQUAL (call.runs, 1);
+  CU_ASSERT_EQUAL (bd_call_failed (&call, BD_FAILURE_BROKEN, &budget, 0),
+                   BD_ACTION_FAIL);
+  CU_ASSERT_EQUAL (call.runs, 2);
+}
+
 /* Only the deadline and the targets bound attempts that reach nobody.  */
 static void
 test_unsent_attempts_use_up_the_tries (void)
@@ -305,6 +330,8 @@
     test_stream_without_ids_is_not_resumed },
   { "runs at other daemons exceed the maximum",
     test_runs_at_other_daemons_exceed_the_maximum },
+  { "reverted attempts use up the runs",
+    test_reverted_attempts_use_up_the_runs },
   { "unsent attempts use up the tries",
     test_unsent_attempts_use_up_the_tries },
   { "tries beside unsent attempts", test_tries_beside_unsent_attempts },
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -2,6 +2,7 @@
 
 #include "edge/edge_internal.h"
 
+#include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -103,12 +104,131 @@
          && header_of (call, "Content-Encoding") == NULL;
 }
 
+static void
+save_attempt (const struct bd_edge_request *request,
+              struct bd_edge_stalled_attempt *stalled)
+{
+  stalled->attempt = request->attempt;
+  stalled->is_handed_over = request->is_handed_over;
+  stalled->has_next_daemon = request->has_next_daemon;
+  stalled->endpoint_started_ms = request->endpoint_started_ms;
+  stalled->group = request->group;
+  stalled->sent_ms = request->sent_ms;
+  stalled->expected_ms = request->expected_ms;
+  stalled->prefill_ms = request->prefill_ms;
+  stalled->is_prefilling = request->is_prefilling;
+  stalled->is_mismatched = request->is_mismatched;
+  stalled->is_incomplete = request->is_incomplete;
+  stalled->has_head = request->has_head;
+  stalled->is_stalled = request->is_stalled;
+  stalled->last_event_ms = request->last_event_ms;
+  stalled->events = request->events;
+  stalled->sse = request->sse;
+  stalled->response_body = request->response_body;
+  stalled->response_size = request->response_size;
+  stalled->response_capacity = request->response_capacity;
+  bd_name_copy (stalled->endpoint, request->endpoint);
+  stalled->runs = request->call.attempt_runs;
+}
+
+static void
+load_attempt (struct bd_edge_request *request,
+              const struct bd_edge_stalled_attempt *stalled)
+{
+  request->attempt = stalled->attempt;
+  request->is_handed_over = stalled->is_handed_over;
+  request->has_next_daemon = stalled->has_next_daemon;
+  request->endpoint_started_ms = stalled->endpoint_started_ms;
+  request->group = stalled->group;
+  request->sent_ms = stalled->sent_ms;
+  request->expected_ms = stalled->expected_ms;
+  request->prefill_ms = stalled->prefill_ms;
+  request->is_prefilling = stalled->is_prefilling;
+  request->is_mismatched = stalled->is_mismatched;
+  request->is_incomplete = stalled->is_incomplete;
+  request->has_head = stalled->has_head;
+  request->is_stalled = stalled->is_stalled;
+  request->last_event_ms = stalled->last_event_ms;
+  request->events = stalled->events;
+  request->sse = stalled->sse;
+  request->response_body = stalled->response_body;
+  request->response_size = stalled->response_size;
+  request->response_capacity = stalled->response_capacity;
+  bd_name_copy (request->endpoint, stalled->endpoint);
+  request->call.attempt_runs = stalled->runs;
+}
+
+/* Exchanges the current attempt and the one that stalls.  */
+static void
+swap_attempts (struct bd_edge_request *request)
+{
+  struct bd_edge_stalled_attempt current;
+
+  save_attempt (request, &current);
+  load_attempt (request, request->stalled);
+  *request->stalled = current;
+}
+
+static void
+free_stalled (struct bd_edge_request *request)
+{
+  talloc_free (request->stalled->sse.buffer);
+  talloc_free (request->stalled->response_body);
+  TALLOC_FREE (request->stalled);
+}
+
+void
+bd_edge_cancel_stalled (struct bd_edge_request *request)
+{
+  if (request->stalled == NULL)
+    return;
+  swap_attempts (request);
+  if (request->attempt != NULL)
+    bd_http_call_cancel (request->attempt);
+  bd_edge_release_slot (request);
+  swap_attempts (request);
+  free_stalled (request);
+}
+
+/* Makes the current attempt the one that stalls.  */
+static void
+keep_stalled (struct bd_edge_request *request)
+{
+  bd_edge_cancel_stalled (request);
+  request->stalled = talloc_zero (request, struct bd_edge_stalled_attempt);
+  save_attempt (request, request->stalled);
+  request->attempt = NULL;
+  bd_sse_init (&request->sse, request);
+  request->response_body = NULL;
+  request->response_size = 0;
+  request->response_capacity = 0;
+}
+
+/* The current attempt has failed, and the one that stalled is current
+   again.  */
+static void
+revert_to_stalled (struct bd_edge_request *request, enum bd_failure failure)
+{
+  bd_call_reverted (&request->call, failure, request->stalled->runs);
+  swap_attempts (request);
+  free_stalled (request);
+  /* The caller may have read on meanwhile.  */
+  bd_http_call_continue (request->attempt);
+}
+
+/* Whether the call is the one that stalls beside the current one.  */
+static bool
+is_stalled_call (const struct bd_edge_request *request,
+                 const struct bd_http_call *call)
+{
+  return request->stalled != NULL && request->stalled->attempt == call;
+}
+
 /* A response that is a stream is forwarded before its end is known, so that
    its head has to have the seal.  */
 static bool
-handle_accepts (void *ctx, struct bd_http_call *call)
+accept_head (struct bd_edge_request *request, struct bd_http_call *call)
 {
-  struct bd_edge_request *request = ctx;
   uint32_t status = bd_http_call_status (call);
   bool is_own = is_own_response (request, call, status)
                 && (!is_stream (call) || has_response_seal (request, call));
@@ -129,6 +249,21 @@
   return is_own;
 }
 
+static bool
+handle_accepts (void *ctx, struct bd_http_call *call)
+{
+  struct bd_edge_request *request = ctx;
+  bool is_stalled = is_stalled_call (request, call);
+  bool is_accepted;
+
+  if (is_stalled)
+    swap_attempts (request);
+  is_accepted = accept_head (request, call);
+  if (is_stalled)
+    swap_attempts (request);
+  return is_accepted;
+}
+
 static bool
 append_body (struct bd_edge_request *request, const char *data, size_t size)
 {
@@ -185,6 +320,7 @@
     return true;
   if (!has_place (request, event))
     return false;
+  bd_edge_cancel_stalled (request);
   if (!request->has_stream_begun)
     bd_edge_begin_stream (request, call);
   else
@@ -207,10 +343,9 @@
 }
 
 static bool
-handle_data (void *ctx, struct bd_http_call *call, const char *data,
-             size_t size)
+read_data (struct bd_edge_request *request, struct bd_http_call *call,
+           const char *data, size_t size)
 {
-  struct bd_edge_request *request = ctx;
   struct bd_sse_event event;
   bool can_write = true;
 
@@ -218,6 +353,9 @@
     {
       note_progress (request);
       bd_edge_note_prefill_done (request);
+      if (is_success (bd_http_call_status (call))
+          && has_response_seal (request, call))
+        bd_edge_cancel_stalled (request);
       if (!append_body (request, data, size))
         reject (request, call);
       return true;
@@ -242,6 +380,24 @@
   return can_write;
 }
 
+/* Data of the attempt that stalled make it the current one if they can be
+   forwarded.  */
+static bool
+handle_data (void *ctx, struct bd_http_call *call, const char *data,
+             size_t size)
+{
+  struct bd_edge_request *request = ctx;
+  bool is_stalled = is_stalled_call (request, call);
+  bool can_write;
+
+  if (is_stalled)
+    swap_attempts (request);
+  can_write = read_data (request, call, data, size);
+  if (is_stalled && request->stalled != NULL)
+    swap_attempts (request);
+  return can_write;
+}
+
 static const char *
 failure_name (enum bd_failure failure)
 {
@@ -325,8 +481,8 @@
              &bd_edge_service (request->edge, request->service)->links);
 }
 
-/* Handles the failure of the attempt: starts the next one or sends the final
-   failure.  */
+/* Handles the failure of the attempt: goes back to the one that stalled,
+   starts the next one or sends the final failure.  */
 static void
 fail (struct bd_edge_request *request, enum bd_failure failure, bool is_crash,
       const char *detail)
@@ -340,6 +496,12 @@
   bd_edge_release_slot (request);
   count_failure (edge, failure);
   note_failure (request, failure, is_crash);
+  if (request->stalled != NULL)
+    {
+      revert_to_stalled (request, failure);
+      bd_edge_dispatch_backlogs (edge);
+      return;
+    }
   request->prefers_handover
       = !is_crash
         && (failure == BD_FAILURE_NOT_SENT || failure == BD_FAILURE_BROKEN)
@@ -393,18 +555,12 @@
       = bd_call_failed (&request->call, BD_FAILURE_BROKEN, &service->retries,
                         bd_edge_now_ms (edge));
 
+  assert (action == BD_ACTION_DISPATCH);
   log_failure (request, BD_FAILURE_BROKEN, "silent");
-  bd_http_call_cancel (request->attempt);
-  request->attempt = NULL;
-  bd_edge_release_slot (request);
   count_failure (edge, BD_FAILURE_BROKEN);
-  if (action == BD_ACTION_DISPATCH)
-    {
-      count_next_attempt (request);
-      bd_edge_start_attempt (request, target);
-    }
-  else
-    bd_edge_run_action (request, action);
+  keep_stalled (request);
+  count_next_attempt (request);
+  bd_edge_start_attempt (request, target);
 }
 
 static void
@@ -488,14 +644,55 @@
          || header_of (call, "Transfer-Encoding") != NULL;
 }
 
+/* Whether the attempt that stalled has ended with a response for the caller
+   that has no body.  */
+static bool
+has_stalled_responded (const struct bd_edge_request *request,
+                       const struct bd_http_call *call,
+                       const struct bd_http_result *result)
+{
+  return result->is_complete && !request->stalled->is_mismatched
+         && !request->stalled->is_incomplete && !is_stream (call)
+         && is_success (result->status) && has_response_seal (request, call);
+}
+
+/* The attempt that stalled has ended, and the current one goes on.  */
+static void
+end_stalled (struct bd_edge_request *request,
+             const struct bd_http_result *result)
+{
+  bool is_crash
+      = !result->is_complete && result->was_sent && !result->has_timed_out;
+
+  swap_attempts (request);
+  request->attempt = NULL;
+  log_failure (request, BD_FAILURE_BROKEN, "ended after it stalled");
+  bd_edge_release_slot (request);
+  note_failure (request, BD_FAILURE_BROKEN, is_crash);
+  swap_attempts (request);
+  free_stalled (request);
+  bd_edge_dispatch_backlogs (request->edge);
+}
+
 static void
 handle_done (void *ctx, struct bd_http_call *call,
              const struct bd_http_result *result)
 {
   struct bd_edge_request *request = ctx;
   struct bd_edge *edge = request->edge;
-  bool is_partial = request->sse.used > request->sse.start;
+  bool is_partial;
 
+  if (is_stalled_call (request, call))
+    {
+      if (!has_stalled_responded (request, call, result))
+        {
+          end_stalled (request, result);
+          return;
+        }
+      swap_attempts (request);
+      bd_edge_cancel_stalled (request);
+    }
+  is_partial = request->sse.used > request->sse.start;
   request->attempt = NULL;
   if (request->is_mismatched)
     fail (request, BD_FAILURE_MISMATCHED, false,
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -118,6 +118,8 @@
   size_t response_size;
   size_t response_capacity;
 
+  struct bd_edge_stalled_attempt *stalled; /* NULL if there is none.  */
+
   /* The response to the caller.  */
   bool has_stream_begun; /* The head of a stream was sent.  */
   int64_t stream_begun_ms;
@@ -132,6 +134,33 @@
   struct bd_edge_request *next;
 };
 
+/* An attempt that stalls and runs on beside the current one, which has brought
+   nothing yet: the fields of the request that describe an attempt.  */
+struct bd_edge_stalled_attempt
+{
+  struct bd_http_call *attempt;
+  bool is_handed_over;
+  bool has_next_daemon;
+  char endpoint[BD_NAME_SIZE];
+  int64_t endpoint_started_ms;
+  uint64_t group;
+  int64_t sent_ms;
+  double expected_ms;
+  double prefill_ms;
+  bool is_prefilling;
+  bool is_mismatched;
+  bool is_incomplete;
+  bool has_head;
+  bool is_stalled;
+  int64_t last_event_ms;
+  uint32_t events;
+  struct bd_sse sse;
+  char *response_body;
+  size_t response_size;
+  size_t response_capacity;
+  uint32_t runs; /* That it may use.  */
+};
+
 /* Retry budget and backlog of one service.  The retry budget is this daemon's
    share of the budget of all daemons.  */
 struct bd_edge_service
@@ -579,15 +608,20 @@
    about its target; the attempt goes on.  */
 void bd_edge_note_stall (struct bd_edge_request *request);
 
-/* bd_edge_can_move(): whether an attempt that stalls may be given up for one
-   at another target, if there is one.  */
+/* bd_edge_can_move(): whether an attempt that stalls may be replaced by one at
+   another target, if there is one.  */
 bool bd_edge_can_move (const struct bd_edge_request *request);
 
-/* bd_edge_move_attempt(): cancels an attempt for which bd_edge_can_move() is
-   true, and sends the request to target.  */
+/* bd_edge_move_attempt(): sends a request for which bd_edge_can_move() is true
+   to target.  The attempt that stalls runs on; the first of the two that makes
+   progress cancels the other one.  */
 void bd_edge_move_attempt (struct bd_edge_request *request,
                            const struct bd_edge_target *target);
 
+/* bd_edge_cancel_stalled(): cancels the attempt that runs on beside the
+   current one, if there is one.  */
+void bd_edge_cancel_stalled (struct bd_edge_request *request);
+
 /* evidence.c: records and exchanges what crashes endpoints.  */
 
 /* bd_edge_set_subjects(): sets the subjects of a new request.  */
--- a/src/edge/edge_silence_test.c
+++ b/src/edge/edge_silence_test.c
@@ -288,6 +288,85 @@
   check_stream_beside_config (drop_engine);
 }
 
+static struct site_worker *
+find_busy_worker (void)
+{
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    if (site.workers[i].request_count > 0)
+      return &site.workers[i];
+  return NULL;
+}
+
+static void
+set_other_modes (const struct site_worker *worker, enum worker_mode mode)
+{
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    if (&site.workers[i] != worker)
+      site.workers[i].mode = mode;
+}
+
+/* A stream stalls, and the other group refuses it.  */
+static void
+check_refused_move (void (*change) (void))
+{
+  struct site_call *call;
+
+  start_pool (4, WORKER_PAUSING);
+  call = start_stream ();
+  site_wait (&site, BEGUN_MS);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (find_busy_worker ());
+  set_other_modes (find_busy_worker (), WORKER_FULL);
+  if (change != NULL)
+    change ();
+  wait_for (call);
+  CU_ASSERT_TRUE (is_stream_complete (call));
+  CU_ASSERT_EQUAL (site_request_count (&site), 2);
+  site_finish (&site);
+}
+
+static void
+shorten_idle_timeout (void)
+{
+  json_object_set_new (site.config, "IdleTimeoutMs", json_integer (500));
+  publish ();
+}
+
+static void
+reload (void)
+{
+  bd_edge_reload (site.edge, &site.settings);
+}
+
+static void
+stop (void)
+{
+  bd_edge_stop (site.edge);
+}
+
+static void
+test_refusal_of_second_group_ends_stream (void)
+{
+  check_refused_move (NULL);
+}
+
+static void
+test_refusal_of_second_group_beside_config_ends_stream (void)
+{
+  check_refused_move (shorten_idle_timeout);
+}
+
+static void
+test_refusal_of_second_group_beside_reload_ends_stream (void)
+{
+  check_refused_move (reload);
+}
+
+static void
+test_refusal_of_second_group_beside_stop_ends_stream (void)
+{
+  check_refused_move (stop);
+}
+
 /* A shorter time limit makes plain endpoints count as silent sooner.  */
 static void
 start_plain_with_short_limit (uint32_t workers)
@@ -347,21 +426,54 @@
   check_plain ("POST", "/unsafe/x", 1);
 }
 
-static struct site_worker *
-find_busy_worker (void)
+/* A safe request stalls, and gets to the other endpoint.  first is what its
+   endpoint does in the end.  */
+static void
+check_plain_move (enum worker_mode first, enum worker_mode second)
 {
-  for (uint32_t i = 0; i < site.worker_count; i++)
-    if (site.workers[i].request_count > 0)
-      return &site.workers[i];
-  return NULL;
+  struct site_call *call;
+
+  start_plain_with_short_limit (2);
+  call = site_start_call (&site, "GET", "/safe/x", "k1", NULL);
+  site_wait (&site, BEGUN_MS);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (find_busy_worker ());
+  set_other_modes (find_busy_worker (), second);
+  find_busy_worker ()->mode = first;
+  wait_for (call);
+  CU_ASSERT_EQUAL (call->status, 200);
+  CU_ASSERT_TRUE (call->is_complete);
+  CU_ASSERT_EQUAL (site_request_count (&site), 2);
+  site_finish (&site);
 }
 
 static void
-set_other_modes (const struct site_worker *worker, enum worker_mode mode)
+test_refusal_of_second_endpoint_ends_safe_request (void)
 {
-  for (uint32_t i = 0; i < site.worker_count; i++)
-    if (&site.workers[i] != worker)
-      site.workers[i].mode = mode;
+  check_plain_move (WORKER_PAUSING, WORKER_FULL);
+}
+
+static void
+test_failure_of_second_endpoint_ends_safe_request (void)
+{
+  check_plain_move (WORKER_PAUSING, WORKER_FAILING);
+}
+
+static void
+test_broken_connection_of_second_endpoint_ends_safe_request (void)
+{
+  check_plain_move (WORKER_PAUSING, WORKER_RESETTING);
+}
+
+static void
+test_late_failure_of_first_endpoint_ends_safe_request (void)
+{
+  check_plain_move (WORKER_FAILING, WORKER_PAUSING);
+}
+
+static void
+test_late_broken_connection_of_first_endpoint_ends_safe_request (void)
+{
+  check_plain_move (WORKER_RESETTING, WORKER_PAUSING);
 }
 
 static void
@@ -637,6 +749,14 @@
       test_config_that_drops_service_ends_silent_stream },
     { "config that drops engine ends silent stream",
       test_config_that_drops_engine_ends_silent_stream },
+    { "refusal of second group ends stream",
+      test_refusal_of_second_group_ends_stream },
+    { "refusal of second group beside config ends stream",
+      test_refusal_of_second_group_beside_config_ends_stream },
+    { "refusal of second group beside reload ends stream",
+      test_refusal_of_second_group_beside_reload_ends_stream },
+    { "refusal of second group beside stop ends stream",
+      test_refusal_of_second_group_beside_stop_ends_stream },
     { "silence without another endpoint ends safe request",
       test_silence_without_another_endpoint_ends_safe_request },
     { "silence of second endpoint ends safe request",
@@ -646,6 +766,16 @@
     { "silence ends safe request that may run once",
       test_silence_ends_safe_request_that_may_run_once },
     { "silence ends unsafe request", test_silence_ends_unsafe_request },
+    { "refusal of second endpoint ends safe request",
+      test_refusal_of_second_endpoint_ends_safe_request },
+    { "failure of second endpoint ends safe request",
+      test_failure_of_second_endpoint_ends_safe_request },
+    { "broken connection of second endpoint ends safe request",
+      test_broken_connection_of_second_endpoint_ends_safe_request },
+    { "late failure of first endpoint ends safe request",
+      test_late_failure_of_first_endpoint_ends_safe_request },
+    { "late broken connection of first endpoint ends safe request",
+      test_late_broken_connection_of_first_endpoint_ends_safe_request },
     { "waiting requests delay a stalled stream",
       test_waiting_requests_delay_a_stalled_stream },
     { "stalled stream is moved late", test_stalled_stream_is_moved_late },
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -54,6 +54,7 @@
 {
   struct bd_edge *edge = request->edge;
 
+  bd_edge_cancel_stalled (request);
   if (request->attempt != NULL)
     {
       bd_http_call_cancel (request->attempt);
--- a/src/edge/watchdog.c
+++ b/src/edge/watchdog.c
@@ -4,8 +4,8 @@
    A group stalls without a broken connection when one of its members becomes
    unreachable.  A stream that has begun and gets no event for several passes
    of the engine is resumed at another group.  A sound endpoint can be silent
-   for as long, so an attempt that stalls is only ended when another one takes
-   its place.  */
+   for as long, so an attempt that stalls is only ended when another one has
+   responded.  */
 
 #include "edge/edge_internal.h"
 
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -882,9 +882,11 @@
 {
   bool is_member = worker->domain[0] != '\0';
 
-  if (!is_member)
-    return worker->mode != WORKER_FULL;
-  return worker->group != NULL && strcmp (group_state (worker), "open") == 0;
+  if (worker->mode == WORKER_FULL)
+    return false;
+  return !is_member
+         || (worker->group != NULL
+             && strcmp (group_state (worker), "open") == 0);
 }
 
 /* Whether the worker crashes when it begins to run the request.  */
