placement: prefills that peers counted earlier are no longer waiting

Cause: the counts of the other daemons are some 250 ms old (the lag with the least error against the log's counts, 2.1; 11.0 without lag). A prefill lasts about as long as two passes, so the prefills in these counts are done when they are used, but each moved the expected time by 15 percent, the tolerance within which groups count as equal. The requests of all daemons went to the one or two groups that had no prefill a quarter of a second ago, however full these were: up to 29 requests within 250 ms to one group.

Change: the prefills of the other daemons are kept apart from the own ones, and what an engine has worked off within the age of the counts is not waited for. The age follows from the periods and hops of the statuses.

Not the cause: the order of waiting requests (late ones already come last).

--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -726,6 +726,10 @@
                               struct bd_traffic_report *report,
                               uint32_t max_models);
 
+/* bd_edge_traffic_age_ms(): returns the mean age of the counts of the other
+   daemons' requests.  */
+int64_t bd_edge_traffic_age_ms (const struct bd_edge *edge);
+
 /* bd_edge_send_status(): timer callback: sends this daemon's status to the
    peers that are due.  */
 void bd_edge_send_status (void *ctx);
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -31,6 +31,9 @@
   /* Time after which a new relay has heard from the daemons of its data
      centre.  */
   RELAY_WARM_MS = 500,
+  /* Messages by which a count reaches another daemon of a large fleet: to the
+     relay, to that of another data centre, and to the daemon.  */
+  LARGE_FLEET_HOPS = 3,
   MAX_TARGETS = 1024,
   MAX_LIVE = 4096
 };
@@ -60,6 +63,13 @@
   return edge->membership.count <= SMALL_FLEET_DAEMONS;
 }
 
+int64_t
+bd_edge_traffic_age_ms (const struct bd_edge *edge)
+{
+  return is_small_fleet (edge) ? SMALL_PERIOD_MS / 2
+                               : LARGE_FLEET_HOPS * LARGE_PERIOD_MS / 2;
+}
+
 static bool
 is_local (const struct bd_edge *edge, const char *data_centre)
 {
--- a/src/edge/target.c
+++ b/src/edge/target.c
@@ -67,8 +67,10 @@
   const struct bd_edge *edge = request->edge;
 
   load->running = group->in_flight + group->peers_in_flight;
-  load->prefill_ms = group->prefill_ms + group->peers_prefill_ms;
+  load->prefill_ms = group->prefill_ms;
+  load->peers_prefill_ms = group->peers_prefill_ms;
   load->distance_ms = distance_ms (edge, group->data_centre);
+  load->age_ms = (double)bd_edge_traffic_age_ms (edge);
   load->is_tried = was_tried (request, group->hash);
 }
 
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -21,12 +21,16 @@
   double pace = load->pace > 0 ? load->pace : 1.0;
   double own_ms = bd_engine_prefill_ms (engine, model, prompt_tokens);
   double pass_ms = bd_engine_pass_ms (engine, model, load->running + 1);
+  /* Prompts that were waiting when the other daemons counted them have been
+     prefilled since.  */
+  double others_ms
+      = load->prefill_ms + fmax (0, load->peers_prefill_ms - load->age_ms);
 
   /* The request waits half a pass on average until it is scheduled, and its
      first event is sent one pass later.  Passes that prefill other prompts
-     take as long as these prompts: load->prefill_ms.  */
+     take as long as these prompts.  */
   return load->distance_ms + engine_start_ms
-         + pace * (load->prefill_ms + own_ms + 1.5 * pass_ms);
+         + pace * (others_ms + own_ms + 1.5 * pass_ms);
 }
 
 /* Chooses a random target among those within cost_tolerance of the best; -1
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -20,12 +20,14 @@
 /* Known load of one replica group.  */
 struct bd_group_load
 {
-  uint32_t running;       /* Requests on it, from all daemons.  */
-  uint32_t prefill_count; /* Of those, requests without a first event.  */
-  double prefill_ms;      /* Prefill time of their prompts.  */
+  uint32_t running;        /* Requests on it, from all daemons.  */
+  uint32_t prefill_count;  /* Of those, requests without a first event.  */
+  double prefill_ms;       /* Prefill time of this daemon's prompts on it.  */
+  double peers_prefill_ms; /* Of the other daemons' prompts, age_ms ago.  */
   double pace;        /* Ratio of the measured to the expected time of a pass;
                          0 if unknown.  */
   double distance_ms; /* Network round-trip time.  */
+  double age_ms;      /* Of what is known of the other daemons' requests.  */
   bool is_tried;      /* This request has failed on it.  */
 };
 
--- a/src/placement/placement_test.c
+++ b/src/placement/placement_test.c
@@ -4,6 +4,8 @@
 #include "placement/subset.h"
 #include "tests/unit.h"
 
+#include <gsl/gsl_randist.h>
+#include <gsl/gsl_sort.h>
 #include <string.h>
 
 static const struct bd_engine engine
@@ -121,6 +123,144 @@
       }
 }
 
+enum
+{
+  SIM_GROUPS = 12,
+  SIM_TICK_MS = 10,
+  SIM_WARM_MS = 5000,
+  SIM_END_MS = 65000,
+  SIM_AGE_MS = 250,
+  SIM_MAX_REQUESTS = 16384,
+  SIM_PROMPT_TOKENS = 1500,
+  SIM_RESPONSE_TOKENS = 150,
+  SIM_OBJECTIVE_MS = 400
+};
+
+struct sim_request
+{
+  int32_t group; /* -1 while it waits at its daemon.  */
+  double received_ms;
+  double sent_ms;
+  double slot_ms;
+  double first_ms;
+  double end_ms;
+};
+
+static struct sim_request sim_requests[SIM_MAX_REQUESTS];
+static uint32_t sim_count;
+
+/* What the daemons know of the groups: their requests at an earlier time.  */
+static void
+sim_loads (struct bd_group_load *loads, double then_ms)
+{
+  for (uint32_t i = 0; i < SIM_GROUPS; i++)
+    loads[i] = (struct bd_group_load){ .pace = 1, .age_ms = SIM_AGE_MS };
+  for (uint32_t i = 0; i < sim_count; i++)
+    {
+      const struct sim_request *request = &sim_requests[i];
+
+      if (request->group < 0 || request->sent_ms > then_ms
+          || request->end_ms <= then_ms)
+        continue;
+      loads[request->group].running++;
+      if (request->first_ms > then_ms)
+        loads[request->group].peers_prefill_ms
+            += bd_engine_prefill_ms (&engine, &model, SIM_PROMPT_TOKENS);
+    }
+}
+
+/* Sends a request; it starts when the group has a slot, behind the others.  */
+static void
+sim_send (struct sim_request *request, int32_t group, double now_ms)
+{
+  static double ends_ms[SIM_MAX_REQUESTS];
+  struct bd_group_load load = { .pace = 1 };
+  double stay = bd_engine_response_ms (&engine, &model, SIM_PROMPT_TOKENS,
+                                       SIM_RESPONSE_TOKENS);
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < sim_count; i++)
+    {
+      const struct sim_request *other = &sim_requests[i];
+
+      if (other->group != group || other->end_ms <= now_ms)
+        continue;
+      ends_ms[count++] = other->end_ms;
+      if (other->slot_ms <= now_ms && other->first_ms > now_ms)
+        load.prefill_ms
+            += bd_engine_prefill_ms (&engine, &model, SIM_PROMPT_TOKENS);
+    }
+  load.running = count < engine.slots ? count : engine.slots;
+  gsl_sort (ends_ms, 1, count);
+  request->group = group;
+  request->sent_ms = now_ms;
+  request->slot_ms
+      = count < engine.slots ? now_ms : ends_ms[count - engine.slots];
+  request->first_ms
+      = request->slot_ms
+        + bd_first_event_ms (&engine, &model, &load, SIM_PROMPT_TOKENS);
+  request->end_ms = request->slot_ms + gsl_ran_exponential (rng, stay);
+  if (request->end_ms < request->first_ms)
+    request->end_ms = request->first_ms;
+}
+
+/* Plays the arrivals of a minute; returns the share of requests whose first
+   event comes after the objective.  */
+static double
+sim_late_share (double slot_share)
+{
+  double stay = bd_engine_response_ms (&engine, &model, SIM_PROMPT_TOKENS,
+                                       SIM_RESPONSE_TOKENS);
+  double per_tick
+      = SIM_TICK_MS * slot_share * SIM_GROUPS * engine.slots / stay;
+  uint32_t first_waiting = 0;
+  uint32_t judged = 0;
+  uint32_t late = 0;
+
+  sim_count = 0;
+  for (double now_ms = 0; now_ms < SIM_END_MS; now_ms += SIM_TICK_MS)
+    {
+      struct bd_group_load loads[SIM_GROUPS];
+
+      for (uint32_t i = gsl_ran_poisson (rng, per_tick);
+           i > 0 && sim_count < SIM_MAX_REQUESTS; i--)
+        sim_requests[sim_count++]
+            = (struct sim_request){ .group = -1, .received_ms = now_ms };
+      sim_loads (loads, now_ms - SIM_AGE_MS);
+      for (uint32_t i = first_waiting; i < sim_count; i++)
+        {
+          double expected_ms;
+          int32_t chosen
+              = bd_choose_group (&engine, &model, loads, SIM_GROUPS,
+                                 SIM_PROMPT_TOKENS, rng, &expected_ms);
+
+          if (chosen < 0)
+            break;
+          sim_send (&sim_requests[i], chosen, now_ms);
+          first_waiting = i + 1;
+        }
+    }
+  for (uint32_t i = 0; i < first_waiting; i++)
+    {
+      const struct sim_request *request = &sim_requests[i];
+
+      if (request->received_ms < SIM_WARM_MS)
+        continue;
+      judged++;
+      late += request->first_ms - request->received_ms > SIM_OBJECTIVE_MS;
+    }
+  return judged > 0 ? (double)late / judged : 1;
+}
+
+/* With three quarters of the slots in use, nine of ten requests are in
+   time.  */
+static void
+test_stale_prefills_misdirect_requests (void)
+{
+  for (uint32_t i = 0; i < 3; i++)
+    CU_ASSERT_TRUE (sim_late_share (0.75) <= 0.1);
+}
+
 int
 main (void)
 {
@@ -128,6 +268,8 @@
       = { { "formula", test_formula },
           { "soonest first event", test_soonest_first_event },
           { "spreads over equal targets", test_spreads_over_equal_targets },
+          { "stale prefills misdirect requests",
+            test_stale_prefills_misdirect_requests },
           { "failing endpoints get less", test_failing_endpoints_get_less },
           { "subsets are even", test_subsets_are_even } };
   int code;
