edge: a Deadline-Ms that is no number counts as absent

A caller that sent such a header ("soon", "4s") got no time: the endpoint was given 1 to 4 ms, and stops its work then.

Cause: strtoll() reads 0, or the digits at the start, from any text.

Change: the header is read by bd_numbers_read(), as the other numbers of callers are; without a number the time limit of the route counts. A number above the limit still counts as the limit; a negative one, which left no time before, as absent.

Ruled out on the way: the caller's status, which is 200 where the endpoint of the test responds at once.

--- a/src/edge/edge_headers_test.c
+++ b/src/edge/edge_headers_test.c
@@ -6,12 +6,15 @@
 #include "tests/quiet.h"
 #include "tests/unit.h"
 
+#include <stdlib.h>
+
 enum
 {
   READY_MS = 10000,
   OTHERS = 3, /* Fewer than a group's slots.  */
   TRIES = 5,
-  BATCH = 8
+  BATCH = 8,
+  MIN_LEFT_MS = 3000 /* Of the 4000 of the route.  */
 };
 
 static struct site site;
@@ -136,6 +139,23 @@
     }
 }
 
+static void
+test_deadline_that_is_no_number_leaves_no_time (void)
+{
+  static const char *const deadlines[] = { "soon", "4s", "1 2", "0x10", "-1" };
+
+  site_start (&site, 1, 0);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, READY_MS));
+  for (uint32_t i = 0; i < sizeof deadlines / sizeof deadlines[0]; i++)
+    {
+      site.deadline_ms = deadlines[i];
+      CU_ASSERT_EQUAL (site_call (&site, "GET", "/safe/x", "k1", NULL)->status,
+                       200);
+      CU_ASSERT_TRUE (atoi (site.workers[0].last_deadline) > MIN_LEFT_MS);
+    }
+  site_finish (&site);
+}
+
 int
 main (void)
 {
@@ -144,6 +164,8 @@
       test_counts_out_of_range_keep_others_away },
     { "load out of range keeps requests away",
       test_load_out_of_range_keeps_requests_away },
+    { "deadline that is no number leaves no time",
+      test_deadline_that_is_no_number_leaves_no_time },
   };
 
   unit_silence_log ();
--- a/src/edge/ingress.c
+++ b/src/edge/ingress.c
@@ -169,9 +169,9 @@
 {
   const char *text = bd_http_header (
       request->exchange, request->edge->adapter->headers->deadline_ms);
-  int64_t left_ms = text != NULL ? strtoll (text, NULL, 10) : timeout_ms;
+  uint32_t left_ms = timeout_ms;
 
-  if (left_ms > (int64_t)timeout_ms)
+  if (bd_numbers_read (text, UINT32_MAX, &left_ms, 1) && left_ms > timeout_ms)
     left_ms = timeout_ms;
   return request->received_ms + left_ms;
 }
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -1391,9 +1391,11 @@
   static uint32_t serial;
   struct site_call *out = talloc_zero (site->events, struct site_call);
   char *id = talloc_asprintf (out, "%016x", ++serial);
-  struct bd_http_header_field headers[9] = { { "Host", "h.example" },
-                                             { "Attempt-Id", id },
-                                             { "Deadline-Ms", "4000" } };
+  struct bd_http_header_field headers[9]
+      = { { "Host", "h.example" },
+          { "Attempt-Id", id },
+          { "Deadline-Ms",
+            site->deadline_ms != NULL ? site->deadline_ms : "4000" } };
   uint32_t count = 3;
   struct bd_http_request request
       = { .method = method,
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -141,6 +141,7 @@
   /* Value of the prompt's parts in site_call(), or NULL.  */
   const char *prompt_parts;
   const char *token_counts; /* The same of its length; 100,12 if NULL.  */
+  const char *deadline_ms;  /* The same; 4000 if NULL.  */
   /* A worker that begins to run a request with this text in its path or its
      prompt's parts crashes after crash_delay_ms; NULL for none.  It is back
      SITE_RESTART_MS later, under its id.  */
