base: a file that can't be read to its end is not read in part

An operator who named a directory, or a file whose read fails midway, as settings or service file got findings on an empty or cut text, or none; the daemon could start with a part of its settings. Read from the code, not seen with users.

Cause: bd_file_read() took each end of fread() for the end of the file.

Change: it returns NULL on a read error, and its callers report "cannot be read" as for a file that can't be opened.

base_test, reading the directory "/", failed before (an empty text) and passes after (8 tests, 10630 asserts).

--- a/src/base/base_test.c
+++ b/src/base/base_test.c
@@ -8,6 +8,7 @@
 #include "base/ids.h"
 #include "base/json.h"
 #include "base/numbers.h"
+#include "base/toml.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -236,6 +237,15 @@
     }
 }
 
+/* The open of a directory succeeds, the read fails.  */
+static void
+test_file_that_fails_while_it_is_read_is_empty (void)
+{
+  size_t size;
+
+  CU_ASSERT_PTR_NULL (bd_file_read (NULL, "/", &size));
+}
+
 static const struct unit_test tests[] = {
   { "every error has a response", test_every_error_has_a_response },
   { "counters", test_counters_are_rendered },
@@ -245,6 +255,8 @@
     test_json_keeps_what_is_beside_a_refused_value },
   { "numbers out of range are taken", test_numbers_out_of_range_are_taken },
   { "JSON takes any bytes", test_json_takes_any_bytes },
+  { "file that fails while it is read is empty",
+    test_file_that_fails_while_it_is_read_is_empty },
 };
 
 int
--- a/src/base/toml.c
+++ b/src/base/toml.c
@@ -222,6 +222,8 @@
       used += read_count;
     }
   text[used] = '\0';
+  if (ferror (file))
+    TALLOC_FREE (text);
   fclose (file);
   *size = used;
   return text;
--- a/src/base/toml.h
+++ b/src/base/toml.h
@@ -97,7 +97,7 @@
 
 /* bd_file_read(): reads a file into a null-terminated string on ctx and stores
    its length in bytes in *size.  Returns NULL if the file cannot be
-   opened.  */
+   opened or read.  */
 char *bd_file_read (void *ctx, const char *path, size_t *size);
 
 #endif
