stop: test a body that is still being read at the close

What was asked: whether a request that is read while the daemon closes to new requests is passed on and then cut, or ends without a response. Seen: it is refused as not run (503) once its body is whole, and is not sent.

--- a/src/edge/edge_stop_late_test.c
+++ b/src/edge/edge_stop_late_test.c
@@ -4,11 +4,16 @@
 #include "edge/edge_internal.h"
 #include "platform/platform.h"
 #include "tests/fakes/site.h"
+#include "tests/loopback.h"
 #include "tests/quiet.h"
 #include "tests/unit.h"
 
+#include <arpa/inet.h>
 #include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
 #include <talloc.h>
+#include <unistd.h>
 
 enum
 {
@@ -21,7 +26,8 @@
   GRACE_MS = 4500,
   READY_MS = 10000,
   LATE_MS = 2500,
-  PAUSE_MS = 2000, /* Not over at the end, if it begins at LATE_MS.  */
+  CLOSED_MS = 3600, /* No new requests are accepted by then.  */
+  PAUSE_MS = 2000,  /* Not over at the end, if it begins at LATE_MS.  */
   SHORT_MS = 20,
   STEADY_MS = 300,
   WARM_CALLS = 10
@@ -275,6 +281,55 @@
   site_finish (&site);
 }
 
+static int
+connect_to_daemon (void)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET,
+          .sin_port = htons ((uint16_t)site.settings.http_port) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  inet_pton (AF_INET, loopback_address (), &address.sin_addr);
+  CU_ASSERT_EQUAL_FATAL (
+      connect (fd, (struct sockaddr *)&address, sizeof address), 0);
+  return fd;
+}
+
+static void
+send_text (int fd, const char *text)
+{
+  CU_ASSERT_EQUAL (send (fd, text, strlen (text), MSG_NOSIGNAL),
+                   (ssize_t)strlen (text));
+}
+
+/* The rest of the body arrives when no new requests are accepted.  */
+static void
+test_body_that_crosses_the_close_gets_no_response (void)
+{
+  char response[512] = "";
+  int fd;
+
+  site_start (&site, 1, 0);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, READY_MS));
+  site.settings.bounds.grace_ms = GRACE_MS;
+  fd = connect_to_daemon ();
+  bd_edge_stop (site.edge);
+  site_wait (&site, LATE_MS);
+  send_text (fd, "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\n"
+                 "Attempt-Id: a\r\nAuthorization: Bearer k1\r\n"
+                 "Content-Length: 10\r\n\r\nhalf ");
+  site_wait (&site, CLOSED_MS - LATE_MS);
+  CU_ASSERT_FALSE (is_done (&site));
+  send_text (fd, "whole");
+  site_wait (&site, 100);
+  CU_ASSERT_TRUE (recv (fd, response, sizeof response - 1, MSG_DONTWAIT) > 0);
+  CU_ASSERT_EQUAL (strncmp (response, "HTTP/1.1 503", 12), 0);
+  CU_ASSERT_EQUAL (site_request_count (&site), 0);
+  close (fd);
+  end_daemon ();
+  site_finish (&site);
+}
+
 int
 main (void)
 {
@@ -289,6 +344,8 @@
       test_steady_endpoint_is_used_until_late },
     { "fresh endpoint of slow service outlasts the grace",
       test_fresh_endpoint_of_slow_service_outlasts_the_grace },
+    { "body that crosses the close gets no response",
+      test_body_that_crosses_the_close_gets_no_response },
     { "many requests get final responses at the end",
       test_many_requests_get_final_responses_at_the_end },
   };
