links: failed probes tell of different endpoints, and slow down

Cause: only three silent endpoints were remembered, and a probe that failed named none of them.

Change: the endpoint of a failed probe counts as silent, so that the next probe draws another one; sixteen are remembered. Once two probes have failed without a loss, they are sent every 150 ms.

--- a/src/edge/handover.c
+++ b/src/edge/handover.c
@@ -296,6 +296,7 @@
 {
   struct bd_edge *edge;
   char service[BD_NAME_SIZE];
+  uint64_t endpoint;
   int64_t sent_ms;
 };
 
@@ -305,8 +306,8 @@
   struct bd_edge_service *service
       = bd_edge_service (probe->edge, probe->service);
 
-  if (bd_links_note_probe (&service->links, is_answered, probe->sent_ms,
-                           bd_edge_now_ms (probe->edge)))
+  if (bd_links_note_probe (&service->links, probe->endpoint, is_answered,
+                           probe->sent_ms, bd_edge_now_ms (probe->edge)))
     handle_change (probe->edge, service);
   talloc_free (probe);
 }
@@ -367,6 +368,7 @@
     return;
   probe = talloc_zero (edge, struct link_probe);
   probe->edge = edge;
+  probe->endpoint = bd_hash (endpoint->entry.id, strlen (endpoint->entry.id));
   probe->sent_ms = bd_edge_now_ms (edge);
   bd_name_copy (probe->service, service->name);
   out.url = talloc_asprintf (probe, "http://%s:%u%s", endpoint->entry.address,
--- a/src/links/links.c
+++ b/src/links/links.c
@@ -46,15 +46,21 @@
   return false;
 }
 
+static void
+remember_silent (struct bd_links *links, uint64_t endpoint)
+{
+  if (links->silent_count < BD_LINKS_MAX_REMEMBERED
+      && !bd_links_is_silent (links, endpoint))
+    links->silent[links->silent_count++] = endpoint;
+}
+
 bool
 bd_links_note_silence (struct bd_links *links, uint64_t endpoint,
                        int64_t sent_ms, int64_t now_ms)
 {
-  if (links->is_lost || sent_ms < links->contact_ms
-      || bd_links_is_silent (links, endpoint))
+  if (links->is_lost || sent_ms < links->contact_ms)
     return false;
-  if (links->silent_count < BD_LINKS_MAX_SILENT)
-    links->silent[links->silent_count++] = endpoint;
+  remember_silent (links, endpoint);
   return judge (links, now_ms);
 }
 
@@ -67,8 +73,10 @@
 bool
 bd_links_start_probe (struct bd_links *links, int64_t now_ms)
 {
+  bool is_decided
+      = links->is_lost || links->probes_failed >= BD_LINKS_MAX_FAILED_PROBES;
   int64_t interval_ms
-      = links->is_lost ? PROBE_INTERVAL_MS : DOUBTFUL_PROBE_INTERVAL_MS;
+      = is_decided ? PROBE_INTERVAL_MS : DOUBTFUL_PROBE_INTERVAL_MS;
 
   if (!bd_links_is_doubtful (links) || now_ms - links->probe_ms < interval_ms)
     return false;
@@ -89,14 +97,17 @@
 }
 
 bool
-bd_links_note_probe (struct bd_links *links, bool is_answered, int64_t sent_ms,
-                     int64_t now_ms)
+bd_links_note_probe (struct bd_links *links, uint64_t endpoint,
+                     bool is_answered, int64_t sent_ms, int64_t now_ms)
 {
   if (links->is_lost)
     return note_probe_of_lost (links, is_answered, now_ms);
   if (is_answered)
     bd_links_note_contact (links, now_ms);
   else if (sent_ms >= links->contact_ms)
-    links->probes_failed++;
+    {
+      remember_silent (links, endpoint);
+      links->probes_failed++;
+    }
   return judge (links, now_ms);
 }
--- a/src/links/links.h
+++ b/src/links/links.h
@@ -25,7 +25,9 @@
   /* Different endpoints without a response, and probes of others that failed,
      until the links count as lost.  */
   BD_LINKS_MAX_SILENT = 3,
-  BD_LINKS_MAX_FAILED_PROBES = 2
+  BD_LINKS_MAX_FAILED_PROBES = 2,
+  /* Silent endpoints that are remembered, those of probes included.  */
+  BD_LINKS_MAX_REMEMBERED = 16
 };
 
 struct bd_links
@@ -34,7 +36,7 @@
   int64_t contact_ms; /* The last response of an endpoint.  */
   int64_t lost_ms;    /* When the links were last found lost.  */
   /* Hashes of the endpoints that were silent since the last contact.  */
-  uint64_t silent[BD_LINKS_MAX_SILENT];
+  uint64_t silent[BD_LINKS_MAX_REMEMBERED];
   uint32_t silent_count;
   uint32_t probes_failed;   /* Since the last contact.  */
   int64_t probe_ms;         /* When the last probe was sent.  */
@@ -61,9 +63,9 @@
 /* bd_links_start_probe(): whether to send a probe on a new connection now.  */
 bool bd_links_start_probe (struct bd_links *links, int64_t now_ms);
 
-/* bd_links_note_probe(): the result of a probe that was sent at sent_ms.
-   Returns whether the links are found lost or back by that.  */
-bool bd_links_note_probe (struct bd_links *links, bool is_answered,
-                          int64_t sent_ms, int64_t now_ms);
+/* bd_links_note_probe(): the result of a probe of an endpoint that was sent at
+   sent_ms.  Returns whether the links are found lost or back by that.  */
+bool bd_links_note_probe (struct bd_links *links, uint64_t endpoint,
+                          bool is_answered, int64_t sent_ms, int64_t now_ms);
 
 #endif
