replicas: repairs in different domains do not wait for each other

Cause: any two moves were kept 700 ms apart. The interval is there so that a move that follows demand shows its effect before the next one; a domain most of whose members are free because a group was lost gains by its move whatever demand does a second later. In the same step, survivors of the other domains were also formed into small groups before it was their turn. Ruled out: double counting. Moves under way count as capacity of their model and their donors no longer as that of theirs, so that each further repair has to satisfy the ratio rule with them.

Change: a move for which more than half of the members are free needs no interval, and several can start in one step, before models with more capacity for their need get the free endpoints.

--- a/src/replicas/plan.c
+++ b/src/replicas/plan.c
@@ -370,8 +370,8 @@
           plan->capacity[model]++;
           return true;
         }
-      bd_plan_reassign (plan, (uint32_t)model);
-      is_skipped[model] = true;
+      if (!bd_plan_reassign (plan, (uint32_t)model))
+        is_skipped[model] = true;
     }
   return false;
 }
--- a/src/replicas/plan_internal.h
+++ b/src/replicas/plan_internal.h
@@ -43,8 +43,10 @@
 bool bd_plan_is_settling (const struct bd_replicas_input *input);
 
 /* reassign.c: starts to dissolve groups of a model with more capacity for its
-   need, so that a group of this model can be formed in their domain.  */
-void bd_plan_reassign (struct plan *plan, uint32_t model);
+   need, so that a group of this model can be formed in their domain.  Returns
+   whether a move was started.  Moves wait for each other, except where most
+   members of the new group are free.  */
+bool bd_plan_reassign (struct plan *plan, uint32_t model);
 
 /* bd_plan_count_moves(): counts the groups that are being dissolved for
    another model as its capacity.  Gives up the moves that have too few
--- a/src/replicas/reassign.c
+++ b/src/replicas/reassign.c
@@ -368,6 +368,15 @@
   return found >= model->members;
 }
 
+/* Whether most members of the new group serve nobody now, as after a loss.
+   Such a move does not follow demand, so it need not wait for earlier ones to
+   show their effect.  */
+static bool
+is_repair (const struct move *move, const struct bd_engine_model *model)
+{
+  return 2 * move->free_count > model->members;
+}
+
 static bool
 is_better (const struct move *a, const struct move *b)
 {
@@ -405,28 +414,39 @@
   return has_any;
 }
 
-void
+static void
+close_donors (struct plan *plan, const struct move *move)
+{
+  for (uint32_t i = 0; i < move->donor_count; i++)
+    {
+      int32_t donor = bd_plan_model_index (plan->step->input->engine,
+                                           move->donors[i]->model);
+
+      if (donor >= 0)
+        plan->capacity[donor]--;
+      bd_reconcile_donor (plan->step, move->donors[i], BD_PHASE_OPEN);
+    }
+}
+
+bool
 bd_plan_reassign (struct plan *plan, uint32_t model)
 {
   struct bd_replicas_step *step = plan->step;
   const struct bd_replicas_input *input = step->input;
   struct move move = { .domain = NULL };
+  bool must_wait;
 
-  if (!input->has_traffic
-      || input->now_ms - step->replicas->last_move_ms
-             < BD_REPLICAS_MOVE_INTERVAL_MS
-      || !best_move (plan, model, &move)
+  if (!input->has_traffic || !best_move (plan, model, &move))
+    return false;
+  must_wait = !is_repair (&move, &input->engine->models[model]);
+  if ((must_wait
+       && input->now_ms - step->replicas->last_move_ms
+              < BD_REPLICAS_MOVE_INTERVAL_MS)
       || !reserve (step, &move, input->engine->models[model].name))
-    return;
-  step->replicas->last_move_ms = input->now_ms;
+    return false;
+  if (must_wait)
+    step->replicas->last_move_ms = input->now_ms;
   plan->capacity[model]++;
-  for (uint32_t i = 0; i < move.donor_count; i++)
-    {
-      int32_t donor
-          = bd_plan_model_index (input->engine, move.donors[i]->model);
-
-      if (donor >= 0)
-        plan->capacity[donor]--;
-      bd_reconcile_donor (step, move.donors[i], BD_PHASE_OPEN);
-    }
+  close_donors (plan, &move);
+  return true;
 }
--- a/src/replicas/replicas.h
+++ b/src/replicas/replicas.h
@@ -77,8 +77,8 @@
   BD_REPLICAS_MAX_DONORS = 8,
   /* Limit on the groups that one controller forms in its term.  */
   BD_REPLICAS_EPOCHS_PER_TERM = 1 << 20,
-  /* Minimum time between two moves of capacity from one model to another: the
-     endpoints' entries show the effect of a move with a delay.  */
+  /* Minimum time between two moves that follow demand: the endpoints' entries
+     show the effect of a move with a delay.  */
   BD_REPLICAS_MOVE_INTERVAL_MS = 700
 };
 
--- a/src/replicas/replicas_test.c
+++ b/src/replicas/replicas_test.c
@@ -483,6 +483,45 @@
   pool_finish (&pool);
 }
 
+/* Loses a member of a large group in each of some domains of six instances,
+   with one large and one small group each, at the same moment.  */
+static void
+lose_large_members (uint32_t domains)
+{
+  pool_init (&pool, 4, 6, 3);
+  pool.demand[0] = 1.0;
+  pool.demand[1] = 0.2;
+  pool_run (&pool, 8000);
+  pool.has_traffic = true;
+  pool_run (&pool, 40000);
+  CU_ASSERT_EQUAL_FATAL (pool_count_open_groups (&pool, "large"), 4);
+  CU_ASSERT_EQUAL_FATAL (pool_count_open_groups (&pool, "small"), 4);
+  pool.work_ms = 1000;
+  for (uint32_t i = 0; i < 6 * domains; i++)
+    if (pool.members[i].entry.member.rank == 3)
+      pool_lose_instance (&pool, i);
+}
+
+static void
+test_repairs_of_other_domains_wait (void)
+{
+  uint32_t closing = 0;
+
+  lose_large_members (3);
+  for (uint32_t i = 0; i < 200 && closing == 0; i++)
+    {
+      pool_run (&pool, POOL_STEP_MS);
+      closing = pool_count_groups (&pool, BD_MEMBER_CLOSING);
+    }
+  pool_run (&pool, BD_REPLICAS_MOVE_INTERVAL_MS - 2 * POOL_STEP_MS);
+  CU_ASSERT_EQUAL (pool_count_groups (&pool, BD_MEMBER_CLOSING), 3);
+  pool_run (&pool, 8000);
+  CU_ASSERT_EQUAL (pool_count_open_groups (&pool, "large"), 4);
+  CU_ASSERT_EQUAL (pool.cut_groups, 0);
+  check_invariants ();
+  pool_finish (&pool);
+}
+
 /* Members whose leader is unresponsive but still listed serve again before the
    leader's entry expires, because each is ordered to leave.  */
 static void
@@ -780,6 +819,7 @@
     { "ready group of earlier controller",
       test_ready_group_of_earlier_controller },
     { "repairs groups", test_repairs_groups },
+    { "repairs of other domains wait", test_repairs_of_other_domains_wait },
     { "survivors leave", test_survivors_leave },
     { "unreachable leader", test_unreachable_leader },
     { "partitioned centre returns", test_partitioned_centre_returns },
