replicas: a repair takes the members of a donor that it can use

Cause: a group is a donor only if each of its members has the weights of the other model. A repair that lacks one member needs one; a small group of which one member has prefetched the weights was passed over. Ruled out: the ratio rule (two large and twelve small groups at shares of 49 and 50 percent satisfy it).

Change: a group also counts as a donor when those of its members that have the weights complete a repair. The other members stay free; moves that follow demand take whole groups as before.

--- a/src/replicas/reassign.c
+++ b/src/replicas/reassign.c
@@ -27,7 +27,8 @@
 struct move
 {
   const char *domain;
-  uint32_t free_count; /* Free endpoints that can join without a load.  */
+  uint32_t free_count;   /* Free endpoints that can join without a load.  */
+  uint32_t member_count; /* Those, and members of donors that can, too.  */
   struct bd_fleet_group *donors[BD_REPLICAS_MAX_DONORS];
   uint32_t donor_count;
   uint32_t in_flight; /* Requests on the donors, of all daemons.  */
@@ -262,7 +263,7 @@
 }
 
 /* Whether a group is open, serves another model, and has all its members in
-   the domain and able to join without a load.  */
+   the domain.  */
 static bool
 is_donor (const struct plan *plan, const struct bd_fleet_group *group,
           const struct bd_engine_model *model, const char *domain)
@@ -275,12 +276,47 @@
       || !bd_is_controlled (input, group->members[0]))
     return false;
   for (uint32_t i = 0; i < group->member_count; i++)
-    if (strcmp (group->members[i]->entry.domain, domain) != 0
-        || bd_join_ms (input, group->members[i], model) < 0)
+    if (strcmp (group->members[i]->entry.domain, domain) != 0)
       return false;
   return true;
 }
 
+/* Counts the members of a group that can join a group of the model without a
+   load.  */
+static uint32_t
+count_joinable (const struct plan *plan, const struct bd_fleet_group *group,
+                const struct bd_engine_model *model)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < group->member_count; i++)
+    count += bd_join_ms (plan->step->input, group->members[i], model) >= 0;
+  return count;
+}
+
+/* Whether most members of the new group serve nobody now, as after a loss.
+   Such a move does not follow demand, so it need not wait for earlier ones to
+   show their effect.  */
+static bool
+is_repair (const struct move *move, const struct bd_engine_model *model)
+{
+  return 2 * move->free_count > model->members;
+}
+
+/* Whether the members of a donor suffice for the move: all of them, or those
+   that complete a repair.  The others stay free.  */
+static bool
+is_useful_donor (const struct plan *plan, const struct move *move,
+                 const struct bd_fleet_group *group,
+                 const struct bd_engine_model *model)
+{
+  uint32_t joinable = count_joinable (plan, group, model);
+
+  return joinable == group->member_count
+         || (is_repair (move, model)
+             && move->member_count + joinable >= model->members);
+}
+
 /* Whether the donor model can give up one more group to the other model.  */
 static bool
 can_spare_group (const struct plan *plan, const char *donor,
@@ -316,6 +352,8 @@
       if (is_chosen
           || !is_donor (plan, group, &input->engine->models[model],
                         move->domain)
+          || !is_useful_donor (plan, move, group,
+                               &input->engine->models[model])
           || !can_spare_group (plan, group->model, move->donor_count, model))
         continue;
       if (best == NULL
@@ -349,13 +387,13 @@
 {
   const struct bd_engine_model *model
       = &plan->step->input->engine->models[index];
-  uint32_t found;
 
   memset (move, 0, sizeof *move);
   move->domain = domain;
   count_free (plan, move, model);
-  found = move->free_count;
-  while (found < model->members && move->donor_count < BD_REPLICAS_MAX_DONORS)
+  move->member_count = move->free_count;
+  while (move->member_count < model->members
+         && move->donor_count < BD_REPLICAS_MAX_DONORS)
     {
       struct bd_fleet_group *donor = next_donor (plan, move, index);
 
@@ -363,18 +401,9 @@
         return false;
       move->donors[move->donor_count++] = donor;
       move->in_flight += donor->in_flight + donor->peers_in_flight;
-      found += donor->member_count;
+      move->member_count += count_joinable (plan, donor, model);
     }
-  return found >= model->members;
-}
-
-/* Whether most members of the new group serve nobody now, as after a loss.
-   Such a move does not follow demand, so it need not wait for earlier ones to
-   show their effect.  */
-static bool
-is_repair (const struct move *move, const struct bd_engine_model *model)
-{
-  return 2 * move->free_count > model->members;
+  return move->member_count >= model->members;
 }
 
 static bool
--- a/src/replicas/replicas_test.c
+++ b/src/replicas/replicas_test.c
@@ -522,6 +522,31 @@
   pool_finish (&pool);
 }
 
+/* Leaves a member of a domain only the weights of its group's model.  */
+static void
+evict_other_weights (struct pool_member *member)
+{
+  member->entry.staged_count = 1;
+  bd_name_copy (member->entry.staged[0], member->last_model);
+}
+
+/* The survivors of a large group have only its weights, and only one member of
+   the small group beside them has those, too.  */
+static void
+test_repair_needs_all_members_of_donor (void)
+{
+  lose_large_members (1);
+  for (uint32_t i = 0; i < 6; i++)
+    if (i != 5)
+      evict_other_weights (&pool.members[i]);
+  pool_run (&pool, 8000);
+  CU_ASSERT_EQUAL (pool_count_open_groups (&pool, "large"), 4);
+  CU_ASSERT_EQUAL (pool.cold_joins, 0);
+  CU_ASSERT_EQUAL (pool.cut_groups, 0);
+  check_invariants ();
+  pool_finish (&pool);
+}
+
 /* Members whose leader is unresponsive but still listed serve again before the
    leader's entry expires, because each is ordered to leave.  */
 static void
@@ -820,6 +845,8 @@
       test_ready_group_of_earlier_controller },
     { "repairs groups", test_repairs_groups },
     { "repairs of other domains wait", test_repairs_of_other_domains_wait },
+    { "repair needs all members of donor",
+      test_repair_needs_all_members_of_donor },
     { "survivors leave", test_survivors_leave },
     { "unreachable leader", test_unreachable_leader },
     { "partitioned centre returns", test_partitioned_centre_returns },
