edge: the groups line shows closing groups and reserved domains

Cause: the line had open, forming and broken groups; closing ones were counted and not written, and reservations were not counted. Ruled out as a source: the orders, which name no domain.

Change: the line also has closing and reserved_domains.

--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -487,10 +487,11 @@
   for (uint32_t i = 0; i < input->engine->model_count; i++)
     bd_log ("groups", "data_centre", controller->data_centre, "model",
             input->engine->models[i].name, "open", BD_NUM (now.open[i]),
-            "forming", BD_NUM (now.forming[i]), "broken",
-            BD_NUM (now.broken[i]), "wanted_share_percent",
-            BD_NUM (now.wanted_percent[i]), "free", BD_NUM (now.free), "cold",
-            BD_NUM (now.cold), NULL);
+            "forming", BD_NUM (now.forming[i]), "closing",
+            BD_NUM (now.closing[i]), "broken", BD_NUM (now.broken[i]),
+            "wanted_share_percent", BD_NUM (now.wanted_percent[i]), "free",
+            BD_NUM (now.free), "cold", BD_NUM (now.cold), "reserved_domains",
+            BD_NUM (now.reserved), NULL);
 }
 
 static bool
--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -982,8 +982,9 @@
   GHashTableIter iter;
   gpointer value;
 
-  (void)replicas;
   memset (summary, 0, sizeof *summary);
+  for (uint32_t i = 0; i < BD_REPLICAS_MAX_RESERVED; i++)
+    summary->reserved += replicas->reserved[i].until_ms > input->now_ms;
   g_hash_table_iter_init (&iter, input->fleet->groups);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     count_group (input, value, summary);
--- a/src/replicas/replicas.h
+++ b/src/replicas/replicas.h
@@ -147,8 +147,9 @@
   uint32_t broken[BD_ENGINE_MAX_MODELS];  /* Groups that lack a member.  */
   /* Share of each model in the offered load of the whole pool.  */
   uint32_t wanted_percent[BD_ENGINE_MAX_MODELS];
-  uint32_t free; /* Available, in no group, with weights on the host.  */
-  uint32_t cold; /* Available, in no group, without any weights.  */
+  uint32_t free;     /* Available, in no group, with weights on the host.  */
+  uint32_t cold;     /* Available, in no group, without any weights.  */
+  uint32_t reserved; /* Domains whose free endpoints wait for a move.  */
 };
 
 /* bd_replicas_init(): initializes the controller with a token.  Its epochs are
