--- a/src/replicas/replicas.h
+++ b/src/replicas/replicas.h
@@ -77,8 +77,8 @@
   BD_REPLICAS_MAX_DONORS = 8,
   /* Limit on the groups that one controller forms in its term.  */
   BD_REPLICAS_EPOCHS_PER_TERM = 1 << 20,
-  /* Minimum time between two moves of capacity from one model to another: the
-     endpoints' entries show the effect of a move with a delay.  */
+  /* Minimum time between two moves that follow demand: the endpoints' entries
+     show the effect of a move with a delay.  */
   BD_REPLICAS_MOVE_INTERVAL_MS = 700
 };
 
@@ -147,8 +147,9 @@
   uint32_t broken[BD_ENGINE_MAX_MODELS];  /* Groups that lack a member.  */
   /* Share of each model in the offered load of the whole pool.  */
   uint32_t wanted_percent[BD_ENGINE_MAX_MODELS];
-  uint32_t free; /* Available, in no group, with weights on the host.  */
-  uint32_t cold; /* Available, in no group, without any weights.  */
+  uint32_t free;     /* Available, in no group, with weights on the host.  */
+  uint32_t cold;     /* Available, in no group, without any weights.  */
+  uint32_t reserved; /* Domains whose free endpoints wait for a move.  */
 };
 
 /* bd_replicas_init(): initializes the controller with a token.  Its epochs are
