cli: audit frees its reply when the platform does not answer

No effect for operators, since the program ends then.

Cause: the error path of show_audit() returned without bd_session_reply_finish(), which the other commands call on every path.

Change: it is called there too. No test: nothing can be seen of it.

--- a/src/cli/status.c
+++ b/src/cli/status.c
@@ -255,6 +255,7 @@
   if (trail.error != BD_OK)
     {
       fprintf (stderr, "audit: the platform does not answer\n");
+      bd_session_reply_finish (&trail);
       return BD_EXIT_FAILED;
     }
   count = json_array_size (trail.items);
