stop: test a pipelined request at the end of the grace period

Seen: the first gets 504 with Connection: close before the process ends, the second is never sent to an endpoint.

--- a/src/edge/edge_stop_late_test.c
+++ b/src/edge/edge_stop_late_test.c
@@ -25,6 +25,7 @@
   MANY_CALLS = 100,
   GRACE_MS = 4500,
   READY_MS = 10000,
+  EARLY_MS = 700, /* The deadline is after the end.  */
   LATE_MS = 2500,
   CLOSED_MS = 3600, /* No new requests are accepted by then.  */
   PAUSE_MS = 2000,  /* Not over at the end, if it begins at LATE_MS.  */
@@ -330,6 +331,35 @@
   site_finish (&site);
 }
 
+#define UNSAFE_HEAD                                                           \
+  "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\n"           \
+  "Authorization: Bearer k1\r\nContent-Length: 0\r\n\r\n"
+
+/* The second one waits for the response to the first.  */
+static void
+test_pipelined_request_runs_at_the_end (void)
+{
+  char response[1024] = "";
+  int fd;
+
+  site_start (&site, 1, 0);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, READY_MS));
+  site.settings.bounds.grace_ms = GRACE_MS;
+  site.workers[0].mode = WORKER_PAUSING;
+  site.pause_ms = 2 * GRACE_MS;
+  fd = connect_to_daemon ();
+  bd_edge_stop (site.edge);
+  site_wait (&site, EARLY_MS);
+  send_text (fd, UNSAFE_HEAD UNSAFE_HEAD);
+  end_daemon ();
+  CU_ASSERT_TRUE (recv (fd, response, sizeof response - 1, MSG_DONTWAIT) > 0);
+  CU_ASSERT_EQUAL (strncmp (response, "HTTP/1.1 504", 12), 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (response, "Connection: close"));
+  CU_ASSERT_EQUAL (site_request_count (&site), 1);
+  close (fd);
+  site_finish (&site);
+}
+
 int
 main (void)
 {
@@ -346,6 +376,8 @@
       test_fresh_endpoint_of_slow_service_outlasts_the_grace },
     { "body that crosses the close gets no response",
       test_body_that_crosses_the_close_gets_no_response },
+    { "pipelined request runs at the end",
+      test_pipelined_request_runs_at_the_end },
     { "many requests get final responses at the end",
       test_many_requests_get_final_responses_at_the_end },
   };
