placement: a prefill counted a moment ago is still waiting

In a small fleet the counts of the other daemons are 50 ms old. The last change subtracted the whole age from the prefills that they counted, though an engine starts a prefill with its next pass and ends it one pass later.

Change: a waiting prompt counts for the part of its wait, all prefills and the passes, that the age of the counts has left.

--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -21,10 +21,11 @@
   double pace = load->pace > 0 ? load->pace : 1.0;
   double own_ms = bd_engine_prefill_ms (engine, model, prompt_tokens);
   double pass_ms = bd_engine_pass_ms (engine, model, load->running + 1);
-  /* Prompts that were waiting when the other daemons counted them have been
-     prefilled since.  */
-  double others_ms
-      = load->prefill_ms + fmax (0, load->peers_prefill_ms - load->age_ms);
+  /* Prompts that were waiting when the other daemons counted them are done
+     one by one, the last of them after all and the passes.  */
+  double peers_ms = load->peers_prefill_ms;
+  double done = load->age_ms / (peers_ms + 1.5 * pass_ms);
+  double others_ms = load->prefill_ms + peers_ms * fmax (0, 1 - done);
 
   /* The request waits half a pass on average until it is scheduled, and its
      first event is sent one pass later.  Passes that prefill other prompts
