edge: daemons of a large fleet that lost sight of each other meet again

A fleet of more than 12 daemons whose processes stand still for 1.3 s (a sound server may), whose links are cut for some seconds, or of which one daemon is cut off for longer than the others count it as alive, never came together again: each part went on with relays and a controller of its own, suspicions, limits, leaving endpoints and counts of requests did not reach the other parts, and the store was read by followers.

Cause: in a large fleet a status goes to the live relays only. A daemon to which all relays are dead, and which is dead to them, sends to nobody and is sent nothing. Only one that is still reported by other followers got a reply with the live ones; of a whole data centre the followers found new relays and the old relays kept to themselves.

Ruled out: the list of daemons in the store, which adds new names only; the small fleet, where each sends to all; `serve`, which sends heartbeats to all members of a data centre, and to all of another one of which none is alive.

Change: once a second a daemon sends a status without traffic to one member that counts as dead, by turns; a relay asks those of all data centres. A daemon that is alive replies with those it knows, as it already does.

The bound is a second to ask and five status periods to spread.

--- a/src/edge/edge_relays_test.c
+++ b/src/edge/edge_relays_test.c
@@ -46,6 +46,7 @@
   MAX_READ_PERIOD_MS = 2000,
   RELAY_DELAY_MS = 1000,
   DEAD_AFTER_MS = 1200,
+  REMOTE_DEAD_AFTER_MS = 3000,
   REPORTED_DEAD_AFTER_MS = 3600,
   STATUS_PERIOD_MS = 200,
   RESTORE_SPREAD_MS = 2500,
@@ -60,6 +61,11 @@
   /* The same, and then the other data centre is told.  */
   FORGET_MS = TAKE_OVER_MS + REPORTED_DEAD_AFTER_MS,
 
+  /* One that is lost is asked for within the first time, and its answer
+     reaches all over the relays.  */
+  ASK_PERIOD_MS = 1000,
+  MEETING_MS = ASK_PERIOD_MS + 5 * STATUS_PERIOD_MS,
+
   /* Copies of one message that a daemon receives: from the sender, from the
      other relay of its data centre, and from the two of the other one.  */
   MAX_COPIES = 4,
@@ -85,6 +91,7 @@
   bool is_silent;       /* It does nothing any more.  */
   bool has_lost_links;
   bool loses_evidence; /* Messages with evidence of crashes are lost.  */
+  uint32_t side; /* Messages to and from daemons with another one are lost. */
   bd_peers_handler *handler;
   uint32_t reads;       /* Of the configuration and the instance list.  */
   uint32_t whole_lists; /* Transfers of all entries that it has received.  */
@@ -275,6 +282,32 @@
                        &update.stage);
 }
 
+static struct daemon *
+find_daemon (const char *name)
+{
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    if (strcmp (daemons[i].settings.name, name) == 0)
+      return &daemons[i];
+  return NULL;
+}
+
+/* Whether the message comes from a daemon of another side.  Other kinds than
+   these do not name their sender, and keep no daemon alive.  */
+static bool
+is_from_other_side (const struct daemon *daemon, enum bd_message_type type,
+                    const void *message)
+{
+  const struct bd_edge_status *status = message;
+  const struct bd_freshness_request *request = message;
+  const struct daemon *sender = daemon;
+
+  if (type == BD_MESSAGE_EDGE_STATUS)
+    sender = find_daemon (status->name);
+  else if (type == BD_MESSAGE_FRESHNESS_REQUEST)
+    sender = find_daemon (request->from);
+  return sender != NULL && sender->side != daemon->side;
+}
+
 /* Counts a message before the daemon handles it.  */
 static void
 count_message (void *ctx, enum bd_message_type type, const void *message)
@@ -283,7 +316,7 @@
   const struct bd_freshness_reply *reply = message;
   const struct bd_poison_update *update = message;
 
-  if (daemon->is_silent
+  if (daemon->is_silent || is_from_other_side (daemon, type, message)
       || (daemon->loses_evidence && type == BD_MESSAGE_POISON))
     return;
   if (type == BD_MESSAGE_FRESHNESS_REPLY && reply->has_frame
@@ -661,6 +694,84 @@
     }
 }
 
+/* Whether it takes the same daemons for relays as the first one does.  */
+static bool
+agrees_on_relays (const struct daemon *daemon)
+{
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    {
+      const char *name = daemons[i].settings.name;
+      const struct bd_membership *first = &daemons[0].edge->membership;
+      const struct bd_membership *own = &daemon->edge->membership;
+
+      if (bd_membership_is_relay (first, bd_membership_find (first, name))
+          != bd_membership_is_relay (own, bd_membership_find (own, name)))
+        return false;
+    }
+  return true;
+}
+
+static bool
+is_reunited (const struct daemon *daemon)
+{
+  return knows_daemons (daemon) && agrees_on_relays (daemon);
+}
+
+static bool
+is_alone (const struct daemon *daemon)
+{
+  return daemon->side == 0
+         || bd_membership_count_live (&daemon->edge->membership, NULL) == 1;
+}
+
+/* A daemon that nobody reached, and that reached nobody, is found again.  */
+static void
+test_cut_off_daemon_returns (void)
+{
+  struct daemon *const cut_off[] = { find_follower ("a"), find_relay ("b") };
+
+  for (uint32_t i = 0; i < sizeof cut_off / sizeof cut_off[0]; i++)
+    {
+      cut_off[i]->side = 1;
+      CU_ASSERT_TRUE (run_until (is_alone, FORGET_MS));
+      run_for (STATUS_PERIOD_MS);
+      cut_off[i]->side = 0;
+      CU_ASSERT_TRUE (run_until (is_reunited, MEETING_MS));
+    }
+}
+
+static bool
+knows_own_data_centre_only (const struct daemon *daemon)
+{
+  const struct bd_membership *membership = &daemon->edge->membership;
+
+  return bd_membership_count_live (membership, is_local (daemon) ? "b" : "a")
+         == 0;
+}
+
+/* The data centres lose each other, and then find each other again.  */
+static void
+test_cut_off_data_centre_returns (void)
+{
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    daemons[i].side = is_local (&daemons[i]);
+  CU_ASSERT_TRUE (run_until (knows_own_data_centre_only,
+                             REMOTE_DEAD_AFTER_MS + REPORTED_DEAD_AFTER_MS));
+  run_for (STATUS_PERIOD_MS);
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    daemons[i].side = 0;
+  CU_ASSERT_TRUE (run_until (is_reunited, MEETING_MS));
+}
+
+/* All daemons stand still for longer than one may be silent, and go on.  */
+static void
+test_paused_fleet_goes_on (void)
+{
+  g_usleep ((DEAD_AFTER_MS + STATUS_PERIOD_MS) * 1000);
+  run_for (STATUS_PERIOD_MS);
+  CU_ASSERT_TRUE (run_until (is_reunited, MEETING_MS));
+}
+
 /* Suspicions that end while they are still on their way do not go round.  */
 static void
 test_crossed_news (void)
@@ -868,6 +979,9 @@
       test_follower_without_links_is_refused_beside_changes },
     { "news reach all and stop", test_news },
     { "lost news", test_lost_news },
+    { "cut off daemon returns", test_cut_off_daemon_returns },
+    { "cut off data centre returns", test_cut_off_data_centre_returns },
+    { "paused fleet goes on", test_paused_fleet_goes_on },
     { "crossed news stop", test_crossed_news },
     { "leaving endpoint", test_leaving_endpoint },
     { "store restored from a copy", test_store_restored },
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -7,7 +7,8 @@
    with the daemons that are alive; the first relay of each data centre sends
    the sum over it to the relays of the others.  So a daemon sends and receives
    the same number of messages in a fleet of any size, and its view is two
-   periods old within a data centre and three across.  */
+   periods old within a data centre and three across.  One that counts as dead
+   is asked now and then.  */
 
 #include "edge/edge_internal.h"
 #include "membership/news.h"
@@ -31,6 +32,9 @@
   /* Time after which a new relay has heard from the daemons of its data
      centre.  */
   RELAY_WARM_MS = 500,
+  /* Status periods after which a daemon that counts as dead is asked whether
+     it is alive.  */
+  ASK_TURNS = 5,
   /* Messages by which a count reaches another daemon of a large fleet: to the
      relay, to that of another data centre, and to the daemon.  */
   LARGE_FLEET_HOPS = 3,
@@ -659,6 +663,48 @@
   send_to_relays (edge, false, BD_MESSAGE_EDGE_STATUS, &status);
 }
 
+/* The next of the dead members, by turns: a relay asks those of all data
+   centres, another daemon those of its own.  NULL if there is none.  */
+static const struct bd_member *
+next_dead_member (struct bd_edge *edge)
+{
+  const struct bd_membership *membership = &edge->membership;
+  bool asks_all = is_relay (edge);
+
+  for (uint32_t i = 0; i < membership->count; i++)
+    {
+      const struct bd_member *member;
+
+      edge->asked_index = (edge->asked_index + 1) % membership->count;
+      member = &membership->members[edge->asked_index];
+      if (!member->is_live
+          && (asks_all || is_local (edge, member->data_centre)))
+        return member;
+    }
+  return NULL;
+}
+
+/* Sends a status to one that counts as dead.  If it is alive, its reply names
+   the daemons that it knows, so daemons that have lost sight of each other
+   meet again; a daemon that is silent never would, because statuses go to live
+   relays only.  The status contains no traffic: where it is a relay's, the sum
+   over the data centre contains that.  */
+static void
+ask_dead_member (struct bd_edge *edge)
+{
+  const struct bd_member *member;
+  struct bd_edge_status status;
+
+  if (edge->status_turn % ASK_TURNS != 0)
+    return;
+  member = next_dead_member (edge);
+  if (member == NULL)
+    return;
+  fill_status (edge, &status, BD_STATUS_DAEMON);
+  status.wants_reply = true;
+  bd_edge_send_to_peer (edge, member, BD_MESSAGE_EDGE_STATUS, &status);
+}
+
 void
 bd_edge_send_status (void *ctx)
 {
@@ -698,6 +744,7 @@
           send_data_centre_status (edge);
         }
       send_to_own_relays (edge, &status);
+      ask_dead_member (edge);
     }
   update_all_groups (edge);
 }
