edge: a report of no change is not taken for members that died since

What was seen: edge_relays_test, "cut off daemon returns", held its bound of 2000 ms in some runs only. The last daemon knew the returned one after 140 to 1988 ms (14 returns, two of them above 1500 ms; two of four whole runs failed).

Cause: a relay names the live daemons only when their checksum differs from the one that the receiver has from it. A daemon that lost all others and found them again still held the relay's checksum from before, and the relay's list was the same again: the reply named nobody, and nobody was found by it.

Change: when a member dies in a daemon's own view, the checksums of the relays' reports no longer count, so the next replies name all. It costs one list from each relay for a death, which a death costs anyway.

--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -335,12 +335,13 @@
   return found;
 }
 
-/* Makes the other relays report all live daemons anew.  */
+/* Makes the relays, except one if it is not 0, report all live daemons anew.
+ */
 static void
-request_reports (struct bd_edge *edge, const struct bd_member *except)
+request_reports (struct bd_edge *edge, uint64_t except)
 {
   for (uint32_t i = 0; i < BD_EDGE_MAX_RELAY_REPORTS; i++)
-    if (edge->relay_reports[i].relay != except->name_hash)
+    if (edge->relay_reports[i].relay != except)
       edge->relay_reports[i].checksum = 0;
 }
 
@@ -371,7 +372,7 @@
   /* Two relays differ: a report of no change no longer tells which daemons it
      means.  */
   if (is_whole && bd_membership_end_report (membership, sender))
-    request_reports (edge, sender);
+    request_reports (edge, sender->name_hash);
 }
 
 /* Sets the fields of a status message that describe this daemon.  */
@@ -716,8 +717,13 @@
   update_offered_load (edge);
   bd_edge_share_retries (edge);
   if (bd_membership_tick (&edge->membership, now_ms))
-    bd_log ("peer-lost", "live",
-            BD_NUM (bd_membership_count_live (&edge->membership, NULL)), NULL);
+    {
+      /* A report of no change no longer means what this daemon knows.  */
+      request_reports (edge, 0);
+      bd_log ("peer-lost", "live",
+              BD_NUM (bd_membership_count_live (&edge->membership, NULL)),
+              NULL);
+    }
   adjust_to_fleet_size (edge);
   expire_traffic (edge);
   update_place (edge);
