replicas: a controller with 256 groups to form no longer repeats for ever

What callers see: where one controller has more than 256 groups to form at once (512 instances of a model of two in one data centre, at a start or after the loss of a data centre), its daemon stands still for good: every caller of that daemon is lost, and no group is formed.

Cause: at the limit form_group() returned without taking the candidate, and form_next_group() reported a group formed, so that the plan tried the same candidate again, for ever.

Change: at the limit no further group is formed in this step; the next step goes on once groups are open. form_group() asserts that there is room.

The fake pool holds 900 instances instead of 128.

--- a/src/replicas/plan.c
+++ b/src/replicas/plan.c
@@ -8,6 +8,7 @@
 
 #include "replicas/plan_internal.h"
 
+#include <assert.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -308,8 +309,7 @@
   struct bd_forming *forming;
   int64_t epoch = replicas->epoch;
 
-  if (replicas->forming_count == BD_REPLICAS_MAX_FORMING)
-    return;
+  assert (replicas->forming_count < BD_REPLICAS_MAX_FORMING);
   forming = &replicas->forming[replicas->forming_count++];
   memset (forming, 0, sizeof *forming);
   forming->count = model->members;
@@ -360,6 +360,8 @@
   bool is_skipped[BD_ENGINE_MAX_MODELS] = { false };
   int32_t model;
 
+  if (plan->step->replicas->forming_count == BD_REPLICAS_MAX_FORMING)
+    return false;
   while ((model = bd_plan_lowest_capacity_model (plan, is_skipped)) >= 0)
     {
       struct candidate candidate;
--- a/src/replicas/replicas_test.c
+++ b/src/replicas/replicas_test.c
@@ -37,6 +37,21 @@
   pool_finish (&pool);
 }
 
+/* A data centre that needs more groups at once than can be formed at a time
+   gets them one after another.  */
+static void
+test_forms_more_than_its_limit (void)
+{
+  pool_init (&pool, POOL_MAX_INSTANCES / 10, 10, 1);
+  pool_run (&pool, 20000);
+  CU_ASSERT_EQUAL (capacity (), POOL_MAX_INSTANCES);
+  CU_ASSERT_TRUE (pool_count_open_groups (&pool, "large")
+                      + pool_count_open_groups (&pool, "small")
+                  > BD_REPLICAS_MAX_FORMING);
+  check_invariants ();
+  pool_finish (&pool);
+}
+
 /* Moves every second domain to another data centre, whose controller has
    opened only small groups.  */
 static void
@@ -821,6 +836,7 @@
 {
   static const struct unit_test tests[] = {
     { "forms all", test_forms_all },
+    { "forms more than its limit", test_forms_more_than_its_limit },
     { "balances only its centre", test_balances_only_its_centre },
     { "moves to the better split", test_moves_to_the_better_split },
     { "small changes of demand dissolve groups",
--- a/tests/fakes/pool.h
+++ b/tests/fakes/pool.h
@@ -20,7 +20,7 @@
 
   enum
   {
-    POOL_MAX_INSTANCES = 128,
+    POOL_MAX_INSTANCES = 900,
     POOL_MAX_DELAYED = 64,
     POOL_READY_GROUPS = 16,
     POOL_STEP_MS = 50,
