edge: relays whose reports are in use keep their slots

Nothing wrong was told to callers.

Cause (found by a review): the checksums of the relays' reports have four slots, none was ever freed, and when all were taken the first one was overwritten: two current relays pushed each other out at each use.

Change: a new relay takes the slot that was used longest ago.

--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -198,6 +198,7 @@
 {
   uint64_t relay; /* Hash of its name; 0 if unused.  */
   uint64_t checksum;
+  uint32_t used_turn; /* status_turn at the last use.  */
 };
 
 /* Messages with the whole of one table.  */
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -319,6 +319,8 @@
     }
 }
 
+/* The report of the relay; a new one takes the place of the one that was used
+   longest ago.  */
 static struct bd_edge_relay_report *
 find_relay_report (struct bd_edge *edge, uint64_t relay)
 {
@@ -326,12 +328,19 @@
 
   for (uint32_t i = 0; i < BD_EDGE_MAX_RELAY_REPORTS; i++)
     {
-      if (edge->relay_reports[i].relay == relay)
-        return &edge->relay_reports[i];
-      if (edge->relay_reports[i].relay == 0)
-        found = &edge->relay_reports[i];
+      struct bd_edge_relay_report *report = &edge->relay_reports[i];
+
+      if (report->relay == relay)
+        {
+          found = report;
+          break;
+        }
+      if (report->used_turn < found->used_turn)
+        found = report;
     }
-  *found = (struct bd_edge_relay_report){ .relay = relay };
+  if (found->relay != relay)
+    *found = (struct bd_edge_relay_report){ .relay = relay };
+  found->used_turn = edge->status_turn;
   return found;
 }
 
