membership: another data centre does not report the members of this one

Change: a report from another data centre says nothing of members of the own one, and is never taken for the whole list.

membership_test, "another data centre does not report this one": 1 of its 2 asserts failed before by reading of the code (the member became live); the program's 825 asserts pass.

--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -360,7 +360,8 @@
             const struct bd_member *sender)
 {
   struct bd_membership *membership = &edge->membership;
-  bool is_whole = status->scope != BD_STATUS_DATA_CENTRE;
+  bool is_whole = status->scope != BD_STATUS_DATA_CENTRE
+                  && is_local (edge, status->data_centre);
   int64_t now_ms = bd_edge_now_ms (edge);
 
   if (status->live_count == 0)
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -155,6 +155,9 @@
 
       if (member->name_hash != name_hash)
         continue;
+      /* Another data centre knows less of this one than its own daemons.  */
+      if (is_local (membership, member) && !is_local (membership, reporter))
+        return;
       member->is_confirmed = true;
       refresh_reported (membership, reporter, member, now_ms);
       if (member->is_reported)
--- a/src/membership/membership_test.c
+++ b/src/membership/membership_test.c
@@ -208,6 +208,28 @@
   talloc_free (ctx);
 }
 
+/* What daemons of another data centre say of the members of this one does not
+   count: they may hear a part that this one has lost.  */
+static void
+test_another_data_centre_does_not_report_this_one (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct bd_member self = member ("b", "x", 1);
+  struct bd_membership m;
+  const struct bd_member *remote;
+
+  bd_membership_init (&m, ctx, &self, 1000);
+  receive_heartbeat (&m, "remote", "y", 0);
+  bd_membership_add (&m, "local", "x", "10.0.0.3", 1);
+  bd_membership_add (&m, "other", "y", "10.0.0.4", 1);
+  remote = bd_membership_find (&m, "remote");
+  bd_membership_report (&m, remote, bd_hash ("local", 5), false, false, 0);
+  bd_membership_report (&m, remote, bd_hash ("other", 5), false, false, 0);
+  CU_ASSERT_FALSE (bd_membership_find (&m, "local")->is_live);
+  CU_ASSERT_TRUE (bd_membership_find (&m, "other")->is_live);
+  talloc_free (ctx);
+}
+
 /* Sends the list of one table to another, as a relay replies to a status.  */
 static void
 send_report (const struct bd_membership *from, struct bd_membership *to,
@@ -361,6 +383,8 @@
 
 static const struct unit_test tests[] = {
   { "reported members", test_reported_members },
+  { "another data centre does not report this one",
+    test_another_data_centre_does_not_report_this_one },
   { "reports do not keep the dead", test_reports_do_not_keep_the_dead },
   { "reports that differ", test_reports_that_differ },
   { "news do not come back", test_news_do_not_come_back },
