edge: a query is answered without counting its sender as alive

What could happen: a daemon that can send and hears nothing asks the others one after another, and each took the query for a sign of life: for 1.2 s it counted as a relay and a controller again, which cost a term each time.

Cause: the question to a dead member was an ordinary status. That a daemon can be heard does not show that it hears.

Change: the question is a scope of its own. The receiver replies, and asks back if the sender counts as dead here, so that the first contact shows both directions to both; nobody becomes live by a question. Which member is asked is drawn: daemons that began together asked the same ones in the same order.

edge_relays_test: "deaf daemon stays dead" failed before (19 asserts and more), passes now; "cut off daemon returns", "cut off data centre returns", "paused fleet goes on" pass.

--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -229,7 +229,6 @@
   struct bd_peers peers;
   struct bd_membership membership;
   uint32_t status_turn;
-  uint32_t asked_index; /* Of the dead member that was asked last.  */
   /* The live daemons of this data centre, and the place of this one in the
      order of their names.  */
   uint32_t local_daemons;
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -481,6 +481,31 @@
   bd_edge_send_to_peer (edge, receiver, BD_MESSAGE_EDGE_STATUS, &status);
 }
 
+/* Asks a daemon that counts as dead.  If it is alive, its reply names the
+   daemons that it knows.  */
+static void
+send_query (struct bd_edge *edge, const struct bd_member *member)
+{
+  struct bd_edge_status status;
+
+  fill_status (edge, &status, BD_STATUS_QUERY);
+  bd_edge_send_to_peer (edge, member, BD_MESSAGE_EDGE_STATUS, &status);
+}
+
+/* A query shows that its sender can be heard, and not that it hears.  If the
+   sender counts as dead here, it is asked in turn.  */
+static void
+receive_query (struct bd_edge *edge, struct bd_member *sender)
+{
+  const struct bd_member *known
+      = bd_membership_find (&edge->membership, sender->name);
+
+  sender->name_hash = bd_hash (sender->name, strlen (sender->name));
+  send_reply (edge, sender, 0);
+  if (known == NULL || !known->is_live)
+    send_query (edge, sender);
+}
+
 static void
 receive_status (struct bd_edge *edge, const struct bd_edge_status *status)
 {
@@ -493,13 +518,18 @@
                                  .config_revision = status->config_version };
   const struct bd_member *sender;
 
+  if (strcmp (status->name, edge->settings->name) == 0)
+    return;
   bd_name_copy (heartbeat.name, status->name);
   bd_name_copy (heartbeat.data_centre, status->data_centre);
   bd_name_copy (heartbeat.address, status->address);
-  if (strcmp (status->name, edge->settings->name) == 0
-      || bd_membership_receive_heartbeat (&edge->membership, &heartbeat,
-                                          now_ms)
-             != BD_OK)
+  if (status->scope == BD_STATUS_QUERY)
+    {
+      receive_query (edge, &heartbeat);
+      return;
+    }
+  if (bd_membership_receive_heartbeat (&edge->membership, &heartbeat, now_ms)
+      != BD_OK)
     return;
   sender = bd_membership_find (&edge->membership, status->name);
   if (status->config_version > edge->highest_config_version)
@@ -674,46 +704,40 @@
   send_to_relays (edge, false, BD_MESSAGE_EDGE_STATUS, &status);
 }
 
-/* The next of the dead members, by turns: a relay asks those of all data
-   centres, another daemon those of its own.  NULL if there is none.  */
+/* Draws one of the dead members: for a relay of any data centre, for another
+   daemon of its own.  NULL if there is none.  */
 static const struct bd_member *
-next_dead_member (struct bd_edge *edge)
+draw_dead_member (const struct bd_edge *edge)
 {
   const struct bd_membership *membership = &edge->membership;
-  bool asks_all = is_relay (edge);
+  const struct bd_member *drawn = NULL;
+  bool is_any = is_relay (edge);
+  uint32_t count = 0;
 
-  for (uint32_t i = 0; i < membership->count; i++)
+  for (uint32_t i = 1; i < membership->count; i++)
     {
-      const struct bd_member *member;
+      const struct bd_member *member = &membership->members[i];
 
-      edge->asked_index = (edge->asked_index + 1) % membership->count;
-      member = &membership->members[edge->asked_index];
-      if (!member->is_live
-          && (asks_all || is_local (edge, member->data_centre)))
-        return member;
+      if (!member->is_live && (is_any || is_local (edge, member->data_centre))
+          && gsl_rng_uniform_int (edge->rng, ++count) == 0)
+        drawn = member;
     }
-  return NULL;
+  return drawn;
 }
 
-/* Sends a status to one that counts as dead.  If it is alive, its reply names
-   the daemons that it knows, so daemons that have lost sight of each other
-   meet again; a daemon that is silent never would, because statuses go to live
-   relays only.  The status contains no traffic: where it is a relay's, the sum
-   over the data centre contains that.  */
+/* Asks a dead member now and then, so that daemons that have lost sight of
+   each other meet again; one that is silent never would, because statuses go
+   to live relays only.  */
 static void
 ask_dead_member (struct bd_edge *edge)
 {
   const struct bd_member *member;
-  struct bd_edge_status status;
 
   if (edge->status_turn % ASK_TURNS != 0)
     return;
-  member = next_dead_member (edge);
-  if (member == NULL)
-    return;
-  fill_status (edge, &status, BD_STATUS_DAEMON);
-  status.wants_reply = true;
-  bd_edge_send_to_peer (edge, member, BD_MESSAGE_EDGE_STATUS, &status);
+  member = draw_dead_member (edge);
+  if (member != NULL)
+    send_query (edge, member);
 }
 
 void
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -186,8 +186,10 @@
 {
   BD_STATUS_DAEMON,      /* Of the sender.  */
   BD_STATUS_DATA_CENTRE, /* Sum over the data centre of the sender, a relay. */
-  BD_STATUS_FLEET,  /* Reply of a relay: sum over all but the receiver.  */
-  BD_STATUS_MEMBERS /* Reply without traffic: only the live daemons.  */
+  BD_STATUS_FLEET,   /* Reply of a relay: sum over all but the receiver.  */
+  BD_STATUS_MEMBERS, /* Reply without traffic: only the live daemons.  */
+  /* Without traffic, to a daemon that counts as dead, which replies.  */
+  BD_STATUS_QUERY
 };
 
 /* A live daemon.  */
