edge: a request that was refused in the end is not taken for run

What callers saw: 502, "endpoint-failed", run "unknown", for a safe request that no endpoint had run and that every daemon had refused. A 503 would have told its caller so.

Cause: a daemon without links hands a request over; the one that takes it over is silent, so that the request moves, which counts the first attempt as one that may have run. When the next attempt is refused, the request goes back to the first one. bd_call_reverted() took back the runs, but not may_have_run. If the first attempt is refused in the end too, and nobody is left, the request fails as one that may have run.

Ruled out: a run, the endpoints saw none of the calls.

Change: after going back, the call may have run if runs are left that may have happened. An attempt that breaks off beside the first one still counts.

Before: calls_test, "refused call is taken for run" fails (1 of 16).

--- a/src/calls/call.c
+++ b/src/calls/call.c
@@ -210,6 +210,7 @@
     call->runs += call->attempt_runs;
   call->runs -= runs;
   call->attempt_runs = runs;
+  call->may_have_run = call->runs > 0;
 }
 
 enum bd_action
--- a/src/calls/call.h
+++ b/src/calls/call.h
@@ -146,7 +146,8 @@
                                struct bd_retry_budget *budget, int64_t now_ms);
 
 /* bd_call_reverted(): the attempt failed while the one before it, whose
-   failure was reported and which may use runs, goes on.  */
+   failure was reported and which may use runs, goes on.  That one counts as a
+   run again only when it fails.  Not for calls with a claim.  */
 void bd_call_reverted (struct bd_call *call, enum bd_failure failure,
                        uint32_t runs);
 
--- a/src/calls/calls_test.c
+++ b/src/calls/calls_test.c
@@ -100,6 +100,45 @@
   CU_ASSERT_EQUAL (call.runs, 2);
 }
 
+/* The first attempt, which goes on, is refused in the end, and so is the
+   second one.  */
+static void
+test_refused_call_is_taken_for_run (void)
+{
+  struct bd_retry_budget budget = full_budget;
+  struct bd_call call;
+
+  start (&call, true, false);
+  bd_call_sent (&call, 1);
+  CU_ASSERT_EQUAL (bd_call_failed (&call, BD_FAILURE_BROKEN, &budget, 0),
+                   BD_ACTION_DISPATCH);
+  bd_call_sent (&call, 2);
+  bd_call_reverted (&call, BD_FAILURE_NOT_SENT, 1);
+  CU_ASSERT_EQUAL (bd_call_failed (&call, BD_FAILURE_NOT_SENT, &budget, 0),
+                   BD_ACTION_DISPATCH);
+  CU_ASSERT_EQUAL (bd_call_refused (&call, BD_ERR_OVERLOADED), BD_ACTION_FAIL);
+  CU_ASSERT_EQUAL (call.run, BD_NOT_RUN);
+}
+
+/* As before, but the second attempt may have run the call.  */
+static void
+test_broken_call_is_taken_for_not_run (void)
+{
+  struct bd_retry_budget budget = full_budget;
+  struct bd_call call;
+
+  start (&call, true, false);
+  bd_call_sent (&call, 1);
+  CU_ASSERT_EQUAL (bd_call_failed (&call, BD_FAILURE_BROKEN, &budget, 0),
+                   BD_ACTION_DISPATCH);
+  bd_call_sent (&call, 2);
+  bd_call_reverted (&call, BD_FAILURE_BROKEN, 1);
+  CU_ASSERT_EQUAL (bd_call_failed (&call, BD_FAILURE_NOT_SENT, &budget, 0),
+                   BD_ACTION_DISPATCH);
+  CU_ASSERT_EQUAL (bd_call_refused (&call, BD_ERR_OVERLOADED), BD_ACTION_FAIL);
+  CU_ASSERT_EQUAL (call.run, BD_RUN_UNKNOWN);
+}
+
 /* Only the deadline and the targets bound attempts that reach nobody.  */
 static void
 test_unsent_attempts_use_up_the_tries (void)
@@ -332,6 +371,9 @@
     test_runs_at_other_daemons_exceed_the_maximum },
   { "reverted attempts use up the runs",
     test_reverted_attempts_use_up_the_runs },
+  { "refused call is taken for run", test_refused_call_is_taken_for_run },
+  { "broken call is taken for not run",
+    test_broken_call_is_taken_for_not_run },
   { "unsent attempts use up the tries",
     test_unsent_attempts_use_up_the_tries },
   { "tries beside unsent attempts", test_tries_beside_unsent_attempts },
