edge: silence during the daemon's own stall does not count against its links

A daemon whose process stands still several times for 300 ms, while probes are in flight, took the links to its service for lost, although all endpoints were sound. By the code its requests then go to other daemons and it gives up the control of groups.

Cause: what was in flight in a stall ends by its time limit when the process goes on: by reading, the loop runs timers before it looks at sockets, so that a response that waits there comes too late as well. The controller left such a probe out of the endpoint's liveness when it took 80 ms longer than its limit, but counted the same result, and those of orders and link probes, as silence of the links.

Ruled out: one stall alone. In three stalls of 300 ms with one probe in flight, before the change, the first link probe sent after it was answered, and the doubt ended; it takes two more stalls in a row with link probes in flight.

Change: bd_edge_has_stalled_since() says whether the event loop, by the watchdog's ticker, was late by more than 50 ms since a time. The liveness of endpoints, bd_edge_note_silence() (orders, probes, requests) and the probes of links all ask it, and leave silence out. It also finds stalls that end before or shortly after the limit, which the comparison with the limit did not. A response that did come counts as before.

--- a/src/base/ticker.c
+++ b/src/base/ticker.c
@@ -56,6 +56,14 @@
   return ticker->lag_ms;
 }
 
+int64_t
+bd_ticker_overdue_ms (const struct bd_ticker *ticker)
+{
+  int64_t overdue_us = bd_clock_now_us (&ticker->clock) - ticker->due_us;
+
+  return overdue_us > 0 ? overdue_us / US_PER_MS : 0;
+}
+
 void
 bd_ticker_finish (struct bd_ticker *ticker)
 {
--- a/src/base/ticker.h
+++ b/src/base/ticker.h
@@ -36,6 +36,10 @@
    when it was made: how late the event loop is.  0 before the first call.  */
 int64_t bd_ticker_lag_ms (const struct bd_ticker *ticker);
 
+/* bd_ticker_overdue_ms(): how late the next call of handler is already; 0 if
+   it is not due yet.  */
+int64_t bd_ticker_overdue_ms (const struct bd_ticker *ticker);
+
 /* bd_ticker_finish(): stops the ticker.  */
 void bd_ticker_finish (struct bd_ticker *ticker);
 
--- a/src/base/ticker_test.c
+++ b/src/base/ticker_test.c
@@ -19,6 +19,7 @@
 static struct timespec now;
 static struct bd_ticker ticker;
 static int64_t lags_ms[CALLS];
+static int64_t overdue_ms[CALLS];
 static uint32_t call_count;
 
 static struct timespec
@@ -46,6 +47,7 @@
   (void)ctx;
   lags_ms[call_count++] = bd_ticker_lag_ms (&ticker);
   advance_ms (call_count == 1 ? STALL_MS : MAX_INTERVAL_MS);
+  overdue_ms[call_count - 1] = bd_ticker_overdue_ms (&ticker);
 }
 
 static void
@@ -65,6 +67,9 @@
   CU_ASSERT_TRUE (lags_ms[1] >= STALL_MS - MAX_INTERVAL_MS);
   CU_ASSERT_TRUE (lags_ms[1] <= STALL_MS - MIN_INTERVAL_MS);
   CU_ASSERT_TRUE (lags_ms[2] <= MAX_INTERVAL_MS - MIN_INTERVAL_MS);
+  CU_ASSERT_TRUE (overdue_ms[0] >= STALL_MS - MAX_INTERVAL_MS);
+  CU_ASSERT_TRUE (overdue_ms[0] <= STALL_MS - MIN_INTERVAL_MS);
+  CU_ASSERT_TRUE (overdue_ms[1] <= MAX_INTERVAL_MS - MIN_INTERVAL_MS);
   bd_ticker_finish (&ticker);
   gsl_rng_free (rng);
   talloc_free (events);
--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -14,10 +14,6 @@
   MAX_PROBES = 64,
   ORDER_TIMEOUT_MS = 400,
   PROBE_TIMEOUT_MS = 220,
-  /* A probe that exceeds its timeout by more than this does not count as
-     missed: this process was stalled or short of processor time, and the
-     endpoint may have replied.  */
-  MAX_OWN_LAG_MS = 80,
   /* Missed probes in a row after which an endpoint counts as dead: the last
      one was refused or broken off, or all had no response.  A sound endpoint
      can be silent for a second.  */
@@ -378,8 +374,7 @@
       && edge->adapter->read_report (body.value, &report))
     apply_report (edge, endpoint, call, &report, pending->sent_ms);
   else if (!bd_edge_is_isolated (edge)
-           && bd_edge_now_ms (edge) - pending->sent_ms
-                  < PROBE_TIMEOUT_MS + MAX_OWN_LAG_MS)
+           && !bd_edge_has_stalled_since (edge, pending->sent_ms))
     bd_fleet_record_missed_probe (
         endpoint,
         result->has_timed_out ? SILENT_MISSES_UNTIL_DEAD : MISSES_UNTIL_DEAD,
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -305,6 +305,7 @@
   struct bd_ticker sync_ticker;
   struct bd_ticker controller_ticker;
   struct bd_ticker watchdog_ticker;
+  int64_t stalled_ms; /* End of the last stall of the loop; 0 if none.  */
   int64_t started_ms;
   bool is_stopping;
   bool is_closed; /* Accepts no more requests.  */
@@ -548,7 +549,8 @@
 void bd_edge_note_contact (struct bd_edge *edge, const char *service);
 
 /* bd_edge_note_silence(): an endpoint of the service did not respond to a
-   request or probe sent at sent_ms.  */
+   request or probe sent at sent_ms.  Ignored if the event loop has stood still
+   since.  */
 void bd_edge_note_silence (struct bd_edge *edge, const char *service,
                            const char *endpoint, int64_t sent_ms);
 
@@ -825,6 +827,11 @@
    passed, and attempts that stall.  */
 void bd_edge_run_watchdog (void *ctx);
 
+/* bd_edge_has_stalled_since(): whether this daemon's event loop has stood
+   still since a time.  Time limits that ran out in a stall say nothing of
+   another machine: its response may be waiting to be read.  */
+bool bd_edge_has_stalled_since (const struct bd_edge *edge, int64_t since_ms);
+
 /* pages.c: readiness and metrics.  */
 
 /* bd_edge_serve_ready(): responds to a health check of the load balancer.  */
--- a/src/edge/edge_links_test.c
+++ b/src/edge/edge_links_test.c
@@ -36,6 +36,8 @@
   RETURN_MS = 4000,
   CHANGES = 2,
   CHANGE_LAG_MS = 800,
+  STALL_MS = 300, /* Longer than the time limits of probes.  */
+  STALL_SERIES = 3,
   AT_ONCE_MS = 100
 };
 
@@ -300,6 +302,67 @@
   finish_site ();
 }
 
+static bool
+has_probe_in_flight (struct site *s)
+{
+  for (uint32_t i = 0; i < s->worker_count; i++)
+    if (bd_fleet_endpoint (&s->edge->fleet, s->workers[i].id)
+            ->has_pending_probe)
+      return true;
+  return false;
+}
+
+/* Whether the daemon has just sent a probe over its doubtful links.  */
+static bool
+has_probed_links (struct site *s)
+{
+  return bd_edge_now_ms (s->edge)
+             - bd_edge_service (s->edge, "pool")->links.probe_ms
+         < CUT_CHECK_MS;
+}
+
+/* The process stands still from shortly after a probe was sent until after the
+   probe's time limit.  The endpoints are sound and respond when it goes on. */
+static void
+stall_during_probe (bool (*is_probing) (struct site *s))
+{
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    site.workers[i].mode = WORKER_SILENT;
+  if (site_run (&site, is_probing, AT_ONCE_MS))
+    {
+      site_wait (&site, CUT_CHECK_MS);
+      g_usleep (1000 * STALL_MS);
+    }
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    site.workers[i].mode = WORKER_HEALTHY;
+}
+
+/* The process stands still while a doubted endpoint and then the links are
+   probed, and goes on each time, as one does that is short of processor
+   time.  */
+static void
+test_own_stalls_are_lost_links (void)
+{
+  start_site (0, POOL_WORKERS);
+  for (uint32_t i = 0; i < STALL_SERIES; i++)
+    {
+      bd_fleet_suspect (
+          bd_fleet_endpoint (&site.edge->fleet, site.workers[i].id),
+          bd_edge_now_ms (site.edge));
+      stall_during_probe (has_probe_in_flight);
+      for (uint32_t j = 0; j < BD_LINKS_MAX_FAILED_PROBES; j++)
+        stall_during_probe (has_probed_links);
+      CU_ASSERT_FALSE (site_run (&site, is_first_isolated, AT_ONCE_MS));
+      site_wait (&site, SETTLE_MS);
+    }
+  CU_ASSERT_EQUAL (site.edge->counters.value[BD_COUNT_LINKS_LOST], 0);
+  CU_ASSERT_TRUE (bd_edge_is_controller_of (site.edge, "a"));
+  CU_ASSERT_EQUAL (count_served ("POST", "/stream/x", "m"), CALLS);
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    CU_ASSERT_EQUAL (daemons[i]->counters.value[BD_COUNT_TAKEN_OVER], 0);
+  finish_site ();
+}
+
 /* All daemons are cut: nobody can take a request over, and each says so at
    once.  */
 static void
@@ -474,6 +537,7 @@
       test_daemon_without_groups_fails_its_streams },
     { "isolated daemon controls groups",
       test_isolated_daemon_controls_groups },
+    { "own stalls are lost links", test_own_stalls_are_lost_links },
     { "isolated daemons hand over in a circle",
       test_isolated_daemons_hand_over_in_a_circle },
     { "request that is handed over runs too often",
--- a/src/edge/handover.c
+++ b/src/edge/handover.c
@@ -285,6 +285,8 @@
 {
   struct bd_edge_service *service = bd_edge_service (edge, service_name);
 
+  if (bd_edge_has_stalled_since (edge, sent_ms))
+    return;
   if (bd_links_note_silence (&service->links,
                              bd_hash (endpoint, strlen (endpoint)), sent_ms,
                              bd_edge_now_ms (edge)))
@@ -306,8 +308,9 @@
   struct bd_edge_service *service
       = bd_edge_service (probe->edge, probe->service);
 
-  if (bd_links_note_probe (&service->links, probe->endpoint, is_answered,
-                           probe->sent_ms, bd_edge_now_ms (probe->edge)))
+  if ((is_answered || !bd_edge_has_stalled_since (probe->edge, probe->sent_ms))
+      && bd_links_note_probe (&service->links, probe->endpoint, is_answered,
+                              probe->sent_ms, bd_edge_now_ms (probe->edge)))
     handle_change (probe->edge, service);
   talloc_free (probe);
 }
--- a/src/edge/watchdog.c
+++ b/src/edge/watchdog.c
@@ -13,6 +13,8 @@
 
 enum
 {
+  /* Delay of the event loop that counts as a stall.  */
+  MAX_LOOP_LAG_MS = 50,
   /* Time without an event of a stream that has begun, in addition to
      STALL_PASSES, after which its group is suspected, and after which the
      stream is resumed at another group.  */
@@ -129,6 +131,23 @@
     watch_group (request, group, now_ms);
 }
 
+bool
+bd_edge_has_stalled_since (const struct bd_edge *edge, int64_t since_ms)
+{
+  return bd_ticker_overdue_ms (&edge->watchdog_ticker) > MAX_LOOP_LAG_MS
+         || since_ms < edge->stalled_ms;
+}
+
+static void
+measure_lag (struct bd_edge *edge, int64_t now_ms)
+{
+  int64_t lag_ms = bd_ticker_lag_ms (&edge->watchdog_ticker);
+
+  bd_observe (&edge->histograms, BD_HISTOGRAM_LOOP_LAG, lag_ms);
+  if (lag_ms > MAX_LOOP_LAG_MS)
+    edge->stalled_ms = now_ms;
+}
+
 void
 bd_edge_run_watchdog (void *ctx)
 {
@@ -136,8 +155,7 @@
   struct bd_edge_request *next;
   int64_t now_ms = bd_edge_now_ms (edge);
 
-  bd_observe (&edge->histograms, BD_HISTOGRAM_LOOP_LAG,
-              bd_ticker_lag_ms (&edge->watchdog_ticker));
+  measure_lag (edge, now_ms);
   /* Prevents a dispatch inside the loop, which could end the next request of
      the list.  */
   edge->is_dispatching = true;
