edge: requests are not moved for a stall of the daemon itself

A daemon whose process stood still for 1.3 s sent its streams and safe requests to other endpoints as well when it went on, and suspected the groups of the streams, which then get no requests and are probed. All endpoints were sound.

Cause: the watchdog compares the time of a request's last event with the clock before the events that came meanwhile are read.

Ruled out: leaving the time of the stall out of the silence. An endpoint goes on in a stall and its events wait to be read; what is still silent when they have been read is silent for the whole time. And a daemon that stalls again and again would never find a silent group.

Change: for 100 ms after a stall the watchdog judges no attempt. Deadlines are kept as before.

--- a/src/edge/edge_silence_test.c
+++ b/src/edge/edge_silence_test.c
@@ -33,6 +33,7 @@
   /* Half of the time limit of the site's routes: the first silence ends after
      a third of it, and a sixth is left after the second one.  */
   LONG_PAUSE_MS = 2000,
+  OWN_STALL_MS = 1300,
   /* Requests that a plain worker gets at most: its slots and its queue.  */
   PLAIN_CAPACITY = 6,
   STALLED_CALLS = 3,
@@ -706,6 +707,36 @@
   site_finish (&site);
 }
 
+/* The daemon's process stands still for longer than a stream or a safe request
+   may be silent, and goes on.  */
+static void
+test_own_stall_moves_requests (void)
+{
+  struct site_call *streams[STALLED_CALLS];
+  struct site_call *plain;
+
+  site_start (&site, 2, 4);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_has_groups, READY_MS));
+  set_modes (WORKER_SLOW);
+  site.workers[0].mode = site.workers[1].mode = WORKER_PAUSING;
+  for (uint32_t i = 0; i < STALLED_CALLS; i++)
+    streams[i] = start_stream ();
+  site_wait (&site, 2 * BEGUN_MS);
+  plain = site_start_call (&site, "GET", "/safe/x", "k1", NULL);
+  site_wait (&site, BEGUN_MS);
+  g_usleep (1000 * OWN_STALL_MS);
+  for (uint32_t i = 0; i < STALLED_CALLS; i++)
+    {
+      wait_for (streams[i]);
+      CU_ASSERT_TRUE (is_stream_complete (streams[i]));
+    }
+  wait_for (plain);
+  CU_ASSERT_EQUAL (plain->status, 200);
+  CU_ASSERT_FALSE (is_any_group_suspected ());
+  CU_ASSERT_EQUAL (site_request_count (&site), STALLED_CALLS + 1);
+  site_finish (&site);
+}
+
 static void
 test_deadline_of_a_stream_counts_as_failure (void)
 {
@@ -793,6 +824,7 @@
     { "stalled requests delay callers that retry",
       test_stalled_requests_delay_callers_that_retry },
     { "slow group is suspected", test_slow_group_is_suspected },
+    { "own stall moves requests", test_own_stall_moves_requests },
     { "deadline of a stream counts as failure",
       test_deadline_of_a_stream_counts_as_failure },
   };
--- a/src/edge/watchdog.c
+++ b/src/edge/watchdog.c
@@ -15,6 +15,8 @@
 {
   /* Delay of the event loop that counts as a stall.  */
   MAX_LOOP_LAG_MS = 50,
+  /* Time after a stall until what has come meanwhile is read.  */
+  CATCH_UP_MS = 100,
   /* Time without an event of a stream that has begun, in addition to
      STALL_PASSES, after which its group is suspected, and after which the
      stream is resumed at another group.  */
@@ -109,6 +111,14 @@
                                    : bd_call_expired (&request->call));
 }
 
+/* Whether events and responses that came in a stall of this daemon may not
+   have been read yet.  */
+static bool
+is_catching_up (const struct bd_edge *edge, int64_t now_ms)
+{
+  return edge->stalled_ms != 0 && now_ms - edge->stalled_ms < CATCH_UP_MS;
+}
+
 static void
 watch_request (struct bd_edge_request *request, int64_t now_ms)
 {
@@ -119,7 +129,7 @@
       bd_edge_expire (request);
       return;
     }
-  if (request->attempt == NULL)
+  if (request->attempt == NULL || is_catching_up (request->edge, now_ms))
     return;
   if (request->group == 0)
     {
