edge: other daemons are not taken for dead after the daemon's own stall

A daemon whose process stood still for 1.3 s took live daemons for dead when it went on. By reading: it then sees itself as the controller of all groups and as a relay until it hears of them again.

Cause: the status timer compares the time of the last message from each daemon with the clock, and the messages that came meanwhile are read after it.

Ruled out: a longer limit; the silence of a daemon that has died would be found later everywhere. The limit stays.

--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -832,6 +832,10 @@
    another machine: its response may be waiting to be read.  */
 bool bd_edge_has_stalled_since (const struct bd_edge *edge, int64_t since_ms);
 
+/* bd_edge_is_catching_up(): whether events, responses and messages that came
+   in a stall of this daemon's event loop may not have been read yet.  */
+bool bd_edge_is_catching_up (const struct bd_edge *edge);
+
 /* pages.c: readiness and metrics.  */
 
 /* bd_edge_serve_ready(): responds to a health check of the load balancer.  */
--- a/src/edge/edge_links_test.c
+++ b/src/edge/edge_links_test.c
@@ -38,6 +38,7 @@
   CHANGE_LAG_MS = 800,
   STALL_MS = 300, /* Longer than the time limits of probes.  */
   STALL_SERIES = 3,
+  LONG_STALL_MS = 1300, /* Longer than a daemon may be silent.  */
   AT_ONCE_MS = 100
 };
 
@@ -363,6 +364,27 @@
   finish_site ();
 }
 
+static bool
+has_lost_daemon (struct site *s)
+{
+  (void)s;
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    if (bd_membership_count_live (&daemons[i]->membership, NULL) < DAEMONS)
+      return true;
+  return false;
+}
+
+/* The daemons stand still for longer than one may be silent, and go on.  */
+static void
+test_own_stall_loses_other_daemons (void)
+{
+  start_site (PLAIN_WORKERS, 0);
+  CU_ASSERT_FALSE (has_lost_daemon (&site));
+  g_usleep (1000 * LONG_STALL_MS);
+  CU_ASSERT_FALSE (site_run (&site, has_lost_daemon, SETTLE_MS));
+  finish_site ();
+}
+
 /* All daemons are cut: nobody can take a request over, and each says so at
    once.  */
 static void
@@ -538,6 +560,7 @@
     { "isolated daemon controls groups",
       test_isolated_daemon_controls_groups },
     { "own stalls are lost links", test_own_stalls_are_lost_links },
+    { "own stall loses other daemons", test_own_stall_loses_other_daemons },
     { "isolated daemons hand over in a circle",
       test_isolated_daemons_hand_over_in_a_circle },
     { "request that is handed over runs too often",
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -716,7 +716,8 @@
 
   update_offered_load (edge);
   bd_edge_share_retries (edge);
-  if (bd_membership_tick (&edge->membership, now_ms))
+  if (!bd_edge_is_catching_up (edge)
+      && bd_membership_tick (&edge->membership, now_ms))
     {
       /* A report of no change no longer means what this daemon knows.  */
       request_reports (edge, 0);
--- a/src/edge/watchdog.c
+++ b/src/edge/watchdog.c
@@ -111,14 +111,6 @@
                                    : bd_call_expired (&request->call));
 }
 
-/* Whether events and responses that came in a stall of this daemon may not
-   have been read yet.  */
-static bool
-is_catching_up (const struct bd_edge *edge, int64_t now_ms)
-{
-  return edge->stalled_ms != 0 && now_ms - edge->stalled_ms < CATCH_UP_MS;
-}
-
 static void
 watch_request (struct bd_edge_request *request, int64_t now_ms)
 {
@@ -129,7 +121,7 @@
       bd_edge_expire (request);
       return;
     }
-  if (request->attempt == NULL || is_catching_up (request->edge, now_ms))
+  if (request->attempt == NULL || bd_edge_is_catching_up (request->edge))
     return;
   if (request->group == 0)
     {
@@ -148,6 +140,12 @@
          || since_ms < edge->stalled_ms;
 }
 
+bool
+bd_edge_is_catching_up (const struct bd_edge *edge)
+{
+  return bd_edge_has_stalled_since (edge, bd_edge_now_ms (edge) - CATCH_UP_MS);
+}
+
 static void
 measure_lag (struct bd_edge *edge, int64_t now_ms)
 {
