edge: the test of moves waits until each group runs streams

In each of them the third group had just opened and the daemon did not know of it when the streams began, so that the other two got all six, the third was closed at once as the idle one and moved, and the test ended 1.4 s before any stream could.

The test is wrong there: it shows nothing about streams of the group that moves unless that group runs one. Now the second model comes when all three groups run streams, and only streams that end after that count, so that a run in which an idle group moves can't pass either. No check was changed.

--- a/src/edge/edge_moves_test.c
+++ b/src/edge/edge_moves_test.c
@@ -16,6 +16,7 @@
   READY_MS = 10000,
   MOVE_MS = 20000,
   POOL_WORKERS = 6,
+  POOL_GROUPS = 3,
   CALLS = 6,
   STREAM_ROUTE = 2
 };
@@ -57,6 +58,19 @@
     }
 }
 
+/* Whether all workers are in groups and each group runs a stream.  The daemon
+   learns of a group later than the workers do.  */
+static bool
+all_groups_serve (struct site *s)
+{
+  uint32_t serving = 0;
+
+  renew_calls ();
+  for (uint32_t i = 0; i < s->worker_count; i++)
+    serving += s->workers[i].stream_count > 0;
+  return serving == POOL_GROUPS && count_groups ("m") == POOL_GROUPS;
+}
+
 static bool
 is_moved (struct site *s)
 {
@@ -91,7 +105,8 @@
   CU_ASSERT_TRUE_FATAL (site_run (&site, site_has_groups, READY_MS));
   for (uint32_t i = 0; i < site.worker_count; i++)
     site.workers[i].mode = WORKER_SLOW;
-  renew_calls ();
+  CU_ASSERT_TRUE_FATAL (site_run (&site, all_groups_serve, READY_MS));
+  complete_count = 0;
   add_second_model ();
   CU_ASSERT_TRUE (site_run (&site, is_moved, MOVE_MS));
   CU_ASSERT_TRUE (count_groups ("m") > 0);
