membership: a report that may be older does not bring a silent member back

Cause, from a trace of every report: the remaining relay finds the dead one silent after 1.2 s and sends its status to the next daemon in rank. That one answers at once, and its list still names the dead one, which it heard within the same 1.2 s, but for some milliseconds. The member is back, now known by report, and stays for 3.6 s; with it back the daemon that could correct this is no relay any more and isn't asked again. Ruled out: the longer holding of reported members alone (the list that lacks one ends it at once if it comes), lost messages, stalls of the process (none in the slow runs).

Change: a member whose own heartbeats have ended is not brought back by reports until the limit has passed once more. A report names members heard within that limit, so a later one must be from after the silence. A cut of one link only is not affected: reports take over while heartbeats are still expected.

--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -127,11 +127,32 @@
   return strcmp (member->data_centre, membership->members[0].data_centre) == 0;
 }
 
+static uint32_t
+silence_limit_ms (const struct bd_membership *membership,
+                  const struct bd_member *member)
+{
+  return !is_local (membership, member) && membership->remote_dead_after_ms > 0
+             ? membership->remote_dead_after_ms
+             : membership->dead_after_ms;
+}
+
+/* Whether reports can be from before the member fell silent: they name those
+   that the reporter has heard within the same limit.  */
+static bool
+are_reports_older (const struct bd_membership *membership,
+                   const struct bd_member *member, int64_t now_ms)
+{
+  return member->lost_ms > 0
+         && now_ms - member->lost_ms <= silence_limit_ms (membership, member);
+}
+
 static void
 refresh_reported (const struct bd_membership *membership,
                   const struct bd_member *reporter, struct bd_member *member,
                   int64_t now_ms)
 {
+  if (are_reports_older (membership, member, now_ms))
+    return;
   /* A relay of another data centre reports its own.  */
   if (!is_local (membership, reporter)
       && strcmp (reporter->data_centre, member->data_centre) == 0)
@@ -198,15 +219,6 @@
       refresh_reported (membership, reporter, &membership->members[i], now_ms);
 }
 
-static uint32_t
-silence_limit_ms (const struct bd_membership *membership,
-                  const struct bd_member *member)
-{
-  return !is_local (membership, member) && membership->remote_dead_after_ms > 0
-             ? membership->remote_dead_after_ms
-             : membership->dead_after_ms;
-}
-
 bool
 bd_membership_is_witnessed (const struct bd_membership *membership,
                             const struct bd_member *member, int64_t now_ms)
@@ -309,6 +321,8 @@
                  <= dead_after_ms (membership, member))
         continue;
       member->is_live = false;
+      if (!member->is_reported)
+        member->lost_ms = now_ms;
       has_changed = true;
     }
   remove_dead_members (membership, now_ms);
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -36,6 +36,7 @@
   uint32_t peer_port;
   int64_t incarnation; /* 0 until the first heartbeat.  */
   int64_t last_received_ms;
+  int64_t lost_ms; /* When its own heartbeats were found to have ended.  */
   bool is_live;
   bool is_stopping;
   bool is_isolated; /* It has lost its links to endpoints.  */
@@ -101,8 +102,9 @@
 
 /* bd_membership_receive_heartbeat(): updates or adds the sender of a heartbeat
    and marks it as live.  heartbeat has all fields of the sender except
-   last_received_ms, is_live, is_pinned and is_listed.  Returns BD_ERR_STALE
-   when it has an earlier incarnation or this daemon's own name.  */
+   last_received_ms, lost_ms, is_live, is_pinned and is_listed.  Returns
+   BD_ERR_STALE when it has an earlier incarnation or this daemon's own name.
+ */
 enum bd_error
 bd_membership_receive_heartbeat (struct bd_membership *membership,
                                  const struct bd_member *heartbeat,
@@ -110,7 +112,9 @@
 
 /* bd_membership_begin_report(): reporter, a relay, reports all live members
    anew; to be followed by bd_membership_report() for each and
-   bd_membership_end_report().  */
+   bd_membership_end_report().  A member whose own heartbeats have ended is not
+   brought back until the time after which it counts as dead has passed once
+   more: earlier reports can be from before it fell silent.  */
 void bd_membership_begin_report (struct bd_membership *membership);
 void bd_membership_report (struct bd_membership *membership,
                            const struct bd_member *reporter,
--- a/src/membership/membership_test.c
+++ b/src/membership/membership_test.c
@@ -208,6 +208,51 @@
   talloc_free (ctx);
 }
 
+/* A member that a daemon has heard itself falls silent.  Another daemon that
+   still counts it as alive does not bring it back; one that has heard it since
+   does.  */
+static void
+check_silent_member (const char *data_centre, int64_t dead_after_ms)
+{
+  void *ctx = talloc_new (NULL);
+  struct bd_member self = member ("b", "x", 1);
+  int64_t died_ms = dead_after_ms + 1;
+  struct bd_membership m;
+  const struct bd_member *reporter;
+  const struct bd_member *silent;
+
+  bd_membership_init (&m, ctx, &self, 1000);
+  m.remote_dead_after_ms = 2000;
+  m.reported_dead_after_ms = 3000;
+  receive_heartbeat (&m, "silent", data_centre, 0);
+  receive_heartbeat (&m, "r", "x", died_ms);
+  silent = bd_membership_find (&m, "silent");
+  reporter = bd_membership_find (&m, "r");
+  CU_ASSERT_TRUE (bd_membership_tick (&m, died_ms));
+  CU_ASSERT_FALSE (silent->is_live);
+  bd_membership_begin_report (&m);
+  bd_membership_report (&m, reporter, bd_hash ("silent", 6), false, false,
+                        died_ms);
+  CU_ASSERT_FALSE (bd_membership_end_report (&m, reporter));
+  CU_ASSERT_FALSE (silent->is_live);
+  bd_membership_confirm_reported (&m, reporter, died_ms + dead_after_ms);
+  CU_ASSERT_FALSE (silent->is_live);
+  bd_membership_confirm_reported (&m, reporter, died_ms + dead_after_ms + 1);
+  CU_ASSERT_TRUE (silent->is_live);
+  /* Its own heartbeat counts at once.  */
+  CU_ASSERT_TRUE (bd_membership_tick (&m, 20000));
+  receive_heartbeat (&m, "silent", data_centre, 20000);
+  CU_ASSERT_TRUE (silent->is_live);
+  talloc_free (ctx);
+}
+
+static void
+test_older_reports_do_not_revive (void)
+{
+  check_silent_member ("x", 1000);
+  check_silent_member ("y", 2000);
+}
+
 /* What daemons of another data centre say of the members of this one does not
    count: they may hear a part that this one has lost.  */
 static void
@@ -383,6 +428,7 @@
 
 static const struct unit_test tests[] = {
   { "reported members", test_reported_members },
+  { "older reports do not revive", test_older_reports_do_not_revive },
   { "another data centre does not report this one",
     test_another_data_centre_does_not_report_this_one },
   { "reports do not keep the dead", test_reports_do_not_keep_the_dead },
