edge: a daemon that often stands still still finds out who is gone

A daemon whose loop is late by more than 50 ms again and again did not judge other daemons at all, so that it went on handing requests over to dead ones and left their duties undone for as long as it was busy.

Cause: each stall put off the judgement for another 100 ms, without a bound.

Change: the time of a stall is added to when the live members were heard, so that it is no silence of theirs, and they are judged at every status again. Only between the end of a stall and the watchdog's next pass, which measures it, nothing is judged. The watchdog asks once a pass whether it is catching up, instead of reading two clocks for each request.

--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -827,15 +827,15 @@
    passed, and attempts that stall.  */
 void bd_edge_run_watchdog (void *ctx);
 
+/* bd_edge_is_late(): whether this daemon's event loop has stood still and the
+   watchdog has not run since.  */
+bool bd_edge_is_late (const struct bd_edge *edge);
+
 /* bd_edge_has_stalled_since(): whether this daemon's event loop has stood
    still since a time.  Time limits that ran out in a stall say nothing of
    another machine: its response may be waiting to be read.  */
 bool bd_edge_has_stalled_since (const struct bd_edge *edge, int64_t since_ms);
 
-/* bd_edge_is_catching_up(): whether events, responses and messages that came
-   in a stall of this daemon's event loop may not have been read yet.  */
-bool bd_edge_is_catching_up (const struct bd_edge *edge);
-
 /* pages.c: readiness and metrics.  */
 
 /* bd_edge_serve_ready(): responds to a health check of the load balancer.  */
--- a/src/edge/edge_relays_test.c
+++ b/src/edge/edge_relays_test.c
@@ -72,6 +72,7 @@
   MAX_PAUSE_MS = RELAY_DELAY_MS - RELAY_PERIOD_MS,
   MAX_OBSERVATIONS = 5,
   DEAF_MS = 5 * ASK_PERIOD_MS,
+  STALL_MS = 100,
 
   /* Copies of one message that a daemon receives: from the sender, from the
      other relay of its data centre, and from the two of the other one.  */
@@ -845,6 +846,47 @@
   CU_ASSERT_TRUE (run_until (is_reunited, MEETING_MS));
 }
 
+/* Whether it has found out which daemons are cut off from it.  */
+static bool
+knows_side (const struct daemon *daemon)
+{
+  const struct bd_membership *membership = &daemon->edge->membership;
+
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    if (daemons[i].side != daemon->side
+        && bd_membership_find (membership, daemons[i].settings.name)->is_live)
+      return false;
+  return true;
+}
+
+/* Makes the process stand still for half of the time.  */
+static void
+stand_still (void *ctx)
+{
+  const bool *is_lagging = ctx;
+
+  if (!*is_lagging)
+    return;
+  g_usleep (STALL_MS * 1000);
+  bd_timer_add (site.events, site.events, STALL_MS, stand_still, ctx);
+}
+
+/* Daemons that stand still again and again find out all the same which ones
+   are gone.  */
+static void
+test_lagging_fleet_forgets (void)
+{
+  static bool is_lagging = true;
+  struct daemon *cut_off = find_follower ("b");
+
+  cut_off->side = 1;
+  stand_still (&is_lagging);
+  CU_ASSERT_TRUE (run_until (knows_side, FORGET_MS));
+  is_lagging = false;
+  cut_off->side = 0;
+  CU_ASSERT_TRUE (run_until (is_reunited, MEETING_MS));
+}
+
 /* All daemons stand still for longer than one may be silent, and go on.  */
 static void
 test_paused_fleet_goes_on (void)
@@ -1064,6 +1106,7 @@
     { "cut off daemon returns", test_cut_off_daemon_returns },
     { "cut off data centre returns", test_cut_off_data_centre_returns },
     { "paused fleet goes on", test_paused_fleet_goes_on },
+    { "lagging fleet forgets", test_lagging_fleet_forgets },
     { "deaf daemon stays dead", test_deaf_daemon_stays_dead },
     { "live lists are sent on changes only",
       test_live_lists_are_sent_on_changes_only },
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -750,7 +750,7 @@
 
   update_offered_load (edge);
   bd_edge_share_retries (edge);
-  if (!bd_edge_is_catching_up (edge)
+  if (!bd_edge_is_late (edge)
       && bd_membership_tick (&edge->membership, now_ms))
     {
       /* A report of no change no longer means what this daemon knows.  */
--- a/src/edge/watchdog.c
+++ b/src/edge/watchdog.c
@@ -111,8 +111,11 @@
                                    : bd_call_expired (&request->call));
 }
 
+/* is_catching_up: events and responses that came in a stall of this daemon may
+   not have been read yet.  */
 static void
-watch_request (struct bd_edge_request *request, int64_t now_ms)
+watch_request (struct bd_edge_request *request, bool is_catching_up,
+               int64_t now_ms)
 {
   struct bd_fleet_group *group;
 
@@ -121,7 +124,7 @@
       bd_edge_expire (request);
       return;
     }
-  if (request->attempt == NULL || bd_edge_is_catching_up (request->edge))
+  if (request->attempt == NULL || is_catching_up)
     return;
   if (request->group == 0)
     {
@@ -134,16 +137,15 @@
 }
 
 bool
-bd_edge_has_stalled_since (const struct bd_edge *edge, int64_t since_ms)
+bd_edge_is_late (const struct bd_edge *edge)
 {
-  return bd_ticker_overdue_ms (&edge->watchdog_ticker) > MAX_LOOP_LAG_MS
-         || since_ms < edge->stalled_ms;
+  return bd_ticker_overdue_ms (&edge->watchdog_ticker) > MAX_LOOP_LAG_MS;
 }
 
 bool
-bd_edge_is_catching_up (const struct bd_edge *edge)
+bd_edge_has_stalled_since (const struct bd_edge *edge, int64_t since_ms)
 {
-  return bd_edge_has_stalled_since (edge, bd_edge_now_ms (edge) - CATCH_UP_MS);
+  return bd_edge_is_late (edge) || since_ms < edge->stalled_ms;
 }
 
 static void
@@ -152,8 +154,10 @@
   int64_t lag_ms = bd_ticker_lag_ms (&edge->watchdog_ticker);
 
   bd_observe (&edge->histograms, BD_HISTOGRAM_LOOP_LAG, lag_ms);
-  if (lag_ms > MAX_LOOP_LAG_MS)
-    edge->stalled_ms = now_ms;
+  if (lag_ms <= MAX_LOOP_LAG_MS)
+    return;
+  edge->stalled_ms = now_ms;
+  bd_membership_add_stall (&edge->membership, lag_ms, now_ms);
 }
 
 void
@@ -162,8 +166,10 @@
   struct bd_edge *edge = ctx;
   struct bd_edge_request *next;
   int64_t now_ms = bd_edge_now_ms (edge);
+  bool is_catching_up;
 
   measure_lag (edge, now_ms);
+  is_catching_up = now_ms - CATCH_UP_MS < edge->stalled_ms;
   /* Prevents a dispatch inside the loop, which could end the next request of
      the list.  */
   edge->is_dispatching = true;
@@ -171,7 +177,7 @@
        request = next)
     {
       next = request->next;
-      watch_request (request, now_ms);
+      watch_request (request, is_catching_up, now_ms);
     }
   edge->is_dispatching = false;
   bd_edge_probe_links (edge);
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -152,6 +152,12 @@
     struct bd_membership *membership,
     const struct bd_remote_data_centre *data_centre, int64_t now_ms);
 
+/* bd_membership_add_stall(): this daemon has stood still for stalled_ms until
+   now_ms, in which it could hear nobody.  That time is no silence of the live
+   members.  */
+void bd_membership_add_stall (struct bd_membership *membership,
+                              int64_t stalled_ms, int64_t now_ms);
+
 /* bd_membership_tick(): marks members without a recent heartbeat as dead, and
    removes dead members after 10 minutes when neither the settings nor the
    instance list names them.  Without the removal the table would grow, because
--- a/src/membership/membership_test.c
+++ b/src/membership/membership_test.c
@@ -253,6 +253,34 @@
   check_silent_member ("y", 2000);
 }
 
+/* Time in which this daemon stood still is no silence of others; what it heard
+   after that counts from then.  */
+static void
+test_own_stall_is_no_silence (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct bd_member self = member ("b", "x", 1);
+  struct bd_membership m;
+
+  bd_membership_init (&m, ctx, &self, 1000);
+  receive_heartbeat (&m, "a", "x", 100);
+  receive_heartbeat (&m, "c", "x", 1900);
+  bd_membership_add_stall (&m, 1500, 1900);
+  CU_ASSERT_FALSE (bd_membership_tick (&m, 2600));
+  CU_ASSERT_TRUE (
+      bd_membership_is_witnessed (&m, bd_membership_find (&m, "a"), 2600));
+  CU_ASSERT_FALSE (
+      bd_membership_is_witnessed (&m, bd_membership_find (&m, "a"), 2601));
+  CU_ASSERT_TRUE (bd_membership_tick (&m, 2601));
+  CU_ASSERT_FALSE (bd_membership_find (&m, "a")->is_live);
+  CU_ASSERT_FALSE (bd_membership_tick (&m, 2900));
+  CU_ASSERT_TRUE (bd_membership_tick (&m, 2901));
+  /* One that was dead before stays so.  */
+  bd_membership_add_stall (&m, 1500, 4500);
+  CU_ASSERT_FALSE (bd_membership_find (&m, "a")->is_live);
+  talloc_free (ctx);
+}
+
 /* What daemons of another data centre say of the members of this one does not
    count: they may hear a part that this one has lost.  */
 static void
@@ -429,6 +457,7 @@
 static const struct unit_test tests[] = {
   { "reported members", test_reported_members },
   { "older reports do not revive", test_older_reports_do_not_revive },
+  { "own stall is no silence", test_own_stall_is_no_silence },
   { "another data centre does not report this one",
     test_another_data_centre_does_not_report_this_one },
   { "reports do not keep the dead", test_reports_do_not_keep_the_dead },
