edge: a daemon that stops hands over only what can end in its grace

What callers saw: a daemon that has lost its links and stops as planned went on handing requests over until late in its grace.

Cause: the estimate at a stop knows the pace of groups and endpoints, and of another daemon nothing, so that only the configured speed counted. The one that knows its paces and its queue is the daemon that takes the request. Ruled out: the estimate by the sender's own last measure of the groups; it may be old, and the queue there is unknown.

Change: a sender that stops passes on the time that it has left (header Burdockdale-Left-Ms, between daemons only), and the daemon that takes the request judges each of its targets by that time, as it does in its own stop, and refuses what can't end as not run. An older build ignores the header.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -22,7 +22,6 @@
      ends the attempt before.  */
   TIMEOUT_MARGIN_MS = 300,
   MAX_RESPONSE_BYTES = 4 << 20,
-  MAX_HANDOVER_HEADERS = 4,
   /* Backoff for an address where another endpoint responded (status 421); by
      then the instance list shows where the endpoint has moved.  */
   MISDIRECTED_BACKOFF_MS = 2000
@@ -728,7 +727,7 @@
 struct attempt_headers
 {
   struct bd_http_header_field
-      pairs[BD_EDGE_MAX_HEADERS + MAX_HANDOVER_HEADERS + 8];
+      pairs[BD_EDGE_MAX_HEADERS + BD_EDGE_MAX_HANDOVER_HEADERS + 8];
   uint32_t count;
 };
 
@@ -771,7 +770,8 @@
     add (headers, names->target_endpoint, request->endpoint);
   if (request->is_handed_over)
     headers->count += bd_edge_handover_headers (
-        mem, request, headers->pairs + headers->count, MAX_HANDOVER_HEADERS);
+        mem, request, headers->pairs + headers->count,
+        BD_EDGE_MAX_HANDOVER_HEADERS);
   else if (request->account[0] != '\0')
     add (headers, names->account, request->account);
   if (request->call.last_event_id >= 0)
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -31,6 +31,7 @@
   BD_EDGE_MAX_DATA_CENTRES = 64,
   /* Headers of a request that are forwarded.  */
   BD_EDGE_MAX_HEADERS = 48,
+  BD_EDGE_MAX_HANDOVER_HEADERS = 5,
   BD_EDGE_MAX_RELAY_REPORTS = 4,
   /* Retry-After while this daemon stops: another one can serve at once.  */
   BD_EDGE_STOPPING_RETRY_MS = 50,
@@ -87,6 +88,8 @@
   /* Another daemon has handed it over to this one.  */
   bool is_taken_over;
   bool is_last_resort; /* The other daemon knows of no further one.  */
+  /* When the other daemon ends, which stops; 0 if it does not.  */
+  int64_t sender_end_ms;
   /* Its last attempt has reached no endpoint, which may be this daemon's
      fault: the next one goes to another daemon if one can take it.  */
   bool prefers_handover;
@@ -360,8 +363,13 @@
    left, and frees it.  */
 void bd_edge_expire (struct bd_edge_request *request);
 
+/* bd_edge_end_ms(): time by which a new attempt has to be completed, because
+   this daemon stops, or the one that has handed the request over; INT64_MAX if
+   any time before the deadline will do.  */
+int64_t bd_edge_end_ms (const struct bd_edge_request *request);
+
 /* bd_edge_can_complete(): whether a new attempt at a sound target can be
-   completed before this daemon ends; true unless it stops.
+   completed before bd_edge_end_ms().
    bd_edge_can_complete_at(): the same at this target, by what is known of
    it.  */
 bool bd_edge_can_complete (const struct bd_edge_request *request);
@@ -545,6 +553,11 @@
 uint32_t bd_edge_max_runs (const struct bd_http_exchange *exchange,
                            uint32_t max_runs);
 
+/* bd_edge_sender_end_ms(): when the daemon ends that hands the request over;
+   0 if it does not stop.  */
+int64_t bd_edge_sender_end_ms (const struct bd_edge *edge,
+                               const struct bd_http_exchange *exchange);
+
 /* bd_edge_note_contact(): an endpoint of the service has responded.  */
 void bd_edge_note_contact (struct bd_edge *edge, const char *service);
 
--- a/src/edge/edge_links_test.c
+++ b/src/edge/edge_links_test.c
@@ -39,7 +39,11 @@
   STALL_MS = 300, /* Longer than the time limits of probes.  */
   STALL_SERIES = 3,
   LONG_STALL_MS = 1300, /* Longer than a daemon may be silent.  */
-  AT_ONCE_MS = 100
+  AT_ONCE_MS = 100,
+  GRACE_MS = 4500,
+  WARM_CALLS = 12,
+  LATE_CALLS = 10,
+  LATE_INTERVAL_MS = 330
 };
 
 static struct site site;
@@ -545,6 +549,62 @@
   finish_site ();
 }
 
+static bool
+has_ended (struct site *s)
+{
+  return bd_edge_is_done (s->edge);
+}
+
+/* Sends streams to a daemon until it has used every group.  */
+static void
+measure_groups (uint32_t daemon)
+{
+  site.daemon_port = settings[daemon].http_port;
+  for (uint32_t i = 0; i < WARM_CALLS; i++)
+    calls[i] = site_start_call (&site, "POST", "/stream/x", "k1", "m");
+  for (uint32_t i = 0; i < WARM_CALLS; i++)
+    while (!calls[i]->is_done)
+      tevent_loop_once (site.events);
+}
+
+/* An isolated daemon stops, and groups are slow.  Callers get a response to
+   each request that it hands over and an endpoint runs, and it hands some
+   over.  */
+static void
+test_handed_over_requests_outlast_the_grace (void)
+{
+  uint32_t served = 0;
+  uint32_t requests;
+
+  start_site (0, POOL_WORKERS);
+  for (uint32_t i = 0; i < POOL_WORKERS; i++)
+    site.workers[i].mode = WORKER_SLOW;
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    measure_groups (i);
+  is_cut[0] = true;
+  site.daemon_port = settings[0].http_port;
+  CU_ASSERT_EQUAL (site_call (&site, "POST", "/stream/x", "k1", "m")->status,
+                   200);
+  requests = site_request_count (&site);
+  site.settings.bounds.grace_ms = GRACE_MS;
+  bd_edge_stop (site.edge);
+  for (uint32_t i = 0; i < LATE_CALLS; i++)
+    {
+      calls[i] = site_start_call (&site, "POST", "/stream/x", "k1", "m");
+      site_wait (&site, LATE_INTERVAL_MS);
+    }
+  CU_ASSERT_TRUE (site_run (&site, has_ended, GRACE_MS));
+  for (uint32_t i = 0; i < LATE_CALLS; i++)
+    {
+      while (!calls[i]->is_done)
+        tevent_loop_once (site.events);
+      served += calls[i]->status == 200 && calls[i]->is_complete;
+    }
+  CU_ASSERT_TRUE (served > 0);
+  CU_ASSERT_EQUAL (site_request_count (&site), requests + served);
+  finish_site ();
+}
+
 int
 main (void)
 {
@@ -566,6 +626,8 @@
     { "request that is handed over runs too often",
       test_request_that_is_handed_over_runs_too_often },
     { "only other daemon gets one run", test_only_other_daemon_gets_one_run },
+    { "handed over requests outlast the grace",
+      test_handed_over_requests_outlast_the_grace },
     { "handover fails beside a change of the configuration",
       test_handover_fails_beside_a_change_of_the_configuration },
   };
--- a/src/edge/handover.c
+++ b/src/edge/handover.c
@@ -4,10 +4,11 @@
    A daemon that has lost them is still reached by callers, by the store and by
    the other daemons.  It goes on checking its callers' requests, and sends
    them as they came to the handover port of another daemon, which handles them
-   like its own, once: it hands none on.  What it cannot serve it refuses as
-   not run, and the sender tries another one; the last one that is left lets it
-   wait like its own.  While all of them have an older
-   configuration than the sender, the request waits until one has read it.
+   like its own, once: it hands none on.  What it cannot serve, or not before
+   a sender that stops ends, it refuses as not run, and the sender tries
+   another one; the last one that is left lets it wait like its own.  While all
+   of them have an older configuration than the sender, the request waits until
+   one has read it.
 
    The sender counts the runs.  Each daemon may use one, so that a failure, or
    no response at all, stands for one run, and the next daemon gets the next;
@@ -34,6 +35,8 @@
 static const char runs_header[] = "Burdockdale-Runs";
 /* Sent to the last daemon that can take the request over.  */
 static const char last_header[] = "Burdockdale-Last";
+/* Time left until the sender ends, which stops.  */
+static const char left_header[] = "Burdockdale-Left-Ms";
 
 bool
 bd_edge_start_handover (struct bd_edge *edge,
@@ -174,7 +177,8 @@
                           struct bd_http_header_field *headers, uint32_t max)
 {
   const struct bd_header_names *names = request->edge->adapter->headers;
-  struct bd_http_header_field all[4] = {
+  int64_t end_ms = bd_edge_end_ms (request);
+  struct bd_http_header_field all[BD_EDGE_MAX_HANDOVER_HEADERS] = {
     { config_header,
       talloc_asprintf (ctx, "%lld",
                        (long long)request->edge->routes->version) },
@@ -189,6 +193,12 @@
     };
   if (!request->has_next_daemon)
     all[count++] = (struct bd_http_header_field){ last_header, "1" };
+  if (end_ms != INT64_MAX)
+    all[count++] = (struct bd_http_header_field){
+      left_header,
+      talloc_asprintf (ctx, "%lld",
+                       (long long)(end_ms - bd_edge_now_ms (request->edge)))
+    };
   if (count > max)
     count = max;
   memcpy (headers, all, count * sizeof all[0]);
@@ -200,7 +210,8 @@
 {
   return strcasecmp (name, config_header) == 0
          || strcasecmp (name, runs_header) == 0
-         || strcasecmp (name, last_header) == 0;
+         || strcasecmp (name, last_header) == 0
+         || strcasecmp (name, left_header) == 0;
 }
 
 bool
@@ -216,6 +227,18 @@
   return bd_http_header (x, last_header) != NULL;
 }
 
+int64_t
+bd_edge_sender_end_ms (const struct bd_edge *edge,
+                       const struct bd_http_exchange *x)
+{
+  const char *text = bd_http_header (x, left_header);
+  long long left_ms = text != NULL ? strtoll (text, NULL, 10) : 0;
+
+  if (text == NULL)
+    return 0;
+  return bd_edge_now_ms (edge) + CLAMP (left_ms, 0, INT32_MAX);
+}
+
 bool
 bd_edge_can_take_over (const struct bd_edge *edge,
                        const struct bd_http_exchange *x)
--- a/src/edge/ingress.c
+++ b/src/edge/ingress.c
@@ -206,7 +206,10 @@
   request->is_last_resort
       = request->is_taken_over && bd_edge_is_last_resort (x);
   if (request->is_taken_over)
-    request->call.max_runs = bd_edge_max_runs (x, route->max_attempts);
+    {
+      request->call.max_runs = bd_edge_max_runs (x, route->max_attempts);
+      request->sender_end_ms = bd_edge_sender_end_ms (edge, x);
+    }
   read_resumption (request);
   bd_edge_admit (request);
 }
--- a/src/edge/stop.c
+++ b/src/edge/stop.c
@@ -122,7 +122,8 @@
   return max_ms;
 }
 
-/* The same at a plain endpoint.  The requests beyond its slots wait.  */
+/* The same at a plain endpoint.  The requests beyond its slots wait.  Another
+   daemon estimates the time itself.  */
 static double
 estimate_at_endpoint_ms (const struct bd_edge_request *request,
                          const struct bd_edge_target *target)
@@ -138,41 +139,45 @@
   return turns * max_latency_ms (request->edge, endpoint) + MAX_SILENCE_MS;
 }
 
-/* Whether an attempt that takes this long is worth a start.  */
-static bool
-is_in_time (const struct bd_edge_request *request, double response_ms)
+int64_t
+bd_edge_end_ms (const struct bd_edge_request *request)
 {
   const struct bd_edge *edge = request->edge;
+  int64_t end_ms = edge->is_stopping ? edge->end_ms : INT64_MAX;
 
-  return (double)bd_edge_now_ms (edge) + response_ms <= (double)edge->end_ms;
-}
-
-static bool
-is_any_time_enough (const struct bd_edge_request *request)
-{
-  const struct bd_edge *edge = request->edge;
-
-  return !edge->is_stopping || request->has_stream_begun
-         || request->deadline_ms <= edge->end_ms;
+  if (request->sender_end_ms > 0 && request->sender_end_ms < end_ms)
+    end_ms = request->sender_end_ms;
+  return request->has_stream_begun || request->deadline_ms <= end_ms
+             ? INT64_MAX
+             : end_ms;
 }
 
 bool
 bd_edge_can_complete (const struct bd_edge_request *request)
 {
-  return is_any_time_enough (request)
-         || is_in_time (request, estimate_ms (request));
+  int64_t end_ms = bd_edge_end_ms (request);
+
+  return end_ms == INT64_MAX
+         || (double)bd_edge_now_ms (request->edge) + estimate_ms (request)
+                <= (double)end_ms;
 }
 
 bool
 bd_edge_can_complete_at (const struct bd_edge_request *request,
                          const struct bd_edge_target *target)
 {
-  return is_any_time_enough (request)
-         || is_in_time (
-             request, fmax (estimate_ms (request),
-                            target->group != 0
-                                ? estimate_at_group_ms (request, target)
-                                : estimate_at_endpoint_ms (request, target)));
+  int64_t end_ms = bd_edge_end_ms (request);
+  double at_target_ms;
+
+  if (!bd_edge_can_complete (request))
+    return false;
+  if (end_ms == INT64_MAX)
+    return true;
+  at_target_ms = target->group != 0
+                     ? estimate_at_group_ms (request, target)
+                     : estimate_at_endpoint_ms (request, target);
+  return (double)bd_edge_now_ms (request->edge) + at_target_ms
+         <= (double)end_ms;
 }
 
 /* The load balancer has removed this daemon.  */
