edge: an own stall no longer loses the counts of other daemons

What callers saw: nothing by itself; a daemon that stood still for over 1.2 s went on as if the others sent nothing, until their next status: full groups looked free to it, and the controller saw its own demand alone.

Cause: the last reports of the others were dropped by their age, in which the time counted that the daemon itself stood still.

Change: a stall is added to when reports were received, as for members, and neither is judged before the stall was measured; one function forgets both.

Test: edge_links_test, "own stall loses counts of other daemons", failed in 3 of 3 runs before, passed in 3 of 3 after. edge_relays_test passed in 4 of 4 runs, edge_silence_test and membership_test in one.

--- a/src/edge/edge_links_test.c
+++ b/src/edge/edge_links_test.c
@@ -389,6 +389,33 @@
   finish_site ();
 }
 
+static bool
+has_lost_counts (struct site *s)
+{
+  (void)s;
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    {
+      struct bd_model_demand demand[BD_ENGINE_MAX_MODELS];
+      struct bd_traffic_report report = { .demand = demand };
+
+      bd_edge_add_peer_demand (daemons[i], &report, BD_ENGINE_MAX_MODELS);
+      if (report.daemon_count < DAEMONS - 1)
+        return true;
+    }
+  return false;
+}
+
+/* The same for what the others have reported of their load.  */
+static void
+test_own_stall_loses_counts_of_other_daemons (void)
+{
+  start_site (PLAIN_WORKERS, 0);
+  CU_ASSERT_FALSE (has_lost_counts (&site));
+  g_usleep (1000 * LONG_STALL_MS);
+  CU_ASSERT_FALSE (site_run (&site, has_lost_counts, SETTLE_MS));
+  finish_site ();
+}
+
 /* All daemons are cut: nobody can take a request over, and each says so at
    once.  */
 static void
@@ -621,6 +648,8 @@
       test_isolated_daemon_controls_groups },
     { "own stalls are lost links", test_own_stalls_are_lost_links },
     { "own stall loses other daemons", test_own_stall_loses_other_daemons },
+    { "own stall loses counts of other daemons",
+      test_own_stall_loses_counts_of_other_daemons },
     { "isolated daemons hand over in a circle",
       test_isolated_daemons_hand_over_in_a_circle },
     { "request that is handed over runs too often",
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -654,12 +654,18 @@
     }
 }
 
-/* Drops the traffic of daemons and data centres that are silent.  */
+/* Forgets the daemons and data centres that are silent, and their traffic.  */
 static void
-expire_traffic (struct bd_edge *edge)
+forget_silent (struct bd_edge *edge, int64_t now_ms)
 {
-  int64_t now_ms = bd_edge_now_ms (edge);
-
+  if (bd_membership_tick (&edge->membership, now_ms))
+    {
+      /* A report of no change no longer means what this daemon knows.  */
+      request_reports (edge, 0);
+      bd_log ("peer-lost", "live",
+              BD_NUM (bd_membership_count_live (&edge->membership, NULL)),
+              NULL);
+    }
   bd_traffic_expire (&edge->traffic, now_ms - DEAD_AFTER_MS);
   bd_traffic_expire (&edge->remote_traffic,
                      now_ms - edge->membership.remote_dead_after_ms);
@@ -750,17 +756,9 @@
 
   update_offered_load (edge);
   bd_edge_share_retries (edge);
-  if (!bd_edge_is_late (edge)
-      && bd_membership_tick (&edge->membership, now_ms))
-    {
-      /* A report of no change no longer means what this daemon knows.  */
-      request_reports (edge, 0);
-      bd_log ("peer-lost", "live",
-              BD_NUM (bd_membership_count_live (&edge->membership, NULL)),
-              NULL);
-    }
   adjust_to_fleet_size (edge);
-  expire_traffic (edge);
+  if (!bd_edge_is_late (edge))
+    forget_silent (edge, now_ms);
   update_place (edge);
   bd_edge_share_limits (edge);
   collect_own_traffic (edge, &buffer);
--- a/src/edge/watchdog.c
+++ b/src/edge/watchdog.c
@@ -158,6 +158,8 @@
     return;
   edge->stalled_ms = now_ms;
   bd_membership_add_stall (&edge->membership, lag_ms, now_ms);
+  bd_traffic_add_stall (&edge->traffic, lag_ms, now_ms);
+  bd_traffic_add_stall (&edge->remote_traffic, lag_ms, now_ms);
 }
 
 void
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -2,6 +2,7 @@
 
 #include "membership/membership.h"
 
+#include <glib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -308,12 +309,6 @@
              : silence_limit_ms (membership, member);
 }
 
-static int64_t
-add_stall_to (int64_t heard_ms, int64_t stalled_ms, int64_t now_ms)
-{
-  return heard_ms + stalled_ms < now_ms ? heard_ms + stalled_ms : now_ms;
-}
-
 void
 bd_membership_add_stall (struct bd_membership *membership, int64_t stalled_ms,
                          int64_t now_ms)
@@ -325,10 +320,9 @@
       if (!member->is_live)
         continue;
       member->last_received_ms
-          = add_stall_to (member->last_received_ms, stalled_ms, now_ms);
+          = MIN (member->last_received_ms + stalled_ms, now_ms);
       if (member->witnessed_ms > 0)
-        member->witnessed_ms
-            = add_stall_to (member->witnessed_ms, stalled_ms, now_ms);
+        member->witnessed_ms = MIN (member->witnessed_ms + stalled_ms, now_ms);
     }
 }
 
--- a/src/traffic/traffic.c
+++ b/src/traffic/traffic.c
@@ -117,6 +117,22 @@
   add_report (traffic, source);
 }
 
+void
+bd_traffic_add_stall (struct bd_traffic *traffic, int64_t stalled_ms,
+                      int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, traffic->sources);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct source *source = value;
+
+      source->received_ms = MIN (source->received_ms + stalled_ms, now_ms);
+    }
+}
+
 static void
 drop_sources (struct bd_traffic *traffic, int64_t before_ms, uint64_t kept)
 {
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -61,6 +61,12 @@
                         const struct bd_traffic_report *report,
                         int64_t now_ms);
 
+/* bd_traffic_add_stall(): this daemon has stood still for stalled_ms until
+   now_ms, in which no report could be read.  The reports do not age by that
+   time.  */
+void bd_traffic_add_stall (struct bd_traffic *traffic, int64_t stalled_ms,
+                           int64_t now_ms);
+
 /* bd_traffic_expire(): drops the reports from before the given time.  */
 void bd_traffic_expire (struct bd_traffic *traffic, int64_t before_ms);
 
