tests: twins in the tests of calls and of lost links made one

Two tests of a refused call differed by one argument, and two tests of an own stall by the condition; a function with that argument serves each pair.

--- a/src/calls/calls_test.c
+++ b/src/calls/calls_test.c
@@ -100,10 +100,10 @@
   CU_ASSERT_EQUAL (call.runs, 2);
 }
 
-/* The first attempt, which goes on, is refused in the end, and so is the
-   second one.  */
+/* The first attempt goes on when the second one has failed, and reaches nobody
+   in the end.  */
 static void
-test_refused_call_is_taken_for_run (void)
+check_run_of_refused_call (enum bd_failure second, enum bd_run_state expected)
 {
   struct bd_retry_budget budget = full_budget;
   struct bd_call call;
@@ -113,30 +113,23 @@
   CU_ASSERT_EQUAL (bd_call_failed (&call, BD_FAILURE_BROKEN, &budget, 0),
                    BD_ACTION_DISPATCH);
   bd_call_sent (&call, 2);
-  bd_call_reverted (&call, BD_FAILURE_NOT_SENT, 1);
+  bd_call_reverted (&call, second, 1);
   CU_ASSERT_EQUAL (bd_call_failed (&call, BD_FAILURE_NOT_SENT, &budget, 0),
                    BD_ACTION_DISPATCH);
   CU_ASSERT_EQUAL (bd_call_refused (&call, BD_ERR_OVERLOADED), BD_ACTION_FAIL);
-  CU_ASSERT_EQUAL (call.run, BD_NOT_RUN);
+  CU_ASSERT_EQUAL (call.run, expected);
 }
 
-/* As before, but the second attempt may have run the call.  */
 static void
-test_broken_call_is_taken_for_not_run (void)
+test_refused_call_is_taken_for_run (void)
 {
-  struct bd_retry_budget budget = full_budget;
-  struct bd_call call;
+  check_run_of_refused_call (BD_FAILURE_NOT_SENT, BD_NOT_RUN);
+}
 
-  start (&call, true, false);
-  bd_call_sent (&call, 1);
-  CU_ASSERT_EQUAL (bd_call_failed (&call, BD_FAILURE_BROKEN, &budget, 0),
-                   BD_ACTION_DISPATCH);
-  bd_call_sent (&call, 2);
-  bd_call_reverted (&call, BD_FAILURE_BROKEN, 1);
-  CU_ASSERT_EQUAL (bd_call_failed (&call, BD_FAILURE_NOT_SENT, &budget, 0),
-                   BD_ACTION_DISPATCH);
-  CU_ASSERT_EQUAL (bd_call_refused (&call, BD_ERR_OVERLOADED), BD_ACTION_FAIL);
-  CU_ASSERT_EQUAL (call.run, BD_RUN_UNKNOWN);
+static void
+test_broken_call_is_taken_for_not_run (void)
+{
+  check_run_of_refused_call (BD_FAILURE_BROKEN, BD_RUN_UNKNOWN);
 }
 
 /* Only the deadline and the targets bound attempts that reach nobody.  */
--- a/src/edge/edge_links_test.c
+++ b/src/edge/edge_links_test.c
@@ -378,17 +378,7 @@
   return false;
 }
 
-/* The daemons stand still for longer than one may be silent, and go on.  */
-static void
-test_own_stall_loses_other_daemons (void)
-{
-  start_site (PLAIN_WORKERS, 0);
-  CU_ASSERT_FALSE (has_lost_daemon (&site));
-  g_usleep (1000 * LONG_STALL_MS);
-  CU_ASSERT_FALSE (site_run (&site, has_lost_daemon, SETTLE_MS));
-  finish_site ();
-}
-
+/* Whether a daemon lacks what the others have reported of their load.  */
 static bool
 has_lost_counts (struct site *s)
 {
@@ -405,17 +395,29 @@
   return false;
 }
 
-/* The same for what the others have reported of their load.  */
+/* The daemons stand still for longer than one may be silent, and go on.  */
 static void
-test_own_stall_loses_counts_of_other_daemons (void)
+check_own_stall (bool (*has_lost) (struct site *s))
 {
   start_site (PLAIN_WORKERS, 0);
-  CU_ASSERT_FALSE (has_lost_counts (&site));
+  CU_ASSERT_FALSE (has_lost (&site));
   g_usleep (1000 * LONG_STALL_MS);
-  CU_ASSERT_FALSE (site_run (&site, has_lost_counts, SETTLE_MS));
+  CU_ASSERT_FALSE (site_run (&site, has_lost, SETTLE_MS));
   finish_site ();
 }
 
+static void
+test_own_stall_loses_other_daemons (void)
+{
+  check_own_stall (has_lost_daemon);
+}
+
+static void
+test_own_stall_loses_counts_of_other_daemons (void)
+{
+  check_own_stall (has_lost_counts);
+}
+
 /* All daemons are cut: nobody can take a request over, and each says so at
    once.  */
 static void
