membership: the first report of a member that was only listed counts

What callers saw: nothing yet; found by reading. In a large fleet a member of the instance list counts as alive at first and is known by reports from then on. If its first report came after 1.2 s (3 s in another data centre), it was left out for as long again, though no heartbeat of its own had ended.

Change: only a member that has been heard itself can fall silent so that reports may be older.

Test: membership_test, "late first report counts", failed before; 861 asserts, all passed after.

--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -339,7 +339,7 @@
                  <= dead_after_ms (membership, member))
         continue;
       member->is_live = false;
-      if (!member->is_reported)
+      if (!member->is_reported && member->incarnation != 0)
         member->lost_ms = now_ms;
       has_changed = true;
     }
--- a/src/membership/membership_test.c
+++ b/src/membership/membership_test.c
@@ -253,6 +253,30 @@
   check_silent_member ("y", 2000);
 }
 
+/* A member of the list that has not been heard itself, as those of a large
+   fleet, counts as alive at first.  The first report of it counts.  */
+static void
+test_late_first_report_counts (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct bd_member self = member ("b", "x", 1);
+  struct bd_membership m;
+  struct bd_member *listed;
+
+  bd_membership_init (&m, ctx, &self, 1000);
+  m.reported_dead_after_ms = 3000;
+  receive_heartbeat (&m, "r", "x", 1001);
+  listed = bd_membership_add (&m, "c", "x", "10.0.0.3", 1);
+  listed->is_live = true;
+  CU_ASSERT_TRUE (bd_membership_tick (&m, 1001));
+  CU_ASSERT_FALSE (listed->is_live);
+  bd_membership_begin_report (&m);
+  bd_membership_report (&m, bd_membership_find (&m, "r"), bd_hash ("c", 1),
+                        false, false, 1100);
+  CU_ASSERT_TRUE (listed->is_live);
+  talloc_free (ctx);
+}
+
 /* Time in which this daemon stood still is no silence of others; what it heard
    after that counts from then.  */
 static void
@@ -457,6 +481,7 @@
 static const struct unit_test tests[] = {
   { "reported members", test_reported_members },
   { "older reports do not revive", test_older_reports_do_not_revive },
+  { "late first report counts", test_late_first_report_counts },
   { "own stall is no silence", test_own_stall_is_no_silence },
   { "another data centre does not report this one",
     test_another_data_centre_does_not_report_this_one },
