membership: a relay whose link to the other one is cut is soon heard of

Cause: reports were not believed for the whole time after which a member is dead. A report from before the silence can come only while another daemon, which got one heartbeat more, hasn't noticed.

Change: they are not believed for a third of that time, two periods of heartbeats. The unit test of the window has the new bound, and the limits of the product.

--- a/src/edge/edge_relays_test.c
+++ b/src/edge/edge_relays_test.c
@@ -62,6 +62,11 @@
   /* The same, and then the other data centre is told.  */
   FORGET_MS = TAKE_OVER_MS + REPORTED_DEAD_AFTER_MS,
 
+  /* A relay that has lost another one asks the next daemon in rank with each
+     status.  It takes its word once that can't be from before the silence,
+     which is two statuses later.  */
+  HEARD_OF_MS = 4 * STATUS_PERIOD_MS,
+
   /* One that is lost is asked for within the first time, and its answer
      reaches all over the relays.  */
   ASK_PERIOD_MS = 1000,
@@ -100,6 +105,7 @@
   bool has_lost_links;
   bool loses_evidence; /* Messages with evidence of crashes are lost.  */
   bool is_deaf;        /* No message reaches it.  */
+  bool is_cut_pair;    /* The two with this lose each other's messages.  */
   uint32_t side; /* Messages to and from daemons with another one are lost. */
   bd_peers_handler *handler;
   uint32_t reads;       /* Of the configuration and the instance list.  */
@@ -306,11 +312,11 @@
   return NULL;
 }
 
-/* Whether the message comes from a daemon of another side.  Other kinds than
-   these do not name their sender, and keep no daemon alive.  */
+/* Whether the message comes from a daemon that is cut from this one.  Other
+   kinds than these do not name their sender, and keep no daemon alive.  */
 static bool
-is_from_other_side (const struct daemon *daemon, enum bd_message_type type,
-                    const void *message)
+is_cut (const struct daemon *daemon, enum bd_message_type type,
+        const void *message)
 {
   const struct bd_edge_status *status = message;
   const struct bd_freshness_request *request = message;
@@ -320,7 +326,10 @@
     sender = find_daemon (status->name);
   else if (type == BD_MESSAGE_FRESHNESS_REQUEST)
     sender = find_daemon (request->from);
-  return sender != NULL && sender->side != daemon->side;
+  return sender != NULL
+         && (sender->side != daemon->side
+             || (sender != daemon && sender->is_cut_pair
+                 && daemon->is_cut_pair));
 }
 
 /* Counts a message before the daemon handles it.  */
@@ -332,8 +341,7 @@
   const struct bd_poison_update *update = message;
   const struct bd_edge_status *status = message;
 
-  if (daemon->is_silent || daemon->is_deaf
-      || is_from_other_side (daemon, type, message)
+  if (daemon->is_silent || daemon->is_deaf || is_cut (daemon, type, message)
       || (daemon->loses_evidence && type == BD_MESSAGE_POISON))
     return;
   if (type == BD_MESSAGE_FRESHNESS_REPLY && reply->has_frame
@@ -863,6 +871,52 @@
   CU_ASSERT_TRUE (run_until (is_reunited, MEETING_MS));
 }
 
+/* For how long a daemon has counted another one as dead at most, until the
+   time is over.  */
+static int64_t
+longest_death_ms (const struct daemon *of, const struct daemon *by,
+                  int64_t duration_ms)
+{
+  int64_t end_ms = now_ms () - starved_ms + duration_ms;
+  int64_t live_ms = now_ms () - starved_ms;
+  int64_t longest_ms = 0;
+
+  while (now_ms () - starved_ms < end_ms)
+    {
+      tevent_loop_once (site.events);
+      if (bd_membership_find (&by->edge->membership, of->settings.name)
+              ->is_live)
+        live_ms = now_ms () - starved_ms;
+      else if (now_ms () - starved_ms - live_ms > longest_ms)
+        longest_ms = now_ms () - starved_ms - live_ms;
+    }
+  return longest_ms;
+}
+
+/* The relays of a data centre lose only each other: they are soon heard of
+   over the next daemon in rank.  */
+static void
+test_relays_lose_each_other (void)
+{
+  struct daemon *relays[BD_MEMBERSHIP_RELAYS];
+  uint32_t count = 0;
+  int64_t death_ms;
+
+  for (uint32_t i = 0; i < DAEMONS && count < BD_MEMBERSHIP_RELAYS; i++)
+    if (is_local (&daemons[i]) && is_relay (&daemons[i]))
+      relays[count++] = &daemons[i];
+  CU_ASSERT_EQUAL_FATAL (count, BD_MEMBERSHIP_RELAYS);
+  relays[0]->is_cut_pair = true;
+  relays[1]->is_cut_pair = true;
+  death_ms = longest_death_ms (relays[0], relays[1], FORGET_MS);
+  if (death_ms > HEARD_OF_MS)
+    printf ("[dead for %lld ms] ", (long long)death_ms);
+  CU_ASSERT_TRUE (death_ms > 0 && death_ms <= HEARD_OF_MS);
+  relays[0]->is_cut_pair = false;
+  relays[1]->is_cut_pair = false;
+  CU_ASSERT_TRUE (run_until (is_reunited, MEETING_MS));
+}
+
 /* Whether it has found out which daemons are cut off from it.  */
 static bool
 knows_side (const struct daemon *daemon)
@@ -1123,6 +1177,7 @@
     { "cut off daemon returns", test_cut_off_daemon_returns },
     { "cut off data centre returns", test_cut_off_data_centre_returns },
     { "paused fleet goes on", test_paused_fleet_goes_on },
+    { "relays lose each other", test_relays_lose_each_other },
     { "lagging fleet forgets", test_lagging_fleet_forgets },
     { "deaf daemon stays dead", test_deaf_daemon_stays_dead },
     { "live lists are sent on changes only",
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -8,7 +8,10 @@
 
 enum
 {
-  DEAD_MEMBER_RETENTION_MS = 600000
+  DEAD_MEMBER_RETENTION_MS = 600000,
+  /* Part of the time without a heartbeat until a member is dead, in which
+     reports can be from before it fell silent.  */
+  OLDER_REPORTS_DIVISOR = 3
 };
 
 static void
@@ -137,14 +140,15 @@
              : membership->dead_after_ms;
 }
 
-/* Whether reports can be from before the member fell silent: they name those
-   that the reporter has heard within the same limit.  */
+/* Whether reports can be from before the member fell silent: another daemon
+   has the same limit, and may have got one heartbeat more.  */
 static bool
 are_reports_older (const struct bd_membership *membership,
                    const struct bd_member *member, int64_t now_ms)
 {
   return member->lost_ms > 0
-         && now_ms - member->lost_ms <= silence_limit_ms (membership, member);
+         && now_ms - member->lost_ms <= silence_limit_ms (membership, member)
+                                            / OLDER_REPORTS_DIVISOR;
 }
 
 static void
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -113,8 +113,9 @@
 /* bd_membership_begin_report(): reporter, a relay, reports all live members
    anew; to be followed by bd_membership_report() for each and
    bd_membership_end_report().  A member whose own heartbeats have ended is not
-   brought back until the time after which it counts as dead has passed once
-   more: earlier reports can be from before it fell silent.  */
+   brought back for a third of the time after which it counts as dead, two
+   periods of heartbeats: until then a report can be from before it fell
+   silent.  */
 void bd_membership_begin_report (struct bd_membership *membership);
 void bd_membership_report (struct bd_membership *membership,
                            const struct bd_member *reporter,
--- a/src/membership/membership_test.c
+++ b/src/membership/membership_test.c
@@ -217,12 +217,13 @@
   void *ctx = talloc_new (NULL);
   struct bd_member self = member ("b", "x", 1);
   int64_t died_ms = dead_after_ms + 1;
+  int64_t heard_of_ms = died_ms + dead_after_ms / 3 + 1;
   struct bd_membership m;
   const struct bd_member *reporter;
   const struct bd_member *silent;
 
-  bd_membership_init (&m, ctx, &self, 1000);
-  m.remote_dead_after_ms = 2000;
+  bd_membership_init (&m, ctx, &self, 1200);
+  m.remote_dead_after_ms = 3000;
   m.reported_dead_after_ms = 3000;
   receive_heartbeat (&m, "silent", data_centre, 0);
   receive_heartbeat (&m, "r", "x", died_ms);
@@ -235,9 +236,9 @@
                         died_ms);
   CU_ASSERT_FALSE (bd_membership_end_report (&m, reporter));
   CU_ASSERT_FALSE (silent->is_live);
-  bd_membership_confirm_reported (&m, reporter, died_ms + dead_after_ms);
+  bd_membership_confirm_reported (&m, reporter, heard_of_ms - 1);
   CU_ASSERT_FALSE (silent->is_live);
-  bd_membership_confirm_reported (&m, reporter, died_ms + dead_after_ms + 1);
+  bd_membership_confirm_reported (&m, reporter, heard_of_ms);
   CU_ASSERT_TRUE (silent->is_live);
   /* Its own heartbeat counts at once.  */
   CU_ASSERT_TRUE (bd_membership_tick (&m, 20000));
@@ -249,8 +250,8 @@
 static void
 test_older_reports_do_not_revive (void)
 {
-  check_silent_member ("x", 1000);
-  check_silent_member ("y", 2000);
+  check_silent_member ("x", 1200);
+  check_silent_member ("y", 3000);
 }
 
 /* A member of the list that has not been heard itself, as those of a large
