membership: a report that waited during an own stall does not revive

A daemon that stood still after it had found a member dead read a report of before that silence when it went on, and took the member back.

Cause: the time in which reports are not believed went on during the stall, in which none was read.

Change: an own stall is added to it, as to the other times.

--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -321,6 +321,8 @@
     {
       struct bd_member *member = &membership->members[i];
 
+      if (member->lost_ms > 0)
+        member->lost_ms = MIN (member->lost_ms + stalled_ms, now_ms);
       if (!member->is_live)
         continue;
       member->last_received_ms
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -155,7 +155,7 @@
 
 /* bd_membership_add_stall(): this daemon has stood still for stalled_ms until
    now_ms, in which it could hear nobody.  That time is no silence of the live
-   members.  */
+   members, and reports of the others that came in it are read now.  */
 void bd_membership_add_stall (struct bd_membership *membership,
                               int64_t stalled_ms, int64_t now_ms);
 
--- a/src/membership/membership_test.c
+++ b/src/membership/membership_test.c
@@ -254,6 +254,27 @@
   check_silent_member ("y", 3000);
 }
 
+/* The daemon stands still after a member has died; a report that was waiting
+   is read then.  */
+static void
+test_report_read_after_stall_does_not_revive (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct bd_member self = member ("b", "x", 1);
+  struct bd_membership m;
+
+  bd_membership_init (&m, ctx, &self, 1200);
+  receive_heartbeat (&m, "silent", "x", 0);
+  receive_heartbeat (&m, "r", "x", 1201);
+  CU_ASSERT_TRUE (bd_membership_tick (&m, 1201));
+  bd_membership_add_stall (&m, 1500, 2710);
+  bd_membership_begin_report (&m);
+  bd_membership_report (&m, bd_membership_find (&m, "r"),
+                        bd_hash ("silent", 6), false, false, 2711);
+  CU_ASSERT_FALSE (bd_membership_find (&m, "silent")->is_live);
+  talloc_free (ctx);
+}
+
 /* A member of the list that has not been heard itself, as those of a large
    fleet, counts as alive at first.  The first report of it counts.  */
 static void
@@ -482,6 +503,8 @@
 static const struct unit_test tests[] = {
   { "reported members", test_reported_members },
   { "older reports do not revive", test_older_reports_do_not_revive },
+  { "report read after a stall does not revive",
+    test_report_read_after_stall_does_not_revive },
   { "late first report counts", test_late_first_report_counts },
   { "own stall is no silence", test_own_stall_is_no_silence },
   { "another data centre does not report this one",
