edge: a relay that stood still does not report live daemons as gone

A relay that stood still for over 1.2 s while it handled a message answered it before its watchdog had measured the stall, with a list of 7 of 13 live daemons; with no second relay to contradict, the receiver would have counted the others as dead, handed no request over to them and taken their duties.

Cause: only the judgement of silence asked whether the daemon was late; the list in a reply is the same judgement, told to others.

Change: a daemon that is late gives no such replies; the next status is answered.

--- a/src/edge/edge_relays_test.c
+++ b/src/edge/edge_relays_test.c
@@ -78,6 +78,7 @@
   MAX_OBSERVATIONS = 5,
   DEAF_MS = 5 * ASK_PERIOD_MS,
   STALL_MS = 100,
+  NOT_STALLED = DAEMONS + 1,
 
   /* Copies of one message that a daemon receives: from the sender, from the
      other relay of its data centre, and from the two of the other one.  */
@@ -126,6 +127,8 @@
 static int64_t longest_pause_ms; /* Since begin_observation().  */
 /* Ends each suspicion as soon as it hears of it.  */
 static struct daemon *contradicting;
+static const struct daemon *stalled_relay;
+static uint32_t shortest_list;
 
 static int64_t
 now_ms (void)
@@ -332,6 +335,26 @@
                  && daemon->is_cut_pair));
 }
 
+/* Lets the process stand still as a relay begins to handle a status, and finds
+   the shortest list that the relay sends from then on.  */
+static void
+stall_relay (const struct daemon *receiver, enum bd_message_type type,
+             const struct bd_edge_status *status)
+{
+  if (type != BD_MESSAGE_EDGE_STATUS || stalled_relay == NULL)
+    return;
+  if (receiver == stalled_relay && status->wants_reply
+      && shortest_list == NOT_STALLED)
+    {
+      shortest_list = DAEMONS;
+      g_usleep ((DEAD_AFTER_MS + STATUS_PERIOD_MS) * 1000);
+    }
+  if (strcmp (status->name, stalled_relay->settings.name) == 0
+      && status->scope != BD_STATUS_DATA_CENTRE && status->live_count > 0
+      && status->live_count < shortest_list)
+    shortest_list = status->live_count;
+}
+
 /* Counts a message before the daemon handles it.  */
 static void
 count_message (void *ctx, enum bd_message_type type, const void *message)
@@ -351,6 +374,7 @@
   daemon->live_lists += type == BD_MESSAGE_EDGE_STATUS
                         && status->scope == BD_STATUS_FLEET
                         && status->live_count > 0;
+  stall_relay (daemon, type, status);
   daemon->handler (daemon->edge, type, message);
   if (type == BD_MESSAGE_POISON && daemon == contradicting
       && !update->items[0].is_cleared)
@@ -958,6 +982,24 @@
   CU_ASSERT_TRUE (run_until (is_reunited, MEETING_MS));
 }
 
+/* A relay that stands still while it handles a message does not report those
+   as gone whose statuses it has not read yet.  */
+static void
+test_stalled_relay_reports_all (void)
+{
+  shortest_list = NOT_STALLED;
+  stalled_relay = find_relay ("a");
+  while (shortest_list == NOT_STALLED)
+    tevent_loop_once (site.events);
+  run_for (STATUS_PERIOD_MS);
+  run_for (DEAD_AFTER_MS);
+  stalled_relay = NULL;
+  if (shortest_list < DAEMONS)
+    printf ("[list of %u] ", shortest_list);
+  CU_ASSERT_EQUAL (shortest_list, DAEMONS);
+  CU_ASSERT_TRUE (run_until (is_reunited, MEETING_MS));
+}
+
 /* All daemons stand still for longer than one may be silent, and go on.  */
 static void
 test_paused_fleet_goes_on (void)
@@ -1176,6 +1218,7 @@
     { "lost news", test_lost_news },
     { "cut off daemon returns", test_cut_off_daemon_returns },
     { "cut off data centre returns", test_cut_off_data_centre_returns },
+    { "stalled relay reports all", test_stalled_relay_reports_all },
     { "paused fleet goes on", test_paused_fleet_goes_on },
     { "relays lose each other", test_relays_lose_each_other },
     { "lagging fleet forgets", test_lagging_fleet_forgets },
--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -501,7 +501,8 @@
       = bd_membership_find (&edge->membership, sender->name);
 
   sender->name_hash = bd_hash (sender->name, strlen (sender->name));
-  send_reply (edge, sender, 0);
+  if (!bd_edge_is_late (edge))
+    send_reply (edge, sender, 0);
   if (known == NULL || !known->is_live)
     send_query (edge, sender);
 }
@@ -541,7 +542,7 @@
     store_traffic (edge, status, sender->name_hash);
   if (status->scope != BD_STATUS_DAEMON)
     store_live (edge, status, sender);
-  else if (status->wants_reply)
+  else if (status->wants_reply && !bd_edge_is_late (edge))
     send_reply (edge, sender, status->live_checksum);
 }
 
