edge: a stopping daemon without links sends callers to another one

What callers saw: requests that a stopping daemon could hand over to nobody in time were refused as overloaded, with a Retry-After that grows with the backlog, and counted as shed, though any other daemon serves them at once.

Cause: the reason was derived from this daemon's own estimate, which says that there is time; the daemon that could not take the request knew better.

Change: while it stops and its links are lost, what has not run is refused as stopping.

Test: edge_links_test, "handed over requests outlast the grace", now also asks that the first requests are served and all others refused with 503 as stopping, none counted as shed: failed before (2 checks), passed after.

--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -90,11 +90,21 @@
   refuse (request, error);
 }
 
-/* Why a request without a target is refused.  */
+static bool
+has_lost_links (const struct bd_edge_request *request)
+{
+  return bd_edge_service (request->edge, request->service)->links.is_lost;
+}
+
+/* Why a request without a target is refused.  A daemon that stops without
+   links says so: another one can serve the caller at once.  */
 static enum bd_error
 error_of (const struct bd_edge_request *request)
 {
-  return bd_edge_can_complete (request) ? BD_ERR_OVERLOADED : BD_ERR_STOPPING;
+  return !bd_edge_can_complete (request)
+                 || (request->edge->is_stopping && has_lost_links (request))
+             ? BD_ERR_STOPPING
+             : BD_ERR_OVERLOADED;
 }
 
 /* Starts an attempt at target, unless it would outlast this daemon.  */
@@ -133,8 +143,7 @@
 {
   return (request->is_taken_over && !request->is_last_resort)
          || !bd_edge_can_complete (request)
-         || (bd_edge_service (request->edge, request->service)->links.is_lost
-             && !bd_edge_awaits_daemon (request))
+         || (has_lost_links (request) && !bd_edge_awaits_daemon (request))
          || is_over_limits (request);
 }
 
--- a/src/edge/edge_links_test.c
+++ b/src/edge/edge_links_test.c
@@ -43,6 +43,7 @@
   GRACE_MS = 4500,
   WARM_CALLS = 12,
   LATE_CALLS = 10,
+  EARLY_CALLS = 2,
   LATE_INTERVAL_MS = 330
 };
 
@@ -596,12 +597,13 @@
       tevent_loop_once (site.events);
 }
 
-/* An isolated daemon stops, and groups are slow.  Callers get a response to
-   each request that it hands over and an endpoint runs, and it hands some
-   over.  */
+/* An isolated daemon stops, and groups are slow.  Callers get a whole response
+   to each request that an endpoint runs, the first ones among them, and the
+   others are sent to another daemon.  */
 static void
 test_handed_over_requests_outlast_the_grace (void)
 {
+  const uint64_t *counts;
   uint32_t served = 0;
   uint32_t requests;
 
@@ -625,12 +627,19 @@
   CU_ASSERT_TRUE (site_run (&site, has_ended, GRACE_MS));
   for (uint32_t i = 0; i < LATE_CALLS; i++)
     {
+      bool is_served;
+
       while (!calls[i]->is_done)
         tevent_loop_once (site.events);
-      served += calls[i]->status == 200 && calls[i]->is_complete;
+      is_served = calls[i]->status == 200 && calls[i]->is_complete;
+      CU_ASSERT_TRUE (is_served
+                      || (i >= EARLY_CALLS && calls[i]->status == 503));
+      served += is_served;
     }
-  CU_ASSERT_TRUE (served > 0);
   CU_ASSERT_EQUAL (site_request_count (&site), requests + served);
+  counts = site.edge->counters.value;
+  CU_ASSERT_EQUAL (counts[BD_COUNT_REFUSED_STOPPING], LATE_CALLS - served);
+  CU_ASSERT_EQUAL (counts[BD_COUNT_SHED], 0);
   finish_site ();
 }
 
