edge: the relays test lets a relay read the store after its start

Cause: a relay can get its first data from the other one, and is ready then; its own read comes within a read period. The check ran at the moment of readiness.

--- a/src/edge/edge_relays_test.c
+++ b/src/edge/edge_relays_test.c
@@ -616,6 +616,14 @@
     }
 }
 
+/* Whether it has read the store if it is a relay.  Its first data may come
+   from another relay.  */
+static bool
+has_read_as_relay (const struct daemon *daemon)
+{
+  return !is_relay (daemon) || daemon->reads > 0;
+}
+
 /* All daemons find each other and become ready.  The followers wait for the
    relays.  */
 static void
@@ -624,6 +632,7 @@
   uint32_t relays[2] = { 0 };
 
   start_observed ();
+  CU_ASSERT_TRUE (run_until (has_read_as_relay, READ_PERIOD_MS));
   for (uint32_t i = 0; i < DAEMONS; i++)
     relays[is_local (&daemons[i])] += is_relay (&daemons[i]);
   CU_ASSERT_EQUAL (relays[0], BD_MEMBERSHIP_RELAYS);
