edge: the order line tells the requests of a group and how long it was silent

An order to leave ends the requests of a group. The line said neither how many there were nor whether they still moved, so that a group that had really lost a member and one that was serving could not be told apart afterwards. New fields in_flight and silent_ms, new counter orders_cutting_total (orders to leave sent to a leader with requests in progress). No change of a decision.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -75,6 +75,8 @@
   X (CONFIG_ADOPTED, "config_adopted_total", "configurations put in force")   \
   X (CONFIG_REJECTED, "config_rejected_total", "published sets rejected")     \
   X (ORDERS, "orders_total", "orders sent to engines")                        \
+  X (ORDERS_CUTTING, "orders_cutting_total",                                  \
+     "leave orders to leaders with requests in progress")                     \
   X (ORDERS_REFUSED, "orders_refused_total", "orders refused by engines")     \
   X (PEER_BYTES_OUT, "peer_bytes_sent_total", "bytes sent to other daemons")  \
   X (PEER_BYTES_IN, "peer_bytes_received_total",                              \
--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -296,11 +296,15 @@
   if (order->kind == BD_ORDER_LEAVE || order->kind == BD_ORDER_CLOSE)
     announce_dissolved_group (edge, order);
   bd_count (&edge->counters, BD_COUNT_ORDERS);
+  if (order->kind == BD_ORDER_LEAVE && order->in_flight > 0)
+    bd_count (&edge->counters, BD_COUNT_ORDERS_CUTTING);
   bd_log ("order", "kind", bd_order_name (order->kind), "endpoint",
           order->endpoint, "group", order->group, "epoch",
           BD_NUM (order->epoch), "expected_version",
           BD_NUM (order->expected_version), "model", order->model, "reason",
-          order->reason != NULL ? order->reason : "", "term",
+          order->reason != NULL ? order->reason : "", "in_flight",
+          BD_NUM (order->in_flight), "silent_ms",
+          order->silent_ms >= 0 ? BD_NUM (order->silent_ms) : "", "term",
           BD_NUM (controller->term.number), NULL);
   if (bd_http_send (&edge->client, &out, &order_ops, pending) == NULL)
     {
--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -123,6 +123,7 @@
   memset (order, 0, sizeof *order);
   order->kind = kind;
   order->reason = reason;
+  order->silent_ms = -1;
   order->expected_version
       = is_version_confirmed (to) ? to->confirmed.version : -1;
   bd_name_copy (order->endpoint, to->entry.id);
@@ -146,15 +147,20 @@
   return NULL;
 }
 
+/* Returns the time of the last event or response of the group; 0 for none.  */
+static int64_t
+last_progress_ms (const struct bd_fleet_group *group)
+{
+  return group->progress_ms > group->peers_progress_ms
+             ? group->progress_ms
+             : group->peers_progress_ms;
+}
+
 static bool
 has_progress (const struct bd_replicas_input *input,
               const struct bd_fleet_group *group)
 {
-  int64_t last_ms = group->progress_ms > group->peers_progress_ms
-                        ? group->progress_ms
-                        : group->peers_progress_ms;
-
-  return input->now_ms - last_ms < PROGRESS_WINDOW_MS;
+  return input->now_ms - last_progress_ms (group) < PROGRESS_WINDOW_MS;
 }
 
 struct bd_fleet_endpoint *
@@ -263,6 +269,9 @@
   bd_name_copy (order->group, group->name);
   bd_name_copy (order->model, group->model);
   order->epoch = group->epoch;
+  order->in_flight = group->in_flight + group->peers_in_flight;
+  if (last_progress_ms (group) > 0)
+    order->silent_ms = step->input->now_ms - last_progress_ms (group);
 }
 
 void
--- a/src/replicas/replicas.h
+++ b/src/replicas/replicas.h
@@ -59,6 +59,9 @@
   uint32_t member_count;
   int64_t expected_version; /* Refused at any other one; -1: no condition.  */
   const char *reason;       /* For the log.  */
+  uint32_t in_flight;       /* Requests on the group, of all daemons.  */
+  int64_t silent_ms; /* Since the group's last progress; -1 if there was none
+                        or the order is not to a leader.  */
 };
 
 enum bd_order_result
--- a/src/story/story.c
+++ b/src/story/story.c
@@ -100,7 +100,9 @@
   { "report-foreign", SCOPE_ENDPOINT,
     "another instance answered at the address of {endpoint}" },
   { "order", SCOPE_ENDPOINT,
-    "order {kind} for {endpoint}[, group {group}]: {reason}[, term {term}]" },
+    "order {kind} for {endpoint}[, group {group}]: {reason}[, {in_flight} "
+    "requests "
+    "there][, silent for {silent_ms} ms][, term {term}]" },
   { "order-answered", SCOPE_ENDPOINT,
     "order {kind} answered by {endpoint} with {status} after {took_ms} ms" },
 };
