replicas: tests of groups whose members leave the list while they serve (fail)

The fake pool now shows the controller the requests of groups and their progress, removes an entry while the instance goes on serving, and counts every order to leave that ends requests of a group whose members all live. Before, it did not count groups with a draining member: stricter now.

--- a/src/replicas/replicas_properties.cc
+++ b/src/replicas/replicas_properties.cc
@@ -93,6 +93,10 @@
       pool.demand[0] = 1;
       pool.demand[1] = 1 + index % 8;
       break;
+    case 11:
+    case 12:
+      pool_delist_instance (&pool, index % pool.count, 500 + 10 * index);
+      break;
     default:
       pool_run (&pool, 50 * (1 + index % 60));
       break;
@@ -105,7 +109,7 @@
 {
   auto seed = *rc::gen::inRange<uint32_t> (1, 1000000);
   auto steps = *rc::gen::container<std::vector<std::pair<int, uint32_t> > > (
-      rc::gen::pair (rc::gen::inRange (0, 15),
+      rc::gen::pair (rc::gen::inRange (0, 17),
                      rc::gen::inRange<uint32_t> (0, 1000)));
 
   pool_init (&pool, 2, 10, seed);
--- a/src/replicas/replicas_test.c
+++ b/src/replicas/replicas_test.c
@@ -831,6 +831,179 @@
     }
 }
 
+/* Splits the pool into groups that run requests of up to work_ms each.  */
+static void
+start_serving (uint64_t seed, int64_t work_ms)
+{
+  pool_init (&pool, 2, 10, seed);
+  pool_run (&pool, 8000);
+  pool.has_traffic = true;
+  pool.work_ms = work_ms;
+  pool_run (&pool, 2000);
+  CU_ASSERT_EQUAL (capacity (), 20);
+}
+
+/* Returns the member of a rank in an open group of the model, from a start
+   index on.  */
+static uint32_t
+find_member (const char *model, uint32_t rank, uint32_t from)
+{
+  for (uint32_t i = from; i < pool.count; i++)
+    {
+      const struct bd_membership_view *view = &pool.members[i].entry.member;
+
+      if (pool.members[i].is_alive && pool.members[i].is_in_list
+          && view->rank == rank && strcmp (view->model, model) == 0
+          && (view->state == BD_MEMBER_OPEN || view->state == BD_MEMBER_READY))
+        return i;
+    }
+  CU_FAIL_FATAL ("no such member");
+  return 0;
+}
+
+/* Checks that the pool has lost count members without a cut, and that the
+   other ones serve.  */
+static void
+check_left_without_cut (uint32_t count)
+{
+  CU_ASSERT_EQUAL (pool.cut_groups, 0);
+  CU_ASSERT_TRUE (capacity () + 6 >= 20 - count);
+  check_invariants ();
+  if (pool.cut_groups > 0)
+    printf ("\n%s\n", pool.violation);
+}
+
+static void
+test_delisted_member_cuts_running_requests (void)
+{
+  for (uint32_t rank = 0; rank < 4; rank++)
+    {
+      start_serving (20 + rank, 3000);
+      pool_delist_instance (&pool, find_member ("large", rank, 0), 6000);
+      pool_run (&pool, 15000);
+      check_left_without_cut (1);
+      pool_finish (&pool);
+    }
+}
+
+static void
+test_delisted_members_cut_running_requests_with_lag (void)
+{
+  start_serving (30, 3000);
+  pool.list_lag_ms = 1500;
+  pool.report_lag_ms = 200;
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      pool_delist_instance (&pool, find_member ("small", i % 2, 0), 6000);
+      pool_run (&pool, 700);
+    }
+  pool_run (&pool, 15000);
+  check_left_without_cut (4);
+  pool_finish (&pool);
+}
+
+static void
+test_delisted_group_cuts_running_requests (void)
+{
+  uint32_t leader;
+
+  start_serving (31, 3000);
+  leader = find_member ("large", 0, 0);
+  for (uint32_t i = 0; i < 4; i++)
+    pool_delist_instance (
+        &pool,
+        (uint32_t)(pool_find (&pool, pool.members[leader].members[i])
+                   - pool.members),
+        6000);
+  pool_run (&pool, 15000);
+  check_left_without_cut (4);
+  pool_finish (&pool);
+}
+
+static void
+test_draining_member_cuts_running_requests (void)
+{
+  start_serving (32, 3000);
+  pool.members[find_member ("large", 2, 0)].entry.is_draining = true;
+  pool_run (&pool, 10000);
+  check_left_without_cut (1);
+  pool_finish (&pool);
+}
+
+/* An entry that was removed and comes back, as after an outage of the
+   store.  */
+static void
+test_listed_again_cuts_running_requests (void)
+{
+  uint32_t member;
+
+  start_serving (33, 3000);
+  member = find_member ("large", 1, 0);
+  pool.members[member].is_in_list = false;
+  pool_run (&pool, 1000);
+  pool.members[member].is_in_list = true;
+  pool_run (&pool, 10000);
+  check_left_without_cut (0);
+  CU_ASSERT_EQUAL (capacity (), 20);
+  pool_finish (&pool);
+}
+
+/* Runs until the group's leader has left it; returns the time in ms.  */
+static int64_t
+run_until_left (uint32_t leader, int64_t epoch)
+{
+  int64_t started_ms = pool.now_ms;
+  const struct bd_membership_view *view = &pool.members[leader].entry.member;
+
+  while (view->epoch == epoch
+         && (view->state == BD_MEMBER_OPEN || view->state == BD_MEMBER_CLOSING)
+         && pool.now_ms - started_ms < 5000)
+    pool_run (&pool, POOL_STEP_MS);
+  return pool.now_ms - started_ms;
+}
+
+/* A group that was silent before its member was removed from the list has lost
+   it, and does not wait for its requests.  */
+static void
+test_silent_group_waits_for_lost_member (void)
+{
+  uint32_t leader;
+  uint32_t member;
+  int64_t epoch;
+
+  start_serving (34, 3000);
+  leader = find_member ("large", 0, 0);
+  epoch = pool.members[leader].entry.member.epoch;
+  member = (uint32_t)(pool_find (&pool, pool.members[leader].members[2])
+                      - pool.members);
+  pool.members[member].is_alive = false;
+  pool.members[member].lost_since_ms = pool.now_ms;
+  pool_run (&pool, 1000);
+  pool.members[member].is_in_list = false;
+  CU_ASSERT_TRUE (run_until_left (leader, epoch) <= 250);
+  CU_ASSERT_EQUAL (pool.cut_groups, 0);
+  pool_run (&pool, 5000);
+  check_invariants ();
+  pool_finish (&pool);
+}
+
+/* A controller that does not reach a member, while the group serves.  */
+static void
+test_unreachable_member_cuts_running_requests (void)
+{
+  uint32_t member;
+
+  start_serving (35, 3000);
+  member = find_member ("large", 3, 0);
+  pool.members[member].is_reachable = false;
+  bd_fleet_suspect (
+      bd_fleet_endpoint (&pool.fleet, pool.members[member].entry.id),
+      pool.now_ms);
+  pool_run (&pool, 10000);
+  check_left_without_cut (1);
+  pool_finish (&pool);
+}
+
 int
 main (void)
 {
@@ -873,6 +1046,20 @@
     { "load ordered again by next controller",
       test_load_ordered_again_by_next_controller },
     { "delayed orders", test_delayed_orders },
+    { "delisted member cuts running requests",
+      test_delisted_member_cuts_running_requests },
+    { "delisted members cut running requests, with lag",
+      test_delisted_members_cut_running_requests_with_lag },
+    { "delisted group cuts running requests",
+      test_delisted_group_cuts_running_requests },
+    { "draining member cuts running requests",
+      test_draining_member_cuts_running_requests },
+    { "listed again cuts running requests",
+      test_listed_again_cuts_running_requests },
+    { "silent group waits for lost member",
+      test_silent_group_waits_for_lost_member },
+    { "unreachable member cuts running requests",
+      test_unreachable_member_cuts_running_requests },
   };
 
   return UNIT_RUN ("replicas", tests);
--- a/tests/fakes/pool.c
+++ b/tests/fakes/pool.c
@@ -102,6 +102,8 @@
   member->ready_ms = member->open_ms = member->staged_ms = 0;
   member->closed_ms = 0;
   member->lost_since_ms = member->epoch = member->token = 0;
+  member->exit_ms = 0;
+  member->is_refusing = false;
   member->step_count = 0;
   memset (member->ready_groups, 0, sizeof member->ready_groups);
   member->entry.version = 0;
@@ -277,10 +279,11 @@
       || has_lost_member (pool, leader)
       || (state != BD_MEMBER_OPEN && state != BD_MEMBER_CLOSING))
     return;
-  for (uint32_t i = 0; i < leader->count; i++)
-    if (pool_find (pool, leader->members[i])->entry.is_draining)
-      return;
   pool->cut_groups++;
+  snprintf (pool->violation, sizeof pool->violation,
+            "%.20s left %.20s, which was serving, at %lld ms",
+            leader->entry.id, leader->entry.member.group,
+            (long long)pool->now_ms);
 }
 
 static enum bd_order_result
@@ -418,6 +421,15 @@
     }
 }
 
+static void
+exit_member (struct pool *pool, struct pool_member *member)
+{
+  member->is_alive = false;
+  member->is_refusing = true;
+  member->lost_since_ms = pool->now_ms;
+  member->exit_ms = 0;
+}
+
 static void
 advance (struct pool *pool)
 {
@@ -425,6 +437,8 @@
     {
       struct pool_member *member = &pool->members[i];
 
+      if (member->exit_ms != 0 && pool->now_ms >= member->exit_ms)
+        exit_member (pool, member);
       if (member->is_alive)
         advance_member (pool, member);
       else if (pool->now_ms - member->lost_since_ms >= DELIST_DELAY_MS)
@@ -592,6 +606,31 @@
                                   pool->now_ms, pool->now_ms);
 }
 
+/* Shows the controller the requests of the groups.  */
+static void
+update_traffic (struct pool *pool)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, pool->fleet.groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct bd_fleet_group *group = value;
+      const struct pool_member *leader = pool_find (pool, group->leader);
+      bool is_serving
+          = pool->has_traffic && pool->work_ms > 0 && leader != NULL
+            && leader->is_alive
+            && is_in_group (leader, group->name, group->epoch)
+            && (leader->entry.member.state == BD_MEMBER_OPEN
+                || leader->entry.member.state == BD_MEMBER_CLOSING);
+
+      group->in_flight = is_serving;
+      if (is_serving && !has_lost_member (pool, leader))
+        group->progress_ms = pool->now_ms;
+    }
+}
+
 static void
 step_controller (struct pool *pool)
 {
@@ -608,6 +647,7 @@
   uint32_t count;
 
   memcpy (input.demand, pool->demand, sizeof input.demand);
+  update_traffic (pool);
   count = bd_replicas_step (&pool->replicas, &input, orders,
                             pool->max_orders > 0 ? pool->max_orders
                                                  : MAX_ORDERS);
@@ -705,6 +745,17 @@
       bd_fleet_suspect (group->members[i], pool->now_ms);
 }
 
+void
+pool_delist_instance (struct pool *pool, uint32_t index, int64_t span_ms)
+{
+  struct pool_member *member = &pool->members[index];
+
+  if (!member->is_alive)
+    return;
+  member->is_in_list = false;
+  member->exit_ms = pool->now_ms + span_ms;
+}
+
 uint32_t
 pool_count_open_groups (const struct pool *pool, const char *model)
 {
--- a/tests/fakes/pool.h
+++ b/tests/fakes/pool.h
@@ -52,6 +52,7 @@
     uint64_t ready_groups[POOL_READY_GROUPS];
     uint32_t ready_count;
     int64_t lost_since_ms; /* Since it died or lost a member; 0 if neither.  */
+    int64_t exit_ms; /* When it ends after it has left the list, or 0.  */
     /* Its entry in each of the last steps, a ring.  */
     struct bd_endpoint_entry history[POOL_HISTORY_STEPS];
     uint32_t step_count; /* Steps of this incarnation.  */
@@ -89,7 +90,8 @@
     bool has_traffic;
     double demand[BD_ENGINE_MAX_MODELS];
     /* Under traffic, an open group always runs requests; those that run when
-       it is closed end this much later.  */
+       it is closed end this much later.  They make progress while all members
+       live.  */
     int64_t work_ms;
     uint32_t max_orders; /* Of one step of the controller; 0 for MAX_ORDERS. */
     gsl_rng *rng;
@@ -133,6 +135,11 @@
      later.  */
   void pool_lose_instance (struct pool *pool, uint32_t index);
 
+  /* pool_delist_instance(): removes an instance from the list without a
+     notice. It goes on for span_ms and then ends.  */
+  void pool_delist_instance (struct pool *pool, uint32_t index,
+                             int64_t span_ms);
+
   /* pool_add_instance(): adds an instance without weights to a domain.  Does
      nothing when the pool is full.  */
   void pool_add_instance (struct pool *pool, const char *domain);
