replicas: a group whose member leaves the list finishes its requests

Cause: bd_group_phase() took a member that was no longer listed for a dead one, and the leader was told to leave at once, which ends all that it runs. Endpoints that leave without a notice are removed from the list and go on serving. Six of nine such orders went to groups whose streams had moved 14 to 175 ms before (in_flight and silent_ms of the order lines); of 59 broken attempts 58 came within 60 ms of one. Ruled out by the same lines: silent groups, and endpoints that end their streams themselves. The class: an absence taken for a death, and an order that can't be taken back given on it.

Change: a member is lost if its entry is gone or a probe was missed, and its group makes no progress: every pass of a group needs all its members. A member that has left the list is probed at once. A group that is about to lose a member is closed, and leaves when its leader has finished; counts of other daemons, which can be old, no longer decide that. The wait ends after the 10 s that a leaving member remains.

--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -22,6 +22,9 @@
   RELISTING_MS = 2500,
   /* A group that serves requests makes progress within this time.  */
   PROGRESS_WINDOW_MS = 600,
+  /* A member that leaves remains for this time while its leader has work, by
+     the protocol.  */
+  LEAVING_LIMIT_MS = 10000,
   /* An endpoint is probed when the list shows another state than the confirmed
      one for this long.  */
   CONTRADICTION_MS = 1000
@@ -201,6 +204,25 @@
   return leader->liveness != BD_LIVENESS_DEAD || has_progress (input, group);
 }
 
+/* Whether a member can no longer serve its group.  An endpoint that is no
+   longer listed may be leaving, and a probe may miss one that serves: a group
+   that makes progress has all its members.  */
+static bool
+is_lost (const struct bd_replicas_input *input,
+         const struct bd_fleet_group *group,
+         const struct bd_fleet_endpoint *member)
+{
+  if (member == NULL || member->entry.member.state == BD_MEMBER_BROKEN)
+    return true;
+  if (!member->is_listed
+      && input->now_ms - member->delisted_ms >= LEAVING_LIMIT_MS)
+    return true;
+  if (has_progress (input, group))
+    return false;
+  return member->liveness == BD_LIVENESS_DEAD
+         || (!member->is_listed && member->missed_probes > 0);
+}
+
 enum bd_group_phase
 bd_group_phase (const struct bd_replicas_input *input,
                 const struct bd_fleet_group *group)
@@ -209,23 +231,22 @@
       = bd_engine_model (input->engine, group->model);
   uint32_t size = model != NULL ? model->members : 0;
   bool is_complete = size > 0 && group->member_count == size;
-  bool is_draining = false;
+  bool is_leaving = false;
   bool is_ready = true;
 
   for (uint32_t i = 0; i < size && is_complete; i++)
     {
       const struct bd_fleet_endpoint *member = group->members[i];
 
-      if (member == NULL || !member->is_listed
-          || member->liveness == BD_LIVENESS_DEAD
-          || member->entry.member.state == BD_MEMBER_BROKEN)
+      if (is_lost (input, group, member))
         is_complete = false;
-      else if (member->entry.is_draining)
-        is_draining = true;
+      else if (!member->is_listed || member->entry.is_draining
+               || member->liveness == BD_LIVENESS_DEAD)
+        is_leaving = true;
       else if (member->entry.member.state == BD_MEMBER_JOINING)
         is_ready = false;
     }
-  if (is_complete && !is_draining)
+  if (is_complete && !is_leaving)
     {
       enum bd_member_state state = group->members[0]->entry.member.state;
 
@@ -431,6 +452,28 @@
     }
 }
 
+/* Closes a group that is about to lose a member; it leaves when its leader
+   has finished its requests.  The counts of other daemons can be old, so they
+   do not decide that.  */
+static void
+reconcile_leaving_group (struct bd_replicas_step *step,
+                         const struct bd_fleet_group *group)
+{
+  const struct bd_fleet_endpoint *leader = group->members[0];
+
+  switch (leader->entry.member.state)
+    {
+    case BD_MEMBER_OPEN:
+      bd_order_leader (step, group, BD_ORDER_CLOSE, "a member is leaving");
+      break;
+    case BD_MEMBER_CLOSING:
+      break;
+    default:
+      bd_order_leader (step, group, BD_ORDER_LEAVE, "a member is leaving");
+      break;
+    }
+}
+
 static bool
 is_forming (const struct bd_replicas *replicas,
             const struct bd_fleet_group *group)
@@ -468,8 +511,8 @@
         bd_order_leader (step, group, BD_ORDER_LEAVE, "a member is lost");
       break;
     case BD_PHASE_LEAVING:
-      if (group->in_flight + group->peers_in_flight == 0)
-        bd_order_leader (step, group, BD_ORDER_LEAVE, "a member is leaving");
+      if (!is_relisting_expected (step->input, group))
+        reconcile_leaving_group (step, group);
       break;
     case BD_PHASE_RELEASED:
       release_members (step, group);
@@ -919,7 +962,8 @@
       break;
     }
   if (is_unlisted_member (endpoint))
-    return elapsed_ms >= DEAD_PROBE_INTERVAL_MS;
+    return endpoint->last_probe_ms < endpoint->delisted_ms
+           || elapsed_ms >= DEAD_PROBE_INTERVAL_MS;
   if (is_contradicted (input, endpoint))
     return true;
   return elapsed_ms >= PROBE_INTERVAL_MS
--- a/src/replicas/replicas_internal.h
+++ b/src/replicas/replicas_internal.h
@@ -22,10 +22,11 @@
   BD_PHASE_READY,      /* Every member is ready; not open.  */
   BD_PHASE_OPEN,       /* Serves requests.  */
   BD_PHASE_CLOSING,    /* Takes no new requests; finishes the current ones.  */
-  BD_PHASE_LEAVING,    /* Complete; a member is draining and the leader can
-                          still serve.  */
-  BD_PHASE_INCOMPLETE, /* A member is missing, dead or broken; the leader can
-                          still serve.  */
+  BD_PHASE_LEAVING,    /* Complete; a member is draining, no longer listed or
+                          not reached, and the leader can still serve.  */
+  BD_PHASE_INCOMPLETE, /* A member is missing, dead or broken, and no progress
+                          shows that it serves; the leader can still
+                          serve.  */
   BD_PHASE_RELEASED    /* A member is missing, dead, broken or draining, and
                           the leader no longer serves: the members can join
                           another group.  */
