replicas: a closed group is asked whether it has finished once it is quiet

A closed leader is now probed when its group has made no progress for 150 ms, also when it is no longer listed.

Run: replicas_test, "old counts delay closed group": 1 assert of 576 failed -> none; two_groups_test and replicas_properties pass.

--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -22,6 +22,8 @@
   RELISTING_MS = 2500,
   /* A group that serves requests makes progress within this time.  */
   PROGRESS_WINDOW_MS = 600,
+  /* A closed group without progress for this long may have finished.  */
+  QUIET_MS = 150,
   /* A member that leaves remains for this time while its leader has work, by
      the protocol.  */
   LEAVING_LIMIT_MS = 10000,
@@ -872,7 +874,7 @@
 }
 
 /* Whether a closed leader is expected to have finished: no daemon waits for a
-   response of its group.  */
+   response of its group, or none has received anything for a while.  */
 static bool
 is_close_due (const struct bd_replicas_input *input,
               const struct bd_fleet_endpoint *endpoint)
@@ -884,7 +886,9 @@
     return false;
   group = bd_fleet_group (input->fleet,
                           bd_fleet_group_hash (member->group, member->epoch));
-  return group != NULL && group->in_flight + group->peers_in_flight == 0;
+  return group != NULL
+         && (group->in_flight + group->peers_in_flight == 0
+             || input->now_ms - last_progress_ms (group) >= QUIET_MS);
 }
 
 /* An endpoint that is no longer listed can still lead a group.  */
@@ -961,9 +965,10 @@
     case BD_LIVENESS_ALIVE:
       break;
     }
-  if (is_unlisted_member (endpoint))
-    return endpoint->last_probe_ms < endpoint->delisted_ms
-           || elapsed_ms >= DEAD_PROBE_INTERVAL_MS;
+  if (is_unlisted_member (endpoint)
+      && (endpoint->last_probe_ms < endpoint->delisted_ms
+          || elapsed_ms >= DEAD_PROBE_INTERVAL_MS))
+    return true;
   if (is_contradicted (input, endpoint))
     return true;
   return elapsed_ms >= PROBE_INTERVAL_MS
--- a/src/replicas/replicas_test.c
+++ b/src/replicas/replicas_test.c
@@ -930,6 +930,18 @@
   pool_finish (&pool);
 }
 
+static void
+test_old_counts_delay_closed_group (void)
+{
+  start_serving (36, 1000);
+  pool.counts_lag_ms = 1300;
+  pool.members[find_member ("large", 2, 0)].entry.is_draining = true;
+  pool_run (&pool, 6000);
+  CU_ASSERT_TRUE (pool.longest_closed_ms <= 1400);
+  check_left_without_cut (1);
+  pool_finish (&pool);
+}
+
 /* An entry that was removed and comes back, as after an outage of the
    store.  */
 static void
@@ -1054,6 +1066,7 @@
       test_delisted_group_cuts_running_requests },
     { "draining member cuts running requests",
       test_draining_member_cuts_running_requests },
+    { "old counts delay closed group", test_old_counts_delay_closed_group },
     { "listed again cuts running requests",
       test_listed_again_cuts_running_requests },
     { "silent group waits for lost member",
--- a/tests/fakes/pool.c
+++ b/tests/fakes/pool.c
@@ -628,6 +628,8 @@
       group->in_flight = is_serving;
       if (is_serving && !has_lost_member (pool, leader))
         group->progress_ms = pool->now_ms;
+      group->peers_in_flight
+          = pool->now_ms - group->progress_ms < pool->counts_lag_ms;
     }
 }
 
--- a/tests/fakes/pool.h
+++ b/tests/fakes/pool.h
@@ -85,6 +85,9 @@
        age of its own; at most POOL_MAX_LAG_MS.  */
     int64_t list_lag_ms;
     int64_t report_lag_ms; /* Age of what a report shows.  */
+    /* Other daemons' requests on a group count for this long after its last
+       progress.  */
+    int64_t counts_lag_ms;
     int64_t now_ms;
     int64_t term; /* Of the controller.  */
     bool has_traffic;
