replicas: a new controller lets groups with a member it has not seen finish

A new controller ordered groups that served to leave when the entry of a member was not in the list at its start: a member that leaves without a notice, or one whose entry had expired and was about to return. In the simulated pool the requests of these groups ended at the order.

Cause: such a member is unknown, so that the group counts as incomplete, and is_relisting_expected() demanded that every member is known. Ruled out: the rule for members that were known and were removed; it has no entry to look at here.

Change: while the group makes progress it waits 2.5 s for entries to return; then it is closed and leaves when its leader has finished, or 10 s after the last member was listed. A group without progress leaves at once, as before. The simulated pool also shows the requests of a group whose leader was never listed.

--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -336,6 +336,25 @@
   return last_ms;
 }
 
+/* Whether the group serves with a member that this controller does not know:
+   its entry was removed before the others were listed here.  */
+static bool
+has_unknown_member (const struct bd_replicas_input *input,
+                    const struct bd_fleet_group *group)
+{
+  const struct bd_engine_model *model
+      = bd_engine_model (input->engine, group->model);
+  int64_t listed_ms = 0;
+
+  if (model == NULL || group->member_count >= model->members
+      || !has_progress (input, group))
+    return false;
+  for (uint32_t i = 0; i < model->members; i++)
+    if (group->members[i] != NULL && group->members[i]->listed_ms > listed_ms)
+      listed_ms = group->members[i]->listed_ms;
+  return input->now_ms - listed_ms < LEAVING_LIMIT_MS;
+}
+
 /* Whether the group can become complete again when more entries are listed:
    after a partition entries return one by one, and members that missed probes
    during the partition can respond again.  */
@@ -347,13 +366,15 @@
       = bd_engine_model (input->engine, group->model);
   int64_t group_listed_ms = last_listed_ms (group);
 
-  if (model == NULL || group->member_count != model->members
+  if (model == NULL || group->member_count > model->members
       || input->now_ms - group_listed_ms >= RELISTING_MS)
     return false;
   for (uint32_t i = 0; i < model->members; i++)
     {
       const struct bd_fleet_endpoint *member = group->members[i];
 
+      if (member == NULL && has_progress (input, group))
+        continue;
       if (member == NULL || member->entry.is_draining
           || (member->liveness == BD_LIVENESS_DEAD
               && member->missed_probe_ms > group_listed_ms))
@@ -461,6 +482,8 @@
 {
   const struct bd_fleet_endpoint *leader = group->members[0];
 
+  if (leader == NULL)
+    return;
   switch (leader->entry.member.state)
     {
     case BD_MEMBER_OPEN:
@@ -506,8 +529,12 @@
         bd_reconcile_donor (step, group, phase);
       break;
     case BD_PHASE_INCOMPLETE:
-      if (!is_forming (step->replicas, group)
-          && !is_relisting_expected (step->input, group))
+      if (is_forming (step->replicas, group)
+          || is_relisting_expected (step->input, group))
+        break;
+      if (has_unknown_member (step->input, group))
+        reconcile_leaving_group (step, group);
+      else
         bd_order_leader (step, group, BD_ORDER_LEAVE, "a member is lost");
       break;
     case BD_PHASE_LEAVING:
--- a/src/replicas/replicas_test.c
+++ b/src/replicas/replicas_test.c
@@ -1004,6 +1004,53 @@
   pool_finish (&pool);
 }
 
+/* Replaces the controller while a member of each large group is not in the
+   list.  */
+static void
+check_unlisted_beside_new_controller (uint32_t rank, int64_t span_ms)
+{
+  start_serving (40 + rank, 3000);
+  pool_delist_instance (&pool, find_member ("large", rank, 0), span_ms);
+  pool_run (&pool, 100);
+  pool_restart_controller (&pool);
+  pool_run (&pool, span_ms + 9000);
+  check_left_without_cut (1);
+  pool_finish (&pool);
+}
+
+static void
+test_new_controller_cuts_group_with_unlisted_member (void)
+{
+  for (uint32_t rank = 1; rank < 4; rank++)
+    check_unlisted_beside_new_controller (rank, 8000);
+}
+
+static void
+test_new_controller_cuts_group_with_unlisted_leader (void)
+{
+  check_unlisted_beside_new_controller (0, 8000);
+}
+
+/* The entries of a pool that serves return one by one.  */
+static void
+test_new_controller_cuts_groups_that_are_listed_again (void)
+{
+  start_serving (45, 3000);
+  for (uint32_t i = 0; i < pool.count; i++)
+    pool.members[i].is_in_list = false;
+  pool_restart_controller (&pool);
+  for (uint32_t i = 0; i < pool.count; i++)
+    {
+      pool.members[i].is_in_list = true;
+      pool_run (&pool, 100);
+    }
+  pool_run (&pool, 8000);
+  check_left_without_cut (0);
+  CU_ASSERT_EQUAL (capacity (), 20);
+  CU_ASSERT_EQUAL (pool_count_groups (&pool, BD_MEMBER_CLOSING), 0);
+  pool_finish (&pool);
+}
+
 int
 main (void)
 {
@@ -1060,6 +1107,12 @@
       test_silent_group_waits_for_lost_member },
     { "unreachable member cuts running requests",
       test_unreachable_member_cuts_running_requests },
+    { "new controller cuts group with unlisted member",
+      test_new_controller_cuts_group_with_unlisted_member },
+    { "new controller cuts group with unlisted leader",
+      test_new_controller_cuts_group_with_unlisted_leader },
+    { "new controller cuts groups that are listed again",
+      test_new_controller_cuts_groups_that_are_listed_again },
   };
 
   return UNIT_RUN ("replicas", tests);
--- a/tests/fakes/pool.c
+++ b/tests/fakes/pool.c
@@ -606,6 +606,18 @@
                                   pool->now_ms, pool->now_ms);
 }
 
+/* Returns the running leader of a group, also if its entry was never in the
+   list; NULL if there is none.  */
+static const struct pool_member *
+find_leader (const struct pool *pool, const struct bd_fleet_group *group)
+{
+  for (uint32_t i = 0; i < pool->count; i++)
+    if (pool->members[i].is_alive && pool->members[i].entry.member.rank == 0
+        && is_in_group (&pool->members[i], group->name, group->epoch))
+      return &pool->members[i];
+  return NULL;
+}
+
 /* Shows the controller the requests of the groups.  */
 static void
 update_traffic (struct pool *pool)
@@ -617,11 +629,9 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct bd_fleet_group *group = value;
-      const struct pool_member *leader = pool_find (pool, group->leader);
+      const struct pool_member *leader = find_leader (pool, group);
       bool is_serving
           = pool->has_traffic && pool->work_ms > 0 && leader != NULL
-            && leader->is_alive
-            && is_in_group (leader, group->name, group->epoch)
             && (leader->entry.member.state == BD_MEMBER_OPEN
                 || leader->entry.member.state == BD_MEMBER_CLOSING);
 
