replicas: a leaving group whose order to open is under way is closed, not left

In the simulated pool requests ended when a member began to drain while its group was opening: the leader was ordered to leave in the moment in which it had begun to serve.

Cause: reconcile_leaving_group() took the leader's last report, ready, for a group without requests, although the leader had accepted an order to open. Ruled out: a lag of the list alone; the test needs none for the leader, whose opening no report shows for report_lag_ms.

Change: no order to a leader that is opening. Once a report shows it open it is closed, and leaves when it has finished.

--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -473,6 +473,16 @@
     }
 }
 
+/* Whether the leader has accepted an order to open that no report has shown
+   the end of.  */
+static bool
+is_opening (const struct bd_fleet_endpoint *leader)
+{
+  return leader->entry.member.state == BD_MEMBER_READY
+         && leader->confirmed.opening_version > 0
+         && leader->confirmed.opening_version == leader->confirmed.version;
+}
+
 /* Closes a group that is about to lose a member; it leaves when its leader
    has finished its requests.  The counts of other daemons can be old, so they
    do not decide that.  */
@@ -482,7 +492,7 @@
 {
   const struct bd_fleet_endpoint *leader = group->members[0];
 
-  if (leader == NULL)
+  if (leader == NULL || is_opening (leader))
     return;
   switch (leader->entry.member.state)
     {
--- a/src/replicas/replicas_test.c
+++ b/src/replicas/replicas_test.c
@@ -1051,6 +1051,45 @@
   pool_finish (&pool);
 }
 
+/* Returns an instance whose open order is under way.  */
+static struct pool_member *
+run_until_opening (void)
+{
+  for (uint32_t step = 0; step < 200; step++)
+    {
+      for (uint32_t i = 0; i < pool.count; i++)
+        if (pool.members[i].open_ms != 0)
+          return &pool.members[i];
+      pool_run (&pool, POOL_STEP_MS);
+    }
+  CU_FAIL_FATAL ("no group opens");
+  return NULL;
+}
+
+/* A member drains between the order to open and the report that shows it.  */
+static void
+test_group_that_opens_is_cut (void)
+{
+  for (int64_t delay_ms = 0; delay_ms <= 600; delay_ms += POOL_STEP_MS)
+    {
+      const struct pool_member *leader;
+
+      pool_init (&pool, 2, 10, 50);
+      pool.list_lag_ms = 700;
+      pool.report_lag_ms = 150;
+      leader = run_until_opening ();
+      pool.has_traffic = true;
+      pool.work_ms = 1000;
+      pool_run (&pool, delay_ms);
+      pool_find (&pool, leader->members[1])->entry.is_draining = true;
+      pool_run (&pool, 8000);
+      CU_ASSERT_EQUAL (pool.cut_groups, 0);
+      CU_ASSERT_NOT_EQUAL (leader->entry.member.state, BD_MEMBER_CLOSING);
+      check_invariants ();
+      pool_finish (&pool);
+    }
+}
+
 int
 main (void)
 {
@@ -1113,6 +1152,7 @@
       test_new_controller_cuts_group_with_unlisted_leader },
     { "new controller cuts groups that are listed again",
       test_new_controller_cuts_groups_that_are_listed_again },
+    { "group that opens is cut", test_group_that_opens_is_cut },
   };
 
   return UNIT_RUN ("replicas", tests);
