serve: a group drains until its unlisted leader has finished its requests

Callers of a daemon that isn't the group controller had their streams broken and resumed elsewhere when the entry of their group's leader was removed from the instance list without notice, although the leader went on serving.

A daemon removed the record of an endpoint that the list no longer had as soon as it had no calls of its own there. It sent no more probes then, the last report grew old, and the controller took the leader for lost: the drain of its group, which waits for running requests, ended after dead_after_ms, and the orders of the next incarnation broke the streams of the other daemon.

Ruled out: the planner itself (the drain begins at once and waits while reports come in), and the serving daemon (it keeps its record while it has calls).

The record of a member stays, and is probed, until the group no longer has it. The records are looked through with each new assignment too.

--- a/src/daemon/daemon_groups.c
+++ b/src/daemon/daemon_groups.c
@@ -103,6 +103,7 @@
       && is_newer)
     {
       log_assignment (assignment);
+      bd_daemon_remove_unlisted_endpoints (daemon);
       bd_daemon_dispatch_queues (daemon);
     }
   talloc_free (assignment);
--- a/src/daemon/daemon_instances.c
+++ b/src/daemon/daemon_instances.c
@@ -41,15 +41,31 @@
   endpoint->observation.is_leaving = info->is_leaving;
 }
 
+static bool
+is_in_group (const struct bd_daemon *daemon, const char *instance)
+{
+  const struct bd_assignment *assignment = daemon->controller.assignment;
+
+  return assignment != NULL
+         && bd_assignment_group_of (assignment, instance) != NULL;
+}
+
+/* A member of a group is probed until it is replaced: it can go on serving
+   calls of other daemons.  */
 static gboolean
 is_removable (gpointer key, gpointer value, gpointer ctx)
 {
   struct bd_endpoint *endpoint = value;
 
   (void)key;
-  (void)ctx;
   return !endpoint->is_listed && endpoint->in_flight == 0
-         && !endpoint->is_probing;
+         && !endpoint->is_probing && !is_in_group (ctx, endpoint->info.name);
+}
+
+void
+bd_daemon_remove_unlisted_endpoints (struct bd_daemon *daemon)
+{
+  g_hash_table_foreach_remove (daemon->endpoints, is_removable, daemon);
 }
 
 static void
@@ -73,7 +89,7 @@
       while (g_hash_table_iter_next (&iter, NULL, &value))
         if (!((struct bd_endpoint *)value)->is_listed)
           ((struct bd_endpoint *)value)->observation.is_leaving = true;
-      g_hash_table_foreach_remove (daemon->endpoints, is_removable, NULL);
+      bd_daemon_remove_unlisted_endpoints (daemon);
       bd_controller_set_instances (&daemon->controller, &list);
       bd_daemon_dispatch_queues (daemon);
     }
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -285,6 +285,10 @@
    is JSON.  */
 void bd_daemon_apply_instances (struct bd_daemon *daemon, const char *text);
 
+/* bd_daemon_remove_unlisted_endpoints(): removes the endpoints that the list
+   no longer has, that are in no group and that have no calls or probes.  */
+void bd_daemon_remove_unlisted_endpoints (struct bd_daemon *daemon);
+
 /* bd_daemon_send_instances(): sends the list, if there is one.  */
 void bd_daemon_send_instances (struct bd_daemon *daemon,
                                const struct bd_member *member);
