replicas: a group is watched before a new controller takes a member for lost

In the simulated pool requests ended after a change of the controller: the list showed a member late, the new controller ordered the group of its predecessor to leave within 100 ms of its start ("a member is lost"), and where that order was executed late it ended a group that served by then.

Cause: a group that has just become known has no progress on record, and an order to leave that is executed late finds the version that it expects.

Change: under traffic, a group of an earlier controller of which a member is not known here gets no order to leave before it has been known for the time in which progress shows (600 ms), or form_ms plus report_lag_ms if that is longer.

--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -461,6 +461,28 @@
   return a > b ? a : b;
 }
 
+/* Whether a group of an earlier controller lacks a member here and has been
+   known for too short a time to tell whether it serves.  */
+static bool
+is_newly_known (const struct bd_replicas_step *step,
+                const struct bd_fleet_group *group)
+{
+  const struct bd_engine_model *model
+      = bd_engine_model (step->input->engine, group->model);
+  const struct bd_fleet_endpoint *leader = group->members[0];
+  int64_t known_ms = step->replicas->started_ms;
+
+  if (leader == NULL || model == NULL || !step->input->has_traffic
+      || group->epoch > step->replicas->first_epoch
+      || group->member_count >= model->members)
+    return false;
+  known_ms = max_ms (known_ms, leader->listed_ms);
+  known_ms = max_ms (known_ms, leader->confirmed.version_ms);
+  return step->input->now_ms - known_ms < max_ms (
+             PROGRESS_WINDOW_MS, step->input->engine->form_ms
+                                     + step->input->engine->report_lag_ms);
+}
+
 /* Whether the leader, which was last seen ready, can have accepted an order to
    open that no report has shown the end of: one of this controller, or one of
    an earlier controller, or one without an answer, which have led to the
@@ -563,7 +585,8 @@
       break;
     case BD_PHASE_INCOMPLETE:
       if (is_forming (step->replicas, group)
-          || is_relisting_expected (step->input, group))
+          || is_relisting_expected (step->input, group)
+          || is_newly_known (step, group))
         break;
       if (has_unknown_member (step->input, group))
         reconcile_leaving_group (step, group);
--- a/src/replicas/replicas_test.c
+++ b/src/replicas/replicas_test.c
@@ -1115,6 +1115,30 @@
     }
 }
 
+/* The list shows the members of groups that open late, and the first orders of
+   a new controller are executed late.  */
+static void
+test_new_controller_cuts_group_whose_member_is_listed_late (void)
+{
+  for (int64_t delay_ms = 0; delay_ms <= 600; delay_ms += POOL_STEP_MS)
+    {
+      pool_init (&pool, 2, 10, 52);
+      pool.list_lag_ms = 2500;
+      run_until_opening ();
+      pool.has_traffic = true;
+      pool.work_ms = 1000;
+      pool_run (&pool, delay_ms);
+      pool_restart_controller (&pool);
+      pool.delayed_share = 1;
+      pool_run (&pool, 150);
+      pool.delayed_share = 0;
+      pool_run (&pool, 14000);
+      CU_ASSERT_EQUAL (pool.cut_groups, 0);
+      check_invariants ();
+      pool_finish (&pool);
+    }
+}
+
 int
 main (void)
 {
@@ -1180,6 +1204,8 @@
     { "group that opens is cut", test_group_that_opens_is_cut },
     { "new controller cuts group that opens",
       test_new_controller_cuts_group_that_opens },
+    { "new controller cuts group whose member is listed late",
+      test_new_controller_cuts_group_whose_member_is_listed_late },
   };
 
   return UNIT_RUN ("replicas", tests);
