--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -376,6 +376,20 @@
   return 1 << 20;
 }
 
+void
+site_abort_watches (struct site *site)
+{
+  for (guint i = site->watches->len; i-- > 0;)
+    {
+      struct watch *watch = g_ptr_array_index (site->watches, i);
+
+      watch->exchange->user = NULL;
+      bd_http_abort (watch->exchange);
+      talloc_free (watch);
+    }
+  g_ptr_array_set_size (site->watches, 0);
+}
+
 json_t *
 site_copy_store (struct site *site)
 {
@@ -391,15 +405,7 @@
   site->revision = json_integer_value (json_object_get (copy, "revision"));
   site->era++;
   json_array_clear (site->history);
-  for (guint i = site->watches->len; i-- > 0;)
-    {
-      struct watch *watch = g_ptr_array_index (site->watches, i);
-
-      watch->exchange->user = NULL;
-      bd_http_abort (watch->exchange);
-      talloc_free (watch);
-    }
-  g_ptr_array_set_size (site->watches, 0);
+  site_abort_watches (site);
   json_decref (copy);
 }
 
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -228,6 +228,10 @@
    older revision get 410.  */
 void site_compact_history (struct site *site);
 
+/* site_abort_watches(): breaks off the watches that wait, as a store that goes
+   down does.  */
+void site_abort_watches (struct site *site);
+
 /* site_copy_store(): a copy of the store; to be passed to
    site_restore_store(), which loses all that was written since.  */
 json_t *site_copy_store (struct site *site);
