serve: the controller takes no member for lost that another prober reaches

Callers of a daemon had their streams broken and resumed elsewhere when only the connections between another daemon, the group controller, and one member of the group were cut. The member answered, and the daemon that streamed went on probing it.

Two daemons probe each group. They sent the controller their reports only of instances that it doesn't probe itself. Of those that it does probe its own view alone counted: after dead_after_ms it replaced the member by a spare, and the orders of the next incarnation broke the streams.

Ruled out by the same test: the loss of the daemons' own connections (both stay live members), and a member that is really silent (it serves the other daemon until the order comes).

Probers now send the controller the reports of all that they probe. For what the receiver probes itself they count in the controller alone: whether it sends calls to a group still goes by what it reaches. A report older than the last one no longer replaces it in the controller.

controller_misses_member, six streams of 1,000 tokens at 5 ms, the third member cut off.

--- a/src/daemon/daemon_probes.c
+++ b/src/daemon/daemon_probes.c
@@ -436,7 +436,7 @@
 }
 
 /* Sends the group controller the reports of the instances that this daemon
-   probes and the controller does not.  */
+   probes, also of those that the controller probes: it may not reach them.  */
 static void
 send_digest_to_controller (struct bd_daemon *daemon,
                            const struct bd_member *controller, int64_t now_ms)
@@ -457,10 +457,7 @@
           && endpoint->observation.has_report
           && now_ms - endpoint->observation.last_received_ms
                  <= daemon->settings->freshness_ms
-          && is_prober (daemon, unit)
-          && !bd_membership_has_duty (&daemon->membership, controller->name,
-                                      controller->data_centre, unit,
-                                      PROBERS_PER_UNIT))
+          && is_prober (daemon, unit))
         fill_digest_item (endpoint, now_ms, &items[digest.count++]);
     }
   if (digest.count > 0)
@@ -482,6 +479,21 @@
     send_digest_to_controller (daemon, controller, now_ms);
 }
 
+/* Calls go only to endpoints that this daemon reaches, so for those that it
+   probes itself another prober's report counts for the controller alone.  */
+static void
+record_digest_report (struct bd_daemon *daemon, struct bd_endpoint *endpoint,
+                      const struct bd_report *report, int64_t probed_ms)
+{
+  const char *name = endpoint->info.name;
+
+  if (!is_prober (daemon, probe_unit (daemon, name)))
+    record_report (daemon, endpoint, report, probed_ms);
+  else if (probed_ms > endpoint->observation.last_received_ms)
+    bd_controller_add_report (&daemon->controller, name, report, probed_ms,
+                              bd_daemon_now_ms (daemon));
+}
+
 void
 bd_daemon_receive_digest (struct bd_daemon *daemon,
                           const struct bd_instance_reports *digest)
@@ -504,7 +516,7 @@
       bd_name_copy (report.group, item->group);
       bd_name_copy (report.model, item->model);
       bd_name_copy (report.version, item->version);
-      record_report (daemon, endpoint, &report, now_ms - item->age_ms);
+      record_digest_report (daemon, endpoint, &report, now_ms - item->age_ms);
     }
 }
 
--- a/src/groups/controller.c
+++ b/src/groups/controller.c
@@ -120,7 +120,8 @@
   struct bd_instance_state *instance
       = bd_controller_find_instance (controller, name);
 
-  if (instance == NULL)
+  if (instance == NULL
+      || (instance->has_report && instance->last_received_ms > sent_ms))
     return;
   instance->has_report = true;
   instance->last_received_ms = sent_ms;
--- a/src/groups/controller.h
+++ b/src/groups/controller.h
@@ -149,8 +149,8 @@
                                   const struct bd_instance_list *list);
 
 /* bd_controller_add_report(): at now_ms, a report of an instance has come in
-   that answers a probe sent at sent_ms.  Reports of unknown instances are
-   ignored.  */
+   that answers a probe sent at sent_ms.  Reports of unknown instances, and
+   those older than the last one, are ignored.  */
 void bd_controller_add_report (struct bd_controller *controller,
                                const char *name,
                                const struct bd_report *report, int64_t sent_ms,
