serve: a stall of the daemons isn't taken for the silence of endpoints

Callers had their streams broken and resumed elsewhere when the daemons of a data centre stood still for longer than dead_after_ms while a group drained.

The age of a report includes the controller's own stall. Its first plan afterwards, before any report had come in, took the leader of the draining group for lost, ended the drain without waiting for the running requests, and gave the members to the next incarnation, whose orders broke the streams.

Ruled out by the same tests: endpoints that are silent (they serve all the time), and a conflict of two controllers (the term stays the same).

The controller notes when it runs. A gap of more than half of dead_after_ms is a stall; what has sent no report counts as lost for drains and repairs only when the controller has listened for dead_after_ms since. Spares and orders still need a recent report.

--- a/src/groups/controller.c
+++ b/src/groups/controller.c
@@ -207,6 +207,26 @@
                 > controller->limits.dead_after_ms;
 }
 
+bool
+bd_instance_is_silent (const struct bd_controller *controller,
+                       const struct bd_instance_state *instance,
+                       int64_t now_ms)
+{
+  return instance == NULL
+         || (bd_instance_is_lost (controller, instance, now_ms)
+             && now_ms - controller->listening_from_ms
+                    > controller->limits.dead_after_ms);
+}
+
+void
+bd_controller_note_run (struct bd_controller *controller, int64_t now_ms)
+{
+  if (controller->listening_from_ms == 0
+      || now_ms - controller->ran_ms > controller->limits.dead_after_ms / 2)
+    controller->listening_from_ms = now_ms;
+  controller->ran_ms = now_ms;
+}
+
 bool
 bd_instance_is_usable (const struct bd_controller *controller,
                        const struct bd_instance_state *instance,
--- a/src/groups/controller.h
+++ b/src/groups/controller.h
@@ -103,6 +103,8 @@
   bool is_confirmed;
   /* Until then orders of the previous controller can still arrive.  */
   int64_t orders_from_ms;
+  int64_t ran_ms;            /* When it last planned or gave orders.  */
+  int64_t listening_from_ms; /* Since when it has run without a stall.  */
   /* Until then this daemon does not take over the term, because a daemon with
      a lower name has taken it back.  */
   int64_t yields_until_ms;
--- a/src/groups/controller_internal.h
+++ b/src/groups/controller_internal.h
@@ -16,6 +16,15 @@
                           const struct bd_instance_state *instance,
                           int64_t now_ms);
 
+/* Whether the instance is lost although this controller has listened for
+   dead_after_ms without a stall of its own, so that its absence counts.  */
+bool bd_instance_is_silent (const struct bd_controller *controller,
+                            const struct bd_instance_state *instance,
+                            int64_t now_ms);
+
+/* Notes that the controller runs at now_ms, to tell its own stalls.  */
+void bd_controller_note_run (struct bd_controller *controller, int64_t now_ms);
+
 /* Whether the instance can serve the service: in its pool and usable.  */
 bool bd_instance_fits_service (const struct bd_controller *controller,
                                const struct bd_instance_state *instance,
--- a/src/groups/controller_orders.c
+++ b/src/groups/controller_orders.c
@@ -236,6 +236,7 @@
 {
   struct order_list list = { .items = orders, .max = max };
 
+  bd_controller_note_run (controller, now_ms);
   if (!bd_controller_can_order (controller, now_ms)
       || is_converged (controller, now_ms))
     return 0;
--- a/src/groups/controller_plan.c
+++ b/src/groups/controller_plan.c
@@ -90,6 +90,7 @@
 {
   struct bd_plan plan = { .controller = controller, .now_ms = now_ms };
 
+  bd_controller_note_run (controller, now_ms);
   /* Fast path: usually there is nothing to do, and this check is cheap.  */
   if (!controller->is_selected
       || bd_controller_is_settled (controller, now_ms))
--- a/src/groups/groups_test.c
+++ b/src/groups/groups_test.c
@@ -600,6 +600,46 @@
   talloc_free (ctx);
 }
 
+/* The first plans after the stall come before any report.  */
+static void
+test_stalled_controller_ends_no_drain (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct sim *sim = talloc (ctx, struct sim);
+  struct sim_controller *controller;
+  int64_t incarnation;
+
+  sim_init (sim, ctx, 1);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      char name[BD_NAME_SIZE];
+      snprintf (name, sizeof name, "u%u", i);
+      sim_add_instance (sim, name, "A", "p");
+    }
+  sim_add_service (sim, "s", "p", 2, 1, 1);
+  controller = sim_add_controller (sim, "k1", &limits, &bd_repair_by_cost);
+  sim_run (sim, 60000);
+  CU_ASSERT_EQUAL_FATAL (sim_count_open_groups (sim, "s"), 1);
+  incarnation = sim->stored->groups[0].incarnation;
+  sim_instance (sim, sim->stored->groups[0].members[0])->running = 3;
+  sim_instance (sim, sim->stored->groups[0].members[1])->is_listed = false;
+  sim_run (sim, 2 * limits.drain_ms);
+  CU_ASSERT_EQUAL (sim->stored->groups[0].drain, BD_DRAIN_MEMBER);
+  controller->is_paused = true;
+  sim_run (sim, limits.dead_after_ms + 1000);
+  controller->is_paused = false;
+  controller->is_cut_off_from_instances = true;
+  sim_run (sim, 3 * sim->step_ms);
+  controller->is_cut_off_from_instances = false;
+  sim_run (sim, 10000);
+  CU_ASSERT_EQUAL (sim->aborted_calls, 0);
+  CU_ASSERT_EQUAL_FATAL (sim->stored->count, 1);
+  CU_ASSERT_EQUAL (sim->stored->groups[0].incarnation, incarnation);
+  CU_ASSERT_PTR_NULL (sim->violation);
+  sim_finish (sim);
+  talloc_free (ctx);
+}
+
 /* An order for a lost instance is sent to its address, where another instance
    is by then, of another pool.  */
 static void
@@ -644,6 +684,8 @@
   { "an older report hides no restart", test_restart_after_older_report },
   { "a drain counts from its confirmation",
     test_drain_counts_from_confirmation },
+  { "a stall of the controller ends no drain with running requests",
+    test_stalled_controller_ends_no_drain },
   { "an order for another instance is refused", test_order_to_reused_address },
   { "traces", test_traces },
 };
--- a/src/groups/plan_drains.c
+++ b/src/groups/plan_drains.c
@@ -10,12 +10,12 @@
   const struct bd_instance_state *leader = bd_plan_member (plan, group, 0);
   int64_t draining_ms = bd_plan_elapsed_ms (plan->controller->drain_since_ms,
                                             group->id, plan->now_ms);
-  bool is_leader_lost
-      = bd_instance_is_lost (plan->controller, leader, plan->now_ms);
 
   if (draining_ms < plan->controller->limits.drain_ms)
     return false;
-  return is_leader_lost || leader->report.running == 0
+  if (bd_instance_is_lost (plan->controller, leader, plan->now_ms))
+    return bd_instance_is_silent (plan->controller, leader, plan->now_ms);
+  return leader->report.running == 0
          || strcmp (leader->report.group, group->id) != 0;
 }
 
--- a/src/groups/plan_state.c
+++ b/src/groups/plan_state.c
@@ -99,7 +99,7 @@
 bd_plan_is_missing (const struct bd_plan *plan, const struct bd_group *group,
                     const struct bd_instance_state *instance)
 {
-  return bd_instance_is_lost (plan->controller, instance, plan->now_ms)
+  return bd_instance_is_silent (plan->controller, instance, plan->now_ms)
          || (has_lost_membership (plan, group, instance)
              && is_cold (group, instance));
 }
@@ -159,7 +159,7 @@
     {
       const struct bd_instance_state *instance
           = bd_plan_member (plan, group, i);
-      if (bd_instance_is_lost (plan->controller, instance, plan->now_ms))
+      if (bd_instance_is_silent (plan->controller, instance, plan->now_ms))
         out.lost++;
       else if (has_lost_membership (plan, group, instance))
         out.has_restarted = true;
