serve: groups of a new size are replaced one after the other

A change of members drained all groups of a service in one step: no group of the service took new calls until the first one of the new size was open.

bd_plan_drain_surplus() took each group of another size for a surplus by itself, however many others were being removed.

An open group of another size waits while another group of its service is removed, while its replacement loads, and while one can still be formed; where one group's instances don't suffice for a larger group, the next one drains as before. A group of another size isn't rolled to a new version on top of that.

--- a/src/groups/groups_test.c
+++ b/src/groups/groups_test.c
@@ -640,6 +640,94 @@
   talloc_free (ctx);
 }
 
+static uint32_t
+count_routable_groups (struct sim *sim)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < sim->stored->count; i++)
+    if (sim->stored->groups[i].drain == BD_DRAIN_NONE
+        && sim_is_group_open (sim, &sim->stored->groups[i]))
+      count++;
+  return count;
+}
+
+/* Changes the members of a service from 2 to 3, and its version.  Returns the
+   lowest number of groups that took calls meanwhile.  */
+static uint32_t
+resize_groups (struct sim *sim, uint32_t instances, const char *version)
+{
+  uint32_t lowest;
+
+  for (uint32_t i = 0; i < instances; i++)
+    {
+      char name[BD_NAME_SIZE];
+      snprintf (name, sizeof name, "u%u", i);
+      sim_add_instance (sim, name, "A", "p");
+    }
+  sim_add_service (sim, "s", "p", 2, 2, 1);
+  sim_add_controller (sim, "k1", &limits, &bd_repair_by_cost);
+  sim_run (sim, 60000);
+  CU_ASSERT_EQUAL_FATAL (count_routable_groups (sim), 2);
+  lowest = 2;
+  sim->services[0].members = 3;
+  bd_name_copy (sim->services[0].version, version);
+  for (int64_t until_ms = sim->now_ms + 120000; sim->now_ms < until_ms;)
+    {
+      uint32_t routable;
+      sim_run (sim, sim->step_ms);
+      routable = count_routable_groups (sim);
+      lowest = routable < lowest ? routable : lowest;
+    }
+  for (uint32_t i = 0; i < sim->stored->count; i++)
+    {
+      CU_ASSERT_EQUAL (sim->stored->groups[i].member_count, 3);
+      CU_ASSERT_STRING_EQUAL (sim->stored->groups[i].version, version);
+    }
+  CU_ASSERT_PTR_NULL (sim->violation);
+  return lowest;
+}
+
+static void
+test_resized_groups_change_in_turn (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct sim *sim = talloc (ctx, struct sim);
+
+  sim_init (sim, ctx, 1);
+  CU_ASSERT_EQUAL (resize_groups (sim, 6, "1"), 1);
+  CU_ASSERT_EQUAL (count_routable_groups (sim), 2);
+  sim_finish (sim);
+  talloc_free (ctx);
+}
+
+static void
+test_resized_groups_of_new_version_change_in_turn (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct sim *sim = talloc (ctx, struct sim);
+
+  sim_init (sim, ctx, 1);
+  CU_ASSERT_EQUAL (resize_groups (sim, 6, "2"), 1);
+  CU_ASSERT_EQUAL (count_routable_groups (sim), 2);
+  sim_finish (sim);
+  talloc_free (ctx);
+}
+
+/* The instances of one group don't suffice for a larger one.  */
+static void
+test_resize_without_spares_ends (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct sim *sim = talloc (ctx, struct sim);
+
+  sim_init (sim, ctx, 1);
+  resize_groups (sim, 4, "1");
+  CU_ASSERT_EQUAL (count_routable_groups (sim), 1);
+  sim_finish (sim);
+  talloc_free (ctx);
+}
+
 /* An order for a lost instance is sent to its address, where another instance
    is by then, of another pool.  */
 static void
@@ -686,6 +774,12 @@
     test_drain_counts_from_confirmation },
   { "a stall of the controller ends no drain with running requests",
     test_stalled_controller_ends_no_drain },
+  { "groups of a new size change one after the other",
+    test_resized_groups_change_in_turn },
+  { "groups of a new size and version change one after the other",
+    test_resized_groups_of_new_version_change_in_turn },
+  { "groups of a new size change without spares",
+    test_resize_without_spares_ends },
   { "an order for another instance is refused", test_order_to_reused_address },
   { "traces", test_traces },
 };
--- a/src/groups/plan_drains.c
+++ b/src/groups/plan_drains.c
@@ -89,6 +89,41 @@
     }
 }
 
+/* Whether a group of the service is being removed, or its replacement can be
+   formed or loads.  */
+static bool
+is_replacing_group (const struct bd_plan *plan,
+                    const struct bd_service *service)
+{
+  for (uint32_t i = 0; i < plan->next->count; i++)
+    {
+      const struct bd_group *group = &plan->next->groups[i];
+      if (strcmp (group->service, service->name) != 0)
+        continue;
+      if (group->drain == BD_DRAIN_REMOVE)
+        return true;
+      if (group->member_count == service->members
+          && !bd_controller_is_group_open (plan->controller, group,
+                                           plan->now_ms)
+          && bd_plan_group_health (plan, group, service).lost == 0)
+        return true;
+    }
+  return bd_plan_count_groups (plan, service) < service->replicas
+         && bd_plan_choose_domain_for_group (plan, service, false) != NULL;
+}
+
+/* Whether the group only has another size than the service, so that it takes
+   calls until it is its turn to be replaced.  */
+static bool
+is_waiting_for_turn (const struct bd_plan *plan, const struct bd_group *group,
+                     const struct bd_service *service)
+{
+  return service != NULL && service->is_model
+         && bd_plan_count_groups (plan, service) <= service->replicas
+         && bd_controller_is_group_open (plan->controller, group, plan->now_ms)
+         && is_replacing_group (plan, service);
+}
+
 void
 bd_plan_drain_surplus (struct bd_plan *plan)
 {
@@ -105,7 +140,8 @@
         bool is_open = bd_controller_is_group_open (plan->controller, group,
                                                     plan->now_ms);
         if (group->drain != BD_DRAIN_NONE || !is_surplus
-            || (pass == 0 && is_open))
+            || (pass == 0 && is_open)
+            || is_waiting_for_turn (plan, group, service))
           continue;
         bd_plan_start_drain (plan, group, BD_DRAIN_REMOVE);
       }
@@ -149,6 +185,7 @@
       const struct bd_service *service
           = bd_controller_find_service (plan->controller, group->service);
       if (service != NULL && group->drain == BD_DRAIN_NONE
+          && group->member_count == service->members
           && has_other_version (group, service) && !is_rolling (plan, service))
         bd_plan_start_drain (plan, group, BD_DRAIN_VERSION);
     }
