--- a/src/groups/controller.h
+++ b/src/groups/controller.h
@@ -103,6 +103,8 @@
   bool is_confirmed;
   /* Until then orders of the previous controller can still arrive.  */
   int64_t orders_from_ms;
+  int64_t ran_ms;            /* When it last planned or gave orders.  */
+  int64_t listening_from_ms; /* Since when it has run without a stall.  */
   /* Until then this daemon does not take over the term, because a daemon with
      a lower name has taken it back.  */
   int64_t yields_until_ms;
@@ -149,8 +151,8 @@
                                   const struct bd_instance_list *list);
 
 /* bd_controller_add_report(): at now_ms, a report of an instance has come in
-   that answers a probe sent at sent_ms.  Reports of unknown instances are
-   ignored.  */
+   that answers a probe sent at sent_ms.  Reports of unknown instances, and
+   those older than the last one, are ignored.  */
 void bd_controller_add_report (struct bd_controller *controller,
                                const char *name,
                                const struct bd_report *report, int64_t sent_ms,
