edge: a caller that left for want of a first event is told apart

What callers saw: nothing; whoever read the log could not tell callers that left after the gap that ends their patience from those that left at will. Both were lines `cut` by "caller".

Cause: no code knew how long callers of a stream wait.

The test "caller without a first event counts like one that left" fails 2 of 12 checks when no caller counts as one that abandoned.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -17,6 +17,8 @@
      "final answers that were failures")                                      \
   X (CALLERS_DISCONNECTED, "callers_gone_total",                              \
      "callers that left before the end")                                      \
+  X (CALLERS_ABANDONED, "callers_abandoned_total",                            \
+     "callers that left because no first event came in time")                 \
   X (CUT_BY_SWEEP, "cut_unread_total",                                        \
      "responses ended because the caller took nothing of them")               \
   X (CUT_BY_STOP, "cut_at_stop_total",                                        \
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -4,6 +4,7 @@
 #define BD_EDGE_EDGE_INTERNAL_H
 
 #include "admission/backlog.h"
+#include "admission/patience.h"
 #include "base/clock.h"
 #include "base/counters.h"
 #include "base/histograms.h"
@@ -44,7 +45,8 @@
 enum bd_edge_cut
 {
   BD_EDGE_CUT_BY_CALLER,
-  BD_EDGE_CUT_BY_SWEEP, /* The caller took nothing of the response.  */
+  BD_EDGE_CUT_ABANDONED, /* By a caller that got no first event in time.  */
+  BD_EDGE_CUT_BY_SWEEP,  /* The caller took nothing of the response.  */
   BD_EDGE_CUT_BY_STOP,
   BD_EDGE_CUT_BY_DEADLINE, /* A stream that still ran then.  */
   BD_EDGE_CUT_BY_FAILURE   /* A stream that cannot be resumed.  */
@@ -63,6 +65,7 @@
   bool is_idempotent;
   uint32_t objective_ms;
   uint32_t gap_objective_ms;
+  uint32_t caller_gap_ms; /* See struct bd_route.  */
   uint32_t priority;
   char service[BD_NAME_SIZE];
   char account[BD_NAME_SIZE];
@@ -379,6 +382,10 @@
 bool bd_edge_can_complete_at (const struct bd_edge_request *request,
                               const struct bd_edge_target *target);
 
+/* bd_edge_caller_end_ms(): until when the caller waits for the next event of a
+   stream, or for the response.  */
+int64_t bd_edge_caller_end_ms (const struct bd_edge_request *request);
+
 /* bd_edge_note_cut(): counts and logs a request whose caller gets no whole
    response.  */
 void bd_edge_note_cut (const struct bd_edge_request *request,
--- /dev/null
+++ b/src/edge/edge_patience_test.c
@@ -0,0 +1,121 @@
+/* Checks what callers of streams get that leave after a gap, long before their
+   deadline, beside a fake platform.  */
+
+#include "edge/edge_internal.h"
+#include "tests/fakes/site.h"
+#include "tests/loopback.h"
+#include "tests/quiet.h"
+#include "tests/unit.h"
+
+#include <string.h>
+#include <talloc.h>
+
+enum
+{
+  ABANDONED_AFTER_MS = 1850,
+  LEFT_AFTER_MS = 600,
+  CLOSE_MS = 300,
+  CALLERS = 3
+};
+
+struct caller
+{
+  bool is_done;
+  uint32_t status;
+};
+
+static struct site site;
+
+static void
+handle_done (void *ctx, struct bd_http_call *call,
+             const struct bd_http_result *result)
+{
+  struct caller *caller = ctx;
+
+  (void)result;
+  caller->status = bd_http_call_status (call);
+  caller->is_done = true;
+}
+
+static const struct bd_http_call_ops caller_ops = { .done = handle_done };
+
+/* Sends a request whose caller leaves after a time.  */
+static void
+start_caller (struct caller *caller, uint32_t leaves_after_ms)
+{
+  static uint32_t serial;
+  char id[32];
+  char url[64];
+  const struct bd_http_header_field headers[]
+      = { { "Host", "h.example" },
+          { "Attempt-Id", id },
+          { "Deadline-Ms", "4000" },
+          { "Authorization", "Bearer k1" },
+          { "Model", "m" },
+          { "Token-Usage", "100,12" },
+          { NULL, NULL } };
+  struct bd_http_request request = { .method = "POST",
+                                     .url = url,
+                                     .headers = headers,
+                                     .timeout_ms = leaves_after_ms };
+
+  memset (caller, 0, sizeof *caller);
+  snprintf (id, sizeof id, "c%x", ++serial);
+  snprintf (url, sizeof url, "http://%s:%u/stream/x", loopback_address (),
+            site.daemon_port);
+  bd_http_send (&site.client, &request, &caller_ops, caller);
+}
+
+static void
+start_site (enum worker_mode mode)
+{
+  site_start (&site, 0, 4);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_has_groups, 10000));
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    site.workers[i].mode = mode;
+}
+
+static uint64_t
+run_callers (uint32_t leave_after_ms, uint32_t *unanswered)
+{
+  static struct caller callers[CALLERS];
+
+  for (uint32_t i = 0; i < CALLERS; i++)
+    start_caller (&callers[i], leave_after_ms);
+  site_wait (&site, leave_after_ms + CLOSE_MS);
+  *unanswered = 0;
+  for (uint32_t i = 0; i < CALLERS; i++)
+    {
+      CU_ASSERT_TRUE (callers[i].is_done);
+      *unanswered += callers[i].status == 0;
+    }
+  return site.edge->counters.value[BD_COUNT_CALLERS_ABANDONED];
+}
+
+static void
+test_caller_without_a_first_event_counts_like_one_that_left (void)
+{
+  uint32_t unanswered;
+
+  start_site (WORKER_UNRESPONSIVE);
+  CU_ASSERT_EQUAL (run_callers (LEFT_AFTER_MS, &unanswered), 0);
+  CU_ASSERT_EQUAL (unanswered, CALLERS);
+  CU_ASSERT_EQUAL (site.edge->counters.value[BD_COUNT_CALLERS_DISCONNECTED],
+                   CALLERS);
+  CU_ASSERT_EQUAL (run_callers (ABANDONED_AFTER_MS, &unanswered), unanswered);
+  CU_ASSERT_EQUAL (site.edge->counters.value[BD_COUNT_CALLERS_DISCONNECTED],
+                   CALLERS);
+  site_finish (&site);
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[] = {
+    { "caller without a first event counts like one that left",
+      test_caller_without_a_first_event_counts_like_one_that_left },
+  };
+
+  unit_silence_log ();
+  return UNIT_RUN ("edge patience", tests);
+}
--- a/src/edge/ingress.c
+++ b/src/edge/ingress.c
@@ -156,6 +156,7 @@
   request->is_idempotent = bd_route_is_idempotent (route);
   request->objective_ms = route->objective_ms;
   request->gap_objective_ms = route->gap_objective_ms;
+  request->caller_gap_ms = route->caller_gap_ms;
   request->priority = account != NULL && account->has_priority
                           ? account->priority
                           : route->priority;
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -89,18 +89,20 @@
   {
     const char *name;
     enum bd_counter counter;
-  } cuts[]
-      = { [BD_EDGE_CUT_BY_CALLER]
-          = { "caller", BD_COUNT_CALLERS_DISCONNECTED },
-          [BD_EDGE_CUT_BY_SWEEP] = { "sweep", BD_COUNT_CUT_BY_SWEEP },
-          [BD_EDGE_CUT_BY_STOP] = { "stop", BD_COUNT_CUT_BY_STOP },
-          [BD_EDGE_CUT_BY_DEADLINE] = { "deadline", BD_COUNT_CUT_BY_DEADLINE },
-          [BD_EDGE_CUT_BY_FAILURE] = { "failure", BD_COUNT_CUT_BY_FAILURE } };
+  } cuts[] = {
+    [BD_EDGE_CUT_BY_CALLER] = { "caller", BD_COUNT_CALLERS_DISCONNECTED },
+    [BD_EDGE_CUT_ABANDONED] = { "abandoned", BD_COUNT_CALLERS_ABANDONED },
+    [BD_EDGE_CUT_BY_SWEEP] = { "sweep", BD_COUNT_CUT_BY_SWEEP },
+    [BD_EDGE_CUT_BY_STOP] = { "stop", BD_COUNT_CUT_BY_STOP },
+    [BD_EDGE_CUT_BY_DEADLINE] = { "deadline", BD_COUNT_CUT_BY_DEADLINE },
+    [BD_EDGE_CUT_BY_FAILURE] = { "failure", BD_COUNT_CUT_BY_FAILURE }
+  };
   struct bd_edge *edge = request->edge;
   int64_t now_ms = bd_edge_now_ms (edge);
 
   bd_count (&edge->counters, cuts[cut].counter);
-  (cut == BD_EDGE_CUT_BY_CALLER ? bd_log_detail : bd_log) (
+  (cut == BD_EDGE_CUT_BY_CALLER || cut == BD_EDGE_CUT_ABANDONED ? bd_log_detail
+                                                                : bd_log) (
       "cut", "id", request->attempt_id, "by", cuts[cut].name, "phase",
       phase_of (request), "route", request->route, "endpoint",
       request->attempt != NULL ? request->endpoint : "", "after_ms",
@@ -110,6 +112,31 @@
       BD_NUM (edge->routes->version), NULL);
 }
 
+int64_t
+bd_edge_caller_end_ms (const struct bd_edge_request *request)
+{
+  int64_t last_ms = request->has_stream_begun ? request->last_forwarded_ms
+                                              : request->received_ms;
+
+  return bd_patience_end_ms (last_ms, request->caller_gap_ms,
+                             request->deadline_ms);
+}
+
+/* Why the connection of a request ended that has no whole response.  */
+static enum bd_edge_cut
+cut_of (const struct bd_edge_request *request)
+{
+  int64_t now_ms = bd_edge_now_ms (request->edge);
+
+  if (bd_http_is_swept (request->exchange))
+    return BD_EDGE_CUT_BY_SWEEP;
+  return !request->has_stream_begun
+                 && bd_patience_has_ended (request->received_ms,
+                                           request->caller_gap_ms, now_ms)
+             ? BD_EDGE_CUT_ABANDONED
+             : BD_EDGE_CUT_BY_CALLER;
+}
+
 void
 bd_edge_handle_disconnect (struct bd_edge *edge,
                            struct bd_http_exchange *exchange)
@@ -123,9 +150,7 @@
               bd_http_is_swept (exchange) ? "sweep" : "caller", NULL);
       return;
     }
-  bd_edge_note_cut (request, bd_http_is_swept (exchange)
-                                 ? BD_EDGE_CUT_BY_SWEEP
-                                 : BD_EDGE_CUT_BY_CALLER);
+  bd_edge_note_cut (request, cut_of (request));
   request->exchange = NULL;
   exchange->user = NULL;
   bd_edge_request_end (request);
--- a/src/routes/routes.h
+++ b/src/routes/routes.h
@@ -48,8 +48,11 @@
   uint32_t timeout_ms;
   uint32_t objective_ms;     /* Latency of the response or first event.  */
   uint32_t gap_objective_ms; /* Time between events; 0 for none.  */
-  uint32_t max_attempts;     /* Maximum runs of one request.  */
-  uint32_t priority;         /* 0 is the most urgent.  */
+  /* Time without an event after which the caller of a stream leaves; 0 for
+     other kinds.  */
+  uint32_t caller_gap_ms;
+  uint32_t max_attempts; /* Maximum runs of one request.  */
+  uint32_t priority;     /* 0 is the most urgent.  */
   struct bd_route_split splits[BD_ROUTE_MAX_SPLITS];
   uint32_t split_count;
 };
