admission: a waiting request is given up before its caller leaves

What callers saw: neither an answer nor a refusal. A stream waited for a target by its whole deadline, and was sent when its caller was about to leave, or never, while callers of streams leave after two seconds or a little more.

Cause: queue and refusal went by deadline_ms; only broken streams had a bound, a fixed 1,700 ms after the last data of any attempt.

Change: bd_edge_caller_end_ms() says until when a caller waits for its next event. A request waits only as long as a response can come by then, and is refused as not run when it cannot, at once if it has no target on arrival. A resumed stream has the same bound, from the last event that its caller has.

Ruled out: the limit of 0.3 of the deadline, which ends a wait sooner only for deadlines below 6 s, and begins again with each wait.

edge_patience_test, "waiting caller leaves before it is refused": 2 of 17 checks failed before, none after. Passed once, four programs at a time: all programs of edge, admission and platform, and story_test.

Still open: requests that were sent and are not answered in time, and daemons that take a request over, which count from its arrival there.

--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -8,11 +8,8 @@
 {
   /* Lower limit of the Retry-After of refused requests.  */
   MIN_RETRY_AFTER_MS = 200,
-  /* Callers give up a stream after a gap of 2 s, so a broken one has to resume
-     before that.  */
-  MAX_RESUME_WAIT_MS = 1700,
-  /* A waiting request is given up this long before its deadline, because no
-     response can arrive in time.  */
+  /* A waiting request is given up this long before its caller leaves, in
+     addition to the time until a target responds.  */
   MIN_RESPONSE_MS = 30
 };
 
@@ -58,11 +55,15 @@
 {
   int64_t total_ms = request->deadline_ms - request->received_ms;
   int64_t wait_ms = (int64_t)(max_wait_fraction * (double)total_ms);
-  int64_t left_ms = request->deadline_ms - MIN_RESPONSE_MS - since_ms;
+  int64_t left_ms = bd_patience_left_ms (
+      bd_edge_caller_end_ms (request) - MIN_RESPONSE_MS,
+      request->kind == BD_ROUTE_STREAM ? bd_edge_estimate_response_ms (request)
+                                       : 0,
+      since_ms);
 
   if (request->has_stream_begun)
-    wait_ms = request->last_event_ms + MAX_RESUME_WAIT_MS - since_ms;
-  else if (wait_ms < (int64_t)request->objective_ms)
+    return left_ms;
+  if (wait_ms < (int64_t)request->objective_ms)
     wait_ms = request->objective_ms;
   return wait_ms < left_ms ? wait_ms : left_ms;
 }
@@ -137,14 +138,16 @@
 
 /* Whether a request that has no target now is refused at once: the daemon that
    has handed it over can try another one, this one ends, its links are lost
-   and no other daemon is about to take it, or the limits allow it too late. */
+   and no other daemon is about to take it, the limits allow it too late, or
+   its caller leaves before a response can come.  */
 static bool
 is_hopeless (const struct bd_edge_request *request)
 {
   return (request->is_taken_over && !request->is_last_resort)
          || !bd_edge_can_complete (request)
          || (has_lost_links (request) && !bd_edge_awaits_daemon (request))
-         || is_over_limits (request);
+         || is_over_limits (request)
+         || max_wait_ms (request, bd_edge_now_ms (request->edge)) <= 0;
 }
 
 static void
--- a/src/edge/edge_patience_test.c
+++ b/src/edge/edge_patience_test.c
@@ -12,6 +12,9 @@
 
 enum
 {
+  STREAM_ROUTE = 2,
+  CALLER_GAP_MS = 2000, /* Of the site's stream route.  */
+  LONG_TIMEOUT_MS = 20000,
   ABANDONED_AFTER_MS = 1850,
   LEFT_AFTER_MS = 600,
   CLOSE_MS = 300,
@@ -49,7 +52,7 @@
   const struct bd_http_header_field headers[]
       = { { "Host", "h.example" },
           { "Attempt-Id", id },
-          { "Deadline-Ms", "4000" },
+          { "Deadline-Ms", "20000" },
           { "Authorization", "Bearer k1" },
           { "Model", "m" },
           { "Token-Usage", "100,12" },
@@ -75,6 +78,23 @@
     site.workers[i].mode = mode;
 }
 
+static bool
+has_version (struct site *s)
+{
+  return s->edge->routes->version == s->version;
+}
+
+static void
+set_timeout (uint32_t timeout_ms)
+{
+  json_t *routes = json_object_get (site.config, "Routes");
+
+  json_object_set_new (json_array_get (routes, STREAM_ROUTE), "TimeoutMs",
+                       json_integer (timeout_ms));
+  site_publish (&site);
+  CU_ASSERT_TRUE (site_run (&site, has_version, 3000));
+}
+
 static uint64_t
 run_callers (uint32_t leave_after_ms, uint32_t *unanswered)
 {
@@ -108,12 +128,30 @@
   site_finish (&site);
 }
 
+static void
+test_waiting_caller_leaves_before_it_is_refused (void)
+{
+  struct caller caller;
+
+  site_start (&site, 0, 1);
+  CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, 10000));
+  set_timeout (LONG_TIMEOUT_MS);
+  start_caller (&caller, CALLER_GAP_MS);
+  site_wait (&site, CALLER_GAP_MS + CLOSE_MS);
+  CU_ASSERT_TRUE (caller.is_done);
+  CU_ASSERT_EQUAL (caller.status, 503);
+  CU_ASSERT_EQUAL (site.edge->counters.value[BD_COUNT_CALLERS_ABANDONED], 0);
+  site_finish (&site);
+}
+
 int
 main (void)
 {
   static const struct unit_test tests[] = {
     { "caller without a first event counts like one that left",
       test_caller_without_a_first_event_counts_like_one_that_left },
+    { "waiting caller leaves before it is refused",
+      test_waiting_caller_leaves_before_it_is_refused },
   };
 
   unit_silence_log ();
