fleet: a late report of an unlisted leader is not older than the list

A group that was closed since its leader had left the list was never told to leave if the leader finished while its state was not confirmed (a new term, or another controller): the report "ready" counted as older than the last entry, "open" or "closing", and no further entry could correct that. Its members were stranded until the leader ended.

A report to a probe that was sent a second after an endpoint was removed from the list is newer than what the list has shown.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -15,6 +15,8 @@
   RELISTING_MS = 2200,
   /* Shortest assumed time until an entry expires: three missed heartbeats.  */
   MIN_ENTRY_TTL_MS = 2500,
+  /* Upper limit of the age of what a report shows.  */
+  MAX_REPORT_AGE_MS = 1000,
   /* An endpoint is dead after this number of reports in a row that are of an
      earlier incarnation: for a moment, reports are older than the list.  */
   MISSES_BY_EARLIER_REPORTS = 4
@@ -326,6 +328,17 @@
          > 0;
 }
 
+/* Whether a report, answered to a probe of this time, can be older than what
+   the list has shown.  The list shows nothing of an endpoint after it has been
+   removed.  */
+static bool
+can_be_older_than_list (const struct bd_fleet_endpoint *endpoint,
+                        int64_t probe_sent_ms)
+{
+  return endpoint->is_listed
+         || probe_sent_ms - endpoint->delisted_ms < MAX_REPORT_AGE_MS;
+}
+
 /* Applies the membership of a report whose version is not older than the
    confirmed one.  A report can still be older than the list, which has no
    versions.  */
@@ -344,6 +357,7 @@
       = confirmed->is_current && report->version > confirmed->version;
   bool is_behind = reported->state != BD_MEMBER_NONE && !is_newer
                    && !has_closed
+                   && can_be_older_than_list (endpoint, probe_sent_ms)
                    && (reported->epoch < known->epoch
                        || (is_in_same_group (reported, known)
                            && reported->state < known->state));
--- a/src/replicas/replicas_test.c
+++ b/src/replicas/replicas_test.c
@@ -1160,6 +1160,87 @@
     }
 }
 
+/* The leader of a group with an unlisted member finishes while its state is
+   not confirmed: its last entry shows it open or closing.  */
+static void
+check_unlisted_beside_new_term (uint32_t rank, bool is_known_open)
+{
+  enum
+  {
+    END_MS = 10000,
+    SERVING_MS = 30000
+  };
+
+  for (int64_t delay_ms = 1500; delay_ms <= 2000; delay_ms += POOL_STEP_MS)
+    {
+      const struct pool_member *leader;
+      struct bd_fleet_endpoint *view;
+      uint32_t unlisted;
+      int64_t epoch;
+      int64_t end_ms;
+
+      start_serving (90 + rank, 1500);
+      pool.report_lag_ms = 200;
+      pool.engine.report_lag_ms = 200;
+      unlisted = find_member ("large", rank, 0);
+      leader = pool_find (&pool, pool.members[unlisted].leader);
+      epoch = leader->entry.member.epoch;
+      pool_delist_instance (&pool, unlisted, SERVING_MS);
+      pool_run (&pool, delay_ms);
+      bd_fleet_forget_confirmed (&pool.fleet, "a");
+      view = bd_fleet_endpoint (&pool.fleet, leader->entry.id);
+      if (is_known_open && leader->entry.member.epoch == epoch
+          && leader->entry.member.state != BD_MEMBER_NONE)
+        {
+          view->entry.member.state = BD_MEMBER_OPEN;
+          view->confirmed.version = 0;
+        }
+      bd_replicas_init (&pool.replicas, ++pool.term, pool.engine.loads_per_s,
+                        pool.engine.loads_at_once, pool.rng, pool.now_ms);
+      end_ms = pool.now_ms + END_MS;
+      while (pool.now_ms < end_ms && leader->entry.member.epoch == epoch
+             && leader->entry.member.state != BD_MEMBER_NONE)
+        pool_run (&pool, POOL_STEP_MS);
+      CU_ASSERT_TRUE (pool.now_ms < end_ms);
+      CU_ASSERT_EQUAL (pool.cut_groups, 0);
+      check_invariants ();
+      pool_finish (&pool);
+    }
+}
+
+static void
+test_new_term_keeps_closed_group_with_unlisted_leader (void)
+{
+  check_unlisted_beside_new_term (0, false);
+  check_unlisted_beside_new_term (0, true);
+  check_unlisted_beside_new_term (1, false);
+}
+
+/* A member drains after an order to open that got no reply.  */
+static void
+test_unanswered_open_cuts_running_requests (void)
+{
+  for (int64_t delay_ms = 0; delay_ms <= 700; delay_ms += POOL_STEP_MS)
+    {
+      const struct pool_member *leader;
+
+      pool_init (&pool, 2, 10, 50);
+      pool.list_lag_ms = 700;
+      pool.report_lag_ms = 150;
+      pool.engine.report_lag_ms = 150;
+      pool.loses_open_results = true;
+      leader = run_until_opening ();
+      pool.has_traffic = true;
+      pool.work_ms = 1000;
+      pool_run (&pool, delay_ms);
+      pool_find (&pool, leader->members[1])->entry.is_draining = true;
+      pool_run (&pool, 8000);
+      CU_ASSERT_EQUAL (pool.cut_groups, 0);
+      check_invariants ();
+      pool_finish (&pool);
+    }
+}
+
 int
 main (void)
 {
@@ -1228,6 +1309,10 @@
       test_new_controller_cuts_group_that_opens },
     { "new controller cuts group whose member is listed late",
       test_new_controller_cuts_group_whose_member_is_listed_late },
+    { "new term keeps closed group with unlisted leader",
+      test_new_term_keeps_closed_group_with_unlisted_leader },
+    { "unanswered open cuts running requests",
+      test_unanswered_open_cuts_running_requests },
   };
 
   return UNIT_RUN ("replicas", tests);
--- a/tests/fakes/pool.c
+++ b/tests/fakes/pool.c
@@ -587,6 +587,8 @@
     };
   else
     result = handle_order (pool, member, order, pool->replicas.first_epoch);
+  if (pool->loses_open_results && order->kind == BD_ORDER_OPEN)
+    result = BD_ORDER_UNANSWERED;
   bd_replicas_apply_result (&pool->replicas, &pool->fleet, order, result,
                             pool->now_ms);
 }
--- a/tests/fakes/pool.h
+++ b/tests/fakes/pool.h
@@ -84,7 +84,8 @@
     /* The list shows entries that are up to this old, each instance's with an
        age of its own; at most POOL_MAX_LAG_MS.  */
     int64_t list_lag_ms;
-    int64_t report_lag_ms; /* Age of what a report shows.  */
+    int64_t report_lag_ms;   /* Age of what a report shows.  */
+    bool loses_open_results; /* Orders to open are executed without a reply. */
     /* Other daemons' requests on a group count for this long after its last
        progress.  */
     int64_t counts_lag_ms;
