traffic: requests without progress do not count as progress

No progress has an age of its own now. Property "requests without progress count as progress": falsified after one case without the check -> 200 cases hold.

--- a/src/edge/peers.c
+++ b/src/edge/peers.c
@@ -178,7 +178,7 @@
           .target = group->hash,
           .in_flight = group->in_flight,
           .prefill_ms = (uint32_t)group->prefill_ms,
-          .progress_age_ms = (uint32_t)(now_ms - group->progress_ms),
+          .progress_age_ms = bd_traffic_age_ms (group->progress_ms, now_ms),
         };
     }
   return count;
--- a/src/traffic/traffic.c
+++ b/src/traffic/traffic.c
@@ -38,7 +38,10 @@
     {
       const struct bd_target_traffic *target = &source->report.targets[i];
       struct sum *sum = find_or_add_sum (traffic, target->target);
-      int64_t progress_ms = source->received_ms - target->progress_age_ms;
+      int64_t progress_ms
+          = target->progress_age_ms == BD_TRAFFIC_NO_PROGRESS
+                ? 0
+                : source->received_ms - target->progress_age_ms;
 
       sum->source_count++;
       sum->load.in_flight += target->in_flight;
@@ -193,13 +196,21 @@
   return load;
 }
 
+uint32_t
+bd_traffic_age_ms (int64_t progress_ms, int64_t now_ms)
+{
+  if (progress_ms <= 0 || now_ms - progress_ms >= BD_TRAFFIC_NO_PROGRESS)
+    return BD_TRAFFIC_NO_PROGRESS;
+  return now_ms > progress_ms ? (uint32_t)(now_ms - progress_ms) : 0;
+}
+
 static void
 add_target (struct bd_traffic_report *report, uint64_t target,
             const struct bd_traffic_load *load, uint32_t max_targets,
             int64_t now_ms)
 {
   struct bd_target_traffic *found = NULL;
-  uint32_t age_ms = (uint32_t)(now_ms - load->progress_ms);
+  uint32_t age_ms = bd_traffic_age_ms (load->progress_ms, now_ms);
 
   for (uint32_t i = 0; i < report->target_count && found == NULL; i++)
     if (report->targets[i].target == target)
@@ -210,7 +221,8 @@
         return;
       found = &report->targets[report->target_count++];
       *found = (struct bd_target_traffic){ .target = target,
-                                           .progress_age_ms = UINT32_MAX };
+                                           .progress_age_ms
+                                           = BD_TRAFFIC_NO_PROGRESS };
     }
   found->in_flight += load->in_flight;
   found->prefill_ms += load->prefill_ms;
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -12,13 +12,17 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Age of the progress of a target that has made none.  */
+#define BD_TRAFFIC_NO_PROGRESS UINT32_MAX
+
 /* Traffic with one group or endpoint.  */
 struct bd_target_traffic
 {
   uint64_t target; /* Hash of group and epoch, or of the endpoint.  */
   uint32_t in_flight;
-  uint32_t prefill_ms;      /* Expected time of the running prefills.  */
-  uint32_t progress_age_ms; /* Since the last event or response.  */
+  uint32_t prefill_ms; /* Expected time of the running prefills.  */
+  /* Since the last event or response, or BD_TRAFFIC_NO_PROGRESS.  */
+  uint32_t progress_age_ms;
 };
 
 /* Load that callers put on one model.  */
@@ -56,6 +60,10 @@
 void bd_traffic_init (struct bd_traffic *traffic);
 void bd_traffic_finish (struct bd_traffic *traffic);
 
+/* bd_traffic_age_ms(): returns the age to report of the last progress, at
+   progress_ms; 0 for none.  */
+uint32_t bd_traffic_age_ms (int64_t progress_ms, int64_t now_ms);
+
 /* bd_traffic_report(): replaces the report of a source, which is copied.  */
 void bd_traffic_report (struct bd_traffic *traffic, uint64_t source,
                         const struct bd_traffic_report *report,
--- a/src/traffic/traffic_properties.cc
+++ b/src/traffic/traffic_properties.cc
@@ -1,7 +1,6 @@
 /* Properties of the sums: after any sequence of reports and expiries they
    equal the sum over the last report of each source, with and without one of
-   them.
- */
+   them.  */
 
 #include <glib.h>
 
@@ -115,5 +114,46 @@
     bd_traffic_finish (&traffic);
   });
 
+  is_ok = rc::check ("requests without progress count as progress",
+                     [] () {
+                       enum
+                       {
+                         REPORTER_NOW_MS = 5000,
+                         TARGET = 1
+                       };
+                       struct bd_traffic traffic;
+                       struct bd_target_traffic target = {};
+                       struct bd_target_traffic passed_on = {};
+                       struct bd_traffic_report report = {};
+                       struct bd_traffic_report sum = {};
+                       auto now_ms = *rc::gen::inRange<int64_t> (1, 100000000);
+                       auto progress_ms
+                           = *rc::gen::inRange<int64_t> (0, REPORTER_NOW_MS);
+
+                       target.target = TARGET;
+                       target.in_flight = 1;
+                       target.progress_age_ms
+                           = bd_traffic_age_ms (progress_ms, REPORTER_NOW_MS);
+                       report.targets = &target;
+                       report.target_count = 1;
+                       sum.targets = &passed_on;
+                       bd_traffic_init (&traffic);
+                       bd_traffic_report (&traffic, 1, &report, now_ms);
+                       bd_traffic_add_to (&traffic, 0, &sum, 1, 0, now_ms);
+                       RC_ASSERT (sum.target_count == 1U);
+                       if (progress_ms == 0)
+                         RC_ASSERT (
+                             bd_traffic_load (&traffic, TARGET, 0).progress_ms
+                             == 0);
+                       if (progress_ms == 0)
+                         RC_ASSERT (passed_on.progress_age_ms
+                                    == BD_TRAFFIC_NO_PROGRESS);
+                       else if (now_ms > REPORTER_NOW_MS)
+                         RC_ASSERT (passed_on.progress_age_ms
+                                    == target.progress_age_ms);
+                       bd_traffic_finish (&traffic);
+                     })
+          && is_ok;
+
   return is_ok ? 0 : 1;
 }
