--- a/tests/paths/daemons_stall_in_drain.sh
+++ b/tests/paths/daemons_stall_in_drain.sh
@@ -7,7 +7,7 @@
 start_system token_ms=5
 
 leaving=$(get "$A/burdockdale/state" | jq -r '[.groups[] | select(.service == "drafts")][0].members[2]')
-for i in 1 2 3 4 5 6; do post_stream "$B" "long $i" 1000 >"$WORK/stream-$i" & done
+for i in 1 2 3 4 5 6; do post_stream "$B" "long $i" 800 >"$WORK/stream-$i" & done
 sleep 0.3
 set_instance_state "$leaving" leaving
 is_draining () { get "$A/burdockdale/state" | jq -e '[.groups[] | select(.gate == "draining")] | length == 1'; }
@@ -21,7 +21,7 @@
 for job in $(jobs -p); do [[ " ${PIDS[*]} " == *" $job "* ]] || wait "$job"; done
 check "no stream was started a second time" is_equal "$(engine_events | jq '[.[] | select(.event == "started")] | length')" 6
 for i in 1 2 3 4 5 6; do
-  check "stream $i is complete" is_equal "$(grep -c '"text":' "$WORK/stream-$i")" 1000
+  check "stream $i is complete" is_equal "$(grep -c '"text":' "$WORK/stream-$i")" 800
   check "stream $i has the [DONE] event" grep -q DONE "$WORK/stream-$i"
 done
 is_free () { is_equal "$(get "$A/burdockdale/state" | jq --arg m "$1" '[.groups[].members[] | select(. == $m)] | length')" 0; }
--- a/tests/paths/unlisted_leader_serves.sh
+++ b/tests/paths/unlisted_leader_serves.sh
@@ -9,7 +9,7 @@
 check "daemon a is the controller" is_equal "$(get "$A/burdockdale/state" | jq .group_keeper)" true
 group=$(get "$B/burdockdale/state" | jq -r '[.groups[] | select(.service == "drafts")][0]')
 leader=$(jq -r '.members[0]' <<<"$group")
-for i in 1 2 3 4 5 6; do post_stream "$B" "long $i" 1000 >"$WORK/stream-$i" & done
+for i in 1 2 3 4 5 6; do post_stream "$B" "long $i" 600 >"$WORK/stream-$i" & done
 sleep 0.3
 check "the leader serves streams" test "$(get "$(engine_url "$(engine_index "$leader")")/state" | jq .running)" -gt 0
 INSTANCES=$(jq -c --arg n "$leader" 'map(select(.name != $n))' <<<"$INSTANCES")
@@ -19,7 +19,7 @@
 check "no stream was started a second time" is_equal "$(jq '[.[] | select(.event == "started")] | length' "$WORK/record")" 6
 check "every stream finishes where it was started" is_equal "$(jq '[.[] | select(.event == "finished")] | length' "$WORK/record")" 6
 for i in 1 2 3 4 5 6; do
-  check "stream $i is complete" is_equal "$(grep -c '"text":' "$WORK/stream-$i")" 1000
+  check "stream $i is complete" is_equal "$(grep -c '"text":' "$WORK/stream-$i")" 600
   check "stream $i has the [DONE] event" grep -q DONE "$WORK/stream-$i"
 done
 is_free () { is_equal "$(get "$A/burdockdale/state" | jq --arg m "$1" '[.groups[].members[] | select(. == $m)] | length')" 0; }
