tests: planned_stops stops the daemon only when its requests are in flight

Nothing changes for callers.

The test slept 0.3 s between the start of its background requests and the SIGTERM. A request that comes after the signal gets the 503 that the daemon owes it (stopping, not-run), so its stream has no line and its booking no key. If all of them come late, the daemon has nothing to finish: it closes STOP_NOTICE_MS (300 ms) after the signal, and the request that should be rejected finds no listener (curl prints 000).

The test now waits, at most 40 polls, until the service runs the booking and the engines serve all three streams, and fails otherwise. Before the rollout it waits for the four streams. The streams have 600 tokens instead of 250, and the booking takes 1500 ms instead of 700, so that they still run when the signal comes. This is stricter: a request that begins late or ends early no longer passes; all 26 checks stay, two are added.

--- a/tests/paths/planned_stops.sh
+++ b/tests/paths/planned_stops.sh
@@ -5,14 +5,22 @@
 . "$(dirname "$0")/common.sh"
 start_system
 
-set_faults "$LEAGUE" '{"slow_ms":700}'
-for i in 1 2 3; do post_stream "$A" "stop $i" 250 >"$WORK/stop-$i" & done
+# are_streams_in_flight COUNT: whether the engines serve exactly COUNT streams.
+are_streams_in_flight () {
+  is_equal "$(engine_events | jq '[.[].event] | (map(select(. == "started")) | length) - (map(select(. == "finished")) | length)')" "$1"
+}
+are_requests_in_flight () {
+  is_equal "$(get "$LEAGUE/state" | jq .running)" 1 && are_streams_in_flight 3
+}
+
+set_faults "$LEAGUE" '{"slow_ms":1500}'
+for i in 1 2 3; do post_stream "$A" "stop $i" 600 >"$WORK/stop-$i" & done
 post -D "$WORK/slow-head" -H 'Idempotency-Key: slow' -d '{}' "$A/league/bookings" >"$WORK/slow" &
 exec {kept}<>"/dev/tcp/$HOST/$((BASE_PORT + 1))"
 printf 'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n' >&"$kept"
 read -r -t 2 -u "$kept" line
 check "a kept connection works" is_equal "${line%$'\r'}" "HTTP/1.1 200 OK"
-sleep 0.3
+check "the streams and the booking are in flight before the stop" wait_until 2 are_requests_in_flight
 kill -TERM "${PIDS[a]}"
 sleep 0.15
 check "daemon a reports not ready at once" is_equal "$(get -o /dev/null -w '%{http_code}' "$A/readyz")" 503
@@ -25,7 +33,7 @@
 unset "PIDS[a]"
 check "exit code 0" is_equal "$code" 0
 for i in 1 2 3; do
-  check "stream $i is complete" is_equal "$(grep -c '"text":' "$WORK/stop-$i")" 250
+  check "stream $i is complete" is_equal "$(grep -c '"text":' "$WORK/stop-$i")" 600
   check "stream $i has the [DONE] event" grep -q DONE "$WORK/stop-$i"
 done
 check "the booking gets its response" is_equal "$(jq -r .key "$WORK/slow")" slow
@@ -39,7 +47,7 @@
 
 write_services 2
 for i in 1 2 3 4; do post_stream "$A" "roll $i" 400 >"$WORK/roll-$i" & done
-sleep 0.2
+check "the streams are in flight before the rollout" wait_until 2 are_streams_in_flight 4
 publish >"$WORK/publish-2.log" 2>&1 || fail "publish"
 are_groups_at_version_2 () { [ "$(get "$A/burdockdale/state" | jq '[.groups[] | select(.version == "2" and .gate == "open")] | length')" = 2 ]; }
 lowest=2
