tests: endpoint_silent silences its endpoints all at once

The script froze and thawed ten engines one after the other, so that each was silent for 1.1 s and the time of the other nine calls. A silence of that length is a loss, not the case that is tested.

All are frozen and thawed at once now, as the comment of the test says: 1.1 s. No check changed.

--- a/tests/paths/endpoint_silent.sh
+++ b/tests/paths/endpoint_silent.sh
@@ -5,12 +5,21 @@
 . "$(dirname "$0")/common.sh"
 start_system
 
+# set_frozen VALUE ENGINE...: all at once, so that each is silent for as long.
+set_frozen () {
+  local value=$1 i pids=()
+  shift
+  for i in "$@"; do
+    set_faults "$(engine_url "$i")" "{\"freeze\":$value}" &
+    pids+=($!)
+  done
+  wait "${pids[@]}"
+}
 # silence ENGINE...: the engines do nothing for 1.1 s.
 silence () {
-  local i
-  for i in "$@"; do set_faults "$(engine_url "$i")" '{"freeze":true}'; done
+  set_frozen true "$@"
   sleep 1.1
-  for i in "$@"; do set_faults "$(engine_url "$i")" '{"freeze":false}'; done
+  set_frozen false "$@"
 }
 # check_stream NAME ENGINE...: a stream is whole though the engines are silent.
 check_stream () {
