--- a/src/groups/controller_internal.h
+++ b/src/groups/controller_internal.h
@@ -22,7 +22,7 @@
                             const struct bd_instance_state *instance,
                             int64_t now_ms);
 
-/* Notes that the controller runs at now_ms, to tell its own stalls.  */
+/* Notes that the controller runs at now_ms, to detect its own stalls.  */
 void bd_controller_note_run (struct bd_controller *controller, int64_t now_ms);
 
 /* Whether the instance can serve the service: in its pool and usable.  */
--- a/src/groups/groups_test.c
+++ b/src/groups/groups_test.c
@@ -653,7 +653,7 @@
 }
 
 /* Changes the members of a service from 2 to 3, and its version.  Returns the
-   lowest number of groups that took calls meanwhile.  */
+   lowest number of groups that took calls in that time.  */
 static uint32_t
 resize_groups (struct sim *sim, uint32_t instances, const char *version)
 {
--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -466,7 +466,7 @@
 }
 
 /* Whether a group of an earlier controller lacks a member here and has been
-   known for too short a time to tell whether it serves.  */
+   known for too short a time to know whether it serves.  */
 static bool
 is_newly_known (const struct bd_replicas_step *step,
                 const struct bd_fleet_group *group)
@@ -490,7 +490,7 @@
 /* Whether the leader, which was last seen ready, can have accepted an order to
    open that no report has shown the end of: one of this controller, or one of
    an earlier controller, or one without an answer, which have led to the
-   version that it was first seen with.  Requests the report that tells.
+   version that it was first seen with.  Requests a report that shows it.
    Before traffic a group that opens has no requests to lose.  */
 static bool
 can_be_opening (const struct bd_replicas_step *step,
