--- a/src/edge/edge_leave_test.c
+++ b/src/edge/edge_leave_test.c
@@ -44,24 +44,12 @@
 static uint32_t refused_count;
 static int64_t longest_ms;
 
-static bool
-is_stream_whole (const struct site_call *call)
-{
-  char expected[512] = "";
-
-  for (int i = 1; i <= STREAM_EVENTS; i++)
-    snprintf (expected + strlen (expected),
-              sizeof expected - strlen (expected), "id: %d\ndata: e%d\n\n", i,
-              i);
-  return call->is_complete && strcmp (call->body, expected) == 0;
-}
-
 static void
 note_call (const struct site_call *call)
 {
   if (call->status != 200)
     refused_count++;
-  else if (is_stream_whole (call))
+  else if (site_is_stream_whole (call, STREAM_EVENTS))
     whole_count++;
   else
     cut_count++;
@@ -230,30 +218,37 @@
   site_finish (&site);
 }
 
+static struct site_worker *
+worker_of_first_group (bool is_leader)
+{
+  struct site_worker *leader = leader_of_group (0);
+
+  return is_leader ? leader : other_member (leader);
+}
+
 static void
-test_removed_entry_of_member_cuts_streams (void)
+check_removed_entry (bool is_leader)
 {
-  struct site_worker *member;
+  struct site_worker *worker;
 
   start (1);
-  member = other_member (leader_of_group (0));
-  set_listed (member, false);
+  worker = worker_of_first_group (is_leader);
+  set_listed (worker, false);
   serve (SERVING_MS);
-  member->is_down = true;
+  worker->is_down = true;
   finish (GROUPS - 1);
 }
 
 static void
-test_removed_entry_of_leader_cuts_streams (void)
+test_removed_entry_of_member_cuts_streams (void)
 {
-  struct site_worker *leader;
+  check_removed_entry (false);
+}
 
-  start (1);
-  leader = leader_of_group (0);
-  set_listed (leader, false);
-  serve (SERVING_MS);
-  leader->is_down = true;
-  finish (GROUPS - 1);
+static void
+test_removed_entry_of_leader_cuts_streams (void)
+{
+  check_removed_entry (true);
 }
 
 static void
@@ -298,9 +293,7 @@
   struct site_worker *worker;
 
   start (1);
-  worker = leader_of_group (0);
-  if (!is_leader)
-    worker = other_member (worker);
+  worker = worker_of_first_group (is_leader);
   set_listed (worker, false);
   serve (ABSENT_MS);
   set_listed (worker, true);
@@ -369,9 +362,7 @@
   struct site_worker *worker;
 
   start (1);
-  worker = leader_of_group (0);
-  if (!is_leader)
-    worker = other_member (worker);
+  worker = worker_of_first_group (is_leader);
   set_listed (worker, false);
   serve (SERVING_MS);
   replace_worker (worker, service, domain);
--- a/src/edge/edge_patience_test.c
+++ b/src/edge/edge_patience_test.c
@@ -3,13 +3,9 @@
 
 #include "edge/edge_internal.h"
 #include "tests/fakes/site.h"
-#include "tests/loopback.h"
 #include "tests/quiet.h"
 #include "tests/unit.h"
 
-#include <string.h>
-#include <talloc.h>
-
 enum
 {
   STREAM_ROUTE = 2,
@@ -21,52 +17,15 @@
   CALLERS = 3
 };
 
-struct caller
-{
-  bool is_done;
-  uint32_t status;
-};
-
 static struct site site;
 
-static void
-handle_done (void *ctx, struct bd_http_call *call,
-             const struct bd_http_result *result)
-{
-  struct caller *caller = ctx;
-
-  (void)result;
-  caller->status = bd_http_call_status (call);
-  caller->is_done = true;
-}
-
-static const struct bd_http_call_ops caller_ops = { .done = handle_done };
-
 /* Sends a request whose caller leaves after a time.  */
-static void
-start_caller (struct caller *caller, uint32_t leaves_after_ms)
+static struct site_call *
+start_caller (uint32_t leaves_after_ms)
 {
-  static uint32_t serial;
-  char id[32];
-  char url[64];
-  const struct bd_http_header_field headers[]
-      = { { "Host", "h.example" },
-          { "Attempt-Id", id },
-          { "Deadline-Ms", "20000" },
-          { "Authorization", "Bearer k1" },
-          { "Model", "m" },
-          { "Token-Usage", "100,12" },
-          { NULL, NULL } };
-  struct bd_http_request request = { .method = "POST",
-                                     .url = url,
-                                     .headers = headers,
-                                     .timeout_ms = leaves_after_ms };
-
-  memset (caller, 0, sizeof *caller);
-  snprintf (id, sizeof id, "c%x", ++serial);
-  snprintf (url, sizeof url, "http://%s:%u/stream/x", loopback_address (),
-            site.daemon_port);
-  bd_http_send (&site.client, &request, &caller_ops, caller);
+  site.deadline_ms = "20000";
+  site.call_timeout_ms = leaves_after_ms;
+  return site_start_call (&site, "POST", "/stream/x", "k1", "m");
 }
 
 static void
@@ -98,16 +57,16 @@
 static uint64_t
 run_callers (uint32_t leave_after_ms, uint32_t *unanswered)
 {
-  static struct caller callers[CALLERS];
+  struct site_call *callers[CALLERS];
 
   for (uint32_t i = 0; i < CALLERS; i++)
-    start_caller (&callers[i], leave_after_ms);
+    callers[i] = start_caller (leave_after_ms);
   site_wait (&site, leave_after_ms + CLOSE_MS);
   *unanswered = 0;
   for (uint32_t i = 0; i < CALLERS; i++)
     {
-      CU_ASSERT_TRUE (callers[i].is_done);
-      *unanswered += callers[i].status == 0;
+      CU_ASSERT_TRUE (callers[i]->is_done);
+      *unanswered += callers[i]->status == 0;
     }
   return site.edge->counters.value[BD_COUNT_CALLERS_ABANDONED];
 }
@@ -131,15 +90,15 @@
 static void
 test_waiting_caller_leaves_before_it_is_refused (void)
 {
-  struct caller caller;
+  struct site_call *caller;
 
   site_start (&site, 0, 1);
   CU_ASSERT_TRUE_FATAL (site_run (&site, site_is_ready, 10000));
   set_timeout (LONG_TIMEOUT_MS);
-  start_caller (&caller, CALLER_GAP_MS);
+  caller = start_caller (CALLER_GAP_MS);
   site_wait (&site, CALLER_GAP_MS + CLOSE_MS);
-  CU_ASSERT_TRUE (caller.is_done);
-  CU_ASSERT_EQUAL (caller.status, 503);
+  CU_ASSERT_TRUE (caller->is_done);
+  CU_ASSERT_EQUAL (caller->status, 503);
   CU_ASSERT_EQUAL (site.edge->counters.value[BD_COUNT_CALLERS_ABANDONED], 0);
   site_finish (&site);
 }
@@ -147,17 +106,17 @@
 static void
 test_sent_request_gets_no_answer_before_its_caller_leaves (void)
 {
-  static struct caller callers[CALLERS];
+  struct site_call *callers[CALLERS];
 
   start_site (WORKER_UNRESPONSIVE);
   set_timeout (LONG_TIMEOUT_MS);
   for (uint32_t i = 0; i < CALLERS; i++)
-    start_caller (&callers[i], CALLER_GAP_MS);
+    callers[i] = start_caller (CALLER_GAP_MS);
   site_wait (&site, CALLER_GAP_MS + CLOSE_MS);
   for (uint32_t i = 0; i < CALLERS; i++)
     {
-      CU_ASSERT_TRUE (callers[i].is_done);
-      CU_ASSERT_EQUAL (callers[i].status, 504);
+      CU_ASSERT_TRUE (callers[i]->is_done);
+      CU_ASSERT_EQUAL (callers[i]->status, 504);
     }
   CU_ASSERT_EQUAL (site.edge->counters.value[BD_COUNT_CALLERS_ABANDONED], 0);
   site_finish (&site);
--- a/src/edge/edge_silence_test.c
+++ b/src/edge/edge_silence_test.c
@@ -136,26 +136,13 @@
 }
 
 /* Whether the call has every event of the stream once, in order.  */
-static bool
-is_stream_complete (const struct site_call *call)
-{
-  char expected[512] = "";
-
-  for (int i = 1; i <= STREAM_EVENTS; i++)
-    snprintf (expected + strlen (expected),
-              sizeof expected - strlen (expected), "id: %d\ndata: e%d\n\n", i,
-              i);
-  return call->status == 200 && call->is_complete
-         && strcmp (call->body, expected) == 0;
-}
-
 static void
 check_stream (uint32_t runs)
 {
   struct site_call *call = start_stream ();
 
   wait_for (call);
-  CU_ASSERT_TRUE (is_stream_complete (call));
+  CU_ASSERT_TRUE (site_is_stream_whole (call, STREAM_EVENTS));
   CU_ASSERT_EQUAL (site_request_count (&site), runs);
   site_finish (&site);
 }
@@ -237,7 +224,7 @@
   change ();
   publish ();
   wait_for (call);
-  CU_ASSERT_TRUE (is_stream_complete (call));
+  CU_ASSERT_TRUE (site_is_stream_whole (call, STREAM_EVENTS));
   site_finish (&site);
 }
 
@@ -323,7 +310,7 @@
   if (change != NULL)
     change ();
   wait_for (call);
-  CU_ASSERT_TRUE (is_stream_complete (call));
+  CU_ASSERT_TRUE (site_is_stream_whole (call, STREAM_EVENTS));
   CU_ASSERT_EQUAL (site_request_count (&site), 2);
   site_finish (&site);
 }
@@ -580,7 +567,7 @@
   for (uint32_t i = 0; i < WAITING_CALLS; i++)
     calls[i] = start_stream ();
   wait_for (stalled);
-  CU_ASSERT_TRUE (is_stream_complete (stalled));
+  CU_ASSERT_TRUE (site_is_stream_whole (stalled, STREAM_EVENTS));
   CU_ASSERT_TRUE (stalled->took_ms < MOVED_MS);
   for (uint32_t i = 0; i < WAITING_CALLS; i++)
     done += calls[i]->is_done;
@@ -601,7 +588,7 @@
   CU_ASSERT_PTR_NOT_NULL_FATAL (find_busy_worker ());
   set_other_modes (find_busy_worker (), WORKER_HEALTHY);
   wait_for (call);
-  CU_ASSERT_TRUE (is_stream_complete (call));
+  CU_ASSERT_TRUE (site_is_stream_whole (call, STREAM_EVENTS));
   CU_ASSERT_TRUE (call->took_ms < MOVED_MS);
   site_finish (&site);
 }
@@ -642,7 +629,7 @@
   site_wait (&site, SITE_PAUSE_MS);
   set_modes (WORKER_SLOW);
   wait_for (call);
-  CU_ASSERT_TRUE (is_stream_complete (call));
+  CU_ASSERT_TRUE (site_is_stream_whole (call, STREAM_EVENTS));
   CU_ASSERT_EQUAL (site.edge->counters.value[BD_COUNT_POISON_CRASHES], 0);
   for (uint32_t i = 0; i < site.worker_count; i++)
     {
@@ -786,7 +773,7 @@
   CU_ASSERT_FALSE (is_any_group_suspected ());
   set_modes (WORKER_HEALTHY);
   wait_for (call);
-  CU_ASSERT_TRUE (is_stream_complete (call));
+  CU_ASSERT_TRUE (site_is_stream_whole (call, STREAM_EVENTS));
   site_finish (&site);
 }
 
@@ -811,7 +798,7 @@
   for (uint32_t i = 0; i < STALLED_CALLS; i++)
     {
       wait_for (streams[i]);
-      CU_ASSERT_TRUE (is_stream_complete (streams[i]));
+      CU_ASSERT_TRUE (site_is_stream_whole (streams[i], STREAM_EVENTS));
     }
   wait_for (plain);
   CU_ASSERT_EQUAL (plain->status, 200);
--- a/src/edge/edge_stalls_test.c
+++ b/src/edge/edge_stalls_test.c
@@ -102,19 +102,6 @@
   site.on_run = count_unsafe;
 }
 
-static bool
-is_stream_whole (const struct site_call *call)
-{
-  char expected[512] = "";
-
-  for (int i = 1; i <= STREAM_EVENTS; i++)
-    snprintf (expected + strlen (expected),
-              sizeof expected - strlen (expected), "id: %d\ndata: e%d\n\n", i,
-              i);
-  return call->status == 200 && call->is_complete
-         && strcmp (call->body, expected) == 0;
-}
-
 static void
 start_calls (struct site_call **calls)
 {
@@ -151,7 +138,7 @@
       CU_ASSERT_EQUAL (calls[i]->status, 200);
       CU_ASSERT_TRUE (calls[i]->is_complete);
       if (i < STREAMS)
-        CU_ASSERT_TRUE (is_stream_whole (calls[i]));
+        CU_ASSERT_TRUE (site_is_stream_whole (calls[i], STREAM_EVENTS));
     }
   CU_ASSERT_EQUAL (unsafe_runs, UNSAFE_CALLS);
 }
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -1411,7 +1411,8 @@
           .url = talloc_asprintf (out, "http://%s:%u%s", loopback_address (),
                                   site->daemon_port, target),
           .headers = headers,
-          .timeout_ms = 8000 };
+          .timeout_ms
+          = site->call_timeout_ms != 0 ? site->call_timeout_ms : 8000 };
 
   if (key != NULL)
     headers[count++] = (struct bd_http_header_field){
@@ -1445,6 +1446,19 @@
   return call;
 }
 
+bool
+site_is_stream_whole (const struct site_call *call, uint32_t events)
+{
+  char expected[512] = "";
+
+  for (uint32_t i = 1; i <= events; i++)
+    snprintf (expected + strlen (expected),
+              sizeof expected - strlen (expected), "id: %u\ndata: e%u\n\n", i,
+              i);
+  return call->status == 200 && call->is_complete
+         && strcmp (call->body, expected) == 0;
+}
+
 bool
 site_is_listening (const struct site_worker *worker)
 {
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -142,6 +142,7 @@
   const char *prompt_parts;
   const char *token_counts; /* The same of its length; 100,12 if NULL.  */
   const char *deadline_ms;  /* The same; 4000 if NULL.  */
+  uint32_t call_timeout_ms; /* After which the client leaves; 8000 if 0.  */
   /* A worker that begins to run a request with this text in its path or its
      prompt's parts crashes after crash_delay_ms; NULL for none.  It is back
      SITE_RESTART_MS later, under its id.  */
@@ -196,6 +197,10 @@
                                    const char *target, const char *key,
                                    const char *model);
 
+/* site_is_stream_whole(): whether a call got a stream of WORKER_SLOW and the
+   like with this number of events, in order, each once.  */
+bool site_is_stream_whole (const struct site_call *call, uint32_t events);
+
 /* site_request_count(): the requests of callers that have reached workers.  */
 uint32_t site_request_count (const struct site *site);
 
