tests: the paths share how they wait for requests and check streams

The loop that waits for the requests in the background stood in ten scripts, one of them with a message, and the check of whole streams in four. They are functions of common.sh now; the wait reports an error of curl by name, which ended the scripts before, too. All checks stay.

--- a/tests/paths/claim_owner_paused.sh
+++ b/tests/paths/claim_owner_paused.sh
@@ -8,7 +8,7 @@
 for i in 1 2 3 4 5 6 7 8; do post_booking "$A" "before-$i" >/dev/null; done
 pause_process b
 for i in $(seq 1 16); do post_booking "$A" "paused-$i" >"$WORK/paused-$i" & done
-for job in $(jobs -p); do [[ " ${PIDS[*]} " == *" $job "* ]] || wait "$job"; done
+wait_for_requests
 for i in $(seq 1 16); do
   check "booking $i succeeds while the owner is paused" is_equal "$(jq -r .key "$WORK/paused-$i")" "paused-$i"
 done
--- a/tests/paths/common.sh
+++ b/tests/paths/common.sh
@@ -73,6 +73,25 @@
 post_stream () {
   post -N -d "{\"model\":\"drafter\",\"max_tokens\":$3,\"stream\":true,\"prompt\":\"$2\"}" "$1/v1/completions"
 }
+# wait_for_requests: waits for all requests in the background.
+wait_for_requests () {
+  local job
+  for job in $(jobs -p); do
+    [[ " ${PIDS[*]} " == *" $job "* ]] || wait "$job" || fail "curl reports an error for a request"
+  done
+}
+# check_streams PREFIX COUNT TOKENS: checks the streams in PREFIX-1, PREFIX-2...
+check_streams () {
+  local i
+  for i in $(seq "$2"); do
+    check "stream $i is complete" is_equal "$(grep -c '"text":' "$1-$i")" "$3"
+    check "stream $i has the [DONE] event" grep -q DONE "$1-$i"
+  done
+}
+# is_free NAME: whether the instance is in no group.
+is_free () {
+  is_equal "$(get "$A/burdockdale/state" | jq --arg m "$1" '[.groups[].members[] | select(. == $m)] | length')" 0
+}
 # stream_tokens FILE: prints the token events of a recorded stream.
 stream_tokens () { grep -o '"text":"w[0-9]* "' "$1" | tr -d '\n'; }
 # engine_events: prints the events that the fake engines have recorded.
--- a/tests/paths/controller_misses_member.sh
+++ b/tests/paths/controller_misses_member.sh
@@ -30,13 +30,10 @@
 for i in 1 2 3 4 5 6; do post_stream "$B" "long $i" 600 >"$WORK/stream-$i" & done
 sleep 0.3
 set_faults "$CONTROL" '{"cut":true}'
-for job in $(jobs -p); do [[ " ${PIDS[*]} " == *" $job "* ]] || wait "$job"; done
+wait_for_requests
 engine_events >"$WORK/record"
 check "no stream was started a second time" is_equal "$(jq '[.[] | select(.event == "started")] | length' "$WORK/record")" 6
-for i in 1 2 3 4 5 6; do
-  check "stream $i is complete" is_equal "$(grep -c '"text":' "$WORK/stream-$i")" 600
-  check "stream $i has the [DONE] event" grep -q DONE "$WORK/stream-$i"
-done
+check_streams "$WORK/stream" 6 600
 check "the groups are as before" is_equal "$(groups "$A")" "$before"
 set_faults "$CONTROL" '{"cut":false}'
 check "both groups are open at daemon a again" wait_until 5 has_open_groups "$A" drafts 2
--- a/tests/paths/daemons_partitioned.sh
+++ b/tests/paths/daemons_partitioned.sh
@@ -29,7 +29,7 @@
   post_booking "$A" "cut-$i" >"$WORK/cut-a-$i" &
   post_booking "$B" "cut-$i" >"$WORK/cut-b-$i" &
 done
-for job in $(jobs -p); do [[ " ${PIDS[*]} " == *" $job "* ]] || wait "$job"; done
+wait_for_requests
 for i in $(seq 1 10); do check "booking $i ran once" is_equal "$(run_count "cut-$i")" 1; done
 members=$(get "$PLATFORM/objects/allotment/north" | jq '[.data.groups[].members[]]')
 check "no instance is in two groups" is_equal "$(jq length <<<"$members")" "$(jq 'unique | length' <<<"$members")"
--- a/tests/paths/daemons_stall_in_drain.sh
+++ b/tests/paths/daemons_stall_in_drain.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Both daemons stand still (SIGSTOP) for longer than dead_after_ms while a group
+# Both daemons are paused (SIGSTOP) for longer than dead_after_ms while a group
 # drains with running streams.  The drain waits for the streams, and then a
 # spare replaces the leaving member.
 BASE_PORT=28000
@@ -18,13 +18,9 @@
 sleep 2.2
 resume_process a
 resume_process b
-for job in $(jobs -p); do [[ " ${PIDS[*]} " == *" $job "* ]] || wait "$job"; done
+wait_for_requests
 check "no stream was started a second time" is_equal "$(engine_events | jq '[.[] | select(.event == "started")] | length')" 6
-for i in 1 2 3 4 5 6; do
-  check "stream $i is complete" is_equal "$(grep -c '"text":' "$WORK/stream-$i")" 800
-  check "stream $i has the [DONE] event" grep -q DONE "$WORK/stream-$i"
-done
-is_free () { is_equal "$(get "$A/burdockdale/state" | jq --arg m "$1" '[.groups[].members[] | select(. == $m)] | length')" 0; }
+check_streams "$WORK/stream" 6 800
 check "the leaving member is in no group" wait_until 10 is_free "$leaving"
 check "a spare replaces it" wait_until 10 has_open_groups "$A" drafts 2
 print_check_count
--- a/tests/paths/domain_outage.sh
+++ b/tests/paths/domain_outage.sh
@@ -21,7 +21,7 @@
 for i in $(seq 1 20); do post_completion "$A" "prompt $i" 30 >"$WORK/response-$i" & done
 sleep 0.05
 kill_process first
-for job in $(jobs -p); do [[ " ${PIDS[*]} " == *" $job "* ]] || wait "$job"; done
+wait_for_requests
 for i in $(seq 1 20); do
   check "response $i is complete" is_equal "$(jq -r .usage.completion_tokens "$WORK/response-$i")" 30
 done
--- a/tests/paths/instance_leaves.sh
+++ b/tests/paths/instance_leaves.sh
@@ -15,7 +15,7 @@
 marked_ns=$(date +%s%N)
 sleep 2
 for i in $(seq 1 20); do post_completion "$B" "p$i" 2 >/dev/null; done
-for job in $(jobs -p); do [[ " ${PIDS[*]} " == *" $job "* ]] || wait "$job"; done
+wait_for_requests
 for i in 1 2 3 4 5 6; do
   check "stream $i is complete" is_equal "$(grep -c '"text":' "$WORK/stream-$i")" 500
 done
--- a/tests/paths/member_dies.sh
+++ b/tests/paths/member_dies.sh
@@ -10,9 +10,7 @@
 sleep 0.05
 victim=$(engine_index "$(group_leader "$A" 0)")
 set_faults "$(engine_url "$victim")" '{"dead":true}'
-for job in $(jobs -p); do
-  [[ " ${PIDS[*]} " == *" $job "* ]] || wait "$job"
-done
+wait_for_requests
 
 for i in $(seq 1 40); do
   check "response $i is complete" is_equal "$(jq -r .usage.completion_tokens "$WORK/response-$i")" 20
--- a/tests/paths/planned_stops.sh
+++ b/tests/paths/planned_stops.sh
@@ -12,13 +12,6 @@
 are_requests_in_flight () {
   is_equal "$(get "$LEAGUE/state" | jq .running)" 1 && are_streams_in_flight 3
 }
-# finish_requests: waits for the requests in the background.
-finish_requests () {
-  local job
-  for job in $(jobs -p); do
-    [[ " ${PIDS[*]} " == *" $job "* ]] || wait "$job" || fail "curl reports an error for a request"
-  done
-}
 
 set_faults "$LEAGUE" '{"slow_ms":1500}'
 for i in 1 2 3; do post_stream "$A" "stop $i" 600 >"$WORK/stop-$i" & done
@@ -39,11 +32,8 @@
 wait "${PIDS[a]}" && code=0 || code=$?
 unset "PIDS[a]"
 check "exit code 0" is_equal "$code" 0
-finish_requests
-for i in 1 2 3; do
-  check "stream $i is complete" is_equal "$(grep -c '"text":' "$WORK/stop-$i")" 600
-  check "stream $i has the [DONE] event" grep -q DONE "$WORK/stop-$i"
-done
+wait_for_requests
+check_streams "$WORK/stop" 3 600
 check "the booking gets its response" is_equal "$(jq -r .key "$WORK/slow")" slow
 check "the response of the booking announces the close" grep -qi '^Connection: close' "$WORK/slow-head"
 set_faults "$LEAGUE" '{"slow_ms":0}'
@@ -67,7 +57,7 @@
 done
 check "both groups run the new version" are_groups_at_version_2
 check "at least one group was open all the time" test "$lowest" -ge 1
-finish_requests
+wait_for_requests
 for i in 1 2 3 4; do
   check "stream $i is complete after the rollout" is_equal "$(grep -c '"text":' "$WORK/roll-$i")" 400
   check "stream $i has the [DONE] event after the rollout" grep -q DONE "$WORK/roll-$i"
--- a/tests/paths/poison_request.sh
+++ b/tests/paths/poison_request.sh
@@ -13,7 +13,7 @@
   post_completion "$A" "poison" >"$WORK/poison" || true
   post_completion "$B" "poison" >>"$WORK/poison" || true
 done
-for job in $(jobs -p); do [[ " ${PIDS[*]} " == *" $job "* ]] || wait "$job"; done
+wait_for_requests
 crashes=$(engine_events | jq '[.[] | select(.event == "crashed-by-request")] | length')
 check "at most two crashes" test "$crashes" -le 2
 check "further repeats are rejected" grep -q '"kind":"suspect"' "$WORK/poison"
--- a/tests/paths/unlisted_leader_serves.sh
+++ b/tests/paths/unlisted_leader_serves.sh
@@ -14,15 +14,11 @@
 check "the leader serves streams" test "$(get "$(engine_url "$(engine_index "$leader")")/state" | jq .running)" -gt 0
 INSTANCES=$(jq -c --arg n "$leader" 'map(select(.name != $n))' <<<"$INSTANCES")
 put_instances
-for job in $(jobs -p); do [[ " ${PIDS[*]} " == *" $job "* ]] || wait "$job"; done
+wait_for_requests
 engine_events >"$WORK/record"
 check "no stream was started a second time" is_equal "$(jq '[.[] | select(.event == "started")] | length' "$WORK/record")" 6
 check "every stream finishes where it was started" is_equal "$(jq '[.[] | select(.event == "finished")] | length' "$WORK/record")" 6
-for i in 1 2 3 4 5 6; do
-  check "stream $i is complete" is_equal "$(grep -c '"text":' "$WORK/stream-$i")" 600
-  check "stream $i has the [DONE] event" grep -q DONE "$WORK/stream-$i"
-done
-is_free () { is_equal "$(get "$A/burdockdale/state" | jq --arg m "$1" '[.groups[].members[] | select(. == $m)] | length')" 0; }
+check_streams "$WORK/stream" 6 600
 check "the leader is in no group" wait_until 10 is_free "$leader"
 check "a spare replaces the leader" wait_until 10 has_open_groups "$A" drafts 2
 print_check_count
