--- a/src/edge/watchdog.c
+++ b/src/edge/watchdog.c
@@ -48,11 +48,7 @@
 is_group_stalled (const struct bd_fleet_group *group, int64_t limit_ms,
                   int64_t now_ms)
 {
-  int64_t last_progress_ms = group->progress_ms > group->peers_progress_ms
-                                 ? group->progress_ms
-                                 : group->peers_progress_ms;
-
-  return now_ms - last_progress_ms >= limit_ms;
+  return now_ms - bd_fleet_progress_ms (group) >= limit_ms;
 }
 
 /* Time that the passes take which a sound stream can be silent for.  */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -596,6 +596,12 @@
          && now_ms >= group->members[0]->closed_until_ms;
 }
 
+int64_t
+bd_fleet_progress_ms (const struct bd_fleet_group *group)
+{
+  return MAX (group->progress_ms, group->peers_progress_ms);
+}
+
 void
 bd_fleet_suspect (struct bd_fleet_endpoint *endpoint, int64_t now_ms)
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -302,6 +302,10 @@
 bool bd_fleet_is_usable (const struct bd_fleet_group *group, uint32_t members,
                          int64_t now_ms);
 
+/* bd_fleet_progress_ms(): returns the time of the last event or response of a
+   group at any daemon; 0 for none.  */
+int64_t bd_fleet_progress_ms (const struct bd_fleet_group *group);
+
 /* bd_fleet_mark_leaving(): the incarnation of an endpoint that started at
    started_ms (0: the current one) has said that it leaves.  Returns whether
    that is new.  */
--- a/src/groups/groups_test.c
+++ b/src/groups/groups_test.c
@@ -689,29 +689,28 @@
 }
 
 static void
-test_resized_groups_change_in_turn (void)
+check_resized_groups_change_in_turn (const char *version)
 {
   void *ctx = talloc_new (NULL);
   struct sim *sim = talloc (ctx, struct sim);
 
   sim_init (sim, ctx, 1);
-  CU_ASSERT_EQUAL (resize_groups (sim, 6, "1"), 1);
+  CU_ASSERT_EQUAL (resize_groups (sim, 6, version), 1);
   CU_ASSERT_EQUAL (count_routable_groups (sim), 2);
   sim_finish (sim);
   talloc_free (ctx);
 }
 
 static void
-test_resized_groups_of_new_version_change_in_turn (void)
+test_resized_groups_change_in_turn (void)
 {
-  void *ctx = talloc_new (NULL);
-  struct sim *sim = talloc (ctx, struct sim);
+  check_resized_groups_change_in_turn ("1");
+}
 
-  sim_init (sim, ctx, 1);
-  CU_ASSERT_EQUAL (resize_groups (sim, 6, "2"), 1);
-  CU_ASSERT_EQUAL (count_routable_groups (sim), 2);
-  sim_finish (sim);
-  talloc_free (ctx);
+static void
+test_resized_groups_of_new_version_change_in_turn (void)
+{
+  check_resized_groups_change_in_turn ("2");
 }
 
 /* The instances of one group don't suffice for a larger one.  */
--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -152,20 +152,11 @@
   return NULL;
 }
 
-/* Returns the time of the last event or response of the group; 0 for none.  */
-static int64_t
-last_progress_ms (const struct bd_fleet_group *group)
-{
-  return group->progress_ms > group->peers_progress_ms
-             ? group->progress_ms
-             : group->peers_progress_ms;
-}
-
 static bool
 has_progress (const struct bd_replicas_input *input,
               const struct bd_fleet_group *group)
 {
-  return input->now_ms - last_progress_ms (group) < PROGRESS_WINDOW_MS;
+  return input->now_ms - bd_fleet_progress_ms (group) < PROGRESS_WINDOW_MS;
 }
 
 struct bd_fleet_endpoint *
@@ -295,8 +286,8 @@
   bd_name_copy (order->model, group->model);
   order->epoch = group->epoch;
   order->in_flight = group->in_flight + group->peers_in_flight;
-  if (last_progress_ms (group) > 0)
-    order->silent_ms = step->input->now_ms - last_progress_ms (group);
+  if (bd_fleet_progress_ms (group) > 0)
+    order->silent_ms = step->input->now_ms - bd_fleet_progress_ms (group);
 }
 
 void
@@ -459,10 +450,22 @@
   return decision;
 }
 
+/* Returns since when this controller has known the endpoint at its present
+   version.  */
+static int64_t
+known_since_ms (const struct bd_replicas_step *step,
+                const struct bd_fleet_endpoint *endpoint)
+{
+  return MAX (MAX (step->replicas->started_ms, endpoint->listed_ms),
+              endpoint->confirmed.version_ms);
+}
+
+/* Returns the time after which a report shows that an order to open was
+   carried out.  */
 static int64_t
-max_ms (int64_t a, int64_t b)
+opening_ms (const struct bd_engine *engine)
 {
-  return a > b ? a : b;
+  return engine->form_ms + engine->report_lag_ms;
 }
 
 /* Whether a group of an earlier controller lacks a member here and has been
@@ -474,17 +477,13 @@
   const struct bd_engine_model *model
       = bd_engine_model (step->input->engine, group->model);
   const struct bd_fleet_endpoint *leader = group->members[0];
-  int64_t known_ms = step->replicas->started_ms;
 
   if (leader == NULL || model == NULL || !step->input->has_traffic
       || group->epoch > step->replicas->first_epoch
       || group->member_count >= model->members)
     return false;
-  known_ms = max_ms (known_ms, leader->listed_ms);
-  known_ms = max_ms (known_ms, leader->confirmed.version_ms);
-  return step->input->now_ms - known_ms < max_ms (
-             PROGRESS_WINDOW_MS, step->input->engine->form_ms
-                                     + step->input->engine->report_lag_ms);
+  return step->input->now_ms - known_since_ms (step, leader)
+         < MAX (PROGRESS_WINDOW_MS, opening_ms (step->input->engine));
 }
 
 /* Whether the leader, which was last seen ready, can have accepted an order to
@@ -498,9 +497,7 @@
 {
   struct bd_confirmed_state *confirmed = &leader->confirmed;
   int64_t opened_ms
-      = max_ms (max_ms (step->replicas->started_ms, leader->listed_ms),
-                confirmed->version_ms)
-        + step->input->engine->form_ms + step->input->engine->report_lag_ms;
+      = known_since_ms (step, leader) + opening_ms (step->input->engine);
 
   if (leader->entry.member.state != BD_MEMBER_READY
       || !step->input->has_traffic)
@@ -973,7 +970,7 @@
                           bd_fleet_group_hash (member->group, member->epoch));
   return group != NULL
          && (group->in_flight + group->peers_in_flight == 0
-             || input->now_ms - last_progress_ms (group) >= QUIET_MS);
+             || input->now_ms - bd_fleet_progress_ms (group) >= QUIET_MS);
 }
 
 /* An endpoint that is no longer listed can still lead a group.  */
--- a/src/replicas/two_groups_test.c
+++ b/src/replicas/two_groups_test.c
@@ -9,13 +9,6 @@
 
 static struct pool pool;
 
-static uint32_t
-capacity (void)
-{
-  return 4 * pool_count_open_groups (&pool, "large")
-         + 2 * pool_count_open_groups (&pool, "small");
-}
-
 static void
 check_invariants (void)
 {
@@ -45,7 +38,7 @@
       pool_run (&pool, stall_ms);
       bd_fleet_reset_liveness (&pool.fleet, pool.now_ms);
       pool_run (&pool, 8000);
-      CU_ASSERT_EQUAL (capacity (), 20);
+      CU_ASSERT_EQUAL (pool_capacity (&pool), 20);
       check_invariants ();
       pool_finish (&pool);
     }
@@ -76,7 +69,7 @@
       for (uint32_t i = 0; i < pool.count; i++)
         pool.members[i].is_reachable = pool.members[i].is_in_list = true;
       pool_run (&pool, 8000);
-      CU_ASSERT_EQUAL (capacity (), 20);
+      CU_ASSERT_EQUAL (pool_capacity (&pool), 20);
       check_invariants ();
       pool_finish (&pool);
     }
--- a/tests/fakes/pool.c
+++ b/tests/fakes/pool.c
@@ -789,6 +789,17 @@
   return open;
 }
 
+uint32_t
+pool_capacity (const struct pool *pool)
+{
+  uint32_t capacity = 0;
+
+  for (uint32_t i = 0; i < pool->engine.model_count; i++)
+    capacity += pool->engine.models[i].members
+                * pool_count_open_groups (pool, pool->engine.models[i].name);
+  return capacity;
+}
+
 uint32_t
 pool_count_groups (const struct pool *pool, enum bd_member_state state)
 {
--- a/tests/fakes/pool.h
+++ b/tests/fakes/pool.h
@@ -162,6 +162,10 @@
      their members.  */
   uint32_t pool_count_open_groups (const struct pool *pool, const char *model);
 
+  /* pool_capacity(): returns the members of the open groups that have all
+     their members.  */
+  uint32_t pool_capacity (const struct pool *pool);
+
   /* pool_count_groups(): returns the groups whose leader is alive and in a
      state.  */
   uint32_t pool_count_groups (const struct pool *pool,
