--- a/review/4/scenario.c
+++ b/review/4/scenario.c
@@ -46,7 +46,7 @@
       7,
       json_pack ("[o]", route ("notices", "/notice/", "streaming", "lm-pool",
                                2, 6000)),
-      json_pack ("[o]", engine_service ("lm-pool", "daka510000", SIZE)),
+      json_pack ("[o]", engine_service ("lm-pool", "daka510000", SIZE, 1.0)),
       json_pack ("[o]", tenant ("hule930", key))));
   daemon_start ("edge-nbo-a-1", "nbo-a", store_port);
   daemon_start ("edge-nbo-a-2", "nbo-a", store_port);
--- a/review/stand/configuration.c
+++ b/review/stand/configuration.c
@@ -35,11 +35,11 @@
 }
 
 json_t *
-engine_service (const char *name, const char *model, int size)
+engine_service (const char *name, const char *model, int size, double pace)
 {
   json_t *models
       = json_pack ("[{s:s,s:i,s:f,s:f,s:f,s:f}]", "Name", model, "size", size,
-                   "Share", 1.0, "pace", 1.0, "LoadS", 2.0, "WarmupS", 0.6);
+                   "Share", 1.0, "pace", pace, "LoadS", 2.0, "WarmupS", 0.6);
   json_t *engine = json_pack (
       "{s:i,s:i,s:i,s:o,s:f,s:f,s:f,s:f,s:f,s:i,s:f,s:f,s:i,s:{s:i,s:i},s:i,"
       "s:f,s:f}",
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -150,6 +150,7 @@
 int apply_order (struct worker *w, const json_t *order);
 extern int event_count;
 extern int event_gap_ms;
+extern int order_ms; /* Until a worker answers an order.  */
 
 /* daemon.c */
 
@@ -194,7 +195,8 @@
 json_t *configuration (int64_t version, json_t *routes, json_t *services,
                        json_t *tenants);
 json_t *plain_service (const char *name);
-json_t *engine_service (const char *name, const char *model, int size);
+json_t *engine_service (const char *name, const char *model, int size,
+                        double pace);
 json_t *tenant (const char *name, const char *key);
 
 #endif
--- a/review/stand/worker.c
+++ b/review/stand/worker.c
@@ -32,6 +32,7 @@
 void (*join_hook) (struct worker *w, const json_t *order);
 int event_count = 20;
 int event_gap_ms = 10;
+int order_ms;
 static bool has_run_any;
 
 struct worker *
@@ -364,6 +365,7 @@
   status = apply_order (w, order);
   pthread_mutex_unlock (&lock);
   note ("%s: order %s: %d", w->id, m->body, status);
+  sleep_ms (order_ms);
   respond (c->fd, status, "Content-Type: application/json\r\n", "{}", 2);
   json_decref (order);
 }
