base: changes of state have a log budget of their own

Lines of single requests are now logged by bd_log_request() and share their budget with details; those of changes of state have their own, and a part of the buffer when the reader is slow. What was dropped is counted by kind, in a line log-dropped and in the metric. Ruled out: a larger common budget, which a flood of refusals uses up as well.

The label is new on burdockdale_log_lines_dropped_total.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -19,22 +19,38 @@
 {
   MAX_FIELDS = 24,
   TIME_SIZE = 40,
-  /* Rate limits.  The limit for details is lower, so that they leave lines for
-     other records.  */
-  LINES_PER_S = 400,
+  /* Rate limits.  Requests and details share the second one; the limit for
+     details is lower, so that they leave lines for failures.  */
+  STATE_LINES_PER_S = 400,
+  REQUEST_LINES_PER_S = 400,
   DETAILS_PER_S = 250,
   /* Buffered detail lines are written once they reach this size.  */
   FLUSH_BYTES = 4096,
-  /* Bytes buffered for a slow reader; lines beyond it are dropped.  */
-  BUFFER_BYTES = 256 * 1024
+  /* Bytes buffered for a slow reader; lines beyond it are dropped.  The last
+     part is for changes of state.  */
+  BUFFER_BYTES = 256 * 1024,
+  STATE_BUFFER_BYTES = 64 * 1024
+};
+
+/* Lines of the second that began last.  */
+struct budget
+{
+  time_t second;
+  uint32_t state_lines;
+  uint32_t request_lines; /* Of requests and details.  */
 };
 
 static char process_name_text[64] = "burdockdale";
 static char buffer[BUFFER_BYTES];
 static size_t buffer_used;
-static uint64_t dropped;
-static time_t budget_second;
-static uint32_t budget_used;
+static uint64_t dropped[BD_LOG_KINDS];
+static uint64_t reported[BD_LOG_KINDS]; /* Of dropped.  */
+static struct budget budget;
+
+static const GLogLevelFlags levels[BD_LOG_KINDS]
+    = { [BD_LOG_STATE] = G_LOG_LEVEL_MESSAGE,
+        [BD_LOG_REQUEST] = G_LOG_LEVEL_WARNING,
+        [BD_LOG_DETAIL] = G_LOG_LEVEL_INFO };
 
 static void
 format_time (char out[TIME_SIZE])
@@ -66,18 +82,29 @@
     }
 }
 
+static enum bd_log_kind
+kind_of (GLogLevelFlags level)
+{
+  if ((level & G_LOG_LEVEL_INFO) != 0)
+    return BD_LOG_DETAIL;
+  return (level & G_LOG_LEVEL_WARNING) != 0 ? BD_LOG_REQUEST : BD_LOG_STATE;
+}
+
 static void
-append_line (const char *text)
+append_line (enum bd_log_kind kind, const char *text)
 {
-  size_t free_bytes = sizeof buffer - buffer_used;
-  int size = snprintf (buffer + buffer_used, free_bytes, "%s\n", text);
+  size_t limit = kind == BD_LOG_STATE ? sizeof buffer
+                                      : sizeof buffer - STATE_BUFFER_BYTES;
+  size_t size = strlen (text) + 1;
 
-  if (size < 0 || (size_t)size >= free_bytes)
+  if (buffer_used + size > limit)
     {
-      dropped++;
+      dropped[kind]++;
       return;
     }
-  buffer_used += (size_t)size;
+  memcpy (buffer + buffer_used, text, size - 1);
+  buffer[buffer_used + size - 1] = '\n';
+  buffer_used += size;
   if (buffer_used >= FLUSH_BYTES)
     write_buffered ();
 }
@@ -104,34 +131,14 @@
     }
   text = json_dumps (line, JSON_COMPACT);
   if (text != NULL)
-    append_line (text);
+    append_line (kind_of (level), text);
   free (text);
   json_decref (line);
-  if (level != G_LOG_LEVEL_INFO)
+  if (kind_of (level) != BD_LOG_DETAIL)
     write_buffered ();
   return G_LOG_WRITER_HANDLED;
 }
 
-static bool
-is_within_budget (bool is_detail)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  if (now.tv_sec != budget_second)
-    {
-      budget_second = now.tv_sec;
-      budget_used = 0;
-    }
-  if (budget_used >= (is_detail ? DETAILS_PER_S : LINES_PER_S))
-    {
-      dropped++;
-      return false;
-    }
-  budget_used++;
-  return true;
-}
-
 void
 bd_log_init (const char *process_name)
 {
@@ -144,7 +151,7 @@
 }
 
 static void
-log_fields (GLogLevelFlags level, const char *event, va_list args)
+log_fields (enum bd_log_kind kind, const char *event, va_list args)
 {
   GLogField fields[MAX_FIELDS];
   gsize count = 0;
@@ -157,7 +164,70 @@
         break;
       fields[count++] = (GLogField){ name, va_arg (args, const char *), -1 };
     }
-  g_log_structured_array (level, fields, count);
+  g_log_structured_array (levels[kind], fields, count);
+}
+
+/* Logs a record whatever the budget is.  */
+static void
+log_always (const char *event, ...)
+{
+  va_list args;
+
+  va_start (args, event);
+  log_fields (BD_LOG_STATE, event, args);
+  va_end (args);
+}
+
+/* Logs how many lines were dropped since the last such record.  */
+static void
+report_dropped (void)
+{
+  uint64_t counts[BD_LOG_KINDS];
+  uint64_t sum = 0;
+
+  for (uint32_t i = 0; i < BD_LOG_KINDS; i++)
+    {
+      counts[i] = dropped[i] - reported[i];
+      sum += counts[i];
+    }
+  if (sum == 0)
+    return;
+  memcpy (reported, dropped, sizeof reported);
+  log_always ("log-dropped", "state", BD_NUM (counts[BD_LOG_STATE]), "request",
+              BD_NUM (counts[BD_LOG_REQUEST]), "detail",
+              BD_NUM (counts[BD_LOG_DETAIL]), NULL);
+}
+
+/* Renews the budget when a second has begun.  */
+static void
+renew_budget (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  if (now.tv_sec == budget.second)
+    return;
+  budget = (struct budget){ .second = now.tv_sec };
+  report_dropped ();
+}
+
+static bool
+is_within_budget (enum bd_log_kind kind)
+{
+  uint32_t limit = kind == BD_LOG_STATE     ? STATE_LINES_PER_S
+                   : kind == BD_LOG_REQUEST ? REQUEST_LINES_PER_S
+                                            : DETAILS_PER_S;
+  uint32_t *used
+      = kind == BD_LOG_STATE ? &budget.state_lines : &budget.request_lines;
+
+  renew_budget ();
+  if (*used >= limit)
+    {
+      dropped[kind]++;
+      return false;
+    }
+  (*used)++;
+  return true;
 }
 
 void
@@ -165,10 +235,22 @@
 {
   va_list args;
 
-  if (!is_within_budget (false))
+  if (!is_within_budget (BD_LOG_STATE))
+    return;
+  va_start (args, event);
+  log_fields (BD_LOG_STATE, event, args);
+  va_end (args);
+}
+
+void
+bd_log_request (const char *event, ...)
+{
+  va_list args;
+
+  if (!is_within_budget (BD_LOG_REQUEST))
     return;
   va_start (args, event);
-  log_fields (G_LOG_LEVEL_MESSAGE, event, args);
+  log_fields (BD_LOG_REQUEST, event, args);
   va_end (args);
 }
 
@@ -177,23 +259,24 @@
 {
   va_list args;
 
-  if (!is_within_budget (true))
+  if (!is_within_budget (BD_LOG_DETAIL))
     return;
   va_start (args, event);
-  log_fields (G_LOG_LEVEL_INFO, event, args);
+  log_fields (BD_LOG_DETAIL, event, args);
   va_end (args);
 }
 
 void
 bd_log_flush (void)
 {
+  renew_budget ();
   write_buffered ();
 }
 
 uint64_t
-bd_log_dropped (void)
+bd_log_dropped (enum bd_log_kind kind)
 {
-  return dropped;
+  return dropped[kind];
 }
 
 char *
--- a/src/daemon/daemon_attempts.c
+++ b/src/daemon/daemon_attempts.c
@@ -68,10 +68,11 @@
   struct bd_daemon *daemon = job->daemon;
 
   bd_count (&daemon->counters, BD_COUNT_RESPONSES_TOO_LARGE);
-  bd_log ("response-too-large", "id", job->attempt_id, "endpoint",
-          job->target.instance, "part", result->excess, "status",
-          BD_NUM (result->status), "events", BD_NUM (job->tokens),
-          "buffered_bytes", BD_NUM ((int64_t)daemon->memory.used_bytes), NULL);
+  bd_log_request ("response-too-large", "id", job->attempt_id, "endpoint",
+                  job->target.instance, "part", result->excess, "status",
+                  BD_NUM (result->status), "events", BD_NUM (job->tokens),
+                  "buffered_bytes",
+                  BD_NUM ((int64_t)daemon->memory.used_bytes), NULL);
 }
 
 /* is_crash: the replica may have crashed.  */
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -486,11 +486,12 @@
 {
   int64_t now_ms = bd_edge_now_ms (request->edge);
 
-  bd_log ("attempt-failed", "id", request->attempt_id, "endpoint",
-          request->endpoint, "failure", failure_name (failure), "detail",
-          detail, "after_ms", BD_NUM (now_ms - request->sent_ms), "events",
-          BD_NUM (request->events), "silent_ms",
-          BD_NUM (now_ms - request->last_event_ms), NULL);
+  bd_log_request ("attempt-failed", "id", request->attempt_id, "endpoint",
+                  request->endpoint, "failure", failure_name (failure),
+                  "detail", detail, "after_ms",
+                  BD_NUM (now_ms - request->sent_ms), "events",
+                  BD_NUM (request->events), "silent_ms",
+                  BD_NUM (now_ms - request->last_event_ms), NULL);
 }
 
 static void
@@ -721,12 +722,12 @@
              const struct bd_http_result *result)
 {
   bd_count (&request->edge->counters, BD_COUNT_RESPONSES_TOO_LARGE);
-  bd_log ("response-too-large", "id", request->attempt_id, "endpoint",
-          request->endpoint, "part", result->excess, "status",
-          BD_NUM (result->status), "body_bytes",
-          BD_NUM ((int64_t)request->response_size), "events",
-          BD_NUM (request->events), "buffered_bytes",
-          BD_NUM ((int64_t)request->edge->memory.used_bytes), NULL);
+  bd_log_request ("response-too-large", "id", request->attempt_id, "endpoint",
+                  request->endpoint, "part", result->excess, "status",
+                  BD_NUM (result->status), "body_bytes",
+                  BD_NUM ((int64_t)request->response_size), "events",
+                  BD_NUM (request->events), "buffered_bytes",
+                  BD_NUM ((int64_t)request->edge->memory.used_bytes), NULL);
 }
 
 static void
@@ -857,9 +858,9 @@
 
   if (account == NULL || strcmp (account->name, request->account) == 0)
     return;
-  bd_log ("account-changed", "id", request->attempt_id, "before",
-          request->account, "account", account->name, "config",
-          BD_NUM (request->edge->routes->version), NULL);
+  bd_log_request ("account-changed", "id", request->attempt_id, "before",
+                  request->account, "account", account->name, "config",
+                  BD_NUM (request->edge->routes->version), NULL);
   talloc_free (request->account);
   request->account = talloc_strdup (request, account->name);
 }
--- a/src/edge/evidence.c
+++ b/src/edge/evidence.c
@@ -81,10 +81,11 @@
 static void
 log_crash (const char *id, const struct bd_poison_evidence *evidence)
 {
-  bd_log ("suspect-crash", "id", id, "subject", BD_NUM (evidence->subject),
-          "target", BD_NUM (evidence->target), "crash_age_ms",
-          BD_NUM (evidence->crash_age_ms), "reporter",
-          BD_NUM (evidence->reporter), NULL);
+  bd_log_request ("suspect-crash", "id", id, "subject",
+                  BD_NUM (evidence->subject), "target",
+                  BD_NUM (evidence->target), "crash_age_ms",
+                  BD_NUM (evidence->crash_age_ms), "reporter",
+                  BD_NUM (evidence->reporter), NULL);
 }
 
 /* Adds evidence to the table; returns whether any is new.  */
@@ -137,8 +138,8 @@
   if (update.count == 0)
     return;
   bd_count (&edge->counters, BD_COUNT_POISON_CLEARED);
-  bd_log ("suspect-cleared", "id", request->attempt_id, "evidence",
-          BD_NUM (update.count), NULL);
+  bd_log_request ("suspect-cleared", "id", request->attempt_id, "evidence",
+                  BD_NUM (update.count), NULL);
   bd_edge_broadcast (edge, BD_MESSAGE_POISON, &update, &update.stage);
 }
 
@@ -179,10 +180,10 @@
 
   bd_poison_summarize (table_of (request), subject,
                        bd_edge_now_ms (request->edge), &summary);
-  bd_log ("suspect-refused", "id", request->attempt_id, "subject",
-          BD_NUM (subject), "crashes", BD_NUM (summary.crashes),
-          "last_crash_age_ms", BD_NUM (summary.last_crash_age_ms), "reporter",
-          BD_NUM (summary.last_reporter), NULL);
+  bd_log_request ("suspect-refused", "id", request->attempt_id, "subject",
+                  BD_NUM (subject), "crashes", BD_NUM (summary.crashes),
+                  "last_crash_age_ms", BD_NUM (summary.last_crash_age_ms),
+                  "reporter", BD_NUM (summary.last_reporter), NULL);
 }
 
 /* The subject by which the request is refused, or 0.  */
--- a/src/edge/ingress.c
+++ b/src/edge/ingress.c
@@ -105,11 +105,12 @@
 {
   const char *id = bd_http_header (x, edge->adapter->headers->attempt_id);
 
-  bd_log ("refused", "id", id != NULL ? id : "", "route", route, "reason",
-          bd_error_name (error), "config",
-          BD_NUM (edge->routes != NULL ? edge->routes->version : 0),
-          "config_age_ms",
-          BD_NUM (bd_edge_now_ms (edge) - edge->config_verified_ms), NULL);
+  bd_log_request ("refused", "id", id != NULL ? id : "", "route", route,
+                  "reason", bd_error_name (error), "config",
+                  BD_NUM (edge->routes != NULL ? edge->routes->version : 0),
+                  "config_age_ms",
+                  BD_NUM (bd_edge_now_ms (edge) - edge->config_verified_ms),
+                  NULL);
   bd_edge_send_failure (edge, x, id, error, BD_NOT_RUN, retry_after_ms);
 }
 
--- a/src/edge/pages.c
+++ b/src/edge/pages.c
@@ -54,15 +54,20 @@
       "limit\n"
       "# TYPE burdockdale_buffers_evicted_total counter\n"
       "burdockdale_buffers_evicted_total %llu\n"
-      "# HELP burdockdale_log_lines_dropped_total log lines over the budget\n"
+      "# HELP burdockdale_log_lines_dropped_total log lines over the budget, "
+      "or not read\n"
       "# TYPE burdockdale_log_lines_dropped_total counter\n"
-      "burdockdale_log_lines_dropped_total %llu\n",
+      "burdockdale_log_lines_dropped_total{kind=\"state\"} %llu\n"
+      "burdockdale_log_lines_dropped_total{kind=\"request\"} %llu\n"
+      "burdockdale_log_lines_dropped_total{kind=\"detail\"} %llu\n",
       (double)(now_ms - edge->config_verified_ms) / 1000,
       (double)(now_ms - edge->instances_verified_ms) / 1000,
       (long long)(edge->routes != NULL ? edge->routes->version : 0),
       edge->request_count, edge->memory.used_bytes, edge->memory.limit_bytes,
       (unsigned long long)edge->memory.evictions,
-      (unsigned long long)bd_log_dropped ());
+      (unsigned long long)bd_log_dropped (BD_LOG_STATE),
+      (unsigned long long)bd_log_dropped (BD_LOG_REQUEST),
+      (unsigned long long)bd_log_dropped (BD_LOG_DETAIL));
 }
 
 void
--- a/src/edge/request.c
+++ b/src/edge/request.c
@@ -108,8 +108,9 @@
   int64_t now_ms = bd_edge_now_ms (edge);
 
   bd_count (&edge->counters, cuts[cut].counter);
-  (cut == BD_EDGE_CUT_BY_CALLER || cut == BD_EDGE_CUT_ABANDONED ? bd_log_detail
-                                                                : bd_log) (
+  (cut == BD_EDGE_CUT_BY_CALLER || cut == BD_EDGE_CUT_ABANDONED
+       ? bd_log_detail
+       : bd_log_request) (
       "cut", "id", request->attempt_id, "by", cuts[cut].name, "phase",
       phase_of (request), "route", request->route, "endpoint",
       request->attempt != NULL ? request->endpoint : "", "after_ms",
@@ -163,8 +164,8 @@
   if (request == NULL)
     {
       bd_count (&edge->counters, BD_COUNT_CUT_RESPONSES);
-      bd_log ("response-cut", "path", exchange->path, "by",
-              bd_http_is_swept (exchange) ? "sweep" : "caller", NULL);
+      bd_log_request ("response-cut", "path", exchange->path, "by",
+                      bd_http_is_swept (exchange) ? "sweep" : "caller", NULL);
       return;
     }
   bd_edge_note_cut (request, cut_of (request));
@@ -178,8 +179,8 @@
 {
   struct bd_edge_request *request = exchange->user;
 
-  bd_log ("request-too-large", "path", exchange->path, "buffered",
-          BD_NUM ((int64_t)exchange->body_bytes), NULL);
+  bd_log_request ("request-too-large", "path", exchange->path, "buffered",
+                  BD_NUM ((int64_t)exchange->body_bytes), NULL);
   if (request == NULL)
     bd_http_abort (exchange);
   else
--- a/src/edge/response.c
+++ b/src/edge/response.c
@@ -87,7 +87,7 @@
   bd_observe (&edge->histograms, BD_HISTOGRAM_RESPONSE,
               now_ms - request->received_ms);
 
-  (status < 400 ? bd_log_detail : bd_log) (
+  (status < 400 ? bd_log_detail : bd_log_request) (
       "answer", "id", request->attempt_id, "status", BD_NUM (status),
       "outcome", outcome, "route", request->route, "endpoint",
       request->endpoint, "tries", BD_NUM (request->call.attempts), "first_ms",
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -905,9 +905,9 @@
             + FIELD_FRAMING_BYTES;
   if (size <= x->response_head_room)
     return true;
-  bd_log ("response-head-too-large", "path", x->path, "status",
-          BD_NUM (status), "bytes", BD_NUM ((int64_t)size), "room_bytes",
-          BD_NUM ((int64_t)x->response_head_room), NULL);
+  bd_log_request ("response-head-too-large", "path", x->path, "status",
+                  BD_NUM (status), "bytes", BD_NUM ((int64_t)size),
+                  "room_bytes", BD_NUM ((int64_t)x->response_head_room), NULL);
   return false;
 }
 
