--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -303,7 +303,8 @@
           BD_NUM (order->epoch), "expected_version",
           BD_NUM (order->expected_version), "model", order->model, "reason",
           order->reason != NULL ? order->reason : "", "in_flight",
-          BD_NUM (order->in_flight), "silent_ms",
+          BD_NUM (order->in_flight), "members", BD_NUM (order->present_count),
+          "size", BD_NUM (order->size), "silent_ms",
           order->silent_ms >= 0 ? BD_NUM (order->silent_ms) : "", "term",
           BD_NUM (controller->term.number), NULL);
   if (bd_http_send (&edge->client, &out, &order_ops, pending) == NULL)
--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -218,13 +218,23 @@
          || (!member->is_listed && member->missed_probes > 0);
 }
 
+/* Returns the number of members that groups of the model have now; 0 if the
+   configuration does not have the model.  */
+static uint32_t
+wanted_size (const struct bd_replicas_input *input,
+             const struct bd_fleet_group *group)
+{
+  const struct bd_engine_model *model
+      = bd_engine_model (input->engine, group->model);
+
+  return model != NULL ? model->members : 0;
+}
+
 enum bd_group_phase
 bd_group_phase (const struct bd_replicas_input *input,
                 const struct bd_fleet_group *group)
 {
-  const struct bd_engine_model *model
-      = bd_engine_model (input->engine, group->model);
-  uint32_t size = model != NULL ? model->members : 0;
+  uint32_t size = wanted_size (input, group);
   bool is_complete = size > 0 && group->member_count == size;
   bool is_leaving = false;
   bool is_ready = true;
@@ -285,6 +295,8 @@
   bd_name_copy (order->model, group->model);
   order->epoch = group->epoch;
   order->in_flight = group->in_flight + group->peers_in_flight;
+  order->present_count = group->member_count;
+  order->size = wanted_size (step->input, group);
   if (bd_fleet_progress_ms (group) > 0)
     order->silent_ms = step->input->now_ms - bd_fleet_progress_ms (group);
 }
--- a/src/replicas/replicas.h
+++ b/src/replicas/replicas.h
@@ -62,6 +62,8 @@
   int64_t expected_version; /* Refused at any other one; -1: no condition.  */
   const char *reason;       /* For the log.  */
   uint32_t in_flight;       /* Requests on the group, of all daemons.  */
+  uint32_t present_count;   /* Known members of the group.  */
+  uint32_t size;            /* That its model has now; 0 for no model.  */
   int64_t silent_ms; /* Since the group's last progress; -1 if there was none
                         or the order is not to a leader.  */
 };
