edge: runs that an order or a planned exit ends are no evidence of a crash

What callers saw: after a change of a model's size all further streams were refused (4,776 refusals in 12 s, none run). The streams that the order to leave had ended counted as crashes, at two groups within 2 ms, against the part that all prompts share.

Cause: any connection that ends while a request runs was a crash, also when our own order, or the planned exit of a draining endpoint, ended it.

Change: the announcement of a dissolved group says whether the order ends what its leader runs; each daemon then clears the evidence against that target from one second before on, and stores what comes later as cleared, so that the order in which ends, reports and announcements arrive does not matter. A run at an endpoint that drains or is delisted, or in a group with such a member, is no evidence either. explained_ends_total counts them. An order to a member whose leader is gone explains nothing: there the leader may have crashed.

Ruled out: counting only ends that are not shared by all requests of the endpoint; a crash ends them all, too.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -52,6 +52,8 @@
   X (POISON_REFUSED, "suspects_refused_total", "suspect requests refused")    \
   X (POISON_CRASHES, "suspect_crashes_total",                                 \
      "crashes recorded for suspect requests, those that peers saw included")  \
+  X (ENDS_EXPLAINED, "explained_ends_total",                                  \
+     "runs that an order or a planned exit ended; no evidence of a crash")    \
   X (POISON_CLEARED, "suspects_cleared_total",                                \
      "suspect requests that have finished, at peers included")                \
   X (CLAIMS, "claims_total", "claims committed")                              \
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -452,6 +452,33 @@
     bd_count (&edge->counters, BD_COUNT_ATTEMPTS_BROKEN);
 }
 
+static bool
+has_left (const struct bd_fleet_endpoint *endpoint)
+{
+  return !endpoint->is_listed || endpoint->entry.is_draining;
+}
+
+/* Whether the end of the attempt's run is explained by an order to its group,
+   or by an endpoint of it that leaves.  */
+static bool
+is_end_explained (const struct bd_edge_request *request)
+{
+  const struct bd_edge *edge = request->edge;
+  const struct bd_fleet_endpoint *endpoint
+      = bd_fleet_endpoint (&edge->fleet, request->endpoint);
+  const struct bd_fleet_group *group
+      = bd_fleet_group (&edge->fleet, request->group);
+
+  if (endpoint != NULL && has_left (endpoint))
+    return true;
+  for (uint32_t i = 0; group != NULL && i < BD_FLEET_MAX_MEMBERS; i++)
+    if (group->members[i] != NULL && has_left (group->members[i]))
+      return true;
+  return request->group != 0
+         && bd_poison_is_dismissed (&edge->poison_requests, request->group,
+                                    bd_edge_now_ms (edge));
+}
+
 /* Records what the failure says about the target.  */
 static void
 note_failure (struct bd_edge_request *request, enum bd_failure failure,
@@ -467,7 +494,9 @@
   if (!request->has_head && !is_crash)
     bd_edge_note_silence (edge, request->service, request->endpoint,
                           request->sent_ms);
-  if (is_crash)
+  if (is_crash && is_end_explained (request))
+    bd_count (&edge->counters, BD_COUNT_ENDS_EXPLAINED);
+  else if (is_crash)
     bd_edge_record_crash (request);
   if (failure == BD_FAILURE_REFUSED || failure == BD_FAILURE_MISMATCHED
       || failure == BD_FAILURE_ERROR_RESPONSE)
--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -257,14 +257,29 @@
 
 static const struct bd_http_call_ops order_ops = { .done = handle_order_done };
 
+/* Whether an order ends the requests that its group runs: one to leave, to a
+   leader that is in the group.  */
+static bool
+ends_requests (const struct bd_edge *edge, const struct bd_order *order)
+{
+  const struct bd_fleet_group *group = bd_fleet_group (
+      &edge->fleet, bd_fleet_group_hash (order->group, order->epoch));
+
+  return order->kind == BD_ORDER_LEAVE && group != NULL
+         && group->members[0] != NULL
+         && strcmp (group->members[0]->entry.id, order->endpoint) == 0;
+}
+
 /* Reports to all daemons that a group is being dissolved, so that they send it
-   no more requests.  */
+   no more requests and do not take the end of those that it runs for a
+   crash.  */
 static void
 announce_dissolved_group (struct bd_edge *edge, const struct bd_order *order)
 {
   struct bd_suspicion_update suspicion
       = { .group = bd_fleet_group_hash (order->group, order->epoch),
-          .is_dissolved = true };
+          .is_dissolved = true,
+          .ends_requests = ends_requests (edge, order) };
 
   bd_edge_receive_suspicion (edge, &suspicion);
   bd_edge_broadcast (edge, BD_MESSAGE_SUSPICION, &suspicion, &suspicion.stage);
@@ -680,14 +695,16 @@
   struct bd_fleet_group *group
       = bd_fleet_group (&edge->fleet, suspicion->group);
   int64_t now_ms = bd_edge_now_ms (edge);
+  bool is_new = suspicion->ends_requests
+                && bd_poison_dismiss (&edge->poison_requests, suspicion->group,
+                                      now_ms - BD_EDGE_RELAY_DELAY_MS, now_ms);
 
   if (group == NULL)
-    return false;
+    return is_new;
   if (suspicion->is_dissolved)
     {
-      bool is_new
-          = group->suspected_until_ms < now_ms + DISSOLVED_GROUP_MS / 2;
-
+      is_new = is_new
+               || group->suspected_until_ms < now_ms + DISSOLVED_GROUP_MS / 2;
       group->suspected_until_ms = now_ms + DISSOLVED_GROUP_MS;
       return is_new;
     }
--- a/src/poison/poison.c
+++ b/src/poison/poison.c
@@ -11,6 +11,7 @@
   KINDS = BD_POISON_PART + 1,
   MAX_ENTRIES = 10000,
   MAX_COMPLETED = 4096,
+  MAX_DISMISSED = 4096,
   /* Crashes after which a subject is blocked even if it has completed
      lately, or if another one is as likely.  */
   CRASHES_WITHOUT_DOUBT = 5,
@@ -51,6 +52,13 @@
   int64_t crashed_ms;
 };
 
+/* Ends of runs at the target since since_ms are no evidence.  */
+struct dismissal
+{
+  uint64_t target;
+  int64_t since_ms;
+};
+
 struct poison_entry
 {
   uint64_t subject;
@@ -107,6 +115,8 @@
   table->blocked = make_set (free_blocked_target);
   table->completed[0] = make_set (g_free);
   table->completed[1] = make_set (g_free);
+  table->dismissed[0] = make_set (g_free);
+  table->dismissed[1] = make_set (g_free);
   table->retention_ms = retention_ms;
   table->suspect_count = 0;
   table->expired_ms = INT64_MIN;
@@ -119,6 +129,8 @@
   g_hash_table_destroy (table->blocked);
   g_hash_table_destroy (table->completed[0]);
   g_hash_table_destroy (table->completed[1]);
+  g_hash_table_destroy (table->dismissed[0]);
+  g_hash_table_destroy (table->dismissed[1]);
 }
 
 static struct poison_entry *
@@ -327,6 +339,19 @@
          || g_hash_table_contains (table->completed[1], &subject);
 }
 
+/* Makes room in the younger generation of a set when it has its maximum.  */
+static void
+rotate (GHashTable *generations[2], uint32_t max)
+{
+  GHashTable *oldest = generations[1];
+
+  if (g_hash_table_size (generations[0]) < max)
+    return;
+  g_hash_table_remove_all (oldest);
+  generations[1] = generations[0];
+  generations[0] = oldest;
+}
+
 static void
 note_completed (struct bd_poison_table *table, uint64_t subject)
 {
@@ -334,14 +359,7 @@
 
   if (g_hash_table_contains (table->completed[0], &subject))
     return;
-  if (g_hash_table_size (table->completed[0]) >= MAX_COMPLETED)
-    {
-      GHashTable *oldest = table->completed[1];
-
-      g_hash_table_remove_all (oldest);
-      table->completed[1] = table->completed[0];
-      table->completed[0] = oldest;
-    }
+  rotate (table->completed, MAX_COMPLETED);
   key = g_new (uint64_t, 1);
   *key = subject;
   g_hash_table_insert (table->completed[0], key, key);
@@ -878,6 +896,8 @@
   struct poison_entry *entry;
   struct evidence *known;
 
+  if (bd_poison_is_dismissed (table, item->target, evidence.crashed_ms))
+    evidence.is_cleared = true;
   if ((item->subject & KIND_MASK) >= KINDS
       || item->crash_age_ms >= table->retention_ms)
     return false;
@@ -887,7 +907,7 @@
   known = find_evidence (entry, item->target);
   if (known == NULL)
     return insert (table, entry, &evidence);
-  if (known->is_cleared || !item->is_cleared)
+  if (known->is_cleared || !evidence.is_cleared)
     return false;
   clear (table, entry, known, now_ms);
   return true;
@@ -982,6 +1002,52 @@
     }
 }
 
+static const struct dismissal *
+find_dismissal (const struct bd_poison_table *table, uint64_t target)
+{
+  const struct dismissal *found
+      = g_hash_table_lookup (table->dismissed[0], &target);
+
+  return found != NULL ? found
+                       : g_hash_table_lookup (table->dismissed[1], &target);
+}
+
+bool
+bd_poison_is_dismissed (const struct bd_poison_table *table, uint64_t target,
+                        int64_t crashed_ms)
+{
+  const struct dismissal *found = find_dismissal (table, target);
+
+  return found != NULL && crashed_ms >= found->since_ms;
+}
+
+bool
+bd_poison_dismiss (struct bd_poison_table *table, uint64_t target,
+                   int64_t since_ms, int64_t now_ms)
+{
+  struct dismissal *dismissal;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (find_dismissal (table, target) != NULL)
+    return false;
+  rotate (table->dismissed, MAX_DISMISSED);
+  dismissal = g_new (struct dismissal, 1);
+  *dismissal = (struct dismissal){ target, since_ms };
+  g_hash_table_insert (table->dismissed[0], &dismissal->target, dismissal);
+  g_hash_table_iter_init (&iter, table->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct poison_entry *entry = value;
+      struct evidence *evidence = find_evidence (entry, target);
+
+      if (evidence != NULL && evidence->crashed_ms >= since_ms
+          && !evidence->is_cleared)
+        clear (table, entry, evidence, now_ms);
+    }
+  return true;
+}
+
 uint64_t
 bd_poison_blocked (const struct bd_poison_table *table,
                    const uint64_t *subjects, uint32_t count, int64_t now_ms)
--- a/src/poison/poison.h
+++ b/src/poison/poison.h
@@ -15,6 +15,8 @@
      that ran there;
    - for a part, if more than one request crashed with it.
 
+   Runs that an order has ended are dismissed: their ends are no evidence.
+
    Evidence is identified by subject and target, and once cleared it stays
    cleared.  So daemons that exchange evidence in any order, late or twice,
    come to hold the same.  Ages in messages are relative to their sending.  */
@@ -68,6 +70,8 @@
   GHashTable *blocked;
   /* Subjects that have completed lately, in two generations.  */
   GHashTable *completed[2];
+  /* Target -> struct dismissal, in two generations.  */
+  GHashTable *dismissed[2];
   uint32_t retention_ms;  /* Time from a crash until its evidence expires.  */
   uint32_t suspect_count; /* Entries that may have to be blocked.  */
   int64_t expired_ms;     /* Time at which the full table was last searched for
@@ -100,6 +104,17 @@
    evidence.  Removes all of it; the target may still crash.  */
 void bd_poison_withdraw_crash (struct bd_poison_table *table, uint64_t target);
 
+/* bd_poison_dismiss(): an order has ended the runs at the target, so that
+   their ends are no evidence.  Clears the evidence of its crashes since
+   since_ms, also such that is added later.  Returns whether that is new.  */
+bool bd_poison_dismiss (struct bd_poison_table *table, uint64_t target,
+                        int64_t since_ms, int64_t now_ms);
+
+/* bd_poison_is_dismissed(): whether evidence of a crash of the target at
+   crashed_ms is cleared by bd_poison_dismiss().  */
+bool bd_poison_is_dismissed (const struct bd_poison_table *table,
+                             uint64_t target, int64_t crashed_ms);
+
 /* bd_poison_decide(): returns how to handle a request with these subjects.  */
 enum bd_poison_decision bd_poison_decide (const struct bd_poison_table *table,
                                           const uint64_t *subjects,
--- a/src/poison/poison_test.c
+++ b/src/poison/poison_test.c
@@ -105,6 +105,56 @@
   bd_poison_finish (&table);
 }
 
+/* The end of the runs at target 2 is known before the order that explains it,
+   that at target 3 after it.  */
+static void
+test_ends_by_order_are_no_evidence (void)
+{
+  struct bd_poison_table table;
+
+  bd_poison_init (&table, 10000);
+  record (&table, 7, 1, 0);
+  record (&table, 7, 2, 3000);
+  CU_ASSERT_EQUAL (decide (&table, 7, 3000), BD_POISON_REFUSE);
+  CU_ASSERT_TRUE (bd_poison_dismiss (&table, 2, 2500, 3500));
+  CU_ASSERT_FALSE (bd_poison_dismiss (&table, 2, 2500, 3500));
+  CU_ASSERT_EQUAL (decide (&table, 7, 3500), BD_POISON_ISOLATE);
+  CU_ASSERT_TRUE (bd_poison_dismiss (&table, 3, 2500, 3500));
+  record (&table, 7, 3, 3600);
+  CU_ASSERT_EQUAL (decide (&table, 7, 3600), BD_POISON_ISOLATE);
+  record (&table, 7, 4, 3700);
+  CU_ASSERT_EQUAL (decide (&table, 7, 3700), BD_POISON_REFUSE);
+  bd_poison_finish (&table);
+}
+
+static void
+test_crash_long_before_order_is_evidence (void)
+{
+  struct bd_poison_table table;
+
+  bd_poison_init (&table, 10000);
+  record (&table, 7, 1, 0);
+  record (&table, 7, 2, 1000);
+  CU_ASSERT_TRUE (bd_poison_dismiss (&table, 2, 2500, 3500));
+  CU_ASSERT_EQUAL (decide (&table, 7, 3500), BD_POISON_REFUSE);
+  bd_poison_finish (&table);
+}
+
+static void
+test_dismissals_are_bounded (void)
+{
+  struct bd_poison_table table;
+
+  bd_poison_init (&table, 1000);
+  for (uint64_t i = 0; i < 20000; i++)
+    bd_poison_dismiss (&table, i, 0, 0);
+  CU_ASSERT_TRUE (g_hash_table_size (table.dismissed[0])
+                      + g_hash_table_size (table.dismissed[1])
+                  <= 8192);
+  CU_ASSERT_TRUE (bd_poison_is_dismissed (&table, 19999, 0));
+  bd_poison_finish (&table);
+}
+
 static void
 test_table_is_bounded (void)
 {
@@ -381,6 +431,10 @@
   { "a finished request is cleared", test_finished_request_is_cleared },
   { "a withdrawn crash clears requests",
     test_withdrawn_crash_clears_requests },
+  { "ends by order are evidence", test_ends_by_order_are_no_evidence },
+  { "crash long before order is no evidence",
+    test_crash_long_before_order_is_evidence },
+  { "dismissals without bound", test_dismissals_are_bounded },
   { "bounds", test_table_is_bounded },
   { "many blocks take a short time", test_many_blocks_take_short },
   { "many clears take a short time", test_many_clears_take_short },
--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -300,7 +300,8 @@
 static const struct field suspicion_fields[]
     = { FIELD (bd_suspicion_update, U64, group),
         FIELD (bd_suspicion_update, BOOL, is_dissolved),
-        FIELD (bd_suspicion_update, U32, stage) };
+        FIELD (bd_suspicion_update, U32, stage),
+        FIELD (bd_suspicion_update, BOOL, ends_requests) };
 
 static const struct layout layouts[BD_MESSAGE_COUNT] = {
   [BD_MESSAGE_HEARTBEAT] = LAYOUT (bd_heartbeat, heartbeat_fields),
@@ -323,7 +324,8 @@
   = LAYOUT (bd_freshness_request, freshness_request_fields),
   [BD_MESSAGE_FRESHNESS_REPLY]
   = GROWN_LAYOUT (bd_freshness_reply, freshness_reply_fields, 1),
-  [BD_MESSAGE_SUSPICION] = LAYOUT (bd_suspicion_update, suspicion_fields),
+  [BD_MESSAGE_SUSPICION]
+  = GROWN_LAYOUT (bd_suspicion_update, suspicion_fields, 1),
   [BD_MESSAGE_LEAVING] = LAYOUT (bd_leaving_update, leaving_fields),
   [BD_MESSAGE_LIMITS] = LAYOUT (bd_limits_update, limits_fields),
   [BD_MESSAGE_LIST_REQUEST] = LAYOUT (bd_list_request, list_request_fields),
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -305,6 +305,8 @@
   uint64_t group;
   bool is_dissolved;
   uint32_t stage; /* enum bd_news_stage; used with is_dissolved.  */
+  /* Its leader is ordered to leave, which ends what it runs.  */
+  bool ends_requests;
 };
 
 /* bd_message_pack(): appends a frame to buffer.  message points to the struct
--- a/src/wire/wire_test.c
+++ b/src/wire/wire_test.c
@@ -163,7 +163,7 @@
       "0a0a0a0a0a0000000a000" },
     { BD_MESSAGE_POISON, &poison, "93099197000000000000c200" },
     { BD_MESSAGE_LIMITS, &limits, "93119195a000cb000000000000000000c200" },
-    { BD_MESSAGE_SUSPICION, &suspicion, "940f00c200" },
+    { BD_MESSAGE_SUSPICION, &suspicion, "950f00c200c2" },
     { BD_MESSAGE_LEAVING, &leaving, "9410a00000" },
   };
 
@@ -225,6 +225,23 @@
       bd_message_unpack (NULL, frame, sizeof frame - 2, &type));
 }
 
+/* A build whose reports of dissolved groups do not say what they end.  */
+static void
+test_earlier_builds_lack_ends_of_requests (void)
+{
+  static const char frame[] = "\x94\x0f\x05\xc3\x00";
+  const struct bd_suspicion_update *read;
+  enum bd_message_type type;
+
+  read = bd_message_unpack (NULL, frame, sizeof frame - 1, &type);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (read);
+  CU_ASSERT_EQUAL (type, BD_MESSAGE_SUSPICION);
+  CU_ASSERT_EQUAL (read->group, 5);
+  CU_ASSERT_TRUE (read->is_dissolved);
+  CU_ASSERT_FALSE (read->ends_requests);
+  talloc_free ((void *)read);
+}
+
 static void
 test_list_messages_lose_fields (void)
 {
@@ -372,6 +389,8 @@
     test_later_builds_cannot_append_fields },
   { "earlier builds lack appended fields",
     test_earlier_builds_lack_appended_fields },
+  { "earlier builds lack ends of requests",
+    test_earlier_builds_lack_ends_of_requests },
   { "list messages lose fields", test_list_messages_lose_fields },
   { "frame of tiny elements expands in memory",
     test_frame_of_tiny_elements_expands_in_memory },
