edge: requests for a model that the configuration does not have are refused

What callers saw: after a version that removes a model, requests for it waited for a place until 0.3 of their time had passed (1.2 of 4 s), and so did those that waited when the version came into force.

Cause: the admission asked whether there is a target, not whether there can be one. Change: a request whose model the configuration in force does not have gets 503 with Retry-After at once; one that runs goes on.

Ruled out: 404, since the route exists and another daemon may already have a version with the model.

--- a/src/edge/admission.c
+++ b/src/edge/admission.c
@@ -69,14 +69,27 @@
   return wait_ms < left_ms ? wait_ms : left_ms;
 }
 
-/* Whether a waiting request has waited too long to be served.  */
+/* Whether the configuration in force does not have the model that the request
+   names.  */
+static bool
+lacks_model (const struct bd_edge_request *request)
+{
+  const struct bd_engine *engine;
+  const struct bd_engine_model *model
+      = bd_edge_request_model (request, &engine);
+
+  return engine != NULL && model == NULL;
+}
+
+/* Whether a waiting request has waited too long to be served, or can't be
+   served any more.  */
 static bool
 should_give_up (const struct bd_edge_request *request, int64_t now_ms)
 {
   int64_t since_ms = request->backlog_item.since_ms;
 
   return now_ms - since_ms >= max_wait_ms (request, since_ms)
-         || !bd_edge_can_complete (request);
+         || !bd_edge_can_complete (request) || lacks_model (request);
 }
 
 /* Ends a request without another attempt; error is for one that has not
@@ -139,15 +152,16 @@
 
 /* Whether a request that has no target now is refused at once: the daemon that
    has handed it over can try another one, this one ends, its links are lost
-   and no other daemon is about to take it, the limits allow it too late, or
-   its caller leaves before a response can come.  */
+   and no other daemon is about to take it, the limits allow it too late, its
+   caller leaves before a response can come, or no endpoint serves its
+   model.  */
 static bool
 is_hopeless (const struct bd_edge_request *request)
 {
   return (request->is_taken_over && !request->is_last_resort)
          || !bd_edge_can_complete (request)
          || (has_lost_links (request) && !bd_edge_awaits_daemon (request))
-         || is_over_limits (request)
+         || is_over_limits (request) || lacks_model (request)
          || max_wait_ms (request, bd_edge_now_ms (request->edge)) <= 0;
 }
 
--- a/src/edge/edge_versions_test.c
+++ b/src/edge/edge_versions_test.c
@@ -28,6 +28,8 @@
   SERVING_MS = 1500,
   /* Until groups of the new size serve: what runs ends, and they form.  */
   CHANGED_MS = 5000,
+  /* The objective of the streams.  */
+  AT_ONCE_MS = 300,
   /* Until every daemon has a version that was written.  */
   APPLIED_MS = 1000
 };
@@ -341,6 +343,31 @@
   finish ();
 }
 
+/* A request that comes, and one that waits when the model is removed.  */
+static void
+test_request_for_removed_model_waits (void)
+{
+  struct site_call *waiting;
+  struct site_call *late;
+
+  start (1, 2);
+  finish_calls ();
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    site.workers[i].mode = WORKER_FULL;
+  waiting = site_start_call (&site, "POST", "/stream/x", "k1", "m");
+  site_wait (&site, IN_TURN_MS);
+  CU_ASSERT_FALSE (waiting->is_done);
+  rename_model ("other", 0);
+  site_wait (&site, AT_ONCE_MS);
+  CU_ASSERT_TRUE (waiting->is_done);
+  CU_ASSERT_EQUAL (waiting->status, 503);
+  late = site_call (&site, "POST", "/stream/x", "k1", "m");
+  CU_ASSERT_EQUAL (late->status, 503);
+  CU_ASSERT_PTR_NOT_NULL (late->retry_after);
+  CU_ASSERT_TRUE (late->took_ms < AT_ONCE_MS);
+  site_finish (&site);
+}
+
 static struct site_worker *dissolved_leader;
 
 static bool
@@ -405,6 +432,8 @@
       test_version_that_is_taken_back_cuts_streams },
     { "second version during change cuts streams",
       test_second_version_during_change_cuts_streams },
+    { "request for removed model waits",
+      test_request_for_removed_model_waits },
     { "order to leave counts as crash", test_order_to_leave_counts_as_crash },
   };
 
