soak: versions change the size of the model, remove it and bring it back

A tenth of the steps publishes a version with one to four members, or without the model; the former one is in force again for the recovery. These draws have a generator of their own, so that the other faults of a seed stay.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -48,6 +48,9 @@
   FAULT_RANGE_MS = 3000,
   FAULTS_PER_REMOVAL = 8,
   FAULTS_PER_REFUSAL = 20,
+  FAULTS_PER_MODEL_CHANGE = 10,
+  MODEL_SIZE = 2,
+  MAX_MODEL_SIZE = 4,
   START_LIMIT_MS = 20000,
   /* Far above RecoveryS of the deployments: the limit only makes the test end,
      it does not check that bound.  */
@@ -89,9 +92,10 @@
 
 static struct site site;
 static gsl_rng *rng;
-/* Removals and refusals have their own: rng keeps the other faults of a seed.
- */
+/* Removals and refusals, and versions of the model, have their own: rng keeps
+   the other faults of a seed.  */
 static gsl_rng *removal_rng;
+static gsl_rng *model_rng;
 static int64_t removed_until_ms[SITE_MAX_WORKERS]; /* While it serves.  */
 static uint32_t refused_daemon;                    /* Index; 0 for none.  */
 static enum store_mode refusal;
@@ -464,6 +468,33 @@
   revoked_ms = 0;
 }
 
+static void
+publish_model (const char *name, uint32_t size)
+{
+  json_t *service
+      = json_array_get (json_object_get (site.config, "Services"), 1);
+  json_t *model = json_array_get (
+      json_object_get (json_object_get (service, "Engine"), "Models"), 0);
+
+  json_object_set_new (model, "Name", json_string (name));
+  json_object_set_new (model, "size", json_integer (size));
+  log_fault ("model-changed", name);
+  site_publish (&site);
+}
+
+/* Changes the size of the model, or removes it until the next change.  */
+static void
+change_model (void)
+{
+  uint32_t size
+      = (uint32_t)gsl_rng_uniform_int (model_rng, MAX_MODEL_SIZE + 1);
+
+  if (size == 0)
+    publish_model ("other", MODEL_SIZE);
+  else
+    publish_model ("m", size);
+}
+
 static void
 inject_random_fault (void)
 {
@@ -564,6 +595,7 @@
     }
   if (revoked_ms != 0)
     toggle_key ();
+  publish_model ("m", MODEL_SIZE);
 }
 
 static bool
@@ -734,6 +766,8 @@
         remove_serving_worker ();
       if (gsl_rng_uniform_int (removal_rng, FAULTS_PER_REFUSAL) == 0)
         refuse_daemon ();
+      if (gsl_rng_uniform_int (model_rng, FAULTS_PER_MODEL_CHANGE) == 0)
+        change_model ();
       site_wait (&site, FAULT_INTERVAL_MS);
     }
   is_over = true;
@@ -800,9 +834,12 @@
   gsl_rng_set (rng, seed_value);
   removal_rng = gsl_rng_alloc (gsl_rng_mt19937);
   gsl_rng_set (removal_rng, seed_value);
+  model_rng = gsl_rng_alloc (gsl_rng_mt19937);
+  gsl_rng_set (model_rng, seed_value);
   soak (fault_s);
   finish_site ();
   bd_contradictions_finish (&contradictions);
+  gsl_rng_free (model_rng);
   gsl_rng_free (removal_rng);
   gsl_rng_free (rng);
   curl_global_cleanup ();
