replicas: a size above the largest group is not read beyond its members

What callers can see: a version that gives a model more than 16 members can end the process of the controller, and with it all of its requests (LOST).

Cause: is_relisting_expected() walks as many ranks as the model has members; a group has 16 places. It is reached by a controller that takes over while a group of a former size makes progress.

Change: such a group cannot become complete. Sizes of 0 and above 16 let the groups finish; no group forms until a version that can be formed.

--- a/src/replicas/replicas.c
+++ b/src/replicas/replicas.c
@@ -384,7 +384,8 @@
   uint32_t size = formed_size (input, group);
   int64_t group_listed_ms = last_listed_ms (group);
 
-  if (input->now_ms - group_listed_ms >= RELISTING_MS)
+  if (size > BD_FLEET_MAX_MEMBERS
+      || input->now_ms - group_listed_ms >= RELISTING_MS)
     return false;
   for (uint32_t i = 0; i < size; i++)
     {
--- a/src/replicas/versions_test.c
+++ b/src/replicas/versions_test.c
@@ -171,6 +171,27 @@
   finish (24 - 6);
 }
 
+/* No group can be formed by such a version.  */
+static void
+test_impossible_sizes_cut_running_requests (void)
+{
+  static const uint32_t sizes[] = { 0, BD_FLEET_MAX_MEMBERS + 1, UINT32_MAX };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      start_serving (12 + i);
+      resize (SMALL, sizes[i]);
+      resize (LARGE, sizes[i]);
+      pool_run (&pool, 100);
+      pool_restart_controller (&pool);
+      pool_run (&pool, CHANGED_MS);
+      CU_ASSERT_EQUAL (pool_count_groups (&pool, BD_MEMBER_OPEN), 0);
+      resize (SMALL, 2);
+      resize (LARGE, 4);
+      finish (24 - 6);
+    }
+}
+
 /* The groups of the other model serve on.  */
 static void
 test_change_of_one_model_costs_another_one (void)
@@ -227,6 +248,8 @@
       test_new_controller_during_change_cuts_running_requests },
     { "lag during change cuts running requests",
       test_lag_during_change_cuts_running_requests },
+    { "impossible sizes cut running requests",
+      test_impossible_sizes_cut_running_requests },
     { "change of one model costs another one",
       test_change_of_one_model_costs_another_one },
     { "lost member during change holds members",
