--- a/src/replicas/replicas.h
+++ b/src/replicas/replicas.h
@@ -191,7 +191,7 @@
 
 /* bd_replicas_note_formed(): records the sizes of the groups that are complete
    by an engine.  To be called before another one takes its place: later a
-   group of the former size can't be told from one that has lost members.
+   group of the former size looks like one that has lost members.
    bd_replicas_step() does so for the controller.  */
 void bd_replicas_note_formed (struct bd_fleet *fleet, const char *service,
                               const struct bd_engine *engine);
