http: each call has a libcurl handle of its own

An endpoint whose response has a blank at the beginning of the line after the status line, on a handle that had served another call, corrupts the heap.

Cause: libcurl 7.88 (the fault was mended in 8.0) keeps a pointer to the last header of a handle's transfer. curl_easy_reset() and the next transfer free the header and leave the pointer; a line that begins with a blank is appended to what it points to, before the header callback sees the line. So a check in the callback comes too late, and only a handle that was never used has no such pointer.

Evidence: malformed_test, before: aborted in 3 of 3 runs; under the address sanitizer heap-use-after-free, read in libcurl below curl_multi_socket_action(), freed by libcurl. After: 26 of 26 asserts pass, also under sanitizers.

Ruled out: restarted calls (restart_call(), and libcurl's own second try) use a handle again, but only while nothing of a response was read on it. Interim heads of one call: their headers are kept until the next transfer.

Change: no handle is used for a second call.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -78,18 +78,6 @@
   struct bd_http_call *next;
 };
 
-static void
-recycle_handle (struct bd_http_client *client, CURL *easy)
-{
-  if (client->idle_count == client->idle_size)
-    {
-      curl_easy_cleanup (easy);
-      return;
-    }
-  curl_easy_reset (easy);
-  client->idle[client->idle_count++] = easy;
-}
-
 static void
 unlink_call (struct bd_http_call *call)
 {
@@ -131,7 +119,7 @@
   set_watch (call, NULL);
   curl_multi_remove_handle (call->client->multi, call->easy);
   curl_slist_free_all (call->headers);
-  recycle_handle (call->client, call->easy);
+  curl_easy_cleanup (call->easy);
   unlink_call (call);
   talloc_free (call);
 }
@@ -165,7 +153,7 @@
 }
 
 /* Sends the request of a call that was assigned a stale connection on a new
-   one.  */
+   one.  Nothing of a response has been read on its handle.  */
 static void
 restart_call (struct bd_http_call *call)
 {
@@ -395,8 +383,6 @@
     return false;
   client->sockets = g_hash_table_new (g_str_hash, g_str_equal);
   client->names = g_hash_table_new_full (NULL, NULL, NULL, g_free);
-  client->idle_size = max_idle;
-  client->idle = talloc_array (NULL, CURL *, max_idle);
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, handle_socket);
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
   curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, handle_timer);
@@ -413,9 +399,6 @@
     return;
   while (client->calls != NULL)
     free_call (client->calls);
-  for (uint32_t i = 0; i < client->idle_count; i++)
-    curl_easy_cleanup (client->idle[i]);
-  TALLOC_FREE (client->idle);
   curl_multi_cleanup (client->multi);
   client->multi = NULL;
   g_hash_table_unref (client->sockets);
@@ -808,8 +791,10 @@
   call->client = client;
   call->ops = ops;
   call->ctx = ctx;
-  call->easy = client->idle_count > 0 ? client->idle[--client->idle_count]
-                                      : curl_easy_init ();
+  /* A new handle: libcurl before 8.0 keeps a pointer to the last header of
+     the earlier transfer of a handle, which is freed, and appends a line to it
+     that begins with a blank.  */
+  call->easy = curl_easy_init ();
   if (call->easy == NULL)
     {
       talloc_free (call);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -97,13 +97,10 @@
   CURLM *multi;
   struct bd_timer *timer;
   struct bd_http_call *calls; /* Running calls.  */
-  CURL **idle;                /* Easy handles for reuse.  */
-  uint32_t idle_count;
-  uint32_t idle_size;
-  GHashTable *sockets; /* Addresses of a connection -> socket.  */
-  GHashTable *names;   /* The reverse; holds the keys of sockets.  */
-  bool is_in_callback; /* A libcurl callback is running.  */
-  bool has_cancelled;  /* Calls cancelled in callbacks have to be freed.  */
+  GHashTable *sockets;        /* Addresses of a connection -> socket.  */
+  GHashTable *names;          /* The reverse; holds the keys of sockets.  */
+  bool is_in_callback;        /* A libcurl callback is running.  */
+  bool has_cancelled; /* Calls cancelled in callbacks have to be freed.  */
   struct bd_memory *memory;
   struct bd_timer *end_timer; /* Ends the calls over a limit.  */
 };
