http: a response whose head is not valid is refused before anything is read

Of 12 bytes they got 5 with "Content-Length: 5abc", "+5", "5, 12" or "5" and a control byte, 1 with "1 2", none with "0x5"; a length in a line whose name has a blank or a control byte was not seen and the line passed on.

Cause: what counts as a response was what libcurl takes for one. It reads the digits that a length begins with and takes any line with a colon for a field; handle_header() searched for a colon and looked no further. All that comes through the client had it: requests, probes, handed-over requests, both stores (an object from a body of another length), and orders (a 412 with a spoilt head ended the term of a controller).

Status 000 was refused before, by libcurl; its cases stay.

Ruled out: kept connections (each kind gets through on a new one), the server towards callers and the splitting of streams.

Change: bd_response_head_read() reads each line of a head by RFC 9112, also of interim ones and trailers, before a callback, a counter or libcurl's result is used. What is malformed fails the call by its part, without status, headers and body; the connection is closed. The endpoint may have run the request, so an unsafe one gets 502 and others are tried again within their budgets. It is counted and logged, and is no evidence of a crash or of lost links, since the endpoint has responded. 101, which was waited for until the request's time was over, is refused at once. Blanks after a value are no part of it.

Why it works: the check is in front of the only place where the client reads a head, and fails a call whose result libcurl would call complete. That sound heads pass is a property (response_head_properties), and 29 unusual ones go through client and daemon.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -39,6 +39,8 @@
   X (RESPONSES_TOO_LARGE, "responses_too_large_total",                        \
      "responses of endpoints ended because they, or all together, were too "  \
      "large")                                                                 \
+  X (RESPONSES_MALFORMED, "responses_malformed_total",                        \
+     "responses of endpoints that are not valid HTTP")                        \
   X (WRONG_ATTEMPT_ID, "crossed_answers_total",                               \
      "answers with a foreign attempt id")                                     \
   X (WRONG_INCARNATION, "wrong_incarnation_total",                            \
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -41,6 +41,17 @@
   return bd_clock_now_ms (&daemon->clock);
 }
 
+void
+bd_daemon_note_malformed (struct bd_daemon *daemon, const char *source,
+                          const struct bd_http_result *result)
+{
+  if (result->malformed == NULL)
+    return;
+  bd_count (&daemon->counters, BD_COUNT_RESPONSES_MALFORMED);
+  bd_log ("report-malformed", "endpoint", source, "part", result->malformed,
+          NULL);
+}
+
 bool
 bd_daemon_is_starting (const struct bd_daemon *daemon)
 {
--- a/src/daemon/daemon_attempts.c
+++ b/src/daemon/daemon_attempts.c
@@ -75,6 +75,22 @@
                   BD_NUM ((int64_t)daemon->memory.used_bytes), NULL);
 }
 
+/* Counts and logs a response that cannot be used.  */
+static void
+note_unusable (const struct bd_job *job, const struct bd_http_result *result)
+{
+  if (result->malformed == NULL)
+    {
+      if (result->excess != NULL)
+        note_excess (job, result);
+      return;
+    }
+  bd_count (&job->daemon->counters, BD_COUNT_RESPONSES_MALFORMED);
+  bd_log_request ("response-malformed", "id", job->attempt_id, "endpoint",
+                  job->target.instance, "part", result->malformed, "events",
+                  BD_NUM (job->tokens), NULL);
+}
+
 /* is_crash: the replica may have crashed.  */
 static void
 handle_attempt_failure (struct bd_job *job, enum bd_failure failure,
@@ -120,8 +136,10 @@
 {
   enum bd_failure failure = failure_of_result (result);
 
-  handle_attempt_failure (
-      job, failure, failure == BD_FAILURE_BROKEN && result->excess == NULL);
+  handle_attempt_failure (job, failure,
+                          failure == BD_FAILURE_BROKEN
+                              && result->excess == NULL
+                              && result->malformed == NULL);
 }
 
 /* Whether a response belongs to this attempt: engines and daemons return the
@@ -216,8 +234,7 @@
                     && is_refusal (job, call, result->status, result->body);
 
   job->attempt = NULL;
-  if (result->excess != NULL)
-    note_excess (job, result);
+  note_unusable (job, result);
   if (job->has_mismatched_response
       || (result->is_complete && !is_refused
           && !is_response_of_attempt (job, call)))
@@ -387,8 +404,7 @@
   const char *body = job->error_body != NULL ? job->error_body : "";
 
   job->attempt = NULL;
-  if (result->excess != NULL)
-    note_excess (job, result);
+  note_unusable (job, result);
   if (job->has_ended_stream)
     finish_stream (job);
   else if (job->has_mismatched_response)
--- a/src/daemon/daemon_groups.c
+++ b/src/daemon/daemon_groups.c
@@ -224,6 +224,7 @@
   struct bd_daemon *daemon = ctx;
 
   (void)call;
+  bd_daemon_note_malformed (daemon, "order", result);
   if (result->status == 409)
     bd_count (&daemon->counters, BD_COUNT_ORDERS_REFUSED);
 }
--- a/src/daemon/daemon_instances.c
+++ b/src/daemon/daemon_instances.c
@@ -300,6 +300,7 @@
 
   (void)call;
   daemon->is_fetching_instances = false;
+  bd_daemon_note_malformed (daemon, "instances", result);
   if (!result->is_complete || result->status != 200)
     return;
   filtered = bd_instances_filter (result->body, result->body_size,
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -207,6 +207,12 @@
 /* bd_daemon_now_ms(): monotonic time in ms.  */
 int64_t bd_daemon_now_ms (const struct bd_daemon *daemon);
 
+/* bd_daemon_note_malformed(): counts and logs the response of a source, an
+   instance, "order", or "instances" for their list, to a call of the daemon's
+   own if it is malformed.  */
+void bd_daemon_note_malformed (struct bd_daemon *daemon, const char *source,
+                               const struct bd_http_result *result);
+
 /* bd_daemon_is_starting(): whether the daemon has started so recently that it
    may not have received a heartbeat from every peer.  The platform may return
    older state than the peers have, so a starting daemon takes no calls and is
--- a/src/daemon/daemon_probes.c
+++ b/src/daemon/daemon_probes.c
@@ -235,6 +235,7 @@
   struct bd_report report;
 
   (void)call;
+  bd_daemon_note_malformed (daemon, probe->instance, result);
   if (endpoint != NULL)
     {
       endpoint->is_probing = false;
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -741,7 +741,22 @@
 is_crash_result (const struct bd_http_result *result)
 {
   return !result->is_complete && result->was_sent && !result->has_timed_out
-         && result->excess == NULL;
+         && result->excess == NULL && result->malformed == NULL;
+}
+
+/* Counts and logs a response that is malformed.  */
+static void
+note_malformed (struct bd_edge_request *request,
+                const struct bd_http_result *result)
+{
+  bd_count (&request->edge->counters, BD_COUNT_RESPONSES_MALFORMED);
+  bd_log_request ("response-malformed", "id", request->attempt_id, "endpoint",
+                  request->endpoint, "part", result->malformed, "events",
+                  BD_NUM (request->events), NULL);
+  /* The endpoint was reached.  */
+  request->has_head = true;
+  if (!request->is_handed_over)
+    bd_edge_note_contact (request->edge, request->service);
 }
 
 /* Counts and logs a response that this daemon has ended, since it or what all
@@ -796,7 +811,9 @@
 
   swap_attempts (request);
   request->attempt = NULL;
-  if (result->excess != NULL)
+  if (result->malformed != NULL)
+    note_malformed (request, result);
+  else if (result->excess != NULL)
     note_excess (request, result);
   failure = stalled_failure (request, call, result);
   log_failure (request, failure, "ended after it stalled");
@@ -831,7 +848,12 @@
     }
   is_partial = request->sse.used > request->sse.start;
   request->attempt = NULL;
-  if (request->is_mismatched)
+  if (result->malformed != NULL)
+    {
+      note_malformed (request, result);
+      fail (request, BD_FAILURE_BROKEN, false, "malformed response");
+    }
+  else if (request->is_mismatched)
     fail (request, BD_FAILURE_MISMATCHED, false,
           "response does not have the id of this request, or no seal");
   else if (result->excess != NULL)
--- a/src/edge/controller.c
+++ b/src/edge/controller.c
@@ -209,7 +209,7 @@
 
   if (endpoint == NULL)
     return;
-  if (result->status != 0)
+  if (result->status != 0 || result->malformed != NULL)
     bd_edge_note_contact (edge, endpoint->entry.service);
   else
     bd_edge_note_silence (edge, endpoint->entry.service, endpoint->entry.id,
@@ -217,9 +217,16 @@
 }
 
 void
-bd_edge_note_large_report (struct bd_edge *edge, const char *endpoint,
-                           const struct bd_http_result *result)
+bd_edge_note_unusable_report (struct bd_edge *edge, const char *endpoint,
+                              const struct bd_http_result *result)
 {
+  if (result->malformed != NULL)
+    {
+      bd_count (&edge->counters, BD_COUNT_RESPONSES_MALFORMED);
+      bd_log ("report-malformed", "endpoint", endpoint, "part",
+              result->malformed, NULL);
+      return;
+    }
   if (result->excess == NULL)
     return;
   bd_count (&edge->counters, BD_COUNT_RESPONSES_TOO_LARGE);
@@ -237,7 +244,7 @@
   int64_t now_ms = bd_edge_now_ms (edge);
 
   note_link (edge, pending, result);
-  bd_edge_note_large_report (edge, pending->order.endpoint, result);
+  bd_edge_note_unusable_report (edge, pending->order.endpoint, result);
   bd_edge_note_head (edge, pending->order.endpoint, call, result->status);
   bd_log ("order-answered", "kind", bd_order_name (pending->order.kind),
           "endpoint", pending->order.endpoint, "group", pending->order.group,
@@ -409,7 +416,7 @@
       return;
     }
   note_link (edge, pending, result);
-  bd_edge_note_large_report (edge, endpoint->entry.id, result);
+  bd_edge_note_unusable_report (edge, endpoint->entry.id, result);
   before = endpoint->liveness;
   member_before = endpoint->entry.member;
   endpoint->has_pending_probe = false;
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -505,10 +505,11 @@
   BD_EDGE_MAX_REPORT_BYTES = 64 * 1024
 };
 
-/* bd_edge_note_large_report(): counts and logs a response of an endpoint to an
-   order or a probe if it has ended since it was too large.  */
-void bd_edge_note_large_report (struct bd_edge *edge, const char *endpoint,
-                                const struct bd_http_result *result);
+/* bd_edge_note_unusable_report(): counts and logs a response of an endpoint to
+   an order or a probe if it is malformed, or has ended since it was too
+   large.  */
+void bd_edge_note_unusable_report (struct bd_edge *edge, const char *endpoint,
+                                   const struct bd_http_result *result);
 
 /* bd_edge_started_ms(): the start of the known incarnation of an endpoint, for
    the log; 0 if unknown.  */
--- a/src/edge/handover.c
+++ b/src/edge/handover.c
@@ -381,8 +381,9 @@
 {
   struct link_probe *probe = ctx;
 
-  bd_edge_note_large_report (probe->edge, probe->id, result);
-  end_probe (probe, bd_http_call_status (call) != 0);
+  bd_edge_note_unusable_report (probe->edge, probe->id, result);
+  end_probe (probe,
+             bd_http_call_status (call) != 0 || result->malformed != NULL);
 }
 
 static const struct bd_http_call_ops probe_ops = { .done = handle_probe_done };
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -4,6 +4,7 @@
 
 #include "base/ids.h"
 #include "http/http_internal.h"
+#include "http/response_head.h"
 
 #include <errno.h>
 #include <linux/tcp.h>
@@ -59,12 +60,11 @@
   uint64_t dropped_bytes; /* The same, of no use.  */
   size_t held_bytes;      /* By the callbacks.  */
   struct bd_memory_share share;
+  struct bd_response_head head;
   const char *excess;         /* See struct bd_http_result.  */
   struct socket_watch *watch; /* Of its socket; NULL if there is none.  */
   bool has_to_end;            /* Outside of the callbacks of libcurl.  */
-  bool is_chunked;
-  bool has_whole_head; /* Of the final response.  */
-  bool has_head;       /* It was reported.  */
+  bool has_head;              /* The response head was reported.  */
   bool is_sent_once;
   bool was_started; /* A connection has been assigned to it once.  */
   bool is_stale;    /* Its kept connection has ended or brings bytes.  */
@@ -124,27 +124,53 @@
   talloc_free (call);
 }
 
+/* What of the response is malformed, by the checks of this client or by those
+   of libcurl; NULL if nothing is.  */
+static const char *
+find_malformed (const struct bd_http_call *call, CURLcode code)
+{
+  if (call->head.malformed != NULL)
+    return call->head.malformed;
+  if (!call->was_started)
+    return NULL;
+  switch (code)
+    {
+    case CURLE_UNSUPPORTED_PROTOCOL:
+    case CURLE_WEIRD_SERVER_REPLY:
+    case CURLE_BAD_FUNCTION_ARGUMENT:
+    case CURLE_BAD_CONTENT_ENCODING:
+      return "head";
+    default:
+      return NULL;
+    }
+}
+
 static void
 finish_call (struct bd_http_call *call, CURLcode code)
 {
-  struct bd_http_result result = { 0 };
-  long status = 0;
+  struct bd_http_result result = { .malformed = find_malformed (call, code) };
 
-  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
   /* libcurl does not report a connection that ends within a head.  */
-  result.is_complete = code == CURLE_OK && call->has_whole_head;
+  result.is_complete
+      = code == CURLE_OK && call->head.is_whole && result.malformed == NULL;
   /* The code of the result says nothing of it: it may be that of a second
      connection.  */
   result.was_sent = call->was_started;
   result.has_timed_out = code == CURLE_OPERATION_TIMEDOUT;
   /* A line that is too long for libcurl.  */
   if (code == CURLE_OUT_OF_MEMORY && call->excess == NULL
-      && !call->has_whole_head)
+      && !call->head.is_whole)
     call->excess = "head";
   result.excess = result.is_complete ? NULL : call->excess;
-  result.status = (uint32_t)status;
-  result.body = call->body != NULL ? call->body : "";
-  result.body_size = call->body_size;
+  result.body = "";
+  if (result.malformed == NULL)
+    {
+      result.status = bd_http_call_status (call);
+      result.body = call->body != NULL ? call->body : "";
+      result.body_size = call->body_size;
+    }
+  else
+    call->header_count = 0;
   /* What done keeps is a share of its own.  */
   bd_memory_leave (&call->share);
   if (!call->is_cancelled)
@@ -414,25 +440,30 @@
   client->memory = memory;
 }
 
-/* Whether data is the empty line that ends a response head.  */
 static bool
-is_head_end (const char *data, size_t length)
+is_accepted (struct bd_http_call *call)
 {
-  return length <= 2 && (length == 0 || data[0] == '\r' || data[0] == '\n');
+  return call->ops->accepts == NULL || call->ops->accepts (call->ctx, call);
 }
 
-/* Interim (1xx) responses are accepted; the final response follows them.  */
-static bool
-is_accepted (struct bd_http_call *call)
+static char *
+copy_text (char **out, const char *text, size_t size)
 {
-  return bd_http_call_status (call) < 200 || call->ops->accepts == NULL
-         || call->ops->accepts (call->ctx, call);
+  char *copy = *out;
+
+  memcpy (copy, text, size);
+  copy[size] = '\0';
+  *out += size + 1;
+  return copy;
 }
 
 /* Returns false if the call was evicted from the account.  */
 static bool
-add_header (struct bd_http_call *call, const char *name, const char *value)
+add_header (struct bd_http_call *call, const struct bd_response_field *field)
 {
+  char *out;
+  const char *name;
+
   if (call->header_count == call->header_capacity)
     {
       call->header_capacity += HEADERS_STEP;
@@ -442,19 +473,42 @@
                                                struct bd_http_header_field,
                                                call->header_capacity);
     }
+  out = talloc_size (call, field->name_bytes + field->value_bytes + 2);
+  name = copy_text (&out, field->name, field->name_bytes);
   call->response_headers[call->header_count++]
-      = (struct bd_http_header_field){ name, value };
+      = (struct bd_http_header_field){ name, copy_text (&out, field->value,
+                                                        field->value_bytes) };
   return true;
 }
 
+/* Handles a line of a head, or a trailer, which libcurl passes too.  Returns
+   false to end the call.  */
+static bool
+read_head_line (struct bd_http_call *call, const char *line, size_t size)
+{
+  struct bd_response_field field;
+  bool is_trailer = call->head.is_whole;
+
+  switch (bd_response_head_read (&call->head, line, size, &field))
+    {
+    case BD_RESPONSE_MALFORMED:
+      return false;
+    case BD_RESPONSE_STATUS:
+      call->header_count = 0;
+      return true;
+    case BD_RESPONSE_FIELD:
+      return is_trailer || add_header (call, &field);
+    case BD_RESPONSE_HEAD_END:
+      return is_trailer || !call->head.is_whole || is_accepted (call);
+    }
+  return false;
+}
+
 static size_t
 handle_header (char *data, size_t size, size_t count, void *ctx)
 {
   struct bd_http_call *call = ctx;
   size_t length = size * count;
-  char *line;
-  char *colon;
-  char *value;
 
   call->head_size += length;
   call->passed_bytes += length;
@@ -463,32 +517,9 @@
       call->excess = "head";
       return 0;
     }
-  if (!update_share (call))
+  if (call->is_cancelled || !update_share (call))
     return 0;
-  /* libcurl passes the trailers of a chunked body too.  */
-  if (call->has_whole_head)
-    return call->is_cancelled ? 0 : length;
-  if (is_head_end (data, length))
-    {
-      call->has_whole_head = bd_http_call_status (call) >= 200;
-      call->is_chunked
-          = bd_http_call_header (call, "Transfer-Encoding") != NULL;
-      return call->is_cancelled || !is_accepted (call) ? 0 : length;
-    }
-  if (length >= 5 && strncmp (data, "HTTP/", 5) == 0)
-    call->header_count = 0;
-  line = talloc_strndup (call, data, length);
-  colon = strchr (line, ':');
-  if (colon == NULL)
-    {
-      talloc_free (line);
-      return length;
-    }
-  *colon = '\0';
-  value = colon + 1;
-  value += strspn (value, " \t");
-  value[strcspn (value, "\r\n")] = '\0';
-  return add_header (call, line, value) ? length : 0;
+  return read_head_line (call, data, length) ? length : 0;
 }
 
 static void
@@ -538,7 +569,7 @@
   call->passed_bytes += length;
   call->useful_bytes += length;
   call->pieces++;
-  if (call->is_chunked && is_excessive (call, call->pieces * CHUNK_BYTES))
+  if (call->head.is_chunked && is_excessive (call, call->pieces * CHUNK_BYTES))
     {
       call->excess = "framing";
       return 0;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -3,6 +3,9 @@
    bd_http_send() starts a call; the callbacks in struct bd_http_call_ops
    report its response and its end.
 
+   A response that is not valid HTTP (http/response_head.h) fails the call, and
+   its connection is closed.
+
    No request is sent on a connection on which bytes wait, since they would be
    taken for its response, or which its peer has ended: a kept connection is
    closed and another one opened, and a call whose new connection is such a one
@@ -39,7 +42,11 @@
      was evicted from the account), or what the callbacks have named; NULL if
      nothing was.  */
   const char *excess;
-  uint32_t status; /* 0 if no status line was received.  */
+  /* What of the response is malformed: a part that http/response_head.h names,
+     or "head" if libcurl has refused it; NULL if nothing is.  The call is not
+     complete then, and has neither response headers nor a body.  */
+  const char *malformed;
+  uint32_t status; /* 0 if there is none, or the response is malformed.  */
   const char *body;
   size_t body_size;
 };
--- a/src/store/object_api_http.c
+++ b/src/store/object_api_http.c
@@ -30,6 +30,11 @@
 static enum bd_error
 error_of_status (const struct bd_http_result *result)
 {
+  if (result->malformed != NULL)
+    {
+      bd_log ("store-response-malformed", "part", result->malformed, NULL);
+      return BD_ERR_PLATFORM_DOWN;
+    }
   if (result->excess != NULL)
     return error_of_excess (result);
   if (!result->is_complete)
--- a/src/store/store_test.c
+++ b/src/store/store_test.c
@@ -1,7 +1,10 @@
 /* Tests of the store client: rate limits, circuit breaker, updates with lost
    replies, instance list, and the client against a scripted Object API.  */
 
+#include "tests/fakes/raw.h"
 #include "tests/loopback.h"
+#include "tests/malformed.h"
+#include "tests/quiet.h"
 #include "tests/unit.h"
 
 #include "base/timer.h"
@@ -351,6 +354,72 @@
   talloc_free (text);
 }
 
+static const struct response_case *raw_case;
+
+static void
+respond_raw (struct raw_connection *c, const struct raw_request *request)
+{
+  size_t size;
+  char *bytes
+      = response_make (c, raw_case, "HTTP/1.1 200 OK", "ETag: 7\r\n", &size);
+
+  (void)request;
+  raw_send_bytes (c, bytes, size, 0);
+  raw_close (c, false, 1);
+}
+
+/* The same list with a head that may be malformed.  */
+static enum bd_error
+list_over_raw_http (const struct response_case *c)
+{
+  enum
+  {
+    PORT = 25090,
+    MAX_CONNECTIONS = 8
+  };
+  struct tevent_context *events = tevent_context_init (NULL);
+  struct raw_endpoint endpoint;
+  struct bd_http_client client;
+  struct bd_object_api_http api
+      = { .client = &client,
+          .url = talloc_asprintf (events, "http://%s:%u", loopback_address (),
+                                  (unsigned)PORT) };
+  struct bd_object_op op
+      = { .kind = BD_OBJECT_LIST, .key = "claims/", .timeout_ms = 1000 };
+  struct list_result result = { .is_done = false };
+
+  raw_case = c;
+  raw_start (&endpoint, events, PORT, respond_raw, NULL);
+  bd_http_client_init (&client, events, MAX_CONNECTIONS);
+  CU_ASSERT_TRUE_FATAL (
+      bd_object_api_http_ops.start (&api, &op, handle_list_result, &result));
+  while (!result.is_done)
+    tevent_loop_once (events);
+  bd_http_client_finish (&client);
+  raw_finish (&endpoint);
+  json_decref (result.items);
+  talloc_free (events);
+  return result.error;
+}
+
+/* A value of a response whose head is malformed is no value of the store.  */
+static void
+test_malformed_response_counts_as_store_down_over_http (void)
+{
+  for (size_t i = 0; i < CASE_COUNT (malformed_heads); i++)
+    {
+      struct response_case c = malformed_heads[i];
+
+      if (c.body != NULL)
+        continue;
+      c.body = "{\"items\":[]}";
+      CU_ASSERT_EQUAL (list_over_raw_http (&c), BD_ERR_PLATFORM_DOWN);
+    }
+  CU_ASSERT_EQUAL (list_over_raw_http (&(struct response_case){
+                       .fields = LENGTH, .body = "{\"items\":[]}" }),
+                   BD_OK);
+}
+
 /* A scripted Object API: returns the next reply for each operation.  */
 struct script
 {
@@ -754,6 +823,8 @@
     test_odd_object_hides_the_others_over_http },
   { "large response counts as store down over http",
     test_large_response_counts_as_store_down_over_http },
+  { "malformed response counts as store down over HTTP",
+    test_malformed_response_counts_as_store_down_over_http },
   { "the client retries an update", test_client_retries_update },
   { "a term follows a number that no daemon wrote",
     test_term_follows_a_number_that_no_daemon_wrote },
@@ -770,6 +841,7 @@
 {
   int code;
 
+  unit_silence_log ();
   rng = gsl_rng_alloc (gsl_rng_mt19937);
   code = UNIT_RUN ("platform", tests);
   gsl_rng_free (rng);
--- a/tests/fakes/raw.c
+++ b/tests/fakes/raw.c
@@ -16,7 +16,7 @@
 
 enum
 {
-  LISTEN_QUEUE = 64
+  LISTEN_QUEUE = 512
 };
 
 static int
@@ -159,7 +159,8 @@
 struct raw_action
 {
   struct raw_connection *connection;
-  char *text; /* NULL: closes the connection.  */
+  char *bytes; /* NULL: closes the connection.  */
+  size_t size;
   bool is_reset;
 };
 
@@ -170,9 +171,9 @@
   struct raw_connection *c = action->connection;
   struct linger linger = { .l_onoff = 1 };
 
-  if (action->text != NULL)
+  if (action->bytes != NULL)
     {
-      send (c->fd, action->text, strlen (action->text), MSG_NOSIGNAL);
+      send (c->fd, action->bytes, action->size, MSG_NOSIGNAL);
       talloc_free (action);
       return;
     }
@@ -182,15 +183,16 @@
 }
 
 static void
-add_action (struct raw_connection *c, const char *text, bool is_reset,
-            int64_t delay_ms)
+add_action (struct raw_connection *c, const char *bytes, size_t size,
+            bool is_reset, int64_t delay_ms)
 {
   struct raw_action *action = talloc_zero (c, struct raw_action);
 
   action->connection = c;
-  action->text = talloc_strdup (action, text);
+  action->bytes = bytes != NULL ? talloc_memdup (action, bytes, size) : NULL;
+  action->size = size;
   action->is_reset = is_reset;
-  if (delay_ms == 0 && text != NULL)
+  if (delay_ms == 0 && bytes != NULL)
     run_action (action);
   else
     bd_timer_add (c->endpoint->events, action, delay_ms, run_action, action);
@@ -199,11 +201,18 @@
 void
 raw_send (struct raw_connection *c, const char *text, int64_t delay_ms)
 {
-  add_action (c, text, false, delay_ms);
+  add_action (c, text, strlen (text), false, delay_ms);
+}
+
+void
+raw_send_bytes (struct raw_connection *c, const char *bytes, size_t size,
+                int64_t delay_ms)
+{
+  add_action (c, bytes, size, false, delay_ms);
 }
 
 void
 raw_close (struct raw_connection *c, bool is_reset, int64_t delay_ms)
 {
-  add_action (c, NULL, is_reset, delay_ms);
+  add_action (c, NULL, 0, is_reset, delay_ms);
 }
--- a/tests/fakes/raw.h
+++ b/tests/fakes/raw.h
@@ -11,6 +11,7 @@
 #include "base/ids.h"
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 #include <tevent.h>
 
@@ -53,9 +54,12 @@
 void raw_finish (struct raw_endpoint *endpoint);
 
 /* raw_send(): sends text after delay_ms, or at once if that is 0.  Nothing is
-   sent once the connection is closed.  */
+   sent once the connection is closed.
+   raw_send_bytes(): the same for bytes, which may contain zeros.  */
 void raw_send (struct raw_connection *connection, const char *text,
                int64_t delay_ms);
+void raw_send_bytes (struct raw_connection *connection, const char *bytes,
+                     size_t size, int64_t delay_ms);
 
 /* raw_close(): closes the connection after delay_ms, by a reset or in order.
  */
--- a/tests/fakes/service.c
+++ b/tests/fakes/service.c
@@ -5,13 +5,14 @@
    GET /state                     load report
    GET /record                    {"runs": {key: count}, "total": n}
    POST /faults {"slow_ms": n, "cut_after_run": n, "refuse": b, "dead": b,
-                 "long_answer": bytes, "name": "text"}
+                 "long_answer": bytes, "malformed": n, "name": "text"}
    any other path                 one run
 
    "cut_after_run" closes the connection without a response after each of the
    next n runs.  "refuse" returns 503 without a run.  "dead" closes every
-   connection except for /faults and /record.  "name" puts another instance in
-   place of the service, at its address.  */
+   connection except for /faults and /record.  "malformed": the heads of the
+   next n responses have a bracket in the name of a field.  "name" puts another
+   instance in place of the service, at its address.  */
 
 #include "tests/fakes/fakes.h"
 
@@ -29,6 +30,7 @@
   uint32_t slow_ms;
   uint32_t responses_to_drop;
   uint32_t padding_bytes; /* Added to each response.  */
+  uint32_t malformed_responses;
   bool is_refusing;
   bool is_dead;
 };
@@ -41,6 +43,7 @@
   struct bd_http_header_field headers[]
       = { { "Content-Type", "application/json" },
           { "X-Attempt-Id", attempt != NULL ? attempt : "" },
+          { NULL, NULL },
           { NULL, NULL } };
   char *text = talloc_asprintf (
       x, "{\"service\":\"%s\",\"run\":%llu,\"key\":\"%s\",\"bytes\":%zu}\n",
@@ -49,6 +52,11 @@
 
   if (s->padding_bytes > 0)
     text = talloc_asprintf_append (text, "%*s", (int)s->padding_bytes, ".");
+  if (s->malformed_responses > 0)
+    {
+      s->malformed_responses--;
+      headers[2] = (struct bd_http_header_field){ "X(Malformed)", "1" };
+    }
   if (s->responses_to_drop > 0)
     {
       s->responses_to_drop--;
@@ -107,6 +115,8 @@
         s->responses_to_drop = (uint32_t)json_integer_value (value);
       else if (strcmp (name, "long_answer") == 0)
         s->padding_bytes = (uint32_t)json_integer_value (value);
+      else if (strcmp (name, "malformed") == 0)
+        s->malformed_responses = (uint32_t)json_integer_value (value);
       else if (strcmp (name, "refuse") == 0)
         s->is_refusing = json_is_true (value);
       else if (strcmp (name, "name") == 0)
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -495,7 +495,8 @@
   json_object_set_new (entry, "Address", json_string (address));
   json_object_set_new (entry, "Sequence", json_integer (++worker->heartbeats));
   json_object_set_new (entry, "Zone", json_string ("a"));
-  json_object_set_new (entry, "Slots", json_integer (4));
+  json_object_set_new (entry, "Slots",
+                       json_integer (worker->slots > 0 ? worker->slots : 4));
   json_object_set_new (
       entry, "State",
       json_string (worker->is_draining ? "draining" : "ready"));
--- a/tests/fakes/site.h
+++ b/tests/fakes/site.h
@@ -85,6 +85,7 @@
   /* Requests a second that its responses allow; NULL for no limit.  */
   const char *request_limit;
   const char *load;        /* In its responses; NULL for none.  */
+  uint32_t slots;          /* In its entry; 4 if 0.  */
   uint32_t order_delay_ms; /* Until it responds to an order.  */
   uint32_t report_lag_ms;  /* Age that its reports can have.  */
   bool has_odd_report;     /* Its reports contain the site's raw_value.  */
--- a/tests/paths/crossed_responses.sh
+++ b/tests/paths/crossed_responses.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # A caller never gets a response with the id of another attempt or with another
-# incarnation, nor a truncated response.
+# incarnation, nor a truncated or malformed response.
 BASE_PORT=24200
 . "$(dirname "$0")/common.sh"
 start_system
@@ -41,4 +41,11 @@
 check "a call that has started isn't reported as not run" is_equal "$(post_completion "$A" "mine" 12 | jq -r .run)" unknown
 post_stream "$A" "mine" 12 >"$WORK/refused"
 check "nor is a stream" bash -c "! grep -q 'not-run' '$WORK/refused'"
+# A response whose head is not valid HTTP is none, and the request has run.
+set_faults "$LEAGUE" '{"malformed":1}'
+post_booking "$A" malformed-1 >"$WORK/malformed"
+check "the caller doesn't get a malformed response" is_equal "$(jq -r '"\(.kind) \(.run)"' "$WORK/malformed")" "endpoint-failed unknown"
+check "the request has run once" is_equal "$(run_count malformed-1)" 1
+check "malformed responses are counted" test "$(metric_value "$A" responses_malformed_total)" -ge 1
+check "the next response is the service's" is_equal "$(post_booking "$A" sound-1 | jq -r .key)" sound-1
 print_check_count
