http: a chunked body whose framing is not valid is no whole body

Cause: libcurl reads the hexadecimal digits that the line of a size begins with, skips the rest of it, and looks for LF only.

Ruled out: what the client's other callbacks see is already decoded; the count of a socket's bytes does not tell sizes.

Change: bd_chunks_read() follows the framing by RFC 9112, 7.1, and a fault fails the call and closes its connection. libcurl passes the raw body only to its debug callback, before it decodes it; CURLOPT_VERBOSE is switched on once the head of a response says that the body is chunked, so that other responses cost nothing. A stream that has begun is cut, or goes on elsewhere after its last event, as one whose endpoint breaks off.

--- a/src/edge/edge_malformed_test.c
+++ b/src/edge/edge_malformed_test.c
@@ -169,6 +169,15 @@
          && call->seal == NULL && !has_body (call);
 }
 
+/* The same, or a stream that has begun and is cut.  */
+static bool
+is_cut (const struct site_call *call, size_t number)
+{
+  return is_refused (call, number)
+         || (run_counts[number] >= 1 && run_counts[number] <= kind->max_runs
+             && call->status == 200 && !call->is_complete);
+}
+
 static bool
 is_whole (const struct site_call *call, size_t number)
 {
@@ -229,6 +238,13 @@
   check_cases (malformed_heads, CASE_COUNT (malformed_heads), is_refused, 0);
 }
 
+static void
+test_malformed_chunks_are_forwarded (void)
+{
+  check_cases (malformed_chunks, CASE_COUNT (malformed_chunks), is_cut,
+               MAX_CUT_RUNS);
+}
+
 static void
 test_sound_response_is_refused (void)
 {
@@ -321,6 +337,7 @@
 {
   static const struct unit_test tests[] = {
     { "malformed head is forwarded", test_malformed_head_is_forwarded },
+    { "malformed chunks are forwarded", test_malformed_chunks_are_forwarded },
     { "sound response is refused", test_sound_response_is_refused },
     { "malformed heads beside streams", test_malformed_heads_beside_streams },
     { "malformed head is handed over", test_malformed_head_is_handed_over },
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -3,6 +3,7 @@
 #include "http/client.h"
 
 #include "base/ids.h"
+#include "http/chunks.h"
 #include "http/http_internal.h"
 #include "http/response_head.h"
 
@@ -61,7 +62,9 @@
   size_t held_bytes;      /* By the callbacks.  */
   struct bd_memory_share share;
   struct bd_response_head head;
-  const char *excess;         /* See struct bd_http_result.  */
+  struct bd_chunks chunks;
+  const char *malformed;      /* See struct bd_http_result.  */
+  const char *excess;         /* The same.  */
   struct socket_watch *watch; /* Of its socket; NULL if there is none.  */
   bool has_to_end;            /* Outside of the callbacks of libcurl.  */
   bool has_head;              /* The response head was reported.  */
@@ -129,8 +132,8 @@
 static const char *
 find_malformed (const struct bd_http_call *call, CURLcode code)
 {
-  if (call->head.malformed != NULL)
-    return call->head.malformed;
+  if (call->malformed != NULL || call->head.malformed != NULL)
+    return call->malformed != NULL ? call->malformed : call->head.malformed;
   if (!call->was_started)
     return NULL;
   switch (code)
@@ -481,6 +484,37 @@
   return true;
 }
 
+/* Reads the body of a chunked response before libcurl decodes it.  */
+static int
+handle_raw_data (CURL *easy, curl_infotype type, char *data, size_t size,
+                 void *ctx)
+{
+  struct bd_http_call *call = ctx;
+
+  (void)easy;
+  if (type == CURLINFO_DATA_IN && call->malformed == NULL
+      && !bd_chunks_read (&call->chunks, data, size))
+    {
+      call->malformed = "chunk";
+      bd_http_call_close (call);
+    }
+  return 0;
+}
+
+/* Handles the end of a head.  Returns false to end the call.  */
+static bool
+handle_head_end (struct bd_http_call *call)
+{
+  if (!call->head.is_whole)
+    return true;
+  if (!is_accepted (call))
+    return false;
+  /* libcurl passes the raw body only to its debug callback.  */
+  if (call->head.is_chunked)
+    curl_easy_setopt (call->easy, CURLOPT_VERBOSE, 1L);
+  return true;
+}
+
 /* Handles a line of a head, or a trailer, which libcurl passes too.  Returns
    false to end the call.  */
 static bool
@@ -499,7 +533,7 @@
     case BD_RESPONSE_FIELD:
       return is_trailer || add_header (call, &field);
     case BD_RESPONSE_HEAD_END:
-      return is_trailer || !call->head.is_whole || is_accepted (call);
+      return is_trailer || handle_head_end (call);
     }
   return false;
 }
@@ -564,7 +598,7 @@
   size_t length = size * count;
   bool wants_more;
 
-  if (call->is_cancelled || call->excess != NULL)
+  if (call->is_cancelled || call->excess != NULL || call->malformed != NULL)
     return 0;
   call->passed_bytes += length;
   call->useful_bytes += length;
@@ -783,6 +817,8 @@
   curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, handle_header);
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
+  curl_easy_setopt (easy, CURLOPT_DEBUGFUNCTION, handle_raw_data);
+  curl_easy_setopt (easy, CURLOPT_DEBUGDATA, call);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, handle_data);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
   if (request->has_dedicated_connection)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -3,8 +3,8 @@
    bd_http_send() starts a call; the callbacks in struct bd_http_call_ops
    report its response and its end.
 
-   A response that is not valid HTTP (http/response_head.h) fails the call, and
-   its connection is closed.
+   A response that is not valid HTTP (http/response_head.h, http/chunks.h)
+   fails the call, and its connection is closed.
 
    No request is sent on a connection on which bytes wait, since they would be
    taken for its response, or which its peer has ended: a kept connection is
@@ -43,7 +43,8 @@
      nothing was.  */
   const char *excess;
   /* What of the response is malformed: a part that http/response_head.h names,
-     or "head" if libcurl has refused it; NULL if nothing is.  The call is not
+     "chunk" (see http/chunks.h), or "head" if libcurl has refused it; NULL if
+     nothing is.  The call is not
      complete then, and has neither response headers nor a body.  */
   const char *malformed;
   uint32_t status; /* 0 if there is none, or the response is malformed.  */
--- a/src/http/malformed_test.c
+++ b/src/http/malformed_test.c
@@ -284,6 +284,12 @@
   check_cases (malformed_heads, CASE_COUNT (malformed_heads), false, true);
 }
 
+static void
+test_malformed_chunks (void)
+{
+  check_cases (malformed_chunks, CASE_COUNT (malformed_chunks), false, false);
+}
+
 /* Sends the case, and keeps the connection.  */
 static void
 send_case_only (struct raw_connection *c, const struct raw_request *request)
@@ -311,6 +317,9 @@
     { .name = "switching protocols",
       .fields = "",
       .status_line = "HTTP/1.1 101 Switching Protocols" },
+    { .name = "last size",
+      .fields = CHUNKED,
+      .body = "c\r\n" RESPONSE_BODY "\r\n0x\r\n\r\n" },
     { .name = "trailer",
       .fields = CHUNKED,
       .body = "c\r\n" RESPONSE_BODY "\r\n0\r\nX A: b\r\n\r\n" },
@@ -354,6 +363,7 @@
       = { { "folded first line after other responses",
             test_folded_first_line_after_other_responses },
           { "malformed heads", test_malformed_heads },
+          { "malformed chunks", test_malformed_chunks },
           { "malformed response keeps its connection",
             test_malformed_response_keeps_connection },
           { "sound responses", test_sound_responses } };
