malformed_test: what is malformed arrives while the transfer pauses

A guard, it passes without a change: libcurl is given nothing to read while a transfer pauses, and what it had read before is checked before it is passed on. Three cases, a size, the last size and a trailer behind the piece at which the transfer pauses: the call fails by its part, and not by its time.

--- a/src/http/malformed_test.c
+++ b/src/http/malformed_test.c
@@ -350,6 +350,67 @@
   raw_finish (&endpoint);
 }
 
+static void
+continue_call (void *ctx)
+{
+  bd_http_call_continue (ctx);
+}
+
+/* Pauses the transfer once.  */
+static bool
+handle_paused_data (void *ctx, struct bd_http_call *call, const char *data,
+                    size_t size)
+{
+  struct outcome *outcome = ctx;
+  bool is_first = outcome->body_size == 0;
+
+  handle_data (ctx, call, data, size);
+  if (is_first)
+    bd_timer_add (events, events, CLOSE_MS, continue_call, call);
+  return !is_first;
+}
+
+/* What is malformed arrives while the transfer pauses.  */
+static void
+test_malformed_while_paused (void)
+{
+  static const struct bd_http_call_ops paused_ops
+      = { .data = handle_paused_data, .done = handle_done };
+  static const struct response_case list[] = {
+    { .name = "size",
+      .fields = CHUNKED,
+      .body = "5\r\ndata:\r\n7x\r\n abcd\n\n\r\n0\r\n\r\n" },
+    { .name = "last size",
+      .fields = CHUNKED,
+      .body = "5\r\ndata:\r\n7\r\n abcd\n\n\r\n0x\r\n\r\n" },
+    { .name = "trailer",
+      .fields = CHUNKED,
+      .body = "5\r\ndata:\r\n7\r\n abcd\n\n\r\n0\r\nX A: b\r\n\r\n" },
+  };
+
+  cases = list;
+  raw_start (&endpoint, events, RAW_PORT, send_case_only, NULL);
+  for (size_t i = 0; i < CASE_COUNT (list); i++)
+    {
+      struct bd_http_client client;
+      struct outcome outcome = { 0 };
+      char url[64];
+      struct bd_http_request request
+          = { .method = "GET", .url = url, .timeout_ms = TIMEOUT_MS };
+
+      bd_http_client_init (&client, events, MAX_IDLE);
+      snprintf (url, sizeof url, "http://%s:%u/%zu", loopback_address (),
+                RAW_PORT, i);
+      bd_http_send (&client, &request, &paused_ops, &outcome);
+      wait_for (&outcome);
+      CU_ASSERT_PTR_NOT_NULL (outcome.malformed);
+      CU_ASSERT_FALSE (outcome.is_complete);
+      CU_ASSERT_FALSE (outcome.has_timed_out);
+      bd_http_client_finish (&client);
+    }
+  raw_finish (&endpoint);
+}
+
 static void
 test_sound_responses (void)
 {
@@ -366,6 +427,8 @@
           { "malformed chunks", test_malformed_chunks },
           { "malformed response keeps its connection",
             test_malformed_response_keeps_connection },
+          { "malformed while the transfer pauses",
+            test_malformed_while_paused },
           { "sound responses", test_sound_responses } };
   int code;
 
