--- a/src/http/client.c
+++ b/src/http/client.c
@@ -141,7 +141,6 @@
     case CURLE_UNSUPPORTED_PROTOCOL:
     case CURLE_WEIRD_SERVER_REPLY:
     case CURLE_BAD_FUNCTION_ARGUMENT:
-    case CURLE_BAD_CONTENT_ENCODING:
       return "head";
     default:
       return NULL;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -44,8 +44,8 @@
   const char *excess;
   /* What of the response is malformed: a part that http/response_head.h names,
      "chunk" (see http/chunks.h), or "head" if libcurl has refused it; NULL if
-     nothing is.  The call is not
-     complete then, and has neither response headers nor a body.  */
+     nothing is.  The call is not complete then, and has neither response
+     headers nor a body.  */
   const char *malformed;
   uint32_t status; /* 0 if there is none, or the response is malformed.  */
   const char *body;
--- a/src/http/malformed_test.c
+++ b/src/http/malformed_test.c
@@ -156,21 +156,33 @@
 static const char sound_response[]
     = "HTTP/1.1 200 OK\r\nX-First: 1\r\nContent-Length: 2\r\n\r\nok";
 
-/* Sends a sound response, or the case whose number is the path.  */
+/* The response to a request for a path: a sound one, for which *is_case is
+   unset, or the case whose number is the path.  */
+static char *
+make_case (struct raw_connection *c, const char *path, size_t *size,
+           bool *is_case)
+{
+  *is_case = strcmp (path, "/sound") != 0;
+  *size = strlen (sound_response);
+  if (!*is_case)
+    return talloc_strdup (c, sound_response);
+  return response_make (c, &cases[strtol (path + 1, NULL, 10)],
+                        "HTTP/1.1 200 OK", "X-Own: o\r\n", size);
+}
+
 static void
 send_case (struct raw_connection *c, const struct raw_request *request)
 {
   int64_t sent_ms = 0;
   size_t size;
-  char *bytes;
+  bool is_case;
+  char *bytes = make_case (c, request->path, &size, &is_case);
 
-  if (strcmp (request->path, "/sound") == 0)
+  if (!is_case)
     {
-      raw_send (c, sound_response, 0);
+      raw_send_bytes (c, bytes, size, 0);
       return;
     }
-  bytes = response_make (c, &cases[strtol (request->path + 1, NULL, 10)],
-                         "HTTP/1.1 200 OK", "X-Own: o\r\n", &size);
   if (manner != BYTE_BY_BYTE)
     raw_send_bytes (c, bytes, size, 0);
   else
@@ -290,20 +302,14 @@
   check_cases (malformed_chunks, CASE_COUNT (malformed_chunks), false, false);
 }
 
-/* Sends the case, and keeps the connection.  */
+/* Keeps the connection after the response.  */
 static void
 send_case_only (struct raw_connection *c, const struct raw_request *request)
 {
   size_t size;
-  char *bytes;
+  bool is_case;
+  char *bytes = make_case (c, request->path, &size, &is_case);
 
-  if (strcmp (request->path, "/sound") == 0)
-    {
-      raw_send (c, sound_response, 0);
-      return;
-    }
-  bytes = response_make (c, &cases[strtol (request->path + 1, NULL, 10)],
-                         "HTTP/1.1 200 OK", "", &size);
   raw_send_bytes (c, bytes, size, 0);
 }
 
--- a/src/store/store_test.c
+++ b/src/store/store_test.c
@@ -281,34 +281,45 @@
   result->items = json_deep_copy (reply->items);
 }
 
+enum
+{
+  STORE_PORT = 25090,
+  MAX_CONNECTIONS = 8
+};
+
+/* Requests a list from the Object API at STORE_PORT.  */
 static struct list_result
-list_over_http (const char *text)
+request_list (struct tevent_context *events)
 {
-  enum
-  {
-    PORT = 25090,
-    MAX_CONNECTIONS = 8
-  };
-  struct tevent_context *events = tevent_context_init (NULL);
-  struct bd_http_server server;
   struct bd_http_client client;
   struct bd_object_api_http api
       = { .client = &client,
           .url = talloc_asprintf (events, "http://%s:%u", loopback_address (),
-                                  (unsigned)PORT) };
+                                  (unsigned)STORE_PORT) };
   struct bd_object_op op
       = { .kind = BD_OBJECT_LIST, .key = "claims/", .timeout_ms = 1000 };
   struct list_result result = { .is_done = false };
 
-  CU_ASSERT_TRUE_FATAL (
-      bd_http_server_init (&server, events, loopback_address (), PORT,
-                           MAX_CONNECTIONS, &text_ops, (void *)text));
   bd_http_client_init (&client, events, MAX_CONNECTIONS);
   CU_ASSERT_TRUE_FATAL (
       bd_object_api_http_ops.start (&api, &op, handle_list_result, &result));
   while (!result.is_done)
     tevent_loop_once (events);
   bd_http_client_finish (&client);
+  return result;
+}
+
+static struct list_result
+list_over_http (const char *text)
+{
+  struct tevent_context *events = tevent_context_init (NULL);
+  struct bd_http_server server;
+  struct list_result result;
+
+  CU_ASSERT_TRUE_FATAL (
+      bd_http_server_init (&server, events, loopback_address (), STORE_PORT,
+                           MAX_CONNECTIONS, &text_ops, (void *)text));
+  result = request_list (events);
   bd_http_server_finish (&server);
   talloc_free (events);
   return result;
@@ -368,34 +379,17 @@
   raw_close (c, false, 1);
 }
 
-/* The same list with a head that may be malformed.  */
+/* The error of a list whose head may be malformed.  */
 static enum bd_error
 list_over_raw_http (const struct response_case *c)
 {
-  enum
-  {
-    PORT = 25090,
-    MAX_CONNECTIONS = 8
-  };
   struct tevent_context *events = tevent_context_init (NULL);
   struct raw_endpoint endpoint;
-  struct bd_http_client client;
-  struct bd_object_api_http api
-      = { .client = &client,
-          .url = talloc_asprintf (events, "http://%s:%u", loopback_address (),
-                                  (unsigned)PORT) };
-  struct bd_object_op op
-      = { .kind = BD_OBJECT_LIST, .key = "claims/", .timeout_ms = 1000 };
-  struct list_result result = { .is_done = false };
+  struct list_result result;
 
   raw_case = c;
-  raw_start (&endpoint, events, PORT, respond_raw, NULL);
-  bd_http_client_init (&client, events, MAX_CONNECTIONS);
-  CU_ASSERT_TRUE_FATAL (
-      bd_object_api_http_ops.start (&api, &op, handle_list_result, &result));
-  while (!result.is_done)
-    tevent_loop_once (events);
-  bd_http_client_finish (&client);
+  raw_start (&endpoint, events, STORE_PORT, respond_raw, NULL);
+  result = request_list (events);
   raw_finish (&endpoint);
   json_decref (result.items);
   talloc_free (events);
