malformed_test: paths have room for any number

The build of the sanitizers refused the file: at -O1 the compiler does not see that the numbers are small (-Wformat-truncation).

--- a/src/http/malformed_test.c
+++ b/src/http/malformed_test.c
@@ -220,7 +220,7 @@
     {
       struct bd_http_client client;
       struct outcome first;
-      char path[16];
+      char path[32];
 
       bd_http_client_init (&client, events, MAX_IDLE);
       start_call (&client, "/sound", &first);
@@ -241,7 +241,7 @@
 {
   struct bd_http_client client;
   struct outcome last;
-  char path[16];
+  char path[32];
 
   bd_http_client_init (&client, events, MAX_IDLE);
   for (size_t i = 0; i < count; i++)
@@ -337,7 +337,7 @@
     {
       struct bd_http_client client;
       struct outcome outcome;
-      char path[16];
+      char path[32];
 
       endpoint.connections = 0;
       bd_http_client_init (&client, events, MAX_IDLE);
