http: comments of the response checks use the terms of the field

Seen in the last read of the change: phrases such as "nobody asked for" and "told by its part". Comments only; no code, bound or check is touched.

--- a/src/edge/edge_malformed_test.c
+++ b/src/edge/edge_malformed_test.c
@@ -1,6 +1,6 @@
 /* Guards against MIXED: endpoints in trouble send responses that are not valid
-   HTTP.  No caller gets one as a response, nor is told that its request has
-   not run; the endpoint is not taken for one that crashes.  */
+   HTTP.  No caller gets one as a response, or a status that promises that its
+   request has not run; the endpoint is not taken for one that crashes.  */
 
 #include "edge/edge_internal.h"
 #include "platform/platform.h"
--- a/src/http/malformed_test.c
+++ b/src/http/malformed_test.c
@@ -1,5 +1,5 @@
-/* Guards against MIXED and LOST: responses that are not valid HTTP reach
-   nobody as a response, whatever the connection has brought before, and leave
+/* Guards against MIXED and LOST: responses that are not valid HTTP are
+   not passed on, whatever the connection has brought before, and leave
    the client whole.  */
 
 #include "base/timer.h"
--- a/src/http/response_head.c
+++ b/src/http/response_head.c
@@ -161,8 +161,8 @@
     }
 }
 
-/* Reads the fields that tell where the body ends.  Returns what is malformed,
-   or NULL.  */
+/* Reads the fields that determine the length of the body.  Returns what is
+   malformed, or NULL.  */
 static const char *
 read_framing (struct bd_response_head *head, struct slice name,
               struct slice value)
--- a/src/http/response_head.h
+++ b/src/http/response_head.h
@@ -7,7 +7,7 @@
 
    The part that is malformed is one of these static strings:
      "status-line"  not "HTTP/1.0" or "HTTP/1.1", one blank, three digits from
-                    100 to 599 and a reason; or 101, which nobody asked for
+                    100 to 599 and a reason; or 101 without an upgrade
      "field-name"   empty, or with a byte that is no token character, such as
                     a blank before the colon; a line without a colon
      "field-value"  a control byte other than a tab
--- a/src/http/response_head_properties.cc
+++ b/src/http/response_head_properties.cc
@@ -177,9 +177,9 @@
   return true;
 }
 
-/* Whether a byte in place of another one spoils the field that tells where the
-   body ends.  A blank at an end of the value is no part of it, and a comma can
-   make a list of the same lengths.  */
+/* Whether a byte in place of another one makes the field that determines the
+   length of the body malformed.  A blank at an end of the value is no part of
+   it, and a comma can make a list of the same lengths.  */
 bool
 is_spoilt (const Head &h, char before, char byte)
 {
--- a/src/http/response_head_test.c
+++ b/src/http/response_head_test.c
@@ -1,5 +1,5 @@
-/* Tests of the checks of response heads: each malformed line is told by its
-   part, and the fields of sound heads are read without the blanks around
+/* Tests of the checks of response heads: the malformed part of each line is
+   named, and the fields of sound heads are read without the blanks around
    them.  */
 
 #include "http/response_head.h"
