base: the last line of a process names modules, build, the allocator's words and the sender

Its last line could not tell the hypotheses apart: a fault of the heap had the cause "signal", frames inside a library were offsets from the program's start, a signal of another process looked like an abort of its own, and nothing named the build or what had been read before the fault was found.

Change: frames are module and offset, from a table that is read at the start; the line has the build ids of the program and of these libraries, the words of the C library (__abort_msg, looked up at the start), si_code, the sender or the address, and the last eight activities. The socket of a call and a malformed response are activities now; "started" names the build. The handler has a stack of its own, so that a used-up stack is logged too, and SIGTRAP and SIGSYS are handled.

--- a/src/base/crash.c
+++ b/src/base/crash.c
@@ -3,7 +3,9 @@
 #include "base/crash.h"
 
 #include "base/log.h"
+#include "base/modules.h"
 
+#include <dlfcn.h>
 #include <execinfo.h>
 #include <gsl/gsl_errno.h>
 #include <signal.h>
@@ -19,19 +21,36 @@
 {
   SUBJECT_SIZE = 64,
   CAUSE_SIZE = 256,
-  LINE_SIZE = 2048,
-  MAX_FRAMES = 32,
+  /* A pipe takes a line of PIPE_BUF bytes whole or not at all.  */
+  LINE_SIZE = 4096,
+  RECENT_COUNT = 8,
+  MAX_FRAMES = 24,
+  STACK_BYTES = 64 * 1024,
   MS_PER_S = 1000,
   NS_PER_MS = 1000000
 };
 
-/* Of the program, by the linker.  */
-extern const char __executable_start[];
+struct activity
+{
+  const char *name;
+  char subject[SUBJECT_SIZE];
+};
+
+/* The message of the C library's last abort, as gdb reads it.  */
+struct abort_message
+{
+  unsigned size;
+  char text[];
+};
 
 static const char *process = "burdockdale";
-static const char *current_activity = "start";
-static char current_subject[SUBJECT_SIZE];
+/* A ring; the current activity is at recent[last].  */
+static struct activity recent[RECENT_COUNT] = { { .name = "start" } };
+static uint32_t last;
 static char cause[CAUSE_SIZE];
+static struct bd_modules modules;
+static struct abort_message **abort_message; /* NULL if there is none.  */
+static char handler_stack[STACK_BYTES];
 
 /* A line in the making, without functions of the standard library.  */
 struct line
@@ -90,6 +109,35 @@
   add_char (line, '"');
 }
 
+/* The library of the frame i, or NULL if it is in the program, or has been
+   found by an earlier frame.  */
+static const struct bd_module *
+find_new_library (void **frames, int i)
+{
+  const struct bd_module *found
+      = bd_modules_find (&modules, (uintptr_t)frames[i]);
+
+  for (int k = 0; k < i && found != NULL; k++)
+    if (bd_modules_find (&modules, (uintptr_t)frames[k]) == found)
+      return NULL;
+  return found != &modules.modules[0] ? found : NULL;
+}
+
+static void
+add_frame (struct line *line, uintptr_t address)
+{
+  const struct bd_module *module = bd_modules_find (&modules, address);
+
+  if (module != NULL)
+    {
+      add_text (line, module->name);
+      add_char (line, '+');
+      address -= module->base;
+    }
+  add_raw (line, "0x");
+  add_number (line, address, 16);
+}
+
 static void
 add_frames (struct line *line)
 {
@@ -101,15 +149,89 @@
   add_raw (line, ",\"frames\":\"");
   for (int i = 0; i < count; i++)
     {
-      add_raw (line, i > 0 ? " 0x" : "0x");
-      add_number (
-          line, (uint64_t)((const char *)frames[i] - __executable_start), 16);
+      if (i > 0)
+        add_char (line, ' ');
+      add_frame (line, (uintptr_t)frames[i]);
+    }
+  add_raw (line, "\",\"libraries\":\"");
+  for (int i = 0; i < count; i++)
+    {
+      const struct bd_module *library = find_new_library (frames, i);
+
+      if (library == NULL)
+        continue;
+      add_text (line, library->name);
+      add_char (line, ' ');
+      add_text (line, library->build_id);
+      add_char (line, ';');
+    }
+  add_char (line, '"');
+}
+
+static void
+add_recent (struct line *line)
+{
+  add_raw (line, ",\"recent\":\"");
+  for (uint32_t i = 1; i <= RECENT_COUNT; i++)
+    {
+      const struct activity *activity = &recent[(last + i) % RECENT_COUNT];
+
+      if (activity->name == NULL)
+        continue;
+      add_text (line, activity->name);
+      add_raw (line, " (");
+      add_text (line, activity->subject);
+      add_raw (line, ");");
     }
   add_char (line, '"');
 }
 
 static void
-write_line (int signal_number)
+add_signal (struct line *line, const siginfo_t *info)
+{
+  bool is_negative = info->si_code < 0;
+
+  add_raw (line, ",\"signal\":\"");
+  add_number (line, (uint64_t)info->si_signo, 10);
+  add_raw (line, is_negative ? "\",\"code\":\"-" : "\",\"code\":\"");
+  add_number (line,
+              (uint64_t)(is_negative ? -(int64_t)info->si_code
+                                     : (int64_t)info->si_code),
+              10);
+  add_char (line, '"');
+  if (info->si_code == SI_USER)
+    {
+      add_raw (line, ",\"sender\":\"");
+      add_number (line, (uint64_t)info->si_pid, 10);
+      add_char (line, '"');
+    }
+  else if (info->si_code > 0)
+    {
+      add_raw (line, ",\"address\":\"0x");
+      add_number (line, (uintptr_t)info->si_addr, 16);
+      add_char (line, '"');
+    }
+}
+
+/* The words of the C library before it aborts, or NULL.  */
+static const char *
+find_abort_message (void)
+{
+  if (abort_message == NULL || *abort_message == NULL)
+    return NULL;
+  return (*abort_message)->text;
+}
+
+static const char *
+find_cause (void)
+{
+  if (cause[0] != '\0')
+    return cause;
+  return find_abort_message () != NULL ? find_abort_message () : "signal";
+}
+
+static void
+write_line (const siginfo_t *info)
 {
   struct line line = { .used = 0 };
   struct timespec now;
@@ -123,12 +245,12 @@
   add_char (&line, '"');
   add_field (&line, "process", process);
   add_field (&line, "event", "aborted");
-  add_raw (&line, ",\"signal\":\"");
-  add_number (&line, (uint64_t)signal_number, 10);
-  add_char (&line, '"');
-  add_field (&line, "cause", cause[0] != '\0' ? cause : "signal");
-  add_field (&line, "activity", current_activity);
-  add_field (&line, "subject", current_subject);
+  add_signal (&line, info);
+  add_field (&line, "cause", find_cause ());
+  add_field (&line, "activity", recent[last].name);
+  add_field (&line, "subject", recent[last].subject);
+  add_field (&line, "build", bd_crash_build ());
+  add_recent (&line);
   add_frames (&line);
   add_raw (&line, "}\n");
   /* What does not fit into a full pipe is lost.  */
@@ -137,12 +259,13 @@
 }
 
 static void
-handle_signal (int signal_number)
+handle_signal (int signal_number, siginfo_t *info, void *context)
 {
-  signal (signal_number, SIG_DFL);
+  (void)context;
   /* Calls write() and memmove() only.  */
   bd_log_flush (); // NOLINT(bugprone-signal-handler)
-  write_line (signal_number);
+  write_line (info);
+  /* The default action, by SA_RESETHAND.  */
   raise (signal_number);
 }
 
@@ -201,17 +324,42 @@
 bd_crash_enter (const char *activity, const char *subject)
 {
   size_t size = subject != NULL ? strnlen (subject, SUBJECT_SIZE - 1) : 0;
+  uint32_t next = (last + 1) % RECENT_COUNT;
 
-  current_activity = activity;
+  recent[next].name = activity;
   if (size > 0)
-    memcpy (current_subject, subject, size);
-  current_subject[size] = '\0';
+    memcpy (recent[next].subject, subject, size);
+  recent[next].subject[size] = '\0';
+  last = next;
+}
+
+const char *
+bd_crash_build (void)
+{
+  return modules.modules[0].build_id;
+}
+
+/* The handler needs a stack of its own where that of the process is used up.
+   The sanitizers have one already.  */
+static void
+set_handler_stack (void)
+{
+  stack_t stack = { .ss_sp = handler_stack, .ss_size = sizeof handler_stack };
+  stack_t current;
+
+  if (sigaltstack (NULL, &current) == 0
+      && (current.ss_flags & SS_DISABLE) != 0)
+    sigaltstack (&stack, NULL);
 }
 
 void
 bd_crash_init (const char *process_name)
 {
-  static const int signals[] = { SIGABRT, SIGSEGV, SIGBUS, SIGFPE, SIGILL };
+  static const int signals[]
+      = { SIGABRT, SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGTRAP, SIGSYS };
+  struct sigaction action
+      = { .sa_sigaction = handle_signal,
+          .sa_flags = (int)(SA_SIGINFO | SA_ONSTACK | SA_RESETHAND) };
   void *frame;
 
   process = process_name;
@@ -219,6 +367,9 @@
   gsl_set_error_handler (handle_gsl_error);
   /* The first call loads a library, which a signal handler must not.  */
   backtrace (&frame, 1);
+  bd_modules_read (&modules);
+  abort_message = dlsym (RTLD_DEFAULT, "__abort_msg");
+  set_handler_stack ();
   for (size_t i = 0; i < sizeof signals / sizeof signals[0]; i++)
-    signal (signals[i], handle_signal);
+    sigaction (signals[i], &action, NULL);
 }
--- a/src/base/crash.h
+++ b/src/base/crash.h
@@ -1,10 +1,23 @@
 /* The last line of a process that ends by a fault.
 
    A failed assertion, a panic of a library or a fatal signal writes one JSON
-   line to standard output: the cause, what the process did at the time, for
-   which request or connection, and the return addresses as offsets in the
-   program (addr2line).  Writing it is async-signal-safe.  The process then
-   ends by the signal.  */
+   line to standard output.  Writing it is async-signal-safe, allocates nothing
+   and has a stack of its own.  The process then ends by the signal.
+
+     signal, code  The signal, and si_code: SI_TKILL (-6) for an abort of the
+                   process itself, SI_USER (0) for a signal that another
+                   process has sent.
+     sender        Process that has sent the signal, if another one has.
+     address       That a memory access has failed at.
+     cause         The assertion, the panic, or the words of the C library, as
+                   its allocator has for a corrupted heap; "signal" if there
+                   are none.
+     activity, subject
+                   What the process did, and for which request or connection.
+     recent        The same of the last activities, oldest first.
+     build         Build id of the program.
+     frames        Return addresses as MODULE+OFFSET (addr2line -e).
+     libraries     Build ids of the modules of these, besides the program.  */
 
 #ifndef BD_BASE_CRASH_H
 #define BD_BASE_CRASH_H
@@ -12,9 +25,14 @@
 #include <stdint.h>
 
 /* bd_crash_init(): handles fatal signals, and aborts of talloc and GSL, from
-   now on.  process_name must outlive the process.  */
+   now on, and reads which modules are loaded.  process_name must outlive the
+   process.  */
 void bd_crash_init (const char *process_name);
 
+/* bd_crash_build(): the build id of the program in hexadecimal digits; empty
+   before bd_crash_init(), or if the linker wrote none.  */
+const char *bd_crash_build (void);
+
 /* bd_crash_enter(): the process now does activity, a constant, for subject,
    for example the id of a request.  subject is copied and cut; it may be
    NULL.  */
--- a/src/base/crash_test.c
+++ b/src/base/crash_test.c
@@ -3,6 +3,9 @@
 
 #include "base/crash.h"
 
+#include "base/log.h"
+#include "base/modules.h"
+
 #include "tests/unit.h"
 
 #include <gsl/gsl_rng.h>
@@ -16,9 +19,14 @@
 
 enum
 {
-  LINE_SIZE = 4096
+  OUTPUT_SIZE = 256 * 1024,
+  OLD_SUBJECTS = 20,
+  STRAY_BYTES = 64,
+  LARGE_BYTES = 64 * 1024 /* Found in no list of free blocks.  */
 };
 
+static char output[OUTPUT_SIZE];
+
 static void
 fail_assertion (void)
 {
@@ -40,19 +48,25 @@
   bd_crash_abort ("libmicrohttpd", "daemon.c", 1, "a reason");
 }
 
-/* Runs the function in a process of its own.  Returns its last line, and the
-   signal that ended it.  */
-static json_t *
-run_child (void (*run) (void), int *signal_number)
+/* The text of the last line of output.  */
+static const char *
+find_last_line (size_t used)
+{
+  char *start;
+
+  output[used] = '\0';
+  if (used > 0 && output[used - 1] == '\n')
+    used--;
+  start = memrchr (output, '\n', used);
+  return start != NULL ? start + 1 : output;
+}
+
+static pid_t
+start_child (void (*run) (void), int *read_end)
 {
-  char text[LINE_SIZE];
-  size_t used = 0;
-  ssize_t count;
   int ends[2];
-  int status = 0;
   pid_t child;
 
-  *signal_number = 0;
   CU_ASSERT_EQUAL_FATAL (pipe (ends), 0);
   fflush (NULL);
   child = fork ();
@@ -66,14 +80,59 @@
       _exit (0);
     }
   close (ends[1]);
-  while ((count = read (ends[0], text + used, sizeof text - 1 - used)) > 0)
+  *read_end = ends[0];
+  return child;
+}
+
+/* Returns the last line of a child, and the signal that ended it.  */
+static json_t *
+finish_child (pid_t child, int read_end, int *signal_number)
+{
+  size_t used = 0;
+  ssize_t count;
+  int status = 0;
+
+  *signal_number = 0;
+  while ((count = read (read_end, output + used, sizeof output - 1 - used))
+         > 0)
     used += (size_t)count;
-  text[used] = '\0';
-  close (ends[0]);
+  close (read_end);
   waitpid (child, &status, 0);
   if (WIFSIGNALED (status))
     *signal_number = WTERMSIG (status);
-  return json_loads (text, 0, NULL);
+  return json_loads (find_last_line (used), 0, NULL);
+}
+
+/* Runs the function in a process of its own.  */
+static json_t *
+run_child (void (*run) (void), int *signal_number)
+{
+  int read_end;
+  pid_t child = start_child (run, &read_end);
+
+  return finish_child (child, read_end, signal_number);
+}
+
+static const char *
+text_of (const json_t *line, const char *field)
+{
+  const char *text = json_string_value (json_object_get (line, field));
+
+  return text != NULL ? text : "";
+}
+
+/* The line names the activity that the child was in.  */
+static void
+check_line (const json_t *line, const char *cause)
+{
+  CU_ASSERT_PTR_NOT_NULL_FATAL (line);
+  CU_ASSERT_STRING_EQUAL (text_of (line, "process"), "child");
+  CU_ASSERT_STRING_EQUAL (text_of (line, "event"), "aborted");
+  CU_ASSERT_PTR_NOT_NULL (strstr (text_of (line, "cause"), cause));
+  CU_ASSERT_STRING_EQUAL (text_of (line, "activity"), "a \"test\"");
+  CU_ASSERT_STRING_EQUAL (text_of (line, "subject"), "id-1");
+  CU_ASSERT_PTR_NOT_NULL (strstr (text_of (line, "frames"), "crash_test+0x"));
+  CU_ASSERT_EQUAL (strlen (text_of (line, "build")), BD_BUILD_ID_SIZE - 1);
 }
 
 static void
@@ -81,22 +140,9 @@
 {
   int signal_number;
   json_t *line = run_child (run, &signal_number);
-  const char *found = json_string_value (json_object_get (line, "cause"));
 
   CU_ASSERT_EQUAL (signal_number, SIGABRT);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (line);
-  CU_ASSERT_STRING_EQUAL (
-      json_string_value (json_object_get (line, "process")), "child");
-  CU_ASSERT_STRING_EQUAL (json_string_value (json_object_get (line, "event")),
-                          "aborted");
-  CU_ASSERT_PTR_NOT_NULL_FATAL (found);
-  CU_ASSERT_PTR_NOT_NULL (strstr (found, cause));
-  CU_ASSERT_STRING_EQUAL (
-      json_string_value (json_object_get (line, "activity")), "a \"test\"");
-  CU_ASSERT_STRING_EQUAL (
-      json_string_value (json_object_get (line, "subject")), "id-1");
-  CU_ASSERT_PTR_NOT_NULL (
-      strstr (json_string_value (json_object_get (line, "frames")), "0x"));
+  check_line (line, cause);
   json_decref (line);
 }
 
@@ -109,7 +155,145 @@
   check_child (stop_suspended, "libmicrohttpd daemon.c:1: a reason");
 }
 
+/* A fault in a library names it with the offset, and its build.  */
+static int
+compare_and_abort (const void *a, const void *b)
+{
+  (void)a;
+  (void)b;
+  abort ();
+}
+
+static void
+abort_in_library (void)
+{
+  int numbers[] = { 2, 1 };
+
+  bd_crash_enter ("a \"test\"", "id-1");
+  qsort (numbers, 2, sizeof numbers[0], compare_and_abort);
+}
+
+static void
+test_frames_name_libraries (void)
+{
+  int signal_number;
+  json_t *line = run_child (abort_in_library, &signal_number);
+  const char *library;
+
+  check_line (line, "signal");
+  CU_ASSERT_PTR_NOT_NULL (strstr (text_of (line, "frames"), "libc.so.6+0x"));
+  library = strstr (text_of (line, "libraries"), "libc.so.6 ");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (library);
+  CU_ASSERT_EQUAL (strcspn (library + strlen ("libc.so.6 "), ";"),
+                   BD_BUILD_ID_SIZE - 1);
+  json_decref (line);
+}
+
+/* A signal of another process is told apart from one of the process.  */
+static void
+wait_for_signal (void)
+{
+  bd_crash_enter ("a \"test\"", "id-1");
+  pause ();
+}
+
+static void
+test_sender_of_a_signal (void)
+{
+  char sender[24];
+  int signal_number;
+  int read_end;
+  pid_t child = start_child (wait_for_signal, &read_end);
+  json_t *line;
+
+  usleep (100000);
+  kill (child, SIGABRT);
+  line = finish_child (child, read_end, &signal_number);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (line);
+  CU_ASSERT_STRING_EQUAL (text_of (line, "code"), "0");
+  CU_ASSERT_STRING_EQUAL (text_of (line, "sender"),
+                          bd_number_text (sender, getpid ()));
+  json_decref (line);
+  line = run_child (raise_signal, &signal_number);
+  CU_ASSERT_STRING_EQUAL (text_of (line, "code"), "-6");
+  CU_ASSERT_PTR_NULL (json_object_get (line, "sender"));
+  json_decref (line);
+}
+
+static void
+enter_many (void)
+{
+  for (int i = 0; i < OLD_SUBJECTS; i++)
+    bd_crash_enter ("an older one", bd_number_text ((char[24]){ 0 }, i));
+  raise_signal ();
+}
+
+static void
+test_recent_activities (void)
+{
+  int signal_number;
+  json_t *line = run_child (enter_many, &signal_number);
+
+  check_line (line, "signal");
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (text_of (line, "recent"),
+              "an older one (18);an older one (19);a \"test\" (id-1);"));
+  CU_ASSERT_PTR_NULL (strstr (text_of (line, "recent"), "older one (1);"));
+  json_decref (line);
+}
+
 #ifndef __SANITIZE_ADDRESS__
+/* Overwrites what the allocator keeps behind its last block.  */
+static void
+corrupt_heap (void)
+{
+  /* The compiler must not know the size of the block.  */
+  volatile size_t size = LARGE_BYTES;
+  volatile char *block = malloc (size);
+
+  bd_crash_enter ("a \"test\"", "id-1");
+  for (size_t i = 0; i < STRAY_BYTES; i++)
+    block[size + i] = -1;
+  block = malloc (size);
+  block[0] = 0;
+}
+
+static void
+test_allocator_has_the_cause (void)
+{
+  check_child (corrupt_heap, "malloc(): corrupted top size");
+}
+
+static size_t
+recurse (volatile char *outer, size_t depth)
+{
+  volatile char inner[STRAY_BYTES];
+
+  inner[0] = outer[0];
+  return depth == 0 ? 0 : recurse (inner, depth - 1) + (size_t)inner[0];
+}
+
+static void
+use_up_stack (void)
+{
+  volatile char outer = 0;
+
+  bd_crash_enter ("a \"test\"", "id-1");
+  recurse (&outer, SIZE_MAX);
+}
+
+static void
+test_stack_is_used_up (void)
+{
+  int signal_number;
+  json_t *line = run_child (use_up_stack, &signal_number);
+
+  CU_ASSERT_EQUAL (signal_number, SIGSEGV);
+  check_line (line, "signal");
+  CU_ASSERT_PTR_NOT_NULL (strstr (text_of (line, "address"), "0x"));
+  json_decref (line);
+}
+
 static void
 use_freed_memory (void)
 {
@@ -145,7 +329,12 @@
 {
   static const struct unit_test tests[] = {
     { "the last line names the cause", test_last_line_names_the_cause },
+    { "frames name libraries", test_frames_name_libraries },
+    { "the sender of a signal", test_sender_of_a_signal },
+    { "recent activities", test_recent_activities },
 #ifndef __SANITIZE_ADDRESS__
+    { "the allocator has the cause", test_allocator_has_the_cause },
+    { "the stack is used up", test_stack_is_used_up },
     { "talloc aborts", test_talloc_aborts },
 #endif
     { "a draw from an empty range", test_draw_from_empty_range },
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -2,6 +2,7 @@
 
 #include "daemon/daemon_internal.h"
 
+#include "base/crash.h"
 #include "base/log.h"
 
 #include <talloc.h>
@@ -213,7 +214,8 @@
   bd_http_server_set_timeouts (&daemon->server, settings->header_timeout_ms,
                                settings->idle_timeout_ms);
   start_tickers (daemon);
-  bd_log ("started", "data_centre", settings->data_centre, NULL);
+  bd_log ("started", "data_centre", settings->data_centre, "build",
+          bd_crash_build (), NULL);
   return daemon;
 
 fail:
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -1,5 +1,6 @@
 /* Starts and frees the edge daemon and its timers.  */
 
+#include "base/crash.h"
 #include "edge/edge_internal.h"
 
 #include <string.h>
@@ -296,7 +297,8 @@
     }
   start_tickers (edge);
   bd_log ("started", "data_centre", settings->data_centre, "address",
-          settings->address, "dialect", adapter->name, NULL);
+          settings->address, "dialect", adapter->name, "build",
+          bd_crash_build (), NULL);
   return edge;
 }
 
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -2,6 +2,7 @@
 
 #include "http/client.h"
 
+#include "base/crash.h"
 #include "base/ids.h"
 #include "http/chunks.h"
 #include "http/http_internal.h"
@@ -152,6 +153,8 @@
 {
   struct bd_http_result result = { .malformed = find_malformed (call, code) };
 
+  if (result.malformed != NULL)
+    bd_crash_enter ("a malformed response is refused", result.malformed);
   /* libcurl does not report a connection that ends within a head.  */
   result.is_complete
       = code == CURLE_OK && call->head.is_whole && result.malformed == NULL;
@@ -313,6 +316,18 @@
                                     - count_unread_bytes (socket));
 }
 
+/* Names the call whose socket is read or written, for the last line of the
+   process.  */
+static void
+note_call (const struct bd_http_call *call)
+{
+  const char *url = NULL;
+
+  if (call != NULL)
+    curl_easy_getinfo (call->easy, CURLINFO_EFFECTIVE_URL, &url);
+  bd_crash_enter ("the socket of a call is read or written", url);
+}
+
 static void
 handle_watch (struct tevent_context *events, struct tevent_fd *fd,
               uint16_t flags, void *private_data)
@@ -330,6 +345,7 @@
     action |= CURL_CSELECT_IN;
   if ((flags & TEVENT_FD_WRITE) != 0)
     action |= CURL_CSELECT_OUT;
+  note_call (call);
   curl_multi_socket_action (client->multi, socket, action, &running);
   /* No call has been freed, but libcurl may have freed the watch.  */
   if (call != NULL && call->watch == watch && (flags & TEVENT_FD_READ) != 0
