base: the handler of fatal signals does not allocate

A process whose heap is damaged could end without its last line: the handler called bd_log_flush(), which logs the record of dropped lines when it is due, and that allocates. The comment beside it said that it did not.

Change: the handler writes out the buffer only.

crash_test, "the last line after dropped lines": failed before (the record was in the output), passes now.

--- a/src/base/crash.c
+++ b/src/base/crash.c
@@ -262,8 +262,7 @@
 handle_signal (int signal_number, siginfo_t *info, void *context)
 {
   (void)context;
-  /* Calls write() and memmove() only.  */
-  bd_log_flush (); // NOLINT(bugprone-signal-handler)
+  bd_log_write_out ();
   write_line (info);
   /* The default action, by SA_RESETHAND.  */
   raise (signal_number);
--- a/src/base/crash_test.c
+++ b/src/base/crash_test.c
@@ -20,6 +20,7 @@
 enum
 {
   OUTPUT_SIZE = 256 * 1024,
+  LOG_LINES = 500, /* More than are logged in a second.  */
   OLD_SUBJECTS = 20,
   STRAY_BYTES = 64,
   LARGE_BYTES = 64 * 1024 /* Found in no list of free blocks.  */
@@ -264,6 +265,25 @@
   check_child (corrupt_heap, "malloc(): corrupted top size");
 }
 
+/* The handler allocates nothing, though lines were dropped and the record of
+   these is due.  */
+static void
+corrupt_heap_after_dropped_lines (void)
+{
+  bd_log_init ("child");
+  for (int i = 0; i < LOG_LINES; i++)
+    bd_log ("test", NULL);
+  sleep (1);
+  corrupt_heap ();
+}
+
+static void
+test_last_line_after_dropped_lines (void)
+{
+  check_child (corrupt_heap_after_dropped_lines, "malloc()");
+  CU_ASSERT_PTR_NULL (strstr (output, "log-dropped"));
+}
+
 static size_t
 recurse (volatile char *outer, size_t depth)
 {
@@ -334,6 +354,8 @@
     { "recent activities", test_recent_activities },
 #ifndef __SANITIZE_ADDRESS__
     { "the allocator has the cause", test_allocator_has_the_cause },
+    { "the last line after dropped lines",
+      test_last_line_after_dropped_lines },
     { "the stack is used up", test_stack_is_used_up },
     { "talloc aborts", test_talloc_aborts },
 #endif
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -273,6 +273,12 @@
   write_buffered ();
 }
 
+void
+bd_log_write_out (void)
+{
+  write_buffered ();
+}
+
 uint64_t
 bd_log_dropped (enum bd_log_kind kind)
 {
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -43,6 +43,10 @@
    them, and the record of those that were dropped if one is due.  */
 void bd_log_flush (void);
 
+/* bd_log_write_out(): writes the buffered lines only, as far as standard
+   output accepts them.  Allocates nothing, for a signal handler.  */
+void bd_log_write_out (void);
+
 /* bd_log_dropped(): lines of a kind that were dropped since the process
    started.  */
 uint64_t bd_log_dropped (enum bd_log_kind kind);
