cli: a SIGHUP does not end a daemon

Cause: edge installed its handlers after all of its start, serve had none for SIGHUP; the default action ends a process.

Change: SIGHUP, SIGINT and SIGTERM are held from the first step until the handlers are installed. serve reads its settings at the start only, so it says so and goes on. What remains is the time before main().

--- a/src/cli/edge.c
+++ b/src/cli/edge.c
@@ -135,6 +135,7 @@
                      process);
   tevent_add_signal (process->events, process->events, SIGHUP, 0,
                      handle_reload, process);
+  bd_cli_release_signals ();
   handle_tick (process);
   while (!bd_edge_is_done (process->edge))
     tevent_loop_once (process->events);
@@ -156,6 +157,7 @@
 
   if (code >= 0)
     goto out;
+  bd_cli_hold_signals ();
   if (!bd_edge_settings_read (&process.settings, ctx, process.path, &faults))
     {
       fputs (faults.text, stderr);
--- a/src/cli/serve.c
+++ b/src/cli/serve.c
@@ -28,6 +28,22 @@
   bd_daemon_stop (private_data);
 }
 
+/* The settings of this daemon change by a restart only.  */
+static void
+handle_reload (struct tevent_context *events,
+               struct tevent_signal *signal_event, int signal_number,
+               int count, void *info, void *private_data)
+{
+  (void)events;
+  (void)signal_event;
+  (void)signal_number;
+  (void)count;
+  (void)info;
+  (void)private_data;
+  bd_log ("reload-refused", "fault", "settings are read at the start only",
+          NULL);
+}
+
 /* Wakes the event loop, so that it checks whether shutdown is complete.  */
 static void
 wake_loop (void *private_data)
@@ -48,6 +64,8 @@
     return BD_EXIT_FAILED;
   tevent_add_signal (events, events, SIGTERM, 0, handle_stop, daemon);
   tevent_add_signal (events, events, SIGINT, 0, handle_stop, daemon);
+  tevent_add_signal (events, events, SIGHUP, 0, handle_reload, daemon);
+  bd_cli_release_signals ();
   wake_loop (events);
   while (!bd_daemon_is_done (daemon))
     tevent_loop_once (events);
@@ -71,6 +89,7 @@
 
   if (code >= 0)
     goto out;
+  bd_cli_hold_signals ();
   if (!bd_settings_read (&settings, ctx, path, &faults))
     {
       fputs (faults.text, stderr);
