edge_process_test: real processes under malformed responses, chunks, configurations and signals

Three daemons as processes of their own, two endpoints that send one malformed response in ten, four engines in groups, 24 callers a daemon on kept connections with bodies in pieces and chunks, a configuration each 0.3 to 1.8 s, SIGHUP, SIGSTOP, SIGTERM. It checks the ends of the processes, their exit codes, their last lines, and that no request that has run ends without a response.

The caller on a plain socket is a stand-in of its own (tests/fakes/caller.h); the raw endpoint skips bodies that have a length.

--- /dev/null
+++ b/src/edge/edge_process_test.c
@@ -0,0 +1,603 @@
+/* Guards against LOST: a daemon's process ends by itself, and with it all that
+   it runs, because of what endpoints, callers and configurations send.
+
+   Daemons in processes of their own, as users run them; endpoints that send
+   malformed and unusual responses among sound ones; callers with bodies in
+   chunks on kept connections; configurations and signals in series.
+
+   Further runs: SEED, RUN_S, ODD (malformed responses in 1000), CASE (the
+   name of the only one that is sent), PROGRAM (another build's), LOG_DIR.  */
+
+#include "base/timer.h"
+#include "tests/fakes/caller.h"
+#include "tests/fakes/process.h"
+#include "tests/fakes/raw.h"
+#include "tests/fakes/site.h"
+#include "tests/loopback.h"
+#include "tests/malformed.h"
+#include "tests/quiet.h"
+#include "tests/unit.h"
+
+#include <glib.h>
+#include <gsl/gsl_rng.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <talloc.h>
+
+enum
+{
+  DAEMONS = 3,
+  CALLERS = 24, /* Of each daemon.  */
+  ENDPOINTS = 2,
+  POOL = 4,
+  SLOTS = 400,
+  DEFAULT_SEED = 1,
+  DEFAULT_SECONDS = 12,
+  DEFAULT_ODD = 100,
+  UNUSUAL = 100, /* In 1000: sound responses of an unusual form.  */
+  PORT_STEP = 20,
+  READY_MS = 20000,
+  READY_POLL_MS = 100,
+  STEP_MS = 100,
+  DEADLINE_MS = 4000,
+  /* The deadline, the grace period and time for the processes.  */
+  LIMIT_MS = 15000,
+  MIN_PUBLISH_MS = 300,
+  MAX_PUBLISH_MS = 1800,
+  RELOAD_PERIOD_STEPS = 11,
+  STOP_PERIOD_STEPS = 17, /* Of SIGSTOP.  */
+  MAX_PAUSE_MS = 500,
+  RESTART_PERIOD_STEPS = 43, /* Of SIGTERM.  */
+  MAX_RESPONSE_MS = 40,
+  MAX_BODY_BYTES = 20000,
+  MAX_PIECES = 6,
+  MAX_PIECE_MS = 20,
+  MAX_LEAVE_MS = 60,
+  LEAVERS = 30, /* In 1000.  */
+  MAX_GAP_MS = 10,
+  REFUSED_GAP_MS = 100, /* While a daemon stops.  */
+  STREAM_EVENTS = 8,
+  EVENT_MS = 10,
+  MS_PER_S = 1000
+};
+
+struct daemon
+{
+  char name[BD_NAME_SIZE];
+  char *settings_path;
+  char *log_path;
+  struct bd_edge_settings settings;
+  pid_t pid;
+  bool is_stopping; /* By a SIGTERM of this test.  */
+};
+
+struct load_caller
+{
+  struct caller caller;
+  struct daemon *daemon;
+  uint32_t sent;
+  char target[BD_NAME_SIZE];
+};
+
+static struct site site;
+static struct raw_endpoint endpoints[ENDPOINTS];
+static struct daemon daemons[DAEMONS];
+static struct load_caller callers[DAEMONS * CALLERS];
+static gsl_rng *rng;
+static uint32_t odd_in_1000;
+static const char *only_case;
+static const char *program;
+static char *directory;
+static bool is_over;
+static uint32_t outcomes[CALLER_OUTCOMES];
+static uint32_t responses; /* Whole ones of endpoints.  */
+static uint32_t malformed; /* Sent by endpoints.  */
+static uint32_t ended;     /* Daemons that ended by themselves.  */
+/* The ids of requests that endpoints have begun to run.  */
+static GHashTable *runs;
+
+static uint32_t
+draw (uint32_t limit)
+{
+  return (uint32_t)gsl_rng_uniform_int (rng, limit);
+}
+
+static uint32_t
+number_of (const char *name, uint32_t otherwise)
+{
+  const char *text = g_getenv (name);
+
+  return text != NULL ? (uint32_t)strtoul (text, NULL, 10) : otherwise;
+}
+
+/* Endpoints.  */
+
+static const struct response_case *
+draw_case (void)
+{
+  uint32_t chance = draw (1000);
+  size_t heads = CASE_COUNT (malformed_heads);
+  size_t chunks = CASE_COUNT (malformed_chunks);
+  size_t number;
+
+  if (chance >= odd_in_1000 + UNUSUAL)
+    return &sound_responses[0];
+  if (chance >= odd_in_1000)
+    return &sound_responses[draw (CASE_COUNT (sound_responses))];
+  malformed++;
+  if (only_case == NULL)
+    {
+      number = draw ((uint32_t)(heads + chunks));
+      return number < heads ? &malformed_heads[number]
+                            : &malformed_chunks[number - heads];
+    }
+  for (number = 0; number < heads; number++)
+    if (strcmp (malformed_heads[number].name, only_case) == 0)
+      return &malformed_heads[number];
+  return &malformed_heads[0];
+}
+
+/* Sends bytes in two parts or at once.  */
+static void
+send_bytes (struct raw_connection *c, const char *bytes, size_t size,
+            int64_t delay_ms)
+{
+  size_t first = draw (2) == 0 ? size : draw ((uint32_t)size);
+
+  raw_send_bytes (c, bytes, first, delay_ms);
+  if (first < size)
+    raw_send_bytes (c, bytes + first, size - first, delay_ms + 1);
+}
+
+static void
+handle_request (struct raw_connection *c, const struct raw_request *request)
+{
+  const struct response_case *response = draw_case ();
+  bool is_stream = g_str_has_prefix (request->path, "/odd-stream/");
+  /* A response without a length ends with its connection.  */
+  bool has_end = strstr (response->fields, LENGTH) != NULL
+                 || strstr (response->fields, CHUNKED) != NULL;
+  int64_t delay_ms = 1 + draw (MAX_RESPONSE_MS);
+  char *own;
+  char *bytes;
+  size_t size;
+
+  if (request->attempt_id[0] == '\0')
+    {
+      raw_send (c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 0);
+      return;
+    }
+  g_hash_table_add (runs, g_strdup (request->attempt_id));
+  own = talloc_asprintf (
+      c, "Attempt-Id: %s\r\nResponse-Seal: s-%s\r\nContent-Type: %s\r\n",
+      request->attempt_id, request->attempt_id,
+      is_stream ? "text/event-stream" : "text/plain");
+  bytes = response_make (c, response, "HTTP/1.1 200 OK", own, &size);
+  send_bytes (c, bytes, size, delay_ms);
+  if (!has_end || draw (2) == 0)
+    raw_close (c, false, delay_ms + 3);
+  talloc_free (own);
+  talloc_free (bytes);
+}
+
+static void
+add_route (json_t *routes, const char *prefix)
+{
+  json_t *route = json_deep_copy (json_array_get (routes, 2));
+
+  json_object_set_new (route, "Name", json_string (prefix));
+  json_object_set_new (route, "PathPrefix", json_string (prefix));
+  json_object_set_new (route, "Service", json_string ("plain"));
+  json_array_append_new (routes, route);
+}
+
+static void
+start_endpoints (void)
+{
+  add_route (json_object_get (site.config, "Routes"), "/odd-stream/");
+  site_publish (&site);
+  for (uint32_t i = 0; i < ENDPOINTS; i++)
+    {
+      bd_http_server_finish (&site.workers[i].server);
+      raw_start (&endpoints[i], site.events, site.workers[i].port,
+                 handle_request, NULL);
+      site.workers[i].slots = SLOTS;
+      site_list_worker (&site.workers[i]);
+    }
+  for (uint32_t i = ENDPOINTS; i < site.worker_count; i++)
+    site.workers[i].slots = SLOTS;
+}
+
+/* Daemons.  */
+
+static void
+start_daemon (struct daemon *daemon)
+{
+  struct process_options options = { .program = program,
+                                     .settings_path = daemon->settings_path,
+                                     .log_path = daemon->log_path };
+
+  daemon->is_stopping = false;
+  daemon->pid = process_start (&daemon->settings, &options);
+  CU_ASSERT_TRUE_FATAL (daemon->pid > 0);
+}
+
+static void
+start_daemons (void)
+{
+  const char *log_directory = g_getenv ("LOG_DIR");
+
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    {
+      struct daemon *daemon = &daemons[i];
+
+      snprintf (daemon->name, sizeof daemon->name, "edge-%u", i + 1);
+      daemon->settings_path
+          = g_strdup_printf ("%s/%s.toml", directory, daemon->name);
+      daemon->log_path = g_strdup_printf (
+          "%s/%s.log", log_directory != NULL ? log_directory : directory,
+          daemon->name);
+      daemon->settings = site_settings (&site, daemon->name,
+                                        SITE_BASE_PORT + 40 + i * PORT_STEP);
+      start_daemon (daemon);
+    }
+}
+
+/* Whether its process has ended; notes an end that was not asked for.  */
+static bool
+has_ended (struct daemon *daemon)
+{
+  bool is_sound;
+  int status;
+
+  if (waitpid (daemon->pid, &status, WNOHANG) != daemon->pid)
+    return false;
+  is_sound
+      = daemon->is_stopping && WIFEXITED (status) && WEXITSTATUS (status) == 0;
+  if (!is_sound)
+    {
+      ended++;
+      printf ("\n  %s ended by itself, %s %d", daemon->name,
+              WIFSIGNALED (status) ? "signal" : "exit code",
+              WIFSIGNALED (status) ? WTERMSIG (status) : WEXITSTATUS (status));
+    }
+  return true;
+}
+
+static void
+check_daemons (void)
+{
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    if (has_ended (&daemons[i]))
+      start_daemon (&daemons[i]);
+}
+
+static void
+resume_daemon (void *ctx)
+{
+  kill (((struct daemon *)ctx)->pid, SIGCONT);
+}
+
+static void
+pause_daemon (struct daemon *daemon)
+{
+  kill (daemon->pid, SIGSTOP);
+  bd_timer_add (site.events, site.events, 1 + draw (MAX_PAUSE_MS),
+                resume_daemon, daemon);
+}
+
+static void
+stop_daemon (struct daemon *daemon)
+{
+  daemon->is_stopping = true;
+  kill (daemon->pid, SIGTERM);
+}
+
+static void
+wait_until_ready (void)
+{
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    {
+      uint32_t ms = 0;
+
+      site.daemon_port = daemons[i].settings.http_port;
+      /* Some responses are malformed.  */
+      while (site_call (&site, "GET", "/safe/x", "k1", NULL)->status != 200)
+        {
+          ms += READY_POLL_MS;
+          CU_ASSERT_TRUE_FATAL (ms < READY_MS);
+          site_wait (&site, READY_POLL_MS);
+        }
+    }
+}
+
+/* Callers.  */
+
+static void send_next (void *ctx);
+
+/* Whether a whole response with status 200 is the endpoint's to this
+   request.  */
+static bool
+is_own_response (const struct load_caller *c)
+{
+  char *seal = g_strdup_printf ("Response-Seal: s-%s", c->caller.attempt_id);
+  bool is_own = g_str_has_prefix (c->target, "/stream/")
+                || (caller_has_field (&c->caller, seal)
+                    && strstr (c->caller.body->str, RESPONSE_BODY) != NULL);
+
+  g_free (seal);
+  return is_own;
+}
+
+static bool
+has_run (const struct load_caller *c)
+{
+  return g_hash_table_contains (runs, c->caller.attempt_id);
+}
+
+static void
+handle_done (struct caller *caller, enum caller_outcome outcome)
+{
+  struct load_caller *c = caller->ctx;
+
+  outcomes[outcome]++;
+  if (outcome == CALLER_WHOLE && caller->head.status == 200)
+    {
+      CU_ASSERT_TRUE (is_own_response (c));
+      responses++;
+    }
+  /* That its request has run and gets no response is LOST.  */
+  if (outcome == CALLER_NONE || outcome == CALLER_TIMEOUT)
+    {
+      CU_ASSERT_FALSE (has_run (c));
+      if (has_run (c))
+        printf ("\n  %s %s: outcome %d", caller->attempt_id, c->target,
+                (int)outcome);
+    }
+  bd_timer_add (site.events, site.events,
+                outcome == CALLER_REFUSED ? REFUSED_GAP_MS
+                                          : (int64_t)draw (MAX_GAP_MS),
+                send_next, c);
+}
+
+static void
+send_next (void *ctx)
+{
+  static const char *const kinds[]
+      = { "/safe/", "/unsafe/", "/odd-stream/", "/stream/" };
+  struct load_caller *c = ctx;
+  uint32_t kind = draw (4);
+  char id[BD_NAME_SIZE];
+  char fields[256];
+  struct caller_request request
+      = { .method = kind == 0 ? "GET" : "POST",
+          .target = c->target,
+          .host = "h.example",
+          .attempt_id = id,
+          .fields = fields,
+          .body_bytes = kind == 0 ? 0 : 1 + draw (MAX_BODY_BYTES),
+          .pieces = 1 + draw (MAX_PIECES),
+          .piece_ms = 1 + draw (MAX_PIECE_MS),
+          .is_chunked = draw (2) == 0,
+          .leave_ms = draw (1000) < LEAVERS ? 1 + draw (MAX_LEAVE_MS) : 0,
+          .limit_ms = LIMIT_MS };
+
+  if (is_over)
+    return;
+  snprintf (id, sizeof id, "%04x%012x", (unsigned)(c - callers), ++c->sent);
+  snprintf (c->target, sizeof c->target, "%sec?a=%u&b=x-y%%20%%41",
+            kinds[kind], c->sent);
+  snprintf (fields, sizeof fields,
+            "Authorization: Bearer k1\r\nDeadline-Ms: %d\r\n%s", DEADLINE_MS,
+            kind == 3 ? "Model: m\r\nToken-Usage: 100,12\r\n" : "");
+  caller_send (&c->caller, &request);
+}
+
+static void
+start_callers (void)
+{
+  for (uint32_t i = 0; i < DAEMONS * CALLERS; i++)
+    {
+      struct load_caller *c = &callers[i];
+
+      c->daemon = &daemons[i % DAEMONS];
+      caller_init (&c->caller, site.events, loopback_address (),
+                   c->daemon->settings.http_port, handle_done, c);
+      send_next (c);
+    }
+}
+
+static bool
+are_callers_idle (struct site *s)
+{
+  (void)s;
+  for (uint32_t i = 0; i < DAEMONS * CALLERS; i++)
+    if (callers[i].caller.timers != NULL)
+      return false;
+  return true;
+}
+
+/* The operator, and signals.  */
+
+static void
+publish (void *ctx)
+{
+  static bool has_extra;
+  json_t *routes = json_object_get (site.config, "Routes");
+
+  (void)ctx;
+  if (is_over)
+    return;
+  if (has_extra)
+    json_array_remove (routes, json_array_size (routes) - 1);
+  else
+    add_route (routes, "/extra/");
+  has_extra = !has_extra;
+  site_publish (&site);
+  bd_timer_add (site.events, site.events,
+                MIN_PUBLISH_MS + draw (MAX_PUBLISH_MS - MIN_PUBLISH_MS),
+                publish, NULL);
+}
+
+/* Signals to the daemons; one at a time stops.  */
+static void
+run_step (uint32_t step)
+{
+  struct daemon *daemon = &daemons[draw (DAEMONS)];
+  bool is_any_stopping = false;
+
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    is_any_stopping = is_any_stopping || daemons[i].is_stopping;
+  if (step % RELOAD_PERIOD_STEPS == 1)
+    kill (daemon->pid, SIGHUP);
+  if (step % STOP_PERIOD_STEPS == 2)
+    pause_daemon (daemon);
+  if (step % RESTART_PERIOD_STEPS == 3 && !is_any_stopping)
+    stop_daemon (daemon);
+  site_wait (&site, STEP_MS);
+  check_daemons ();
+}
+
+static void
+run_load (uint32_t seconds)
+{
+  uint32_t steps = seconds * MS_PER_S / STEP_MS;
+
+  start_callers ();
+  publish (NULL);
+  for (uint32_t i = 0; i < steps; i++)
+    run_step (i);
+  is_over = true;
+  CU_ASSERT_TRUE (site_run (&site, are_callers_idle, LIMIT_MS));
+}
+
+/* Whether the daemons' last lines or the sanitizers name a fault.  */
+static bool
+has_fault (const struct daemon *daemon)
+{
+  char *text = NULL;
+  bool has_any;
+
+  if (!g_file_get_contents (daemon->log_path, &text, NULL, NULL))
+    return true;
+  has_any = strstr (text, "\"aborted\"") != NULL
+            || strstr (text, "Sanitizer") != NULL
+            || strstr (text, "runtime error") != NULL;
+  if (has_any)
+    printf ("\n  %s", strstr (text, "\"aborted\"") != NULL
+                          ? strstr (text, "\"aborted\"")
+                          : text);
+  g_free (text);
+  return has_any;
+}
+
+static void
+wait_for_end (struct daemon *daemon)
+{
+  uint32_t ms = 0;
+
+  while (!has_ended (daemon) && ms < LIMIT_MS)
+    {
+      ms += STEP_MS;
+      site_wait (&site, STEP_MS);
+    }
+  CU_ASSERT_TRUE (ms < LIMIT_MS);
+  if (ms >= LIMIT_MS)
+    process_finish (daemon->pid);
+}
+
+static void
+free_files (struct daemon *daemon)
+{
+  if (g_getenv ("LOG_DIR") == NULL)
+    remove (daemon->log_path);
+  remove (daemon->settings_path);
+  g_free (daemon->settings_path);
+  g_free (daemon->log_path);
+}
+
+static void
+stop_daemons (void)
+{
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    {
+      kill (daemons[i].pid, SIGCONT);
+      if (!daemons[i].is_stopping)
+        stop_daemon (&daemons[i]);
+    }
+  for (uint32_t i = 0; i < DAEMONS; i++)
+    {
+      wait_for_end (&daemons[i]);
+      CU_ASSERT_FALSE (has_fault (&daemons[i]));
+      free_files (&daemons[i]);
+    }
+}
+
+static void
+start_site (void)
+{
+  const char *build = g_getenv ("BUILD");
+
+  directory = g_dir_make_tmp ("edge-process-XXXXXX", NULL);
+  runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  rng = gsl_rng_alloc (gsl_rng_mt19937);
+  gsl_rng_set (rng, number_of ("SEED", DEFAULT_SEED));
+  odd_in_1000 = number_of ("ODD", DEFAULT_ODD);
+  only_case = g_getenv ("CASE");
+  program = g_getenv ("PROGRAM");
+  site_start_platform (&site, ENDPOINTS, POOL);
+  if (program == NULL)
+    program = talloc_asprintf (site.events, "%s/burdockdale",
+                               build != NULL ? build : "build");
+  start_endpoints ();
+  start_daemons ();
+  wait_until_ready ();
+}
+
+static void
+finish_site (void)
+{
+  for (uint32_t i = 0; i < DAEMONS * CALLERS; i++)
+    caller_finish (&callers[i].caller);
+  for (uint32_t i = 0; i < ENDPOINTS; i++)
+    raw_finish (&endpoints[i]);
+  site_finish (&site);
+  gsl_rng_free (rng);
+  g_hash_table_unref (runs);
+  remove (directory);
+  g_free (directory);
+}
+
+static void
+test_process_ends_by_itself (void)
+{
+  start_site ();
+  run_load (number_of ("RUN_S", DEFAULT_SECONDS));
+  stop_daemons ();
+  CU_ASSERT_EQUAL (ended, 0);
+  /* The run has shown something.  */
+  CU_ASSERT_TRUE (responses > 0);
+  CU_ASSERT_TRUE (malformed > 0);
+  printf ("\n  %u requests run, %u malformed responses; whole %u (200: %u), "
+          "cut %u, none %u, refused %u, left %u, over time %u; %u ended ",
+          g_hash_table_size (runs), malformed, outcomes[CALLER_WHOLE],
+          responses, outcomes[CALLER_CUT], outcomes[CALLER_NONE],
+          outcomes[CALLER_REFUSED], outcomes[CALLER_LEFT],
+          outcomes[CALLER_TIMEOUT], ended);
+  finish_site ();
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[] = {
+    { "a process ends by itself", test_process_ends_by_itself },
+  };
+
+  signal (SIGPIPE, SIG_IGN);
+  unit_silence_log ();
+  return UNIT_RUN ("edge_process", tests);
+}
--- a/tests/fakes/raw.c
+++ b/tests/fakes/raw.c
@@ -63,7 +63,10 @@
 {
   struct raw_request request = { .last_event_id = -1 };
   char last[BD_NAME_SIZE] = "";
+  char length[BD_NAME_SIZE] = "";
 
+  read_header (head, "Content-Length", length, sizeof length);
+  c->body_left = strtoull (length, NULL, 10);
   read_path (head, &request);
   read_header (head, "Attempt-Id", request.attempt_id,
                sizeof request.attempt_id);
@@ -74,6 +77,37 @@
   c->endpoint->handle (c, &request);
 }
 
+static void
+drop_bytes (struct raw_connection *c, size_t size)
+{
+  memmove (c->head, c->head + size, c->used - size);
+  c->used -= size;
+}
+
+/* Handles the next head if it is whole.  Returns false if it is not.  */
+static bool
+read_request (struct raw_connection *c)
+{
+  size_t skipped = c->body_left < c->used ? c->body_left : c->used;
+  char head[sizeof c->head];
+  char *end;
+  size_t size;
+
+  c->body_left -= skipped;
+  drop_bytes (c, skipped);
+  c->head[c->used] = '\0';
+  end = strstr (c->head, "\r\n\r\n");
+  if (end == NULL)
+    return false;
+  /* With the end of its last line only.  */
+  size = (size_t)(end - c->head) + 2;
+  memcpy (head, c->head, size);
+  head[size] = '\0';
+  drop_bytes (c, size + 2);
+  handle_head (c, head);
+  return true;
+}
+
 static void
 handle_bytes (struct tevent_context *ev, struct tevent_fd *fd, uint16_t flags,
               void *ctx)
@@ -81,7 +115,6 @@
   struct raw_connection *c = ctx;
   ssize_t received = recv (c->fd, c->head + c->used,
                            sizeof c->head - c->used - 1, MSG_DONTWAIT);
-  char *end;
 
   (void)ev;
   (void)fd;
@@ -92,13 +125,8 @@
       return;
     }
   c->used += (size_t)received;
-  c->head[c->used] = '\0';
-  end = strstr (c->head, "\r\n\r\n");
-  if (end == NULL)
-    return;
-  end[2] = '\0';
-  c->used = 0;
-  handle_head (c, c->head);
+  while (read_request (c))
+    ;
 }
 
 static void
--- a/tests/fakes/raw.h
+++ b/tests/fakes/raw.h
@@ -2,8 +2,8 @@
    sound HTTP server sends.
 
    raw_start(); the handler is called for each request head, also for one that
-   arrives before the response to the last one; raw_finish().  Bodies of
-   requests are not supported.  */
+   arrives before the response to the last one; raw_finish().  Bodies with a
+   length are skipped; others are not supported.  */
 
 #ifndef BD_TESTS_FAKES_RAW_H
 #define BD_TESTS_FAKES_RAW_H
@@ -26,6 +26,7 @@
   uint32_t requests; /* Including the current one.  */
   char head[8192];
   size_t used;
+  size_t body_left; /* Of the current request.  */
 };
 
 struct raw_request
