tests: a signal to a daemon that is not running its program yet waits

edge_process_test failed in 1 of its first 6 runs on this code: "edge-2 ended by itself, signal 1". The test sends SIGHUP to a random daemon, also one that it forked within the same step, before or just after exec(); no program can handle that.

--- a/tests/fakes/process.c
+++ b/tests/fakes/process.c
@@ -62,6 +62,18 @@
   return is_written;
 }
 
+/* A signal that comes before the program runs waits for its handlers.  */
+static void
+hold_signals (void)
+{
+  sigset_t signals;
+
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGHUP);
+  sigaddset (&signals, SIGTERM);
+  sigprocmask (SIG_BLOCK, &signals, NULL);
+}
+
 /* Runs in the child process.  */
 static void
 execute (const struct process_options *options, pid_t parent)
@@ -72,6 +84,7 @@
   struct rlimit limit = { (rlim_t)options->data_mb * BYTES_PER_MB,
                           (rlim_t)options->data_mb * BYTES_PER_MB };
 
+  hold_signals ();
   prctl (PR_SET_PDEATHSIG, SIGKILL);
   if (getppid () != parent)
     _exit (1);
