base: the last line is valid JSON whatever a caller has sent

What was seen: nothing yet; found when the line was read again. The subject is the target of a request. Bytes above 0x7f, and a character that the cut at 63 bytes splits, went into the line as they were, so that it was no JSON and explain, which reads the logs, would skip the line that matters most. A line that is longer than its buffer lacked its end.

Change: such bytes become question marks, and a line that is cut is closed.

--- a/src/base/crash.c
+++ b/src/base/crash.c
@@ -23,6 +23,7 @@
   CAUSE_SIZE = 256,
   /* A pipe takes a line of PIPE_BUF bytes whole or not at all.  */
   LINE_SIZE = 4096,
+  LINE_END_SIZE = 3,
   RECENT_COUNT = 8,
   MAX_FRAMES = 24,
   STACK_BYTES = 64 * 1024,
@@ -62,10 +63,20 @@
 static void
 add_char (struct line *line, char c)
 {
-  if (line->used < sizeof line->text)
+  if (line->used < sizeof line->text - LINE_END_SIZE)
     line->text[line->used++] = c;
 }
 
+/* Ends the line, also one that was cut, which happens in its last field.  */
+static void
+end_line (struct line *line)
+{
+  static const char end[] = "\"}\n";
+
+  memcpy (line->text + line->used, end, LINE_END_SIZE);
+  line->used += LINE_END_SIZE;
+}
+
 static void
 add_raw (struct line *line, const char *text)
 {
@@ -73,7 +84,8 @@
     add_char (line, *text++);
 }
 
-/* The contents of a JSON string.  */
+/* The contents of a JSON string.  Text of peers may be cut within a character,
+   or be no UTF-8.  */
 static void
 add_text (struct line *line, const char *text)
 {
@@ -82,7 +94,7 @@
       if (*text == '"' || *text == '\\')
         add_char (line, '\\');
       if ((unsigned char)*text >= ' ')
-        add_char (line, *text);
+        add_char (line, (unsigned char)*text <= '~' ? *text : '?');
     }
 }
 
@@ -138,6 +150,7 @@
   add_number (line, address, 16);
 }
 
+/* The last fields; the end of the line closes them.  */
 static void
 add_frames (struct line *line)
 {
@@ -165,7 +178,6 @@
       add_text (line, library->build_id);
       add_char (line, ';');
     }
-  add_char (line, '"');
 }
 
 static void
@@ -252,7 +264,7 @@
   add_field (&line, "build", bd_crash_build ());
   add_recent (&line);
   add_frames (&line);
-  add_raw (&line, "}\n");
+  end_line (&line);
   /* What does not fit into a full pipe is lost.  */
   if (write (STDOUT_FILENO, line.text, line.used) < 0)
     return;
--- a/src/base/crash_test.c
+++ b/src/base/crash_test.c
@@ -243,6 +243,31 @@
   json_decref (line);
 }
 
+/* The longest texts, of bytes that JSON escapes or does not allow.  */
+static void
+enter_odd_bytes (void)
+{
+  char subject[OLD_SUBJECTS * 4];
+
+  for (size_t i = 0; i < sizeof subject - 1; i++)
+    subject[i] = "\"\\\377\303\001"[i % 5];
+  subject[sizeof subject - 1] = '\0';
+  for (int i = 0; i < OLD_SUBJECTS; i++)
+    bd_crash_enter ("an older one with a name that is rather long", subject);
+  raise_signal ();
+}
+
+static void
+test_odd_bytes_in_subjects (void)
+{
+  int signal_number;
+  json_t *line = run_child (enter_odd_bytes, &signal_number);
+
+  check_line (line, "signal");
+  CU_ASSERT_PTR_NOT_NULL (strstr (text_of (line, "recent"), "(\"\\??\"\\??"));
+  json_decref (line);
+}
+
 #ifndef __SANITIZE_ADDRESS__
 /* Overwrites what the allocator keeps behind its last block.  */
 static void
@@ -352,6 +377,7 @@
     { "frames name libraries", test_frames_name_libraries },
     { "the sender of a signal", test_sender_of_a_signal },
     { "recent activities", test_recent_activities },
+    { "odd bytes in subjects", test_odd_bytes_in_subjects },
 #ifndef __SANITIZE_ADDRESS__
     { "the allocator has the cause", test_allocator_has_the_cause },
     { "the last line after dropped lines",
