directory: the end of a list does not read a removal that it has forgotten

Callers: with more than 1,024 records of removed endpoints, endpoints that the store's list no longer has can stay listed, so requests go to them.

Cause: remove_unlisted() keeps the next link of the log while it removes an entry. The removal of an entry can forget the oldest removal, and so free the record that this link belongs to: whenever an entry that the list lacks stands right before the oldest removal in the log. The loop then reads freed memory. No odd input is needed; any number of restarts of endpoints fills the log.

Evidence: directory_test, "forgotten removal is read by the end of a list". Before, with sanitizers: heap-use-after-free, read of 8 bytes in remove_unlisted(), freed by forget_oldest_removal(). Before, without sanitizers (-O2): 2 asserts fail, an entry after the forgotten record stays listed, because unlinking had cleared the link that the loop reads next.

Ruled out: that this alone explains an end by SIGABRT. Nothing allocates between the release and the read, and the freed record is not written, so the build without sanitizers ends the loop early and goes on.

Why it works: single changes no longer free records. Old removals are forgotten after a change from outside, or once after the whole list.

--- a/src/directory/directory.c
+++ b/src/directory/directory.c
@@ -117,19 +117,22 @@
 }
 
 static void
-forget_oldest_removal (struct bd_directory *directory)
+forget_old_removals (struct bd_directory *directory)
 {
-  for (GList *link = directory->order.head; link != NULL; link = link->next)
+  GList *next;
+
+  for (GList *link = directory->order.head;
+       directory->removed_count > BD_DIRECTORY_MAX_REMOVED; link = next)
     {
       struct record *record = link->data;
 
+      next = link->next;
       if (!record->out.is_removed)
         continue;
       directory->oldest_removal = record->change;
       directory->removed_count--;
       g_queue_unlink (&directory->order, link);
       g_hash_table_remove (directory->records, record->out.entry.id);
-      return;
     }
 }
 
@@ -153,8 +156,6 @@
   append_change (directory, record);
   directory->removed_count += in->is_removed;
   directory->removed_count -= was_removed;
-  if (directory->removed_count > BD_DIRECTORY_MAX_REMOVED)
-    forget_oldest_removal (directory);
 }
 
 /* Applies a change that is not older than what is known.  Returns whether it
@@ -207,15 +208,27 @@
   return true;
 }
 
-/* Applies one change.  Returns whether it has changed the directory.  */
+/* Applies one change and frees no record.  Returns whether it has changed the
+   directory.  */
 static bool
-change (struct bd_directory *directory, const struct bd_directory_record *in)
+apply_change (struct bd_directory *directory,
+              const struct bd_directory_record *in)
 {
   bool is_newer = apply_newer (directory, in);
 
   return note_drain (directory, in) || is_newer;
 }
 
+/* Applies one change and forgets the removals that are too many.  */
+static bool
+change (struct bd_directory *directory, const struct bd_directory_record *in)
+{
+  bool has_changed = apply_change (directory, in);
+
+  forget_old_removals (directory);
+  return has_changed;
+}
+
 /* Whether a record of a peer is older than a complete list that lacked it.  */
 static bool
 is_of_older_list (const struct bd_directory *directory,
@@ -266,9 +279,10 @@
           || record->generation == directory->list_generation)
         continue;
       removal.entry = record->out.entry;
-      if (!change (directory, &removal))
+      if (!apply_change (directory, &removal))
         directory->has_unlisted = true;
     }
+  forget_old_removals (directory);
   note_complete (directory);
 }
 
--- a/src/directory/directory_test.c
+++ b/src/directory/directory_test.c
@@ -3,6 +3,7 @@
 #include "directory/directory.h"
 #include "tests/unit.h"
 
+#include <stdio.h>
 #include <string.h>
 
 static struct bd_directory directory;
@@ -190,6 +191,33 @@
   bd_directory_finish (&peer);
 }
 
+/* The entry that a list lacks stands before the oldest removal, which is
+   forgotten for it.  */
+static void
+test_forgotten_removal_is_read_by_the_end_of_a_list (void)
+{
+  struct bd_endpoint_entry entry = make_entry (9, false);
+
+  bd_directory_init (&directory, 1, note_change, NULL);
+  CU_ASSERT_TRUE (put (&entry, 1, 1));
+  for (int64_t i = 0; i < BD_DIRECTORY_MAX_REMOVED; i++)
+    {
+      snprintf (entry.id, sizeof entry.id, "removed-%d", (int)i);
+      CU_ASSERT_TRUE (put (&entry, 1, 2 + 2 * i));
+      CU_ASSERT_TRUE (
+          bd_directory_remove (&directory, entry.id, 1, 3 + 2 * i));
+    }
+  bd_name_copy (entry.id, "y");
+  CU_ASSERT_TRUE (put (&entry, 1, 2 + 2 * BD_DIRECTORY_MAX_REMOVED));
+  bd_directory_begin_list (&directory, 2, 1);
+  bd_directory_end_list (&directory);
+  CU_ASSERT_FALSE (bd_directory_lists (&directory, "x"));
+  CU_ASSERT_FALSE (bd_directory_lists (&directory, "y"));
+  CU_ASSERT_EQUAL (bd_directory_count (&directory), 0);
+  CU_ASSERT_EQUAL (directory.removed_count, BD_DIRECTORY_MAX_REMOVED);
+  bd_directory_finish (&directory);
+}
+
 int
 main (void)
 {
@@ -205,6 +233,8 @@
       test_older_list_of_a_peer_brings_nothing_back },
     { "return unnoticed by the source is listed",
       test_return_unnoticed_by_the_source_is_listed },
+    { "forgotten removal is read by the end of a list",
+      test_forgotten_removal_is_read_by_the_end_of_a_list },
   };
 
   return UNIT_RUN ("directory", tests);
