claims: entries of a shard do not share a key that has been freed

Callers of `serve`: a process can end, with all that it runs, or grant a key wrongly, after the store has returned a segment of another writer.

Cause: the key of an entry is cut to the size of an id when the entry is made, but looked up as it is. Two rows "t" whose keys are longer and share the first 32 characters are both inserted, under the same cut key. The table keeps the first key, which is part of the first entry, and frees that entry: each later lookup reads freed memory.

Evidence: claims_test, "overlong keys share a freed entry".

Ruled out: the keys of this program, which always have 32 characters, and those of peers, which the decoder bounds.

Why it works: a row whose key is no id belongs to no call and is not read.

--- a/src/claims/claims_test.c
+++ b/src/claims/claims_test.c
@@ -72,6 +72,28 @@
   return claimed.result;
 }
 
+/* An id has 32 characters; a longer one belongs to no call.  */
+static void
+test_overlong_keys_share_a_freed_entry (void)
+{
+  static const char *const keys[] = { "0123456789abcdef0123456789abcdef-1",
+                                      "0123456789abcdef0123456789abcdef-2" };
+  struct bd_shard shard;
+  struct bd_claim claimed
+      = claim (BD_CLAIM_TAKE, "0123456789abcdef0123456789abcdef", "a", 7, 0);
+  json_t *items = json_pack (
+      "[{s:s,s:i,s:{s:{s:i,s:[[s,s,s,i,i,i],[s,s,s,i,i,i]]}}}]", "key",
+      "claims/3/0", "version", 5, "value", "data", "segment", 1, "rows", "t",
+      keys[0], "x", 1, 1, 1000, "t", keys[1], "y", 2, 1, 1000);
+
+  bd_shard_init (&shard, 3);
+  CU_ASSERT_TRUE (bd_shard_load (&shard, items, 1));
+  CU_ASSERT_FALSE (bd_shard_resolve (&shard, &claimed, 1));
+  CU_ASSERT_EQUAL (g_hash_table_size (shard.entries), 0);
+  bd_shard_finish (&shard);
+  json_decref (items);
+}
+
 static void
 test_repeated_call_gets_outcome (void)
 {
@@ -180,6 +202,8 @@
 static const struct unit_test tests[] = {
   { "a damaged segment forgets its keys",
     test_damaged_segment_forgets_its_keys },
+  { "overlong keys share a freed entry",
+    test_overlong_keys_share_a_freed_entry },
   { "a repeated call is answered", test_repeated_call_gets_outcome },
   { "a released key is free", test_released_key_is_free },
   { "segments roll", test_segments_roll_and_stay_small },
--- a/src/claims/shard.c
+++ b/src/claims/shard.c
@@ -163,6 +163,9 @@
   const char *key = string_at (row, 1);
   const char *id = string_at (row, 2);
 
+  /* Cut, it could be the key of another entry.  */
+  if (strlen (key) >= BD_ID_SIZE)
+    return;
   if (strcmp (kind, "t") == 0)
     take_entry (shard, key, id, (uint64_t)integer_at (row, 3),
                 integer_at (row, 4), (uint32_t)integer_at (row, 5));
