config: a head without texts is a fault and not a null pointer

Callers of `serve`: the process of the config controller ends by SIGSEGV, with all that it runs, and so does the next controller.

Cause: check_set() takes the length of each service's text. The head that the next one is based on is the platform's if its revision is not lower, also when it could not be adopted; and a head that a peer sends is adopted without a file name, which the parser reads as well. A service without one of them, or with another type, is a null pointer there.

Evidence: config_test, "a head without texts ends the process". Before, with sanitizers: SEGV on address 0, strlen() in check_set(); without (-O2): SIGSEGV. After: 9 of 9 tests pass with sanitizers.

Ruled out by reading: the published files, whose members are checked when they are read.

Why it works: such a service makes the set invalid, like one whose text is no TOML: its file can be published again, and no other file is accepted before.

--- a/src/config/accept.c
+++ b/src/config/accept.c
@@ -93,8 +93,15 @@
     {
       const char *text = json_string_value (json_object_get (entry, "text"));
       const char *file = json_string_value (json_object_get (entry, "file"));
-      struct bd_service *service
-          = bd_service_parse (ctx, file, text, strlen (text), faults);
+      struct bd_service *service;
+
+      /* A head of another writer.  */
+      if (text == NULL || file == NULL)
+        {
+          bd_faults_add (faults, name, 0, "has no text or no file name");
+          continue;
+        }
+      service = bd_service_parse (ctx, file, text, strlen (text), faults);
       bytes += strlen (text) + strlen (name);
       if (service != NULL && has_expected_name (service, name, faults))
         parsed[count++] = service;
--- a/src/config/config_test.c
+++ b/src/config/config_test.c
@@ -213,6 +213,29 @@
   json_decref (bad);
 }
 
+/* The head of another writer need not be one that was adopted.  */
+static void
+test_head_without_texts_ends_the_process (void)
+{
+  static const char *const heads[]
+      = { "{\"revision\": 5, \"services\": {\"x\": {\"generation\": 1}}}",
+          "{\"revision\": 5, \"services\": {\"x\": null}}",
+          "{\"revision\": 5, \"services\": {\"x\": {\"text\": 7}}}",
+          "{\"revision\": 5, \"services\": {\"x\": {\"text\": \"[[[\"}}}",
+          "{\"revision\": 5, \"services\": {\"x\": "
+          "{\"text\": \"service = 'x'\", \"file\": 3}}}" };
+  struct bd_published files[] = { file ("a", PLAIN ("a", "/a/"), 1) };
+
+  for (size_t i = 0; i < sizeof heads / sizeof heads[0]; i++)
+    {
+      json_t *head = json_loads (heads[i], 0, NULL);
+
+      CU_ASSERT_PTR_NOT_NULL_FATAL (head);
+      CU_ASSERT_PTR_NULL (accept (head, files, 1, 0, 1));
+      json_decref (head);
+    }
+}
+
 static const struct unit_test tests[] = {
   { "a valid file", test_valid_file },
   { "faults contain the line", test_faults_contain_the_line },
@@ -225,6 +248,8 @@
   { "a removal is not undone", test_removal_is_not_undone },
   { "an invalid head keeps the active configuration",
     test_invalid_head_keeps_active_configuration },
+  { "a head without texts ends the process",
+    test_head_without_texts_ends_the_process },
 };
 
 int
