groups: the counts of an assignment are checked before memory is taken

Callers of `serve`: a process ends by SIGSEGV, with all that it runs, on an assignment with a million empty groups, which fits into a frame of 3 MB of a peer, or with a group of some million members, which only the store can hold.

Cause: a group takes some 100 times the memory of its text, and was checked only after all had been read. talloc returns no more than 256 MB at once, and the null pointer was written to.

Evidence: groups_test, "an assignment of empty groups ends the process" and "an assignment of a huge group ends the process".

Ruled out by reading: lists of instances and reports, whose cost is estimated before they are decoded.

Why it works: more than 65,536 groups, or a group of more members than any can have, are refused before anything is allocated.

--- a/src/groups/assignment.c
+++ b/src/groups/assignment.c
@@ -7,6 +7,12 @@
 #include <string.h>
 #include <talloc.h>
 
+enum
+{
+  /* Groups of an assignment that is read.  */
+  MAX_GROUPS = 1 << 16
+};
+
 static const char *const drain_names[]
     = { "none", "version", "member", "remove" };
 
@@ -153,6 +159,22 @@
   return BD_DRAIN_NONE;
 }
 
+/* Whether the counts allow the memory that the groups take.  */
+static bool
+are_counts_valid (const json_t *groups)
+{
+  const json_t *entry;
+  size_t i;
+
+  if (!json_is_array (groups) || json_array_size (groups) > MAX_GROUPS)
+    return false;
+  json_array_foreach (groups, i, entry)
+    if (json_array_size (json_object_get (entry, "members"))
+        > BD_GROUP_MAX_MEMBERS)
+      return false;
+  return true;
+}
+
 static void
 group_from_json (struct bd_assignment *assignment, const json_t *entry)
 {
@@ -176,11 +198,14 @@
 struct bd_assignment *
 bd_assignment_from_json (void *ctx, const json_t *value)
 {
-  struct bd_assignment *assignment = talloc_zero (ctx, struct bd_assignment);
   const json_t *groups = json_object_get (value, "groups");
+  struct bd_assignment *assignment;
   const json_t *entry;
   size_t i;
 
+  if (!are_counts_valid (groups))
+    return NULL;
+  assignment = talloc_zero (ctx, struct bd_assignment);
   read_name (value, "data_centre", assignment->data_centre);
   read_name (value, "keeper", assignment->controller);
   assignment->term = json_integer_value (json_object_get (value, "term"));
@@ -188,7 +213,7 @@
       = json_integer_value (json_object_get (value, "sequence"));
   json_array_foreach (groups, i, entry)
     group_from_json (assignment, entry);
-  if (json_is_array (groups) && bd_assignment_is_valid (assignment))
+  if (bd_assignment_is_valid (assignment))
     return assignment;
   talloc_free (assignment);
   return NULL;
--- a/src/groups/groups_test.c
+++ b/src/groups/groups_test.c
@@ -402,6 +402,50 @@
   talloc_free (ctx);
 }
 
+/* A group takes more memory than its text, and talloc returns no more than
+   256 MB at once.  */
+static void
+test_assignment_of_empty_groups_ends_the_process (void)
+{
+  enum
+  {
+    GROUPS = 1000000
+  };
+  json_t *groups = json_array ();
+  json_t *group = json_object ();
+  json_t *value;
+
+  for (uint32_t i = 0; i < GROUPS; i++)
+    json_array_append (groups, group);
+  value = json_pack ("{s:s,s:s,s:i,s:i,s:o}", "data_centre", "north", "keeper",
+                     "a", "term", 1, "sequence", 1, "groups", groups);
+  CU_ASSERT_PTR_NULL (bd_assignment_from_json (NULL, value));
+  json_decref (value);
+  json_decref (group);
+}
+
+/* The same of the members of one group.  */
+static void
+test_assignment_of_a_huge_group_ends_the_process (void)
+{
+  enum
+  {
+    MEMBERS = 5000000
+  };
+  json_t *members = json_array ();
+  json_t *member = json_string ("u0");
+  json_t *value;
+
+  for (uint32_t i = 0; i < MEMBERS; i++)
+    json_array_append (members, member);
+  value = json_pack ("{s:s,s:s,s:i,s:i,s:[{s:s,s:o}]}", "data_centre", "north",
+                     "keeper", "a", "term", 1, "sequence", 1, "groups", "id",
+                     "g", "members", members);
+  CU_ASSERT_PTR_NULL (bd_assignment_from_json (NULL, value));
+  json_decref (value);
+  json_decref (member);
+}
+
 static void
 test_assignment_json_round_trip (void)
 {
@@ -819,6 +863,10 @@
 static const struct unit_test tests[] = {
   { "an assignment with a shared instance is invalid",
     test_assignment_rejects_shared_instance },
+  { "an assignment of empty groups ends the process",
+    test_assignment_of_empty_groups_ends_the_process },
+  { "an assignment of a huge group ends the process",
+    test_assignment_of_a_huge_group_ends_the_process },
   { "an assignment survives a JSON round trip",
     test_assignment_json_round_trip },
   { "gate states", test_gate },
