wire: an empty text of a peer is not a null pointer

Callers of `serve`: a process ends by SIGSEGV, with all that it runs, on the frame [19, 1, 1, 1, ""], a reply about the instance list.

Cause: msgpack-c sets the pointer of an empty text from the last value of more than one byte before it; without one it is NULL. talloc_strndup() returns NULL for that, so the text of the message was a null pointer, which handlers read. In the replies of this program the time before the text takes several bytes, so only odd frames, or those within 128 ms of the start of the machine, have it.

Why it works: the decoder takes an empty text of its own, in one place for names and texts.

--- a/src/wire/messages.c
+++ b/src/wire/messages.c
@@ -428,12 +428,19 @@
 static bool unpack_fields (void *ctx, const msgpack_object *values,
                            const struct layout *layout, void *message);
 
+/* The library can leave the pointer of an empty text NULL.  */
+static const char *
+text_of (const msgpack_object_str *text)
+{
+  return text->size > 0 ? text->ptr : "";
+}
+
 static bool
 unpack_text (const msgpack_object *value, size_t capacity, char *out)
 {
   if (value->type != MSGPACK_OBJECT_STR || value->via.str.size >= capacity)
     return false;
-  memcpy (out, value->via.str.ptr, value->via.str.size);
+  memcpy (out, text_of (&value->via.str), value->via.str.size);
   out[value->via.str.size] = '\0';
   return true;
 }
@@ -494,8 +501,8 @@
     case TEXT:
       if (value->type != MSGPACK_OBJECT_STR)
         return false;
-      *(char **)member
-          = talloc_strndup (ctx, value->via.str.ptr, value->via.str.size);
+      *(char **)member = talloc_strndup (ctx, text_of (&value->via.str),
+                                         value->via.str.size);
       return true;
     case U32:
       if (!unpack_unsigned (value, UINT32_MAX, &number))
--- a/src/wire/wire_test.c
+++ b/src/wire/wire_test.c
@@ -278,6 +278,42 @@
   talloc_free (ctx);
 }
 
+/* The library sets no pointer for an empty text that no longer value precedes.
+ */
+static void
+test_empty_text_is_a_null_pointer (void)
+{
+  static const char list_reply[] = "\x95\x13\x01\x01\x01\xa0";
+  static const char freshness_reply[]
+      = "\xdc\x00\x11\x0e\x01\x01\x01\xa0\x01\x01\xc2\x00\x00\x00\xc2\xc2"
+        "\x00\x00\x90\x00";
+  static const char document[] = "\x92\x06\xa0";
+  static const char leaving[] = "\x94\x10\xa0\x01\x00";
+  void *ctx = talloc_new (NULL);
+  enum bd_message_type type;
+  const struct bd_list_reply *read_list;
+  const struct bd_freshness_reply *read_freshness;
+  const struct bd_document *read_document;
+  const struct bd_leaving_update *read_leaving;
+
+  read_list
+      = bd_message_unpack (ctx, list_reply, sizeof list_reply - 1, &type);
+  read_freshness = bd_message_unpack (ctx, freshness_reply,
+                                      sizeof freshness_reply - 1, &type);
+  read_document
+      = bd_message_unpack (ctx, document, sizeof document - 1, &type);
+  read_leaving = bd_message_unpack (ctx, leaving, sizeof leaving - 1, &type);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (read_list);
+  CU_ASSERT_PTR_NOT_NULL (read_list->text);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (read_freshness);
+  CU_ASSERT_PTR_NOT_NULL (read_freshness->config);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (read_document);
+  CU_ASSERT_PTR_NOT_NULL (read_document->text);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (read_leaving);
+  CU_ASSERT_STRING_EQUAL (read_leaving->endpoint, "");
+  talloc_free (ctx);
+}
+
 /* Largest size of the process's address space so far.  */
 static size_t
 peak_kb (void)
@@ -391,6 +427,7 @@
     test_earlier_builds_lack_appended_fields },
   { "earlier builds lack ends of requests",
     test_earlier_builds_lack_ends_of_requests },
+  { "empty text is a null pointer", test_empty_text_is_a_null_pointer },
   { "list messages lose fields", test_list_messages_lose_fields },
   { "frame of tiny elements expands in memory",
     test_frame_of_tiny_elements_expands_in_memory },
