--- a/src/http/connection.c
+++ b/src/http/connection.c
@@ -45,9 +45,9 @@
   for (struct bd_http_connection *c = server->connections; c != NULL; c = next)
     {
       next = c->next;
-      bd_http_connection_check (c, now_ms);
       if (server->closes_idle)
         bd_http_connection_close_idle (c);
+      bd_http_connection_check (c, now_ms);
     }
   bd_http_linger_check (server, now_ms);
   if (server->connections != NULL || server->lingering != NULL)
--- a/src/http/connection_test.c
+++ b/src/http/connection_test.c
@@ -655,6 +655,37 @@
   finish (&f);
 }
 
+/* A sweep after a stop finds that a caller has left within its first head.  */
+static void
+test_sweep_closes_left_partial_heads (void)
+{
+  struct fixture f;
+  int fds[MAX_CONNECTIONS];
+
+  start (&f, STEP_MS);
+  for (uint32_t i = 0; i < MAX_CONNECTIONS; i++)
+    {
+      fds[i] = connect_caller ();
+      send_text (fds[i], "GET /x HTTP/1.1\r\n");
+      while (f.server.partial_heads <= i)
+        tevent_loop_once (f.events);
+    }
+  bd_http_server_close_idle (&f.server);
+  for (struct bd_http_connection *c = f.server.connections; c != NULL;
+       c = c->next)
+    {
+      TALLOC_FREE (c->look_timer);
+      c->deadline_ms = get_now_ms ();
+    }
+  for (uint32_t i = 0; i < MAX_CONNECTIONS; i++)
+    shutdown (fds[i], SHUT_WR);
+  CU_ASSERT_TRUE (run_until_freed (&f));
+  CU_ASSERT_EQUAL (f.request_count, 0);
+  for (uint32_t i = 0; i < MAX_CONNECTIONS; i++)
+    close (fds[i]);
+  finish (&f);
+}
+
 static const struct bd_http_header_field close_headers[]
     = { { "Connection", "close" }, { NULL, NULL } };
 
@@ -1414,6 +1445,8 @@
       test_connection_idle_after_close_idle },
     { "an unused connection is closed at a stop",
       test_unused_connection_is_closed },
+    { "a sweep closes partial heads whose callers have left",
+      test_sweep_closes_left_partial_heads },
     { "pipelined behind a response that closes", test_pipelined_behind_close },
     { "pipelined behind a stream", test_pipelined_behind_stream },
     { "a caller above the limit of connections", test_caller_above_limit },
--- a/src/http/http_internal.h
+++ b/src/http/http_internal.h
@@ -102,7 +102,7 @@
 void bd_http_connection_close_idle (struct bd_http_connection *connection);
 
 /* bd_http_connection_check(): sends 408 or closes the connection if its
-   deadline has passed.  */
+   deadline has passed.  May free it.  */
 void bd_http_connection_check (struct bd_http_connection *connection,
                                int64_t now_ms);
 
