routes: the weights of a split may have any sum

What callers would see: of a route whose weights have a sum above 2^32 - 1 ("TrafficSplit", each weight up to 2^32 - 1), all requests go to the first service, and each logs a "library-error".

Cause: bd_route_choose_service() draws from the sum of the weights by gsl_rng_uniform_int(), whose limit is the range of the generator, 2^32 - 1.

Evidence: routes_test, "split by large weights", where GSL's own handler is in force. Before: "invalid n, either 0 or exceeds maximum value of generator", SIGABRT. After: 6 of 6 tests pass.

Ruled out: the other draws (read): of counts of at least 1 and of at most some thousands, or of constants. A draw of 0 in routing/ would need scores that are NaN; not tried, it is not used by edge.

Why it works: gsl_rng_uniform() has no limit, its 32 bits suffice for shares, and the product is below the sum.

--- a/src/routes/routes.c
+++ b/src/routes/routes.c
@@ -155,7 +155,8 @@
     return NULL;
   if (total == 0)
     return route->splits[0].service;
-  drawn = gsl_rng_uniform_int (rng, total);
+  /* The sum may exceed the range of gsl_rng_uniform_int().  */
+  drawn = (uint64_t)(gsl_rng_uniform (rng) * (double)total);
   for (uint32_t i = 0; i < route->split_count; i++)
     {
       if (drawn < route->splits[i].weight)
--- a/src/routes/routes_test.c
+++ b/src/routes/routes_test.c
@@ -62,6 +62,29 @@
   gsl_rng_free (rng);
 }
 
+/* A configuration has weights whose sum exceeds what the random numbers
+   have.  */
+static void
+test_split_by_large_weights (void)
+{
+  struct bd_route route
+      = { .split_count = 2,
+          .splits = { { "a", UINT32_MAX }, { "b", UINT32_MAX } } };
+  gsl_rng *rng = gsl_rng_alloc (gsl_rng_mt19937);
+  uint32_t first = 0;
+
+  gsl_rng_set (rng, 20261204);
+  for (uint32_t i = 0; i < 10000; i++)
+    {
+      const char *service = bd_route_choose_service (&route, rng);
+
+      CU_ASSERT_PTR_NOT_NULL_FATAL (service);
+      first += strcmp (service, "a") == 0;
+    }
+  CU_ASSERT_TRUE (first > 4850 && first < 5150);
+  gsl_rng_free (rng);
+}
+
 /* Whatever its length, a host matches.  */
 static void
 test_long_host (void)
@@ -119,6 +142,7 @@
   static const struct unit_test tests[]
       = { { "longest prefix", test_longest_prefix },
           { "split by weight", test_split_by_weight },
+          { "split by large weights", test_split_by_large_weights },
           { "long host", test_long_host },
           { "accounts", test_accounts },
           { "idempotent kinds", test_idempotent_kinds } };
