sse: the id of an event is read within its line

What callers would see: an event whose place is that of a number elsewhere, so that its stream breaks or misses it; a process that ends if the buffer lies at the end of a mapping. Not seen by the users.

Cause: strtoll() skips white space, line ends too. For an event with the line "id: " it read on behind the event, into the next one or, when the buffer was full, behind the buffer.

Evidence: calls_test, "an empty id reads behind its line", with sanitizers. Before: heap-buffer-overflow in strtoll(), from parse_line().

Ruled out: the other reads of headers by strtoll(), strtoul() and strtod() are of strings that end with NUL (read).

Why it works: the number is read from a copy of the rest of the line.

--- a/src/calls/calls_test.c
+++ b/src/calls/calls_test.c
@@ -391,6 +391,29 @@
   talloc_free (ctx);
 }
 
+/* The number of an id is looked for behind the end of its line.  */
+static void
+test_empty_id_reads_behind_its_line (void)
+{
+  static const char text[] = "id: \n\n";
+  void *ctx = talloc_new (NULL);
+  struct bd_sse sse;
+  struct bd_sse_event event;
+
+  bd_sse_init (&sse, ctx);
+  CU_ASSERT_TRUE (bd_sse_feed (&sse, "id: \n\n17\n", 9));
+  CU_ASSERT_TRUE (bd_sse_next (&sse, &event));
+  CU_ASSERT_EQUAL (event.id, 0);
+  /* Fills the buffer.  */
+  bd_sse_reset (&sse);
+  CU_ASSERT_TRUE (bd_sse_feed (&sse, text, 3));
+  CU_ASSERT_TRUE (bd_sse_feed (&sse, text + 3, 3));
+  CU_ASSERT_EQUAL (sse.capacity, sse.used);
+  CU_ASSERT_TRUE (bd_sse_next (&sse, &event));
+  CU_ASSERT_EQUAL (event.id, 0);
+  talloc_free (ctx);
+}
+
 static const struct unit_test tests[] = {
   { "an unsent call is retried", test_unsent_call_is_retried },
   { "a stream without ids is not resumed",
@@ -417,6 +440,7 @@
   { "events with CR LF are not found", test_events_with_cr_lf_are_not_found },
   { "mixed line ends are taken as event",
     test_mixed_line_ends_are_taken_as_event },
+  { "an empty id reads behind its line", test_empty_id_reads_behind_its_line },
   { "an overlong event", test_overlong_event_is_rejected },
 };
 
--- a/src/calls/sse.c
+++ b/src/calls/sse.c
@@ -7,6 +7,11 @@
 #include <string.h>
 #include <talloc.h>
 
+enum
+{
+  MAX_ID_BYTES = 63 /* Of a number with blanks and leading zeros.  */
+};
+
 void
 bd_sse_init (struct bd_sse *sse, void *ctx)
 {
@@ -74,6 +79,16 @@
   return true;
 }
 
+/* The text is followed by other lines, or by the end of the buffer.  */
+static int64_t
+read_id (const char *text, size_t size)
+{
+  char digits[MAX_ID_BYTES + 1] = "";
+
+  memcpy (digits, text, size < MAX_ID_BYTES ? size : MAX_ID_BYTES);
+  return strtoll (digits, NULL, 10);
+}
+
 static void
 parse_line (struct bd_sse_event *event, const char *line, size_t size,
             bool has_cr_lf)
@@ -89,7 +104,7 @@
   if (has_prefix (line, size, "id: "))
     {
       event->has_id = true;
-      event->id = strtoll (line + strlen ("id: "), NULL, 10);
+      event->id = read_id (line + strlen ("id: "), size - strlen ("id: "));
     }
   else if (has_prefix (line, size, "data: [DONE]"))
     event->is_end = true;
