http: a call that a callback ends is freed after all callbacks

What callers would see: a process that ends with all its requests (LOST), or a heap that is corrupted. No caller of this client ends a call in these ways today (read: edge, serve, store), so it is not the users' case; nothing in the header forbade it.

Cause: bd_http_call_cancel() frees a call at once unless a callback of libcurl runs. That was a flag, which handle_data() alone set. So a call ended by its `accepts` was freed inside libcurl's header callback. And a data callback that continued another call, whose held data libcurl passes on at once, ran inside with the flag cleared by the inner one, so that a call that it ended next was freed inside libcurl's write callback.

Evidence: http_test with sanitizers. "call is freed within its head": before, heap-use-after-free in handle_head_end(), of a call freed by bd_http_call_cancel(). "call is freed within its data": with only the first of the two mended, heap-use-after-free in handle_data(), the same.

Ruled out: finish_calls() and end_calls() call `done` outside of libcurl's callbacks; handle_prerequest(), handle_raw_data() and the functions for sockets and the timer call none of the users' callbacks (read).

Why it works: the depth counts all callbacks, nested ones too; finish_calls() frees what was ended inside.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -461,7 +461,14 @@
 static bool
 is_accepted (struct bd_http_call *call)
 {
-  return call->ops->accepts == NULL || call->ops->accepts (call->ctx, call);
+  bool is_own;
+
+  if (call->ops->accepts == NULL)
+    return true;
+  call->client->callback_depth++;
+  is_own = call->ops->accepts (call->ctx, call);
+  call->client->callback_depth--;
+  return is_own && !call->is_cancelled;
 }
 
 static char *
@@ -623,7 +630,7 @@
       call->excess = "framing";
       return 0;
     }
-  call->client->is_in_callback = true;
+  call->client->callback_depth++;
   report_head (call);
   if (call->is_cancelled)
     length = 0;
@@ -641,7 +648,7 @@
           curl_easy_pause (call->easy, CURLPAUSE_RECV);
         }
     }
-  call->client->is_in_callback = false;
+  call->client->callback_depth--;
   return call->excess == NULL ? length : 0;
 }
 
@@ -992,7 +999,7 @@
   call->is_cancelled = true;
   /* libcurl cannot remove a handle inside its callbacks, so finish_calls()
      frees the call later.  */
-  if (call->client->is_in_callback)
+  if (call->client->callback_depth > 0)
     call->client->has_cancelled = true;
   else
     free_call (call);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -107,7 +107,8 @@
   struct bd_http_call *calls; /* Running calls.  */
   GHashTable *sockets;        /* Addresses of a connection -> socket.  */
   GHashTable *names;          /* The reverse; holds the keys of sockets.  */
-  bool is_in_callback;        /* A libcurl callback is running.  */
+  /* Callbacks of libcurl that run, each within the one before.  */
+  uint32_t callback_depth;
   bool has_cancelled; /* Calls cancelled in callbacks have to be freed.  */
   struct bd_memory *memory;
   struct bd_timer *end_timer; /* Ends the calls over a limit.  */
--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -1090,31 +1090,151 @@
   close (listener.listen_fd);
 }
 
+/* A call that a callback of its own, or of another call, ends.  */
+struct ended_call
+{
+  struct bd_http_call *call;
+  struct bd_http_call *paused; /* Continued before the end.  */
+  bool has_data;
+  bool is_done;
+};
+
+static bool
+end_in_head (void *ctx, struct bd_http_call *call)
+{
+  (void)ctx;
+  bd_http_call_cancel (call);
+  return true;
+}
+
+static bool
+pause_in_data (void *ctx, struct bd_http_call *call, const char *data,
+               size_t size)
+{
+  struct ended_call *ended = ctx;
+  bool is_first = !ended->has_data;
+
+  (void)call;
+  (void)data;
+  (void)size;
+  ended->has_data = true;
+  return !is_first;
+}
+
+static bool
+end_in_data (void *ctx, struct bd_http_call *call, const char *data,
+             size_t size)
+{
+  struct ended_call *ended = ctx;
+
+  (void)data;
+  (void)size;
+  ended->has_data = true;
+  bd_http_call_continue (ended->paused);
+  bd_http_call_cancel (call);
+  return true;
+}
+
+static void
+note_end (void *ctx, struct bd_http_call *call,
+          const struct bd_http_result *result)
+{
+  struct ended_call *ended = ctx;
+
+  (void)call;
+  (void)result;
+  ended->is_done = true;
+}
+
+static void
+begin_call (struct bd_http_client *client,
+            const struct bd_http_call_ops *callbacks, struct ended_call *ended)
+{
+  char *url = talloc_asprintf (NULL, "http://%s:%u/", loopback_address (),
+                               FRAMED_PORT);
+  struct bd_http_request request
+      = { .method = "GET", .url = url, .timeout_ms = LIMIT_MS };
+
+  ended->call = bd_http_send (client, &request, callbacks, ended);
+  talloc_free (url);
+}
+
+static void
+test_call_is_freed_within_its_head (void)
+{
+  static const struct bd_http_call_ops ending_ops
+      = { .accepts = end_in_head, .done = note_end };
+  struct raw_endpoint raw;
+  struct bd_http_client client;
+  struct ended_call ended = { .call = NULL };
+
+  raw_start (&raw, events, FRAMED_PORT, respond_framed, NULL);
+  bd_http_client_init (&client, events, 4);
+  begin_call (&client, &ending_ops, &ended);
+  while (client.calls != NULL)
+    tevent_loop_once (events);
+  CU_ASSERT_FALSE (ended.is_done);
+  CU_ASSERT_TRUE (get_framed (&client).is_complete);
+  bd_http_client_finish (&client);
+  raw_finish (&raw);
+}
+
+/* The other call has data that libcurl holds back.  */
+static void
+test_call_is_freed_within_its_data (void)
+{
+  static const struct bd_http_call_ops pausing_ops
+      = { .data = pause_in_data, .done = note_end };
+  static const struct bd_http_call_ops ending_ops
+      = { .data = end_in_data, .done = note_end };
+  struct raw_endpoint raw;
+  struct bd_http_client client;
+  struct ended_call paused = { .call = NULL };
+  struct ended_call ended = { .call = NULL };
+
+  raw_start (&raw, events, FRAMED_PORT, respond_framed, NULL);
+  bd_http_client_init (&client, events, 4);
+  begin_call (&client, &pausing_ops, &paused);
+  while (!paused.has_data)
+    tevent_loop_once (events);
+  ended.paused = paused.call;
+  begin_call (&client, &ending_ops, &ended);
+  while (!paused.is_done)
+    tevent_loop_once (events);
+  CU_ASSERT_TRUE (ended.has_data);
+  CU_ASSERT_FALSE (ended.is_done);
+  CU_ASSERT_PTR_NULL (client.calls);
+  bd_http_client_finish (&client);
+  raw_finish (&raw);
+}
+
 int
 main (void)
 {
-  static const struct unit_test tests[]
-      = { { "ambiguous framing", test_ambiguous_framing },
-          { "plain requests", test_plain_requests },
-          { "incomplete request is handled",
-            test_incomplete_request_is_handled },
-          { "timeouts", test_timeouts },
-          { "port is not shared", test_port_is_not_shared },
-          { "port is reused", test_port_is_reused },
-          { "stop listening", test_stop_listening },
-          { "sent once", test_sent_once },
-          { "server crashes on a kept connection",
-            test_server_crashes_on_kept_connection },
-          { "refused connection", test_refused_connection },
-          { "refusal is noticed late", test_refusal_is_noticed_late },
-          { "request is sent on stale connection",
-            test_request_is_sent_on_stale_connection },
-          { "reset crosses request", test_reset_crosses_request },
-          { "endless responses", test_endless_responses },
-          { "sound framing is not taken for endless",
-            test_sound_framing_is_not_taken_for_endless },
-          { "endless responses do not evict others",
-            test_endless_responses_do_not_evict_others } };
+  static const struct unit_test tests[] = {
+    { "ambiguous framing", test_ambiguous_framing },
+    { "plain requests", test_plain_requests },
+    { "incomplete request is handled", test_incomplete_request_is_handled },
+    { "timeouts", test_timeouts },
+    { "port is not shared", test_port_is_not_shared },
+    { "port is reused", test_port_is_reused },
+    { "stop listening", test_stop_listening },
+    { "sent once", test_sent_once },
+    { "server crashes on a kept connection",
+      test_server_crashes_on_kept_connection },
+    { "refused connection", test_refused_connection },
+    { "refusal is noticed late", test_refusal_is_noticed_late },
+    { "request is sent on stale connection",
+      test_request_is_sent_on_stale_connection },
+    { "reset crosses request", test_reset_crosses_request },
+    { "endless responses", test_endless_responses },
+    { "sound framing is not taken for endless",
+      test_sound_framing_is_not_taken_for_endless },
+    { "endless responses do not evict others",
+      test_endless_responses_do_not_evict_others },
+    { "call is freed within its head", test_call_is_freed_within_its_head },
+    { "call is freed within its data", test_call_is_freed_within_its_data }
+  };
   int code;
 
   events = tevent_context_init (NULL);
