http: a call is freed once, also if its last callback cancels it

No caller of this client does it today (read: edge and serve drop their pointer to the call first).

Cause: finish_call() calls `done` and frees the call; bd_http_call_cancel() from `done` freed it too.

Evidence: http_test, "call is freed twice at its end", with sanitizers. Before: heap-use-after-free in free_call(), from finish_call(), of a call that bd_http_call_cancel() has freed.

Why it works: a call that has ended is freed by finish_call() alone.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -74,6 +74,7 @@
   bool is_stale;    /* Its kept connection has ended or brings bytes.  */
   bool is_paused;
   bool is_cancelled;
+  bool has_ended;   /* Freed when the last callback returns.  */
   bool is_rejected; /* Fails when the current callback returns.  */
   uint32_t header_count;
   struct bd_http_header_field *response_headers;
@@ -178,6 +179,7 @@
     call->header_count = 0;
   /* What done keeps is a share of its own.  */
   bd_memory_leave (&call->share);
+  call->has_ended = true;
   if (!call->is_cancelled)
     call->ops->done (call->ctx, call, &result);
   free_call (call);
@@ -996,6 +998,8 @@
 void
 bd_http_call_cancel (struct bd_http_call *call)
 {
+  if (call->has_ended)
+    return;
   call->is_cancelled = true;
   /* libcurl cannot remove a handle inside its callbacks, so finish_calls()
      frees the call later.  */
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -182,7 +182,7 @@
 void bd_http_call_continue (struct bd_http_call *call);
 
 /* bd_http_call_cancel(): cancels the call and closes its connection.  None of
-   its callbacks is called afterwards.  */
+   its callbacks is called afterwards.  May be called from all of them.  */
 void bd_http_call_cancel (struct bd_http_call *call);
 
 #endif
--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -1208,6 +1208,35 @@
   raw_finish (&raw);
 }
 
+static void
+end_when_done (void *ctx, struct bd_http_call *call,
+               const struct bd_http_result *result)
+{
+  struct ended_call *ended = ctx;
+
+  (void)result;
+  ended->is_done = true;
+  bd_http_call_cancel (call);
+}
+
+static void
+test_call_is_freed_twice_at_its_end (void)
+{
+  static const struct bd_http_call_ops ending_ops = { .done = end_when_done };
+  struct raw_endpoint raw;
+  struct bd_http_client client;
+  struct ended_call ended = { .call = NULL };
+
+  raw_start (&raw, events, FRAMED_PORT, respond_framed, NULL);
+  bd_http_client_init (&client, events, 4);
+  begin_call (&client, &ending_ops, &ended);
+  while (client.calls != NULL)
+    tevent_loop_once (events);
+  CU_ASSERT_TRUE (ended.is_done);
+  bd_http_client_finish (&client);
+  raw_finish (&raw);
+}
+
 int
 main (void)
 {
@@ -1233,7 +1262,8 @@
     { "endless responses do not evict others",
       test_endless_responses_do_not_evict_others },
     { "call is freed within its head", test_call_is_freed_within_its_head },
-    { "call is freed within its data", test_call_is_freed_within_its_data }
+    { "call is freed within its data", test_call_is_freed_within_its_data },
+    { "call is freed twice at its end", test_call_is_freed_twice_at_its_end }
   };
   int code;
 
