http: a body that cannot be allocated is refused

What callers would see: one caller with a large body ends a process with all its requests (LOST). Not seen by the users.

Cause: talloc allocates at most 256 MiB at once. append_body() did not look at the result. The configuration sets the limit of a body ("MaxBodyBytes", up to 4 GiB), and the account of buffers is a quarter of the memory of the settings, so from about 1 GiB of memory on both allow such a body.

Evidence: connection_test, "a body beyond an allocation is refused", with sanitizers. Before: SEGV in append_body().

Ruled out: bodies of responses, events and the buffers of streams have constant limits far below (read).

Why it works: the caller gets 503, as when the account has no room; the request has not run.

--- a/src/http/connection_test.c
+++ b/src/http/connection_test.c
@@ -34,6 +34,7 @@
   TAKEN_BYTES = 4 << 20,
   /* As much as the buffers of both sockets hold, and a little more.  */
   CLOSING_BYTES = 3 << 20,
+  TALLOC_BYTES = 256 << 20, /* At once, at most.  */
   STEP_MS = 100,
   SETTLE_MS = 100,
   WAIT_MS = 5000,
@@ -1419,6 +1420,31 @@
   finish (&f);
 }
 
+/* The limit of the configuration is higher than what talloc allocates, and
+   the caller has sent almost that much.  */
+static void
+test_body_beyond_allocation_is_refused (void)
+{
+  struct fixture f;
+  struct bd_http_exchange *x;
+  int fd;
+
+  start (&f, LONG_MS);
+  fd = connect_caller ();
+  send_text (fd, "POST /x HTTP/1.1\r\nHost: h\r\n"
+                 "Content-Length: 1000000\r\n\r\n");
+  CU_ASSERT_TRUE_FATAL (run_until_phase (&f, BD_HTTP_BODY));
+  x = f.server.exchanges;
+  x->max_body_bytes = 2 * TALLOC_BYTES;
+  x->body_size = TALLOC_BYTES - 1;
+  send_text (fd, "more");
+  CU_ASSERT_TRUE (receive_text (&f, fd, "\"status\":503}\n"));
+  CU_ASSERT_EQUAL (f.request_count, 0);
+  close (fd);
+  CU_ASSERT_TRUE (run_until_freed (&f));
+  finish (&f);
+}
+
 int
 main (void)
 {
@@ -1480,7 +1506,9 @@
     { "a request line without end ends", test_endless_request_line_ends },
     { "the sum of bodies is bounded", test_sum_of_bodies_is_bounded },
     { "an unread stream is bounded", test_unread_stream_is_bounded },
-    { "unread responses are bounded", test_unread_responses_are_bounded }
+    { "unread responses are bounded", test_unread_responses_are_bounded },
+    { "a body beyond an allocation is refused",
+      test_body_beyond_allocation_is_refused }
   };
 
   return UNIT_RUN ("connection", tests);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -302,6 +302,8 @@
 static uint32_t
 append_body (struct bd_http_exchange *x, const char *data, size_t size)
 {
+  char *body;
+
   if (x->body_size + size > x->max_body_bytes)
     return 413;
   if (x->body_size + size >= x->body_bytes)
@@ -309,7 +311,11 @@
       x->body_bytes = x->body_size + size + BODY_BLOCK_BYTES;
       if (!update_share (x))
         return 503;
-      x->body = talloc_realloc (x, x->body, char, x->body_bytes);
+      /* The limit of the configuration may be above that of talloc.  */
+      body = talloc_realloc (x, x->body, char, x->body_bytes);
+      if (body == NULL)
+        return 503;
+      x->body = body;
     }
   memcpy (x->body + x->body_size, data, size);
   x->body_size += size;
