wire: a lack of descriptors does not make the accepting of peers spin

What callers saw: once all descriptors are used, for example by idle callers, and a peer connects, the daemon takes a whole core until one is free.

Cause: a connection that cannot be accepted stays in the queue, so that the listening socket stays readable; handle_listen() ignored EMFILE.

Evidence: edge_descriptors_test, 128 descriptors, 200 idle callers, 100 peers: before 1770 ms of processor time in 2000 ms, with this change 10 ms; all calls are served once descriptors are free.

Ruled out: callers alone (20 of 2000 ms; src/http/listen.c pauses already).

Why it works: accepting pauses for 100 ms after EMFILE, ENFILE, ENOBUFS or ENOMEM, as in src/http/listen.c; peers connect again by themselves.

--- /dev/null
+++ b/src/edge/edge_descriptors_test.c
@@ -0,0 +1,193 @@
+/* Guards against a daemon that ends, spins or serves nobody because its limit
+   of descriptors is used up.  */
+
+#include "tests/fakes/process.h"
+#include "tests/fakes/site.h"
+#include "tests/loopback.h"
+#include "tests/quiet.h"
+#include "tests/unit.h"
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+enum
+{
+  DESCRIPTORS = 128, /* The settings allow more.  */
+  IDLE_CALLERS = 200,
+  PEERS = 100,
+  CALLS = 20,
+  READY_MS = 10000,
+  POLL_MS = 100,
+  DEADLINE_MS = 4000,
+  MEASURED_MS = 2000,
+  MS_PER_S = 1000
+};
+
+static struct site site;
+static char *directory;
+static char *settings_path;
+static pid_t process;
+static int callers[IDLE_CALLERS];
+static int peers[PEERS];
+
+static void
+start_daemon (struct process_options *options)
+{
+  const char *build = g_getenv ("BUILD");
+
+  options->program = talloc_asprintf (site.events, "%s/burdockdale",
+                                      build != NULL ? build : "build");
+  options->settings_path = settings_path;
+  options->log_path = g_getenv ("DAEMON_LOG");
+  process = process_start (&site.settings, options);
+  for (uint32_t ms = 0; ms < READY_MS; ms += POLL_MS)
+    {
+      site_wait (&site, POLL_MS);
+      if (site_call (&site, "GET", "/safe/0", "k1", NULL)->status == 200)
+        return;
+    }
+  CU_FAIL_FATAL ("the daemon is not ready");
+}
+
+static void
+start_site (struct process_options *options)
+{
+  directory = g_dir_make_tmp ("edge-descriptors-XXXXXX", NULL);
+  settings_path = g_strdup_printf ("%s/edge.toml", directory);
+  site_start_platform (&site, 2, 0);
+  start_daemon (options);
+}
+
+static void
+finish_site (void)
+{
+  CU_ASSERT_FALSE (process_has_ended (process));
+  process_finish (process);
+  site_finish (&site);
+  remove (settings_path);
+  remove (directory);
+  g_free (settings_path);
+  g_free (directory);
+}
+
+static int
+open_connection (uint32_t port)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  inet_pton (AF_INET, loopback_address (), &address.sin_addr);
+  CU_ASSERT_TRUE (fd >= 0);
+  (void)!connect (fd, (struct sockaddr *)&address, sizeof address);
+  return fd;
+}
+
+static void
+open_connections (int *fds, uint32_t count, uint32_t port)
+{
+  for (uint32_t i = 0; i < count; i++)
+    fds[i] = open_connection (port);
+}
+
+static void
+close_connections (const int *fds, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    close (fds[i]);
+}
+
+static uint32_t
+count_descriptors (void)
+{
+  char *path = g_strdup_printf ("/proc/%d/fd", (int)process);
+  GDir *fds = g_dir_open (path, 0, NULL);
+  uint32_t count = 0;
+
+  while (fds != NULL && g_dir_read_name (fds) != NULL)
+    count++;
+  if (fds != NULL)
+    g_dir_close (fds);
+  g_free (path);
+  return count;
+}
+
+/* Processor time of the daemon.  */
+static int64_t
+get_cpu_ms (void)
+{
+  char *path = g_strdup_printf ("/proc/%d/stat", (int)process);
+  char *text = NULL;
+  unsigned long user = 0;
+  unsigned long system = 0;
+  const char *rest;
+
+  if (g_file_get_contents (path, &text, NULL, NULL)
+      && (rest = strrchr (text, ')')) != NULL)
+    sscanf (rest, ") %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu",
+            &user, &system);
+  g_free (text);
+  g_free (path);
+  return (int64_t)(user + system) * MS_PER_S / sysconf (_SC_CLK_TCK);
+}
+
+static uint32_t
+count_served (void)
+{
+  uint32_t served = 0;
+
+  for (uint32_t i = 0; i < CALLS; i++)
+    served += site_call (&site, "GET", "/safe/1", "k1", NULL)->status == 200;
+  return served;
+}
+
+/* A process that only waits takes far less than half of a core.  */
+static void
+check_processor (const char *name)
+{
+  int64_t before_ms = get_cpu_ms ();
+  int64_t used_ms;
+
+  site_wait (&site, MEASURED_MS);
+  used_ms = get_cpu_ms () - before_ms;
+  fprintf (stderr, "  %s: %u descriptors, processor %lld of %d ms\n", name,
+           count_descriptors (), (long long)used_ms, MEASURED_MS);
+  CU_ASSERT_TRUE (used_ms < MEASURED_MS / 2);
+}
+
+static void
+test_peers_beyond_the_limit (void)
+{
+  struct process_options options = { .descriptors = DESCRIPTORS };
+
+  start_site (&options);
+  open_connections (callers, IDLE_CALLERS, site.settings.http_port);
+  site_wait (&site, POLL_MS);
+  open_connections (peers, PEERS, site.settings.peer_port);
+  check_processor ("peers");
+  close_connections (callers, IDLE_CALLERS);
+  close_connections (peers, PEERS);
+  site_wait (&site, MS_PER_S);
+  CU_ASSERT_EQUAL (count_served (), CALLS);
+  finish_site ();
+}
+
+static const struct unit_test tests[] = {
+  { "peers beyond the limit of descriptors make the daemon spin",
+    test_peers_beyond_the_limit },
+};
+
+int
+main (void)
+{
+  signal (SIGPIPE, SIG_IGN);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  unit_silence_log ();
+  return UNIT_RUN ("edge_descriptors", tests);
+}
--- a/src/wire/peers.c
+++ b/src/wire/peers.c
@@ -3,6 +3,7 @@
 #include "wire/peers.h"
 
 #include "base/ids.h"
+#include "base/timer.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -15,6 +16,8 @@
 enum
 {
   LISTEN_BACKLOG = 256,
+  /* Until the next try after a lack of descriptors or memory.  */
+  ACCEPT_RETRY_MS = 100,
   /* Incoming connections of one address.  A sound daemon has one, but several
      can share an address.  */
   MAX_CONNECTIONS = 128,
@@ -238,6 +241,25 @@
     end_connection (oldest);
 }
 
+static void
+accept_again (void *ctx)
+{
+  struct bd_peers *peers = ctx;
+
+  peers->accept_timer = NULL;
+  tevent_fd_set_flags (peers->listen_event, TEVENT_FD_READ);
+}
+
+/* A connection that cannot be accepted stays, and the socket readable.  */
+static void
+pause_accepting (struct bd_peers *peers)
+{
+  peers->accept_timer = bd_timer_add (peers->events, peers->events,
+                                      ACCEPT_RETRY_MS, accept_again, peers);
+  if (peers->accept_timer != NULL)
+    tevent_fd_set_flags (peers->listen_event, 0);
+}
+
 static void
 handle_listen (struct tevent_context *events, struct tevent_fd *event,
                uint16_t flags, void *private_data)
@@ -253,7 +275,12 @@
   (void)event;
   (void)flags;
   if (fd < 0)
-    return;
+    {
+      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS
+          || errno == ENOMEM)
+        pause_accepting (peers);
+      return;
+    }
   limit_connections (peers, &socket_address);
   c = make_connection (peers, &peers->incoming, fd, &socket_address,
                        TEVENT_FD_READ, handle_incoming);
@@ -338,6 +365,7 @@
 {
   if (peers->events == NULL)
     return;
+  TALLOC_FREE (peers->accept_timer);
   TALLOC_FREE (peers->listen_event);
   close (peers->listen_fd);
   while (peers->outgoing != NULL)
--- a/src/wire/peers.h
+++ b/src/wire/peers.h
@@ -37,6 +37,7 @@
   uint64_t last_use;        /* Of any incoming connection.  */
   int listen_fd;
   struct tevent_fd *listen_event;
+  struct bd_timer *accept_timer;       /* NULL: accepts connections.  */
   struct bd_peer_connection *outgoing; /* Linked list.  */
   struct bd_peer_connection *incoming; /* Linked list.  */
 };
--- a/tests/fakes/process.c
+++ b/tests/fakes/process.c
@@ -81,8 +81,9 @@
   const char *log_path
       = options->log_path != NULL ? options->log_path : "/dev/null";
   int log = open (log_path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-  struct rlimit limit = { (rlim_t)options->data_mb * BYTES_PER_MB,
-                          (rlim_t)options->data_mb * BYTES_PER_MB };
+  struct rlimit data = { (rlim_t)options->data_mb * BYTES_PER_MB,
+                         (rlim_t)options->data_mb * BYTES_PER_MB };
+  struct rlimit files = { options->descriptors, options->descriptors };
 
   hold_signals ();
   prctl (PR_SET_PDEATHSIG, SIGKILL);
@@ -91,7 +92,8 @@
   dup2 (log, STDOUT_FILENO);
   dup2 (log, STDERR_FILENO);
   close_range (STDERR_FILENO + 1, ~0U, 0);
-  if (options->data_mb > 0 && setrlimit (RLIMIT_DATA, &limit) != 0)
+  if ((options->data_mb > 0 && setrlimit (RLIMIT_DATA, &data) != 0)
+      || (options->descriptors > 0 && setrlimit (RLIMIT_NOFILE, &files) != 0))
     _exit (1);
   execl (options->program, options->program, "edge", "--settings",
          options->settings_path, NULL);
