cli: no socket takes the place of a closed standard descriptor

What happened: a daemon that is started without standard descriptors writes the lines of its log, and libraries their words, to whatever is opened first.

Cause: the kernel gives the lowest free numbers to the next descriptors; the log writes to number 1.

Evidence: edge_descriptors_test, a daemon started with 0, 1 and 2 closed: before, 0 is the event loop's epoll descriptor, 1 and 2 are a pair of sockets that a library has opened; now all three are /dev/null, and 20 of 20 calls are served.

Ruled out: that callers saw it. With these library versions the first sockets are a pair of libcurl's own; no line reached a caller or an endpoint.

Why it works: the program opens /dev/null until the numbers 0 to 2 are taken, before anything else.

--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -3,8 +3,11 @@
 #include "cli/cli.h"
 
 #include <argtable2.h>
+#include <fcntl.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 struct command
 {
@@ -42,9 +45,24 @@
            "  --version  print the version\n");
 }
 
+/* A descriptor that is opened later must not take the place of a standard one
+   that is closed: it would get the lines of the log.  */
+static bool
+open_standard_descriptors (void)
+{
+  int fd;
+
+  do
+    fd = open ("/dev/null", O_RDWR);
+  while (fd >= 0 && fd <= STDERR_FILENO);
+  return fd >= 0 && close (fd) == 0;
+}
+
 int
 main (int argc, char **argv)
 {
+  if (!open_standard_descriptors ())
+    return BD_EXIT_FAILED;
   if (argc < 2)
     {
       print_usage (stderr);
--- a/src/edge/edge_descriptors_test.c
+++ b/src/edge/edge_descriptors_test.c
@@ -178,9 +178,34 @@
   finish_site ();
 }
 
+/* The first sockets would take the place of standard output, and get the
+   lines of the log.  */
+static void
+test_closed_output (void)
+{
+  struct process_options options = { .has_no_output = true };
+
+  start_site (&options);
+  check_processor ("no output");
+  for (int fd = 0; fd <= STDERR_FILENO; fd++)
+    {
+      char *path = g_strdup_printf ("/proc/%d/fd/%d", (int)process, fd);
+      char *target = g_file_read_link (path, NULL);
+
+      fprintf (stderr, "  descriptor %d: %s\n", fd, target);
+      CU_ASSERT_TRUE (target != NULL && strcmp (target, "/dev/null") == 0);
+      g_free (target);
+      g_free (path);
+    }
+  CU_ASSERT_EQUAL (count_served (), CALLS);
+  finish_site ();
+}
+
 static const struct unit_test tests[] = {
   { "peers beyond the limit of descriptors make the daemon spin",
     test_peers_beyond_the_limit },
+  { "the log goes to a descriptor that is not its output",
+    test_closed_output },
 };
 
 int
--- a/tests/fakes/process.c
+++ b/tests/fakes/process.c
@@ -92,6 +92,8 @@
   dup2 (log, STDOUT_FILENO);
   dup2 (log, STDERR_FILENO);
   close_range (STDERR_FILENO + 1, ~0U, 0);
+  if (options->has_no_output)
+    close_range (STDIN_FILENO, STDERR_FILENO, 0);
   if ((options->data_mb > 0 && setrlimit (RLIMIT_DATA, &data) != 0)
       || (options->descriptors > 0 && setrlimit (RLIMIT_NOFILE, &files) != 0))
     _exit (1);
--- a/tests/fakes/process.h
+++ b/tests/fakes/process.h
@@ -20,6 +20,7 @@
   const char *omits;         /* A key that the settings lack; may be NULL.  */
   uint32_t data_mb;          /* Limit of the data segment; 0 for none.  */
   uint32_t descriptors;      /* Limit of descriptors; 0 for none.  */
+  bool has_no_output;        /* Standard descriptors are closed.  */
 };
 
 /* process_start(): returns the process, or -1.  Numbers of the settings that
