edge: idle callers leave descriptors for the endpoints under a lower limit

What callers saw: where the process's limit of descriptors is lower than max_descriptors, idle callers take all of them. No request is served, also none on a connection from before, until the idle ones have timed out; the store is lost too.

Cause: callers get half of max_descriptors, whatever the process may open.

Ruled out: that the daemon spins on its callers' socket (20 of 2000 ms).

--- a/src/edge/edge_descriptors_test.c
+++ b/src/edge/edge_descriptors_test.c
@@ -178,6 +178,24 @@
   finish_site ();
 }
 
+/* The caller of site_call() has a connection from before.  */
+static void
+test_idle_callers_beyond_the_limit (void)
+{
+  struct process_options options = { .descriptors = DESCRIPTORS };
+  uint32_t served;
+
+  start_site (&options);
+  open_connections (callers, IDLE_CALLERS, site.settings.http_port);
+  site_wait (&site, POLL_MS);
+  check_processor ("callers");
+  served = count_served ();
+  fprintf (stderr, "  callers: served %u of %d\n", served, CALLS);
+  CU_ASSERT_EQUAL (served, CALLS);
+  close_connections (callers, IDLE_CALLERS);
+  finish_site ();
+}
+
 /* The first sockets would take the place of standard output, and get the
    lines of the log.  */
 static void
@@ -204,6 +222,8 @@
 static const struct unit_test tests[] = {
   { "peers beyond the limit of descriptors make the daemon spin",
     test_peers_beyond_the_limit },
+  { "idle callers beyond the limit of descriptors stop all service",
+    test_idle_callers_beyond_the_limit },
   { "the log goes to a descriptor that is not its output",
     test_closed_output },
 };
