--- a/src/edge/edge_descriptors_test.c
+++ b/src/edge/edge_descriptors_test.c
@@ -22,6 +22,7 @@
   IDLE_CALLERS = 200,
   PEERS = 100,
   CALLS = 20,
+  RUNNING_CALLS = 64,
   READY_MS = 10000,
   POLL_MS = 100,
   DEADLINE_MS = 4000,
@@ -196,6 +197,41 @@
   finish_site ();
 }
 
+/* Each call takes a descriptor for its caller and one for its endpoint.  */
+static void
+test_running_calls_beyond_the_limit (void)
+{
+  struct process_options options = { .descriptors = DESCRIPTORS };
+  const struct site_call *calls[RUNNING_CALLS];
+  uint32_t answered = 0;
+  uint32_t served = 0;
+
+  start_site (&options);
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    {
+      site.workers[i].slots = RUNNING_CALLS;
+      site.workers[i].mode = WORKER_PAUSING;
+      site_list_worker (&site.workers[i]);
+    }
+  site_wait (&site, MS_PER_S);
+  for (uint32_t i = 0; i < RUNNING_CALLS; i++)
+    calls[i] = site_start_call (&site, "POST", "/unsafe/1", "k1", NULL);
+  check_processor ("calls");
+  site_wait (&site, DEADLINE_MS - MEASURED_MS + MS_PER_S);
+  for (uint32_t i = 0; i < RUNNING_CALLS; i++)
+    {
+      answered += calls[i]->is_done && calls[i]->status != 0;
+      served += calls[i]->status == 200;
+    }
+  for (uint32_t i = 0; i < site.worker_count; i++)
+    site.workers[i].mode = WORKER_HEALTHY;
+  fprintf (stderr, "  calls: answered %u, served %u of %d\n", answered, served,
+           RUNNING_CALLS);
+  CU_ASSERT_EQUAL (answered, RUNNING_CALLS);
+  CU_ASSERT_EQUAL (count_served (), CALLS);
+  finish_site ();
+}
+
 /* The first sockets would take the place of standard output, and get the
    lines of the log.  */
 static void
@@ -224,6 +260,8 @@
     test_peers_beyond_the_limit },
   { "idle callers beyond the limit of descriptors stop all service",
     test_idle_callers_beyond_the_limit },
+  { "running calls beyond the limit of descriptors are lost",
+    test_running_calls_beyond_the_limit },
   { "the log goes to a descriptor that is not its output",
     test_closed_output },
 };
