serve: idle callers leave descriptors for the endpoints under a lower limit

What callers saw: where the process's limit of descriptors is lower than max_connections (4096 by default), idle callers take all of them, and a request on a connection from before is refused.

Cause: as in edge; nothing compared max_connections with the process's limit.

Evidence: tests/paths/descriptors_used_up.sh, limit 128, 200 idle callers, 100 idle peers: before, "a request is served" fails; with this change 3 checks hold. edge_descriptors_test passes as before (20 of 20 calls, 85 descriptors).

Why it works: the rule of edge is now one function, which both daemons use.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -207,9 +207,10 @@
   bd_daemon_start_claims (daemon);
   if (!bd_daemon_start_peers (daemon))
     goto fail;
-  if (!bd_http_server_init (&daemon->server, events, settings->address,
-                            settings->http_port, settings->max_connections,
-                            &server_ops, daemon))
+  if (!bd_http_server_init (
+          &daemon->server, events, settings->address, settings->http_port,
+          bd_http_limit_connections (settings->max_connections), &server_ops,
+          daemon))
     goto fail;
   bd_http_server_set_timeouts (&daemon->server, settings->header_timeout_ms,
                                settings->idle_timeout_ms);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -4,7 +4,6 @@
 #include "edge/edge_internal.h"
 
 #include <string.h>
-#include <sys/resource.h>
 #include <talloc.h>
 
 enum
@@ -19,7 +18,7 @@
   MAX_STORE_CONNECTIONS = 8,
   MAX_BODY_BYTES = 4 << 20,
   MAX_PAGE_CONNECTIONS = 32,
-  /* Callers get the descriptors divided by this; connections to endpoints and
+  /* Callers get max_descriptors divided by this; connections to endpoints and
      all others use the rest.  */
   CALLER_DESCRIPTORS_DIVISOR = 2,
   /* Part of memory_mb for bytes that are buffered for others.  */
@@ -230,28 +229,12 @@
   return true;
 }
 
-/* The descriptors that this process may have open: those of the settings, or
-   of its own limit if that is lower.  */
-static uint32_t
-get_max_descriptors (const struct bd_edge_settings *settings)
-{
-  struct rlimit files;
-
-  if (getrlimit (RLIMIT_NOFILE, &files) != 0
-      || files.rlim_cur >= settings->max_descriptors)
-    return settings->max_descriptors;
-  bd_log ("descriptors-limited", "max_descriptors",
-          BD_NUM (settings->max_descriptors), "limit",
-          BD_NUM ((int64_t)files.rlim_cur), NULL);
-  return (uint32_t)files.rlim_cur;
-}
-
 static bool
 start_servers (struct bd_edge *edge)
 {
   const struct bd_edge_settings *settings = edge->settings;
-  uint32_t max_callers
-      = get_max_descriptors (settings) / CALLER_DESCRIPTORS_DIVISOR;
+  uint32_t max_callers = bd_http_limit_connections (
+      settings->max_descriptors / CALLER_DESCRIPTORS_DIVISOR);
   bool has_started;
 
   has_started
--- a/src/http/listen.c
+++ b/src/http/listen.c
@@ -3,10 +3,12 @@
 #include "http/http_internal.h"
 
 #include "base/crash.h"
+#include "base/log.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <talloc.h>
 #include <unistd.h>
@@ -15,7 +17,10 @@
 {
   MAX_ACCEPTS = 32, /* In one iteration of the event loop.  */
   /* Until the next try after a lack of descriptors or memory.  */
-  ACCEPT_RETRY_MS = 100
+  ACCEPT_RETRY_MS = 100,
+  /* Callers get the descriptors of the process divided by this; connections to
+     endpoints and all others use the rest.  */
+  DESCRIPTORS_DIVISOR = 2
 };
 
 static void
@@ -110,6 +115,19 @@
   server->listen_fd = -1;
 }
 
+uint32_t
+bd_http_limit_connections (uint32_t max_connections)
+{
+  struct rlimit files;
+
+  if (getrlimit (RLIMIT_NOFILE, &files) != 0
+      || files.rlim_cur / DESCRIPTORS_DIVISOR >= max_connections)
+    return max_connections;
+  bd_log ("connections-limited", "max_connections", BD_NUM (max_connections),
+          "descriptors", BD_NUM ((int64_t)files.rlim_cur), NULL);
+  return (uint32_t)(files.rlim_cur / DESCRIPTORS_DIVISOR);
+}
+
 bool
 bd_http_listen (struct bd_http_server *server, const char *address,
                 uint32_t port)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -175,6 +175,10 @@
    the server, this happens after libmicrohttpd has returned.  */
 void bd_http_server_stop_listening (struct bd_http_server *server);
 
+/* bd_http_limit_connections(): max_connections, or as many as the process may
+   have without taking the descriptors that its other connections need.  */
+uint32_t bd_http_limit_connections (uint32_t max_connections);
+
 /* bd_http_server_close_idle(): closes the connections on which no request has
    begun, and from now on those whose response is complete.  A request that
    arrives on one of them afterwards is not handled.  To be called after
