base: the last line of a process without memory says so

What was seen: a process that ends because an allocation fails has "signal" as the cause of its last line (SIGTRAP of GLib, SIGSEGV of a result that is not checked), which looks like any fault of the heap.

Cause: only failed assertions, panics and words of the C library were named; the C library has none for a failed allocation.

Ruled out: a handler of talloc or GLib. talloc has none for failed allocations, and GLib has no memory for its words either in the second case (SIGSEGV).

Why it works: a failed allocation leaves ENOMEM in errno, which the handler reads first. A signal of another process keeps "signal".

--- a/src/base/crash.c
+++ b/src/base/crash.c
@@ -6,6 +6,7 @@
 #include "base/modules.h"
 
 #include <dlfcn.h>
+#include <errno.h>
 #include <execinfo.h>
 #include <gsl/gsl_errno.h>
 #include <signal.h>
@@ -234,16 +235,21 @@
   return (*abort_message)->text;
 }
 
+/* error is errno at the time of the signal.  A failed allocation leaves it,
+   and few functions check for one before they use its result.  */
 static const char *
-find_cause (void)
+find_cause (const siginfo_t *info, int error)
 {
   if (cause[0] != '\0')
     return cause;
-  return find_abort_message () != NULL ? find_abort_message () : "signal";
+  if (find_abort_message () != NULL)
+    return find_abort_message ();
+  return error == ENOMEM && info->si_code != SI_USER ? "out of memory"
+                                                     : "signal";
 }
 
 static void
-write_line (const siginfo_t *info)
+write_line (const siginfo_t *info, int error)
 {
   struct line line = { .used = 0 };
   struct timespec now;
@@ -258,7 +264,7 @@
   add_field (&line, "process", process);
   add_field (&line, "event", "aborted");
   add_signal (&line, info);
-  add_field (&line, "cause", find_cause ());
+  add_field (&line, "cause", find_cause (info, error));
   add_field (&line, "activity", recent[last].name);
   add_field (&line, "subject", recent[last].subject);
   add_field (&line, "build", bd_crash_build ());
@@ -273,9 +279,11 @@
 static void
 handle_signal (int signal_number, siginfo_t *info, void *context)
 {
+  int error = errno;
+
   (void)context;
   bd_log_write_out ();
-  write_line (info);
+  write_line (info, error);
   /* The default action, by SA_RESETHAND.  */
   raise (signal_number);
 }
--- a/src/base/crash.h
+++ b/src/base/crash.h
@@ -10,8 +10,9 @@
      sender        Process that has sent the signal, if another one has.
      address       That a memory access has failed at.
      cause         The assertion, the panic, or the words of the C library, as
-                   its allocator has for a corrupted heap; "signal" if there
-                   are none.
+                   its allocator has for a corrupted heap; "out of memory" if
+                   the last error of the process is a failed allocation;
+                   "signal" otherwise.
      activity, subject
                    What the process did, and for which request or connection.
      recent        The same of the last activities, oldest first.
--- a/src/base/crash_test.c
+++ b/src/base/crash_test.c
@@ -8,11 +8,13 @@
 
 #include "tests/unit.h"
 
+#include <glib.h>
 #include <gsl/gsl_rng.h>
 #include <jansson.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <talloc.h>
 #include <unistd.h>
@@ -23,6 +25,7 @@
   LOG_LINES = 500, /* More than are logged in a second.  */
   OLD_SUBJECTS = 20,
   STRAY_BYTES = 64,
+  BLOCK_STEP_BYTES = 16,
   LARGE_BYTES = 64 * 1024 /* Found in no list of free blocks.  */
 };
 
@@ -339,6 +342,68 @@
   json_decref (line);
 }
 
+/* From now on no allocation succeeds that the heap has no room for.  */
+static void
+limit_memory (void)
+{
+  struct rlimit none = { 0, 0 };
+
+  bd_log_init ("child");
+  bd_crash_enter ("a \"test\"", "id-1");
+  setrlimit (RLIMIT_DATA, &none);
+}
+
+/* Nor one that it has room for.  */
+static void
+use_up_memory (void)
+{
+  limit_memory ();
+  for (size_t size = LARGE_BYTES; size > 0; size -= BLOCK_STEP_BYTES)
+    while (malloc (size) != NULL)
+      ;
+}
+
+static void
+allocate_large_block (void)
+{
+  limit_memory ();
+  g_free (g_malloc ((size_t)LARGE_BYTES * LARGE_BYTES));
+}
+
+static void
+allocate_small_block (void)
+{
+  use_up_memory ();
+  g_free (g_malloc (STRAY_BYTES));
+}
+
+static void
+use_block_that_is_null (void)
+{
+  volatile char *text;
+
+  use_up_memory ();
+  text = talloc_size (NULL, STRAY_BYTES);
+  text[0] = 0;
+}
+
+static void
+test_memory_is_used_up (void)
+{
+  static void (*const runs[]) (void)
+      = { allocate_large_block, allocate_small_block, use_block_that_is_null };
+
+  for (size_t i = 0; i < sizeof runs / sizeof runs[0]; i++)
+    {
+      int signal_number;
+      json_t *line = run_child (runs[i], &signal_number);
+
+      CU_ASSERT_NOT_EQUAL (signal_number, 0);
+      check_line (line, "out of memory");
+      json_decref (line);
+    }
+}
+
 static void
 use_freed_memory (void)
 {
@@ -383,6 +448,7 @@
     { "the last line after dropped lines",
       test_last_line_after_dropped_lines },
     { "the stack is used up", test_stack_is_used_up },
+    { "memory is used up", test_memory_is_used_up },
     { "talloc aborts", test_talloc_aborts },
 #endif
     { "a draw from an empty range", test_draw_from_empty_range },
