http: heads that have not come whole are part of the account of memory

What callers saw: many callers with large heads that do not end take memory beyond memory_mb; a process beyond that limit is killed, with all of its requests.

Cause: a head of 32 KiB or more is passed to libmicrohttpd before its end, and was counted only when it was whole.

Why it works: a connection takes MaxHeaderBytes of the account before libmicrohttpd reads on, and returns them when the head is whole.

--- a/src/http/connection.c
+++ b/src/http/connection.c
@@ -68,6 +68,15 @@
   return names[phase];
 }
 
+static void
+handle_evicted (void *ctx)
+{
+  struct bd_http_connection *c = ctx;
+
+  c->is_evicted = true;
+  bd_http_end_evicted_later (c->server);
+}
+
 struct bd_http_connection *
 bd_http_connection_open (struct bd_http_server *server, int fd)
 {
@@ -77,6 +86,8 @@
     return NULL;
   c->server = server;
   c->fd = fd;
+  bd_memory_join (&c->head_share, server->memory, (uintptr_t)c, handle_evicted,
+                  c);
   bd_http_connection_enter (c, BD_HTTP_FIRST_HEAD);
   c->next = server->connections;
   if (c->next != NULL)
@@ -89,6 +100,28 @@
   return c;
 }
 
+bool
+bd_http_connection_reserve (struct bd_http_connection *c)
+{
+  const struct bd_memory *memory = c->server->memory;
+  size_t bytes = c->server->max_head_bytes;
+
+  /* No other share is evicted for it: what libmicrohttpd has begun to read is
+     freed only when the connection has ended.  */
+  if (c->is_evicted
+      || (memory != NULL && c->head_share.bytes < bytes
+          && memory->used_bytes - c->head_share.bytes + bytes
+                 > memory->limit_bytes))
+    return false;
+  return bd_memory_resize (&c->head_share, bytes);
+}
+
+bool
+bd_http_connection_release (struct bd_http_connection *c)
+{
+  return !c->is_evicted && bd_memory_resize (&c->head_share, 0);
+}
+
 void
 bd_http_connection_close (struct bd_http_connection *c)
 {
@@ -106,6 +139,7 @@
   server->connection_count--;
   if (c->has_partial_head)
     server->partial_heads--;
+  bd_memory_leave (&c->head_share);
   talloc_free (c);
   bd_http_update_accepting (server);
 }
--- a/src/http/http_internal.h
+++ b/src/http/http_internal.h
@@ -56,17 +56,24 @@
   struct bd_http_exchange *exchange; /* NULL outside of requests.  */
   uint32_t tier;
   struct MHD_Connection *handle; /* NULL before the first request.  */
-  bool is_waiting;               /* For a head, which is not read yet.  */
-  bool has_partial_head;         /* Waits for the rest of it.  */
-  bool is_idled;                 /* In the list of the server.  */
-  int64_t look_delay_ms;         /* Until the next look at a partial head.  */
-  struct tevent_fd *watch;       /* While it waits.  */
+  /* Of a head that libmicrohttpd reads before its end has come.  */
+  struct bd_memory_share head_share;
+  bool is_evicted;         /* This share is.  */
+  bool is_waiting;         /* For a head, which is not read yet.  */
+  bool has_partial_head;   /* Waits for the rest of it.  */
+  bool is_idled;           /* In the list of the server.  */
+  int64_t look_delay_ms;   /* Until the next look at a partial head.  */
+  struct tevent_fd *watch; /* While it waits.  */
   struct bd_timer *look_timer;
   struct bd_http_connection *next_idled;
   struct bd_http_connection *prev;
   struct bd_http_connection *next;
 };
 
+/* bd_http_end_evicted_later(): ends what has lost its share, outside of the
+   callbacks of libmicrohttpd.  */
+void bd_http_end_evicted_later (struct bd_http_server *server);
+
 /* bd_http_now_ms(): the time of the deadlines of connections.  */
 int64_t bd_http_now_ms (void);
 
@@ -74,6 +81,13 @@
 struct bd_http_connection *
 bd_http_connection_open (struct bd_http_server *server, int fd);
 
+/* bd_http_connection_reserve(): the connection reads a head that may have as
+   many bytes as the server allows.  Returns false if there is no room.
+   bd_http_connection_release(): its head has come.  Returns false if its share
+   has been evicted.  */
+bool bd_http_connection_reserve (struct bd_http_connection *connection);
+bool bd_http_connection_release (struct bd_http_connection *connection);
+
 /* bd_http_connection_close(): ends the watch, and frees connection.  Its
    socket lingers if the last request has been answered.  */
 void bd_http_connection_close (struct bd_http_connection *connection);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -269,6 +269,15 @@
   resume (x);
 }
 
+static void
+end_evicted_heads (struct bd_http_server *server)
+{
+  for (struct bd_http_connection *c = server->connections; c != NULL;
+       c = c->next)
+    if (c->is_evicted && c->phase != BD_HTTP_ENDING)
+      bd_http_connection_refuse (c, 503, bd_http_now_ms ());
+}
+
 static void
 end_all_evicted (void *ctx)
 {
@@ -276,6 +285,7 @@
   struct bd_http_exchange *next;
 
   server->eviction_timer = NULL;
+  end_evicted_heads (server);
   for (struct bd_http_exchange *x = server->exchanges; x != NULL; x = next)
     {
       next = x->next;
@@ -286,16 +296,21 @@
     }
 }
 
+void
+bd_http_end_evicted_later (struct bd_http_server *server)
+{
+  if (server->eviction_timer == NULL)
+    server->eviction_timer = bd_timer_add (server->events, server->events, 0,
+                                           end_all_evicted, server);
+}
+
 static void
 handle_evicted (void *ctx)
 {
   struct bd_http_exchange *x = ctx;
-  struct bd_http_server *server = x->server;
 
   x->is_evicted = true;
-  if (server->eviction_timer == NULL)
-    server->eviction_timer = bd_timer_add (server->events, server->events, 0,
-                                           end_all_evicted, server);
+  bd_http_end_evicted_later (x->server);
 }
 
 /* Returns the status of a refusal, or 0.  */
@@ -423,6 +438,8 @@
       (size_t)entries);
   size_t room_bytes = bd_http_response_head_bytes (info->header_size);
 
+  if (!bd_http_connection_release (x->peer))
+    return 503;
   if (info->header_size > x->server->max_head_bytes)
     return 431;
   x->response_head_room = pool_bytes[x->peer->tier]
--- a/src/http/waiting.c
+++ b/src/http/waiting.c
@@ -157,6 +157,12 @@
   if (moved == NULL)
     goto fail;
   moved->tier = tier;
+  /* There is room for what the other one had.  */
+  if (c->head_share.bytes > 0)
+    {
+      bd_http_connection_release (c);
+      bd_http_connection_reserve (moved);
+    }
   stop_waiting (c);
   dup2 (unconnected, c->fd);
   close (unconnected);
@@ -235,6 +241,8 @@
     return refuse (c, 431);
   if (!head->is_whole && head->bytes < MAX_LOOK_BYTES)
     return wait_for_rest (c);
+  if (!head->is_whole && !bd_http_connection_reserve (c))
+    return refuse (c, 503);
   return pass (c, tier);
 }
 
