--- a/src/edge/edge_process_test.c
+++ b/src/edge/edge_process_test.c
@@ -38,6 +38,9 @@
   DEFAULT_SECONDS = 12,
   DEFAULT_ODD = 100,
   UNUSUAL = 100, /* In 1000: sound responses of an unusual form.  */
+  FOLLOWED = 50, /* In 1000: sound ones that bytes follow.  */
+  MAX_LAG_MS = 20,
+  MAX_RANDOM_BYTES = 200,
   PORT_STEP = 20,
   READY_MS = 20000,
   READY_POLL_MS = 100,
@@ -95,6 +98,7 @@
 static uint32_t outcomes[CALLER_OUTCOMES];
 static uint32_t responses; /* Whole ones of endpoints.  */
 static uint32_t malformed; /* Sent by endpoints.  */
+static uint32_t followed;  /* Responses that bytes follow.  */
 static uint32_t ended;     /* Daemons that ended by themselves.  */
 /* The ids of requests that endpoints have begun to run.  */
 static GHashTable *runs;
@@ -152,6 +156,58 @@
     raw_send_bytes (c, bytes + first, size - first, delay_ms + 1);
 }
 
+static size_t
+draw_bytes (char *bytes)
+{
+  size_t size = 1 + draw (MAX_RANDOM_BYTES);
+
+  for (size_t i = 0; i < size; i++)
+    bytes[i] = (char)draw (256);
+  return size;
+}
+
+/* What follows a response: a second one to the same request, or random bytes.
+ */
+static char *
+draw_more (void *ctx, const struct raw_request *request, size_t *size)
+{
+  char *bytes;
+
+  if (draw (2) == 0)
+    {
+      bytes = talloc_array (ctx, char, MAX_RANDOM_BYTES);
+      *size = draw_bytes (bytes);
+      return bytes;
+    }
+  bytes = talloc_asprintf (ctx,
+                           "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n"
+                           "Response-Seal: second\r\n" LENGTH
+                           "\r\n" RESPONSE_BODY,
+                           request->attempt_id);
+  *size = strlen (bytes);
+  return bytes;
+}
+
+/* Sends a response and what follows it, in one part or later.  */
+static void
+send_followed (struct raw_connection *c, const struct raw_request *request,
+               const char *bytes, size_t size, int64_t delay_ms)
+{
+  size_t more_size;
+  char *more = draw_more (c, request, &more_size);
+  char *both = talloc_size (c, size + more_size);
+  size_t first = draw (2) == 0 ? size : size + more_size;
+
+  followed++;
+  memcpy (both, bytes, size);
+  memcpy (both + size, more, more_size);
+  raw_send_bytes (c, both, first, delay_ms);
+  if (first == size)
+    raw_send_bytes (c, more, more_size, delay_ms + 1 + draw (MAX_LAG_MS));
+  talloc_free (both);
+  talloc_free (more);
+}
+
 static void
 handle_request (struct raw_connection *c, const struct raw_request *request)
 {
@@ -176,9 +232,14 @@
       request->attempt_id, request->attempt_id,
       is_stream ? "text/event-stream" : "text/plain");
   bytes = response_make (c, response, "HTTP/1.1 200 OK", own, &size);
-  send_bytes (c, bytes, size, delay_ms);
-  if (!has_end || draw (2) == 0)
-    raw_close (c, false, delay_ms + 3);
+  if (response == &sound_responses[0] && draw (1000) < FOLLOWED)
+    send_followed (c, request, bytes, size, delay_ms);
+  else
+    {
+      send_bytes (c, bytes, size, delay_ms);
+      if (!has_end || draw (2) == 0)
+        raw_close (c, false, delay_ms + 3);
+    }
   talloc_free (own);
   talloc_free (bytes);
 }
@@ -581,12 +642,14 @@
   /* The run has shown something.  */
   CU_ASSERT_TRUE (responses > 0);
   CU_ASSERT_TRUE (malformed > 0);
-  printf ("\n  %u requests run, %u malformed responses; whole %u (200: %u), "
+  CU_ASSERT_TRUE (followed > 0);
+  printf ("\n  %u requests run, %u malformed responses, %u followed by bytes; "
+          "whole %u (200: %u), "
           "cut %u, none %u, refused %u, left %u, over time %u; %u ended ",
-          g_hash_table_size (runs), malformed, outcomes[CALLER_WHOLE],
-          responses, outcomes[CALLER_CUT], outcomes[CALLER_NONE],
-          outcomes[CALLER_REFUSED], outcomes[CALLER_LEFT],
-          outcomes[CALLER_TIMEOUT], ended);
+          g_hash_table_size (runs), malformed, followed,
+          outcomes[CALLER_WHOLE], responses, outcomes[CALLER_CUT],
+          outcomes[CALLER_NONE], outcomes[CALLER_REFUSED],
+          outcomes[CALLER_LEFT], outcomes[CALLER_TIMEOUT], ended);
   finish_site ();
 }
 
