edge_process_test: a run says what each end cost; PAUSE_MS

For each daemon that ends by itself: the requests without a response, those that were cut, how many of both had a body in chunks, and the requests before.

PAUSE_MS is the longest SIGSTOP, as for the hypothesis of the clock.

--- a/src/edge/edge_process_test.c
+++ b/src/edge/edge_process_test.c
@@ -6,7 +6,8 @@
    chunks on kept connections; configurations and signals in series.
 
    Further runs: SEED, RUN_S, ODD (malformed responses in 1000), CASE (the
-   name of the only one that is sent), PROGRAM (another build's), LOG_DIR.  */
+   name of the only one that is sent), PAUSE_MS (the longest SIGSTOP), PROGRAM
+   (another build's), LOG_DIR.  */
 
 #include "base/timer.h"
 #include "tests/fakes/caller.h"
@@ -51,8 +52,8 @@
   MIN_PUBLISH_MS = 300,
   MAX_PUBLISH_MS = 1800,
   RELOAD_PERIOD_STEPS = 11,
-  STOP_PERIOD_STEPS = 17, /* Of SIGSTOP.  */
-  MAX_PAUSE_MS = 500,
+  STOP_PERIOD_STEPS = 17,    /* Of SIGSTOP.  */
+  DEFAULT_PAUSE_MS = 500,    /* The longest.  */
   RESTART_PERIOD_STEPS = 43, /* Of SIGTERM.  */
   MAX_RESPONSE_MS = 40,
   MAX_BODY_BYTES = 20000,
@@ -74,7 +75,14 @@
   char *log_path;
   struct bd_edge_settings settings;
   pid_t pid;
-  bool is_stopping; /* By a SIGTERM of this test.  */
+  bool is_stopping;   /* By a SIGTERM of this test.  */
+  bool has_to_report; /* That it ended by itself.  */
+  uint32_t served;    /* Requests of its callers since its start.  */
+  /* Requests that ended without a response or with a part of one in the last
+     step, and those of them whose body came in chunks.  */
+  uint32_t without;
+  uint32_t cut;
+  uint32_t chunked;
 };
 
 struct load_caller
@@ -91,6 +99,7 @@
 static struct load_caller callers[DAEMONS * CALLERS];
 static gsl_rng *rng;
 static uint32_t odd_in_1000;
+static uint32_t pause_ms;
 static const char *only_case;
 static const char *program;
 static char *directory;
@@ -286,6 +295,25 @@
   CU_ASSERT_TRUE_FATAL (daemon->pid > 0);
 }
 
+static void
+forget_losses (struct daemon *daemon)
+{
+  daemon->without = 0;
+  daemon->cut = 0;
+  daemon->chunked = 0;
+}
+
+static void
+report_losses (struct daemon *daemon)
+{
+  printf ("\n  %s: %u requests without a response, %u cut ones, %u of them "
+          "with a body in chunks, after %u requests",
+          daemon->name, daemon->without, daemon->cut, daemon->chunked,
+          daemon->served);
+  daemon->served = 0;
+  forget_losses (daemon);
+}
+
 static void
 start_daemons (void)
 {
@@ -318,9 +346,12 @@
     return false;
   is_sound
       = daemon->is_stopping && WIFEXITED (status) && WEXITSTATUS (status) == 0;
-  if (!is_sound)
+  if (is_sound)
+    daemon->served = 0;
+  else
     {
       ended++;
+      daemon->has_to_report = true;
       printf ("\n  %s ended by itself, %s %d", daemon->name,
               WIFSIGNALED (status) ? "signal" : "exit code",
               WIFSIGNALED (status) ? WTERMSIG (status) : WEXITSTATUS (status));
@@ -328,12 +359,26 @@
   return true;
 }
 
+/* Callers may notice the end of a process a step later than this.  */
+static void
+check_daemon (struct daemon *daemon)
+{
+  bool has_to_report = daemon->has_to_report;
+
+  daemon->has_to_report = false;
+  if (has_ended (daemon))
+    start_daemon (daemon);
+  if (has_to_report)
+    report_losses (daemon);
+  if (!daemon->has_to_report)
+    forget_losses (daemon);
+}
+
 static void
 check_daemons (void)
 {
   for (uint32_t i = 0; i < DAEMONS; i++)
-    if (has_ended (&daemons[i]))
-      start_daemon (&daemons[i]);
+    check_daemon (&daemons[i]);
 }
 
 static void
@@ -346,8 +391,8 @@
 pause_daemon (struct daemon *daemon)
 {
   kill (daemon->pid, SIGSTOP);
-  bd_timer_add (site.events, site.events, 1 + draw (MAX_PAUSE_MS),
-                resume_daemon, daemon);
+  bd_timer_add (site.events, site.events, 1 + draw (pause_ms), resume_daemon,
+                daemon);
 }
 
 static void
@@ -399,12 +444,27 @@
   return g_hash_table_contains (runs, c->caller.attempt_id);
 }
 
+static void
+count_for_daemon (struct load_caller *c, enum caller_outcome outcome)
+{
+  struct daemon *daemon = c->daemon;
+  bool is_chunked
+      = c->caller.request.is_chunked && c->caller.request.body_bytes > 0;
+
+  daemon->served += outcome != CALLER_REFUSED;
+  daemon->without += outcome == CALLER_NONE;
+  daemon->cut += outcome == CALLER_CUT;
+  daemon->chunked
+      += is_chunked && (outcome == CALLER_NONE || outcome == CALLER_CUT);
+}
+
 static void
 handle_done (struct caller *caller, enum caller_outcome outcome)
 {
   struct load_caller *c = caller->ctx;
 
   outcomes[outcome]++;
+  count_for_daemon (c, outcome);
   if (outcome == CALLER_WHOLE && caller->head.status == 200)
     {
       CU_ASSERT_TRUE (is_own_response (c));
@@ -607,6 +667,7 @@
   rng = gsl_rng_alloc (gsl_rng_mt19937);
   gsl_rng_set (rng, number_of ("SEED", DEFAULT_SEED));
   odd_in_1000 = number_of ("ODD", DEFAULT_ODD);
+  pause_ms = number_of ("PAUSE_MS", DEFAULT_PAUSE_MS);
   only_case = g_getenv ("CASE");
   program = g_getenv ("PROGRAM");
   site_start_platform (&site, ENDPOINTS, POOL);
