edge_process_test: a daemon without links hands its requests over

The store names a port without a listener to the third daemon in place of the endpoints', so that its requests reach them through the other two; malformed responses come that way too. The run checks that some did.

--- a/src/edge/edge_process_test.c
+++ b/src/edge/edge_process_test.c
@@ -42,6 +42,7 @@
   FOLLOWED = 50, /* In 1000: sound ones that bytes follow.  */
   MAX_LAG_MS = 20,
   MAX_RANDOM_BYTES = 200,
+  ISOLATED = 2, /* The daemon that has no links to endpoints.  */
   PORT_STEP = 20,
   READY_MS = 20000,
   READY_POLL_MS = 100,
@@ -71,6 +72,7 @@
 struct daemon
 {
   char name[BD_NAME_SIZE];
+  char *platform_url; /* Its path begins with the name.  */
   char *settings_path;
   char *log_path;
   struct bd_edge_settings settings;
@@ -108,6 +110,7 @@
 static uint32_t responses; /* Whole ones of endpoints.  */
 static uint32_t malformed; /* Sent by endpoints.  */
 static uint32_t followed;  /* Responses that bytes follow.  */
+static uint32_t relayed;   /* Requests of callers of the isolated daemon.  */
 static uint32_t ended;     /* Daemons that ended by themselves.  */
 /* The ids of requests that endpoints have begun to run.  */
 static GHashTable *runs;
@@ -126,6 +129,13 @@
   return text != NULL ? (uint32_t)strtoul (text, NULL, 10) : otherwise;
 }
 
+/* An id begins with the number of its caller in four digits.  */
+static uint32_t
+daemon_of (const char *attempt_id)
+{
+  return (uint32_t)(strtoull (attempt_id, NULL, 16) >> 48) % DAEMONS;
+}
+
 /* Endpoints.  */
 
 static const struct response_case *
@@ -236,6 +246,7 @@
       return;
     }
   g_hash_table_add (runs, g_strdup (request->attempt_id));
+  relayed += daemon_of (request->attempt_id) == ISOLATED;
   own = talloc_asprintf (
       c, "Attempt-Id: %s\r\nResponse-Seal: s-%s\r\nContent-Type: %s\r\n",
       request->attempt_id, request->attempt_id,
@@ -253,6 +264,12 @@
   talloc_free (bytes);
 }
 
+static bool
+has_lost_links (const char *path)
+{
+  return g_str_has_prefix (path + 1, daemons[ISOLATED].name);
+}
+
 static void
 add_route (json_t *routes, const char *prefix)
 {
@@ -331,6 +348,9 @@
           daemon->name);
       daemon->settings = site_settings (&site, daemon->name,
                                         SITE_BASE_PORT + 40 + i * PORT_STEP);
+      daemon->platform_url = g_strdup_printf (
+          "%s/%s", site.settings.platform_url, daemon->name);
+      daemon->settings.platform_url = daemon->platform_url;
       start_daemon (daemon);
     }
 }
@@ -638,6 +658,7 @@
   remove (daemon->settings_path);
   g_free (daemon->settings_path);
   g_free (daemon->log_path);
+  g_free (daemon->platform_url);
 }
 
 static void
@@ -674,6 +695,7 @@
   if (program == NULL)
     program = talloc_asprintf (site.events, "%s/burdockdale",
                                build != NULL ? build : "build");
+  site.has_lost_links = has_lost_links;
   start_endpoints ();
   start_daemons ();
   wait_until_ready ();
@@ -704,6 +726,7 @@
   CU_ASSERT_TRUE (responses > 0);
   CU_ASSERT_TRUE (malformed > 0);
   CU_ASSERT_TRUE (followed > 0);
+  CU_ASSERT_TRUE (relayed > 0);
   printf ("\n  %u requests run, %u malformed responses, %u followed by bytes; "
           "whole %u (200: %u), "
           "cut %u, none %u, refused %u, left %u, over time %u; %u ended ",
