edge_process_test: engines answer orders and reports with malformed responses

Every 5 s, for 2 s, a raw endpoint listens in the place of one engine; streams on open connections go on. Orders and reports get malformed heads, chunks or random bytes, requests what those of plain endpoints get.

--- a/src/edge/edge_process_test.c
+++ b/src/edge/edge_process_test.c
@@ -56,6 +56,8 @@
   STOP_PERIOD_STEPS = 17,    /* Of SIGSTOP.  */
   DEFAULT_PAUSE_MS = 500,    /* The longest.  */
   RESTART_PERIOD_STEPS = 43, /* Of SIGTERM.  */
+  ENGINE_PERIOD_STEPS = 50,  /* Of an engine with malformed responses.  */
+  ENGINE_STEPS = 20,         /* During which it sends them.  */
   MAX_RESPONSE_MS = 40,
   MAX_BODY_BYTES = 20000,
   MAX_PIECES = 6,
@@ -97,6 +99,8 @@
 
 static struct site site;
 static struct raw_endpoint endpoints[ENDPOINTS];
+static struct raw_endpoint engine;      /* In the place of this worker.  */
+static struct site_worker *engine_site; /* NULL: of none.  */
 static struct daemon daemons[DAEMONS];
 static struct load_caller callers[DAEMONS * CALLERS];
 static gsl_rng *rng;
@@ -110,6 +114,7 @@
 static uint32_t responses; /* Whole ones of endpoints.  */
 static uint32_t malformed; /* Sent by endpoints.  */
 static uint32_t followed;  /* Responses that bytes follow.  */
+static uint32_t controls;  /* Orders and others with malformed responses.  */
 static uint32_t relayed;   /* Requests of callers of the isolated daemon.  */
 static uint32_t ended;     /* Daemons that ended by themselves.  */
 /* The ids of requests that endpoints have begun to run.  */
@@ -298,6 +303,62 @@
     site.workers[i].slots = SLOTS;
 }
 
+/* Engines.  */
+
+static void
+handle_control (struct raw_connection *c, const struct raw_request *request)
+{
+  size_t heads = CASE_COUNT (malformed_heads);
+  uint32_t number = draw ((uint32_t)(heads + CASE_COUNT (malformed_chunks)));
+  const struct response_case *response
+      = number < heads ? &malformed_heads[number]
+                       : &malformed_chunks[number - heads];
+  char bytes[MAX_RANDOM_BYTES];
+  char *own;
+  char *text;
+  size_t size;
+
+  if (request->attempt_id[0] != '\0')
+    {
+      handle_request (c, request);
+      return;
+    }
+  controls++;
+  if (draw (5) == 0)
+    {
+      size = draw_bytes (bytes);
+      raw_send_bytes (c, bytes, size, 1);
+    }
+  else
+    {
+      own = talloc_strdup (c, "Content-Type: application/json\r\n");
+      text = response_make (c, response, "HTTP/1.1 202 Accepted", own, &size);
+      send_bytes (c, text, size, 1);
+      talloc_free (own);
+      talloc_free (text);
+    }
+  raw_close (c, draw (2) == 0, 3);
+}
+
+/* Streams on open connections go on.  */
+static void
+start_engine (void)
+{
+  engine_site = &site.workers[ENDPOINTS + draw (POOL)];
+  bd_http_server_stop_listening (&engine_site->server);
+  raw_start (&engine, site.events, engine_site->port, handle_control, NULL);
+}
+
+static void
+finish_engine (void)
+{
+  if (engine_site == NULL)
+    return;
+  raw_finish (&engine);
+  site_restart_worker (engine_site);
+  engine_site = NULL;
+}
+
 /* Daemons.  */
 
 static void
@@ -598,6 +659,10 @@
     pause_daemon (daemon);
   if (step % RESTART_PERIOD_STEPS == 3 && !is_any_stopping)
     stop_daemon (daemon);
+  if (step % ENGINE_PERIOD_STEPS == 4)
+    start_engine ();
+  if (step % ENGINE_PERIOD_STEPS == 4 + ENGINE_STEPS)
+    finish_engine ();
   site_wait (&site, STEP_MS);
   check_daemons ();
 }
@@ -612,6 +677,7 @@
   for (uint32_t i = 0; i < steps; i++)
     run_step (i);
   is_over = true;
+  finish_engine ();
   CU_ASSERT_TRUE (site_run (&site, are_callers_idle, LIMIT_MS));
 }
 
@@ -727,6 +793,7 @@
   CU_ASSERT_TRUE (malformed > 0);
   CU_ASSERT_TRUE (followed > 0);
   CU_ASSERT_TRUE (relayed > 0);
+  CU_ASSERT_TRUE (controls > 0);
   printf ("\n  %u requests run, %u malformed responses, %u followed by bytes; "
           "whole %u (200: %u), "
           "cut %u, none %u, refused %u, left %u, over time %u; %u ended ",
