edge_process_test: spoilt heads and frames at all ports of a daemon

Connections to the ports of callers, balancer, peers, metrics and hand-over with random bytes, requests with invalid fields, frames of any fields and messages of a daemon that does not exist, with up to three bytes changed, added or removed, in two parts. tests/fakes/hostile is the peer that sends them.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 BIN = $(BUILD)/burdockdale
 FAKES = $(BUILD)/fakes
 # Fakes that are linked into the tests; the other ones form the fakes program.
-LINKED_FAKES = sim pool site raw flood process caller
+LINKED_FAKES = sim pool site raw flood process caller hostile
 FAKES_C = $(filter-out $(LINKED_FAKES:%=tests/fakes/%.c),$(wildcard tests/fakes/*.c))
 TESTS_C = $(wildcard src/*/*_test.c)
 PLATFORM_TESTS_C = $(wildcard platform/*_test.c)
--- a/src/edge/edge_process_test.c
+++ b/src/edge/edge_process_test.c
@@ -11,6 +11,7 @@
 
 #include "base/timer.h"
 #include "tests/fakes/caller.h"
+#include "tests/fakes/hostile.h"
 #include "tests/fakes/process.h"
 #include "tests/fakes/raw.h"
 #include "tests/fakes/site.h"
@@ -18,6 +19,7 @@
 #include "tests/malformed.h"
 #include "tests/quiet.h"
 #include "tests/unit.h"
+#include "wire/messages.h"
 
 #include <glib.h>
 #include <gsl/gsl_rng.h>
@@ -64,6 +66,11 @@
   MAX_PIECE_MS = 20,
   MAX_LEAVE_MS = 60,
   LEAVERS = 30, /* In 1000.  */
+  HOSTILE_GAP_MS = 20,
+  MAX_HOSTILE_MS = 50,
+  HOSTILE_CALLER = 0xfff0, /* A number that no caller has.  */
+  MAX_SPOILT = 3,
+  MAX_FIELDS = 30,
   MAX_GAP_MS = 10,
   REFUSED_GAP_MS = 100, /* While a daemon stops.  */
   STREAM_EVENTS = 8,
@@ -115,6 +122,7 @@
 static uint32_t malformed; /* Sent by endpoints.  */
 static uint32_t followed;  /* Responses that bytes follow.  */
 static uint32_t controls;  /* Orders and others with malformed responses.  */
+static uint32_t hostile;   /* Connections with spoilt bytes.  */
 static uint32_t relayed;   /* Requests of callers of the isolated daemon.  */
 static uint32_t ended;     /* Daemons that ended by themselves.  */
 /* The ids of requests that endpoints have begun to run.  */
@@ -622,6 +630,198 @@
   return true;
 }
 
+/* Peers that send spoilt bytes.  */
+
+static void
+spoil (GString *text)
+{
+  for (uint32_t i = draw (MAX_SPOILT + 1); i > 0; i--)
+    {
+      uint32_t place = draw ((uint32_t)text->len);
+
+      switch (draw (4))
+        {
+        case 0:
+          text->str[place] = (char)draw (256);
+          break;
+        case 1:
+          g_string_insert_c (text, place, (char)draw (256));
+          break;
+        case 2:
+          if (text->len > 1)
+            g_string_erase (text, place, 1);
+          break;
+        default:
+          if (place > 0)
+            g_string_truncate (text, place);
+        }
+    }
+}
+
+static GString *
+draw_random (void)
+{
+  char bytes[MAX_RANDOM_BYTES];
+  size_t size = draw_bytes (bytes);
+
+  return g_string_new_len (bytes, (gssize)size);
+}
+
+/* A request, often with a field that is not valid.  */
+static GString *
+draw_request (void)
+{
+  static const char *const targets[]
+      = { "/safe/x",  "/unsafe/x", "/odd-stream/x", "/stream/x",
+          "/metrics", "/readyz?",  "/healthz" };
+  const struct response_case *odd
+      = &malformed_heads[draw (CASE_COUNT (malformed_heads))];
+  bool is_chunked = draw (2) == 0;
+  GString *text = g_string_new (NULL);
+
+  g_string_append_printf (
+      text,
+      "%s %s HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
+      "Attempt-Id: %04x%012x\r\nDeadline-Ms: %u\r\nModel: m\r\n"
+      "Token-Usage: %u,%u\r\nBurdockdale-Wait-Ms: %d\r\n",
+      draw (2) == 0 ? "GET" : "POST",
+      targets[draw (sizeof targets / sizeof targets[0])], HOSTILE_CALLER,
+      hostile, draw (DEADLINE_MS), draw (200), draw (20),
+      (int)draw (2000) - 9);
+  if (draw (2) == 0)
+    g_string_append_len (text, odd->fields,
+                         (gssize)(odd->field_bytes > 0
+                                      ? odd->field_bytes
+                                      : strlen (odd->fields)));
+  g_string_append (text, is_chunked ? CHUNKED "\r\n" CHUNKS
+                                    : LENGTH "\r\n" RESPONSE_BODY);
+  return text;
+}
+
+static void
+pack_value (msgpack_packer *packer)
+{
+  static const int64_t numbers[]
+      = { 0, 1, -1, INT32_MAX, UINT32_MAX, INT64_MAX, INT64_MIN };
+
+  switch (draw (6))
+    {
+    case 0:
+      msgpack_pack_str (packer, 6);
+      msgpack_pack_str_body (packer, daemons[draw (DAEMONS)].name, 6);
+      break;
+    case 1:
+      msgpack_pack_array (packer, 0);
+      break;
+    case 2:
+      msgpack_pack_true (packer);
+      break;
+    case 3:
+      msgpack_pack_double (packer, 0.0 / (double)draw (2));
+      break;
+    default:
+      msgpack_pack_int64 (packer,
+                          numbers[draw (sizeof numbers / sizeof numbers[0])]);
+    }
+}
+
+/* A frame whose form is valid, with fields of any types.  */
+static GString *
+draw_frame (void)
+{
+  uint32_t fields = draw (MAX_FIELDS);
+  uint32_t length;
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  GString *text;
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, 1 + fields);
+  msgpack_pack_uint32 (&packer, draw (BD_MESSAGE_COUNT + 1));
+  for (uint32_t i = 0; i < fields; i++)
+    pack_value (&packer);
+  length = GUINT32_TO_BE ((uint32_t)buffer.size);
+  text = g_string_new_len ((const char *)&length, sizeof length);
+  g_string_append_len (text, buffer.data, (gssize)buffer.size);
+  msgpack_sbuffer_destroy (&buffer);
+  return text;
+}
+
+/* A message of a daemon that does not exist.  */
+static GString *
+draw_message (void)
+{
+  struct bd_edge_status status
+      = { .scope = draw (6),
+          .name = "hostile",
+          .data_centre = "a",
+          .address = "127.0.0.1",
+          .peer_port = draw (70000),
+          .incarnation = (int64_t)draw (UINT32_MAX) << draw (32),
+          .config_version = draw (9),
+          .is_stopping = draw (2) == 0,
+          .is_isolated = draw (2) == 0,
+          .wants_reply = draw (2) == 0 };
+  struct bd_leaving_update leaving = { .endpoint = "w-9",
+                                       .started_ms = draw (UINT32_MAX),
+                                       .stage = draw (4) };
+  struct bd_freshness_request request = { .from = "hostile",
+                                          .sent_ms = draw (UINT32_MAX),
+                                          .config_version = draw (9),
+                                          .wants_instances = draw (2) == 0 };
+  enum bd_message_type types[] = { BD_MESSAGE_EDGE_STATUS, BD_MESSAGE_LEAVING,
+                                   BD_MESSAGE_FRESHNESS_REQUEST };
+  const void *messages[] = { &status, &leaving, &request };
+  uint32_t kind = draw (3);
+  msgpack_sbuffer buffer;
+  GString *text;
+
+  msgpack_sbuffer_init (&buffer);
+  bd_message_pack (&buffer, types[kind], messages[kind]);
+  text = g_string_new_len (buffer.data, (gssize)buffer.size);
+  msgpack_sbuffer_destroy (&buffer);
+  return text;
+}
+
+static GString *
+draw_spoilt (bool is_for_peers)
+{
+  uint32_t kind = draw (5);
+  GString *text;
+
+  if (kind == 0)
+    return draw_random ();
+  if (!is_for_peers)
+    text = draw_request ();
+  else
+    text = kind < 3 ? draw_frame () : draw_message ();
+  spoil (text);
+  return text;
+}
+
+static void
+send_spoilt (void *ctx)
+{
+  const struct bd_edge_settings *settings = &daemons[draw (DAEMONS)].settings;
+  const uint32_t ports[]
+      = { settings->http_port, settings->ready_port, settings->peer_port,
+          settings->metrics_port, settings->handover_port };
+  uint32_t port = ports[draw (sizeof ports / sizeof ports[0])];
+  GString *text;
+
+  (void)ctx;
+  if (is_over)
+    return;
+  text = draw_spoilt (port == settings->peer_port);
+  hostile_send (site.events, loopback_address (), port, text->str, text->len,
+                draw ((uint32_t)text->len + 1), 2 + draw (MAX_HOSTILE_MS));
+  hostile++;
+  g_string_free (text, TRUE);
+  bd_timer_add (site.events, site.events, draw (HOSTILE_GAP_MS), send_spoilt,
+                NULL);
+}
+
 /* The operator, and signals.  */
 
 static void
@@ -674,6 +874,7 @@
 
   start_callers ();
   publish (NULL);
+  send_spoilt (NULL);
   for (uint32_t i = 0; i < steps; i++)
     run_step (i);
   is_over = true;
@@ -794,11 +995,13 @@
   CU_ASSERT_TRUE (followed > 0);
   CU_ASSERT_TRUE (relayed > 0);
   CU_ASSERT_TRUE (controls > 0);
-  printf ("\n  %u requests run, %u malformed responses, %u followed by bytes; "
+  CU_ASSERT_TRUE (hostile > 0);
+  printf ("\n  %u requests run, %u malformed responses, %u followed by bytes, "
+          "%u to orders and reports, %u spoilt connections, %u handed over; "
           "whole %u (200: %u), "
           "cut %u, none %u, refused %u, left %u, over time %u; %u ended ",
-          g_hash_table_size (runs), malformed, followed,
-          outcomes[CALLER_WHOLE], responses, outcomes[CALLER_CUT],
+          g_hash_table_size (runs), malformed, followed, controls, hostile,
+          relayed, outcomes[CALLER_WHOLE], responses, outcomes[CALLER_CUT],
           outcomes[CALLER_NONE], outcomes[CALLER_REFUSED],
           outcomes[CALLER_LEFT], outcomes[CALLER_TIMEOUT], ended);
   finish_site ();
