raw: a connection leaves the event loop before its descriptor is closed

tevent asks for this order. The destructor closed the descriptor first; while a process that is being started still has a copy, its event then stays registered after it is freed, and talloc_check_name() aborts the test.

--- a/tests/fakes/raw.c
+++ b/tests/fakes/raw.c
@@ -19,9 +19,12 @@
   LISTEN_QUEUE = 512
 };
 
+/* A process that is being started may still have the descriptor, so that
+   closing it does not end the events.  */
 static int
 close_connection (struct raw_connection *c)
 {
+  TALLOC_FREE (c->event);
   close (c->fd);
   return 0;
 }
