--- a/src/edge/edge_process_test.c
+++ b/src/edge/edge_process_test.c
@@ -6,7 +6,8 @@
    chunks on kept connections; configurations and signals in series.
 
    Further runs: SEED, RUN_S, ODD (malformed responses in 1000), CASE (the
-   name of the only one that is sent), PAUSE_MS (the longest SIGSTOP), PROGRAM
+   name of the only one that is sent), STALL (responses in 1000 that never
+   come; then deadlines differ), PAUSE_MS (the longest SIGSTOP), PROGRAM
    (another build's), LOG_DIR.  */
 
 #include "base/timer.h"
@@ -50,6 +51,7 @@
   READY_POLL_MS = 100,
   STEP_MS = 100,
   DEADLINE_MS = 4000,
+  SHORT_DEADLINE_MS = 300,
   /* The deadline, the grace period and time for the processes.  */
   LIMIT_MS = 15000,
   MIN_PUBLISH_MS = 300,
@@ -112,6 +114,7 @@
 static struct load_caller callers[DAEMONS * CALLERS];
 static gsl_rng *rng;
 static uint32_t odd_in_1000;
+static uint32_t stalled_in_1000;
 static uint32_t pause_ms;
 static const char *only_case;
 static const char *program;
@@ -260,6 +263,8 @@
     }
   g_hash_table_add (runs, g_strdup (request->attempt_id));
   relayed += daemon_of (request->attempt_id) == ISOLATED;
+  if (draw (1000) < stalled_in_1000)
+    return;
   own = talloc_asprintf (
       c, "Attempt-Id: %s\r\nResponse-Seal: s-%s\r\nContent-Type: %s\r\n",
       request->attempt_id, request->attempt_id,
@@ -573,6 +578,14 @@
                 send_next, c);
 }
 
+static uint32_t
+draw_deadline_ms (void)
+{
+  return stalled_in_1000 == 0
+             ? DEADLINE_MS
+             : SHORT_DEADLINE_MS + draw (DEADLINE_MS - SHORT_DEADLINE_MS);
+}
+
 static void
 send_next (void *ctx)
 {
@@ -601,7 +614,8 @@
   snprintf (c->target, sizeof c->target, "%sec?a=%u&b=x-y%%20%%41",
             kinds[kind], c->sent);
   snprintf (fields, sizeof fields,
-            "Authorization: Bearer k1\r\nDeadline-Ms: %d\r\n%s", DEADLINE_MS,
+            "Authorization: Bearer k1\r\nDeadline-Ms: %u\r\n%s",
+            draw_deadline_ms (),
             kind == 3 ? "Model: m\r\nToken-Usage: 100,12\r\n" : "");
   caller_send (&c->caller, &request);
 }
@@ -955,6 +969,7 @@
   rng = gsl_rng_alloc (gsl_rng_mt19937);
   gsl_rng_set (rng, number_of ("SEED", DEFAULT_SEED));
   odd_in_1000 = number_of ("ODD", DEFAULT_ODD);
+  stalled_in_1000 = number_of ("STALL", 0);
   pause_ms = number_of ("PAUSE_MS", DEFAULT_PAUSE_MS);
   only_case = g_getenv ("CASE");
   program = g_getenv ("PROGRAM");
