directory: the search for old removals ends with the log

The analyzer reports a null pointer in forget_old_removals(): the count says that there are more removals than are kept, and the log could be at its end. The count is right in all tests; the loop no longer relies on it.

--- a/src/directory/directory.c
+++ b/src/directory/directory.c
@@ -122,7 +122,8 @@
   GList *next;
 
   for (GList *link = directory->order.head;
-       directory->removed_count > BD_DIRECTORY_MAX_REMOVED; link = next)
+       link != NULL && directory->removed_count > BD_DIRECTORY_MAX_REMOVED;
+       link = next)
     {
       struct record *record = link->data;
 
