config: a head without a next revision is not adopted

Callers of `serve`: after a head of a peer or of the store with the largest revision, no daemon that has seen it adopts another configuration.

Cause: the revision of a head was taken as it is. The next one is this one plus 1, which overflows to the lowest number and counts as older.

Ruled out: that it ends a process: the sum wraps without sanitizers.

Why it works: a revision that is negative or above 2^53 counts as none, so such a head is stale, and the next acceptance writes over it.

--- a/src/config/config.c
+++ b/src/config/config.c
@@ -5,6 +5,9 @@
 #include <string.h>
 #include <talloc.h>
 
+/* Far above what any number of changes reaches, so that a next one exists.  */
+static const int64_t max_revision = (int64_t)1 << 53;
+
 void
 bd_config_init (struct bd_config *config)
 {
@@ -21,7 +24,10 @@
 int64_t
 bd_head_revision (const json_t *head)
 {
-  return json_integer_value (json_object_get (head, "revision"));
+  json_int_t revision
+      = json_integer_value (json_object_get (head, "revision"));
+
+  return revision > 0 && revision <= max_revision ? revision : 0;
 }
 
 /* Parses and checks every service of a head.  Returns false when one is
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -65,7 +65,8 @@
 const struct bd_service *bd_config_service (const struct bd_config *config,
                                             const char *name);
 
-/* bd_head_revision(): the revision of a head; 0 for NULL.  */
+/* bd_head_revision(): the revision of a head; 0 for NULL, and for one that
+   has no next revision.  */
 int64_t bd_head_revision (const json_t *head);
 
 /* One published file.  */
--- a/src/config/config_test.c
+++ b/src/config/config_test.c
@@ -213,6 +213,24 @@
   json_decref (bad);
 }
 
+static void
+test_head_without_a_next_revision_is_adopted (void)
+{
+  struct bd_published files[] = { file ("a", PLAIN ("a", "/a/"), 1) };
+  json_t *last = json_pack ("{s:I,s:{}}", "revision", (json_int_t)INT64_MAX,
+                            "services");
+  json_t *next = accept (last, files, 1, 1, 0);
+  struct bd_config config;
+
+  bd_config_init (&config);
+  CU_ASSERT_EQUAL (bd_config_adopt (&config, last), BD_ERR_STALE);
+  CU_ASSERT_EQUAL (bd_config_adopt (&config, next), BD_OK);
+  CU_ASSERT_EQUAL (config.revision, 1);
+  bd_config_finish (&config);
+  json_decref (last);
+  json_decref (next);
+}
+
 /* The head of another writer need not be one that was adopted.  */
 static void
 test_head_without_texts_ends_the_process (void)
@@ -248,6 +266,8 @@
   { "a removal is not undone", test_removal_is_not_undone },
   { "an invalid head keeps the active configuration",
     test_invalid_head_keeps_active_configuration },
+  { "a head without a next revision is adopted",
+    test_head_without_a_next_revision_is_adopted },
   { "a head without texts ends the process",
     test_head_without_texts_ends_the_process },
 };
