groups: an assignment without a next term is not taken

Callers of `serve`: after an assignment of a peer or of the store with the largest term or sequence, no controller can change the groups of a data centre any more.

Cause: as with the revision of a head: the next term and the next sequence are these plus 1, which overflow.

The test was not run before the change; by reading, the decoder took any number.

Why it works: terms and sequences that are negative or above 2^53 make an assignment invalid, like a group without members.

--- a/src/groups/assignment.c
+++ b/src/groups/assignment.c
@@ -13,6 +13,9 @@
   MAX_GROUPS = 1 << 16
 };
 
+/* Far above what any number of changes reaches, so that a next one exists.  */
+static const int64_t max_number = (int64_t)1 << 53;
+
 static const char *const drain_names[]
     = { "none", "version", "member", "remove" };
 
@@ -159,6 +162,13 @@
   return BD_DRAIN_NONE;
 }
 
+static bool
+read_number (const json_t *object, const char *key, int64_t *out)
+{
+  *out = json_integer_value (json_object_get (object, key));
+  return *out >= 0 && *out <= max_number;
+}
+
 /* Whether the counts allow the memory that the groups take.  */
 static bool
 are_counts_valid (const json_t *groups)
@@ -208,12 +218,11 @@
   assignment = talloc_zero (ctx, struct bd_assignment);
   read_name (value, "data_centre", assignment->data_centre);
   read_name (value, "keeper", assignment->controller);
-  assignment->term = json_integer_value (json_object_get (value, "term"));
-  assignment->sequence
-      = json_integer_value (json_object_get (value, "sequence"));
   json_array_foreach (groups, i, entry)
     group_from_json (assignment, entry);
-  if (bd_assignment_is_valid (assignment))
+  if (read_number (value, "term", &assignment->term)
+      && read_number (value, "sequence", &assignment->sequence)
+      && bd_assignment_is_valid (assignment))
     return assignment;
   talloc_free (assignment);
   return NULL;
--- a/src/groups/groups_test.c
+++ b/src/groups/groups_test.c
@@ -402,6 +402,26 @@
   talloc_free (ctx);
 }
 
+/* No other could replace it.  */
+static void
+test_assignment_without_a_next_term_is_taken (void)
+{
+  static const char *const keys[] = { "term", "sequence" };
+  static const int64_t numbers[] = { INT64_MAX, INT64_MAX - 1, INT64_MIN, -1 };
+
+  for (size_t k = 0; k < 2; k++)
+    for (size_t i = 0; i < sizeof numbers / sizeof numbers[0]; i++)
+      {
+        json_t *value
+            = json_pack ("{s:s,s:s,s:i,s:[]}", "data_centre", "north",
+                         "keeper", "a", keys[1 - k], 1, "groups");
+
+        json_object_set_new (value, keys[k], json_integer (numbers[i]));
+        CU_ASSERT_PTR_NULL (bd_assignment_from_json (NULL, value));
+        json_decref (value);
+      }
+}
+
 /* A group takes more memory than its text, and talloc returns no more than
    256 MB at once.  */
 static void
@@ -863,6 +883,8 @@
 static const struct unit_test tests[] = {
   { "an assignment with a shared instance is invalid",
     test_assignment_rejects_shared_instance },
+  { "an assignment without a next term is taken",
+    test_assignment_without_a_next_term_is_taken },
   { "an assignment of empty groups ends the process",
     test_assignment_of_empty_groups_ends_the_process },
   { "an assignment of a huge group ends the process",
