daemon: an order that cannot be written ends no process

Callers of `serve`: the process of the group controller ends by SIGSEGV, with all that it runs, and so does the next controller.

Cause: a spare that reports a group is ordered out of it with the model that it has reported. A peer's report can contain bytes that are no UTF-8, and an endpoint's name of 64 bytes or more is cut, perhaps within a character. jansson makes no order of that, and the length of its null text was taken.

Evidence: daemon_odd_frames_test, "order for an odd report ends the process", with sanitizers: before, SEGV on address 0 in send_order(); after, passed: this order is logged and dropped, the one to another spare is sent.

Ruled out by reading: the other texts that are written as JSON; a group or a daemon that cannot be written is left out there.

--- a/src/daemon/daemon_groups.c
+++ b/src/daemon/daemon_groups.c
@@ -246,8 +246,8 @@
   return members;
 }
 
-static void
-send_order (struct bd_daemon *daemon, const struct bd_order *order)
+static char *
+order_json_text (const struct bd_daemon *daemon, const struct bd_order *order)
 {
   json_t *body = json_pack (
       "{s:s,s:s,s:I,s:I,s:s,s:I,s:s,s:s,s:o}", "action", "load", "instance",
@@ -257,20 +257,36 @@
       order->model, "version", order->version, "members",
       member_ports (daemon, order->members));
   char *text = json_dumps (body, JSON_COMPACT);
-  char *url = talloc_asprintf (daemon, "http://%s:%u/orders", order->address,
-                               order->port);
+
+  json_decref (body);
+  return text;
+}
+
+static void
+send_order (struct bd_daemon *daemon, const struct bd_order *order)
+{
+  char *text = order_json_text (daemon, order);
   struct bd_http_request out = { .method = "POST",
-                                 .url = url,
                                  .body = text,
-                                 .body_size = strlen (text),
                                  .timeout_ms = ORDER_TIMEOUT_MS,
                                  .has_dedicated_connection = true };
+  char *url;
 
+  /* A name in it is no UTF-8: the model of a spare is the one that its
+     endpoint or a peer has reported.  */
+  if (text == NULL)
+    {
+      bd_log ("order-unwritable", "instance", order->instance, NULL);
+      return;
+    }
+  url = talloc_asprintf (daemon, "http://%s:%u/orders", order->address,
+                         order->port);
+  out.url = url;
+  out.body_size = strlen (text);
   bd_count (&daemon->counters, BD_COUNT_ORDERS);
   bd_http_send (&daemon->client, &out, &order_ops, daemon);
   talloc_free (url);
   free (text);
-  json_decref (body);
 }
 
 static void
