edge: a peer's reply does not make copies fresh in the future

Callers: after one odd reply of a peer, a daemon that no longer gets the configuration or the list goes on as if it had them, since both count as confirmed at a time that is still to come.

Cause: the times of a freshness reply were taken as they are. A negative age gives a time after now, and a large one overflows.

Not mended: the era of the store in a reply is believed. A high one makes the daemon take all later replies, also the store's, for those of an earlier era.

Why it works: a reply to a request that is still to be sent, or with copies confirmed later than now, is dropped, as `serve` does with its lists.

--- a/src/edge/freshness.c
+++ b/src/edge/freshness.c
@@ -188,27 +188,41 @@
   return true;
 }
 
+/* Whether the request was sent, and the copies were confirmed, by now.  */
+static bool
+has_possible_times (const struct bd_freshness_reply *reply, int64_t now_ms)
+{
+  return reply->sent_ms >= 0 && reply->sent_ms <= now_ms
+         && reply->config_age_ms >= reply->sent_ms - now_ms
+         && reply->instances_age_ms >= reply->sent_ms - now_ms;
+}
+
 void
 bd_edge_receive_freshness_reply (struct bd_edge *edge,
                                  const struct bd_freshness_reply *reply)
 {
-  /* The peer's ages are counted back from the sending of the request, the
-     earliest time at which the peer can have computed them.  */
-  int64_t config_ms = reply->sent_ms - reply->config_age_ms;
-  int64_t instances_ms = reply->sent_ms - reply->instances_age_ms;
+  int64_t config_ms;
+  int64_t instances_ms;
   const struct bd_member *peer
       = bd_membership_find (&edge->membership, edge->freshness_peer);
 
+  if (!has_possible_times (reply, bd_edge_now_ms (edge)))
+    return;
   bd_store_note_era (&edge->store, reply->era);
   if (reply->era < edge->store.era)
     return;
+  /* The peer's ages are counted back from the sending of the request, the
+     earliest time at which the peer can have computed them.  */
+  config_ms = reply->sent_ms - reply->config_age_ms;
+  instances_ms = reply->sent_ms - reply->instances_age_ms;
   if (reply->config_age_ms < FRESH_MS && reply->instances_age_ms < FRESH_MS)
     edge->freshness_unanswered = 0;
   receive_config (edge, reply, config_ms);
   if (reply->window_ms > 0)
-    bd_listing_note_peer_window (&edge->fleet.listing,
-                                 reply->sent_ms + reply->window_ms,
-                                 bd_edge_now_ms (edge));
+    bd_listing_note_peer_window (
+        &edge->fleet.listing,
+        reply->sent_ms + MIN (reply->window_ms, BD_LISTING_RETURN_MS),
+        bd_edge_now_ms (edge));
   if (!reply->has_frame || !is_valid_frame (&reply->frame)
       || !bd_directory_apply (&edge->directory, &reply->frame))
     return;
--- a/tests/odd_frames.h
+++ b/tests/odd_frames.h
@@ -18,7 +18,8 @@
 {
   ODD_LENGTH_BYTES = 4,
   ODD_REPEATS = 200,
-  ODD_ONE_IN = 4
+  ODD_ONE_IN = 4,
+  ODD_RATES = 3
 };
 
 struct odd_frames
@@ -28,6 +29,7 @@
   uint32_t name_count;
   const char *const *documents; /* For the others.  */
   uint32_t document_count;
+  uint32_t one_in; /* One value in so many is odd; differs by frame.  */
 };
 
 static inline uint32_t
@@ -91,7 +93,7 @@
                  && array->ptr[0].type == MSGPACK_OBJECT_ARRAY;
   uint32_t repeats = 1;
 
-  if (is_list && odd_pick (odd, ODD_ONE_IN) == 0)
+  if (is_list && odd_pick (odd, odd->one_in) == 0)
     repeats = odd_pick (odd, 2) * ODD_REPEATS;
   msgpack_pack_array (packer, (size_t)array->size * repeats);
   for (uint32_t k = 0; k < repeats; k++)
@@ -108,7 +110,7 @@
 {
   if (value->type == MSGPACK_OBJECT_ARRAY)
     odd_pack_array (odd, packer, &value->via.array, is_root);
-  else if (odd_pick (odd, ODD_ONE_IN) != 0)
+  else if (odd_pick (odd, odd->one_in) != 0)
     msgpack_pack_object (packer, *value);
   else if (value->type == MSGPACK_OBJECT_STR)
     odd_pack_text (odd, packer, &value->via.str);
@@ -125,7 +127,7 @@
 /* odd_frame(): returns the decoded message of an odd frame, allocated on ctx,
    or NULL if the decoder refuses it.  */
 static inline void *
-odd_frame (const struct odd_frames *odd, void *ctx, enum bd_message_type type,
+odd_frame (struct odd_frames *odd, void *ctx, enum bd_message_type type,
            const void *message)
 {
   msgpack_sbuffer sound;
@@ -135,6 +137,7 @@
   enum bd_message_type read_type;
   void *read = NULL;
 
+  odd->one_in = (uint32_t)ODD_ONE_IN << 2 * odd_pick (odd, ODD_RATES);
   msgpack_sbuffer_init (&sound);
   msgpack_sbuffer_init (&packed);
   msgpack_unpacked_init (&unpacked);
