base: a key of many parts ends no process

Callers of `serve`: the process of the config controller ends by SIGSEGV, with all that it runs, and so does the next controller, on a published file with a key of 200,000 parts (400 KB); any process does so on a head of a peer with such a text, and either daemon on such settings.

Cause: each part of a dotted key is a table within the one before. The TOML parser bounds the nesting of values, not of keys, and the tree is converted and freed recursively.

Evidence: base_test, "key of many parts ends the process", 300,000 parts. Before (-O2, no sanitizers): SIGSEGV; a trial with 200,000 parts ends as well, with 20,000 it does not.

Ruled out by the same trial: arrays and inline tables of up to 200,000 levels, which the parser refuses above 256.

Why it works: a key of more than 64 parts is refused before the text is parsed, so a tree has at most some 16,000 levels. No setting and no service file has keys of more than a few parts.

--- a/src/base/base_test.c
+++ b/src/base/base_test.c
@@ -368,6 +368,56 @@
   CU_ASSERT_PTR_NULL (bd_file_read (NULL, "/", &size));
 }
 
+static bool
+is_toml (const char *text)
+{
+  void *ctx = talloc_new (NULL);
+  struct bd_faults faults = { .ctx = ctx };
+  bool is_read
+      = bd_toml_parse (ctx, "f", text, strlen (text), &faults) != NULL;
+
+  talloc_free (ctx);
+  return is_read;
+}
+
+/* As a key, as the name of a table and in a table, with quoted parts.  */
+static void
+test_key_of_many_parts_ends_the_process (void)
+{
+  enum
+  {
+    PARTS = 300000
+  };
+  static const char *const parts[] = { "a", "'='", "\"#\\\"\"" };
+  static const char *const formats[]
+      = { "# it's\n%s = 1\n", "b = '''\n''' # \"\n[%s]\n", "b = {%s = 1}\n",
+          "b = {c = \"\"\"x\"\"\"\", %s = 1}\n" };
+
+  for (size_t i = 0; i < sizeof parts / sizeof parts[0]; i++)
+    {
+      GString *key = g_string_new (parts[i]);
+
+      for (uint32_t k = 1; k < PARTS; k++)
+        g_string_append_printf (key, ".%s", parts[i]);
+      for (size_t f = 0; f < sizeof formats / sizeof formats[0]; f++)
+        {
+          char **pieces = g_strsplit (formats[f], "%s", 2);
+          char *text = g_strconcat (pieces[0], key->str, pieces[1], NULL);
+
+          CU_ASSERT_FALSE (is_toml (text));
+          g_free (text);
+          g_strfreev (pieces);
+        }
+      g_string_free (key, TRUE);
+    }
+  CU_ASSERT_TRUE (
+      is_toml ("a.b.\"c.d\" = 1.5 # ...................................."
+               "..................................................\n"
+               "b = \"..................................................."
+               "..................................................\"\n"
+               "[t.u]\nc = [1.5, 2.5]\n"));
+}
+
 static const struct unit_test tests[] = {
   { "every error has a response", test_every_error_has_a_response },
   { "counters", test_counters_are_rendered },
@@ -382,6 +432,8 @@
   { "JSON of a large list is damaged", test_json_of_a_large_list_is_damaged },
   { "file that fails while it is read is empty",
     test_file_that_fails_while_it_is_read_is_empty },
+  { "key of many parts ends the process",
+    test_key_of_many_parts_ends_the_process },
 };
 
 int
--- a/src/base/toml_shim.cc
+++ b/src/base/toml_shim.cc
@@ -6,8 +6,10 @@
 #include "base/toml.h"
 }
 
+#include <algorithm>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <talloc.h>
 
 /* The parser asserts on some malformed input.  Its assertions throw instead,
@@ -30,6 +32,58 @@
   return talloc_strndup (ctx, text.data (), text.size ());
 }
 
+/* Parts of a key.  Each is a nested table, and the tree is converted and freed
+   recursively.  The parser bounds the nesting of values only.  */
+constexpr size_t MAX_KEY_PARTS = 64;
+
+/* Returns the position after the string that begins at position at.  One of
+   several lines can end with up to two quotes of its own.  */
+size_t
+skip_string (std::string_view text, size_t at)
+{
+  char quote = text[at];
+  const std::string triple (3, quote);
+  bool is_multi_line = text.substr (at, 3) == triple;
+
+  for (at += is_multi_line ? 3 : 1; at < text.size (); at++)
+    if (text[at] == '\\' && quote == '"')
+      at++;
+    else if (is_multi_line && text.substr (at, 3) == triple)
+      {
+        size_t end = text.find_first_not_of (quote, at);
+        return std::min ({ end, at + 5, text.size () });
+      }
+    else if (!is_multi_line && (text[at] == quote || text[at] == '\n'))
+      return text[at] == quote ? at + 1 : at;
+  return text.size ();
+}
+
+/* Whether a key has more than MAX_KEY_PARTS.  */
+bool
+has_long_key (std::string_view text)
+{
+  size_t dots = 0;
+
+  for (size_t at = 0; at < text.size ();)
+    {
+      char c = text[at];
+
+      if (c == '"' || c == '\'')
+        {
+          at = skip_string (text, at);
+          continue;
+        }
+      if (c == '#')
+        at = std::min (text.find ('\n', at), text.size () - 1);
+      if (std::string_view ("=\n{},[]#").find (c) != std::string_view::npos)
+        dots = 0;
+      else if (c == '.' && ++dots >= MAX_KEY_PARTS)
+        return true;
+      at++;
+    }
+  return false;
+}
+
 bd_toml *convert (void *ctx, const toml::node &node);
 
 void
@@ -112,6 +166,11 @@
 bd_toml_parse (void *ctx, const char *file_name, const char *text, size_t size,
                struct bd_faults *faults)
 {
+  if (has_long_key (std::string_view (text, size)))
+    {
+      bd_faults_add (faults, file_name, 1, "a key has too many parts");
+      return nullptr;
+    }
   try
     {
       toml::table table = toml::parse (std::string_view (text, size),
