--- a/src/edge/edge_descriptors_test.c
+++ b/src/edge/edge_descriptors_test.c
@@ -1,5 +1,5 @@
 /* Guards against a daemon that ends, spins or serves nobody because its limit
-   of descriptors is used up.  */
+   of descriptors is used up, or because its output takes nothing.  */
 
 #include "tests/fakes/process.h"
 #include "tests/fakes/site.h"
@@ -9,10 +9,12 @@
 
 #include <arpa/inet.h>
 #include <curl/curl.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <talloc.h>
 #include <unistd.h>
 
@@ -22,6 +24,7 @@
   IDLE_CALLERS = 200,
   PEERS = 100,
   CALLS = 20,
+  LOGGED_ROUNDS = 60,
   RUNNING_CALLS = 64,
   READY_MS = 10000,
   POLL_MS = 100,
@@ -45,7 +48,8 @@
   options->program = talloc_asprintf (site.events, "%s/burdockdale",
                                       build != NULL ? build : "build");
   options->settings_path = settings_path;
-  options->log_path = g_getenv ("DAEMON_LOG");
+  if (options->log_path == NULL)
+    options->log_path = g_getenv ("DAEMON_LOG");
   process = process_start (&site.settings, options);
   for (uint32_t ms = 0; ms < READY_MS; ms += POLL_MS)
     {
@@ -255,6 +259,46 @@
   finish_site ();
 }
 
+/* More lines than a pipe takes.  */
+static void
+check_calls (const char *name)
+{
+  uint32_t served = 0;
+
+  for (uint32_t i = 0; i < LOGGED_ROUNDS; i++)
+    served += count_served ();
+  check_processor (name);
+  CU_ASSERT_EQUAL (served, LOGGED_ROUNDS * CALLS);
+}
+
+static void
+test_full_output (void)
+{
+  struct process_options options = { .log_path = "/dev/full" };
+
+  start_site (&options);
+  check_calls ("full output");
+  finish_site ();
+}
+
+static void
+test_unread_output (void)
+{
+  char *fifo = g_strdup_printf ("/tmp/edge-output-%d", (int)getpid ());
+  struct process_options options = { .log_path = fifo };
+  int reader;
+
+  CU_ASSERT_EQUAL_FATAL (mkfifo (fifo, 0600), 0);
+  reader = open (fifo, O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+  start_site (&options);
+  check_calls ("unread output");
+  close (reader);
+  check_calls ("output without a reader");
+  finish_site ();
+  remove (fifo);
+  g_free (fifo);
+}
+
 static const struct unit_test tests[] = {
   { "peers beyond the limit of descriptors make the daemon spin",
     test_peers_beyond_the_limit },
@@ -264,6 +308,8 @@
     test_running_calls_beyond_the_limit },
   { "the log goes to a descriptor that is not its output",
     test_closed_output },
+  { "full output stops the daemon", test_full_output },
+  { "output that nobody reads stops the daemon", test_unread_output },
 };
 
 int
