--- a/src/edge/edge_clock_test.c
+++ b/src/edge/edge_clock_test.c
@@ -29,6 +29,11 @@
   /* On average, the clock jumps at one of so many of its reads.  */
   READS_PER_JUMP = 60,
   MAX_JUMP_MS = 900,
+  /* Of the far jumps: one of so many is that far, and the calendar's go both
+     ways.  */
+  JUMPS_PER_FAR_JUMP = 8,
+  MAX_FAR_JUMP_MS = 7200 * 1000,
+  STOP_MS = 15000,
   MS_PER_S = 1000,
   NS_PER_MS = 1000000
 };
@@ -37,6 +42,8 @@
 static struct bd_clock real_clock;
 static gsl_rng *rng;
 static int64_t ahead_ms;
+static int64_t calendar_ahead_ms;
+static bool has_far_jumps;
 
 static struct timespec
 add_ms (struct timespec time, int64_t ms)
@@ -48,20 +55,35 @@
   return time;
 }
 
+static int64_t
+draw_jump_ms (void)
+{
+  bool is_far
+      = has_far_jumps && gsl_rng_uniform_int (rng, JUMPS_PER_FAR_JUMP) == 0;
+
+  return (int64_t)gsl_rng_uniform_int (rng,
+                                       is_far ? MAX_FAR_JUMP_MS : MAX_JUMP_MS);
+}
+
 static struct timespec
 read_monotonic (void *ctx)
 {
   (void)ctx;
   if (gsl_rng_uniform_int (rng, READS_PER_JUMP) == 0)
-    ahead_ms += (int64_t)gsl_rng_uniform_int (rng, MAX_JUMP_MS);
+    ahead_ms += draw_jump_ms ();
   return add_ms (real_clock.ops->monotonic (real_clock.ctx), ahead_ms);
 }
 
 static struct timespec
 read_calendar (void *ctx)
 {
+  struct timespec time = real_clock.ops->calendar (real_clock.ctx);
+
   (void)ctx;
-  return real_clock.ops->calendar (real_clock.ctx);
+  if (!has_far_jumps)
+    return time;
+  calendar_ahead_ms += draw_jump_ms () - draw_jump_ms ();
+  return add_ms (time, calendar_ahead_ms);
 }
 
 static const struct bd_clock_ops jumping_clock
@@ -99,6 +121,29 @@
   site_wait (&site, ROUND_MS);
 }
 
+static bool
+is_done (struct site *s)
+{
+  return bd_edge_is_done (s->edge);
+}
+
+/* The settings are read again between two rounds, and the daemon stops with
+   calls under way.  Returns the exit code of the process.  */
+static int
+run_far_rounds (void)
+{
+  struct bd_edge_settings settings = site.settings;
+
+  for (uint32_t i = 0; i < ROUNDS; i++)
+    {
+      run_round ();
+      bd_edge_reload (site.edge, &settings);
+    }
+  bd_edge_stop (site.edge);
+  run_round ();
+  return site_run (&site, is_done, STOP_MS) ? 0 : 3;
+}
+
 /* Returns the exit code of the process.  */
 static int
 run_seed (unsigned long seed)
@@ -111,6 +156,8 @@
   if (!site_run (&site, site_has_groups, READY_MS))
     return 2;
   real_clock = site.edge->clock;
+  if (has_far_jumps)
+    return run_far_rounds ();
   for (uint32_t i = 0; i < ROUNDS; i++)
     run_round ();
   return 0;
@@ -131,7 +178,7 @@
 }
 
 static void
-test_clock_jumps (void)
+run_seeds (void)
 {
   const char *first = getenv ("FIRST_SEED");
   unsigned long seed = first != NULL ? strtoul (first, NULL, 10) : 1;
@@ -157,11 +204,27 @@
   CU_ASSERT_EQUAL (failures, 0);
 }
 
+static void
+test_clock_jumps (void)
+{
+  has_far_jumps = false;
+  run_seeds ();
+}
+
+static void
+test_clocks_jump_far (void)
+{
+  has_far_jumps = true;
+  run_seeds ();
+}
+
 int
 main (void)
 {
   static const struct unit_test tests[] = {
     { "the clock jumps", test_clock_jumps },
+    { "the clocks jump far, also around reloads and the stop",
+      test_clocks_jump_far },
   };
 
   unit_silence_log ();
