serve: a claim after its call's deadline is not held for weeks

What callers see: where the clock passes the deadline between the admission of a call and its claim (a process that was stopped, a late event loop) and the daemon then ends, repeated requests with the key get "in progress" until the claim is forgotten, not "unknown".

Cause: the time left was negative and was cast to an unsigned number, some 49 days.

Found by reading; not seen in a run.

Why it works: a claim whose call has no time left is held for none.

--- a/src/daemon/daemon_calls.c
+++ b/src/daemon/daemon_calls.c
@@ -98,12 +98,12 @@
 bd_job_claim (struct bd_job *job)
 {
   struct bd_daemon *daemon = job->daemon;
-  struct bd_claim claim
-      = { .kind = BD_CLAIM_TAKE,
-          .fingerprint = job->fingerprint,
-          .at_ms = bd_clock_calendar_ms (&daemon->clock),
-          .hold_ms
-          = (uint32_t)(job->call.deadline_ms - bd_daemon_now_ms (daemon)) };
+  /* The deadline may have passed since the call was admitted.  */
+  int64_t left_ms = job->call.deadline_ms - bd_daemon_now_ms (daemon);
+  struct bd_claim claim = { .kind = BD_CLAIM_TAKE,
+                            .fingerprint = job->fingerprint,
+                            .at_ms = bd_clock_calendar_ms (&daemon->clock),
+                            .hold_ms = (uint32_t)MAX (left_ms, 0) };
 
   bd_claim_key (job->account, job->service, job->idempotency_key,
                 job->claim_key);
--- a/src/daemon/daemon_claims_test.c
+++ b/src/daemon/daemon_claims_test.c
@@ -1,7 +1,7 @@
 /* Tests of the queue of claims of a shard against a fake store whose replies
    are given by the test.  */
 
-#include "daemon/daemon_internal.h"
+#include "daemon/job_internal.h"
 #include "tests/quiet.h"
 #include "tests/unit.h"
 
@@ -242,6 +242,25 @@
   finish ();
 }
 
+/* The clock has moved on since the call was admitted, for example while the
+   process was stopped.  */
+static void
+test_claim_after_the_deadline_is_held_for_weeks (void)
+{
+  struct bd_job *job;
+
+  start ();
+  job = talloc_zero (events, struct bd_job);
+  job->daemon = test_daemon;
+  job->account = "account";
+  job->idempotency_key = "key";
+  job->call.deadline_ms = now_ms - 1;
+  bd_job_claim (job);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (job->claim);
+  CU_ASSERT_EQUAL (job->claim->claim.hold_ms, 0);
+  finish ();
+}
+
 int
 main (void)
 {
@@ -249,7 +268,9 @@
       = { { "release during grant grants no uncommitted claim",
             test_release_during_grant_grants_no_uncommitted_claim },
           { "release during collection grants no uncommitted claim",
-            test_release_during_collection_grants_no_uncommitted_claim } };
+            test_release_during_collection_grants_no_uncommitted_claim },
+          { "claim after the deadline is held for weeks",
+            test_claim_after_the_deadline_is_held_for_weeks } };
 
   unit_silence_log ();
   return UNIT_RUN ("daemon claims", tests);
