edge: settings that change while no descriptor is left are read later

What was seen: settings that change while all descriptors are used are refused once ("cannot be read"), and not read again when descriptors are free.

Cause: the change counted as seen before the file could be opened; stat() needs no descriptor.

A SIGHUP meanwhile does not end the daemon: "reload-refused".

Why it works: a change is noted only once the file can be opened; until then it is found again each second.

--- a/src/cli/edge.c
+++ b/src/cli/edge.c
@@ -8,11 +8,13 @@
 #include "platform/platform.h"
 
 #include <curl/curl.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/stat.h>
 #include <talloc.h>
+#include <unistd.h>
 
 enum
 {
@@ -79,8 +81,14 @@
 {
   struct stat status;
   bool was_known;
-
-  if (stat (process->path, &status) != 0)
+  /* A change is found again while the file cannot be opened, for example for
+     want of descriptors.  */
+  int fd = open (process->path, O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+  bool is_read = fd >= 0 && fstat (fd, &status) == 0;
+
+  if (fd >= 0)
+    close (fd);
+  if (!is_read)
     return false;
   was_known = process->modified_at.tv_sec != 0;
   if (memcmp (&process->modified_at, &status.st_mtim, sizeof status.st_mtim)
--- a/src/edge/edge_descriptors_test.c
+++ b/src/edge/edge_descriptors_test.c
@@ -17,6 +17,7 @@
 #include <sys/stat.h>
 #include <talloc.h>
 #include <unistd.h>
+#include <utime.h>
 
 enum
 {
@@ -30,6 +31,7 @@
   POLL_MS = 100,
   DEADLINE_MS = 4000,
   MEASURED_MS = 2000,
+  CHECK_MS = 3000, /* The file is checked each second.  */
   MS_PER_S = 1000
 };
 
@@ -175,6 +177,9 @@
   open_connections (callers, IDLE_CALLERS, site.settings.http_port);
   site_wait (&site, POLL_MS);
   open_connections (peers, PEERS, site.settings.peer_port);
+  site_wait (&site, POLL_MS);
+  /* Its settings cannot be read.  */
+  kill (process, SIGHUP);
   check_processor ("peers");
   close_connections (callers, IDLE_CALLERS);
   close_connections (peers, PEERS);
@@ -183,6 +188,41 @@
   finish_site ();
 }
 
+static bool
+has_logged (const char *path, const char *event)
+{
+  char *text = NULL;
+  bool has_event = g_file_get_contents (path, &text, NULL, NULL)
+                   && strstr (text, event) != NULL;
+
+  g_free (text);
+  return has_event;
+}
+
+static void
+test_settings_change_beyond_the_limit (void)
+{
+  char *log_path = g_strdup_printf ("/tmp/edge-reload-%d", (int)getpid ());
+  struct process_options options
+      = { .descriptors = DESCRIPTORS, .log_path = log_path };
+
+  start_site (&options);
+  open_connections (callers, IDLE_CALLERS, site.settings.http_port);
+  site_wait (&site, POLL_MS);
+  open_connections (peers, PEERS, site.settings.peer_port);
+  site_wait (&site, POLL_MS);
+  utime (settings_path, NULL);
+  site_wait (&site, CHECK_MS);
+  CU_ASSERT_FALSE (has_logged (log_path, "\"reloaded\""));
+  close_connections (callers, IDLE_CALLERS);
+  close_connections (peers, PEERS);
+  site_wait (&site, CHECK_MS);
+  CU_ASSERT_TRUE (has_logged (log_path, "\"reloaded\""));
+  finish_site ();
+  remove (log_path);
+  g_free (log_path);
+}
+
 /* The caller of site_call() has a connection from before.  */
 static void
 test_idle_callers_beyond_the_limit (void)
@@ -302,6 +342,8 @@
 static const struct unit_test tests[] = {
   { "peers beyond the limit of descriptors make the daemon spin",
     test_peers_beyond_the_limit },
+  { "settings that change beyond the limit of descriptors are not read",
+    test_settings_change_beyond_the_limit },
   { "idle callers beyond the limit of descriptors stop all service",
     test_idle_callers_beyond_the_limit },
   { "running calls beyond the limit of descriptors are lost",
