process: a process that starts shares no descriptors with the test

A daemon that is being started holds the test's descriptors until exec(): they keep ports in use, and events alive whose descriptors the test has closed. process_start() now returns once the child has closed them, so that the raw endpoint needs no remedy of its own.

--- a/tests/fakes/process.c
+++ b/tests/fakes/process.c
@@ -1,5 +1,6 @@
 #include "tests/fakes/process.h"
 
+#include <errno.h>
 #include <fcntl.h>
 #include <glib.h>
 #include <signal.h>
@@ -108,12 +109,20 @@
 {
   pid_t parent = getpid ();
   pid_t pid;
+  int ends[2];
+  char byte;
 
-  if (!write_settings (settings, options))
+  if (!write_settings (settings, options) || pipe2 (ends, O_CLOEXEC) != 0)
     return -1;
   pid = fork ();
   if (pid == 0)
     execute (options, parent);
+  close (ends[1]);
+  /* Until the process has closed the descriptors of this one: they would keep
+     ports in use, and events alive whose descriptors are closed here.  */
+  while (read (ends[0], &byte, 1) < 0 && errno == EINTR)
+    ;
+  close (ends[0]);
   return pid;
 }
 
--- a/tests/fakes/raw.c
+++ b/tests/fakes/raw.c
@@ -19,8 +19,6 @@
   LISTEN_QUEUE = 512
 };
 
-/* A process that is being started may still have the descriptor, so that
-   closing it does not end the events.  */
 static int
 close_connection (struct raw_connection *c)
 {
