process: signals to a daemon wait until it lets them arrive

The child held SIGHUP and SIGTERM from its first step on, a moment after the fork, and so did programs of earlier builds, which never release them. They are held from before the fork now, and only where the test asks for it.

--- a/src/edge/edge_process_test.c
+++ b/src/edge/edge_process_test.c
@@ -118,6 +118,7 @@
 static uint32_t pause_ms;
 static const char *only_case;
 static const char *program;
+static bool is_own_build; /* Earlier ones do not let held signals arrive.  */
 static char *directory;
 static bool is_over;
 static uint32_t outcomes[CALLER_OUTCOMES];
@@ -379,7 +380,8 @@
 {
   struct process_options options = { .program = program,
                                      .settings_path = daemon->settings_path,
-                                     .log_path = daemon->log_path };
+                                     .log_path = daemon->log_path,
+                                     .holds_signals = is_own_build };
 
   daemon->is_stopping = false;
   daemon->pid = process_start (&daemon->settings, &options);
@@ -974,7 +976,8 @@
   only_case = g_getenv ("CASE");
   program = g_getenv ("PROGRAM");
   site_start_platform (&site, ENDPOINTS, POOL);
-  if (program == NULL)
+  is_own_build = program == NULL;
+  if (is_own_build)
     program = talloc_asprintf (site.events, "%s/burdockdale",
                                build != NULL ? build : "build");
   site.has_lost_links = has_lost_links;
--- a/tests/fakes/process.c
+++ b/tests/fakes/process.c
@@ -63,18 +63,6 @@
   return is_written;
 }
 
-/* A signal that comes before the program runs waits for its handlers.  */
-static void
-hold_signals (void)
-{
-  sigset_t signals;
-
-  sigemptyset (&signals);
-  sigaddset (&signals, SIGHUP);
-  sigaddset (&signals, SIGTERM);
-  sigprocmask (SIG_BLOCK, &signals, NULL);
-}
-
 /* Runs in the child process.  */
 static void
 execute (const struct process_options *options, pid_t parent)
@@ -86,7 +74,6 @@
                          (rlim_t)options->data_mb * BYTES_PER_MB };
   struct rlimit files = { options->descriptors, options->descriptors };
 
-  hold_signals ();
   prctl (PR_SET_PDEATHSIG, SIGKILL);
   if (getppid () != parent)
     _exit (1);
@@ -108,15 +95,25 @@
                const struct process_options *options)
 {
   pid_t parent = getpid ();
+  sigset_t held;
+  sigset_t before;
   pid_t pid;
   int ends[2];
   char byte;
 
   if (!write_settings (settings, options) || pipe2 (ends, O_CLOEXEC) != 0)
     return -1;
+  sigemptyset (&held);
+  if (options->holds_signals)
+    {
+      sigaddset (&held, SIGHUP);
+      sigaddset (&held, SIGTERM);
+    }
+  sigprocmask (SIG_BLOCK, &held, &before);
   pid = fork ();
   if (pid == 0)
     execute (options, parent);
+  sigprocmask (SIG_SETMASK, &before, NULL);
   close (ends[1]);
   /* Until the process has closed the descriptors of this one: they would keep
      ports in use, and events alive whose descriptors are closed here.  */
--- a/tests/fakes/process.h
+++ b/tests/fakes/process.h
@@ -21,6 +21,9 @@
   uint32_t data_mb;          /* Limit of the data segment; 0 for none.  */
   uint32_t descriptors;      /* Limit of descriptors; 0 for none.  */
   bool has_no_output;        /* Standard descriptors are closed.  */
+  /* SIGHUP and SIGTERM wait until the program lets them arrive.  Otherwise
+     they end the process before main().  */
+  bool holds_signals;
 };
 
 /* process_start(): returns the process, or -1.  Numbers of the settings that
