--- a/src/edge/edge_process_test.c
+++ b/src/edge/edge_process_test.c
@@ -77,6 +77,7 @@
   REFUSED_GAP_MS = 100, /* While a daemon stops.  */
   STREAM_EVENTS = 8,
   EVENT_MS = 10,
+  MAX_FAULT_BYTES = 2000, /* Of a log, that are printed.  */
   MS_PER_S = 1000
 };
 
@@ -564,6 +565,9 @@
   if (outcome == CALLER_WHOLE && caller->head.status == 200)
     {
       CU_ASSERT_TRUE (is_own_response (c));
+      if (!is_own_response (c))
+        printf ("\n  %s %s: not its own response:\n%s%s", caller->attempt_id,
+                c->target, caller->fields->str, caller->body->str);
       responses++;
     }
   /* That its request has run and gets no response is LOST.  */
@@ -911,9 +915,9 @@
             || strstr (text, "Sanitizer") != NULL
             || strstr (text, "runtime error") != NULL;
   if (has_any)
-    printf ("\n  %s", strstr (text, "\"aborted\"") != NULL
-                          ? strstr (text, "\"aborted\"")
-                          : text);
+    printf ("\n  %.*s", MAX_FAULT_BYTES,
+            strstr (text, "\"aborted\"") != NULL ? strstr (text, "\"aborted\"")
+                                                 : text);
   g_free (text);
   return has_any;
 }
