edge_process_test: what follows a response is not sent in the middle of the next one

The endpoint of the test wrote the rest of one exchange between the two parts of the next response. That can make one valid response of two, which no receiver can detect, so the check that a response is the caller's own could fail for the test's reason. The next response now waits until the bytes are sent; late second responses and random bytes between responses stay.

--- a/src/edge/edge_process_test.c
+++ b/src/edge/edge_process_test.c
@@ -193,6 +193,20 @@
     raw_send_bytes (c, bytes + first, size - first, delay_ms + 1);
 }
 
+static int64_t
+now_ms (void)
+{
+  return g_get_monotonic_time () / 1000;
+}
+
+/* What follows a response is not sent in the middle of the next one: that can
+   make a valid response of two.  */
+static int64_t
+draw_delay_ms (const struct raw_connection *c)
+{
+  return MAX (1 + (int64_t)draw (MAX_RESPONSE_MS), c->quiet_ms - now_ms ());
+}
+
 static size_t
 draw_bytes (char *bytes)
 {
@@ -234,13 +248,17 @@
   char *more = draw_more (c, request, &more_size);
   char *both = talloc_size (c, size + more_size);
   size_t first = draw (2) == 0 ? size : size + more_size;
+  int64_t late_ms = delay_ms + 1 + draw (MAX_LAG_MS);
 
   followed++;
   memcpy (both, bytes, size);
   memcpy (both + size, more, more_size);
   raw_send_bytes (c, both, first, delay_ms);
   if (first == size)
-    raw_send_bytes (c, more, more_size, delay_ms + 1 + draw (MAX_LAG_MS));
+    {
+      raw_send_bytes (c, more, more_size, late_ms);
+      c->quiet_ms = now_ms () + late_ms + 1;
+    }
   talloc_free (both);
   talloc_free (more);
 }
@@ -253,7 +271,7 @@
   /* A response without a length ends with its connection.  */
   bool has_end = strstr (response->fields, LENGTH) != NULL
                  || strstr (response->fields, CHUNKED) != NULL;
-  int64_t delay_ms = 1 + draw (MAX_RESPONSE_MS);
+  int64_t delay_ms = draw_delay_ms (c);
   char *own;
   char *bytes;
   size_t size;
--- a/tests/fakes/raw.h
+++ b/tests/fakes/raw.h
@@ -27,6 +27,7 @@
   char head[8192];
   size_t used;
   size_t body_left; /* Of the current request.  */
+  int64_t quiet_ms; /* For the handler's use.  */
 };
 
 struct raw_request
