edge: a response with another request's id beside its own is refused

Callers saw: with two responses mixed on one connection (a second response to an earlier request written into the head of the next one), a 200 whose head had the ids of two requests was delivered, with the other one's seal.

Cause: only the first Attempt-Id of a head was compared with the request's.

Change: all of them are. The same id twice is still accepted.

edge_responses_test, response with two ids: before, status 200 in the two of four cases in which the right id comes first; after, 502 in all four.

--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -63,6 +63,23 @@
              && header_of (call, names_of (request)->not_run) != NULL);
 }
 
+/* Whether all ids in a response head are the request's.  A head with another
+   one consists of two.  */
+static bool
+has_own_ids_only (const struct bd_edge_request *request,
+                  const struct bd_http_call *call)
+{
+  uint32_t count;
+  const struct bd_http_header_field *headers
+      = bd_http_call_headers (call, &count);
+
+  for (uint32_t i = 0; i < count; i++)
+    if (strcasecmp (headers[i].name, names_of (request)->attempt_id) == 0
+        && strcmp (headers[i].value, request->attempt_id) != 0)
+      return false;
+  return true;
+}
+
 /* Whether a response head belongs to this request: endpoints echo the
    request's id, except when they refuse it.  On a kept connection, a refusal
    without an id may be that of an earlier request.  */
@@ -70,10 +87,8 @@
 is_own_response (const struct bd_edge_request *request,
                  const struct bd_http_call *call, uint32_t status)
 {
-  const char *id = header_of (call, names_of (request)->attempt_id);
-
-  if (id != NULL)
-    return strcmp (id, request->attempt_id) == 0;
+  if (header_of (call, names_of (request)->attempt_id) != NULL)
+    return has_own_ids_only (request, call);
   return request->attempt_id[0] == '\0'
          || (is_refused (request, call, status)
              && bd_http_call_is_first (call));
--- a/src/edge/edge_responses_test.c
+++ b/src/edge/edge_responses_test.c
@@ -35,6 +35,8 @@
                           while the second request runs.  */
   bool has_idle_extra; /* Each response is followed by a refusal.  */
   bool is_stream;
+  const char *other_field; /* Before or after the id of a response.  */
+  bool is_before;
   const char *status_line; /* Of a response in a chunk; NULL for none.  */
   const char *trailer;
 };
@@ -79,11 +81,13 @@
   const char *type = script.is_stream ? "text/event-stream" : "text/plain";
   char *body = talloc_asprintf (
       c, script.is_stream ? "id: 1\ndata: %s\n\n" : "%s", request->attempt_id);
+  const char *other = script.other_field != NULL ? script.other_field : "";
   char *text = talloc_asprintf (
       c,
-      "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n"
+      "HTTP/1.1 200 OK\r\n%sAttempt-Id: %s\r\n%s"
       "Response-Seal: s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n\r\n%s",
-      request->attempt_id, type, strlen (body), body);
+      script.is_before ? other : "", request->attempt_id,
+      script.is_before ? "" : other, type, strlen (body), body);
 
   raw_send (c, text, RUN_MS);
   if (script.has_idle_extra)
@@ -341,6 +345,26 @@
   site_finish (&site);
 }
 
+static void
+test_response_with_two_ids_is_taken_as_own (void)
+{
+  start_site ();
+  for (size_t i = 0; i < 4; i++)
+    {
+      struct script s = { .other_field = "Attempt-Id: another\r\n",
+                          .is_before = i % 2 == 0,
+                          .is_stream = i >= 2 };
+      struct site_call *call;
+
+      start_endpoint (&s);
+      call = start_call ("POST", s.is_stream ? "/stream/x" : "/unsafe/x");
+      check_call (call, SAFE_RUNS, false);
+      CU_ASSERT_EQUAL (call->status, 502);
+      raw_finish (&endpoint);
+    }
+  site_finish (&site);
+}
+
 int
 main (void)
 {
@@ -356,6 +380,8 @@
     { "response on idle connection ends the next request",
       test_response_on_idle_connection_ends_the_next_request },
     { "trailer is taken for head", test_trailer_is_taken_for_head },
+    { "response with two ids is taken as own",
+      test_response_with_two_ids_is_taken_as_own },
   };
 
   unit_silence_log ();
