daemon: a walk through the calls survives the end of the next one

Callers of `serve`: a process can end by a fault of the heap, with all that it runs, when two calls use keys of one shard of claims.

Cause: retry_parked() keeps the next call of the list while it dispatches one. A call without any target ends there and releases its key, which settles the claims that wait in the same shard. A waiting call whose key another call holds ends by that; if it is the next of the list, the walk goes on in freed memory.

Evidence: daemon_odd_frames_test, "claim settled by another call frees its job", with sanitizers: before, heap-use-after-free in retry_parked(), freed by bd_job_end() from collect_batch(); after, passed. daemon_claims_test (31 asserts) and daemon_instances_test (14) pass. The test sets up the two calls and the time of the last commit itself; the case was not seen in a run of whole processes.

Tried and reverted: claims that are settled in a turn of their own. That fails daemon_claims_test, which relies on the order.

Ruled out by reading: the other walks: bd_daemon_end_calls() takes the first call anew each time, and dispatch_queue() pops.

Why it works: the position of the walk is part of the daemon, and a call that ends moves it on.

--- a/src/daemon/daemon_calls.c
+++ b/src/daemon/daemon_calls.c
@@ -142,11 +142,12 @@
 static void
 retry_parked (struct bd_daemon *daemon)
 {
-  struct bd_job *next;
+  struct bd_job *job;
 
-  for (struct bd_job *job = daemon->jobs; job != NULL; job = next)
+  daemon->next_job = daemon->jobs;
+  while ((job = daemon->next_job) != NULL)
     {
-      next = job->next;
+      daemon->next_job = job->next;
       if (job->is_parked)
         bd_job_dispatch (job);
     }
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -184,6 +184,9 @@
   uint32_t round_robin;
   struct bd_target_list *targets; /* Scratch memory of daemon_targets.c.  */
   struct bd_job *jobs;
+  /* The one that a walk through the list comes to next; a call that ends can
+     end others.  */
+  struct bd_job *next_job;
   uint32_t job_count;
 
   struct bd_shard_queue shards[BD_CLAIM_SHARDS];
--- a/src/daemon/daemon_jobs.c
+++ b/src/daemon/daemon_jobs.c
@@ -63,6 +63,8 @@
 {
   struct bd_daemon *daemon = job->daemon;
 
+  if (daemon->next_job == job)
+    daemon->next_job = job->next;
   if (job->prev != NULL)
     job->prev->next = job->next;
   else
--- a/src/daemon/daemon_odd_frames_test.c
+++ b/src/daemon/daemon_odd_frames_test.c
@@ -1,7 +1,7 @@
 /* Sends a daemon frames of peers and replies of the store whose form is valid
    and whose contents are odd.  The sanitizers find what they corrupt.  */
 
-#include "daemon/daemon_internal.h"
+#include "daemon/job_internal.h"
 #include "tests/loopback.h"
 #include "tests/odd_frames.h"
 #include "tests/quiet.h"
@@ -381,7 +381,7 @@
       op = pending_ops[--pending_count];
       if (op.kind == BD_OBJECT_READ)
         reply.error = BD_ERR_NOT_FOUND;
-      else if (op.kind == BD_OBJECT_WRITE)
+      else if (op.kind != BD_OBJECT_WATCH)
         reply.error = BD_OK;
       op.done (op.ctx, &reply);
       g_free (op.key);
@@ -474,12 +474,78 @@
   talloc_free (ctx);
 }
 
+static struct bd_job *
+add_job (struct bd_daemon *daemon, struct bd_job *next)
+{
+  struct bd_job *job = talloc_zero (daemon, struct bd_job);
+
+  job->daemon = daemon;
+  bd_name_copy (job->service, "s");
+  job->account = talloc_strdup (job, "acc");
+  job->idempotency_key = talloc_strdup (job, "k");
+  job->next = next;
+  if (next != NULL)
+    next->prev = job;
+  daemon->jobs = job;
+  daemon->job_count++;
+  return job;
+}
+
+/* The end of a parked call settles the claim of the next one in the list,
+   whose key another call holds.  */
+static void
+test_claim_settled_by_another_call_frees_its_job (void)
+{
+  void *ctx = talloc_new (NULL);
+  struct tevent_context *events = tevent_context_init (ctx);
+  struct bd_shard_queue *shard;
+  struct bd_daemon *daemon;
+  struct bd_job *waiting;
+  struct bd_job *parked;
+  char key[BD_ID_SIZE];
+  json_t *items;
+
+  make_texts (ctx);
+  daemon = bd_daemon_start (ctx, events, &settings);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (daemon);
+  daemon->platform.ops = &odd_store_ops;
+  bd_claim_key ("acc", "s", "k", key);
+  shard = &daemon->shards[bd_shard_of (key)];
+  items = json_pack (
+      "[{s:s,s:i,s:{s:{s:i,s:[[s,s,s,i,I,i]]}}}]", "key", "claims/3/0",
+      "version", 5, "value", "data", "segment", 1, "rows", "t", key, "other",
+      0, (json_int_t)bd_clock_calendar_ms (&daemon->clock), INT32_MAX);
+  CU_ASSERT_TRUE (bd_shard_load (&shard->shard, items,
+                                 bd_clock_calendar_ms (&daemon->clock)));
+  waiting = add_job (daemon, NULL);
+  waiting->call.state = BD_CALL_CLAIMING;
+  parked = add_job (daemon, waiting);
+  parked->call.state = BD_CALL_RUNNING;
+  parked->is_parked = true;
+  memcpy (parked->claim_key, key, BD_ID_SIZE);
+  bd_name_copy (parked->service, "t");
+  shard->commit_started_ms = bd_daemon_now_ms (daemon);
+  bd_job_claim (waiting);
+  shard->commit_started_ms = 0;
+  CU_ASSERT_EQUAL (daemon->job_count, 2);
+  bd_daemon_dispatch_all (daemon);
+  while (daemon->job_count > 0)
+    run_turn (daemon);
+  json_decref (items);
+  while (pending_count > 0)
+    g_free (pending_ops[--pending_count].key);
+  bd_daemon_finish (daemon);
+  talloc_free (ctx);
+}
+
 int
 main (void)
 {
   static const struct unit_test tests[] = {
     { "order for an odd report ends the process",
       test_order_for_an_odd_report_ends_the_process },
+    { "claim settled by another call frees its job",
+      test_claim_settled_by_another_call_frees_its_job },
     { "odd frame ends the process", test_odd_frame_ends_the_process },
   };
 
