http: sound trailers that arrive while a transfer pauses are no malformed response

What callers saw: a whole chunked response with two trailers or more, to a caller that reads slowly, was refused (502, or a stream cut at its end).

A trailer that is not valid is refused as before.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -562,6 +562,24 @@
   return false;
 }
 
+/* Handles lines of a head.  libcurl passes one at a time, or all trailers that
+   it has held back while the transfer was paused.  */
+static bool
+read_head_lines (struct bd_http_call *call, const char *lines, size_t size)
+{
+  while (size > 0)
+    {
+      const char *end = memchr (lines, '\n', size);
+      size_t length = end != NULL ? (size_t)(end - lines) + 1 : size;
+
+      if (!read_head_line (call, lines, length))
+        return false;
+      lines += length;
+      size -= length;
+    }
+  return true;
+}
+
 static size_t
 handle_header (char *data, size_t size, size_t count, void *ctx)
 {
@@ -577,7 +595,7 @@
     }
   if (call->is_cancelled || !update_share (call))
     return 0;
-  return read_head_line (call, data, length) ? length : 0;
+  return read_head_lines (call, data, length) ? length : 0;
 }
 
 static void
--- a/src/http/malformed_test.c
+++ b/src/http/malformed_test.c
@@ -417,6 +417,43 @@
   raw_finish (&endpoint);
 }
 
+/* Trailers that arrive while the transfer pauses are trailers.  */
+static void
+test_sound_trailers_while_paused (void)
+{
+  static const struct bd_http_call_ops paused_ops
+      = { .data = handle_paused_data, .done = handle_done };
+  static const struct response_case list[] = {
+    { .name = "one trailer",
+      .fields = CHUNKED,
+      .body = "c\r\n" RESPONSE_BODY "\r\n0\r\nX-A: b\r\n\r\n" },
+    { .name = "two trailers",
+      .fields = CHUNKED,
+      .body = "c\r\n" RESPONSE_BODY "\r\n0\r\nX-A: b\r\nX-C: d\r\n\r\n" },
+  };
+
+  cases = list;
+  raw_start (&endpoint, events, RAW_PORT, send_case_only, NULL);
+  for (size_t i = 0; i < CASE_COUNT (list); i++)
+    {
+      struct bd_http_client client;
+      struct outcome outcome = { 0 };
+      char url[64];
+      struct bd_http_request request
+          = { .method = "GET", .url = url, .timeout_ms = TIMEOUT_MS };
+
+      bd_http_client_init (&client, events, MAX_IDLE);
+      snprintf (url, sizeof url, "http://%s:%u/%zu", loopback_address (),
+                RAW_PORT, i);
+      bd_http_send (&client, &request, &paused_ops, &outcome);
+      wait_for (&outcome);
+      CU_ASSERT_PTR_NULL (outcome.malformed);
+      CU_ASSERT_TRUE (outcome.is_complete);
+      bd_http_client_finish (&client);
+    }
+  raw_finish (&endpoint);
+}
+
 static void
 test_sound_responses (void)
 {
@@ -435,6 +472,8 @@
             test_malformed_response_keeps_connection },
           { "malformed while the transfer pauses",
             test_malformed_while_paused },
+          { "sound trailers while the transfer pauses",
+            test_sound_trailers_while_paused },
           { "sound responses", test_sound_responses } };
   int code;
 
