base: a damaged stack does not cost the last line

Cause: the line was written after backtrace(), which can fault itself.

Change: a fault within the handler writes the line of the first fault without frames, and the process ends by the first signal.

--- a/src/base/crash.c
+++ b/src/base/crash.c
@@ -153,12 +153,14 @@
 
 /* The last fields; the end of the line closes them.  */
 static void
-add_frames (struct line *line)
+add_frames (struct line *line, bool has_frames)
 {
   void *frames[MAX_FRAMES];
+  int count = 0;
+
   /* After its first call it neither allocates nor locks.  */
-  int count
-      = backtrace (frames, MAX_FRAMES); // NOLINT(bugprone-signal-handler)
+  if (has_frames)
+    count = backtrace (frames, MAX_FRAMES); // NOLINT(bugprone-signal-handler)
 
   add_raw (line, ",\"frames\":\"");
   for (int i = 0; i < count; i++)
@@ -249,7 +251,7 @@
 }
 
 static void
-write_line (const siginfo_t *info, int error)
+write_line (const siginfo_t *info, int error, bool has_frames)
 {
   struct line line = { .used = 0 };
   struct timespec now;
@@ -269,23 +271,35 @@
   add_field (&line, "subject", recent[last].subject);
   add_field (&line, "build", bd_crash_build ());
   add_recent (&line);
-  add_frames (&line);
+  add_frames (&line, has_frames);
   end_line (&line);
   /* What does not fit into a full pipe is lost.  */
   if (write (STDOUT_FILENO, line.text, line.used) < 0)
     return;
 }
 
+/* The search for the return addresses can fault on a damaged stack.  The line
+   is then written without them, by a second call within the first.  */
 static void
 handle_signal (int signal_number, siginfo_t *info, void *context)
 {
-  int error = errno;
+  static volatile sig_atomic_t depth;
+  static siginfo_t first;
+  static int error;
 
+  (void)signal_number;
   (void)context;
-  bd_log_write_out ();
-  write_line (info, error);
-  /* The default action, by SA_RESETHAND.  */
-  raise (signal_number);
+  depth++;
+  if (depth == 1)
+    {
+      error = errno;
+      first = *info;
+      bd_log_write_out ();
+    }
+  if (depth <= 2)
+    write_line (&first, error, depth == 1);
+  signal (first.si_signo, SIG_DFL);
+  raise (first.si_signo);
 }
 
 static void
@@ -378,7 +392,7 @@
       = { SIGABRT, SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGTRAP, SIGSYS };
   struct sigaction action
       = { .sa_sigaction = handle_signal,
-          .sa_flags = (int)(SA_SIGINFO | SA_ONSTACK | SA_RESETHAND) };
+          .sa_flags = (int)(SA_SIGINFO | SA_ONSTACK | SA_NODEFER) };
   void *frame;
 
   process = process_name;
--- a/src/base/crash_test.c
+++ b/src/base/crash_test.c
@@ -312,6 +312,29 @@
   CU_ASSERT_PTR_NULL (strstr (output, "log-dropped"));
 }
 
+/* The return addresses cannot be found.  */
+static void
+call_unmapped_address (void)
+{
+  void (*volatile function) (void) = (void (*) (void)) (uintptr_t)0x414141410;
+
+  bd_crash_enter ("a \"test\"", "id-1");
+  function ();
+}
+
+static void
+test_last_line_without_frames (void)
+{
+  int signal_number;
+  json_t *line = run_child (call_unmapped_address, &signal_number);
+
+  CU_ASSERT_EQUAL (signal_number, SIGSEGV);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (line);
+  CU_ASSERT_STRING_EQUAL (text_of (line, "event"), "aborted");
+  CU_ASSERT_STRING_EQUAL (text_of (line, "subject"), "id-1");
+  json_decref (line);
+}
+
 static size_t
 recurse (volatile char *outer, size_t depth)
 {
@@ -447,6 +470,7 @@
     { "the allocator has the cause", test_allocator_has_the_cause },
     { "the last line after dropped lines",
       test_last_line_after_dropped_lines },
+    { "the last line without frames", test_last_line_without_frames },
     { "the stack is used up", test_stack_is_used_up },
     { "memory is used up", test_memory_is_used_up },
     { "talloc aborts", test_talloc_aborts },
