base: the last line has no query of a request

Change: a subject is cut at its query.

crash_test, "query in a subject": failed before (1 of 168 asserts), passes now.

--- a/src/base/crash.c
+++ b/src/base/crash.c
@@ -356,9 +356,11 @@
 void
 bd_crash_enter (const char *activity, const char *subject)
 {
-  size_t size = subject != NULL ? strnlen (subject, SUBJECT_SIZE - 1) : 0;
+  size_t size = subject != NULL ? strcspn (subject, "?") : 0;
   uint32_t next = (last + 1) % RECENT_COUNT;
 
+  if (size > SUBJECT_SIZE - 1)
+    size = SUBJECT_SIZE - 1;
   recent[next].name = activity;
   if (size > 0)
     memcpy (recent[next].subject, subject, size);
--- a/src/base/crash_test.c
+++ b/src/base/crash_test.c
@@ -246,6 +246,25 @@
   json_decref (line);
 }
 
+static void
+enter_query (void)
+{
+  bd_crash_enter ("a request", "/x?key=secret");
+  raise_signal ();
+}
+
+static void
+test_query_in_a_subject (void)
+{
+  int signal_number;
+  json_t *line = run_child (enter_query, &signal_number);
+
+  check_line (line, "signal");
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (text_of (line, "recent"), "a request (/x);"));
+  json_decref (line);
+}
+
 /* The longest texts, of bytes that JSON escapes or does not allow.  */
 static void
 enter_odd_bytes (void)
@@ -465,6 +484,7 @@
     { "frames name libraries", test_frames_name_libraries },
     { "the sender of a signal", test_sender_of_a_signal },
     { "recent activities", test_recent_activities },
+    { "query in a subject", test_query_in_a_subject },
     { "odd bytes in subjects", test_odd_bytes_in_subjects },
 #ifndef __SANITIZE_ADDRESS__
     { "the allocator has the cause", test_allocator_has_the_cause },
