cli: a SIGHUP late in a stop does not end a daemon by a signal

The requests had ended by then; the exit looks like a fault to whoever restarts the process.

Cause: freeing the event context restores the default actions.

Change: the signals are held again once the daemon has stopped.

--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -41,7 +41,7 @@
                          const char **path);
 
 /* bd_cli_hold_signals(): SIGHUP, SIGINT and SIGTERM wait from now on; by
-   default they would end a daemon that has no handlers yet.
+   default they would end a daemon that has no handlers yet, or none left.
    bd_cli_release_signals(): those that wait arrive, and later ones too.  */
 void bd_cli_hold_signals (void);
 void bd_cli_release_signals (void);
--- a/src/cli/edge.c
+++ b/src/cli/edge.c
@@ -147,6 +147,7 @@
   handle_tick (process);
   while (!bd_edge_is_done (process->edge))
     tevent_loop_once (process->events);
+  bd_cli_hold_signals ();
   bd_log ("stopped", NULL);
   bd_edge_finish (process->edge);
   return BD_EXIT_OK;
--- a/src/cli/serve.c
+++ b/src/cli/serve.c
@@ -69,6 +69,7 @@
   wake_loop (events);
   while (!bd_daemon_is_done (daemon))
     tevent_loop_once (events);
+  bd_cli_hold_signals ();
   bd_log ("stopped", NULL);
   bd_daemon_finish (daemon);
   return BD_EXIT_OK;
--- a/tests/paths/signals_at_start.sh
+++ b/tests/paths/signals_at_start.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# A daemon that has not installed its handlers yet doesn't end by a SIGHUP, and
-# serve doesn't at any time; a SIGTERM at the start is a graceful stop.
+# A daemon that has not installed its handlers yet, or is about to exit, doesn't
+# end by a SIGHUP, and serve doesn't at any time; a SIGTERM at the start is a
+# graceful stop.
 BASE_PORT=24800
 . "$(dirname "$0")/common.sh"
 start_platform
@@ -54,6 +55,7 @@
 is_listening () { get -m 1 -o /dev/null "$1/readyz"; }
 
 edge_settings >"$WORK/settings.toml"
+cp "$WORK/settings.toml" "$WORK/edge.toml"
 start_with_signal edge edge HUP
 check "edge starts in spite of a SIGHUP" wait_until 5 is_listening "http://$HOST:$((BASE_PORT + 2))"
 check "and reloads its settings" wait_until 5 grep -q '"event":"reload' "$WORK/edge.log"
@@ -70,4 +72,23 @@
 sleep 0.2
 check "serve goes on after a SIGHUP" is_listening "http://$HOST:$((BASE_PORT + 11))"
 check "and says that it doesn't reload" grep -q '"event":"reload-refused"' "$WORK/serve.log"
+
+# stop_amid_signals NAME: stops a daemon amid a series of SIGHUPs, and sets CODE to
+# its exit code.
+stop_amid_signals () {
+  local pid=${PIDS[$1]} sender
+  kill -TERM "$pid"
+  while kill -HUP "$pid" 2>/dev/null; do :; done &
+  sender=$!
+  wait "$pid" && CODE=0 || CODE=$?
+  wait "$sender" || true
+  unset "PIDS[$1]"
+}
+
+start_process edge_hup "$BIN" edge --settings "$WORK/edge.toml"
+wait_until 5 grep -q '"event":"started"' "$WORK/edge_hup.log" || fail "edge_hup did not start"
+stop_amid_signals edge_hup
+check "edge stops in spite of SIGHUPs" is_equal "$CODE" 0
+stop_amid_signals serve
+check "serve stops in spite of SIGHUPs" is_equal "$CODE" 0
 print_check_count
