edge_process_test: a quarter of the malformed responses are the one that ends a process

Requests that engines run are known to the test too, so that one that gets no response is seen. Not seen yet: a stream of an engine that is cut.

--- a/src/base/crash.h
+++ b/src/base/crash.h
@@ -35,8 +35,8 @@
 const char *bd_crash_build (void);
 
 /* bd_crash_enter(): the process now does activity, a constant, for subject,
-   for example the id of a request.  subject is copied and cut, also at a query,
-   which can hold keys; it may be NULL.  */
+   for example the id of a request.  subject is copied and cut, also at a
+   query, which can hold keys; it may be NULL.  */
 void bd_crash_enter (const char *activity, const char *subject);
 
 /* bd_crash_abort(): ends the process for a reason found in a line of a file.
--- a/src/edge/edge_process_test.c
+++ b/src/edge/edge_process_test.c
@@ -81,6 +81,9 @@
   MS_PER_S = 1000
 };
 
+/* The case that ends a process whose libcurl handles are used again.  */
+#define FOLDED_FIRST "blank before the first name"
+
 struct daemon
 {
   char name[BD_NAME_SIZE];
@@ -156,6 +159,15 @@
 
 /* Endpoints.  */
 
+static const struct response_case *
+find_case (const char *name)
+{
+  for (size_t i = 0; i < CASE_COUNT (malformed_heads); i++)
+    if (strcmp (malformed_heads[i].name, name) == 0)
+      return &malformed_heads[i];
+  return &malformed_heads[0];
+}
+
 static const struct response_case *
 draw_case (void)
 {
@@ -169,16 +181,13 @@
   if (chance >= odd_in_1000)
     return &sound_responses[draw (CASE_COUNT (sound_responses))];
   malformed++;
-  if (only_case == NULL)
-    {
-      number = draw ((uint32_t)(heads + chunks));
-      return number < heads ? &malformed_heads[number]
-                            : &malformed_chunks[number - heads];
-    }
-  for (number = 0; number < heads; number++)
-    if (strcmp (malformed_heads[number].name, only_case) == 0)
-      return &malformed_heads[number];
-  return &malformed_heads[0];
+  if (only_case != NULL)
+    return find_case (only_case);
+  if (draw (4) == 0)
+    return find_case (FOLDED_FIRST);
+  number = draw ((uint32_t)(heads + chunks));
+  return number < heads ? &malformed_heads[number]
+                        : &malformed_chunks[number - heads];
 }
 
 /* Sends bytes in two parts or at once.  */
@@ -302,6 +311,18 @@
   talloc_free (bytes);
 }
 
+/* Requests that the engines of the site run.  */
+static void
+note_engine_run (struct site_worker *worker,
+                 const struct bd_http_exchange *exchange)
+{
+  const char *id = bd_http_header (exchange, "Attempt-Id");
+
+  (void)worker;
+  if (id != NULL)
+    g_hash_table_add (runs, g_strdup (id));
+}
+
 static bool
 has_lost_links (const char *path)
 {
@@ -1003,6 +1024,7 @@
     program = talloc_asprintf (site.events, "%s/burdockdale",
                                build != NULL ? build : "build");
   site.has_lost_links = has_lost_links;
+  site.on_exchange = note_engine_run;
   start_endpoints ();
   start_daemons ();
   wait_until_ready ();
