--- a/src/base/crash_test.c
+++ b/src/base/crash_test.c
@@ -193,7 +193,7 @@
   json_decref (line);
 }
 
-/* A signal of another process is told apart from one of the process.  */
+/* A signal of another process differs from one of the process itself.  */
 static void
 wait_for_signal (void)
 {
--- a/src/daemon/daemon_odd_frames_test.c
+++ b/src/daemon/daemon_odd_frames_test.c
@@ -15,7 +15,7 @@
 {
   HTTP_PORT = 25700,
   PEER_PORT = 25701,
-  LOST_PORT = 25799, /* Nobody listens there.  */
+  LOST_PORT = 25799, /* Without a listener.  */
   SEED = 63,
   FRAMES = 20000,
   FRAMES_A_TURN = 10,
--- a/src/edge/edge_descriptors_test.c
+++ b/src/edge/edge_descriptors_test.c
@@ -1,4 +1,4 @@
-/* Guards against a daemon that ends, spins or serves nobody because its limit
+/* Guards against a daemon that ends, spins or stops serving because its limit
    of descriptors is used up, or because its output takes nothing.  */
 
 #include "tests/fakes/process.h"
--- a/src/edge/edge_odd_frames_test.c
+++ b/src/edge/edge_odd_frames_test.c
@@ -15,7 +15,7 @@
 enum
 {
   READY_MS = 10000,
-  LOST_PORT = SITE_BASE_PORT + 190, /* Nobody listens there.  */
+  LOST_PORT = SITE_BASE_PORT + 190, /* Without a listener.  */
   SEED = 63,
   FRAMES = 20000,
   FRAMES_A_TURN = 20
